--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# LENTILWELL_VENV names another virtual environment to use instead of .venv in the checkout.
+VENV := $(or $(LENTILWELL_VENV),.venv)
+PY := $(VENV)/bin/python
+PYTHON ?= python3
+STAMP := $(VENV)/.setup-lentilwell
+
+.PHONY: setup demo up test bench lint format build clean
+
+$(STAMP): requirements.txt requirements-dev.txt pyproject.toml
+	test -x $(PY) || $(PYTHON) -m venv $(VENV)
+	$(PY) -m pip install --quiet -r requirements-dev.txt
+	$(PY) -m pip install --quiet --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+setup: $(STAMP)
+
+demo: setup
+	$(PY) -m standins.demo
+
+up: setup
+	@$(PY) -m standins.up
+
+test: setup
+	$(PY) -m pytest -n 4
+
+bench: setup
+	$(PY) -m bench
+
+lint: setup
+	$(PY) -m black --check --quiet src standins bench tests examples
+	$(PY) -m ruff check --quiet src standins bench tests examples
+	$(PY) -m mypy
+
+format: setup
+	$(PY) -m black --quiet src standins bench tests examples
+	$(PY) -m ruff check --quiet --fix src standins bench tests examples
+
+clean:
+	rm -rf build dist .pytest_cache .mypy_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The bench: load, measures and baselines; the product never imports it."""
--- /dev/null
+++ b/src/lentilwell/_admission.py
@@ -0,0 +1,134 @@
+"""Arrival, deadlines and departure of requests."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from pyrsistent import pmap, pvector
+
+from lentilwell._effects import CancelAttempt, Effect, EndRequest
+from lentilwell._errors import DeadlineExceeded, Failure, NotReady
+from lentilwell._events import CallerGone, DrainStarted, InventoryAccepted, RequestArrived
+from lentilwell._inventory import Inventory
+from lentilwell._order import length_class
+from lentilwell._reducer import Step, follows, handles
+from lentilwell._state import EngineView, State, TeamQueue, Waiting, empty_ids, empty_queue
+
+DEADLINE_BUCKET_MS = 50
+
+
+def enqueue(state: State, waiting: Waiting, at_front: bool = False) -> State:
+    """Put a request into its team's queue; one that is resumed goes to the front of its class."""
+    request = waiting.request
+    queue = state.queues.get(request.team, TeamQueue())
+    kind = length_class(request.prompt_tokens)
+    ids = queue.classes.get(kind, empty_queue())
+    ids = ids.appendleft(request.request_id) if at_front else ids.append(request.request_id)
+    queue = replace(queue, classes=queue.classes.set(kind, ids))
+    return replace(
+        state,
+        queues=state.queues.set(request.team, queue),
+        waiting=state.waiting.set(request.request_id, waiting),
+    )
+
+
+def release(state: State, attempt_id: str) -> State:
+    """Forget an attempt and give back what it booked."""
+    attempt = state.attempts[attempt_id]
+    engines = state.engines
+    for share in attempt.placements:
+        view = engines.get(share.engine)
+        if view is not None:
+            backlog = 0 if attempt.first_token_at is not None else share.memory_tokens
+            view = replace(
+                view,
+                own_streams=view.own_streams - 1,
+                own_memory=view.own_memory - share.memory_tokens,
+                own_backlog=view.own_backlog - backlog,
+            )
+            engines = engines.set(share.engine, view)
+    return replace(
+        state,
+        engines=engines,
+        attempts=state.attempts.remove(attempt_id),
+        in_hand=state.in_hand.discard(attempt.request.request_id),
+    )
+
+
+def end_request(state: State, request_id: str, failure: Failure | None) -> Step:
+    """End a request wherever it is; with a failure, the caller is answered at once."""
+    effects: list[Effect] = []
+    known = request_id in state.waiting or request_id in state.in_hand
+    attempt_id = state.in_hand.get(request_id)
+    if attempt_id is not None:
+        effects.append(CancelAttempt(attempt_id))
+        state = release(state, attempt_id)
+    state = replace(state, waiting=state.waiting.discard(request_id))
+    if known and failure is not None:
+        effects.append(EndRequest(request_id, failure))
+    return state, tuple(effects)
+
+
+@handles(RequestArrived)
+def admit(state: State, event: RequestArrived) -> Step:
+    """Queue a request, or refuse it at once."""
+    request = event.request
+    if state.inventory is None or state.draining:
+        return state, (EndRequest(request.request_id, NotReady()),)
+    if request.deadline_at <= state.now:
+        return state, (EndRequest(request.request_id, DeadlineExceeded()),)
+    bucket = request.deadline_at // DEADLINE_BUCKET_MS
+    due = state.deadlines.get(bucket, empty_ids()).append(request.request_id)
+    state = replace(state, deadlines=state.deadlines.set(bucket, due))
+    return enqueue(state, Waiting(request)), ()
+
+
+@handles(CallerGone)
+def forget_caller(state: State, event: CallerGone) -> Step:
+    """Drop the request and cancel its streams at once."""
+    return end_request(state, event.request_id, None)
+
+
+@handles(DrainStarted)
+def start_drain(state: State, event: DrainStarted) -> Step:
+    """Take no new requests; those in hand go on."""
+    return replace(state, draining=True), ()
+
+
+@handles(InventoryAccepted)
+def accept_inventory(state: State, event: InventoryAccepted) -> Step:
+    """Take a configuration of a higher version; a lower or equal one changes nothing."""
+    if state.inventory is not None and event.inventory.version <= state.inventory.version:
+        return state, ()
+    return index_engines(replace(state, inventory=event.inventory), event.inventory), ()
+
+
+def index_engines(state: State, inventory: Inventory) -> State:
+    """Rebuild the views and the index by model, keeping what is known of engines that stay."""
+    engines = state.engines.evolver()
+    for name in state.engines:
+        if name not in inventory.engines:
+            engines.remove(name)
+    by_model: dict[str, list[str]] = {}
+    for name in sorted(inventory.engines):
+        spec = inventory.engines[name]
+        view = state.engines.get(name)
+        engines.set(name, EngineView(spec) if view is None else replace(view, spec=spec))
+        for model in spec.models:
+            by_model.setdefault(model, []).append(name)
+    index = pmap({model: pvector(names) for model, names in by_model.items()})
+    return replace(state, engines=engines.persistent(), by_model=index)
+
+
+@follows
+def expire(state: State) -> Step:
+    """End every request whose deadline has passed."""
+    effects: tuple[Effect, ...] = ()
+    current = state.now // DEADLINE_BUCKET_MS
+    due = [bucket for bucket in state.deadlines if bucket < current]
+    for bucket in due:
+        for request_id in state.deadlines[bucket]:
+            state, more = end_request(state, request_id, DeadlineExceeded())
+            effects += more
+        state = replace(state, deadlines=state.deadlines.remove(bucket))
+    return state, effects
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems; the product never imports them."""
