Serve a request from end to end through separate processes

Cause: the thin path comes first; every later part is measured on it. Ruled out while building: reading curl's status inside its write callback (pycurl refuses it), and counting an engine's refusal as a failure (the 1M-token span then failed three times in 30 ms). Found and left for admission: a prompt above what any data centre's engines hold together waits until its deadline in place of an answer at once (seen with 4 engines of 450k over 3 centres).

--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,12 @@
 VENV := $(or $(LENTILWELL_VENV),.venv)
 PY := $(VENV)/bin/python
 PYTHON ?= python3
+# LENTILWELL_READY=1 takes that environment as it is and installs nothing.
+SETUP := $(if $(LENTILWELL_READY),,setup)
 STAMP := $(VENV)/.setup-lentilwell
 
+export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
+
 .PHONY: setup demo up test bench lint format build clean
 
 $(STAMP): requirements.txt requirements-dev.txt pyproject.toml
@@ -14,24 +18,24 @@
 
 setup: $(STAMP)
 
-demo: setup
+demo: $(SETUP)
 	$(PY) -m standins.demo
 
-up: setup
+up: $(SETUP)
 	@$(PY) -m standins.up
 
-test: setup
+test: $(SETUP)
 	$(PY) -m pytest -n 4
 
-bench: setup
+bench: $(SETUP)
 	$(PY) -m bench
 
-lint: setup
+lint: $(SETUP)
 	$(PY) -m black --check --quiet src standins bench tests examples
 	$(PY) -m ruff check --quiet src standins bench tests examples
 	$(PY) -m mypy
 
-format: setup
+format: $(SETUP)
 	$(PY) -m black --quiet src standins bench tests examples
 	$(PY) -m ruff check --quiet --fix src standins bench tests examples
 
--- /dev/null
+++ b/src/lentilwell/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the command line as ``python -m lentilwell``."""
+
+import sys
+
+from lentilwell._cli import main
+
+sys.exit(main())
--- a/src/lentilwell/_admission.py
+++ b/src/lentilwell/_admission.py
@@ -6,13 +6,13 @@
 
 from pyrsistent import pmap, pvector
 
-from lentilwell._effects import CancelAttempt, Effect, EndRequest
+from lentilwell._effects import CancelAttempt, CancelStream, Effect, EndRequest
 from lentilwell._errors import DeadlineExceeded, Failure, NotReady
 from lentilwell._events import CallerGone, DrainStarted, InventoryAccepted, RequestArrived
 from lentilwell._inventory import Inventory
 from lentilwell._order import length_class
 from lentilwell._reducer import Step, follows, handles
-from lentilwell._state import EngineView, State, TeamQueue, Waiting, empty_ids, empty_queue
+from lentilwell._state import Attempt, EngineView, State, TeamQueue, Waiting, empty_ids, empty_queue
 
 DEADLINE_BUCKET_MS = 50
 
@@ -55,13 +55,19 @@
     )
 
 
+def stop_attempt(attempt: Attempt) -> tuple[Effect, ...]:
+    """Return the effects that stop reading an attempt and free its streams on every engine."""
+    frees = [CancelStream(share.engine, attempt.attempt_id) for share in attempt.placements]
+    return (CancelAttempt(attempt.attempt_id), *frees)
+
+
 def end_request(state: State, request_id: str, failure: Failure | None) -> Step:
     """End a request wherever it is; with a failure, the caller is answered at once."""
     effects: list[Effect] = []
     known = request_id in state.waiting or request_id in state.in_hand
     attempt_id = state.in_hand.get(request_id)
     if attempt_id is not None:
-        effects.append(CancelAttempt(attempt_id))
+        effects.extend(stop_attempt(state.attempts[attempt_id]))
         state = release(state, attempt_id)
     state = replace(state, waiting=state.waiting.discard(request_id))
     if known and failure is not None:
--- /dev/null
+++ b/src/lentilwell/_callers.py
@@ -0,0 +1,264 @@
+"""The callers' side: the completions API, the list of models and the plain services."""
+
+from __future__ import annotations
+
+import hashlib
+import uuid
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+import xxhash
+from result import Err, Ok, Result
+from werkzeug.exceptions import ClientDisconnected, RequestEntityTooLarge, RequestTimeout
+from werkzeug.wrappers import Request as HttpRequest
+from werkzeug.wrappers import Response
+
+from lentilwell._clock import MS_PER_SECOND, Clock
+from lentilwell._errors import (
+    BodyTooLarge,
+    Failure,
+    InvalidRequest,
+    NotReady,
+    PromptTooLong,
+    ReadTimeout,
+    Unauthorized,
+    UnknownModel,
+    UnknownRoute,
+)
+from lentilwell._events import Event, RequestArrived
+from lentilwell._inventory import Inventory, Team
+from lentilwell._messages import BYTES_PER_TOKEN, Request, count_tokens
+from lentilwell._responses import respond_failure
+from lentilwell._server import ConnectionDetached, take_connection
+from lentilwell._services import ServiceGateway
+from lentilwell._settings import CallersSettings
+from lentilwell._streams import (
+    AnswerForm,
+    Exchange,
+    StreamedForm,
+)
+from lentilwell._transfer import TransferLoop
+
+DEADLINE_HEADER = "X-Deadline-Ms"
+DEFAULT_ANSWER_TOKENS = 16
+BLOCK_TOKENS = 1_024
+TOKENS_PER_THOUSAND = 1_000
+
+
+class _ChatMessage(msgspec.Struct):
+    role: str
+    content: str
+
+
+class _CompletionBody(msgspec.Struct):
+    model: str
+    prompt: str
+    max_tokens: int | None = None
+    stream: bool | None = None
+
+
+class _ChatBody(msgspec.Struct):
+    model: str
+    messages: list[_ChatMessage]
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    stream: bool | None = None
+
+
+@dataclass(frozen=True)
+class Prompt:
+    """A checked body in either form of the API."""
+
+    model: str
+    text: str
+    answer_tokens: int
+    stream: bool
+    chat: bool
+
+
+def parse_completion(body: bytes) -> Result[Prompt, Failure]:
+    """Read the body of ``POST /v1/completions``."""
+    try:
+        found = msgspec.json.decode(body, type=_CompletionBody)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Err(InvalidRequest(f"The body is not a completion request: {error}."))
+    tokens = DEFAULT_ANSWER_TOKENS if found.max_tokens is None else found.max_tokens
+    return Ok(Prompt(found.model, found.prompt, tokens, bool(found.stream), False))
+
+
+def parse_chat(body: bytes) -> Result[Prompt, Failure]:
+    """Read the body of ``POST /v1/chat/completions``; the messages become one prompt."""
+    try:
+        found = msgspec.json.decode(body, type=_ChatBody)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Err(InvalidRequest(f"The body is not a chat request: {error}."))
+    text = "".join(f"{message.role}: {message.content}\n" for message in found.messages)
+    tokens = found.max_completion_tokens or found.max_tokens
+    tokens = DEFAULT_ANSWER_TOKENS if tokens is None else tokens
+    return Ok(Prompt(found.model, text, tokens, bool(found.stream), True))
+
+
+def hash_prefix(text: bytes, cache_group: str) -> tuple[int, ...]:
+    """Return the chain of hashes of the prompt's whole blocks, salted with the cache group."""
+    size = BLOCK_TOKENS * BYTES_PER_TOKEN
+    chain: list[int] = []
+    previous = xxhash.xxh64_intdigest(cache_group.encode())
+    for start in range(0, len(text) - size + 1, size):
+        previous = xxhash.xxh64_intdigest(text[start : start + size], seed=previous)
+        chain.append(previous)
+    return tuple(chain)
+
+
+@dataclass(frozen=True)
+class CallersContext:
+    """What the callers' side needs of the rest of the process."""
+
+    inventory: Callable[[], Inventory | None]
+    transfer: TransferLoop
+    services: ServiceGateway
+    post: Callable[[Event], object]
+    on_end: Callable[[Exchange], None]
+
+
+class CallersApp:
+    """The WSGI application for callers. Answers of engines leave by the transfer thread."""
+
+    def __init__(self, settings: CallersSettings, clock: Clock, context: CallersContext) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._context = context
+
+    def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        """Answer one request, or give its socket away."""
+        http = HttpRequest(environ)
+        http.max_content_length = self._settings.maximum_body_bytes
+        response = self._route(http)
+        response.headers["Connection"] = "close"
+        return response(environ, start_response)
+
+    def _route(self, http: HttpRequest) -> Response:
+        inventory = self._context.inventory()
+        if inventory is None:
+            return respond_failure(NotReady())
+        team = find_team(inventory, http)
+        if team is None:
+            return respond_failure(Unauthorized())
+        if http.path == "/v1/models" and http.method == "GET":
+            return list_models(inventory, team)
+        body = read_body(http, self._settings.maximum_body_bytes)
+        if isinstance(body, Err):
+            return respond_failure(body.err_value)
+        if http.path.startswith("/services/"):
+            return self._context.services.serve(http, body.ok_value, team, inventory)
+        parse = _PARSERS.get(http.path)
+        if parse is None or http.method != "POST":
+            return respond_failure(UnknownRoute())
+        prompt = parse(body.ok_value)
+        if isinstance(prompt, Err):
+            return respond_failure(prompt.err_value)
+        request = self._check(http, prompt.ok_value, team, inventory)
+        if isinstance(request, Err):
+            return respond_failure(request.err_value)
+        self._hand_over(http.environ, prompt.ok_value, request.ok_value)
+        raise ConnectionDetached
+
+    def _check(
+        self, http: HttpRequest, prompt: Prompt, team: Team, inventory: Inventory
+    ) -> Result[Request, Failure]:
+        model = inventory.models.get(prompt.model)
+        if model is None:
+            return Err(UnknownModel())
+        if prompt.answer_tokens < 1:
+            return Err(InvalidRequest("max_tokens must be a whole number of 1 or more."))
+        text = prompt.text.encode()
+        tokens = count_tokens(text)
+        if tokens + prompt.answer_tokens > model.context_tokens:
+            return Err(PromptTooLong(model.context_tokens))
+        deadline = read_deadline_ms(http, inventory, tokens)
+        if isinstance(deadline, Err):
+            return deadline
+        now = self._clock.now()
+        group = team.cache_group or f"team:{team.name}"
+        return Ok(
+            Request(
+                request_id=uuid.uuid4().hex,
+                team=team.name,
+                model=prompt.model,
+                prompt_tokens=tokens,
+                answer_tokens=prompt.answer_tokens,
+                arrived_at=now,
+                deadline_at=now + deadline.ok_value,
+                prefix=hash_prefix(text, group),
+            )
+        )
+
+    def _hand_over(self, environ: dict[str, Any], prompt: Prompt, request: Request) -> None:
+        kind = "chatcmpl" if prompt.chat else "cmpl"
+        created = self._clock.wall() // MS_PER_SECOND
+        answer_id = f"{kind}-{request.request_id}"
+        form = AnswerForm(answer_id, created, prompt.model, prompt.chat, prompt.stream)
+        exchange = Exchange(
+            request=request,
+            prompt=prompt.text,
+            form=form,
+            connection=take_connection(environ),
+            on_end=self._context.on_end,
+            streamed=StreamedForm(form) if prompt.stream else None,
+        )
+        self._context.transfer.add_exchange(exchange)
+        self._context.post(RequestArrived(self._clock.now(), request))
+
+
+def read_deadline_ms(
+    http: HttpRequest, inventory: Inventory, prompt_tokens: int
+) -> Result[int, Failure]:
+    """Return the time the request may take: the header's, capped, or the rules' for its length."""
+    rules = inventory.rules
+    given = http.headers.get(DEADLINE_HEADER)
+    if given is None:
+        by_length = rules.deadline_ms_per_1k_tokens * prompt_tokens // TOKENS_PER_THOUSAND
+        return Ok(min(rules.maximum_deadline_ms, rules.default_deadline_ms + by_length))
+    if not given.isdecimal() or len(given) > 15 or int(given) == 0:
+        return Err(InvalidRequest(f"{DEADLINE_HEADER} must be a whole number of ms, 1 or more."))
+    return Ok(min(rules.maximum_deadline_ms, int(given)))
+
+
+def find_team(inventory: Inventory, http: HttpRequest) -> Team | None:
+    """Return the team whose key the caller sent."""
+    kind, _, key = http.headers.get("Authorization", "").partition(" ")
+    if kind.lower() != "bearer" or not key:
+        return None
+    digest = hashlib.sha256(key.strip().encode()).hexdigest()
+    for team in inventory.teams.values():
+        if digest in team.key_digests:
+            return team
+    return None
+
+
+def read_body(http: HttpRequest, limit_bytes: int) -> Result[bytes, Failure]:
+    """Read the whole body within the limit of size and time."""
+    try:
+        return Ok(http.get_data(cache=False))
+    except RequestEntityTooLarge:
+        return Err(BodyTooLarge(limit_bytes))
+    except (ClientDisconnected, RequestTimeout, TimeoutError):
+        return Err(ReadTimeout())
+
+
+def list_models(inventory: Inventory, team: Team) -> Response:
+    """Answer ``GET /v1/models`` with the models that the team's engines serve."""
+    served = {
+        model
+        for engine in inventory.engines.values()
+        if not team.engines or engine.name in team.engines
+        for model in engine.models
+    }
+    names = sorted(served & set(inventory.models))
+    data = [{"id": n, "object": "model", "created": 0, "owned_by": "lentilwell"} for n in names]
+    body = msgspec.json.encode({"object": "list", "data": data})
+    return Response(body, content_type="application/json")
+
+
+_PARSERS = {"/v1/completions": parse_completion, "/v1/chat/completions": parse_chat}
--- /dev/null
+++ b/src/lentilwell/_dump.py
@@ -0,0 +1,32 @@
+"""The dump of an instance's whole state as JSON, without keys and prompts."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import fields, is_dataclass
+from enum import Enum
+from typing import Any
+
+from pyrsistent import PDeque, PMap, PVector
+
+from lentilwell._state import State
+
+_HIDDEN = frozenset(("key_digests", "prefix", "random"))
+
+
+def dump_state(state: State) -> Any:
+    """Return the state as maps, lists and plain values."""
+    return _plain(state)
+
+
+def _plain(value: object) -> Any:
+    if is_dataclass(value):
+        names = [field.name for field in fields(value) if field.name not in _HIDDEN]
+        return {name: _plain(getattr(value, name)) for name in names}
+    if isinstance(value, Mapping | PMap):
+        return {str(key): _plain(item) for key, item in value.items()}
+    if isinstance(value, list | tuple | frozenset | PVector | PDeque):
+        return [_plain(item) for item in value]
+    if isinstance(value, Enum):
+        return value.value
+    return value
--- /dev/null
+++ b/src/lentilwell/_engines.py
@@ -0,0 +1,99 @@
+"""The engines' orders and reports over HTTP, and the form of the calls that open streams."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import msgspec
+from result import Err, Ok, Result
+
+from lentilwell._http import HttpAnswer, HttpCall, send
+from lentilwell._messages import LoadReport
+from lentilwell._ports import CacheBatch, EngineControl, EngineUnreadable
+
+CONTROL_TIMEOUT_MS = 1_000
+
+
+@dataclass(frozen=True)
+class OpenStream:
+    """The body that opens a stream; ``prefill_tokens`` is this engine's share of the prompt.
+
+    ``continued`` is the text of the answer up to ``first_index``; ``segments`` names the streams of
+    the other engines of a span, for the lead.
+    """
+
+    stream: str
+    owner: str
+    incarnation: str
+    role: str
+    model: str
+    prompt: str
+    continued: str
+    first_index: int
+    answer_tokens: int
+    prefill_tokens: int
+    memory_tokens: int
+    priority: int
+    segments: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True)
+class StreamLine:
+    """One line of a stream: a token with its index, or the end; an empty line only keeps alive."""
+
+    stream: str
+    index: int = -1
+    text: str = ""
+    end: str = ""
+
+
+class HttpEngineControl(EngineControl):
+    """Speaks the engines' HTTP form."""
+
+    def read_load(self, engine: str, url: str) -> Result[LoadReport, EngineUnreadable]:
+        """Return the engine's load report; a report that names another engine is unreadable."""
+        answer = _call("GET", f"{url}/v1/load")
+        if isinstance(answer, Err):
+            return answer
+        try:
+            report = msgspec.json.decode(answer.ok_value.body, type=LoadReport)
+        except msgspec.DecodeError:
+            return Err(EngineUnreadable())
+        return Ok(report) if report.engine == engine else Err(EngineUnreadable())
+
+    def read_cache_events(
+        self, engine: str, url: str, after: int
+    ) -> Result[CacheBatch, EngineUnreadable]:
+        """Return the cache events beyond sequence ``after``."""
+        answer = _call("GET", f"{url}/v1/cache?after={after}")
+        if isinstance(answer, Err):
+            return answer
+        try:
+            return Ok(msgspec.json.decode(answer.ok_value.body, type=CacheBatch))
+        except msgspec.DecodeError:
+            return Err(EngineUnreadable())
+
+    def cancel_stream(self, url: str, stream: str) -> Result[None, EngineUnreadable]:
+        """Free a stream; an unknown stream is a success."""
+        return _call("DELETE", f"{url}/v1/streams/{stream}").map(lambda _: None)
+
+    def change_priority(
+        self, url: str, stream: str, priority: int
+    ) -> Result[None, EngineUnreadable]:
+        """Change a stream's priority."""
+        body = msgspec.json.encode({"priority": priority})
+        return _call("PATCH", f"{url}/v1/streams/{stream}", body).map(lambda _: None)
+
+    def order_models(
+        self, url: str, fence: int, models: tuple[str, ...]
+    ) -> Result[None, EngineUnreadable]:
+        """State the models the engine shall hold."""
+        body = msgspec.json.encode({"fence": fence, "models": models})
+        return _call("POST", f"{url}/v1/orders", body).map(lambda _: None)
+
+
+def _call(method: str, url: str, body: bytes = b"") -> Result[HttpAnswer, EngineUnreadable]:
+    answer = send(HttpCall(method, url, body=body, timeout_ms=CONTROL_TIMEOUT_MS))
+    if isinstance(answer, Err) or answer.ok_value.status >= 300:
+        return Err(EngineUnreadable())
+    return answer
--- a/src/lentilwell/_placement.py
+++ b/src/lentilwell/_placement.py
@@ -49,6 +49,8 @@
     held = view.own_memory
     for peer in state.peers.values():
         held += sum(u.memory_tokens for u in peer.digest.uses if u.engine == view.spec.name)
+    if view.report is not None:
+        held = max(held, view.report.memory_used)
     return view.spec.memory_tokens - held
 
 
--- /dev/null
+++ b/src/lentilwell/_platform.py
@@ -0,0 +1,175 @@
+"""The platform over HTTP: one adapter, found by its dialect's name."""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import Callable
+from typing import TypeVar
+from urllib.parse import quote, urlencode
+
+import msgspec
+from result import Err, Ok, Result
+
+from lentilwell._errors import AnswerLost, NotFound, PlatformFailure, Unavailable, VersionConflict
+from lentilwell._http import HttpAnswer, HttpCall, send
+from lentilwell._messages import Member, MemberKind
+from lentilwell._ports import Platform, Row
+from lentilwell._settings import PlatformSettings
+
+_BodyT = TypeVar("_BodyT")
+
+DIALECTS: dict[str, Callable[[PlatformSettings], Platform]] = {}
+
+
+def dialect(
+    name: str,
+) -> Callable[[Callable[[PlatformSettings], Platform]], Callable[[PlatformSettings], Platform]]:
+    """Register the decorated class or function as the maker of a platform dialect."""
+
+    def register(
+        make: Callable[[PlatformSettings], Platform],
+    ) -> Callable[[PlatformSettings], Platform]:
+        DIALECTS[name] = make
+        return make
+
+    return register
+
+
+class _RowBody(msgspec.Struct):
+    key: str
+    value: str
+    version: int
+
+
+class _RowsBody(msgspec.Struct):
+    rows: list[_RowBody]
+
+
+class _VersionBody(msgspec.Struct):
+    version: int
+
+
+class _MemberBody(msgspec.Struct):
+    name: str
+    kind: MemberKind
+    address: str
+    data_centre: str
+    incarnation: str
+    leaving: bool = False
+
+
+class _MembersBody(msgspec.Struct):
+    instances: list[_MemberBody]
+
+
+@dialect("http")
+class HttpPlatform(Platform):
+    """Speaks the plain HTTP form of the platform's services."""
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        self._url = settings.url.rstrip("/")
+        self._timeout_ms = settings.timeout_ms
+
+    def read_row(self, key: str) -> Result[Row | None, PlatformFailure]:
+        """Return the row, or None where there is none."""
+        answer = self._call("GET", f"/table/{quote(key)}")
+        if answer.is_err():
+            return Err(Unavailable())
+        if answer.unwrap().status == 404:
+            return Ok(None)
+        return _decode(answer.unwrap(), _RowBody).map(_to_row)
+
+    def write_row(
+        self, key: str, value: bytes, expected_version: int
+    ) -> Result[Row, PlatformFailure]:
+        """Write if the row's version is ``expected_version``."""
+        answer = self._change("PUT", key, value, expected_version)
+        if isinstance(answer, Err):
+            return answer
+        body = _decode(answer.ok_value, _VersionBody)
+        return body.map(lambda found: Row(key, value, found.version)).map_err(
+            lambda _: AnswerLost()
+        )
+
+    def delete_row(self, key: str, expected_version: int) -> Result[None, PlatformFailure]:
+        """Delete if the row's version is ``expected_version``."""
+        return self._change("DELETE", key, b"", expected_version).map(lambda _: None)
+
+    def scan_rows(
+        self, prefix: str, after: str = "", limit: int = 100
+    ) -> Result[tuple[Row, ...], PlatformFailure]:
+        """Return up to ``limit`` rows with the prefix, by key, beyond ``after``."""
+        query = urlencode({"prefix": prefix, "after": after, "limit": limit})
+        answer = self._call("GET", f"/table?{query}")
+        if answer.is_err():
+            return Err(Unavailable())
+        rows = _decode(answer.unwrap(), _RowsBody)
+        return rows.map(lambda body: tuple(_to_row(row) for row in body.rows))
+
+    def get_object(self, key: str) -> Result[bytes, PlatformFailure]:
+        """Return an object's bytes, or NotFound."""
+        answer = self._call("GET", f"/objects/{quote(key)}")
+        if answer.is_err():
+            return Err(Unavailable())
+        found = answer.unwrap()
+        if found.status == 404:
+            return Err(NotFound())
+        return Ok(found.body) if found.status == 200 else Err(Unavailable())
+
+    def put_object(self, key: str, value: bytes) -> Result[None, PlatformFailure]:
+        """Store an object."""
+        answer = self._call("PUT", f"/objects/{quote(key)}", value)
+        if isinstance(answer, Err):
+            return answer
+        return Ok(None) if answer.ok_value.status == 200 else Err(Unavailable())
+
+    def list_members(self) -> Result[tuple[Member, ...], PlatformFailure]:
+        """Return the platform's list of instances."""
+        answer = self._call("GET", "/instances")
+        if answer.is_err():
+            return Err(Unavailable())
+        body = _decode(answer.unwrap(), _MembersBody)
+        return body.map(lambda found: tuple(_to_member(m) for m in found.instances))
+
+    def _change(
+        self, method: str, key: str, value: bytes, expected_version: int
+    ) -> Result[HttpAnswer, PlatformFailure]:
+        headers = (("If-Version", str(expected_version)),)
+        answer = self._call(method, f"/table/{quote(key)}", value, headers)
+        if isinstance(answer, Err):
+            return answer
+        if answer.ok_value.status == 412:
+            found = _decode(answer.ok_value, _VersionBody)
+            return Err(found.map_or(AnswerLost(), lambda body: VersionConflict(body.version)))
+        if answer.ok_value.status == 200:
+            return answer
+        return Err(Unavailable() if answer.ok_value.status in (429, 503) else AnswerLost())
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: tuple[tuple[str, str], ...] = (),
+    ) -> Result[HttpAnswer, PlatformFailure]:
+        call = HttpCall(method, self._url + path, headers, body, self._timeout_ms)
+        return send(call).map_err(lambda failure: AnswerLost() if failure.sent else Unavailable())
+
+
+def _decode(answer: HttpAnswer, kind: type[_BodyT]) -> Result[_BodyT, PlatformFailure]:
+    if answer.status not in (200, 412):
+        return Err(Unavailable())
+    try:
+        return Ok(msgspec.json.decode(answer.body, type=kind))
+    except msgspec.DecodeError:
+        return Err(Unavailable())
+
+
+def _to_row(body: _RowBody) -> Row:
+    return Row(body.key, base64.b64decode(body.value), body.version)
+
+
+def _to_member(body: _MemberBody) -> Member:
+    return Member(
+        body.name, body.kind, body.address, body.data_centre, body.incarnation, body.leaving
+    )
--- a/src/lentilwell/_recovery.py
+++ b/src/lentilwell/_recovery.py
@@ -4,8 +4,8 @@
 
 from dataclasses import replace
 
-from lentilwell._admission import end_request, enqueue, release
-from lentilwell._effects import CancelAttempt, ResumeAttempt
+from lentilwell._admission import end_request, enqueue, release, stop_attempt
+from lentilwell._effects import CancelStream, ResumeAttempt
 from lentilwell._errors import UpstreamFailed
 from lentilwell._events import (
     AttemptFailed,
@@ -20,6 +20,7 @@
 
 MAXIMUM_FAILURES = 3
 MAXIMUM_RESUMES = 2
+AVOID_MS = 250
 
 
 @handles(FirstTokenSeen)
@@ -52,9 +53,12 @@
 @handles(AttemptFinished)
 def finish_attempt(state: State, event: AttemptFinished) -> Step:
     """The answer is whole: give back what was booked."""
-    if event.attempt_id not in state.attempts:
+    attempt = state.attempts.get(event.attempt_id)
+    if attempt is None:
         return state, ()
-    return release(state, event.attempt_id), ()
+    segments = attempt.placements[1:]
+    frees = tuple(CancelStream(share.engine, event.attempt_id) for share in segments)
+    return release(state, event.attempt_id), frees
 
 
 @handles(AttemptFailed)
@@ -67,13 +71,23 @@
         attempt = replace(attempt, resumes=attempt.resumes + 1)
         state = replace(state, attempts=state.attempts.set(event.attempt_id, attempt))
         return state, (ResumeAttempt(event.attempt_id),)
-    failures = attempt.failures + 1
+    refused = event.cause in (Cause.REFUSED, Cause.LEAVING)
+    failures = attempt.failures if refused else attempt.failures + 1
     if failures >= MAXIMUM_FAILURES:
         request_id = attempt.request.request_id
         return end_request(state, request_id, UpstreamFailed())
-    state = release(state, event.attempt_id)
+    state = avoid_engine(release(state, event.attempt_id), event.engine)
     again = Waiting(attempt.request, max(attempt.tokens, event.tokens), failures)
-    return enqueue(state, again, at_front=True), (CancelAttempt(event.attempt_id),)
+    return enqueue(state, again, at_front=True), stop_attempt(attempt)
+
+
+def avoid_engine(state: State, name: str) -> State:
+    """Place nothing on an engine for a short while after it refused or failed."""
+    view = state.engines.get(name)
+    if view is None:
+        return state
+    view = replace(view, ejected_until=state.now + AVOID_MS)
+    return replace(state, engines=state.engines.set(name, view))
 
 
 @handles(LoadReported)
--- /dev/null
+++ b/src/lentilwell/_responses.py
@@ -0,0 +1,19 @@
+"""WSGI answers that more than one listener gives."""
+
+from __future__ import annotations
+
+from werkzeug.wrappers import Response
+
+from lentilwell._errors import Failure
+from lentilwell._streams import encode_failure, retry_after_seconds
+
+
+def respond_failure(failure: Failure) -> Response:
+    """Return the HTTP answer for a failure."""
+    response = Response(
+        encode_failure(failure), status=failure.status, content_type="application/json"
+    )
+    after = retry_after_seconds(failure)
+    if after is not None:
+        response.headers["Retry-After"] = after
+    return response
--- /dev/null
+++ b/standins/client.py
@@ -0,0 +1,80 @@
+"""A small caller for demo, tests and bench: one completion, timed and checked byte for byte."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import time
+from dataclasses import dataclass
+from urllib.parse import urlsplit
+
+from standins.answers import answer_text
+
+BYTES_PER_TOKEN = 4
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """What came back: HTTP status, text, error code, and times in ms from the send."""
+
+    status: int
+    text: str
+    error: str
+    first_token_ms: float
+    total_ms: float
+    done: bool
+
+
+def make_prompt(tokens: int, name: str) -> str:
+    """Return a prompt of this many tokens that begins with ``name``."""
+    return (name + " ").ljust(tokens * BYTES_PER_TOKEN, "x")
+
+
+def complete(
+    url: str,
+    key: str,
+    prompt: str,
+    answer_tokens: int,
+    deadline_ms: int | None = None,
+    model: str = "assistant",
+) -> Outcome:
+    """Send a streamed completion and read it to its end."""
+    parts = urlsplit(url)
+    connection = http.client.HTTPConnection(parts.hostname or "", parts.port, timeout=120)
+    body = {"model": model, "prompt": prompt, "max_tokens": answer_tokens, "stream": True}
+    headers = {"Authorization": f"Bearer {key}", "Content-Type": "application/json"}
+    if deadline_ms is not None:
+        headers["X-Deadline-Ms"] = str(deadline_ms)
+    started = time.monotonic()
+    try:
+        connection.request("POST", "/v1/completions", json.dumps(body), headers)
+        return read_outcome(connection.getresponse(), started)
+    finally:
+        connection.close()
+
+
+def read_outcome(response: http.client.HTTPResponse, started: float) -> Outcome:
+    """Read an answer, streamed or not."""
+    first = 0.0
+    error = ""
+    done = False
+    texts: list[str] = []
+    if response.status != 200:
+        error = json.loads(response.read())["error"]["code"]
+    for line in response if response.status == 200 else ():
+        if line == b"data: [DONE]\n":
+            done = True
+        elif line.startswith(b"data: "):
+            event = json.loads(line[6:])
+            if "error" in event:
+                error = event["error"]["code"]
+                continue
+            first = first or time.monotonic() - started
+            texts.append(event["choices"][0]["text"])
+    total = time.monotonic() - started
+    return Outcome(response.status, "".join(texts), error, first * 1_000, total * 1_000, done)
+
+
+def is_whole(outcome: Outcome, prompt: str, answer_tokens: int, model: str = "assistant") -> bool:
+    """Tell whether the outcome is exactly the answer to this prompt."""
+    return outcome.done and outcome.text == answer_text(model, prompt.encode(), answer_tokens)
--- /dev/null
+++ b/standins/deployment.py
@@ -0,0 +1,225 @@
+"""Starts a whole deployment on free loopback ports."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import urllib.request
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+STOP_PATIENCE_S = 20
+READY_PATIENCE_S = 20
+
+
+@dataclass(frozen=True)
+class DeploymentPlan:
+    """What to start. Engines and instances are spread over the data centres in turn."""
+
+    data_centres: tuple[str, ...] = ("caerdydd", "abertawe", "wrecsam")
+    instances: int = 4
+    engines: int = 14
+    services: int = 3
+    service_name: str = "bookings"
+    teams: tuple[str, ...] = ("counters", "pricing")
+    memory_tokens: int = 450_000
+    slots: int = 64
+    speed: float = 20.0
+    prefill_rate: float = 20_000.0
+    decode_ms: float = 20.0
+    balancer_lag_ms: int = 1_000
+    order: str = "response_ratio"
+    placement: str = "owner_share"
+    log_level: str = "INFO"
+
+
+@dataclass
+class Process:
+    """A started process, the port of its listener and what it said when ready."""
+
+    name: str
+    popen: subprocess.Popen[str]
+    ports: dict[str, int]
+
+    def url(self, listener: str = "port") -> str:
+        """Return the base URL of one of its listeners."""
+        return f"http://127.0.0.1:{self.ports[listener]}"
+
+    def signal(self, number: int) -> None:
+        """Send a signal to this very process."""
+        if self.popen.poll() is None:
+            self.popen.send_signal(number)
+
+
+@dataclass
+class Deployment:
+    """A running deployment."""
+
+    plan: DeploymentPlan
+    folder: Path
+    platform: Process
+    engines: list[Process] = field(default_factory=list)
+    services: list[Process] = field(default_factory=list)
+    entries: list[Process] = field(default_factory=list)
+    keys: dict[str, str] = field(default_factory=dict)
+    operator_token: str = "operator-token"
+    version: int = 0
+
+    def processes(self) -> list[Process]:
+        """Return all processes, entry instances first."""
+        return [*self.entries, *self.services, *self.engines, self.platform]
+
+    def inventory_text(self) -> str:
+        """Return the inventory of what runs, in INI."""
+        plan = self.plan
+        lines = ["[model assistant]", "context_tokens = 1100000", ""]
+        for number, process in enumerate(self.engines):
+            centre = plan.data_centres[number % len(plan.data_centres)]
+            lines += [f"[engine {process.name}]", f"url = {process.url()}"]
+            lines += [f"data_centre = {centre}", "models = assistant"]
+            lines += [f"memory_tokens = {plan.memory_tokens}", f"slots = {plan.slots}", ""]
+        for number, process in enumerate(self.services):
+            centre = plan.data_centres[number % len(plan.data_centres)]
+            lines += [f"[service {process.name}]", f"service = {plan.service_name}"]
+            lines += [f"url = {process.url()}", f"data_centre = {centre}", ""]
+        lines += [f"[route {plan.service_name} GET /]", "idempotent = yes", ""]
+        lines += [f"[route {plan.service_name} POST /]", "idempotent = no", ""]
+        for team, key in self.keys.items():
+            digest = hashlib.sha256(key.encode()).hexdigest()
+            lines += [f"[team {team}]", "weight = 1", f"key_sha256 = {digest}", ""]
+        return "\n".join(lines)
+
+    def put_inventory(self) -> int:
+        """Store the inventory as the next accepted version, straight into the platform."""
+        text = self.inventory_text().encode()
+        digest = hashlib.sha256(text).hexdigest()
+        call("PUT", f"{self.platform.url()}/objects/configuration/{digest}", text)
+        head = {"version": self.version + 1, "digest": digest, "edit_id": "setup"}
+        url = f"{self.platform.url()}/table/configuration.head"
+        call("PUT", url, json.dumps(head).encode(), {"If-Version": str(self.version)})
+        self.version += 1
+        return self.version
+
+    def settings_text(self, name: str, data_centre: str) -> str:
+        """Return an entry instance's settings, in INI."""
+        return "\n".join(
+            [
+                "[instance]",
+                f"name = {name}",
+                f"data_centre = {data_centre}",
+                "[operators]",
+                f"token = {self.operator_token}",
+                "[peers]",
+                "key = shared-peer-key",
+                "[platform]",
+                f"url = {self.platform.url()}",
+                "[stop]",
+                f"balancer_lag_ms = {self.plan.balancer_lag_ms}",
+                "[logs]",
+                f"level = {self.plan.log_level}",
+                "",
+            ]
+        )
+
+    def start_entry(self, name: str, data_centre: str) -> Process:
+        """Start one entry instance and list it with the platform."""
+        path = self.folder / f"{name}.ini"
+        path.write_text(self.settings_text(name, data_centre))
+        process = launch(name, ["-m", "lentilwell", "entry", "--settings", str(path)], self.folder)
+        self.entries.append(process)
+        return process
+
+    def stop(self) -> list[int]:
+        """Stop everything, entry instances gracefully first; return their exit codes."""
+        codes = stop_processes(self.entries)
+        stop_processes([*self.services, *self.engines, self.platform])
+        return codes
+
+
+def call(
+    method: str, url: str, body: bytes | None = None, headers: dict[str, str] | None = None
+) -> bytes:
+    """Make one HTTP call to a stand-in or an instance and return the body."""
+    request = urllib.request.Request(url, body, headers or {}, method=method)
+    with urllib.request.urlopen(request, timeout=30) as answer:
+        data: bytes = answer.read()
+    return data
+
+
+def launch(name: str, arguments: list[str], folder: Path) -> Process:
+    """Start a Python process and wait for the JSON line with its ports."""
+    log = (folder / f"{name}.log").open("w")
+    popen = subprocess.Popen(
+        [sys.executable, *arguments],
+        stdout=subprocess.PIPE,
+        stderr=log,
+        text=True,
+        env={**os.environ, "PYTHONUNBUFFERED": "1"},
+    )
+    assert popen.stdout is not None
+    line = popen.stdout.readline()
+    if not line:
+        raise RuntimeError(f"{name} did not start: {(folder / f'{name}.log').read_text()}")
+    return Process(name, popen, json.loads(line))
+
+
+def stop_processes(processes: list[Process]) -> list[int]:
+    """Send SIGTERM to all, wait, and kill what is still there; return the exit codes."""
+    for process in processes:
+        process.signal(signal.SIGCONT)
+        process.signal(signal.SIGTERM)
+    codes = []
+    for process in processes:
+        try:
+            codes.append(process.popen.wait(STOP_PATIENCE_S))
+        except subprocess.TimeoutExpired:
+            process.popen.kill()
+            codes.append(process.popen.wait())
+    return codes
+
+
+@contextmanager
+def deploy(plan: DeploymentPlan) -> Iterator[Deployment]:
+    """Start a deployment, yield it, and stop all of it."""
+    with tempfile.TemporaryDirectory() as name:
+        folder = Path(name)
+        platform = launch("platform", ["-m", "standins.platform"], folder)
+        deployment = Deployment(plan, folder, platform)
+        try:
+            start_parts(deployment)
+            yield deployment
+        finally:
+            deployment.stop()
+
+
+def start_parts(deployment: Deployment) -> None:
+    """Start engines, services and entry instances, and put the inventory."""
+    plan = deployment.plan
+    for number in range(plan.engines):
+        deployment.engines.append(start_engine(deployment, f"engine-{number + 1}"))
+    for number in range(plan.services):
+        service = f"{plan.service_name}-{number + 1}"
+        arguments = ["-m", "standins.service", "--name", service]
+        deployment.services.append(launch(service, arguments, deployment.folder))
+    deployment.keys = {team: f"key-of-{team}" for team in plan.teams}
+    deployment.put_inventory()
+    for number in range(plan.instances):
+        centre = plan.data_centres[number % len(plan.data_centres)]
+        deployment.start_entry(f"entry-{number + 1}", centre)
+
+
+def start_engine(deployment: Deployment, name: str, port: int = 0) -> Process:
+    """Start one engine with the plan's model figures."""
+    plan = deployment.plan
+    arguments = ["-m", "standins.engine", "--name", name, "--port", str(port)]
+    arguments += ["--speed", str(plan.speed), "--prefill-rate", str(plan.prefill_rate)]
+    arguments += ["--decode-ms", str(plan.decode_ms), "--slots", str(plan.slots)]
+    arguments += ["--memory-tokens", str(plan.memory_tokens)]
+    return launch(name, arguments, deployment.folder)
--- /dev/null
+++ b/standins/web.py
@@ -0,0 +1,168 @@
+"""A small HTTP base for the stand-ins: routes by method and path, JSON in and out."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import signal
+import socket
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any
+from urllib.parse import parse_qsl, urlsplit
+
+MAXIMUM_BACKLOG = 1_024
+
+
+@dataclass(frozen=True)
+class Call:
+    """One request as a route sees it; ``rest`` is the path beyond the route's prefix."""
+
+    method: str
+    rest: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        """Return the body read as JSON; an empty body is an empty object."""
+        return json.loads(self.body) if self.body else {}
+
+
+@dataclass(frozen=True)
+class Reply:
+    """An answer with a status and a body of bytes."""
+
+    status: int
+    body: bytes = b""
+    headers: dict[str, str] = field(default_factory=dict)
+
+
+class DropConnection(Exception):
+    """Raised by a route to close the connection without an answer."""
+
+
+class DetachConnection(Exception):
+    """Raised by a route that has taken the socket for itself."""
+
+
+def reply_json(value: object, status: int = 200) -> Reply:
+    """Return a JSON reply."""
+    return Reply(status, json.dumps(value).encode(), {"Content-Type": "application/json"})
+
+
+Route = Callable[[Call, socket.socket], Reply]
+
+
+class Server(ThreadingHTTPServer):
+    """Serves routes registered with ``route``; the longest matching prefix wins."""
+
+    daemon_threads = True
+    request_queue_size = MAXIMUM_BACKLOG
+
+    def __init__(self, port: int) -> None:
+        super().__init__(("127.0.0.1", port), Handler)
+        self.routes: dict[tuple[str, str], Route] = {}
+        self.detached: set[int] = set()
+
+    def route(self, method: str, prefix: str) -> Callable[[Route], Route]:
+        """Register the decorated function for a method (or ``*``) and a path prefix."""
+
+        def register(function: Route) -> Route:
+            self.routes[(method, prefix)] = function
+            return function
+
+        return register
+
+    def find(self, method: str, path: str) -> tuple[Route, str] | None:
+        """Return the route with the longest prefix of the path, and the rest of the path."""
+        matches = [
+            (len(prefix), route, path[len(prefix) :])
+            for (wanted, prefix), route in self.routes.items()
+            if wanted in (method, "*") and path.startswith(prefix)
+        ]
+        if not matches:
+            return None
+        _, route, rest = max(matches, key=lambda match: match[0])
+        return route, rest
+
+    def shutdown_request(self, request: Any) -> None:
+        """Leave a detached connection open; close any other."""
+        if request.fileno() in self.detached:
+            self.detached.discard(request.fileno())
+            request.detach()
+            return
+        super().shutdown_request(request)
+
+
+class Handler(BaseHTTPRequestHandler):
+    """Reads one request and answers it by its route."""
+
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+    server: Server
+
+    def log_message(self, format: str, *args: Any) -> None:
+        """Write no access log."""
+
+    def handle_one_request(self) -> None:
+        """Serve any method by one function."""
+        try:
+            self.raw_requestline = self.rfile.readline(65_537)
+            if not self.raw_requestline or not self.parse_request():
+                self.close_connection = True
+                return
+            self.serve()
+        except (ConnectionError, TimeoutError):
+            self.close_connection = True
+
+    def serve(self) -> None:
+        """Find the route, call it and send what it returns."""
+        body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
+        parts = urlsplit(self.path)
+        found = self.server.find(self.command, parts.path)
+        if found is None:
+            self.send(Reply(404))
+            return
+        route, rest = found
+        headers = {name.lower(): value for name, value in self.headers.items()}
+        call = Call(self.command, rest, dict(parse_qsl(parts.query)), headers, body)
+        try:
+            self.send(route(call, self.connection))
+        except DropConnection:
+            self.close_connection = True
+        except DetachConnection:
+            self.server.detached.add(self.connection.fileno())
+            self.close_connection = True
+
+    def send(self, reply: Reply) -> None:
+        """Send a reply in one write."""
+        lines = [f"HTTP/1.1 {reply.status} {self.responses.get(reply.status, ('Status',))[0]}"]
+        headers = {**reply.headers, "Content-Length": str(len(reply.body))}
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+        self.wfile.write(head + reply.body)
+        self.wfile.flush()
+
+
+def build_parser(description: str) -> argparse.ArgumentParser:
+    """Return a parser with the options that every stand-in has."""
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument("--port", type=int, default=0, help="port to listen on; 0 takes a free one")
+    parser.add_argument("--name", default="standin")
+    return parser
+
+
+def serve(server: Server) -> None:
+    """Print one JSON line with the port, then serve until SIGTERM or SIGINT."""
+
+    def stop(_signal: int, _frame: object) -> None:
+        raise SystemExit(0)
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+    sys.stdout.write(json.dumps({"port": server.server_address[1]}) + "\n")
+    sys.stdout.flush()
+    server.serve_forever(poll_interval=0.2)
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -3,7 +3,7 @@
 from pyrsistent import pmap
 
 from lentilwell import Identity, Request, State, reduce
-from lentilwell._effects import CancelAttempt, EndRequest, ResumeAttempt, StartAttempt
+from lentilwell._effects import CancelAttempt, CancelStream, EndRequest, ResumeAttempt, StartAttempt
 from lentilwell._errors import DeadlineExceeded
 from lentilwell._events import (
     AttemptFailed,
@@ -73,5 +73,7 @@
     assert effects == (ResumeAttempt(started.attempt_id),)
     failed = AttemptFailed(9, started.attempt_id, engine, Cause.BROKEN, 6)
     state, effects = reduce(state, failed)
-    assert effects[0] == CancelAttempt(started.attempt_id)
-    assert effects[1].first_index == 6
+    again = effects[-1]
+    freed = (CancelAttempt(started.attempt_id), CancelStream(engine, started.attempt_id))
+    assert effects == (*freed, again)
+    assert again.first_index == 6 and again.placements[0].engine != engine
