--- a/src/lentilwell/_cli.py
+++ b/src/lentilwell/_cli.py
@@ -1,21 +1,27 @@
-"""The command line."""
+"""The command line: every registered command under one parser."""
 
 from __future__ import annotations
 
 import argparse
 import sys
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from importlib.metadata import version
-from pathlib import Path
 
 from lentilwell._application import Application
+from lentilwell._commands import COMMANDS, add_nothing, add_settings, command
 from lentilwell._errors import EXIT_DONE, LentilwellError
 from lentilwell._logs import set_up_logs
 from lentilwell._settings import read_settings
 
-Command = Callable[[argparse.Namespace], int]
+EXIT_CODES = "exit codes: 0 done, 1 refused or conflict, 2 usage, 3 outcome unknown"
 
 
+@command(
+    "entry",
+    "run an entry instance until it is told to stop",
+    "lentilwell entry --settings entry.ini",
+    add_settings,
+)
 def run_entry(options: argparse.Namespace) -> int:
     """Run an entry instance until it is told to stop."""
     settings = read_settings(options.settings)
@@ -24,6 +30,7 @@
     return EXIT_DONE
 
 
+@command("version", "print the version", "lentilwell version", add_nothing)
 def print_version(_options: argparse.Namespace) -> int:
     """Print the version."""
     sys.stdout.write(version("lentilwell") + "\n")
@@ -32,13 +39,20 @@
 
 def build_parser() -> argparse.ArgumentParser:
     """Return the parser of all commands."""
-    parser = argparse.ArgumentParser(prog="lentilwell", description="Serve prompts of any length.")
-    commands = parser.add_subparsers(required=True, metavar="COMMAND")
-    entry = commands.add_parser("entry", help="run an entry instance")
-    entry.add_argument("--settings", type=Path, required=True, help="the INI file of settings")
-    entry.set_defaults(command=run_entry)
-    shown = commands.add_parser("version", help="print the version")
-    shown.set_defaults(command=print_version)
+    parser = argparse.ArgumentParser(
+        prog="lentilwell", description="Serve prompts of very unlike lengths.", epilog=EXIT_CODES
+    )
+    subparsers = parser.add_subparsers(required=True, metavar="COMMAND")
+    for found in COMMANDS.values():
+        sub = subparsers.add_parser(
+            found.name,
+            help=found.summary,
+            description=found.summary,
+            epilog=f"examples:\n  {found.examples}\n\n{EXIT_CODES}",
+            formatter_class=argparse.RawDescriptionHelpFormatter,
+        )
+        found.arrange(sub)
+        sub.set_defaults(run=found.run)
     return parser
 
 
@@ -46,8 +60,8 @@
     """Run one command and return its exit code."""
     options = build_parser().parse_args(arguments)
     try:
-        command: Command = options.command
-        return command(options)
+        code: int = options.run(options)
     except LentilwellError as error:
         sys.stderr.write(f"lentilwell: {error}\n")
         return error.exit_code
+    return code
