Bound what a caller can hold, and check every chunk

Cause: a request that arrives a byte at a time held a worker for as long as it liked (the socket timeout counted from each byte), an early refusal of a large body reset the connection before the caller read it, and a caller that never reads kept its exchange for ever after its deadline. An engine's end line may carry the count of tokens.

--- a/src/lentilwell/_application.py
+++ b/src/lentilwell/_application.py
@@ -162,7 +162,7 @@
         )
         app = CallersApp(callers, self.clock, context)
         return PooledServer(
-            callers.host, callers.port, app, callers.workers, callers.read_timeout_ms
+            callers.host, callers.port, app, callers.workers, callers.read_timeout_ms, self.clock
         )
 
     def _make_operators(self) -> PooledServer:
@@ -175,7 +175,9 @@
         )
         app = OperatorsApp(operators.token, context)
         timeout_ms = self.settings.callers.read_timeout_ms
-        return PooledServer(operators.host, operators.port, app, OPERATORS_WORKERS, timeout_ms)
+        return PooledServer(
+            operators.host, operators.port, app, OPERATORS_WORKERS, timeout_ms, self.clock
+        )
 
     def _register_hooks(self) -> None:
         self.on_start(self._load_configuration)
--- a/src/lentilwell/_callers.py
+++ b/src/lentilwell/_callers.py
@@ -6,10 +6,11 @@
 import uuid
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Literal
 
 import msgspec
 import xxhash
+from loguru import logger
 from result import Err, Ok, Result
 from werkzeug.exceptions import ClientDisconnected, RequestEntityTooLarge, RequestTimeout
 from werkzeug.wrappers import Request as HttpRequest
@@ -31,7 +32,7 @@
 from lentilwell._inventory import Inventory, Team
 from lentilwell._messages import BYTES_PER_TOKEN, Request, count_tokens
 from lentilwell._responses import respond_failure
-from lentilwell._server import ConnectionDetached, take_connection
+from lentilwell._server import ConnectionDetached, leave_body_unread, take_connection
 from lentilwell._services import ServiceGateway
 from lentilwell._settings import CallersSettings
 from lentilwell._streams import (
@@ -47,9 +48,14 @@
 TOKENS_PER_THOUSAND = 1_000
 
 
+class _TextPart(msgspec.Struct):
+    type: Literal["text"]
+    text: str
+
+
 class _ChatMessage(msgspec.Struct):
     role: str
-    content: str
+    content: str | list[_TextPart]
 
 
 class _CompletionBody(msgspec.Struct):
@@ -94,12 +100,20 @@
         found = msgspec.json.decode(body, type=_ChatBody)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return Err(InvalidRequest(f"The body is not a chat request: {error}."))
-    text = "".join(f"{message.role}: {message.content}\n" for message in found.messages)
-    tokens = found.max_completion_tokens or found.max_tokens
+    text = "".join(f"{message.role}: {_join(message.content)}\n" for message in found.messages)
+    tokens = (
+        found.max_tokens if found.max_completion_tokens is None else found.max_completion_tokens
+    )
     tokens = DEFAULT_ANSWER_TOKENS if tokens is None else tokens
     return Ok(Prompt(found.model, text, tokens, bool(found.stream), True))
 
 
+def _join(content: str | list[_TextPart]) -> str:
+    if isinstance(content, str):
+        return content
+    return "".join(part.text for part in content)
+
+
 def hash_prefix(text: bytes, cache_group: str) -> tuple[int, ...]:
     """Return the chain of hashes of the prompt's whole blocks, salted with the cache group."""
     size = BLOCK_TOKENS * BYTES_PER_TOKEN
@@ -134,36 +148,54 @@
         """Answer one request, or give its socket away."""
         http = HttpRequest(environ)
         http.max_content_length = self._settings.maximum_body_bytes
-        response = self._route(http)
+        answer = self._route(http)
+        if isinstance(answer, Err):
+            response = respond_failure(answer.err_value)
+            self._log_refusal(http, answer.err_value)
+        else:
+            response = answer.ok_value
         response.headers["Connection"] = "close"
         return response(environ, start_response)
 
-    def _route(self, http: HttpRequest) -> Response:
+    def _route(self, http: HttpRequest) -> Result[Response, Failure]:
         inventory = self._context.inventory()
         if inventory is None:
-            return respond_failure(NotReady())
+            return self._refuse_early(http, NotReady())
         team = find_team(inventory, http)
         if team is None:
-            return respond_failure(Unauthorized())
+            return self._refuse_early(http, Unauthorized())
         if http.path == "/v1/models" and http.method == "GET":
-            return list_models(inventory, team)
+            return Ok(list_models(inventory, team))
         body = read_body(http, self._settings.maximum_body_bytes)
         if isinstance(body, Err):
-            return respond_failure(body.err_value)
+            return self._refuse_early(http, body.err_value)
         if http.path.startswith("/services/"):
-            return self._context.services.serve(http, body.ok_value, team, inventory)
+            return Ok(self._context.services.serve(http, body.ok_value, team, inventory))
         parse = _PARSERS.get(http.path)
         if parse is None or http.method != "POST":
-            return respond_failure(UnknownRoute())
-        prompt = parse(body.ok_value)
-        if isinstance(prompt, Err):
-            return respond_failure(prompt.err_value)
-        request = self._check(http, prompt.ok_value, team, inventory)
+            return Err(UnknownRoute())
+        return parse(body.ok_value).and_then(
+            lambda prompt: self._admit(http, prompt, team, inventory)
+        )
+
+    def _admit(
+        self, http: HttpRequest, prompt: Prompt, team: Team, inventory: Inventory
+    ) -> Result[Response, Failure]:
+        if self._context.transfer.open_exchanges >= self._settings.maximum_streams:
+            return Err(NotReady())
+        request = self._check(http, prompt, team, inventory)
         if isinstance(request, Err):
-            return respond_failure(request.err_value)
-        self._hand_over(http.environ, prompt.ok_value, request.ok_value)
+            return request
+        self._hand_over(http.environ, prompt, request.ok_value)
         raise ConnectionDetached
 
+    def _refuse_early(self, http: HttpRequest, failure: Failure) -> Err[Failure]:
+        leave_body_unread(http.environ)
+        return Err(failure)
+
+    def _log_refusal(self, http: HttpRequest, failure: Failure) -> None:
+        logger.info("request refused", method=http.method, failure=failure.code)
+
     def _check(
         self, http: HttpRequest, prompt: Prompt, team: Team, inventory: Inventory
     ) -> Result[Request, Failure]:
--- a/src/lentilwell/_engines.py
+++ b/src/lentilwell/_engines.py
@@ -39,12 +39,13 @@
 
 @dataclass(frozen=True)
 class StreamLine:
-    """One line of a stream: a token with its index, or the end; an empty line only keeps alive."""
+    """One line of a stream: a token with its index, or the end with the count of all tokens."""
 
     stream: str
     index: int = -1
     text: str = ""
     end: str = ""
+    tokens: int = -1
 
 
 class HttpEngineControl(EngineControl):
--- a/src/lentilwell/_errors.py
+++ b/src/lentilwell/_errors.py
@@ -94,6 +94,20 @@
         return f"The body is larger than {self.limit_bytes} bytes; send a shorter prompt."
 
 
+@dataclass(frozen=True)
+class HeadersTooLarge(Failure):
+    """The request line or the headers exceed what the instance reads."""
+
+    status: ClassVar[int] = 431
+    kind: ClassVar[str] = "invalid_request_error"
+    code: ClassVar[str] = "headers_too_large"
+
+    @property
+    def message(self) -> str:
+        """Say what to shorten."""
+        return "The request line or the headers are too large; send fewer or shorter headers."
+
+
 @dataclass(frozen=True)
 class ReadTimeout(Failure):
     """The caller did not send the whole request in time."""
--- a/src/lentilwell/_streams.py
+++ b/src/lentilwell/_streams.py
@@ -112,10 +112,7 @@
         self._before = f'data: {{{fields},"choices":[{{"index":0,"{slot}":{open_text}'.encode()
         self._after = f'{close_text},"logprobs":null,"finish_reason":null}}]}}\n\n'.encode()
         empty = "{}" if form.chat else '""'
-        self._last = (
-            f'data: {{{fields},"choices":[{{"index":0,"{slot}":{empty},'
-            '"logprobs":null,"finish_reason":"length"}]}\n\ndata: [DONE]\n\n'
-        ).encode()
+        self._last = f'data: {{{fields},"choices":[{{"index":0,"{slot}":{empty},'
 
     def head(self) -> bytes:
         """Return what precedes the first token."""
@@ -131,9 +128,11 @@
         events = [self._before + _encode(text) + self._after for text in texts]
         return render_chunk(b"".join(events))
 
-    def end(self) -> bytes:
+    def end(self, finish_reason: str) -> bytes:
         """Return the end of a whole answer."""
-        return render_chunk(self._last) + b"0\r\n\r\n"
+        reason = f'"logprobs":null,"finish_reason":{_text(finish_reason)}}}]}}'
+        last = f"{self._last}{reason}\n\ndata: [DONE]\n\n"
+        return render_chunk(last.encode()) + b"0\r\n\r\n"
 
     def failure(self, failure: Failure) -> bytes:
         """Return the end of an answer that broke off: an error event and no ``[DONE]``."""
@@ -161,6 +160,8 @@
     buffer: bytearray = field(default_factory=bytearray)
     head_sent: bool = False
     closing: bool = False
+    closing_at: int = 0
+    finish_reason: str = "length"
     gone: bool = False
     first_token_at: int | None = None
 
@@ -175,19 +176,22 @@
             self.head_sent = True
         self.buffer += self.streamed.tokens(texts)
 
-    def end_whole(self) -> None:
+    def end_whole(self, finish_reason: str, now: int) -> None:
         """Write the end of a whole answer."""
         self.closing = True
+        self.closing_at = now
+        self.finish_reason = finish_reason
         if self.streamed is None:
             self.buffer += render_whole(self)
             return
         if not self.head_sent:
             self.buffer += self.streamed.head()
-        self.buffer += self.streamed.end()
+        self.buffer += self.streamed.end(self.finish_reason)
 
-    def end_failed(self, failure: Failure) -> None:
+    def end_failed(self, failure: Failure, now: int) -> None:
         """Write a failure: a plain error answer where nothing was sent yet."""
         self.closing = True
+        self.closing_at = now
         self.failure = failure
         if self.streamed is not None and self.head_sent:
             self.buffer += self.streamed.failure(failure)
@@ -211,9 +215,9 @@
     text = "".join(exchange.texts)
     choices: list[_TextChoice] | list[_ChatChoice]
     if form.chat:
-        choices = [_ChatChoice(0, _Message("assistant", text), "length")]
+        choices = [_ChatChoice(0, _Message("assistant", text), exchange.finish_reason)]
     else:
-        choices = [_TextChoice(0, text, "length")]
+        choices = [_TextChoice(0, text, exchange.finish_reason)]
     prompt_tokens, answer_tokens = exchange.request.prompt_tokens, exchange.next_index
     usage = _Usage(prompt_tokens, answer_tokens, prompt_tokens + answer_tokens)
     kind = "chat.completion" if form.chat else "text_completion"
--- a/src/lentilwell/_transfer.py
+++ b/src/lentilwell/_transfer.py
@@ -36,6 +36,7 @@
 POLL_MS = 100
 STALL_LIMIT_MS = 3_000
 PROGRESS_INTERVAL_MS = 500
+CLOSE_PATIENCE_MS = 2_000
 READ_BYTES = 4_096
 _REFUSED_STATUS = 429
 _LEAVING_STATUS = 503
@@ -62,7 +63,7 @@
     curl: pycurl.Curl
     rest: bytes = b""
     paused: bool = False
-    ended: bool = False
+    end: str = ""
     failed: bool = False
     heard_at: int = 0
     status: int = 0
@@ -224,6 +225,17 @@
         if not data:
             self._lose_caller(exchange)
 
+    def _check_closing(self, now: int) -> None:
+        """Cut callers that do not read the end of their answer in time."""
+        for exchange in list(self._exchanges.values()):
+            if not exchange.closing:
+                continue
+            limit = exchange.closing_at + CLOSE_PATIENCE_MS
+            if exchange.failure is None:
+                limit = max(limit, exchange.request.deadline_at)
+            if now > limit:
+                self._finish_exchange(exchange)
+
     def _lose_caller(self, exchange: Exchange) -> None:
         exchange.gone = True
         self._finish_exchange(exchange)
@@ -268,7 +280,7 @@
     def _end_exchange(self, request_id: str, failure: Failure) -> None:
         exchange = self._exchanges.get(request_id)
         if exchange is not None and not exchange.closing:
-            exchange.end_failed(failure)
+            exchange.end_failed(failure, self._clock.now())
             self._flush(exchange)
 
     def _open_attempt(
@@ -340,6 +352,7 @@
     def _take_lines(self, transfer: _Transfer, lines: list[bytes]) -> None:
         exchange = transfer.attempt.exchange
         texts: list[str] = []
+        whole = 0
         for raw in lines:
             line = _parse_line(raw)
             if line is None:
@@ -348,7 +361,8 @@
             if line.stream != transfer.target.body.stream or not transfer.lead:
                 continue
             if line.end:
-                transfer.ended = True
+                transfer.end = line.end
+                whole = line.tokens if line.tokens >= 0 else exchange.request.answer_tokens
                 break
             if line.index < exchange.next_index + len(texts):
                 continue
@@ -358,7 +372,9 @@
             texts.append(line.text)
         if texts:
             self._deliver(transfer.attempt, texts)
-        if transfer.ended:
+        if transfer.end and exchange.next_index != whole:
+            self._fail(transfer, Cause.GAP)
+        elif transfer.end:
             self._end_lead(transfer)
 
     def _deliver(self, attempt: _Attempt, texts: list[str]) -> None:
@@ -379,16 +395,13 @@
     def _end_lead(self, transfer: _Transfer) -> None:
         attempt = transfer.attempt
         exchange = attempt.exchange
-        if exchange.next_index != exchange.request.answer_tokens:
-            self._fail(transfer, Cause.GAP)
-            return
         self._attempts.pop(attempt.attempt_id, None)
         self._post(AttemptFinished(self._clock.now(), attempt.attempt_id, exchange.next_index))
-        exchange.end_whole()
+        exchange.end_whole(transfer.end, self._clock.now())
         self._flush(exchange)
-        for other in attempt.transfers:
-            other.failed = True
-            self._done.append(other)
+        for each in attempt.transfers:
+            each.failed = True
+            self._done.append(each)
 
     def _fail(self, transfer: _Transfer, cause: Cause) -> None:
         """Report a failure once; the reducer answers with a resume or a drop."""
@@ -420,7 +433,7 @@
         status = curl.getinfo(pycurl.RESPONSE_CODE)
         self._multi.remove_handle(curl)
         curl.close()
-        if not transfer.ended:
+        if not transfer.end:
             self._fail(transfer, _judge(status, code))
 
     def _check_stalls(self) -> None:
@@ -428,6 +441,7 @@
         if now - self._stalls_checked_at < POLL_MS:
             return
         self._stalls_checked_at = now
+        self._check_closing(now)
         oldest = now - STALL_LIMIT_MS
         for transfer in list(self._by_curl.values()):
             if not transfer.paused and not transfer.failed and transfer.heard_at < oldest:
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,172 @@
+"""What callers are answered when their input is wrong, late, too large or cut off."""
+
+import hashlib
+import json
+import socket
+import threading
+import time
+
+import pytest
+from pyrsistent import pmap
+
+from lentilwell import SystemClock
+from lentilwell._callers import CallersApp, CallersContext, hash_prefix
+from lentilwell._events import RequestArrived
+from lentilwell._inventory import Engine, Inventory, Model, Team
+from lentilwell._server import PooledServer
+from lentilwell._settings import CallersSettings
+
+KEY = "secret-key-of-team"
+GOOD = {"model": "m", "prompt": "hello", "max_tokens": 4}
+
+
+class FakeTransfer:
+    """Takes exchanges and keeps them."""
+
+    open_exchanges = 0
+
+    def __init__(self):
+        self.exchanges = []
+
+    def add_exchange(self, exchange):
+        self.exchanges.append(exchange)
+
+
+@pytest.fixture(scope="module")
+def running():
+    clock = SystemClock()
+    digest = hashlib.sha256(KEY.encode()).hexdigest()
+    inventory = Inventory(
+        1,
+        engines=pmap({"e": Engine("e", "http://127.0.0.1:1", "dc", ("m",), 1_000, 8)}),
+        models=pmap({"m": Model("m", 1_000), "other": Model("other", 1_000)}),
+        teams=pmap({"t": Team("t", 1, (digest,))}),
+    )
+    settings = CallersSettings(maximum_body_bytes=10_000, read_timeout_ms=600, workers=4)
+    transfer, posted = FakeTransfer(), []
+    context = CallersContext(lambda: inventory, transfer, None, posted.append, lambda _: None)
+    app = CallersApp(settings, clock, context)
+    server = PooledServer("127.0.0.1", 0, app, settings.workers, settings.read_timeout_ms, clock)
+    thread = threading.Thread(target=server.serve_forever, args=(0.05,), daemon=True)
+    thread.start()
+    yield server, posted
+    server.shutdown()
+    server.server_close()
+    thread.join()
+
+
+def exchange_bytes(server, payload):
+    with socket.create_connection(("127.0.0.1", server.port), timeout=10) as connection:
+        connection.sendall(payload)
+        data = b""
+        while chunk := connection.recv(65_536):
+            data += chunk
+    return data
+
+
+def build(body=b"", method="POST", path="/v1/completions", key=KEY, headers=()):
+    lines = [f"{method} {path} HTTP/1.1", "Host: x", f"Content-Length: {len(body)}", *headers]
+    lines += [f"Authorization: Bearer {key}"] if key else []
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def read_error(data):
+    head, _, body = data.partition(b"\r\n\r\n")
+    error = json.loads(body)["error"]
+    assert set(error) == {"type", "code", "message", "param"}
+    return int(head.split()[1]), error["code"]
+
+
+def encode(**changes):
+    return json.dumps({**GOOD, **changes}).encode()
+
+
+@pytest.mark.parametrize(
+    ("payload", "status", "code"),
+    [
+        (build(b"{not json"), 400, "invalid_request"),
+        (build(b"\xff\xfe"), 400, "invalid_request"),
+        (build(b""), 400, "invalid_request"),
+        (build(b"[]"), 400, "invalid_request"),
+        (build(encode(prompt=7)), 400, "invalid_request"),
+        (build(encode(max_tokens=0)), 400, "invalid_request"),
+        (build(encode(max_tokens=-5)), 400, "invalid_request"),
+        (build(encode(max_tokens=10**30)), 400, "context_length_exceeded"),
+        (build(encode(stream="yes")), 400, "invalid_request"),
+        (build(encode(max_tokens=5_000)), 400, "context_length_exceeded"),
+        (build(encode(model="absent")), 404, "model_not_found"),
+        (build(encode(), key=None), 401, "invalid_api_key"),
+        (build(encode(), key="wrong"), 401, "invalid_api_key"),
+        (build(encode(), path="/v1/other"), 404, "not_found"),
+        (build(encode(), method="DELETE"), 404, "not_found"),
+        (build(encode(), headers=["X-Deadline-Ms: -1"]), 400, "invalid_request"),
+        (build(encode(), headers=["X-Deadline-Ms: 1e9"]), 400, "invalid_request"),
+        (build(encode(), headers=["X-Deadline-Ms: " + "9" * 40]), 400, "invalid_request"),
+        (build(encode(), headers=["X-Deadline-Ms: ٣"]), 400, "invalid_request"),
+        (build(b"x" * 20_000), 413, "body_too_large"),
+        (build(b"x" * 20_000, key="wrong"), 401, "invalid_api_key"),
+        (build(b"", headers=["X-Large: " + "x" * 70_000]), 431, "headers_too_large"),
+        (build(b"", headers=[f"X-{n}: 1" for n in range(200)]), 431, "headers_too_large"),
+        (b"GET /" + b"x" * 70_000 + b" HTTP/1.1\r\n\r\n", 431, "headers_too_large"),
+        (b"nonsense\r\n\r\n", 400, "invalid_request"),
+        (b"GET / HTTP/9.9\r\n\r\n", 400, "invalid_request"),
+        (build(encode())[:-5], 408, "read_timeout"),
+        (b"POST /v1/completions HTTP/1.1\r\nHost", 408, "read_timeout"),
+    ],
+)
+def test_bad_input_gets_a_typed_error(running, payload, status, code):
+    server, posted = running
+    before = len(posted)
+    data = exchange_bytes(server, payload)
+    assert read_error(data) == (status, code)
+    assert KEY.encode() not in data and len(posted) == before
+
+
+def test_chunked_body_that_stops_is_ended(running):
+    server, _ = running
+    head = build(key=KEY).replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+    assert read_error(exchange_bytes(server, head + b"10\r\n{"))[0] in (400, 408)
+
+
+def test_one_byte_now_and_then_does_not_hold_a_worker(running):
+    server, _ = running
+    clock = SystemClock()
+    started = clock.now()
+    with socket.create_connection(("127.0.0.1", server.port), timeout=10) as connection:
+        data = b""
+        connection.settimeout(0.1)
+        for byte in build(encode()):
+            try:
+                connection.sendall(bytes([byte]))
+                data = connection.recv(65_536)
+                break
+            except TimeoutError:
+                continue
+    assert read_error(data) == (408, "read_timeout")
+    assert clock.now() - started >= 600
+
+
+def test_good_request_is_handed_over_whole(running):
+    server, posted = running
+    with socket.create_connection(("127.0.0.1", server.port), timeout=10) as connection:
+        connection.sendall(build(encode(), headers=["X-Deadline-Ms: 999999999"]))
+        for _ in range(200):
+            if posted and isinstance(posted[-1], RequestArrived):
+                break
+            time.sleep(0.01)
+    request = posted[-1].request
+    assert (request.team, request.model, request.answer_tokens) == ("t", "m", 4)
+    assert request.deadline_at - request.arrived_at == 1_800_000
+
+
+def test_models_are_those_that_the_team_can_reach(running):
+    server, _ = running
+    data = exchange_bytes(server, build(method="GET", path="/v1/models"))
+    listed = json.loads(data.partition(b"\r\n\r\n")[2])
+    assert [model["id"] for model in listed["data"]] == ["m"]
+
+
+def test_prefix_chains_differ_between_cache_groups():
+    text = b"x" * 3 * 4_096
+    assert len(hash_prefix(text, "a")) == 3
+    assert not set(hash_prefix(text, "a")) & set(hash_prefix(text, "b"))
--- /dev/null
+++ b/tests/test_transfer.py
@@ -0,0 +1,269 @@
+"""The transfer thread against scripted engines: the answer, and what the reducer is told."""
+
+import json
+import queue
+import socket
+import threading
+from dataclasses import dataclass, field
+
+import pytest
+
+from lentilwell import Request, SystemClock
+from lentilwell._engines import OpenStream
+from lentilwell._errors import DeadlineExceeded
+from lentilwell._events import (
+    AttemptFailed,
+    AttemptFinished,
+    CallerGone,
+    FirstTokenSeen,
+    ProgressSeen,
+)
+from lentilwell._messages import Cause
+from lentilwell._streams import BUFFER_LIMIT_BYTES, AnswerForm, Exchange, StreamedForm
+from lentilwell._transfer import StreamTarget, TransferLoop
+
+WAIT_S = 20
+HEAD = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+
+
+def line(index, stream="s", text=None):
+    return json.dumps({"stream": stream, "index": index, "text": text or f"{index} "}) + "\n"
+
+
+END = json.dumps({"stream": "s", "end": "length"}) + "\n"
+
+
+@dataclass
+class ScriptedEngine:
+    """Answers each connection with the next script: bytes, then closed or held open."""
+
+    scripts: list
+    hold: bool = False
+    requests: list = field(default_factory=list)
+
+    def __post_init__(self):
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.url = f"http://127.0.0.1:{self.listener.getsockname()[1]}"
+        self.held = []
+        threading.Thread(target=self.run, daemon=True).start()
+
+    def run(self):
+        for script in self.scripts:
+            connection, _ = self.listener.accept()
+            head = b""
+            while b"\r\n\r\n" not in head:
+                head += connection.recv(65_536)
+            self.requests.append(head.split(b"\r\n")[0].decode())
+            connection.sendall(script)
+            if self.hold:
+                self.held.append(connection)
+            else:
+                connection.shutdown(socket.SHUT_WR)
+
+    def close(self):
+        self.listener.close()
+        for connection in self.held:
+            connection.close()
+
+
+class Rig:
+    """One transfer loop with one caller and one scripted engine."""
+
+    def __init__(self, scripts, answer_tokens=3, stream=True, hold=False):
+        self.events = queue.Queue()
+        self.engine = ScriptedEngine(scripts, hold)
+        self.loop = TransferLoop(SystemClock(), self.events.put)
+        self.loop.start()
+        self.caller, ours = socket.socketpair()
+        self.caller.settimeout(WAIT_S)
+        self.ended = queue.Queue()
+        request = Request("r", "t", "m", 10, answer_tokens, 0, 2**60)
+        form = AnswerForm("cmpl-r", 1, "m", False, stream)
+        shape = StreamedForm(form) if stream else None
+        self.exchange = Exchange(request, "p", form, ours, self.ended.put, shape)
+        self.loop.add_exchange(self.exchange)
+
+    def open(self, url=None):
+        body = OpenStream("s", "o", "1", "lead", "m", "p", "", 0, 3, 10, 13, 1)
+        target = StreamTarget("e", url or self.engine.url, body)
+        self.loop.open_attempt("s", "r", lambda _exchange: [target])
+
+    def next_event(self, kind):
+        while True:
+            event = self.events.get(timeout=WAIT_S)
+            if isinstance(event, kind):
+                return event
+
+    def read_all(self):
+        data = b""
+        while chunk := self.caller.recv(65_536):
+            data += chunk
+        return data
+
+    def close(self):
+        self.caller.close()
+        self.loop.close()
+        self.engine.close()
+
+
+@pytest.fixture
+def rig(request):
+    made = Rig(**request.param)
+    yield made
+    made.close()
+
+
+def texts(data):
+    lines = [part for part in data.split(b"\n") if part.startswith(b"data: {")]
+    choices = [json.loads(part[6:])["choices"][0]["text"] for part in lines]
+    return [text for text in choices if text]
+
+
+def script(*parts):
+    return HEAD + "".join(parts).encode()
+
+
+WHOLE = (line(0), line(1), line(2), END)
+
+
+@pytest.mark.parametrize(
+    "rig",
+    [
+        {"scripts": [script(*WHOLE)]},
+        {"scripts": [script(line(0), line(0), line(1), line(0), line(2), END)]},
+        {"scripts": [script(line(0, "other", "not yours"), *WHOLE, line(3))]},
+        {"scripts": [script("\n", *WHOLE[:2], "\n", *WHOLE[2:])]},
+    ],
+    indirect=True,
+)
+def test_repeated_late_and_foreign_chunks_are_dropped(rig):
+    rig.open()
+    data = rig.read_all()
+    assert texts(data) == ["0 ", "1 ", "2 "]
+    assert data.endswith(b"0\r\n\r\n") and b"[DONE]" in data
+    assert rig.next_event(FirstTokenSeen) and rig.next_event(AttemptFinished).tokens == 3
+
+
+@pytest.mark.parametrize(
+    ("rig", "cause", "tokens"),
+    [
+        ({"scripts": [script(line(0), line(2), END)]}, Cause.GAP, 0),
+        ({"scripts": [script(line(1), line(0), line(2), END)]}, Cause.GAP, 0),
+        ({"scripts": [script(line(0), line(1), END)]}, Cause.GAP, 2),
+        ({"scripts": [script(line(0), line(1))]}, Cause.BROKEN, 2),
+        ({"scripts": [script(line(0), "{nonsense\n")]}, Cause.BROKEN, 0),
+        ({"scripts": [script()]}, Cause.BROKEN, 0),
+        ({"scripts": [b""]}, Cause.BROKEN, 0),
+        ({"scripts": [b"HTTP/1.1 429 No\r\n\r\n{}"]}, Cause.REFUSED, 0),
+        ({"scripts": [b"HTTP/1.1 503 No\r\n\r\n{}"]}, Cause.LEAVING, 0),
+    ],
+    indirect=["rig"],
+)
+def test_broken_streams_fail_the_attempt_and_never_end_the_answer(rig, cause, tokens):
+    rig.open()
+    failed = rig.next_event(AttemptFailed)
+    assert (failed.engine, failed.cause) == ("e", cause)
+    assert failed.tokens >= tokens and rig.loop.open_exchanges == 1
+
+
+@pytest.mark.parametrize("rig", [{"scripts": []}], indirect=True)
+def test_engine_that_cannot_be_reached_fails_as_such(rig):
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        url = f"http://127.0.0.1:{free.getsockname()[1]}"
+    rig.open(url)
+    assert rig.next_event(AttemptFailed).cause is Cause.CONNECT
+
+
+@pytest.mark.parametrize(
+    "rig",
+    [{"scripts": [script(line(0), line(1)), script(line(1), line(2), END)], "hold": True}],
+    indirect=True,
+)
+def test_silent_connection_is_resumed_on_a_fresh_one(rig):
+    rig.open()
+    failed = rig.next_event(AttemptFailed)
+    assert (failed.cause, failed.tokens) == (Cause.STALLED, 2)
+    rig.loop.resume_attempt("s")
+    assert texts(rig.read_all()) == ["0 ", "1 ", "2 "]
+    assert rig.engine.requests[1] == "GET /v1/streams/s?from=2 HTTP/1.1"
+
+
+@pytest.mark.parametrize(
+    "rig", [{"scripts": [script(line(0)), script(line(1), line(2), END)]}], indirect=True
+)
+def test_attempt_goes_on_elsewhere_and_the_caller_sees_one_answer(rig):
+    rig.open()
+    assert rig.next_event(AttemptFailed).tokens == 1
+    rig.loop.drop_attempt("s")
+    rig.open()
+    assert texts(rig.read_all()) == ["0 ", "1 ", "2 "]
+
+
+@pytest.mark.parametrize("rig", [{"scripts": [script(line(0))], "hold": True}], indirect=True)
+def test_caller_that_goes_away_is_reported_at_once(rig):
+    rig.open()
+    rig.next_event(FirstTokenSeen)
+    rig.caller.close()
+    assert rig.next_event(CallerGone).request_id == "r"
+    assert rig.loop.open_exchanges == 0
+
+
+@pytest.mark.parametrize(
+    ("rig", "head"),
+    [
+        ({"scripts": [script(line(0))], "hold": True}, b"HTTP/1.1 200 OK"),
+        ({"scripts": [script()], "hold": True}, b"HTTP/1.1 504 Failed"),
+        ({"scripts": [script(line(0))], "hold": True, "stream": False}, b"HTTP/1.1 504 Failed"),
+    ],
+    indirect=["rig"],
+)
+def test_failure_ends_the_answer_in_the_form_it_has_by_then(rig, head):
+    rig.open()
+    if b"200" in head:
+        rig.next_event(FirstTokenSeen)
+    rig.loop.end_exchange("r", DeadlineExceeded())
+    data = rig.read_all()
+    assert data.startswith(head)
+    assert b'"code":"deadline_exceeded"' in data and b"[DONE]" not in data
+
+
+LONG = 20_000
+
+
+@pytest.mark.parametrize(
+    "rig",
+    [{"scripts": [script(*(line(n) for n in range(LONG)), END)], "answer_tokens": LONG}],
+    indirect=True,
+)
+def test_slow_caller_pauses_the_engine_and_gets_all(rig):
+    rig.open()
+    rig.next_event(FirstTokenSeen)
+    peak = 0
+    data = b""
+    while chunk := rig.caller.recv(4_096):
+        data += chunk
+        peak = max(peak, len(rig.exchange.buffer))
+    assert texts(data) == [f"{n} " for n in range(LONG)]
+    assert peak < 4 * BUFFER_LIMIT_BYTES
+
+
+@pytest.mark.parametrize(
+    "rig",
+    [{"scripts": [script(*(line(n) for n in range(LONG)))], "answer_tokens": LONG, "hold": True}],
+    indirect=True,
+)
+def test_caller_that_never_reads_is_cut_after_its_end(rig):
+    rig.open()
+    rig.next_event(FirstTokenSeen)
+    rig.loop.end_exchange("r", DeadlineExceeded())
+    assert rig.ended.get(timeout=WAIT_S) is rig.exchange
+
+
+def test_progress_is_told_a_few_times_a_second_only():
+    rig = Rig([script(*(line(n) for n in range(5_000)), END)], 5_000)
+    rig.open()
+    rig.read_all()
+    rig.next_event(AttemptFinished)
+    kinds = [type(event) for event in rig.events.queue]
+    assert kinds.count(ProgressSeen) <= 2
+    rig.close()
