Let entry instances talk to each other by thrift over TCP

Digests, grant asks and answers, heads and content pass over one authenticated connection a peer. Ruled out: a proof per message with the sender's incarnation only, since a receiver that restarts has forgotten which sequences it has seen.

Every message has a reply, which serves as the heartbeat: a connection whose reply stays out for 1,000 ms is closed and replaced. A newer digest replaces an unsent one; digests pass within 10,000 B/s. Peers come from the platform's list, the settings' seeds and authenticated greetings.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 
 export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
 
-.PHONY: setup demo up test bench lint format build clean
+.PHONY: setup demo up test bench lint format thrift build clean
 
 $(STAMP): requirements.txt requirements-dev.txt pyproject.toml
 	test -x $(PY) || $(PYTHON) -m venv $(VENV)
@@ -39,5 +39,13 @@
 	$(PY) -m black --quiet src standins bench tests examples
 	$(PY) -m ruff check --quiet --fix src standins bench tests examples
 
+# Regenerates the committed code of the peers' messages; needs the thrift compiler 0.17.
+thrift:
+	rm -rf build/thrift && mkdir -p build/thrift
+	thrift -gen py:slots -out build/thrift src/lentilwell/peers.thrift
+	rm -rf src/lentilwell/_wire
+	mv build/thrift/lentilwell/_wire src/lentilwell/_wire
+	rm -f src/lentilwell/_wire/Exchange-remote
+
 clean:
 	rm -rf build dist .pytest_cache .mypy_cache .ruff_cache .hypothesis
--- a/src/lentilwell/_application.py
+++ b/src/lentilwell/_application.py
@@ -36,8 +36,15 @@
     TickPassed,
 )
 from lentilwell._inventory import Engine, Inventory
+from lentilwell._membership import MEMBERS_INTERVAL_MS, MembersPoller
 from lentilwell._messages import Identity
 from lentilwell._operators import OperatorsApp, OperatorsContext
+from lentilwell._peers import (
+    REFRESH_INTERVAL_MS,
+    PeerNetwork,
+    PeersContext,
+    register_peer_runners,
+)
 from lentilwell._platform import DIALECTS
 from lentilwell._server import PooledServer
 from lentilwell._services import ServiceGateway
@@ -69,6 +76,7 @@
         self.platform = DIALECTS[settings.platform.dialect](settings.platform)
         self.engines = HttpEngineControl()
         self.transfer = TransferLoop(self.clock, self.core.post)
+        self.peers = self._make_peers()
         self.metrics = CollectorRegistry()
         self._control = ThreadPoolExecutor(CONTROL_WORKERS, thread_name_prefix="control")
         self._loops = ThreadPoolExecutor(thread_name_prefix="loop")
@@ -117,6 +125,7 @@
         signal.signal(signal.SIGINT, lambda *_: self.drain())
         self.start()
         ports = {"callers": self.callers.port, "operators": self.operators.port}
+        ports["peers"] = self.peers.server.port
         sys.stdout.write(json.dumps(ports) + "\n")
         sys.stdout.flush()
         while not self._stopping.wait(TICK_MS / 1_000):
@@ -177,17 +186,36 @@
         timeout_ms = self.settings.callers.read_timeout_ms
         return PooledServer(operators.host, operators.port, app, OPERATORS_WORKERS, timeout_ms)
 
+    def _make_peers(self) -> PeerNetwork:
+        context = PeersContext(
+            post=self.core.post,
+            version=lambda: 0,
+            head=lambda: None,
+            content=lambda _digest: None,
+            heard_version=lambda _peer, _version: None,
+        )
+        return PeerNetwork(self.settings.peers, self.identity, self.clock, context)
+
     def _register_hooks(self) -> None:
         self.on_start(self._load_configuration)
         self.on_start(lambda: _ignore(self.transfer.start()))
         self.on_stop(self.transfer.close)
         self.on_stop(self.core.close)
+        self._register_peers()
         for server in (self.callers, self.operators):
             self._register_server(server)
         self.every(TICK_MS, lambda: _ignore(self.core.post(TickPassed(self.clock.now()))))
         self.every(CONFIGURATION_INTERVAL_MS, self._load_configuration)
         self.every(REPORT_INTERVAL_MS, self._read_reports)
 
+    def _register_peers(self) -> None:
+        poller = MembersPoller(self.platform, self.clock, self.core.post, self.peers.note_members)
+        register_peer_runners(self.core, self.peers)
+        self.on_start(lambda: _ignore(self._loops.submit(self.peers.server.serve)))
+        self.on_stop(self.peers.close)
+        self.every(MEMBERS_INTERVAL_MS, poller.poll)
+        self.every(REFRESH_INTERVAL_MS, self.peers.refresh)
+
     def _register_server(self, server: PooledServer) -> None:
         self.on_start(lambda: _ignore(self._loops.submit(server.serve_forever, 0.1)))
         self.on_stop(server.server_close)
--- a/src/lentilwell/_settings.py
+++ b/src/lentilwell/_settings.py
@@ -48,11 +48,15 @@
 
 @dataclass(frozen=True)
 class PeersSettings:
-    """The listener for the other entry instances, which share ``key``."""
+    """The listener for the other entry instances, which share ``key``.
+
+    ``seeds`` are ``host:port`` of peers to find while the platform is down, parted by spaces.
+    """
 
     key: str
     host: str = "127.0.0.1"
     port: int = 0
+    seeds: str = ""
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/src/lentilwell/_wire/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'Exchange']
--- /dev/null
+++ b/src/lentilwell/peers.thrift
@@ -0,0 +1,102 @@
+/** What entry instances say to each other. Times are milliseconds; memory is counted in tokens. */
+
+namespace py lentilwell._wire
+
+struct Identity {
+  1: required string instance
+  2: required string incarnation
+  3: required string data_centre
+}
+
+/** Opens a connection: who calls, at which address it listens, and a nonce of its own. */
+struct Hello {
+  1: required Identity sender
+  2: required string address
+  3: required binary nonce
+}
+
+/** Answers a hello; the proof is an HMAC over both sides of the handshake. */
+struct Welcome {
+  1: required Identity receiver
+  2: required binary nonce
+  3: required binary proof
+}
+
+/** One message of a session: its number, its body and the HMAC over both. */
+struct Sealed {
+  1: required i64 sequence
+  2: required binary body
+  3: required binary proof
+}
+
+struct EngineUse {
+  1: required string engine
+  2: required i32 streams
+  3: required i64 memory_tokens
+  4: required i64 backlog_tokens
+}
+
+struct Digest {
+  1: required Identity sender
+  2: required i64 sequence
+  3: required i64 configuration
+  4: required bool leaving
+  5: required list<EngineUse> uses
+  6: required list<string> leaving_upstreams
+  7: required i32 waiting
+  8: required i64 waiting_tokens
+}
+
+struct GrantAsk {
+  1: required string grant_id
+  2: required Identity sender
+  3: required string engine
+  4: required i64 memory_tokens
+  5: required i64 wait_ms
+}
+
+struct GrantAnswer {
+  1: required string grant_id
+  2: required string engine
+  3: required bool granted
+  4: required i64 valid_ms
+  5: required i64 retry_ms
+}
+
+struct Heartbeat {}
+
+/** Asks for the accepted version that the receiver knows. */
+struct HeadAsk {}
+
+/** Asks for stored content by its digest, from a byte offset on. */
+struct ContentAsk {
+  1: required string digest
+  2: required i64 offset
+}
+
+union Message {
+  1: Digest digest
+  2: GrantAsk ask
+  3: GrantAnswer answer
+  4: Heartbeat heartbeat
+  5: HeadAsk head_ask
+  6: ContentAsk content_ask
+}
+
+/** Part of stored content; ``size`` is the size of the whole, -1 where it is not held. */
+struct Content {
+  1: required i64 size
+  2: required binary part
+}
+
+/** Answers every message; ``configuration`` is the version in force at the receiver. */
+struct Reply {
+  1: required i64 configuration
+  2: optional binary head
+  3: optional Content content
+}
+
+service Exchange {
+  Welcome greet(1: Hello hello)
+  Sealed pass_on(1: Sealed message)
+}
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -134,8 +134,24 @@
         path.write_text(self.settings_text(name, data_centre))
         process = launch(name, ["-m", "lentilwell", "entry", "--settings", str(path)], self.folder)
         self.entries.append(process)
+        self.list_member(process, "entry", data_centre, "peers")
         return process
 
+    def list_member(
+        self, process: Process, kind: str, data_centre: str, listener: str = "port"
+    ) -> None:
+        """Put a started process into the platform's list of instances."""
+        member = {
+            "name": process.name,
+            "kind": kind,
+            "address": f"127.0.0.1:{process.ports[listener]}",
+            "data_centre": data_centre,
+            "incarnation": str(process.popen.pid),
+            "leaving": False,
+        }
+        url = f"{self.platform.url()}/instances/{process.name}"
+        call("PUT", url, json.dumps(member).encode())
+
     def stop(self) -> list[int]:
         """Stop everything, entry instances gracefully first; return their exit codes."""
         codes = stop_processes(self.entries)
@@ -204,10 +220,14 @@
     plan = deployment.plan
     for number in range(plan.engines):
         deployment.engines.append(start_engine(deployment, f"engine-{number + 1}"))
+        centre = plan.data_centres[number % len(plan.data_centres)]
+        deployment.list_member(deployment.engines[-1], "engine", centre)
     for number in range(plan.services):
         service = f"{plan.service_name}-{number + 1}"
         arguments = ["-m", "standins.service", "--name", service]
         deployment.services.append(launch(service, arguments, deployment.folder))
+        centre = plan.data_centres[number % len(plan.data_centres)]
+        deployment.list_member(deployment.services[-1], "service", centre)
     deployment.keys = {team: f"key-of-{team}" for team in plan.teams}
     deployment.put_inventory()
     for number in range(plan.instances):
