Check the inventory whole, with every fault named by section, key and line

Ruled out: stopping at the first fault, which costs an operator one run a fault, and INI errors as strings. configparser reads the values; it does not tell lines, so a scan beside it finds them and the duplicates, which configparser reports one at a time only.

Sections are the unit of change: applying changed sections shares the rest of the inventory, and the reducer's views and index by model follow the changed engines only where the event names them. The index by model is no longer sorted, so that a removed engine's place can be refilled.

Tests: each fault by its place, all faults together, round trips, any text is read or refused, changes one by one build what the whole builds.

--- a/src/lentilwell/_admission.py
+++ b/src/lentilwell/_admission.py
@@ -4,15 +4,13 @@
 
 from dataclasses import replace
 
-from pyrsistent import pmap, pvector
-
 from lentilwell._effects import CancelAttempt, CancelStream, Effect, EndRequest
 from lentilwell._errors import DeadlineExceeded, Failure, NotReady
 from lentilwell._events import CallerGone, DrainStarted, InventoryAccepted, RequestArrived
-from lentilwell._inventory import Inventory
+from lentilwell._inventory_index import index_inventory
 from lentilwell._order import length_class
 from lentilwell._reducer import Step, follows, handles
-from lentilwell._state import Attempt, EngineView, State, TeamQueue, Waiting, empty_ids, empty_queue
+from lentilwell._state import Attempt, State, TeamQueue, Waiting, empty_ids, empty_queue
 
 DEADLINE_BUCKET_MS = 50
 
@@ -106,24 +104,7 @@
     """Take a configuration of a higher version; a lower or equal one changes nothing."""
     if state.inventory is not None and event.inventory.version <= state.inventory.version:
         return state, ()
-    return index_engines(replace(state, inventory=event.inventory), event.inventory), ()
-
-
-def index_engines(state: State, inventory: Inventory) -> State:
-    """Rebuild the views and the index by model, keeping what is known of engines that stay."""
-    engines = state.engines.evolver()
-    for name in state.engines:
-        if name not in inventory.engines:
-            engines.remove(name)
-    by_model: dict[str, list[str]] = {}
-    for name in sorted(inventory.engines):
-        spec = inventory.engines[name]
-        view = state.engines.get(name)
-        engines.set(name, EngineView(spec) if view is None else replace(view, spec=spec))
-        for model in spec.models:
-            by_model.setdefault(model, []).append(name)
-    index = pmap({model: pvector(names) for model, names in by_model.items()})
-    return replace(state, engines=engines.persistent(), by_model=index)
+    return index_inventory(state, event), ()
 
 
 @follows
--- a/src/lentilwell/_events.py
+++ b/src/lentilwell/_events.py
@@ -130,9 +130,14 @@
 
 @dataclass(frozen=True)
 class InventoryAccepted(Event):
-    """A configuration of a higher version was fetched and checked."""
+    """A configuration of a higher version was fetched and checked.
+
+    ``changed_engines`` names the engines that differ from version ``base``; None: not known.
+    """
 
     inventory: Inventory
+    base: int = 0
+    changed_engines: tuple[str, ...] | None = None
 
 
 @dataclass(frozen=True)
--- a/src/lentilwell/_inventory.py
+++ b/src/lentilwell/_inventory.py
@@ -11,6 +11,13 @@
 from pyrsistent import PMap, pmap
 
 
+@dataclass(frozen=True)
+class DataCentre:
+    """A data centre that engines and services stand in."""
+
+    name: str
+
+
 @dataclass(frozen=True)
 class Engine:
     """One model engine: where it is, what it serves and how much it holds."""
@@ -92,3 +99,4 @@
     models: PMap[str, Model] = field(default_factory=pmap)
     teams: PMap[str, Team] = field(default_factory=pmap)
     rules: Rules = field(default_factory=Rules)
+    data_centres: PMap[str, DataCentre] = field(default_factory=pmap)
--- a/src/lentilwell/_state.py
+++ b/src/lentilwell/_state.py
@@ -85,6 +85,7 @@
     in_hand: PMap[str, str] = field(default_factory=pmap)
     engines: PMap[str, EngineView] = field(default_factory=pmap)
     by_model: PMap[str, PVector[str]] = field(default_factory=pmap)
+    model_places: PMap[str, PMap[str, int]] = field(default_factory=pmap)
     peers: PMap[str, PeerView] = field(default_factory=pmap)
     deadlines: PMap[int, PVector[str]] = field(default_factory=pmap)
     digest_sequence: int = 0
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -80,6 +80,8 @@
         """Return the inventory of what runs, in INI."""
         plan = self.plan
         lines = ["[model assistant]", "context_tokens = 1100000", ""]
+        for centre in plan.data_centres:
+            lines += [f"[data_centre {centre}]", ""]
         for number, process in enumerate(self.engines):
             centre = plan.data_centres[number % len(plan.data_centres)]
             lines += [f"[engine {process.name}]", f"url = {process.url()}"]
--- /dev/null
+++ b/tests/test_documents.py
@@ -0,0 +1,249 @@
+"""Inventory documents: each fault is named with its place; round trips; incremental changes."""
+
+import random
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lentilwell import Identity, State, reduce
+from lentilwell._documents import (
+    KINDS,
+    Section,
+    apply_sections,
+    parse_document,
+    read_document,
+    render_document,
+)
+from lentilwell._events import InventoryAccepted
+from lentilwell._inventory import Inventory
+from lentilwell._problems import (
+    BadFlag,
+    BadKeyDigest,
+    BadNumber,
+    BadSyntax,
+    BadText,
+    BadUrl,
+    DanglingName,
+    DuplicateKey,
+    DuplicateSection,
+    InventoryError,
+    MissingKey,
+    NoEngines,
+    SharedKeyDigest,
+    UnknownKey,
+    UnknownPolicy,
+    UnknownSection,
+)
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+KEY = "0" * 63
+
+GOOD = f"""\
+[rules]
+order = first_come
+[data_centre caerdydd]
+[model assistant]
+context_tokens = 1100000
+[engine e-1]
+url = http://10.0.0.1:8000
+data_centre = caerdydd
+models = assistant
+memory_tokens = 450000
+slots = 64
+checks_fencing = yes
+[service s-1]
+service = bookings
+url = http://10.0.0.2:8000
+data_centre = caerdydd
+[route bookings GET /]
+idempotent = yes
+[team counters]
+weight = 2
+key_sha256 = {KEY}1 {KEY}2
+engines = e-1
+services = s-1
+[team repairs]
+key_sha256 = {KEY}3
+"""
+
+FAULTS = [
+    ("order = first_come", "order = tallest_first", UnknownPolicy, "rules", "order", 2),
+    ("[data_centre caerdydd]", "[region cymru]", UnknownSection, "region cymru", "", 3),
+    ("[model assistant]", "[model the assistant]", UnknownSection, "model the assistant", "", 4),
+    ("context_tokens", "context_token", UnknownKey, "model assistant", "context_token", 5),
+    ("context_tokens = 1100000", "", MissingKey, "model assistant", "context_tokens", 4),
+    ("context_tokens = 1100000", "1100000", BadSyntax, "", "", 5),
+    ("context_tokens = 1100000", "context_tokens=0", BadNumber, None, "context_tokens", 5),
+    ("1100000", "٣", BadNumber, "model assistant", "context_tokens", 5),
+    ("http://10.0.0.1:8000", "http://10.0.0.1", BadUrl, "engine e-1", "url", 7),
+    ("http://10.0.0.1:8000", "http://10.0.0.1:99999", BadUrl, "engine e-1", "url", 7),
+    ("http://10.0.0.1:8000", "file:///etc/passwd", BadUrl, "engine e-1", "url", 7),
+    ("http://10.0.0.1:8000", "http://u:p@10.0.0.1:8000", BadUrl, "engine e-1", "url", 7),
+    ("= caerdydd\nmodels", "= bangor\nmodels", DanglingName, "engine e-1", "data_centre", 8),
+    ("models = assistant", "models = clerk", DanglingName, "engine e-1", "models", 9),
+    ("models = assistant", "models =", NoEngines, "model assistant", "", 4),
+    ("slots = 64", "slots = many", BadNumber, "engine e-1", "slots", 11),
+    ("checks_fencing = yes", "checks_fencing = maybe", BadFlag, "engine e-1", "checks_fencing", 12),
+    ("service = bookings", "service =", BadText, "service s-1", "service", 14),
+    ("route bookings", "route stock", DanglingName, "route stock GET /", "", 17),
+    ("weight = 2", "weight = 2\nweight = 3", DuplicateKey, "team counters", "weight", 21),
+    (f"{KEY}2", "SECRET", BadKeyDigest, "team counters", "key_sha256", 21),
+    ("engines = e-1", "engines = e-9", DanglingName, "team counters", "engines", 22),
+    ("engines = e-1", "engines = e-9", NoEngines, "team counters", "engines", 22),
+    ("services = s-1", "services = s-9", DanglingName, "team counters", "services", 23),
+    ("[team repairs]", "[team  counters]", DuplicateSection, "team counters", "", 24),
+    (f"{KEY}3", f"{KEY}1", SharedKeyDigest, "team repairs", "key_sha256", 25),
+    ("[team repairs]", "  [team repairs]", BadSyntax, "team counters", "", 24),
+]
+
+
+def find_problems(text):
+    with pytest.raises(InventoryError) as caught:
+        parse_document(text, 1)
+    return caught.value.problems
+
+
+@pytest.mark.parametrize(("old", "new", "kind", "section", "key", "line"), FAULTS)
+def test_each_fault_is_named_with_its_place(old, new, kind, section, key, line):
+    assert GOOD.count(old) >= 1
+    problems = find_problems(GOOD.replace(old, new, 1))
+    found = [p for p in problems if type(p) is kind and p.key == key and p.line == line]
+    assert found, problems
+    assert section is None or found[0].section == section
+    assert all(str(problem) for problem in problems)
+
+
+def test_all_faults_are_reported_together():
+    faulty = [0, 6, 8, 15, 16, 21]
+    text = GOOD
+    for number in faulty:
+        text = text.replace(FAULTS[number][0], FAULTS[number][1], 1)
+    places = {(type(problem), problem.line) for problem in find_problems(text)}
+    assert places == {(FAULTS[number][2], FAULTS[number][5]) for number in faulty}
+
+
+def test_no_engines_at_all_leaves_every_team_without():
+    text = GOOD.replace("[engine e-1]", "[engine]").replace("engines = e-1\n", "")
+    assert UnknownSection in {type(problem) for problem in find_problems(text)}
+    start, end = GOOD.index("[engine"), GOOD.index("[service")
+    problems = find_problems((GOOD[:start] + GOOD[end:]).replace("engines = e-1\n", ""))
+    assert [p.section for p in problems if type(p) is NoEngines] == [
+        "model assistant",
+        "team counters",
+        "team repairs",
+    ]
+
+
+@pytest.mark.parametrize("path", sorted(EXAMPLES.glob("*.ini")), ids=lambda path: path.stem)
+def test_examples_have_the_sizes_of_the_users_and_survive_a_round_trip(path):
+    document, inventory = parse_document(path.read_text(), 1)
+    counts = (inventory.engines, inventory.services, inventory.data_centres, inventory.teams)
+    assert [len(found) for found in counts] == [14, 3, 3, 10]
+    again = parse_document(render_document(document), 1)
+    assert again == (document, inventory)
+
+
+NAMES = st.sampled_from([f"n-{number}" for number in range(8)])
+TEXTS = st.text(st.characters(codec="utf-8", exclude_characters="\r\x0b\x0c"), max_size=30)
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.lists(st.tuples(NAMES, st.integers(1, 1 << 40), st.booleans()), min_size=1), st.data())
+def test_rendering_what_was_parsed_is_stable(engines, data):
+    lines = ["[data_centre dc]", "[model m]", "context_tokens = 9"]
+    for name, number, flag in {engine[0]: engine for engine in engines}.values():
+        lines += [f"[engine {name}]", f"slots={number}", "models =  m ", "data_centre = dc"]
+        lines += ["url = http://h:1", f"memory_tokens = {number}"]
+        lines += [f"checks_fencing = {'yes' if flag else 'no'}"] if data.draw(st.booleans()) else []
+    document, inventory = parse_document("\n".join(lines), 3)
+    text = render_document(document)
+    again, same = parse_document(text, 3)
+    assert (again, same, render_document(again)) == (document, inventory, text)
+
+
+@settings(derandomize=True, deadline=None, max_examples=300)
+@given(st.lists(st.one_of(st.sampled_from(GOOD.split("\n")), TEXTS), max_size=40))
+def test_any_text_is_read_or_refused_with_typed_problems(lines):
+    text = "\n".join(lines)
+    try:
+        document, _ = parse_document(text, 1)
+    except InventoryError as error:
+        assert error.problems
+    else:
+        assert read_document(render_document(document))[0] == document
+
+
+def make_section(word, name, number):
+    values = {
+        "engine": (
+            ("url", f"http://h:{number + 1}"),
+            ("data_centre", "dc"),
+            ("models", ["a", "a b", "b", "a a"][number % 4]),
+            ("memory_tokens", "9"),
+            ("slots", str(number + 1)),
+        ),
+        "data_centre": (),
+        "model": (("context_tokens", str(number + 1)),),
+        "service": (("service", "s"), ("url", f"http://h:{number + 1}"), ("data_centre", "dc")),
+        "team": (("weight", str(number + 1)), ("key_sha256", "")),
+        "route": (("idempotent", "yes"),),
+        "rules": (("default_deadline_ms", str(number + 1)),),
+    }
+    title = {"rules": "rules", "route": f"route s GET /{name}"}.get(word, f"{word} {name}")
+    return Section(title, values[word])
+
+
+CHANGES = st.lists(
+    st.tuples(st.sampled_from(sorted(KINDS)), NAMES, st.one_of(st.none(), st.integers(0, 9))),
+    max_size=6,
+)
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.lists(CHANGES, max_size=12))
+def test_changes_one_by_one_build_what_the_whole_builds(rounds):
+    sections, inventory = {}, Inventory(0)
+    state = State(Identity("a", "1", "dc"))
+    for version, changes in enumerate(rounds, start=1):
+        changed, removed = {}, set()
+        for word, name, number in changes:
+            title = make_section(word, name, 0).title
+            changed.pop(title, None)
+            removed.discard(title)
+            if number is None:
+                removed.add(title)
+            else:
+                changed[title] = make_section(word, name, number)
+        sections = {t: s for t, s in sections.items() if t not in removed} | changed
+        inventory = apply_sections(inventory, changed.values(), removed, version)
+        whole = apply_sections(Inventory(0), sections.values(), (), version)
+        assert inventory == whole
+        titles = [*changed, *removed]
+        touched = tuple(t.split(" ")[1] for t in titles if t.startswith("engine "))
+        event = InventoryAccepted(0, inventory, base=version - 1, changed_engines=touched)
+        state = reduce(state, event)[0]
+        fresh = reduce(State(Identity("a", "1", "dc")), InventoryAccepted(0, whole))[0]
+        assert state.engines == fresh.engines
+        assert {m: sorted(n) for m, n in state.by_model.items()} == {
+            m: sorted(n) for m, n in fresh.by_model.items()
+        }
+        for model, names in state.by_model.items():
+            places = state.model_places[model]
+            assert len(places) == len(names)
+            assert all(names[place] == name for name, place in places.items())
+
+
+def test_index_keeps_what_is_known_of_engines_that_stay():
+    chance = random.Random(1)
+    _, inventory = parse_document((EXAMPLES / "kalye-permits.ini").read_text(), 1)
+    state = reduce(State(Identity("a", "1", "luzon-a")), InventoryAccepted(0, inventory))[0]
+    name = chance.choice(sorted(state.engines))
+    engines = state.engines.set(name, state.engines[name].__class__(state.engines[name].spec, 5))
+    state = State(state.identity, inventory=inventory, engines=engines, by_model=state.by_model)
+    newer = apply_sections(inventory, [make_section("team", "new", 1)], (), 2)
+    event = InventoryAccepted(0, newer, base=1, changed_engines=())
+    after = reduce(state, event)[0]
+    assert after.engines[name].own_streams == 5 and after.inventory.version == 2
+    assert reduce(after, InventoryAccepted(0, inventory))[0].inventory.version == 2
