Run a claimed call at most once: protocol, runner and services gateway

Cause: calls that may not be repeated went straight through; a retry ran twice. The protocol is a pure state machine over one attempt. Rows are never deleted: a release overwrites with 'free', so that a version names its content for good and any later write defeats a claim whose answer was lost (ruled out: deleting the row, after which a late claim with expected version 0 would apply). curl's pre-request callback tells exactly whether a byte can have left. The state machine found: a repeated write refused by its own first try, then a failed read, left the key taken with its process alive; kept as an example.

--- a/src/lentilwell/_application.py
+++ b/src/lentilwell/_application.py
@@ -14,6 +14,7 @@
 from prometheus_client import CollectorRegistry
 
 from lentilwell._callers import CallersApp, CallersContext
+from lentilwell._claim_runner import ClaimRunner
 from lentilwell._clock import Clock, SystemClock
 from lentilwell._configuration import fetch_inventory
 from lentilwell._core import Core
@@ -40,6 +41,7 @@
 from lentilwell._operators import OperatorsApp, OperatorsContext
 from lentilwell._platform import DIALECTS
 from lentilwell._server import PooledServer
+from lentilwell._service_instances import CallSlots, InstanceChooser
 from lentilwell._services import ServiceGateway
 from lentilwell._settings import Settings
 from lentilwell._state import State
@@ -49,6 +51,8 @@
 TICK_MS = 50
 REPORT_INTERVAL_MS = 250
 CONFIGURATION_INTERVAL_MS = 1_000
+CLAIM_RETRY_INTERVAL_MS = 250
+CLAIM_CLOSE_PATIENCE_MS = 5_000
 CONTROL_WORKERS = 16
 OPERATORS_WORKERS = 4
 INCARNATION_LENGTH = 8
@@ -77,6 +81,10 @@
         self._on_start: list[Hook] = []
         self._on_stop: list[Hook] = []
         self._reading: dict[str, Future[None]] = {}
+        self._slots = CallSlots(settings.callers.workers)
+        self.claims = ClaimRunner(
+            self.platform, self.clock, settings.instance.name, self._slots.limit
+        )
         self.callers = self._make_callers()
         self.operators = self._make_operators()
         register_runners(self)
@@ -153,10 +161,11 @@
 
     def _make_callers(self) -> PooledServer:
         callers = self.settings.callers
+        chooser = InstanceChooser(self.clock, self.identity.data_centre)
         context = CallersContext(
             inventory=lambda: self.core.state.inventory,
             transfer=self.transfer,
-            services=ServiceGateway(),
+            services=ServiceGateway(self.claims, chooser, self._slots, self.clock),
             post=self.core.post,
             on_end=self._log_end,
         )
@@ -182,11 +191,13 @@
         self.on_start(lambda: _ignore(self.transfer.start()))
         self.on_stop(self.transfer.close)
         self.on_stop(self.core.close)
+        self.on_stop(lambda: _ignore(self.claims.close(CLAIM_CLOSE_PATIENCE_MS)))
         for server in (self.callers, self.operators):
             self._register_server(server)
         self.every(TICK_MS, lambda: _ignore(self.core.post(TickPassed(self.clock.now()))))
         self.every(CONFIGURATION_INTERVAL_MS, self._load_configuration)
         self.every(REPORT_INTERVAL_MS, self._read_reports)
+        self.every(CLAIM_RETRY_INTERVAL_MS, self.claims.retry_deferred)
 
     def _register_server(self, server: PooledServer) -> None:
         self.on_start(lambda: _ignore(self._loops.submit(server.serve_forever, 0.1)))
--- a/src/lentilwell/_errors.py
+++ b/src/lentilwell/_errors.py
@@ -259,6 +259,91 @@
         return self.after_ms
 
 
+@dataclass(frozen=True)
+class AttemptNotRun(NotRun):
+    """This attempt was not run and never will be; it never held the claim.
+
+    It says nothing of an earlier attempt with the same key.
+    """
+
+    @property
+    def message(self) -> str:
+        """Say what is known, and of which attempt."""
+        return (
+            "This attempt was not run; it is safe to send it again with the same key. "
+            "The outcome of an earlier attempt with that key, if there was one, still stands."
+        )
+
+
+@dataclass(frozen=True)
+class NotRunKeyHeld(NotRun):
+    """The call was not run and never will be by this attempt, but its key is not yet free again."""
+
+    code: ClassVar[str] = "not_run_key_held"
+
+    @property
+    def message(self) -> str:
+        """Say that the key may stay taken."""
+        return (
+            "The call was not run, but its key could not be freed yet; the same key answers "
+            "'outcome_pending' until it is, and a new key can be used at once."
+        )
+
+
+@dataclass(frozen=True)
+class AlreadyRan(Failure):
+    """An operator found that the call ran; its answer is not known."""
+
+    status: ClassVar[int] = 409
+    kind: ClassVar[str] = "conflict_error"
+    code: ClassVar[str] = "already_ran"
+
+    @property
+    def message(self) -> str:
+        """Say how to find the answer."""
+        return "The call with this key ran and will not run again; look the record up."
+
+
+@dataclass(frozen=True)
+class AnswerUnavailable(Failure):
+    """The call ran and its answer is recorded, but cannot be read now."""
+
+    after_ms: int = 1_000
+    status: ClassVar[int] = 503
+    kind: ClassVar[str] = "unavailable_error"
+    code: ClassVar[str] = "answer_unavailable"
+
+    @property
+    def message(self) -> str:
+        """Say how to get the answer."""
+        return "The call with this key ran; its answer cannot be read now, ask again."
+
+    @property
+    def retry_after_ms(self) -> int | None:
+        """Return when to ask again."""
+        return self.after_ms
+
+
+@dataclass(frozen=True)
+class ServiceFailed(Failure):
+    """No instance of the service answered a look-up in its time."""
+
+    after_ms: int = 1_000
+    status: ClassVar[int] = 502
+    kind: ClassVar[str] = "upstream_error"
+    code: ClassVar[str] = "service_failed"
+
+    @property
+    def message(self) -> str:
+        """Say that asking again is harmless."""
+        return "No instance of the service answered in time; the look-up can be sent again."
+
+    @property
+    def retry_after_ms(self) -> int | None:
+        """Return when to ask again."""
+        return self.after_ms
+
+
 @dataclass(frozen=True)
 class OutcomePending(Failure):
     """Another attempt with the same key holds the claim."""
--- a/src/lentilwell/_http.py
+++ b/src/lentilwell/_http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass
 from io import BytesIO
 
@@ -11,11 +12,10 @@
 
 _local = threading.local()
 
-_NOT_SENT = (
-    pycurl.E_COULDNT_RESOLVE_HOST,
-    pycurl.E_COULDNT_CONNECT,
-    pycurl.E_URL_MALFORMAT,
-)
+POOLED_IDLE_S = 20
+_CURL_HEADERS = ("Expect", "Content-Type", "Accept", "User-Agent")
+
+Guard = Callable[[], bool]
 
 
 @dataclass(frozen=True)
@@ -29,14 +29,22 @@
 
 @dataclass(frozen=True)
 class HttpFailure:
-    """No whole answer came. ``sent`` is False only when not a byte can have left."""
+    """No whole answer came. ``sent`` is False only when not a byte can have left.
+
+    ``refused`` tells that the guard said no.
+    """
 
     sent: bool
+    refused: bool = False
 
 
 @dataclass(frozen=True)
 class HttpCall:
-    """One call. A ``fresh`` call opens a connection of its own and closes it."""
+    """One call. A ``fresh`` call opens a connection of its own and closes it.
+
+    ``target`` replaces the URL's path and query on the wire, byte for byte. An answer with a body
+    above ``maximum_body_bytes`` counts as no answer.
+    """
 
     method: str
     url: str
@@ -45,27 +53,65 @@
     timeout_ms: int = 1_500
     connect_timeout_ms: int = 500
     fresh: bool = False
+    target: str = ""
+    maximum_body_bytes: int = 67_108_864
+
+
+class _Receiver:
+    """Gathers one answer; a body above its limit breaks the transfer off."""
+
+    def __init__(self, limit_bytes: int) -> None:
+        self.header_lines: list[bytes] = []
+        self.body = BytesIO()
+        self._limit_bytes = limit_bytes
+
+    def write(self, data: bytes) -> int:
+        if self.body.tell() + len(data) > self._limit_bytes:
+            return 0
+        return self.body.write(data)
+
 
+class _Watch:
+    """Knows whether a byte of the request may have left: curl asks right before the first one."""
 
-def send(call: HttpCall) -> Result[HttpAnswer, HttpFailure]:
-    """Make one call on this thread's handle and wait for the whole answer."""
+    def __init__(self, guard: Guard | None) -> None:
+        self._guard = guard
+        self.sent = False
+        self.refused = False
+
+    def ask(self, *_addresses: object) -> int:
+        if self._guard is not None and not self._guard():
+            self.refused = True
+            return int(pycurl.PREREQFUNC_ABORT)
+        self.sent = True
+        return int(pycurl.PREREQFUNC_OK)
+
+
+def send(call: HttpCall, guard: Guard | None = None) -> Result[HttpAnswer, HttpFailure]:
+    """Make one call and wait for the whole answer.
+
+    ``guard`` is asked once the connection is open and before the first byte leaves; where it says
+    no, nothing is sent. A call that is not ``fresh`` goes over this thread's pooled connections,
+    and curl may repeat it there by itself: only a ``fresh`` one is sent at most once.
+    """
     curl = pycurl.Curl() if call.fresh else _thread_handle()
     curl.reset()
-    body = BytesIO()
-    header_lines: list[bytes] = []
-    prepare(curl, call)
-    curl.setopt(pycurl.TIMEOUT_MS, call.timeout_ms)
-    curl.setopt(pycurl.WRITEFUNCTION, body.write)
-    curl.setopt(pycurl.HEADERFUNCTION, header_lines.append)
+    receiver = _Receiver(call.maximum_body_bytes)
+    watch = _Watch(guard)
     try:
+        prepare(curl, call)
+        curl.setopt(pycurl.TIMEOUT_MS, call.timeout_ms)
+        curl.setopt(pycurl.WRITEFUNCTION, receiver.write)
+        curl.setopt(pycurl.HEADERFUNCTION, receiver.header_lines.append)
+        curl.setopt(pycurl.PREREQFUNCTION, watch.ask)
         curl.perform()
-    except pycurl.error as error:
-        return Err(HttpFailure(sent=not _never_sent(curl, error.args[0])))
-    finally:
         status = curl.getinfo(pycurl.RESPONSE_CODE)
+    except pycurl.error:
+        return Err(HttpFailure(watch.sent, watch.refused))
+    finally:
         if call.fresh:
             curl.close()
-    return Ok(HttpAnswer(status, parse_headers(header_lines), body.getvalue()))
+    return Ok(HttpAnswer(status, parse_headers(receiver.header_lines), receiver.body.getvalue()))
 
 
 def prepare(curl: pycurl.Curl, call: HttpCall) -> None:
@@ -77,17 +123,18 @@
         curl.setopt(pycurl.COPYPOSTFIELDS, call.body)
     if call.method == "HEAD":
         curl.setopt(pycurl.NOBODY, 1)
+    if call.target:
+        curl.setopt(pycurl.REQUEST_TARGET, call.target.encode("latin-1"))
     lines = [f"{name}: {value}" if value else f"{name};" for name, value in call.headers]
     given = {name.lower() for name, _ in call.headers}
-    lines += [
-        f"{name}:" for name in ("Expect", "Content-Type", "Accept") if name.lower() not in given
-    ]
-    curl.setopt(pycurl.HTTPHEADER, lines)
+    lines += [f"{name}:" for name in _CURL_HEADERS if name.lower() not in given]
+    curl.setopt(pycurl.HTTPHEADER, [line.encode("latin-1") for line in lines])
     curl.setopt(pycurl.PROTOCOLS, pycurl.PROTO_HTTP | pycurl.PROTO_HTTPS)
     curl.setopt(pycurl.NOPROXY, "*")
     curl.setopt(pycurl.NOSIGNAL, 1)
     curl.setopt(pycurl.TCP_NODELAY, 1)
     curl.setopt(pycurl.CONNECTTIMEOUT_MS, call.connect_timeout_ms)
+    curl.setopt(pycurl.MAXAGE_CONN, POOLED_IDLE_S)
     if call.fresh:
         curl.setopt(pycurl.FRESH_CONNECT, 1)
         curl.setopt(pycurl.FORBID_REUSE, 1)
@@ -106,12 +153,6 @@
     return tuple(headers)
 
 
-def _never_sent(curl: pycurl.Curl, code: object) -> bool:
-    if code in _NOT_SENT:
-        return True
-    return code == pycurl.E_OPERATION_TIMEDOUT and curl.getinfo(pycurl.CONNECT_TIME) == 0
-
-
 def _thread_handle() -> pycurl.Curl:
     curl: pycurl.Curl | None = getattr(_local, "curl", None)
     if curl is None:
--- a/src/lentilwell/_server.py
+++ b/src/lentilwell/_server.py
@@ -45,6 +45,7 @@
     def make_environ(self) -> Any:
         environ = super().make_environ()
         environ["lentilwell.server"] = self.server
+        environ["lentilwell.headers"] = tuple(self.headers.items())
         return environ
 
     def connection_dropped(self, error: BaseException, environ: Any = None) -> None:
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,376 @@
+"""The claim protocol: many attempts, a table that loses answers, a service that counts its runs."""
+
+from dataclasses import dataclass, field, replace
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from lentilwell import _claims as c
+from lentilwell._errors import (
+    AlreadyRan,
+    AttemptNotRun,
+    KeyReused,
+    NotRun,
+    NotRunKeyHeld,
+    OutcomePending,
+    OutcomeUnknown,
+)
+
+KEYS = ("refund-1", "refund-2")
+PATIENCE_MS = 2_000
+WRITE_FAULTS = ("none", "unavailable", "lost", "lost_after", "lost_late", "repeated")
+
+
+@dataclass
+class Attempt:
+    key: str
+    state: c.ClaimState
+    claimed_at: int = 0
+    todo: tuple = ()
+    alive: bool = True
+    deferred: bool = False
+    transmitted: bool = False
+    waiting: bool = False
+    replies: list = field(default_factory=list)
+
+
+class World:
+    """Attempts, table and service; every step and every fault is chosen from outside."""
+
+    def __init__(self):
+        self.now = 0
+        self.wall = 0
+        self.rows = {}
+        self.late = []
+        self.attempts = []
+        self.network = []
+        self.answers = {}
+        self.runs = dict.fromkeys(KEYS, 0)
+        self.settled = set()
+
+    def begin(self, key, digest):
+        state = c.ClaimState(f"attempt-{len(self.attempts)}", digest, self.now + PATIENCE_MS)
+        attempt = Attempt(key, state)
+        self.attempts.append(attempt)
+        self.feed(attempt, c.Began)
+        return attempt
+
+    def feed(self, attempt, kind, *values):
+        attempt.state, actions = c.step(attempt.state, kind(self.now, self.wall, *values))
+        for action in actions:
+            if isinstance(action, c.ReplyAnswer | c.ReplyFailure):
+                self.check_reply(attempt, action)
+                attempt.replies.append(action)
+        rest = [a for a in actions if not isinstance(a, c.ReplyAnswer | c.ReplyFailure)]
+        if isinstance(c.Transmit(), type(rest[0]) if rest else c.Input):
+            self.transmit(attempt)
+            rest = []
+        attempt.deferred = c.Defer() in rest
+        attempt.todo = tuple(a for a in rest if a != c.Defer())
+
+    def transmit(self, attempt):
+        assert not attempt.replies, "sent after the caller had its reply"
+        assert not attempt.transmitted
+        attempt.transmitted = attempt.waiting = True
+        self.network.append(attempt)
+
+    def check_reply(self, attempt, reply):
+        assert not attempt.replies, "two replies"
+        if isinstance(reply, c.ReplyAnswer):
+            assert reply.answer == self.answers[attempt.key][1]
+            assert attempt.state.request_digest == self.answers[attempt.key][0]
+        elif isinstance(reply.failure, NotRun):
+            assert not attempt.transmitted, "said 'not run' of what was sent"
+            if not isinstance(reply.failure, AttemptNotRun):
+                others = [a for a in self.attempts if a.key == attempt.key and a.transmitted]
+                assert not others or attempt.key in self.settled
+                assert self.runs[attempt.key] == 0
+
+    def write(self, attempt, action, fault):
+        if action.status is c.ClaimStatus.HELD:
+            attempt.claimed_at = self.wall
+        claim = c.Claim(
+            status=action.status,
+            team="counters",
+            key=attempt.key,
+            request_digest=attempt.state.request_digest,
+            attempt_id=attempt.state.attempt_id,
+            instance="entry-1",
+            claimed_at=attempt.claimed_at,
+            patience_ms=PATIENCE_MS,
+            answer=action.answer,
+        )
+        write = (attempt.key, action.expected_version, claim)
+        if fault == "unavailable":
+            return self.feed(attempt, c.WriteUnavailable)
+        if fault in ("lost", "lost_late"):
+            self.late += [write] if fault == "lost_late" else []
+            return self.feed(attempt, c.WriteLost)
+        version = self.apply(*write)
+        if fault == "repeated":
+            version = self.apply(*write)
+        if fault == "lost_after":
+            return self.feed(attempt, c.WriteLost)
+        if version is None:
+            return self.feed(attempt, c.WriteRefused)
+        return self.feed(attempt, c.RowWritten, version)
+
+    def apply(self, key, expected_version, claim):
+        if self.rows.get(key, c.FoundClaim()).version != expected_version:
+            return None
+        self.rows[key] = c.FoundClaim(expected_version + 1, claim)
+        return expected_version + 1
+
+    def perform(self, attempt, fault):
+        (action,) = attempt.todo
+        if isinstance(action, c.WriteRow):
+            self.write(attempt, action, fault)
+        elif isinstance(action, c.ReadRow) and fault == "none":
+            self.feed(attempt, c.RowRead, self.rows.get(attempt.key, c.FoundClaim()))
+        elif isinstance(action, c.ReadRow):
+            self.feed(attempt, c.ReadFailed)
+        elif isinstance(action, c.Connect):
+            self.feed(attempt, c.Connected if fault == "none" else c.NotConnected)
+
+    def serve(self, attempt, lose_answer):
+        self.network.remove(attempt)
+        self.runs[attempt.key] += 1
+        answer = c.RecordedAnswer(200, (), f"run {self.runs[attempt.key]}".encode())
+        self.answers[attempt.key] = (attempt.state.request_digest, answer)
+        self.end_call(attempt, None if lose_answer else answer)
+
+    def end_call(self, attempt, answer):
+        if attempt.alive and attempt.waiting:
+            attempt.waiting = False
+            self.feed(attempt, *((c.Unanswered,) if answer is None else (c.Answered, answer)))
+
+    def pass_deadline(self, attempt):
+        self.now = max(self.now, attempt.state.deadline_at)
+        state, todo, deferred = attempt.state, attempt.todo, attempt.deferred
+        self.feed(attempt, c.DeadlinePassed)
+        if attempt.state.phase is state.phase:
+            attempt.todo, attempt.deferred = todo, deferred
+
+    def run_out(self):
+        """With no more faults, let every live attempt end."""
+        for _ in range(50 * len(self.attempts)):
+            for attempt in [a for a in self.attempts if a.alive]:
+                if attempt.todo:
+                    self.perform(attempt, "none")
+                elif attempt.deferred:
+                    self.feed(attempt, c.Resumed)
+                elif attempt in self.network:
+                    self.serve(attempt, lose_answer=False)
+                elif attempt.waiting:
+                    self.end_call(attempt, None)
+        for attempt in self.attempts:
+            if attempt.alive:
+                assert attempt.state.phase is c.Phase.DONE and attempt.replies
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.world = World()
+
+    def pick(self, data, wanted):
+        return data.draw(st.sampled_from([a for a in self.world.attempts if wanted(a)]))
+
+    def has(self, wanted):
+        return any(wanted(a) for a in self.world.attempts)
+
+    @precondition(lambda self: len(self.world.attempts) < 6)
+    @rule(key=st.sampled_from(KEYS), digest=st.sampled_from(("a", "a", "a", "b")))
+    def call(self, key, digest):
+        self.world.begin(key, digest)
+
+    @precondition(lambda self: self.has(can_perform))
+    @rule(data=st.data(), fault=st.sampled_from(("none", "none", "none", *WRITE_FAULTS)))
+    def perform(self, data, fault):
+        self.world.perform(self.pick(data, can_perform), fault)
+
+    @precondition(lambda self: self.has(can_perform))
+    @rule(data=st.data(), steps=st.integers(1, 6))
+    def go_on(self, data, steps):
+        attempt = self.pick(data, can_perform)
+        for _ in range(steps):
+            if can_perform(attempt):
+                self.world.perform(attempt, "none")
+
+    @precondition(lambda self: self.has(can_resume))
+    @rule(data=st.data())
+    def resume(self, data):
+        self.world.feed(self.pick(data, can_resume), c.Resumed)
+
+    @precondition(lambda self: self.world.late)
+    @rule(data=st.data())
+    def apply_late(self, data):
+        write = data.draw(st.sampled_from(self.world.late))
+        self.world.late.remove(write)
+        self.world.apply(*write)
+
+    @precondition(lambda self: self.world.network)
+    @rule(data=st.data(), lose_answer=st.booleans())
+    def serve(self, data, lose_answer):
+        self.world.serve(data.draw(st.sampled_from(self.world.network)), lose_answer)
+
+    @precondition(lambda self: self.has(lambda a: a.alive and a.waiting))
+    @rule(data=st.data(), lost=st.booleans())
+    def break_call(self, data, lost):
+        attempt = self.pick(data, lambda a: a.alive and a.waiting)
+        if lost and attempt in self.world.network:
+            self.world.network.remove(attempt)
+        self.world.end_call(attempt, None)
+
+    @precondition(lambda self: self.has(lambda a: a.alive and not a.replies))
+    @rule(data=st.data())
+    def pass_deadline(self, data):
+        self.world.pass_deadline(self.pick(data, lambda a: a.alive and not a.replies))
+
+    @precondition(lambda self: self.has(lambda a: a.alive))
+    @rule(data=st.data())
+    def kill(self, data):
+        self.pick(data, lambda a: a.alive).alive = False
+
+    @rule(now_ms=st.sampled_from((0, 10, 900, 5_000)), wall_ms=st.sampled_from((10, 5_000)))
+    def let_time_pass(self, now_ms, wall_ms):
+        self.world.now += now_ms
+        self.world.wall += max(now_ms, wall_ms)
+
+    @precondition(lambda self: self.world.rows)
+    @rule(data=st.data())
+    def settle(self, data):
+        """An operator waits out the patience, looks the record up and settles the key."""
+        world = self.world
+        key = data.draw(st.sampled_from(sorted(world.rows)))
+        found = world.rows[key]
+        world.wall += PATIENCE_MS + c.SETTLE_MARGIN_MS
+        if not c.may_settle(found.claim, world.wall) or any(a.key == key for a in world.network):
+            return
+        outcome = c.Settlement.RAN if world.runs[key] else c.Settlement.NOT_RUN
+        world.rows[key] = c.FoundClaim(found.version + 1, c.settle(found.claim, outcome))
+        world.settled.add(key)
+
+    @invariant()
+    def runs_at_most_once(self):
+        assert all(runs <= 1 for runs in self.world.runs.values())
+
+    @invariant()
+    def sent_key_stays_taken(self):
+        for attempt in self.world.attempts:
+            if attempt.transmitted and attempt.key not in self.world.settled:
+                assert self.world.rows[attempt.key].claim.status is not c.ClaimStatus.FREE
+
+    def teardown(self):
+        """Heal everything, let what lives end, and call each key once more."""
+        world = self.world
+        world.run_out()
+        for write in world.late:
+            world.apply(*write)
+        for key in KEYS:
+            before = world.rows.get(key, c.FoundClaim())
+            attempt = world.begin(key, "a")
+            world.run_out()
+            self.check_last(key, before.claim, attempt)
+        assert all(runs <= 1 for runs in world.runs.values())
+
+    def check_last(self, key, claim, attempt):
+        dead = {a.state.attempt_id for a in self.world.attempts if not a.alive}
+        sent = [a for a in self.world.attempts if a.key == key and a.transmitted]
+        (reply,) = attempt.replies
+        if claim is None or claim.status is c.ClaimStatus.FREE:
+            assert reply == c.ReplyAnswer(self.world.answers[key][1], replayed=False)
+        elif claim.status is c.ClaimStatus.HELD:
+            assert claim.attempt_id in dead
+        elif claim.status is c.ClaimStatus.FINISHED and claim.request_digest == "a":
+            assert reply == c.ReplyAnswer(self.world.answers[key][1], replayed=True)
+        elif claim.status is c.ClaimStatus.UNKNOWN:
+            assert sent
+
+
+def can_perform(attempt):
+    return attempt.alive and bool(attempt.todo)
+
+
+def can_resume(attempt):
+    return attempt.alive and attempt.deferred
+
+
+TestClaimMachine = ClaimMachine.TestCase
+TestClaimMachine.settings = settings(
+    derandomize=True, deadline=None, max_examples=400, stateful_step_count=40
+)
+
+
+def held_row(status, digest="a", answer=None):
+    claim = c.Claim(status, "counters", "k", digest, "other", "entry-2", 0, 1, answer)
+    return c.FoundClaim(1, claim)
+
+
+ANSWER = c.RecordedAnswer(201, (("X", "1"),), b"done")
+
+
+@pytest.mark.parametrize(
+    ("row", "reply"),
+    [
+        (held_row(c.ClaimStatus.HELD), c.ReplyFailure(OutcomePending())),
+        (held_row(c.ClaimStatus.UNKNOWN), c.ReplyFailure(OutcomeUnknown())),
+        (held_row(c.ClaimStatus.RAN), c.ReplyFailure(AlreadyRan())),
+        (held_row(c.ClaimStatus.HELD, "b"), c.ReplyFailure(KeyReused())),
+        (held_row(c.ClaimStatus.FINISHED, "b", ANSWER), c.ReplyFailure(KeyReused())),
+        (held_row(c.ClaimStatus.FINISHED, "a", ANSWER), c.ReplyAnswer(ANSWER, replayed=True)),
+    ],
+)
+def test_taken_key_is_told_and_never_sent(row, reply):
+    world = World()
+    world.rows[KEYS[0]] = row
+    attempt = world.begin(KEYS[0], "a")
+    for _ in range(2):
+        attempt.state, actions = (
+            c.step(attempt.state, c.WriteRefused(0, 0))
+            if attempt.state.phase is c.Phase.CLAIMING
+            else c.step(attempt.state, c.RowRead(0, 0, row))
+        )
+    assert actions == (reply,) and attempt.state.phase is c.Phase.DONE
+
+
+FAULTS = [
+    (("unavailable",), AttemptNotRun, None),
+    (("lost", "lost"), AttemptNotRun, c.ClaimStatus.FREE),
+    (("lost_late", "none"), AttemptNotRun, c.ClaimStatus.FREE),
+    (("lost_after", "lost"), AttemptNotRun, c.ClaimStatus.FREE),
+    (("none", "lost"), NotRun, c.ClaimStatus.FREE),
+    (("none", "lost", "lost"), NotRunKeyHeld, c.ClaimStatus.FREE),
+    (("repeated", "lost"), OutcomePending, c.ClaimStatus.FREE),
+    (("repeated", "none", "none"), None, c.ClaimStatus.FINISHED),
+    (("lost_after", "none", "none"), None, c.ClaimStatus.FINISHED),
+]
+
+
+@pytest.mark.parametrize(("faults", "failure", "status"), FAULTS)
+def test_each_fault_has_its_reply_and_the_row_ends_settled(faults, failure, status):
+    world = World()
+    attempt = world.begin(KEYS[0], "a")
+    for fault in faults:
+        if attempt.todo:
+            world.perform(attempt, fault)
+    world.run_out()
+    late = list(world.late)
+    assert all(world.apply(*write) is None for write in late), "a lost write came back to life"
+    (reply,) = attempt.replies
+    assert (type(reply.failure) if failure else None) is failure
+    found = world.rows.get(KEYS[0])
+    assert (found.claim.status if found else None) is status
+
+
+@pytest.mark.parametrize(("now_ms", "wall_ms"), [(5_000, 5_000), (0, 5_000), (PATIENCE_MS, 0)])
+def test_paused_holder_does_not_send(now_ms, wall_ms):
+    world = World()
+    attempt = world.begin(KEYS[0], "a")
+    world.perform(attempt, "none")
+    world.now, world.wall = now_ms, wall_ms
+    world.run_out()
+    assert not attempt.transmitted and attempt.replies == [c.ReplyFailure(NotRun())]
+    assert replace(world.rows[KEYS[0]], claim=None).version == 2
