Refuse at once a prompt that no data centre's engines can hold

Cause: a prompt above what the team's usable engines of one data centre hold together waited for a span that can never come, and ended at its deadline. Capacities by team and model are worked out once when an inventory is accepted; teams that may use every engine share one entry.

--- a/src/lentilwell/_admission.py
+++ b/src/lentilwell/_admission.py
@@ -6,10 +6,12 @@
 
 from pyrsistent import pmap, pvector
 
+from lentilwell._capacities import find_capacity, measure_capacities
 from lentilwell._effects import CancelAttempt, CancelStream, Effect, EndRequest
-from lentilwell._errors import DeadlineExceeded, Failure, NotReady
+from lentilwell._errors import DeadlineExceeded, Failure, NotReady, PromptTooLong, UnknownModel
 from lentilwell._events import CallerGone, DrainStarted, InventoryAccepted, RequestArrived
 from lentilwell._inventory import Inventory
+from lentilwell._messages import Request
 from lentilwell._order import length_class
 from lentilwell._reducer import Step, follows, handles
 from lentilwell._state import Attempt, EngineView, State, TeamQueue, Waiting, empty_ids, empty_queue
@@ -79,16 +81,29 @@
 def admit(state: State, event: RequestArrived) -> Step:
     """Queue a request, or refuse it at once."""
     request = event.request
-    if state.inventory is None or state.draining:
-        return state, (EndRequest(request.request_id, NotReady()),)
-    if request.deadline_at <= state.now:
-        return state, (EndRequest(request.request_id, DeadlineExceeded()),)
+    failure = find_refusal(state, request)
+    if failure is not None:
+        return state, (EndRequest(request.request_id, failure),)
     bucket = request.deadline_at // DEADLINE_BUCKET_MS
     due = state.deadlines.get(bucket, empty_ids()).append(request.request_id)
     state = replace(state, deadlines=state.deadlines.set(bucket, due))
     return enqueue(state, Waiting(request)), ()
 
 
+def find_refusal(state: State, request: Request) -> Failure | None:
+    """Return why a request cannot be served at all, or None."""
+    if state.inventory is None or state.draining:
+        return NotReady()
+    if request.deadline_at <= state.now:
+        return DeadlineExceeded()
+    capacity = find_capacity(state.capacities, request.team, request.model)
+    if capacity is None or request.team not in state.inventory.teams:
+        return UnknownModel()
+    if request.memory_tokens > capacity.limit_tokens:
+        return PromptTooLong(capacity.limit_tokens)
+    return None
+
+
 @handles(CallerGone)
 def forget_caller(state: State, event: CallerGone) -> Step:
     """Drop the request and cancel its streams at once."""
@@ -106,7 +121,9 @@
     """Take a configuration of a higher version; a lower or equal one changes nothing."""
     if state.inventory is not None and event.inventory.version <= state.inventory.version:
         return state, ()
-    return index_engines(replace(state, inventory=event.inventory), event.inventory), ()
+    capacities = measure_capacities(event.inventory)
+    state = replace(state, inventory=event.inventory, capacities=capacities)
+    return index_engines(state, event.inventory), ()
 
 
 def index_engines(state: State, inventory: Inventory) -> State:
--- /dev/null
+++ b/src/lentilwell/_capacities.py
@@ -0,0 +1,70 @@
+"""What the engines hold together for a team and a model, worked out once per inventory."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from pyrsistent import PMap, pmap
+
+from lentilwell._inventory import Engine, Inventory
+
+EVERY_TEAM = ""
+
+
+@dataclass(frozen=True)
+class Capacity:
+    """The engines of one model that a team may use.
+
+    ``limit_tokens`` is the memory of the data centre that holds most, since a span never crosses
+    data centres; ``largest_tokens`` is the memory of the largest single engine.
+    """
+
+    limit_tokens: int
+    largest_tokens: int
+    engines: int
+    slots: int
+
+
+Capacities = PMap[str, PMap[str, Capacity]]
+
+
+def measure_capacities(inventory: Inventory) -> Capacities:
+    """Return capacities by team and model; teams that may use every engine share one entry."""
+    measured = {EVERY_TEAM: measure_engines(inventory.engines.values())}
+    for team in inventory.teams.values():
+        if team.engines:
+            allowed = (inventory.engines[n] for n in team.engines if n in inventory.engines)
+            measured[team.name] = measure_engines(allowed)
+    return pmap(measured)
+
+
+def measure_engines(engines: Iterable[Engine]) -> PMap[str, Capacity]:
+    """Return the capacity of these engines by model."""
+    by_model: dict[str, list[Engine]] = {}
+    for engine in engines:
+        for model in engine.models:
+            by_model.setdefault(model, []).append(engine)
+    return pmap({model: measure_model(found) for model, found in by_model.items()})
+
+
+def measure_model(engines: list[Engine]) -> Capacity:
+    """Return the capacity of the engines of one model; there is at least one."""
+    by_centre: dict[str, int] = {}
+    for engine in engines:
+        held = by_centre.get(engine.data_centre, 0)
+        by_centre[engine.data_centre] = held + engine.memory_tokens
+    return Capacity(
+        limit_tokens=max(by_centre.values()),
+        largest_tokens=max(engine.memory_tokens for engine in engines),
+        engines=len(engines),
+        slots=sum(engine.slots for engine in engines),
+    )
+
+
+def find_capacity(capacities: Capacities, team: str, model: str) -> Capacity | None:
+    """Return what a team may use of a model, or None where no engine serves it."""
+    by_model = capacities.get(team)
+    if by_model is None:
+        by_model = capacities.get(EVERY_TEAM)
+    return None if by_model is None else by_model.get(model)
--- a/src/lentilwell/_state.py
+++ b/src/lentilwell/_state.py
@@ -6,6 +6,7 @@
 
 from pyrsistent import PDeque, PMap, PVector, pdeque, pmap, pvector
 
+from lentilwell._capacities import Capacities
 from lentilwell._inventory import Engine, Inventory
 from lentilwell._messages import Digest, Identity, LoadReport, Placement, Request
 
@@ -88,6 +89,7 @@
     peers: PMap[str, PeerView] = field(default_factory=pmap)
     deadlines: PMap[int, PVector[str]] = field(default_factory=pmap)
     digest_sequence: int = 0
+    capacities: Capacities = field(default_factory=pmap)
 
 
 def draw(state_random: int, below: int) -> tuple[int, int]:
