--- /dev/null
+++ b/bench/reducer_cost.py
@@ -0,0 +1,198 @@
+"""Measures what one event costs the reducer: by engines, teams and waiting requests.
+
+``python -m bench.reducer_cost [--output FILE]`` prints one line a cell, in microseconds an event.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+from statistics import median
+
+from pyrsistent import pmap
+
+from lentilwell import Identity, Placement, Request, State, reduce
+from lentilwell._admission import enqueue
+from lentilwell._dispatch import start
+from lentilwell._effects import Effect, EndRequest, StartAttempt
+from lentilwell._events import (
+    AttemptFinished,
+    Event,
+    FirstTokenSeen,
+    InventoryAccepted,
+    RequestArrived,
+    TickPassed,
+)
+from lentilwell._inventory import Engine, Inventory, Model, Team
+from lentilwell._state import Waiting
+
+ENGINES = (14, 400, 10_000)
+TEAMS = (10, 500, 4_900)
+WAITING = (0, 1_000, 10_000)
+LENGTHS = (1_000, 4_000, 16_000, 64_000, 256_000)
+MEMORY_TOKENS = 450_000
+ANSWER_TOKENS = 50
+DEADLINE_MS = 1_000_000_000
+TICK_MS = 50
+NS_PER_US = 1_000
+
+
+@dataclass(frozen=True)
+class Cell:
+    """One size of the fleet and its cost: median microseconds by kind of event."""
+
+    engines: int
+    teams: int
+    waiting: int
+    events: int
+    arrived_us: float
+    first_token_us: float
+    finished_us: float
+    tick_us: float
+    events_per_second: float
+
+
+@dataclass
+class Session:
+    """A state under load, its attempts in order of start, and the time spent by event type."""
+
+    state: State
+    teams: int
+    made: int = 0
+    attempts: deque[str] = field(default_factory=deque)
+    spent_us: dict[type[Event], list[float]] = field(default_factory=dict)
+
+    def make_request(self) -> Request:
+        """Return the next request: teams in turn, lengths in turn, and a far deadline."""
+        self.made += 1
+        length = LENGTHS[(self.made // self.teams) % len(LENGTHS)]
+        team = f"team-{self.made % self.teams}"
+        now = self.state.now
+        name = f"request-{self.made}"
+        return Request(name, team, "m", length, ANSWER_TOKENS, now, now + DEADLINE_MS)
+
+    def apply(self, event: Event) -> None:
+        """Apply one event and note what it cost."""
+        began = time.perf_counter_ns()
+        self.state, effects = reduce(self.state, event)
+        spent = (time.perf_counter_ns() - began) / NS_PER_US
+        self.spent_us.setdefault(type(event), []).append(spent)
+        self._follow(effects)
+
+    def _follow(self, effects: tuple[Effect, ...]) -> None:
+        for effect in effects:
+            if isinstance(effect, StartAttempt):
+                self.attempts.append(effect.attempt_id)
+            elif isinstance(effect, EndRequest):
+                raise RuntimeError(f"refused: {effect.failure}")
+
+
+def make_inventory(engines: int, teams: int) -> Inventory:
+    """Return an inventory of one model whose engines take one stream each."""
+    specs = {
+        f"engine-{n}": Engine(f"engine-{n}", "", "dc", ("m",), MEMORY_TOKENS, 1)
+        for n in range(engines)
+    }
+    named = {f"team-{n}": Team(f"team-{n}", 1, ()) for n in range(teams)}
+    models = pmap({"m": Model("m", MEMORY_TOKENS)})
+    return Inventory(1, pmap(specs), models=models, teams=pmap(named))
+
+
+def fill(session: Session, engines: int, waiting: int) -> None:
+    """Give every engine a stream, then queue ``waiting`` requests, without dispatching."""
+    for number in range(engines):
+        request = session.make_request()
+        first = Waiting(request)
+        share = Placement(f"engine-{number}", request.memory_tokens)
+        state, effect = start(enqueue(session.state, first), first, (share,))
+        session.state = state
+        session.attempts.append(effect.attempt_id)
+    for _ in range(waiting):
+        session.state = enqueue(session.state, Waiting(session.make_request()))
+
+
+def measure_cell(engines: int, teams: int, waiting: int, rounds: int) -> Cell:
+    """Measure one size: each round is a first token, an end, an arrival and a tick."""
+    state = State(Identity("i", "1", "dc"))
+    inventory = make_inventory(engines, teams)
+    session = Session(reduce(state, InventoryAccepted(0, inventory))[0], teams)
+    fill(session, engines, waiting)
+    for number in range(rounds):
+        now = number * TICK_MS
+        attempt_id = session.attempts.popleft()
+        session.apply(FirstTokenSeen(now, attempt_id))
+        session.apply(AttemptFinished(now, attempt_id, ANSWER_TOKENS))
+        session.apply(RequestArrived(now, session.make_request()))
+        session.apply(TickPassed(now))
+    spent = session.spent_us
+    total_us = sum(sum(values) for values in spent.values())
+    return Cell(
+        engines,
+        teams,
+        waiting,
+        sum(len(values) for values in spent.values()),
+        median(spent[RequestArrived]),
+        median(spent[FirstTokenSeen]),
+        median(spent[AttemptFinished]),
+        median(spent[TickPassed]),
+        sum(len(values) for values in spent.values()) / total_us * 1e6,
+    )
+
+
+def measure_cells(
+    engines: tuple[int, ...],
+    teams: tuple[int, ...],
+    waiting: tuple[int, ...],
+    rounds: int,
+    tell: Callable[[str], None],
+) -> list[Cell]:
+    """Measure every combination and tell a line about each."""
+    tell("engines  teams waiting | arrived first_token finished  tick (us, median) | events/s")
+    cells = []
+    for count in engines:
+        for number in teams:
+            for queued in waiting:
+                cell = measure_cell(count, number, queued, rounds)
+                cells.append(cell)
+                tell(
+                    f"{count:>7} {number:>6} {queued:>7} | {cell.arrived_us:>7.0f} "
+                    f"{cell.first_token_us:>11.0f} {cell.finished_us:>8.0f} {cell.tick_us:>5.0f}"
+                    f"                 | {cell.events_per_second:>8.0f}"
+                )
+    return cells
+
+
+def read_counts(text: str) -> tuple[int, ...]:
+    """Read whole numbers that are separated by commas."""
+    return tuple(int(part) for part in text.split(","))
+
+
+def main() -> int:
+    """Measure, print, and write the cells as JSON where a file is named."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--engines", type=read_counts, default=ENGINES)
+    parser.add_argument("--teams", type=read_counts, default=TEAMS)
+    parser.add_argument("--waiting", type=read_counts, default=WAITING)
+    parser.add_argument("--rounds", type=int, default=200)
+    parser.add_argument("--output", type=Path)
+    options = parser.parse_args()
+    cells = measure_cells(
+        options.engines,
+        options.teams,
+        options.waiting,
+        options.rounds,
+        lambda line: print(line, flush=True),
+    )
+    if options.output is not None:
+        options.output.write_text(json.dumps([asdict(cell) for cell in cells], indent=1) + "\n")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -10,9 +10,10 @@
 from lentilwell._inventory import Engine, Inventory, Model, Team
 
 MEMORY = 400_000
+ANY_ENGINE = Team("t", 1, ())
 
 
-def make_state(centres=("a", "a", "b"), teams=(Team("t", 1, ()),), **engine):
+def make_state(centres=("a", "a", "b"), teams=(ANY_ENGINE,), **engine):
     specs = {"memory_tokens": MEMORY, "slots": 8, **engine}
     engines = {
         f"engine-{n}": Engine(f"engine-{n}", "http://127.0.0.1", centre, ("m",), **specs)
