--- /dev/null
+++ b/bench/order_trial.py
@@ -0,0 +1,346 @@
+"""Tries order policies on a simulated pool of engines: a trial for choosing, not a measurement.
+
+``python -m bench.order_trial [--orders A,B] [--seeds N]`` prints one line a policy and load.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+import sys
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+from statistics import median
+
+from pyrsistent import pmap
+
+from lentilwell import Identity, Request, State, reduce
+from lentilwell._effects import (
+    CancelStream,
+    ChangePriority,
+    Effect,
+    EndRequest,
+    StartAttempt,
+)
+from lentilwell._events import (
+    AttemptFailed,
+    AttemptFinished,
+    Event,
+    FirstTokenSeen,
+    InventoryAccepted,
+    LoadReported,
+    RequestArrived,
+    TickPassed,
+)
+from lentilwell._inventory import Engine, Inventory, Model, Rules, Team
+from lentilwell._messages import Cause, LoadReport, StreamReport
+
+STEP_MS = 10
+TICK_MS = 50
+REPORT_MS = 250
+PREFILL_TOKENS_PER_MS = 20.0
+DECODE_MS = 20.0
+MEMORY_TOKENS = 450_000
+SLOTS = 64
+ENGINES = 14
+ANSWER_TOKENS = 50
+SHORT_TOKENS = 16_000
+LENGTHS = (1_000, 4_000, 16_000, 64_000, 256_000, 1_000_000)
+ALL_MIX = (0.5, 0.3, 0.13, 0.05, 0.016, 0.004)
+SHORT_MIX = (0.62, 0.38, 0.0, 0.0, 0.0, 0.0)
+TEAM_SHARES = (0.3, 0.25, 0.1, 0.07, 0.07, 0.07, 0.05, 0.04, 0.03, 0.02)
+BASE_DEADLINE_MS = 10_000
+DEADLINE_MS_PER_1K = 100
+
+
+@dataclass
+class FakeStream:
+    """One stream of a simulated engine; ``prompt`` and ``answer`` count what is left."""
+
+    stream: str
+    memory: int
+    prompt: float
+    answer: float
+    priority: int
+    number: int
+    lead: bool
+
+
+@dataclass
+class FakeEngine:
+    """A simulated engine: prefill by priority, then decode of every ready stream."""
+
+    name: str
+    streams: dict[str, FakeStream] = field(default_factory=dict)
+    busy_ms: float = 0.0
+
+    def used(self) -> int:
+        """Return the memory in use, in tokens."""
+        return sum(stream.memory for stream in self.streams.values())
+
+    def step(self) -> tuple[list[str], list[str]]:
+        """Advance one step; return the leads whose prefill ended and those that are whole."""
+        budget = PREFILL_TOKENS_PER_MS * STEP_MS
+        first: list[str] = []
+        whole: list[str] = []
+        ready = [s for s in self.streams.values() if s.prompt <= 0 and s.lead]
+        waiting = [s for s in self.streams.values() if s.prompt > 0]
+        for stream in sorted(waiting, key=lambda s: (s.priority, s.number)):
+            spent = min(budget, stream.prompt)
+            stream.prompt -= spent
+            budget -= spent
+            if stream.prompt <= 0 and stream.lead:
+                first.append(stream.stream)
+            if budget <= 0:
+                break
+        self.busy_ms += STEP_MS - budget / PREFILL_TOKENS_PER_MS
+        for stream in ready:
+            stream.answer -= STEP_MS / DECODE_MS
+            if stream.answer <= 0:
+                whole.append(stream.stream)
+                del self.streams[stream.stream]
+        return first, whole
+
+    def report(self, sequence: int) -> LoadReport:
+        """Return a load report."""
+        streams = tuple(
+            StreamReport(s.stream, "i", "1", s.memory, 0, 0, 0) for s in self.streams.values()
+        )
+        return LoadReport(
+            self.name, "1", sequence, False, MEMORY_TOKENS, self.used(), SLOTS, streams, ("m",)
+        )
+
+
+@dataclass
+class Outcome:
+    """What became of one request: time to first token and to the end, in ms, or a refusal."""
+
+    request: Request
+    first_ms: int | None = None
+    total_ms: int | None = None
+    failure: str = ""
+
+
+@dataclass
+class Pool:
+    """The simulated engines and the reducer's state."""
+
+    state: State
+    engines: dict[str, FakeEngine]
+    outcomes: dict[str, Outcome] = field(default_factory=dict)
+    by_attempt: dict[str, str] = field(default_factory=dict)
+    opened: int = 0
+
+    def apply(self, event: Event) -> None:
+        """Apply an event, and the events that its effects bring at once."""
+        self.state, effects = reduce(self.state, event)
+        for effect in effects:
+            self.run(effect)
+
+    def run(self, effect: Effect) -> None:
+        """Carry out one effect."""
+        if isinstance(effect, StartAttempt):
+            self.open(effect)
+        elif isinstance(effect, CancelStream):
+            self.engines[effect.engine].streams.pop(effect.stream, None)
+        elif isinstance(effect, ChangePriority):
+            for engine in self.engines.values():
+                if effect.attempt_id in engine.streams:
+                    engine.streams[effect.attempt_id].priority = effect.priority
+        elif isinstance(effect, EndRequest):
+            self.outcomes[effect.request_id].failure = effect.failure.code
+
+    def open(self, effect: StartAttempt) -> None:
+        """Open the streams of an attempt; an engine that is full refuses it."""
+        self.by_attempt[effect.attempt_id] = effect.request.request_id
+        left = effect.request.prompt_tokens
+        for position, share in enumerate(effect.placements):
+            engine = self.engines[share.engine]
+            full = engine.used() + share.memory_tokens > MEMORY_TOKENS
+            if full or len(engine.streams) >= SLOTS:
+                failed = AttemptFailed(
+                    self.state.now, effect.attempt_id, share.engine, Cause.REFUSED, 0
+                )
+                self.apply(failed)
+                return
+            prompt = min(left, share.memory_tokens)
+            left -= prompt
+            self.opened += 1
+            engine.streams[effect.attempt_id] = FakeStream(
+                effect.attempt_id,
+                share.memory_tokens,
+                prompt,
+                effect.request.answer_tokens,
+                effect.priority,
+                self.opened,
+                position == 0,
+            )
+
+    def step(self, now: int) -> None:
+        """Advance all engines and apply what they tell."""
+        for engine in self.engines.values():
+            first, whole = engine.step()
+            for stream in first:
+                outcome = self.outcomes[self.by_attempt[stream]]
+                outcome.first_ms = now - outcome.request.arrived_at
+                self.apply(FirstTokenSeen(now, stream))
+            for stream in whole:
+                outcome = self.outcomes[self.by_attempt[stream]]
+                outcome.total_ms = now - outcome.request.arrived_at
+                self.apply(AttemptFinished(now, stream, ANSWER_TOKENS))
+        if now % TICK_MS == 0:
+            self.apply(TickPassed(now))
+        if now % REPORT_MS == 0:
+            for engine in self.engines.values():
+                self.apply(LoadReported(now, engine.report(now)))
+
+
+@dataclass(frozen=True)
+class Load:
+    """Arrivals: requests a second by second of the run, and the shares of the lengths."""
+
+    rates: tuple[float, ...]
+    mix: tuple[float, ...]
+    readings: tuple[tuple[int, int], ...] = ()
+
+
+def make_requests(load: Load, seed: int) -> list[Request]:
+    """Return the arrivals of a load; readings come on top and do not change the others."""
+    source = random.Random(seed)
+    found: list[Request] = []
+    for second, rate in enumerate(load.rates):
+        at = second * 1_000 + source.expovariate(rate) * 1_000 if rate else 1e9
+        while at < (second + 1) * 1_000:
+            tokens = source.choices(LENGTHS, load.mix)[0]
+            team = f"team-{source.choices(range(len(TEAM_SHARES)), TEAM_SHARES)[0]}"
+            found.append(make_request(f"r{len(found)}", team, tokens, int(at)))
+            at += source.expovariate(rate) * 1_000
+    for number, (at_ms, tokens) in enumerate(load.readings):
+        found.append(make_request(f"long{number}", "team-1", tokens, at_ms))
+    return sorted(found, key=lambda r: (r.arrived_at, r.request_id))
+
+
+def make_request(name: str, team: str, tokens: int, at: int) -> Request:
+    """Return one request with the deadline of its length."""
+    deadline_at = at + BASE_DEADLINE_MS + tokens * DEADLINE_MS_PER_1K // 1_000
+    return Request(name, team, "m", tokens, ANSWER_TOKENS, at, deadline_at)
+
+
+def make_pool(order: str) -> Pool:
+    """Return a pool with an empty state."""
+    specs = {
+        f"engine-{n}": Engine(f"engine-{n}", "", f"dc-{n % 3}", ("m",), MEMORY_TOKENS, SLOTS)
+        for n in range(ENGINES)
+    }
+    teams = {f"team-{n}": Team(f"team-{n}", 1, ()) for n in range(len(TEAM_SHARES))}
+    rules = replace(Rules(), order=order, placement="least_loaded")
+    models = pmap({"m": Model("m", 1_100_000)})
+    inventory = Inventory(1, pmap(specs), models=models, teams=pmap(teams), rules=rules)
+    state = reduce(State(Identity("i", "1", "dc-0"), random=7), InventoryAccepted(0, inventory))[0]
+    return Pool(state, {name: FakeEngine(name) for name in specs})
+
+
+def run_load(order: str, load: Load, seed: int) -> tuple[Pool, list[Outcome]]:
+    """Run a load until all of it has ended."""
+    pool = make_pool(order)
+    arrivals = make_requests(load, seed)
+    position = 0
+    now = 0
+    while position < len(arrivals) or pool.state.waiting or pool.state.attempts:
+        now += STEP_MS
+        while position < len(arrivals) and arrivals[position].arrived_at <= now:
+            request = arrivals[position]
+            pool.outcomes[request.request_id] = Outcome(request)
+            pool.apply(RequestArrived(now, request))
+            position += 1
+        pool.step(now)
+    return pool, list(pool.outcomes.values())
+
+
+def percentile(values: Iterable[float], share: float) -> float:
+    """Return a percentile of values, or 0 where there are none."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))] if ordered else 0.0
+
+
+def slowdown(outcome: Outcome) -> float:
+    """Return the whole time over the time with nothing else there."""
+    request = outcome.request
+    span = -(-request.memory_tokens // MEMORY_TOKENS)
+    alone = request.prompt_tokens / span / PREFILL_TOKENS_PER_MS + ANSWER_TOKENS * DECODE_MS
+    return (outcome.total_ms or 0) / alone
+
+
+def is_short(outcome: Outcome) -> bool:
+    """Tell whether a request counts as short."""
+    return outcome.request.prompt_tokens <= SHORT_TOKENS
+
+
+def compare_shorts(order: str, seed: int) -> str:
+    """Run a short load alone and again with readings, and compare the shorts of both."""
+    rates = (45.0,) * 40
+    readings = tuple((3_000 + 4_000 * n, (256_000, 1_000_000)[n % 4 == 0]) for n in range(9))
+    alone = run_load(order, Load(rates, SHORT_MIX), seed)[1]
+    both = run_load(order, Load(rates, SHORT_MIX, readings), seed)[1]
+    shorts = [o for o in both if is_short(o)]
+    longs = [o for o in both if not is_short(o)]
+    parts = []
+    for name, values in (("first", "first_ms"), ("whole", "total_ms")):
+        before = percentile([getattr(o, values) or 1e9 for o in alone], 0.95)
+        after = percentile([getattr(o, values) or 1e9 for o in shorts], 0.95)
+        parts.append(f"{name} {before:.0f} -> {after:.0f} ms ({after / before:.2f})")
+    late = sum(o.total_ms is None for o in longs)
+    return f"shorts p95 {', '.join(parts)}; readings not whole {late} of {len(longs)}"
+
+
+def measure_crest(order: str, seed: int) -> str:
+    """Run a load that triples within two seconds, and tell the service and the slowdowns."""
+    rates = (12.0,) * 10 + (24.0, 36.0) + (36.0,) * 20 + (12.0,) * 10
+    pool, outcomes = run_load(order, Load(rates, ALL_MIX), seed)
+    whole = [o for o in outcomes if o.total_ms is not None]
+    done = sum(o.request.prompt_tokens for o in whole)
+    asked = sum(o.request.prompt_tokens for o in outcomes)
+    busy = sum(engine.busy_ms for engine in pool.engines.values()) * PREFILL_TOKENS_PER_MS
+    by_class = median_slowdowns(whole, lambda o: str(o.request.prompt_tokens))
+    by_team = median_slowdowns(whole, lambda o: o.request.team)
+    wasted = 1 - done / busy
+    refused = len(outcomes) - len(whole)
+    return (
+        f"whole {len(whole) / len(outcomes):.3f} of {len(outcomes)}, {refused} not, "
+        f"tokens {done / asked:.2f}, wasted {wasted:.3f}, "
+        f"median slowdown worst/best: classes {spread(by_class):.2f} teams {spread(by_team):.2f} | "
+        + " ".join(f"{k}:{v:.2f}" for k, v in sorted(by_class.items(), key=lambda i: int(i[0])))
+    )
+
+
+def median_slowdowns(outcomes: list[Outcome], key: object) -> dict[str, float]:
+    """Return the median slowdown by group."""
+    groups: dict[str, list[float]] = {}
+    for outcome in outcomes:
+        assert callable(key)
+        groups.setdefault(key(outcome), []).append(slowdown(outcome))
+    return {name: median(values) for name, values in groups.items()}
+
+
+def spread(values: dict[str, float]) -> float:
+    """Return the worst over the best."""
+    return max(values.values()) / min(values.values())
+
+
+def main() -> int:
+    """Run the trials."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--orders", default="response_ratio")
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--loads", default="shorts,crest")
+    options = parser.parse_args()
+    trials = {"shorts": compare_shorts, "crest": measure_crest}
+    for load in options.loads.split(","):
+        for order in options.orders.split(","):
+            for seed in range(1, options.seeds + 1):
+                print(f"{load} {order} {seed}: {trials[load](order, seed)}", flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/bench/reducer_cost.py
+++ b/bench/reducer_cost.py
@@ -18,7 +18,6 @@
 from pyrsistent import pmap
 
 from lentilwell import Identity, Placement, Request, State, reduce
-from lentilwell._admission import enqueue
 from lentilwell._dispatch import start
 from lentilwell._effects import Effect, EndRequest, StartAttempt
 from lentilwell._events import (
@@ -30,6 +29,7 @@
     TickPassed,
 )
 from lentilwell._inventory import Engine, Inventory, Model, Team
+from lentilwell._queues import enqueue
 from lentilwell._state import Waiting
 
 ENGINES = (14, 400, 10_000)
--- a/src/lentilwell/_admission.py
+++ b/src/lentilwell/_admission.py
@@ -1,4 +1,4 @@
-"""Arrival, deadlines and departure of requests."""
+"""Arrival and departure of requests, and the configuration that they are served by."""
 
 from __future__ import annotations
 
@@ -6,88 +6,33 @@
 
 from pyrsistent import pmap, pvector
 
-from lentilwell._capacities import find_capacity, measure_capacities
-from lentilwell._effects import CancelAttempt, CancelStream, Effect, EndRequest
-from lentilwell._errors import DeadlineExceeded, Failure, NotReady, PromptTooLong, UnknownModel
+from lentilwell._capacities import measure_capacities
+from lentilwell._deadlines import find_overload, skip_draw
+from lentilwell._dispatch import find_unservable
+from lentilwell._effects import EndRequest
+from lentilwell._ending import end_request
+from lentilwell._errors import DeadlineExceeded, Failure, NotReady, Overloaded
 from lentilwell._events import CallerGone, DrainStarted, InventoryAccepted, RequestArrived
-from lentilwell._inventory import Inventory
+from lentilwell._inventory import Engine, Inventory
 from lentilwell._messages import Request
-from lentilwell._order import length_class
-from lentilwell._reducer import Step, follows, handles
-from lentilwell._state import Attempt, EngineView, State, TeamQueue, Waiting, empty_ids, empty_queue
-
-DEADLINE_BUCKET_MS = 50
-
-
-def enqueue(state: State, waiting: Waiting, at_front: bool = False) -> State:
-    """Put a request into its team's queue; one that is resumed goes to the front of its class."""
-    request = waiting.request
-    queue = state.queues.get(request.team, TeamQueue())
-    kind = length_class(request.prompt_tokens)
-    ids = queue.classes.get(kind, empty_queue())
-    ids = ids.appendleft(request.request_id) if at_front else ids.append(request.request_id)
-    queue = replace(queue, classes=queue.classes.set(kind, ids))
-    return replace(
-        state,
-        queues=state.queues.set(request.team, queue),
-        waiting=state.waiting.set(request.request_id, waiting),
-    )
-
-
-def release(state: State, attempt_id: str) -> State:
-    """Forget an attempt and give back what it booked."""
-    attempt = state.attempts[attempt_id]
-    engines = state.engines
-    for share in attempt.placements:
-        view = engines.get(share.engine)
-        if view is not None:
-            backlog = 0 if attempt.first_token_at is not None else share.memory_tokens
-            view = replace(
-                view,
-                own_streams=view.own_streams - 1,
-                own_memory=view.own_memory - share.memory_tokens,
-                own_backlog=view.own_backlog - backlog,
-            )
-            engines = engines.set(share.engine, view)
-    return replace(
-        state,
-        engines=engines,
-        attempts=state.attempts.remove(attempt_id),
-        in_hand=state.in_hand.discard(attempt.request.request_id),
-    )
-
-
-def stop_attempt(attempt: Attempt) -> tuple[Effect, ...]:
-    """Return the effects that stop reading an attempt and free its streams on every engine."""
-    frees = [CancelStream(share.engine, attempt.attempt_id) for share in attempt.placements]
-    return (CancelAttempt(attempt.attempt_id), *frees)
-
-
-def end_request(state: State, request_id: str, failure: Failure | None) -> Step:
-    """End a request wherever it is; with a failure, the caller is answered at once."""
-    effects: list[Effect] = []
-    known = request_id in state.waiting or request_id in state.in_hand
-    attempt_id = state.in_hand.get(request_id)
-    if attempt_id is not None:
-        effects.extend(stop_attempt(state.attempts[attempt_id]))
-        state = release(state, attempt_id)
-    state = replace(state, waiting=state.waiting.discard(request_id))
-    if known and failure is not None:
-        effects.append(EndRequest(request_id, failure))
-    return state, tuple(effects)
+from lentilwell._queues import enqueue
+from lentilwell._reducer import Step, handles
+from lentilwell._retries import earn_retry
+from lentilwell._state import EngineView, State, Waiting
 
 
 @handles(RequestArrived)
 def admit(state: State, event: RequestArrived) -> Step:
-    """Queue a request, or refuse it at once."""
+    """Queue a request, or refuse it at once; one that is known already changes nothing."""
     request = event.request
-    failure = find_refusal(state, request)
+    if request.request_id in state.waiting or request.request_id in state.in_hand:
+        return state, ()
+    failure = find_refusal(state, request) or find_overload(state, request)
     if failure is not None:
+        if isinstance(failure, Overloaded):
+            state = skip_draw(state)
         return state, (EndRequest(request.request_id, failure),)
-    bucket = request.deadline_at // DEADLINE_BUCKET_MS
-    due = state.deadlines.get(bucket, empty_ids()).append(request.request_id)
-    state = replace(state, deadlines=state.deadlines.set(bucket, due))
-    return enqueue(state, Waiting(request)), ()
+    return enqueue(earn_retry(state, request.team), Waiting(request)), ()
 
 
 def find_refusal(state: State, request: Request) -> Failure | None:
@@ -96,12 +41,7 @@
         return NotReady()
     if request.deadline_at <= state.now:
         return DeadlineExceeded()
-    capacity = find_capacity(state.capacities, request.team, request.model)
-    if capacity is None or request.team not in state.inventory.teams:
-        return UnknownModel()
-    if request.memory_tokens > capacity.limit_tokens:
-        return PromptTooLong(capacity.limit_tokens)
-    return None
+    return find_unservable(state, request)
 
 
 @handles(CallerGone)
@@ -123,7 +63,7 @@
         return state, ()
     capacities = measure_capacities(event.inventory)
     state = replace(state, inventory=event.inventory, capacities=capacities)
-    return index_engines(state, event.inventory), ()
+    return forget_removed(index_engines(state, event.inventory), event.inventory), ()
 
 
 def index_engines(state: State, inventory: Inventory) -> State:
@@ -136,22 +76,37 @@
     for name in sorted(inventory.engines):
         spec = inventory.engines[name]
         view = state.engines.get(name)
-        engines.set(name, EngineView(spec) if view is None else replace(view, spec=spec))
+        engines.set(name, add_engine(state, spec) if view is None else replace(view, spec=spec))
         for model in spec.models:
             by_model.setdefault(model, []).append(name)
     index = pmap({model: pvector(names) for model, names in by_model.items()})
     return replace(state, engines=engines.persistent(), by_model=index)
 
 
-@follows
-def expire(state: State) -> Step:
-    """End every request whose deadline has passed."""
-    effects: tuple[Effect, ...] = ()
-    current = state.now // DEADLINE_BUCKET_MS
-    due = [bucket for bucket in state.deadlines if bucket < current]
-    for bucket in due:
-        for request_id in state.deadlines[bucket]:
-            state, more = end_request(state, request_id, DeadlineExceeded())
-            effects += more
-        state = replace(state, deadlines=state.deadlines.remove(bucket))
-    return state, effects
+def add_engine(state: State, spec: Engine) -> EngineView:
+    """Return the view of a new engine; one that was in use before it left counts that again."""
+    view = EngineView(spec)
+    for attempt in state.attempts.values():
+        for share in attempt.placements:
+            if share.engine == spec.name:
+                prefilled = attempt.first_token_at is not None
+                view = replace(
+                    view,
+                    own_streams=view.own_streams + 1,
+                    own_memory=view.own_memory + share.memory_tokens,
+                    own_backlog=view.own_backlog + (0 if prefilled else share.memory_tokens),
+                )
+    return view
+
+
+def forget_removed(state: State, inventory: Inventory) -> State:
+    """Forget the paces of engines and the queues of teams that are gone and hold nothing."""
+    queues = state.queues.evolver()
+    for team, queue in state.queues.items():
+        if team not in inventory.teams and not queue.indexed:
+            queues.remove(team)
+    paces = state.paces.evolver()
+    for name in state.paces:
+        if name and name not in inventory.engines:
+            paces.remove(name)
+    return replace(state, queues=queues.persistent(), paces=paces.persistent())
--- /dev/null
+++ b/src/lentilwell/_deadlines.py
@@ -0,0 +1,123 @@
+"""Deadlines: whether a request can end in time, and ending those that cannot.
+
+Every waiting request has a timer at the last moment at which it could still start, every request in
+hand one at its deadline. A timer that comes too early is set again, so an event costs only as much
+as there are timers due.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from lentilwell._capacities import Capacity, find_capacity
+from lentilwell._effects import Effect
+from lentilwell._ending import end_request
+from lentilwell._errors import DeadlineExceeded, Failure, Overloaded
+from lentilwell._estimates import estimate_service_ms, is_trusted
+from lentilwell._fairness import find_weight
+from lentilwell._messages import Request
+from lentilwell._queues import latest_start, queued_ahead
+from lentilwell._reducer import Step, follows
+from lentilwell._state import State, TeamQueue, Waiting, draw
+
+SHORTEST_RETRY_MS = 100
+JITTER_DIVISOR = 2
+SAMPLE_PEERS = 16
+
+
+def estimate_wait_ms(state: State, request: Request, capacity: Capacity) -> float:
+    """Estimate how long a request would wait: the engine time ahead over the engines at hand.
+
+    Ahead is what waits in its class and shorter ones, here and, by their digests, at peers; but a
+    team never waits for more than its fair share of the engines takes to serve its own queue.
+    """
+    totals = state.queued_ms.get(request.model)
+    if not totals:
+        return 0.0
+    ahead_ms = queued_ahead(totals, request) * count_sharers(state)
+    queue = state.queues.get(request.team, TeamQueue())
+    own_ms = queued_ahead(queue.queued_ms, request) * count_sharers(state)
+    weight = find_weight(state, request.team)
+    others = max(0, state.waiting_weight - (queue.weight if queue.indexed else 0))
+    fair_ms = own_ms * (weight + others) / weight
+    return min(ahead_ms, fair_ms) / capacity.engines
+
+
+def count_sharers(state: State) -> float:
+    """Return how many times this instance's queue waits at all instances together, by digests."""
+    own = len(state.waiting)
+    heard = 0
+    waiting = 0
+    for peer in state.peers.values():
+        heard += 1
+        waiting += peer.digest.waiting
+        if heard == SAMPLE_PEERS:
+            break
+    if not heard:
+        return 1.0
+    return 1.0 + waiting * (len(state.peers) / heard) / max(1, own)
+
+
+def find_overload(state: State, request: Request) -> Failure | None:
+    """Return the refusal of a request that cannot end by its deadline by the present estimate."""
+    capacity = find_capacity(state.capacities, request.team, request.model)
+    if capacity is None or not is_trusted(state, request):
+        return None
+    wait_ms = estimate_wait_ms(state, request, capacity)
+    late_ms = state.now + wait_ms + estimate_service_ms(state, request) - request.deadline_at
+    return overloaded(state, late_ms) if late_ms > 0 else None
+
+
+def overloaded(state: State, late_ms: float) -> Overloaded:
+    """Return a refusal that asks the caller back once the queue is short enough, plus jitter."""
+    after_ms = max(SHORTEST_RETRY_MS, int(late_ms))
+    _, jitter_ms = draw(state.random, max(1, after_ms // JITTER_DIVISOR))
+    return Overloaded(after_ms + jitter_ms)
+
+
+def skip_draw(state: State) -> State:
+    """Move the seed on after a draw."""
+    return replace(state, random=draw(state.random, 1)[0])
+
+
+@follows
+def expire(state: State) -> Step:
+    """Handle the timers that are due; the deadline itself always ends a request."""
+    effects: tuple[Effect, ...] = ()
+    while state.timers.key <= state.now:
+        request_id, rest = state.timers.pop()
+        state, more = check_timer(replace(state, timers=rest), request_id)
+        effects += more
+    return state, effects
+
+
+def check_timer(state: State, request_id: str) -> Step:
+    """End one request if it is late or cannot be in time any more, else set its timer again."""
+    waiting = state.waiting.get(request_id)
+    if waiting is not None:
+        return check_waiting(state, waiting)
+    attempt_id = state.in_hand.get(request_id)
+    if attempt_id is None:
+        return state, ()
+    deadline_at = state.attempts[attempt_id].request.deadline_at
+    if deadline_at <= state.now:
+        return end_request(state, request_id, DeadlineExceeded())
+    return replace(state, timers=state.timers.push(deadline_at, request_id)), ()
+
+
+def check_waiting(state: State, waiting: Waiting) -> Step:
+    """End a waiting request whose deadline has passed or has come too near to start."""
+    request = waiting.request
+    if request.deadline_at <= state.now:
+        return end_request(state, request.request_id, DeadlineExceeded())
+    due_at = latest_start(state, waiting)
+    if due_at < state.now and is_trusted(state, request):
+        failure = overloaded(state, state.now - due_at) if is_fresh(waiting) else DeadlineExceeded()
+        return end_request(skip_draw(state), request.request_id, failure)
+    due_at = due_at if due_at > state.now else request.deadline_at
+    return replace(state, timers=state.timers.push(due_at, request.request_id)), ()
+
+
+def is_fresh(waiting: Waiting) -> bool:
+    """Tell whether no attempt of the request has ever run, so that it may be called not run."""
+    return waiting.tokens == 0 and waiting.failures == 0
--- a/src/lentilwell/_dispatch.py
+++ b/src/lentilwell/_dispatch.py
@@ -2,49 +2,150 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
+from dataclasses import dataclass, field, replace
 
+from lentilwell._capacities import find_capacity
 from lentilwell._effects import Effect, StartAttempt
-from lentilwell._estimates import estimate_service_ms
+from lentilwell._ending import end_request
+from lentilwell._errors import Failure, PromptTooLong, Unauthorized, UnknownModel
+from lentilwell._estimates import estimate_cost_ms, estimate_service_ms
+from lentilwell._fairness import charge, put_back, take_team, unpark
 from lentilwell._messages import Placement, Request
-from lentilwell._order import ORDERS, Candidate
-from lentilwell._placement import PLACEMENTS
+from lentilwell._order import note_start, rank_heads
+from lentilwell._placement import PLACEMENTS, usable_engines
+from lentilwell._priorities import find_priority, push_raise
+from lentilwell._queues import take_waiting, trim
 from lentilwell._reducer import Step, follows
-from lentilwell._state import Attempt, State, TeamQueue, Waiting, draw
+from lentilwell._reservations import forget_reservation, is_large, reserve
+from lentilwell._state import Attempt, Scanned, State, Waiting, draw
 
 STARTS_PER_EVENT = 16
+FAILED_TEAMS_PER_EVENT = 4
+RESCAN_MS = 20
 _WHOLE_RANGE = 1 << 32
 
 
+@dataclass
+class Scan:
+    """What one event's search has found out: teams set aside, and sizes that do not fit.
+
+    Room only shrinks during a search, so what did not fit once does not fit later, and no larger
+    request of the same model and engines does either.
+    """
+
+    aside: list[str] = field(default_factory=list)
+    too_large: dict[tuple[str, tuple[str, ...]], int] = field(default_factory=dict)
+
+    def key(self, state: State, request: Request) -> tuple[str, tuple[str, ...]]:
+        """Return what decides which engines a request may use."""
+        assert state.inventory is not None
+        return request.model, state.inventory.teams[request.team].engines
+
+    def excludes(self, state: State, request: Request) -> bool:
+        """Tell whether a request is known not to fit."""
+        limit = self.too_large.get(self.key(state, request))
+        return limit is not None and request.memory_tokens >= limit
+
+    def considers(self, state: State, waiting: Waiting) -> bool:
+        """Tell whether a head is worth a try: it may fit, or is large enough for a reservation."""
+        request = waiting.request
+        capacity = find_capacity(state.capacities, request.team, request.model)
+        return is_large(request, capacity) or not self.excludes(state, request)
+
+    def note(self, state: State, request: Request) -> None:
+        """Remember that a request did not fit."""
+        key = self.key(state, request)
+        limit = self.too_large.get(key, request.memory_tokens)
+        self.too_large[key] = min(limit, request.memory_tokens)
+
+
 @follows
 def dispatch(state: State) -> Step:
-    """Start requests until nothing fits or the bound per event is reached."""
-    if state.inventory is None or not state.waiting:
+    """Start requests until nothing fits or the bounds per event are reached."""
+    if state.inventory is None or not state.waiting or is_settled(state):
         return state, ()
     effects: list[Effect] = []
-    for _ in range(STARTS_PER_EVENT):
-        state, effect = start_one(state)
-        if effect is None:
+    scan = Scan()
+    state = unpark(state)
+    for turn in range(STARTS_PER_EVENT + FAILED_TEAMS_PER_EVENT):
+        if not (state.ready or state.parked) or len(scan.aside) == FAILED_TEAMS_PER_EVENT:
             break
-        effects.append(effect)
+        state, team = take_team(state, from_ready=bool(turn % 2 and state.ready))
+        state, more = serve_team(state, team, scan)
+        effects.extend(more)
+    for team in scan.aside:
+        state = put_back(state, team, fitted=False)
+    if not state.ready:
+        state = replace(state, scanned=Scanned(state.engines, state.now))
     return state, tuple(effects)
 
 
-def start_one(state: State) -> tuple[State, StartAttempt | None]:
-    """Start the best request of the first team, by service so far over weight, that has one."""
+def is_settled(state: State) -> bool:
+    """Tell whether all that waits was tried a moment ago and no engine has changed since."""
+    scanned = state.scanned
+    if state.ready or scanned.engines is not state.engines:
+        return False
+    return state.now < scanned.at + RESCAN_MS
+
+
+def serve_team(state: State, team: str, scan: Scan) -> Step:
+    """Start the best request of a taken team that fits; set the team aside where none does."""
+    state, effects = end_unservable(trim(state, team), team)
+    queue = state.queues[team]
+    heads = [state.waiting[ids.first] for ids in queue.classes.values()]
+    ranked = rank_heads(state, queue, [head for head in heads if scan.considers(state, head)])
+    for position, waiting in enumerate(ranked):
+        state, placements = try_head(state, waiting, scan, best=position == 0)
+        if placements:
+            state, started = start(state, waiting, placements)
+            return put_back(state, team, fitted=True), (*effects, started)
+    if heads:
+        scan.aside.append(team)
+        return state, effects
+    return put_back(state, team, fitted=False), effects
+
+
+def try_head(
+    state: State, waiting: Waiting, scan: Scan, best: bool
+) -> tuple[State, tuple[Placement, ...]]:
+    """Look for room for one head; if the team's best is large and has none, keep room for it."""
+    request = waiting.request
+    if not scan.excludes(state, request):
+        placements = place(state, request)
+        if placements:
+            return state, placements
+        scan.note(state, request)
+    if best and is_large(request, find_capacity(state.capacities, request.team, request.model)):
+        state = reserve(state, request, usable_engines(state, request))
+    return state, ()
+
+
+def end_unservable(state: State, team: str) -> Step:
+    """End heads that the inventory in force can no longer serve."""
+    effects: tuple[Effect, ...] = ()
+    for kind in tuple(state.queues[team].classes):
+        while kind in state.queues[team].classes:
+            request = state.waiting[state.queues[team].classes[kind].first].request
+            failure = find_unservable(state, request)
+            if failure is None:
+                break
+            state, more = end_request(state, request.request_id, failure)
+            effects += more
+            state = trim(state, team)
+    return state, effects
+
+
+def find_unservable(state: State, request: Request) -> Failure | None:
+    """Return why the inventory in force can never serve a request, or None."""
     assert state.inventory is not None
-    teams = state.inventory.teams
-    state = drop_stale_heads(state)
-    by_share = sorted(
-        (name for name, queue in state.queues.items() if queue.classes and name in teams),
-        key=lambda name: state.queues[name].service_ms / teams[name].weight,
-    )
-    for team in by_share:
-        for waiting in ranked_heads(state, state.queues[team]):
-            placements = place(state, waiting.request)
-            if placements:
-                return start(state, waiting, placements)
-    return state, None
+    if request.team not in state.inventory.teams:
+        return Unauthorized()
+    capacity = find_capacity(state.capacities, request.team, request.model)
+    if capacity is None:
+        return UnknownModel()
+    if request.memory_tokens > capacity.limit_tokens:
+        return PromptTooLong(capacity.limit_tokens)
+    return None
 
 
 def place(state: State, request: Request) -> tuple[Placement, ...]:
@@ -53,33 +154,6 @@
     return PLACEMENTS[state.inventory.rules.placement](state, request)
 
 
-def drop_stale_heads(state: State) -> State:
-    """Remove ids at the heads of classes whose request no longer waits."""
-    queues = state.queues
-    for team, queue in state.queues.items():
-        classes = queue.classes
-        for kind, ids in queue.classes.items():
-            kept = ids
-            while kept and kept.left not in state.waiting:
-                kept = kept.popleft()
-            if kept is not ids:
-                classes = classes.set(kind, kept) if kept else classes.remove(kind)
-        if classes is not queue.classes:
-            queues = queues.set(team, replace(queue, classes=classes))
-    return state if queues is state.queues else replace(state, queues=queues)
-
-
-def ranked_heads(state: State, queue: TeamQueue) -> list[Waiting]:
-    """Return the head of each class, best first by the rules' order policy."""
-    assert state.inventory is not None
-    score = ORDERS[state.inventory.rules.order]
-    heads = [state.waiting[ids.left] for ids in queue.classes.values()]
-    return sorted(
-        heads,
-        key=lambda w: score(Candidate(w.request, state.now, estimate_service_ms(w.request))),
-    )
-
-
 def start(
     state: State, waiting: Waiting, placements: tuple[Placement, ...]
 ) -> tuple[State, StartAttempt]:
@@ -87,7 +161,9 @@
     request = waiting.request
     identity = state.identity
     attempt_id = f"{identity.instance}.{identity.incarnation}.{state.next_attempt}"
-    priority = int(estimate_service_ms(request))
+    cost_ms = estimate_cost_ms(state, request, waiting.tokens)
+    service_ms = estimate_service_ms(state, request, waiting.tokens, placements[0].engine)
+    priority = find_priority(state, request, waiting.tokens)
     attempt = Attempt(
         attempt_id=attempt_id,
         request=request,
@@ -97,7 +173,26 @@
         first_index=waiting.tokens,
         tokens=waiting.tokens,
         failures=waiting.failures,
+        cost_ms=cost_ms,
+        ends_at=state.now + int(service_ms),
+        alone=state.engines[placements[0].engine].own_backlog <= 0,
+    )
+    state = take_waiting(book(state, placements), request.request_id)
+    state = note_start(state, request, cost_ms)
+    state = charge(forget_reservation(state, request.request_id), request.team, cost_ms)
+    state = replace(
+        state,
+        random=draw(state.random, _WHOLE_RANGE)[0],
+        next_attempt=state.next_attempt + 1,
+        attempts=state.attempts.set(attempt_id, attempt),
+        in_hand=state.in_hand.set(request.request_id, attempt_id),
+        raises=push_raise(state, attempt),
     )
+    return state, StartAttempt(attempt_id, request, placements, priority, waiting.tokens)
+
+
+def book(state: State, placements: tuple[Placement, ...]) -> State:
+    """Count the placements as this instance's use of their engines."""
     engines = state.engines
     for share in placements:
         view = engines[share.engine]
@@ -108,16 +203,4 @@
             own_backlog=view.own_backlog + share.memory_tokens,
         )
         engines = engines.set(share.engine, view)
-    queue = state.queues[request.team]
-    queue = replace(queue, service_ms=queue.service_ms + estimate_service_ms(request))
-    state = replace(
-        state,
-        random=draw(state.random, _WHOLE_RANGE)[0],
-        next_attempt=state.next_attempt + 1,
-        waiting=state.waiting.remove(request.request_id),
-        queues=state.queues.set(request.team, queue),
-        attempts=state.attempts.set(attempt_id, attempt),
-        in_hand=state.in_hand.set(request.request_id, attempt_id),
-        engines=engines,
-    )
-    return state, StartAttempt(attempt_id, request, placements, priority, waiting.tokens)
+    return replace(state, engines=engines)
--- a/src/lentilwell/_dump.py
+++ b/src/lentilwell/_dump.py
@@ -7,11 +7,13 @@
 from enum import Enum
 from typing import Any
 
-from pyrsistent import PDeque, PMap, PVector
+from pyrsistent import PMap, PVector
 
+from lentilwell._fifo import Fifo
+from lentilwell._heap import Heap
 from lentilwell._state import State
 
-_HIDDEN = frozenset(("key_digests", "prefix", "random"))
+_HIDDEN = frozenset(("key_digests", "prefix", "random", "scanned"))
 
 
 def dump_state(state: State) -> Any:
@@ -20,12 +22,14 @@
 
 
 def _plain(value: object) -> Any:
+    if isinstance(value, Fifo | Heap):
+        return list(value)
     if is_dataclass(value):
         names = [field.name for field in fields(value) if field.name not in _HIDDEN]
         return {name: _plain(getattr(value, name)) for name in names}
     if isinstance(value, Mapping | PMap):
         return {str(key): _plain(item) for key, item in value.items()}
-    if isinstance(value, list | tuple | frozenset | PVector | PDeque):
+    if isinstance(value, list | tuple | frozenset | PVector):
         return [_plain(item) for item in value]
     if isinstance(value, Enum):
         return value.value
--- /dev/null
+++ b/src/lentilwell/_ending.py
@@ -0,0 +1,79 @@
+"""Giving back what requests hold, and ending them."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from lentilwell._effects import CancelAttempt, CancelStream, Effect, EndRequest
+from lentilwell._errors import Failure
+from lentilwell._estimates import estimate_cost_ms, learn_decode, prefill_ms
+from lentilwell._fairness import correct
+from lentilwell._queues import drop_waiting
+from lentilwell._reducer import Step
+from lentilwell._reservations import forget_reservation
+from lentilwell._state import Attempt, State
+
+
+def release(state: State, attempt_id: str, tokens: int | None = None) -> State:
+    """Forget an attempt, give back what it booked and correct its charge.
+
+    ``tokens`` counts the whole answer where the attempt ended whole; decoding is learned from it.
+    """
+    attempt = state.attempts[attempt_id]
+    engines = state.engines
+    for share in attempt.placements:
+        view = engines.get(share.engine)
+        if view is not None:
+            backlog = 0 if attempt.first_token_at is not None else share.memory_tokens
+            view = replace(
+                view,
+                own_streams=view.own_streams - 1,
+                own_memory=view.own_memory - share.memory_tokens,
+                own_backlog=view.own_backlog - backlog,
+            )
+            engines = engines.set(share.engine, view)
+    if tokens is not None:
+        state = learn_decode(state, attempt, tokens)
+    state = correct(state, attempt.request.team, used_ms(state, attempt) - attempt.cost_ms)
+    return replace(
+        state,
+        engines=engines,
+        attempts=state.attempts.remove(attempt_id),
+        in_hand=state.in_hand.discard(attempt.request.request_id),
+    )
+
+
+def used_ms(state: State, attempt: Attempt) -> float:
+    """Return the engine time that an attempt has really taken from others.
+
+    Before the first token it is at most the time since the start, for each engine of the span.
+    Afterwards it is the prefill and the time held, by the same shares as in the estimate.
+    """
+    held_ms = state.now - attempt.started_at
+    if attempt.first_token_at is None:
+        return min(attempt.cost_ms, float(held_ms * len(attempt.placements)))
+    estimate_ms = max(1, attempt.ends_at - attempt.started_at)
+    prefill = prefill_ms(state, attempt.request.prompt_tokens + attempt.first_index)
+    full_ms = estimate_cost_ms(state, attempt.request, attempt.first_index)
+    decoded_ms = max(0.0, full_ms - prefill) * min(1.0, held_ms / estimate_ms)
+    return prefill + decoded_ms
+
+
+def stop_attempt(attempt: Attempt) -> tuple[Effect, ...]:
+    """Return the effects that stop reading an attempt and free its streams on every engine."""
+    frees = [CancelStream(share.engine, attempt.attempt_id) for share in attempt.placements]
+    return (CancelAttempt(attempt.attempt_id), *frees)
+
+
+def end_request(state: State, request_id: str, failure: Failure | None) -> Step:
+    """End a request wherever it is; with a failure, the caller is answered at once."""
+    effects: list[Effect] = []
+    known = request_id in state.waiting or request_id in state.in_hand
+    attempt_id = state.in_hand.get(request_id)
+    if attempt_id is not None:
+        effects.extend(stop_attempt(state.attempts[attempt_id]))
+        state = release(state, attempt_id)
+    state = forget_reservation(drop_waiting(state, request_id), request_id)
+    if known and failure is not None:
+        effects.append(EndRequest(request_id, failure))
+    return state, tuple(effects)
--- a/src/lentilwell/_order.py
+++ b/src/lentilwell/_order.py
@@ -7,26 +7,36 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
+from pyrsistent import PMap, pmap
+
+from lentilwell._estimates import estimate_service_ms, length_class
 from lentilwell._messages import Request
+from lentilwell._state import State, TeamQueue, Waiting
 
 OrderPolicy = Callable[["Candidate"], float]
 ORDERS: dict[str, OrderPolicy] = {}
+GUARD_SHARE = 0.05
+OVERDUE_RATIO = 1e9
+LONG_LANE_TOKENS = 32_768
+LONG_LANE_SHARE = 0.5
+TIE_WEIGHT = 1e-9
 
 
 @dataclass(frozen=True)
 class Candidate:
-    """The head of one class: the request, the clock and the estimate of its service, in ms."""
+    """The head of one class: the request, the clock and the estimate of its service, in ms.
+
+    ``overdue`` says that its class is owed as much engine time as the request needs. ``lane_ms`` is
+    the engine time that its lane, the short or the long one, had of late.
+    """
 
     request: Request
     now: int
     estimate_ms: float
-
-
-def length_class(prompt_tokens: int) -> int:
-    """Return the class of a prompt: the whole part of the base-2 logarithm of its tokens."""
-    return max(1, prompt_tokens).bit_length() - 1
+    overdue: bool = False
+    lane_ms: float = 0.0
 
 
 def order(name: str) -> Callable[[OrderPolicy], OrderPolicy]:
@@ -59,6 +69,76 @@
 
 @order("response_ratio")
 def score_response_ratio(candidate: Candidate) -> float:
-    """Run the highest (wait + estimate) / estimate first, so that nothing starves."""
+    """Run the highest (wait + estimate) / estimate first, but what is overdue before all else.
+
+    The ratio alone starves a long request where short ones arrive faster than they are served, as
+    their ratios then grow faster than its own.
+    """
     wait_ms = candidate.now - candidate.request.arrived_at
-    return -(wait_ms + candidate.estimate_ms) / candidate.estimate_ms
+    ratio = (wait_ms + candidate.estimate_ms) / candidate.estimate_ms
+    return -(ratio + (OVERDUE_RATIO if candidate.overdue else 0.0))
+
+
+@order("fixed_lanes")
+def score_fixed_lanes(candidate: Candidate) -> float:
+    """Run the lane that is furthest below its fixed share; within a lane, the oldest first."""
+    long_one = is_long(candidate.request)
+    share = LONG_LANE_SHARE if long_one else 1.0 - LONG_LANE_SHARE
+    return candidate.lane_ms / share + candidate.request.arrived_at * TIE_WEIGHT
+
+
+def is_long(request: Request) -> bool:
+    """Tell whether a request belongs to the long lane."""
+    return request.prompt_tokens >= LONG_LANE_TOKENS
+
+
+def rank_heads(state: State, queue: TeamQueue, heads: list[Waiting]) -> list[Waiting]:
+    """Return the heads of a team's classes, best first by the rules' order policy."""
+    assert state.inventory is not None
+    score = ORDERS[state.inventory.rules.order]
+    ranked: list[tuple[float, int, Waiting]] = []
+    for waiting in heads:
+        kind = length_class(waiting.request.prompt_tokens)
+        ranked.append((score(make_candidate(state, queue, kind, waiting)), kind, waiting))
+    ranked.sort(key=lambda entry: entry[:2])
+    return [waiting for _, _, waiting in ranked]
+
+
+def make_candidate(state: State, queue: TeamQueue, kind: int, waiting: Waiting) -> Candidate:
+    """Return what the policies see of the head of a class."""
+    request = waiting.request
+    return Candidate(
+        request,
+        state.now,
+        estimate_service_ms(state, request, waiting.tokens),
+        queue.credits.get(kind, 0.0) >= waiting.cost_ms,
+        queue.lanes.get(is_long(request), 0.0),
+    )
+
+
+def note_start(state: State, request: Request, cost_ms: float) -> State:
+    """Give the classes that go on waiting their credit for what a request of their team takes.
+
+    A waiting class earns a fixed part of the engine time that its team uses meanwhile. Once it is
+    owed what its head needs, the head is overdue: its wait is bounded by its own need over that
+    part, whatever else arrives.
+    """
+    queue = state.queues[request.team]
+    own = length_class(request.prompt_tokens)
+    credits = queue.credits
+    for kind in queue.classes:
+        if kind != own:
+            credits = credits.set(kind, credits.get(kind, 0.0) + cost_ms * GUARD_SHARE)
+    if own in credits:
+        credits = credits.set(own, max(0.0, credits[own] - cost_ms))
+    queue = replace(queue, credits=credits, lanes=count_lane(queue, request, cost_ms))
+    return replace(state, queues=state.queues.set(request.team, queue))
+
+
+def count_lane(queue: TeamQueue, request: Request, cost_ms: float) -> PMap[bool, float]:
+    """Count a start for its lane while the other lane waits too; else both begin again."""
+    lane = is_long(request)
+    boundary = length_class(LONG_LANE_TOKENS)
+    if not any((kind >= boundary) != lane for kind in queue.classes):
+        return pmap()
+    return queue.lanes.set(lane, queue.lanes.get(lane, 0.0) + cost_ms)
--- a/src/lentilwell/_placement.py
+++ b/src/lentilwell/_placement.py
@@ -9,7 +9,9 @@
 
 from collections.abc import Callable, Iterable
 
+from lentilwell._estimates import estimate_service_ms
 from lentilwell._messages import Placement, Request
+from lentilwell._reservations import may_use
 from lentilwell._state import EngineView, State, draw
 
 SAMPLE_ENGINES = 16
@@ -35,12 +37,15 @@
         return
     allowed = state.inventory.teams[request.team].engines
     _, start = draw(state.random, len(names))
+    estimate_ms = estimate_service_ms(state, request) if state.reservations else 0.0
     for offset in range(min(SAMPLE_ENGINES, len(names))):
         view = state.engines[names[(start + offset) % len(names)]]
         if allowed and view.spec.name not in allowed:
             continue
         if view.leaving or view.ejected_until > state.now:
             continue
+        if state.reservations and not may_use(state, view, request, estimate_ms):
+            continue
         yield view
 
 
--- a/src/lentilwell/_recovery.py
+++ b/src/lentilwell/_recovery.py
@@ -4,9 +4,10 @@
 
 from dataclasses import replace
 
-from lentilwell._admission import end_request, enqueue, release, stop_attempt
 from lentilwell._effects import CancelStream, ResumeAttempt
+from lentilwell._ending import end_request, release, stop_attempt
 from lentilwell._errors import UpstreamFailed
+from lentilwell._estimates import learn_prefill
 from lentilwell._events import (
     AttemptFailed,
     AttemptFinished,
@@ -15,6 +16,7 @@
     ProgressSeen,
 )
 from lentilwell._messages import Cause
+from lentilwell._queues import enqueue
 from lentilwell._reducer import Step, handles
 from lentilwell._state import State, Waiting
 
@@ -37,7 +39,8 @@
             engines = engines.set(share.engine, view)
     attempt = replace(attempt, first_token_at=state.now)
     attempts = state.attempts.set(event.attempt_id, attempt)
-    return replace(state, engines=engines, attempts=attempts), ()
+    state = replace(state, engines=engines, attempts=attempts)
+    return learn_prefill(state, attempt), ()
 
 
 @handles(ProgressSeen)
@@ -58,7 +61,7 @@
         return state, ()
     segments = attempt.placements[1:]
     frees = tuple(CancelStream(share.engine, event.attempt_id) for share in segments)
-    return release(state, event.attempt_id), frees
+    return release(state, event.attempt_id, event.tokens), frees
 
 
 @handles(AttemptFailed)
--- /dev/null
+++ b/src/lentilwell/_retries.py
@@ -0,0 +1,44 @@
+"""The retry budget: the system's own retries are at most a share of the fresh requests.
+
+Budgets count in percent of a retry. Each fresh request adds the rules' ``retry_budget_percent`` to
+the instance's budget and to its team's; a retry takes a whole one out of both.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from lentilwell._state import State, TeamQueue
+
+RETRY_PERCENTS = 100
+BURST_PERCENTS = 64 * RETRY_PERCENTS
+TEAM_BURST_PERCENTS = 32 * RETRY_PERCENTS
+
+
+def earn_retry(state: State, team: str) -> State:
+    """Add what one fresh request earns."""
+    if state.inventory is None:
+        return state
+    percent = state.inventory.rules.retry_budget_percent
+    queue = state.queues.get(team, TeamQueue())
+    earned = min(TEAM_BURST_PERCENTS, queue.retry_percents + percent)
+    return replace(
+        state,
+        queues=state.queues.set(team, replace(queue, retry_percents=earned)),
+        retry_percents=min(BURST_PERCENTS, state.retry_percents + percent),
+    )
+
+
+def take_retry(state: State, team: str) -> tuple[State, bool]:
+    """Take one retry out of the budgets, and tell whether there was one."""
+    queue = state.queues.get(team, TeamQueue())
+    allowed = state.inventory is not None and state.inventory.rules.retry_budget_percent > 0
+    if not allowed or min(state.retry_percents, queue.retry_percents) < RETRY_PERCENTS:
+        return state, False
+    queue = replace(queue, retry_percents=queue.retry_percents - RETRY_PERCENTS)
+    state = replace(
+        state,
+        queues=state.queues.set(team, queue),
+        retry_percents=state.retry_percents - RETRY_PERCENTS,
+    )
+    return state, True
--- a/src/lentilwell/_state.py
+++ b/src/lentilwell/_state.py
@@ -4,9 +4,11 @@
 
 from dataclasses import dataclass, field
 
-from pyrsistent import PDeque, PMap, PVector, pdeque, pmap, pvector
+from pyrsistent import PMap, PVector, pmap
 
 from lentilwell._capacities import Capacities
+from lentilwell._fifo import Fifo
+from lentilwell._heap import Heap
 from lentilwell._inventory import Engine, Inventory
 from lentilwell._messages import Digest, Identity, LoadReport, Placement, Request
 
@@ -16,16 +18,24 @@
 
 @dataclass(frozen=True)
 class Waiting:
-    """A request that waits for an engine; ``tokens`` of its answer are delivered already."""
+    """A request that waits for an engine; ``tokens`` of its answer are delivered already.
+
+    ``cost_ms`` is the engine time that the queues' totals count for it.
+    """
 
     request: Request
     tokens: int = 0
     failures: int = 0
+    cost_ms: float = 0.0
 
 
 @dataclass(frozen=True)
 class Attempt:
-    """A request in hand on one engine, or on a span of them; the first placement leads."""
+    """A request in hand on one engine, or on a span of them; the first placement leads.
+
+    ``cost_ms`` is the engine time charged at the start, ``alone`` says that this instance had
+    nothing else to prefill on the lead then.
+    """
 
     attempt_id: str
     request: Request
@@ -37,6 +47,9 @@
     failures: int
     first_token_at: int | None = None
     resumes: int = 0
+    cost_ms: float = 0.0
+    ends_at: int = 0
+    alone: bool = False
 
 
 @dataclass(frozen=True)
@@ -64,10 +77,58 @@
 
 @dataclass(frozen=True)
 class TeamQueue:
-    """A team's waiting requests: per length class, the ids in order of arrival."""
+    """A team's waiting requests: per length class, the ids in order of arrival.
+
+    ``tag`` is the virtual time at which the team's next request starts, in ms of engine time over
+    weight; None before its first. ``queued_ms`` is the engine time that waits, by class.
+    ``credits`` is what each waiting class is owed, ``lanes`` what the short and the long lane had.
+    """
 
-    classes: PMap[int, PDeque[str]] = field(default_factory=pmap)
+    classes: PMap[int, Fifo] = field(default_factory=pmap)
     service_ms: float = 0.0
+    tag: float | None = None
+    indexed: bool = False
+    weight: int = 1
+    queued_ms: PMap[int, float] = field(default_factory=pmap)
+    credits: PMap[int, float] = field(default_factory=pmap)
+    lanes: PMap[bool, float] = field(default_factory=pmap)
+    stale: int = 0
+    retry_percents: int = 3_200
+
+
+@dataclass(frozen=True)
+class Pace:
+    """A learned figure: its weighted mean, how many samples it has and when the last came."""
+
+    value: float
+    samples: int
+    learned_at: int
+
+
+@dataclass(frozen=True)
+class EnginePace:
+    """What one engine has shown: prefill tokens per ms by length band, decode ms per token."""
+
+    prefill: PMap[int, Pace] = field(default_factory=pmap)
+    decode: Pace | None = None
+
+
+@dataclass(frozen=True)
+class Reservation:
+    """Memory of one engine kept for a long reading, which is expected to start at ``until_at``."""
+
+    until_at: int
+    request_id: str
+    memory_tokens: int
+    set_at: int
+
+
+@dataclass(frozen=True, eq=False)
+class Scanned:
+    """The engines as they were when everything that waits had been tried, and when that was."""
+
+    engines: PMap[str, EngineView] | None = None
+    at: int = 0
 
 
 @dataclass(frozen=True)
@@ -87,9 +148,21 @@
     engines: PMap[str, EngineView] = field(default_factory=pmap)
     by_model: PMap[str, PVector[str]] = field(default_factory=pmap)
     peers: PMap[str, PeerView] = field(default_factory=pmap)
-    deadlines: PMap[int, PVector[str]] = field(default_factory=pmap)
+    timers: Heap = field(default_factory=Heap)
     digest_sequence: int = 0
     capacities: Capacities = field(default_factory=pmap)
+    paces: PMap[str, EnginePace] = field(default_factory=pmap)
+    virtual_ms: float = 0.0
+    ready: Heap = field(default_factory=Heap)
+    parked: Heap = field(default_factory=Heap)
+    waiting_weight: int = 0
+    queued_ms: PMap[str, PMap[int, float]] = field(default_factory=pmap)
+    reservations: PMap[str, Reservation] = field(default_factory=pmap)
+    reserved: PMap[str, tuple[str, ...]] = field(default_factory=pmap)
+    scanned: Scanned = field(default_factory=Scanned)
+    raises: Heap = field(default_factory=Heap)
+    raised_at: int = 0
+    retry_percents: int = 6_400
 
 
 def draw(state_random: int, below: int) -> tuple[int, int]:
@@ -100,13 +173,3 @@
     mixed = ((mixed ^ (mixed >> 27)) * 0x94D049BB133111EB) & _MASK_64
     mixed ^= mixed >> 31
     return seed, mixed % below
-
-
-def empty_queue() -> PDeque[str]:
-    """Return an empty queue of request ids."""
-    return pdeque()
-
-
-def empty_ids() -> PVector[str]:
-    """Return an empty vector of request ids."""
-    return pvector()
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -51,4 +51,4 @@
         assert isinstance(effect, StartAttempt)
     else:
         assert effect == EndRequest("r", refusal)
-        assert not state.waiting and not state.deadlines
+        assert not state.waiting and not state.timers
--- /dev/null
+++ b/tests/test_sessions.py
@@ -0,0 +1,237 @@
+"""Sessions of arbitrary events against the promises, and golden files of whole sessions."""
+
+from dataclasses import replace
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+from pyrsistent import pmap
+
+from lentilwell import Identity, Request, State, reduce
+from lentilwell._effects import ChangePriority, EndRequest, StartAttempt
+from lentilwell._events import (
+    AttemptFailed,
+    AttemptFinished,
+    CallerGone,
+    DrainStarted,
+    FirstTokenSeen,
+    InventoryAccepted,
+    LoadReported,
+    ProgressSeen,
+    RequestArrived,
+    TickPassed,
+)
+from lentilwell._inventory import Engine, Inventory, Model, Rules, Team
+from lentilwell._messages import Cause, LoadReport
+from lentilwell._order import ORDERS
+
+TICK_MS = 50
+MEMORY = 400_000
+CENTRES = {"engine-0": "a", "engine-1": "a", "engine-2": "b"}
+TEAMS = {
+    "large": Team("large", 3, ()),
+    "small": Team("small", 1, ()),
+    "bound": Team("bound", 1, (), ("engine-2",)),
+}
+LENGTHS = st.sampled_from([1, 1_000, 4_000, 60_000, 250_000, 390_000, 700_000, 900_000])
+PICKS = st.integers(0, 1_000)
+
+
+def make_inventory(version, order="response_ratio", engines=tuple(CENTRES), teams=tuple(TEAMS)):
+    specs = {
+        name: Engine(name, "http://127.0.0.1", CENTRES[name], ("m",), MEMORY, 3) for name in engines
+    }
+    return Inventory(
+        version,
+        pmap(specs),
+        models=pmap({"m": Model("m", 2_000_000)}),
+        teams=pmap({name: TEAMS[name] for name in teams}),
+        rules=replace(Rules(), order=order, placement="least_loaded"),
+    )
+
+
+class Promises(RuleBasedStateMachine):
+    """Drives the reducer as callers, engines, operators and time would, in any order."""
+
+    order = "response_ratio"
+
+    def __init__(self):
+        super().__init__()
+        self.version = 1
+        self.now = 0
+        self.made = 0
+        self.open = set()
+        self.allowed = {}
+        self.state = State(Identity("i", "1", "a"))
+        self.apply(InventoryAccepted(0, make_inventory(1, self.order)))
+
+    def apply(self, event):
+        self.state, effects = reduce(self.state, event)
+        raises = [effect for effect in effects if isinstance(effect, ChangePriority)]
+        assert len(raises) <= 16
+        for effect in effects:
+            if isinstance(effect, EndRequest):
+                assert effect.request_id in self.open, "a second final answer"
+                self.open.remove(effect.request_id)
+            if isinstance(effect, StartAttempt):
+                self.check_start(effect)
+        return effects
+
+    def check_start(self, effect):
+        request = effect.request
+        assert request.request_id in self.open
+        assert request.deadline_at > self.state.now
+        names = [share.engine for share in effect.placements]
+        allowed = self.state.inventory.teams[request.team].engines
+        assert len(set(names)) == len(names) and set(names) <= set(self.state.inventory.engines)
+        assert not allowed or set(names) <= set(allowed)
+        assert len({CENTRES[name] for name in names}) == 1
+        assert sum(share.memory_tokens for share in effect.placements) == request.memory_tokens
+
+    def pick_attempt(self, pick):
+        names = sorted(self.state.attempts)
+        return names[pick % len(names)]
+
+    has_attempts = precondition(lambda self: self.state.attempts)
+
+    @rule(team=st.sampled_from([*TEAMS, "stranger"]), tokens=LENGTHS, in_ms=st.integers(1, 90_000))
+    def arrive(self, team, tokens, in_ms):
+        self.made += 1
+        name = f"request-{self.made}"
+        self.open.add(name)
+        request = Request(name, team, "m", tokens, 10, self.now, self.now + in_ms)
+        effects = self.apply(RequestArrived(self.now, request))
+        held = name in self.state.waiting or name in self.state.in_hand
+        refused = any(isinstance(e, EndRequest) and e.request_id == name for e in effects)
+        assert held != refused, "neither admitted nor refused at once"
+
+    @rule(ticks=st.integers(1, 40))
+    def pass_time(self, ticks):
+        for _ in range(ticks):
+            self.now += TICK_MS
+            self.apply(TickPassed(self.now))
+
+    @has_attempts
+    @rule(pick=PICKS)
+    def see_first_token(self, pick):
+        self.apply(FirstTokenSeen(self.now, self.pick_attempt(pick)))
+
+    @has_attempts
+    @rule(pick=PICKS, tokens=st.integers(1, 9))
+    def see_progress(self, pick, tokens):
+        self.apply(ProgressSeen(self.now, self.pick_attempt(pick), tokens))
+
+    @has_attempts
+    @rule(pick=PICKS)
+    def finish(self, pick):
+        attempt_id = self.pick_attempt(pick)
+        self.open.remove(self.state.attempts[attempt_id].request.request_id)
+        for _ in range(2):
+            self.apply(AttemptFinished(self.now, attempt_id, 10))
+
+    @has_attempts
+    @rule(pick=PICKS, cause=st.sampled_from(Cause), tokens=st.integers(0, 9))
+    def fail(self, pick, cause, tokens):
+        attempt_id = self.pick_attempt(pick)
+        engine = self.state.attempts[attempt_id].placements[-1].engine
+        for _ in range(2):
+            self.apply(AttemptFailed(self.now, attempt_id, engine, cause, tokens))
+
+    @precondition(lambda self: self.made)
+    @rule(pick=PICKS)
+    def lose_caller(self, pick):
+        name = f"request-{1 + pick % self.made}"
+        self.apply(CallerGone(self.now, name))
+        self.open.discard(name)
+
+    @rule(
+        engines=st.sets(st.sampled_from(sorted(CENTRES))),
+        teams=st.sets(st.sampled_from(sorted(TEAMS))),
+    )
+    def change_inventory(self, engines, teams):
+        self.version += 1
+        inventory = make_inventory(self.version, self.order, sorted(engines), sorted(teams))
+        self.apply(InventoryAccepted(self.now, inventory))
+        self.apply(InventoryAccepted(self.now, make_inventory(self.version - 1, self.order)))
+        assert self.state.inventory.version == self.version
+
+    @rule(engine=st.sampled_from(sorted(CENTRES)), leaving=st.booleans(), used=st.integers(0, 2))
+    def report(self, engine, leaving, used):
+        held = used * MEMORY // 2
+        report = LoadReport(engine, "1", self.now, leaving, MEMORY, held, 3, (), ("m",))
+        self.apply(LoadReported(self.now, report))
+
+    @precondition(lambda self: self.made > 8)
+    @rule()
+    def drain(self):
+        self.apply(DrainStarted(self.now))
+
+    @invariant()
+    def nobody_is_late(self):
+        held = [w.request for w in self.state.waiting.values()]
+        held += [a.request for a in self.state.attempts.values()]
+        assert all(request.deadline_at > self.state.now for request in held)
+        assert {request.request_id for request in held} == self.open
+
+    @invariant()
+    def bookings_are_those_of_the_attempts(self):
+        for name, view in self.state.engines.items():
+            shares = [
+                (attempt, share.memory_tokens)
+                for attempt in self.state.attempts.values()
+                for share in attempt.placements
+                if share.engine == name
+            ]
+            unread = [tokens for attempt, tokens in shares if attempt.first_token_at is None]
+            assert view.own_streams == len(shares)
+            assert view.own_memory == sum(tokens for _, tokens in shares)
+            assert view.own_backlog == sum(unread)
+
+    @invariant()
+    def queues_count_what_waits(self):
+        state = self.state
+        indexed = sorted(name for name, queue in state.queues.items() if queue.indexed)
+        assert sorted([*state.ready, *state.parked]) == indexed
+        assert state.waiting_weight == sum(state.queues[name].weight for name in indexed)
+        assert {w.request.team for w in state.waiting.values()} <= set(indexed)
+        total = sum(sum(of_model.values()) for of_model in state.queued_ms.values())
+        assert abs(total - sum(w.cost_ms for w in state.waiting.values())) < 1.0
+        kept = sorted(name for names in state.reserved.values() for name in names)
+        assert kept == sorted(state.reservations)
+        assert set(state.reserved) <= set(state.waiting)
+
+    def teardown(self):
+        """After quiet nothing is held, and every request has had its final answer."""
+        self.now += 100_000
+        self.apply(TickPassed(self.now))
+        state = self.state
+        assert not self.open
+        assert not state.waiting and not state.attempts and not state.in_hand
+        assert not state.reservations and not state.reserved and not state.timers
+        for view in state.engines.values():
+            assert view.own_streams == view.own_memory == view.own_backlog == 0
+
+
+def check_promises(order):
+    machine = type(f"Promises_{order}", (Promises,), {"order": order})
+    run_state_machine_as_test(
+        machine,
+        settings=settings(
+            derandomize=True,
+            deadline=None,
+            max_examples=60 if order == "response_ratio" else 15,
+            stateful_step_count=50,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+def test_promises_hold_with_every_order_policy():
+    for order in sorted(ORDERS):
+        check_promises(order)
