Show operators an instance's state and metrics, and check settings whole

Cause: an operator had no metrics, no command to look at or drain an instance, and a wrong settings file showed one fault a run. Faults of settings now use the same problem types as the inventory's.

--- a/src/lentilwell/_application.py
+++ b/src/lentilwell/_application.py
@@ -11,7 +11,6 @@
 from threading import Event as Flag
 
 from loguru import logger
-from prometheus_client import CollectorRegistry
 
 from lentilwell._callers import CallersApp, CallersContext
 from lentilwell._claim_runner import ClaimRunner
@@ -39,6 +38,7 @@
 from lentilwell._inventory import Engine, Inventory
 from lentilwell._membership import MEMBERS_INTERVAL_MS, MembersPoller
 from lentilwell._messages import Identity
+from lentilwell._metrics import OUTCOME_CALLER_GONE, OUTCOME_WHOLE, Counts, Metrics
 from lentilwell._operators import OperatorsApp, OperatorsContext
 from lentilwell._peers import (
     REFRESH_INTERVAL_MS,
@@ -62,6 +62,7 @@
 CLAIM_CLOSE_PATIENCE_MS = 5_000
 CONTROL_WORKERS = 16
 OPERATORS_WORKERS = 4
+LOOP_WORKERS = 32
 INCARNATION_LENGTH = 8
 
 Hook = Callable[[], None]
@@ -81,9 +82,9 @@
         self.engines = HttpEngineControl()
         self.transfer = TransferLoop(self.clock, self.core.post)
         self.peers = self._make_peers()
-        self.metrics = CollectorRegistry()
+        self.metrics = Metrics(lambda: self.core.state, self._count)
         self._control = ThreadPoolExecutor(CONTROL_WORKERS, thread_name_prefix="control")
-        self._loops = ThreadPoolExecutor(thread_name_prefix="loop")
+        self._loops = ThreadPoolExecutor(LOOP_WORKERS, thread_name_prefix="loop")
         self._stopping = Flag()
         self._stopped = Flag()
         self._on_start: list[Hook] = []
@@ -177,6 +178,7 @@
             services=ServiceGateway(self.claims, chooser, self._slots, self.clock),
             post=self.core.post,
             on_end=self._log_end,
+            on_refusal=self.metrics.count_refusal,
         )
         app = CallersApp(callers, self.clock, context)
         return PooledServer(
@@ -189,7 +191,7 @@
             is_ready=self.is_ready,
             dump=lambda: dump_state(self.core.state),
             drain=self.drain,
-            metrics=self.metrics,
+            metrics=self.metrics.registry,
         )
         app = OperatorsApp(operators.token, context)
         timeout_ms = self.settings.callers.read_timeout_ms
@@ -255,20 +257,38 @@
         else:
             self.core.post(LoadUnreadable(now, engine.name))
 
+    def _count(self) -> Counts:
+        return Counts(self.core.events, self.transfer.chunks, self.transfer.open_exchanges)
+
     def _log_end(self, exchange: Exchange) -> None:
         request = exchange.request
+        total_ms = self.clock.now() - request.arrived_at
+        first_ms = None
+        if exchange.first_token_at is not None:
+            first_ms = exchange.first_token_at - request.arrived_at
+        outcome = judge_outcome(exchange)
+        self.metrics.count_end(request, outcome, exchange.next_index, first_ms, total_ms)
         logger.info(
             "request ended",
             request=request.request_id,
             team=request.team,
             model=request.model,
+            attempt=exchange.attempt_id or None,
+            outcome=outcome,
             prompt_tokens=request.prompt_tokens,
             answer_tokens=exchange.next_index,
-            failure=exchange.failure.code if exchange.failure else None,
-            total_ms=self.clock.now() - request.arrived_at,
+            first_token_ms=first_ms,
+            total_ms=total_ms,
         )
 
 
+def judge_outcome(exchange: Exchange) -> str:
+    """Return how an exchange ended: whole, the code of its failure, or the caller gone."""
+    if exchange.failure is not None:
+        return exchange.failure.code
+    return OUTCOME_WHOLE if exchange.closing else OUTCOME_CALLER_GONE
+
+
 def register_runners(app: Application) -> None:
     """Register how each effect of the reducer is carried out."""
 
--- a/src/lentilwell/_callers.py
+++ b/src/lentilwell/_callers.py
@@ -134,6 +134,7 @@
     services: ServiceGateway
     post: Callable[[Event], object]
     on_end: Callable[[Exchange], None]
+    on_refusal: Callable[[str], None]
 
 
 class CallersApp:
@@ -194,6 +195,7 @@
         return Err(failure)
 
     def _log_refusal(self, http: HttpRequest, failure: Failure) -> None:
+        self._context.on_refusal(failure.code)
         logger.info("request refused", method=http.method, failure=failure.code)
 
     def _check(
--- /dev/null
+++ b/src/lentilwell/_cli_operators.py
@@ -0,0 +1,80 @@
+"""Commands that ask a running instance: ``state`` and ``drain``."""
+
+from __future__ import annotations
+
+import argparse
+import os
+import sys
+
+from lentilwell._commands import command
+from lentilwell._errors import EXIT_DONE, OutcomeUnknownError, RefusedError, UsageError
+from lentilwell._http import HttpAnswer, HttpCall, send
+
+TOKEN_VARIABLE = "LENTILWELL_OPERATOR_TOKEN"
+CALL_TIMEOUT_MS = 10_000
+
+
+def add_target(parser: argparse.ArgumentParser) -> None:
+    """Arrange the arguments that name an instance."""
+    parser.add_argument("--url", required=True, help="base URL of the operators' listener")
+    parser.add_argument(
+        "--token-file", help=f"file with the operators' token; else the variable {TOKEN_VARIABLE}"
+    )
+
+
+@command(
+    "state",
+    "print the whole state of a running instance as JSON, without keys and prompts",
+    "lentilwell state --url http://10.0.0.4:9000 --token-file operator.token",
+    add_target,
+)
+def print_state(options: argparse.Namespace) -> int:
+    """Print the state dump."""
+    answer = call_instance(options, "GET", "/state")
+    sys.stdout.write(answer.body.decode() + "\n")
+    return EXIT_DONE
+
+
+@command(
+    "drain",
+    "begin a planned stop of a running instance: it finishes what it has, then exits",
+    "lentilwell drain --url http://10.0.0.4:9000 --token-file operator.token",
+    add_target,
+)
+def drain_instance(options: argparse.Namespace) -> int:
+    """Begin a planned stop."""
+    call_instance(options, "POST", "/drain")
+    sys.stdout.write("draining\n")
+    return EXIT_DONE
+
+
+def call_instance(options: argparse.Namespace, method: str, path: str) -> HttpAnswer:
+    """Make one operators' call, or raise an error that says what to do."""
+    headers = (("Authorization", f"Bearer {read_token(options)}"),)
+    url = options.url.rstrip("/") + path
+    result = send(HttpCall(method, url, headers, timeout_ms=CALL_TIMEOUT_MS))
+    if result.is_err():
+        if result.unwrap_err().sent and method != "GET":
+            raise OutcomeUnknownError("no answer came; look at the state before trying again")
+        raise RefusedError(f"{options.url} does not answer; check the address and the process")
+    answer = result.unwrap()
+    if answer.status == 401:
+        raise RefusedError("the instance refused the token; check the token file")
+    if answer.status >= 300:
+        raise RefusedError(f"the instance refused with status {answer.status}")
+    return answer
+
+
+def read_token(options: argparse.Namespace) -> str:
+    """Return the operators' token from the file or the variable."""
+    if options.token_file is None:
+        token = os.environ.get(TOKEN_VARIABLE, "")
+    else:
+        try:
+            with open(options.token_file, encoding="utf-8") as file:
+                token = file.read()
+        except OSError as error:
+            raise UsageError(f"cannot read {options.token_file}: {error.strerror}") from error
+    if not token.strip():
+        raise UsageError(f"there is no token; use --token-file or set {TOKEN_VARIABLE}")
+    return token.strip()
--- a/src/lentilwell/_problems.py
+++ b/src/lentilwell/_problems.py
@@ -105,6 +105,18 @@
         return f"must be a whole number from {self.least} to {self.most}"
 
 
+@dataclass(frozen=True)
+class BadChoice(Problem):
+    """The value is not one of the allowed ones."""
+
+    allowed: str
+
+    @property
+    def reason(self) -> str:
+        """List what is allowed."""
+        return f"must be one of {self.allowed}"
+
+
 @dataclass(frozen=True)
 class BadFlag(Problem):
     """The value is neither yes nor no."""
--- a/src/lentilwell/_settings.py
+++ b/src/lentilwell/_settings.py
@@ -4,13 +4,26 @@
 
 import configparser
 from collections.abc import Callable
-from dataclasses import dataclass, fields
+from dataclasses import MISSING, dataclass, fields
 from pathlib import Path
 from typing import Any, get_type_hints
 
+from result import Err, Ok, Result
+
 from lentilwell._errors import UsageError
+from lentilwell._problems import (
+    BadChoice,
+    BadNumber,
+    BadText,
+    MissingKey,
+    Problem,
+    UnknownKey,
+    UnknownSection,
+)
 
 MAXIMUM_PORT = 65_535
+MAXIMUM_NUMBER = 2**53
+LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
 class SettingsError(UsageError):
@@ -104,51 +117,69 @@
             parser.read_file(file)
     except OSError as error:
         raise SettingsError(f"cannot read {path}: {error.strerror}; check the path") from error
-    except configparser.Error as error:
-        raise SettingsError(f"{path} is not INI: {error.message}") from error
+    except (configparser.Error, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path} is not INI: {error}") from error
     return parse_settings(parser)
 
 
 def parse_settings(parser: configparser.ConfigParser) -> Settings:
-    """Turn a parsed INI file into settings."""
-    sections = get_type_hints(Settings)
-    for name in parser.sections():
-        if name not in sections:
-            allowed = ", ".join(sections)
-            raise SettingsError(f"[{name}] is not a section; allowed are {allowed}")
-    values = {name: _parse_section(parser, name, kind) for name, kind in sections.items()}
+    """Turn a parsed INI file into settings, or raise SettingsError with all that is wrong."""
+    kinds = get_type_hints(Settings)
+    allowed = ", ".join(kinds)
+    problems: list[Problem] = [
+        UnknownSection(name, "", 0, allowed) for name in parser.sections() if name not in kinds
+    ]
+    values: dict[str, Any] = {}
+    for name, kind in kinds.items():
+        section = _read_section(parser, name, kind)
+        if isinstance(section, Err):
+            problems.extend(section.err_value)
+        else:
+            values[name] = section.ok_value
+    if problems:
+        raise SettingsError("\n".join(str(problem) for problem in problems))
     return Settings(**values)
 
 
-def _parse_section(parser: configparser.ConfigParser, section: str, kind: type[Any]) -> Any:
+def _read_section(
+    parser: configparser.ConfigParser, section: str, kind: type[Any]
+) -> Result[Any, list[Problem]]:
     hints = get_type_hints(kind)
     given = dict(parser.items(section)) if parser.has_section(section) else {}
-    for key in given:
-        if key not in hints:
-            allowed = ", ".join(hints)
-            raise SettingsError(f"[{section}] {key} is not a key; allowed are {allowed}")
+    allowed = ", ".join(hints)
+    problems: list[Problem] = [
+        UnknownKey(section, key, 0, allowed) for key in given if key not in hints
+    ]
     values: dict[str, Any] = {}
     for field in fields(kind):
-        if field.name in given:
-            values[field.name] = _PARSERS[hints[field.name]](section, field.name, given[field.name])
-        elif field.default is not field.default_factory:
-            values[field.name] = field.default
+        if field.name not in given:
+            if field.default is MISSING:
+                problems.append(MissingKey(section, field.name, 0))
+            continue
+        value = _READERS[hints[field.name]](section, field.name, given[field.name])
+        if isinstance(value, Err):
+            problems.append(value.err_value)
         else:
-            raise SettingsError(f"[{section}] {field.name} is missing; give it a value")
-    return kind(**values)
+            values[field.name] = value.ok_value
+    return Err(problems) if problems else Ok(kind(**values))
 
 
-def _parse_int(section: str, key: str, text: str) -> int:
-    least, most = (0, MAXIMUM_PORT) if key == "port" else (1, 2**53)
-    if not text.isdecimal() or not least <= int(text) <= most:
-        raise SettingsError(f"[{section}] {key} must be a whole number from {least} to {most}")
-    return int(text)
+def _read_int(section: str, key: str, text: str) -> Result[Any, Problem]:
+    least, most = (0, MAXIMUM_PORT) if key == "port" else (1, MAXIMUM_NUMBER)
+    if text.isascii() and text.isdecimal() and least <= int(text) <= most:
+        return Ok(int(text))
+    return Err(BadNumber(section, key, 0, least, most))
 
 
-def _parse_text(section: str, key: str, text: str) -> str:
-    if not text.strip():
-        raise SettingsError(f"[{section}] {key} is empty; give it a value")
-    return text.strip()
+def _read_text(section: str, key: str, text: str) -> Result[Any, Problem]:
+    if (section, key) == ("logs", "level") and text.strip() not in LOG_LEVELS:
+        return Err(BadChoice(section, key, 0, ", ".join(LOG_LEVELS)))
+    if text.strip():
+        return Ok(text.strip())
+    return Err(BadText(section, key, 0))
 
 
-_PARSERS: dict[type[Any], Callable[[str, str, str], Any]] = {int: _parse_int, str: _parse_text}
+_READERS: dict[type[Any], Callable[[str, str, str], Result[Any, Problem]]] = {
+    int: _read_int,
+    str: _read_text,
+}
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -44,7 +44,9 @@
     )
     settings = CallersSettings(maximum_body_bytes=10_000, read_timeout_ms=600, workers=4)
     transfer, posted = FakeTransfer(), []
-    context = CallersContext(lambda: inventory, transfer, None, posted.append, lambda _: None)
+    context = CallersContext(
+        lambda: inventory, transfer, None, posted.append, lambda _: None, lambda _: None
+    )
     app = CallersApp(settings, clock, context)
     server = PooledServer("127.0.0.1", 0, app, settings.workers, settings.read_timeout_ms, clock)
     thread = threading.Thread(target=server.serve_forever, args=(0.05,), daemon=True)
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,129 @@
+"""An entry instance as a process: planned stop, operators' listener, stock client, no children."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import threading
+import urllib.error
+from pathlib import Path
+
+import openai
+import pytest
+
+from standins.answers import answer_text
+from standins.client import complete, is_whole, make_prompt
+from standins.deployment import DeploymentPlan, call, deploy
+
+PLAN = DeploymentPlan(
+    instances=2, engines=3, services=1, data_centres=("luzon-a",), balancer_lag_ms=1_500, speed=4.0
+)
+WAIT_S = 60
+
+
+@pytest.fixture(scope="module")
+def deployment():
+    with deploy(PLAN) as running:
+        yield running
+
+
+def operate(deployment, entry, path, method="GET", token=None):
+    headers = {"Authorization": f"Bearer {token or deployment.operator_token}"}
+    return call(method, entry.url("operators") + path, headers=headers)
+
+
+def run_command(*arguments, **variables):
+    command = [sys.executable, "-m", "lentilwell", *arguments]
+    done = subprocess.run(
+        command, capture_output=True, text=True, env={**os.environ, **variables}, timeout=WAIT_S
+    )
+    return done.returncode, done.stdout, done.stderr
+
+
+@pytest.mark.parametrize("stream", [True, False])
+def test_stock_client_works_unmodified(deployment, stream):
+    url = deployment.entries[0].url("callers") + "/v1"
+    client = openai.OpenAI(base_url=url, api_key=deployment.keys["counters"], max_retries=0)
+    assert [model.id for model in client.models.list()] == ["assistant"]
+    prompt = "is the zip in stock?"
+    made = client.completions.create(model="assistant", prompt=prompt, max_tokens=12, stream=stream)
+    text = "".join(part.choices[0].text for part in made) if stream else made.choices[0].text
+    assert text == answer_text("assistant", prompt.encode(), 12)
+    messages = [{"role": "user", "content": prompt}]
+    chat = client.chat.completions.create(
+        model="assistant", messages=messages, max_tokens=12, stream=stream
+    )
+    if stream:
+        text = "".join(part.choices[0].delta.content or "" for part in chat)
+    else:
+        text = chat.choices[0].message.content
+    assert text == answer_text("assistant", f"user: {prompt}\n".encode(), 12)
+    with pytest.raises(openai.NotFoundError):
+        client.completions.create(model="absent", prompt=prompt)
+    with pytest.raises(openai.AuthenticationError):
+        openai.OpenAI(base_url=url, api_key="wrong", max_retries=0).models.list()
+
+
+def test_operators_listener_is_guarded_and_tells_the_state(deployment):
+    entry = deployment.entries[0]
+    assert call("GET", entry.url("operators") + "/live") == b"live\n"
+    assert call("GET", entry.url("operators") + "/ready") == b"ready\n"
+    for path in ("/state", "/metrics", "/drain"):
+        with pytest.raises(urllib.error.HTTPError, match="401"):
+            operate(deployment, entry, path, token="wrong")
+    state = operate(deployment, entry, "/state")
+    assert json.loads(state)["inventory"]["version"] == 1
+    key = deployment.keys["counters"]
+    assert key.encode() not in state and b"key_digests" not in state
+    metrics = operate(deployment, entry, "/metrics").decode()
+    assert "lentilwell_configuration_version 1.0" in metrics
+    assert 'lentilwell_requests_total{model="assistant",outcome="whole"}' in metrics
+
+
+def test_commands_tell_what_to_do_by_exit_code(deployment, tmp_path):
+    entry = deployment.entries[0]
+    token = {"LENTILWELL_OPERATOR_TOKEN": deployment.operator_token}
+    code, out, _ = run_command("state", "--url", entry.url("operators"), **token)
+    assert code == 0 and json.loads(out)["identity"]["instance"] == "entry-1"
+    wrong = {"LENTILWELL_OPERATOR_TOKEN": "wrong"}
+    assert run_command("state", "--url", entry.url("operators"), **wrong)[0] == 1
+    assert run_command("drain", "--url", entry.url("operators"))[0] == 2
+    assert run_command("entry", "--settings", str(tmp_path / "absent.ini"))[0] == 2
+    bad = tmp_path / "bad.ini"
+    bad.write_text("[callers]\nprot = 1\n")
+    code, _, error = run_command("entry", "--settings", str(bad))
+    assert code == 2 and "[callers] prot" in error
+
+
+def test_no_process_of_ours_starts_another(deployment):
+    for process in deployment.processes():
+        children = Path(f"/proc/{process.popen.pid}/task/{process.popen.pid}/children")
+        assert children.read_text() == ""
+
+
+def test_planned_stop_cuts_off_no_request_and_the_balancer_may_go_on_sending(deployment):
+    entry = deployment.entries[1]
+    prompt = make_prompt(300_000, "bundle")
+    outcomes = []
+
+    def read():
+        outcomes.append(complete(entry.url("callers"), deployment.keys["counters"], prompt, 100))
+
+    reader = threading.Thread(target=read)
+    reader.start()
+    while not json.loads(operate(deployment, entry, "/state"))["attempts"]:
+        pass
+    entry.signal(signal.SIGTERM)
+    entry.signal(signal.SIGTERM)
+    short = make_prompt(500, "still sent by the balancer")
+    late = complete(entry.url("callers"), deployment.keys["counters"], short, 5)
+    with pytest.raises(urllib.error.HTTPError, match="503"):
+        call("GET", entry.url("operators") + "/ready")
+    reader.join(WAIT_S)
+    assert is_whole(late, short, 5) and is_whole(outcomes[0], prompt, 100)
+    assert entry.popen.wait(WAIT_S) == 0
+    log = (deployment.folder / "entry-2.log").read_text().splitlines()
+    ended = [json.loads(line) for line in log if "request ended" in line]
+    assert [line["outcome"] for line in ended] == ["whole", "whole"]
+    assert deployment.keys["counters"] not in "".join(log)
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,53 @@
+"""Settings are checked whole: every fault is named by section and key with what is allowed."""
+
+import configparser
+
+import pytest
+
+from lentilwell._settings import SettingsError, parse_settings
+
+GOOD = {
+    "instance": {"name": "entry-1", "data_centre": "luzon-a"},
+    "operators": {"token": "t"},
+    "peers": {"key": "k"},
+    "platform": {"url": "http://127.0.0.1:1"},
+}
+
+
+def parse(changes):
+    parser = configparser.ConfigParser(interpolation=None)
+    parser.read_dict({**GOOD, **changes})
+    return parse_settings(parser)
+
+
+def test_defaults_fill_what_is_not_given():
+    settings = parse({})
+    assert (settings.callers.workers, settings.logs.level) == (32, "INFO")
+
+
+@pytest.mark.parametrize(
+    ("changes", "named"),
+    [
+        ({"listener": {}}, "[listener]"),
+        ({"callers": {"prot": "1"}}, "[callers] prot"),
+        ({"callers": {"port": "65536"}}, "[callers] port must be a whole number from 0 to 65535"),
+        ({"callers": {"workers": "0"}}, "[callers] workers must be a whole number from 1"),
+        ({"callers": {"workers": "-3"}}, "[callers] workers"),
+        ({"callers": {"workers": "²"}}, "[callers] workers"),
+        ({"operators": {}}, "[operators] token"),
+        ({"operators": {"token": "  "}}, "[operators] token"),
+        ({"logs": {"level": "loud"}}, "[logs] level must be one of DEBUG, INFO"),
+    ],
+)
+def test_each_fault_is_named(changes, named):
+    with pytest.raises(SettingsError) as caught:
+        parse(changes)
+    assert named in str(caught.value)
+
+
+def test_all_faults_are_named_together():
+    with pytest.raises(SettingsError) as caught:
+        parse({"callers": {"prot": "1", "workers": "x"}, "peers": {}})
+    message = str(caught.value)
+    assert all(part in message for part in ("prot", "workers", "[peers] key"))
+    assert caught.value.exit_code == 2
