--- /dev/null
+++ b/tests/test_once_only.py
@@ -0,0 +1,246 @@
+"""At most once through real processes: instances killed and paused, the table and services failing.
+
+The services count what really ran; every call is retried through any instance.
+"""
+
+import http.client
+import json
+import signal
+import time
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from random import Random
+from urllib.parse import urlsplit
+
+import pytest
+
+from standins.client import complete, is_whole, make_prompt
+from standins.deployment import DeploymentPlan, call, deploy
+
+PLAN = DeploymentPlan(instances=2, engines=1, services=2, balancer_lag_ms=100)
+PATIENCE_S = 30
+LARGE_BYTES = 20_000
+BOTH_TRIES = 2  # curl itself repeats a write whose pooled connection was closed
+
+
+@dataclass(frozen=True)
+class Told:
+    """What a caller was told; status 0 where the connection broke."""
+
+    status: int
+    code: str = ""
+    body: bytes = b""
+    retry_after: str | None = None
+
+
+@pytest.fixture
+def deployment():
+    with deploy(PLAN) as running:
+        yield running
+
+
+def send(entry, deployment, key, body=b"{}", method="POST", team="counters", deadline_ms=5_000):
+    parts = urlsplit(entry.url("callers"))
+    connection = http.client.HTTPConnection(parts.hostname, parts.port, timeout=PATIENCE_S)
+    headers = {"Authorization": f"Bearer {deployment.keys[team]}", "X-Deadline-Ms": deadline_ms}
+    headers |= {"Idempotency-Key": key} if key else {}
+    try:
+        connection.request(method, "/services/bookings/refunds", body, headers)
+        answer = connection.getresponse()
+        data = answer.read()
+    except (ConnectionError, http.client.HTTPException):
+        return Told(0)
+    finally:
+        connection.close()
+    if answer.status in (200, 201):
+        return Told(answer.status, "", data)
+    code = json.loads(data)["error"]["code"]
+    return Told(answer.status, code, data, answer.getheader("Retry-After"))
+
+
+def control(process, path="/control", **values):
+    return json.loads(call("POST", process.url() + path, json.dumps(values).encode()))
+
+
+def control_services(deployment, **values):
+    for service in deployment.services:
+        control(service, **values)
+
+
+def count_calls(deployment, what, key):
+    found = [json.loads(call("GET", f"{s.url()}/{what}")) for s in deployment.services]
+    return sum(runs.get(key, 0) for runs in found)
+
+
+def wait_for(condition):
+    give_up_at = time.monotonic() + PATIENCE_S
+    while not condition():
+        assert time.monotonic() < give_up_at, "waited in vain"
+        time.sleep(0.02)
+
+
+def retry_until(deployment, key, status, allowed):
+    """Retry through all instances in turn until one gives the status."""
+    entries = [entry for entry in deployment.entries if entry.popen.poll() is None]
+    for turn in range(PATIENCE_S * 10):
+        told = send(entries[turn % len(entries)], deployment, key)
+        if told.status == status:
+            return told
+        assert told.code in allowed, told
+        time.sleep(0.1)
+    raise AssertionError(f"{key} never gave {status}")
+
+
+def test_paused_and_killed_instances(deployment):
+    first, second = deployment.entries
+    control_services(deployment, delay_ms=700)
+    with ThreadPoolExecutor(2) as executor:
+        paused = executor.submit(send, first, deployment, "pause", deadline_ms=20_000)
+        wait_for(lambda: count_calls(deployment, "arrivals", "pause") == 1)
+        first.signal(signal.SIGSTOP)
+        assert send(second, deployment, "pause").code == "outcome_pending"
+        assert send(second, deployment, "pause", b"other").code == "idempotency_key_reused"
+        wait_for(lambda: count_calls(deployment, "runs", "pause") == 1)
+        assert send(second, deployment, "pause").code == "outcome_pending"
+        first.signal(signal.SIGCONT)
+        answer = paused.result()
+        assert answer.status == 200
+        assert send(second, deployment, "pause") == answer == send(first, deployment, "pause")
+        elsewhere = send(second, deployment, "pause", team="pricing")
+        assert elsewhere.status == 200, "another team's same key is another key"
+        assert count_calls(deployment, "runs", "pause") == 2
+
+        killed = executor.submit(send, first, deployment, "kill")
+        wait_for(lambda: count_calls(deployment, "arrivals", "kill") == 1)
+        first.signal(signal.SIGKILL)
+        assert killed.result().status == 0
+        wait_for(lambda: count_calls(deployment, "runs", "kill") == 1)
+        for _ in range(3):
+            assert send(second, deployment, "kill").code == "outcome_pending"
+        assert count_calls(deployment, "arrivals", "kill") == 1
+
+
+def test_table_down_losing_and_late(deployment):
+    first, second = deployment.entries
+    table = deployment.platform
+    control(table, down=True)
+    told = send(first, deployment, "down")
+    assert (told.status, told.code) == (503, "not_run") and int(told.retry_after) >= 1
+    assert send(second, deployment, "", method="GET").status == 200
+    prompt = make_prompt(1_000, "while the table is down")
+    outcome = complete(second.url("callers"), deployment.keys["counters"], prompt, 10)
+    assert is_whole(outcome, prompt, 10)
+    control(table, down=False)
+    allowed = ("not_run", "not_run_key_held", "outcome_pending")
+    answer = retry_until(deployment, "down", 200, allowed)
+    assert send(first, deployment, "down") == answer == send(second, deployment, "down")
+
+    control(table, lose_answers=3)
+    answer = send(first, deployment, "lost")
+    assert answer.status == 200, "the claim is read back and its attempt goes on"
+    assert retry_until(deployment, "lost", 200, allowed) == answer
+
+    control(table, late_writes=BOTH_TRIES)
+    assert send(first, deployment, "late").code == "not_run"
+    control(table, late_writes=0)
+    wait_for(lambda: send(second, deployment, "late").status == 200)
+    assert control(table, "/late") == {"applied": 0}, "the late claim is defeated"
+
+    control(table, late_writes=BOTH_TRIES)
+    assert send(first, deployment, "later").code == "not_run"
+    control(table, late_writes=0)
+    control(table, "/late")
+    retry_until(deployment, "later", 200, allowed)
+    control(table, "/silence")
+    assert retry_until(deployment, "silent", 200, allowed).status == 200
+    control(table, refuse_percent=40)
+    for number in range(10):
+        key = f"refused-{number}"
+        retry_until(deployment, key, 200, allowed)
+        assert count_calls(deployment, "runs", key) == 1
+    for key in ("down", "lost", "late", "later", "silent"):
+        assert count_calls(deployment, "runs", key) == 1, key
+
+
+def test_service_silent_losing_and_gone(deployment):
+    first, second = deployment.entries
+    control_services(deployment, lose_answers=1)
+    assert send(first, deployment, "lost").code == "outcome_unknown"
+    wait_for(lambda: send(second, deployment, "lost").code == "outcome_unknown")
+    assert count_calls(deployment, "runs", "lost") == 1
+    control_services(deployment, lose_answers=0, answer_bytes=LARGE_BYTES)
+
+    for service in deployment.services:
+        service.signal(signal.SIGSTOP)
+    assert send(first, deployment, "late", deadline_ms=300).code == "outcome_unknown"
+    assert send(second, deployment, "late").code == "outcome_pending"
+    for service in deployment.services:
+        service.signal(signal.SIGCONT)
+    answer = retry_until(deployment, "late", 200, ("outcome_pending",))
+    assert len(answer.body) > LARGE_BYTES and send(first, deployment, "late") == answer
+    assert count_calls(deployment, "runs", "late") == 1
+
+    deployment.services[0].signal(signal.SIGKILL)
+    deployment.services[0].popen.wait()
+    left = deployment.services.pop()
+    for number in range(4):
+        assert send(first, deployment, f"one-left-{number}").status == 200
+        assert send(second, deployment, "", method="GET").status == 200
+    left.signal(signal.SIGKILL)
+    left.popen.wait()
+    assert send(first, deployment, "gone").code == "not_run"
+    assert send(first, deployment, "gone").code == "not_run", "the key is free again"
+    assert send(second, deployment, "", method="GET").code == "service_failed"
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_faults_together(deployment, seed):
+    """Callers retry through any instance while everything fails at once."""
+    random = Random(seed)
+    control_services(deployment, delay_ms=30)
+
+    def keep_calling(key):
+        heard = []
+        for turn in range(12):
+            told = send(deployment.entries[turn % 2], deployment, key, deadline_ms=1_500)
+            heard.append(told)
+            time.sleep(0.05)
+        return heard
+
+    def disturb():
+        table, entries = deployment.platform, deployment.entries
+        faults = [
+            lambda: control(table, lose_answers=2),
+            lambda: control(table, late_writes=2),
+            lambda: control(table, "/silence"),
+            lambda: control(table, refuse_percent=random.choice((0, 30))),
+            lambda: control(table, down=True) or time.sleep(0.3) or control(table, down=False),
+            lambda: control_services(deployment, lose_answers=1),
+            lambda: control_services(deployment, drop_requests=1),
+            lambda: pause(random.choice([*entries, *deployment.services])),
+            lambda: control(table, "/late"),
+        ]
+        for _ in range(20):
+            random.choice(faults)()
+            time.sleep(0.1)
+
+    def pause(process):
+        process.signal(signal.SIGSTOP)
+        time.sleep(random.choice((0.2, 1.2)))
+        process.signal(signal.SIGCONT)
+
+    keys = [f"{seed}-{number}" for number in range(12)]
+    with ThreadPoolExecutor(len(keys) + 1) as executor:
+        disturbing = executor.submit(disturb)
+        heard = dict(zip(keys, executor.map(keep_calling, keys), strict=True))
+        disturbing.result()
+    control(deployment.platform, refuse_percent=0, lose_answers=0, late_writes=0)
+    control(deployment.platform, "/late")
+    for key in keys:
+        last = send(deployment.entries[0], deployment, key)
+        runs = count_calls(deployment, "runs", key)
+        answers = {told.body for told in (*heard[key], last) if told.status == 200}
+        assert runs <= 1 and len(answers) <= 1, key
+        assert runs == 1 or not answers, key
+        unknown = [told.code == "outcome_unknown" for told in heard[key]]
+        assert last.code != "not_run" or not any(unknown), key
