--- a/src/lentilwell/_claim_runner.py
+++ b/src/lentilwell/_claim_runner.py
@@ -75,13 +75,15 @@
 
 @dataclass(frozen=True)
 class ClaimedCall:
-    """One caller's call. ``make`` opens a new connection, asks its guard, sends and waits.
+    """One caller's call; ``call`` names it for operators.
 
-    ``on_idle`` runs once, when the attempt holds no thread and no connection any longer.
+    ``make`` opens a new connection, asks its guard, sends and waits. ``on_idle`` runs once, when
+    the attempt holds no thread and no connection any longer.
     """
 
     team: str
     key: str
+    call: str
     request_digest: str
     deadline_at: int
     make: Callable[[Guard], Result[HttpAnswer, HttpFailure]]
@@ -244,6 +246,7 @@
             claimed_at=attempt.claimed_at,
             patience_ms=attempt.patience_ms,
             answer=answer,
+            call=call.call,
         )
         row_key = name_row(call.team, call.key)
         value = msgspec.json.encode(claim)
--- a/src/lentilwell/_claims.py
+++ b/src/lentilwell/_claims.py
@@ -55,7 +55,11 @@
 
 @dataclass(frozen=True)
 class Claim:
-    """The content of a claim's row. ``claimed_at`` is wall time; patience ends the attempt."""
+    """The content of a claim's row.
+
+    ``claimed_at`` is wall time; after the patience the attempt neither sends nor records. ``call``
+    is method and path, for operators.
+    """
 
     status: ClaimStatus
     team: str
@@ -66,6 +70,7 @@
     claimed_at: int
     patience_ms: int
     answer: RecordedAnswer | None = None
+    call: str = ""
 
 
 @dataclass(frozen=True)
--- a/src/lentilwell/_cli.py
+++ b/src/lentilwell/_cli.py
@@ -7,12 +7,14 @@
 from collections.abc import Sequence
 from importlib.metadata import version
 
+from lentilwell import _cli_keys
 from lentilwell._application import Application
 from lentilwell._commands import COMMANDS, add_nothing, add_settings, command
 from lentilwell._errors import EXIT_DONE, LentilwellError
 from lentilwell._logs import set_up_logs
 from lentilwell._settings import read_settings
 
+_REGISTERED = (_cli_keys,)
 EXIT_CODES = "exit codes: 0 done, 1 refused or conflict, 2 usage, 3 outcome unknown"
 
 
--- /dev/null
+++ b/src/lentilwell/_cli_keys.py
@@ -0,0 +1,167 @@
+"""Operators' commands for idempotency keys that stay taken without a known outcome."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from collections.abc import Iterator
+
+import msgspec
+from result import Ok
+
+from lentilwell._claim_runner import CLAIM_PREFIX, decode_row, name_row
+from lentilwell._claims import (
+    SETTLE_MARGIN_MS,
+    Claim,
+    FoundClaim,
+    Settlement,
+    is_unsettled,
+    may_settle,
+    settle,
+)
+from lentilwell._clock import MS_PER_SECOND, Clock, SystemClock
+from lentilwell._commands import add_settings, command
+from lentilwell._errors import (
+    EXIT_DONE,
+    ConflictError,
+    OutcomeUnknownError,
+    RefusedError,
+    Unavailable,
+    VersionConflict,
+)
+from lentilwell._platform import DIALECTS
+from lentilwell._ports import Platform
+from lentilwell._settings import read_settings
+
+PAGE_ROWS = 100
+EXAMPLES = (
+    "lentilwell keys list --settings entry.ini\n"
+    "  lentilwell keys settle refund-17 --team counters --outcome not-run --settings entry.ini"
+)
+ADVICE = (
+    "Before settling a key, look its record up at the service with an idempotent look-up, such as\n"
+    "the booking or refund of that caller. Settle 'ran' if the record is there. Settle 'not-run'\n"
+    "only if it is not, and the service has no call in progress: the key can then run again."
+)
+_COLUMNS = "{:<8} {:>9} {:<10} {:<16} {:<24} {:<32} {}\n"
+
+
+def arrange_keys(parser: argparse.ArgumentParser) -> None:
+    """Arrange ``list`` and ``settle``."""
+    parser.epilog = f"{parser.epilog}\n\n{ADVICE}"
+    actions = parser.add_subparsers(dest="action", required=True, metavar="ACTION")
+    listing = actions.add_parser("list", help="list the keys that stay taken")
+    add_settings(listing)
+    settling = actions.add_parser("settle", help="say what became of one key's call")
+    settling.add_argument("key", metavar="KEY", help="the Idempotency-Key")
+    settling.add_argument("--team", required=True, help="the team whose key it is")
+    outcomes = [outcome.value for outcome in Settlement]
+    settling.add_argument("--outcome", required=True, choices=outcomes)
+    add_settings(settling)
+
+
+@command("keys", "list or settle idempotency keys that stay taken", EXAMPLES, arrange_keys)
+def run_keys(options: argparse.Namespace) -> int:
+    """Run ``keys list`` or ``keys settle``."""
+    settings = read_settings(options.settings).platform
+    platform = DIALECTS[settings.dialect](settings)
+    if options.action == "list":
+        return list_keys(platform, SystemClock())
+    found = Settlement(options.outcome)
+    return settle_key(platform, SystemClock(), options.team, options.key, found)
+
+
+def list_keys(platform: Platform, clock: Clock) -> int:
+    """Print every unsettled key, without bodies, and what to look up first."""
+    header = ("status", "age s", "settle", "team", "key", "attempt", "instance and call")
+    sys.stdout.write(_COLUMNS.format(*header))
+    now = clock.wall()
+    for claim in scan_claims(platform):
+        if is_unsettled(claim):
+            sys.stdout.write(format_claim(claim, now))
+    sys.stdout.write(f"\n{ADVICE}\n")
+    return EXIT_DONE
+
+
+def scan_claims(platform: Platform) -> Iterator[Claim]:
+    """Yield all claims that can be read, page by page."""
+    after = ""
+    while True:
+        page = platform.scan_rows(CLAIM_PREFIX, after, PAGE_ROWS)
+        if page.is_err():
+            raise RefusedError("the platform's table is unavailable; try again later")
+        rows = page.unwrap()
+        for row in rows:
+            found = decode_row(row)
+            if found is None:
+                sys.stderr.write(f"lentilwell: row {row.key} is no claim; it stays as it is\n")
+            elif found.claim is not None:
+                yield found.claim
+        if len(rows) < PAGE_ROWS:
+            return
+        after = rows[-1].key
+
+
+def format_claim(claim: Claim, now: int) -> str:
+    """Return one line of the list."""
+    wait_s = -(-_wait_ms(claim, now) // MS_PER_SECOND)
+    ready = "now" if wait_s <= 0 else f"in {wait_s} s"
+    return _COLUMNS.format(
+        claim.status.value,
+        (now - claim.claimed_at) // MS_PER_SECOND,
+        ready,
+        claim.team,
+        claim.key,
+        claim.attempt_id,
+        f"{claim.instance} {claim.call}",
+    )
+
+
+def settle_key(platform: Platform, clock: Clock, team: str, key: str, outcome: Settlement) -> int:
+    """Settle one key by a conditional write, or raise what stands against it."""
+    found = read_claim(platform, team, key)
+    claim = found.claim
+    if claim is None:
+        raise RefusedError(f"team {team} has no key {key}; 'keys list' names those there are")
+    if not is_unsettled(claim):
+        raise RefusedError(f"the key is {claim.status.value}; there is nothing to settle")
+    if not may_settle(claim, clock.wall()):
+        wait_s = -(-_wait_ms(claim, clock.wall()) // MS_PER_SECOND)
+        raise RefusedError(f"its attempt may still send or record; settle it in {wait_s} s")
+    write_settled(platform, team, key, found.version, settle(claim, outcome))
+    sys.stdout.write(f"settled: {outcome.value}\n")
+    return EXIT_DONE
+
+
+def read_claim(platform: Platform, team: str, key: str) -> FoundClaim:
+    """Return a key's claim and its row's version."""
+    row = platform.read_row(name_row(team, key))
+    if row.is_err():
+        raise RefusedError("the platform's table is unavailable; nothing was changed")
+    found = decode_row(row.unwrap())
+    if found is None:
+        raise RefusedError("the key's row is no claim; nothing was changed")
+    return found
+
+
+def write_settled(platform: Platform, team: str, key: str, version: int, claim: Claim) -> None:
+    """Write a settled claim; a lost answer is settled by reading back."""
+    value = msgspec.json.encode(claim)
+    written = platform.write_row(name_row(team, key), value, version)
+    if isinstance(written, Ok):
+        return
+    if written.err_value == Unavailable():
+        raise RefusedError("the platform's table is unavailable; nothing was changed")
+    row = platform.read_row(name_row(team, key))
+    if row.is_err():
+        raise OutcomeUnknownError("no answer came; look with 'keys list' before trying again")
+    now = row.unwrap()
+    if now is not None and now.version == version + 1 and now.value == value:
+        return
+    if isinstance(written.err_value, VersionConflict):
+        raise ConflictError("the key changed meanwhile; look at it again with 'keys list'")
+    raise OutcomeUnknownError("no answer came; look with 'keys list' before trying again")
+
+
+def _wait_ms(claim: Claim, now: int) -> int:
+    return claim.claimed_at + claim.patience_ms + SETTLE_MARGIN_MS - now
--- a/src/lentilwell/_http.py
+++ b/src/lentilwell/_http.py
@@ -106,7 +106,7 @@
         curl.setopt(pycurl.PREREQFUNCTION, watch.ask)
         curl.perform()
         status = curl.getinfo(pycurl.RESPONSE_CODE)
-    except pycurl.error:
+    except (pycurl.error, ValueError, TypeError):
         return Err(HttpFailure(watch.sent, watch.refused))
     finally:
         if call.fresh:
@@ -117,10 +117,9 @@
 def prepare(curl: pycurl.Curl, call: HttpCall) -> None:
     """Set what every call of ours has in common."""
     curl.setopt(pycurl.URL, call.url)
-    curl.setopt(pycurl.CUSTOMREQUEST, call.method)
     if call.body or call.method in ("POST", "PUT", "PATCH"):
-        curl.setopt(pycurl.POSTFIELDSIZE, len(call.body))
-        curl.setopt(pycurl.COPYPOSTFIELDS, call.body)
+        _set_body(curl, call.body)
+    curl.setopt(pycurl.CUSTOMREQUEST, call.method)
     if call.method == "HEAD":
         curl.setopt(pycurl.NOBODY, 1)
     if call.target:
@@ -140,6 +139,18 @@
         curl.setopt(pycurl.FORBID_REUSE, 1)
 
 
+def _set_body(curl: pycurl.Curl, body: bytes) -> None:
+    """Set the body; pycurl copies no bytes with a zero among them, so those are read as a file."""
+    curl.setopt(pycurl.POSTFIELDSIZE, len(body))
+    if b"\0" not in body:
+        curl.setopt(pycurl.COPYPOSTFIELDS, body)
+        return
+    source = BytesIO(body)
+    curl.setopt(pycurl.POST, 1)
+    curl.setopt(pycurl.READFUNCTION, source.read)
+    curl.setopt(pycurl.SEEKFUNCTION, lambda offset, origin: source.seek(offset, origin) and None)
+
+
 def parse_headers(lines: list[bytes]) -> tuple[tuple[str, str], ...]:
     """Return the headers of the last answer among the lines curl has seen."""
     headers: list[tuple[str, str]] = []
--- a/src/lentilwell/_server.py
+++ b/src/lentilwell/_server.py
@@ -108,6 +108,10 @@
         environ["lentilwell.headers"] = tuple(self.headers.items())
         return environ
 
+    def send_response(self, code: int, message: str | None = None) -> None:
+        """Write the status line alone, so that a service's own Server and Date stay single."""
+        self.send_response_only(code, message)
+
     def connection_dropped(self, error: BaseException, environ: Any = None) -> None:
         self.close_connection = True
 
--- a/src/lentilwell/_services.py
+++ b/src/lentilwell/_services.py
@@ -40,6 +40,7 @@
 BUSY_RETRY_MS = 1_000
 MAXIMUM_ANSWER_BYTES = 16_777_216
 MAXIMUM_KEY_LENGTH = 255
+MAXIMUM_CALL_LENGTH = 255
 MAXIMUM_CONNECTS = 3
 LOOKUP_TRIES = 2
 RAW_HEADERS = "lentilwell.headers"
@@ -193,6 +194,7 @@
             ClaimedCall(
                 team=call.team.name,
                 key=key,
+                call=f"{call.method} /services/{call.service}{call.path}"[:MAXIMUM_CALL_LENGTH],
                 request_digest=digest_call(call),
                 deadline_at=call.deadline_at,
                 make=make,
--- a/tests/test_once_only.py
+++ b/tests/test_once_only.py
@@ -158,6 +158,7 @@
         key = f"refused-{number}"
         retry_until(deployment, key, 200, allowed)
         assert count_calls(deployment, "runs", key) == 1
+    control(table, refuse_percent=0)
     for key in ("down", "lost", "late", "later", "silent"):
         assert count_calls(deployment, "runs", key) == 1, key
 
