Model prefix cache, spans, fencing and faults in the stand-in engine

The stand-in had no prefix cache, no cache events, decoded the lead of a span before its segments were read, and left the socket of a detached connection open (no end of stream without an end line, one descriptor lost for each stream).

--- /dev/null
+++ b/standins/cache.py
@@ -0,0 +1,84 @@
+"""The prefix cache of the stand-in engine: least recently used blocks and their numbered events."""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+import xxhash
+
+BLOCK_TOKENS = 1_024
+BLOCK_BYTES = 4_096
+MAXIMUM_EVENTS = 8_192
+
+
+def hash_blocks(prompt: bytes) -> tuple[int, ...]:
+    """Return the chain of hashes of the prompt's whole blocks."""
+    chain: list[int] = []
+    previous = 0
+    for start in range(0, len(prompt) - BLOCK_BYTES + 1, BLOCK_BYTES):
+        previous = xxhash.xxh64_intdigest(prompt[start : start + BLOCK_BYTES], seed=previous)
+        chain.append(previous)
+    return tuple(chain)
+
+
+@dataclass(frozen=True)
+class BlockEvent:
+    """A block was stored or evicted."""
+
+    sequence: int
+    stored: bool
+    block: int
+
+
+@dataclass
+class PrefixCache:
+    """Blocks in order of use, least recent first. The next ``drop`` events are not published."""
+
+    blocks: OrderedDict[int, None] = field(default_factory=OrderedDict)
+    events: deque[BlockEvent] = field(default_factory=lambda: deque(maxlen=MAXIMUM_EVENTS))
+    sequence: int = 0
+    drop: int = 0
+
+    @property
+    def tokens(self) -> int:
+        """Return the tokens of memory that the blocks take."""
+        return len(self.blocks) * BLOCK_TOKENS
+
+    def match(self, chain: Sequence[int]) -> int:
+        """Return how many leading blocks of the chain are cached, and mark them as used."""
+        count = 0
+        while count < len(chain) and chain[count] in self.blocks:
+            count += 1
+        for block in reversed(chain[:count]):
+            self.blocks.move_to_end(block)
+        return count
+
+    def store(self, chain: Sequence[int], room_tokens: int) -> None:
+        """Store the leading blocks that fit into the room, evicting the least recent others."""
+        room = max(0, room_tokens) // BLOCK_TOKENS
+        for block in reversed(chain[:room]):
+            if block not in self.blocks:
+                self.publish(True, block)
+            self.blocks[block] = None
+            self.blocks.move_to_end(block)
+        self.shrink(room_tokens)
+
+    def shrink(self, room_tokens: int) -> None:
+        """Evict the least recent blocks until the rest fits into the room."""
+        while self.blocks and self.tokens > room_tokens:
+            block, _ = self.blocks.popitem(last=False)
+            self.publish(False, block)
+
+    def publish(self, stored: bool, block: int) -> None:
+        """Number an event and keep it for readers, unless it is to be lost."""
+        self.sequence += 1
+        if self.drop > 0:
+            self.drop -= 1
+            return
+        self.events.append(BlockEvent(self.sequence, stored, block))
+
+    def events_after(self, sequence: int) -> list[BlockEvent]:
+        """Return the published events beyond a sequence number that are still kept."""
+        return [event for event in self.events if event.sequence > sequence]
--- /dev/null
+++ b/standins/model.py
@@ -0,0 +1,362 @@
+"""The model of the stand-in engine: prefill by priority, batched decode, memory and faults.
+
+Times in the model run ``speed`` times faster than the wall clock. A stream lives until it ends or
+is cancelled; a closed connection does not end it.
+"""
+
+from __future__ import annotations
+
+import json
+import socket
+import threading
+import time
+import uuid
+from dataclasses import asdict, dataclass, field
+
+from standins.answers import answer_token
+from standins.cache import BLOCK_TOKENS, PrefixCache
+
+STEP_S = 0.005
+MAXIMUM_STEP_S = 1.0
+KEEP_ALIVE_S = 0.5
+STREAM_HEAD = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: application/x-ndjson\r\n"
+    b"Connection: close\r\nCache-Control: no-store\r\n\r\n"
+)
+
+
+@dataclass(frozen=True)
+class EngineOptions:
+    """The constants of one engine's model. Rates are in model time, before ``speed``.
+
+    The time between tokens grows by ``batch_slowdown`` for each further stream in the batch, and
+    by ``prefill_slowdown`` while a prefill runs.
+    """
+
+    name: str
+    speed: float = 1.0
+    prefill_rate: float = 20_000.0
+    decode_ms: float = 20.0
+    batch_slowdown: float = 0.002
+    prefill_slowdown: float = 0.2
+    memory_tokens: int = 450_000
+    slots: int = 64
+    models: tuple[str, ...] = ("assistant",)
+    report_lag_ms: int = 200
+    load_ms: float = 0.0
+    checks_fencing: bool = False
+
+
+@dataclass
+class Stream:
+    """One stream in the engine, with the model's progress and the socket that reads it."""
+
+    stream: str
+    owner: str
+    incarnation: str
+    role: str
+    seed: str
+    priority: int
+    sequence: int
+    memory_tokens: int
+    prefill_tokens: float
+    first_index: int
+    answer_tokens: int
+    chain: tuple[int, ...] = ()
+    segments_ready: bool = True
+    prefilled: float = 0.0
+    generated: float = 0.0
+    connection: socket.socket | None = None
+    next_index: int = 0
+    pending: bytes = b""
+    held: str = ""
+    ended: bool = False
+    written_at: float = 0.0
+
+    @property
+    def prefill_over(self) -> bool:
+        """Tell whether this engine's part of the prompt is read."""
+        return self.prefilled >= self.prefill_tokens
+
+    @property
+    def decoding(self) -> bool:
+        """Tell whether the stream is in the batch that generates tokens."""
+        return self.role == "lead" and self.prefill_over and self.segments_ready
+
+
+@dataclass
+class Faults:
+    """What the engine has been told to do wrong; the counts are of lines still to spoil."""
+
+    stall: bool = False
+    refuse: bool = False
+    mute_open: bool = False
+    drop_requests: bool = False
+    leaving: bool = False
+    lost_reports: bool = False
+    slow: float = 1.0
+    repeat: int = 0
+    skip: int = 0
+    reorder: int = 0
+    cross: int = 0
+
+
+@dataclass
+class EngineModel:
+    """The engine's state and its batch loop; ``lock`` guards all of it."""
+
+    options: EngineOptions
+    models: tuple[str, ...]
+    report_lag_ms: int
+    incarnation: str = field(default_factory=lambda: uuid.uuid4().hex[:8])
+    lock: threading.Condition = field(default_factory=threading.Condition)
+    streams: dict[str, Stream] = field(default_factory=dict)
+    cache: PrefixCache = field(default_factory=PrefixCache)
+    faults: Faults = field(default_factory=Faults)
+    muted: set[str] = field(default_factory=set)
+    fence: int = 0
+    opened: int = 0
+    reported: int = 0
+    peak_memory: int = 0
+    unknown_cancels: int = 0
+    violations: list[str] = field(default_factory=list)
+    prefill_busy_s: float = 0.0
+    reports: list[tuple[float, dict[str, object]]] = field(default_factory=list)
+
+    @classmethod
+    def make(cls, options: EngineOptions) -> EngineModel:
+        """Return an idle engine."""
+        return cls(options, options.models, options.report_lag_ms)
+
+    def memory_used(self) -> int:
+        """Return the tokens of memory that live streams hold; the cache takes the free part."""
+        return sum(stream.memory_tokens for stream in self.streams.values())
+
+    def cache_room(self) -> int:
+        """Return the tokens of memory that the cache may take."""
+        return self.options.memory_tokens - self.memory_used()
+
+    def add(self, stream: Stream) -> None:
+        """Take a new stream that fits; cached blocks make room, and those that match are reused."""
+        with self.lock:
+            self.opened += 1
+            stream.sequence = self.opened
+            reused = min(self.cache.match(stream.chain) * BLOCK_TOKENS, stream.prefill_tokens - 1)
+            stream.prefilled = max(0.0, reused)
+            self.streams[stream.stream] = stream
+            self.cache.shrink(self.cache_room())
+            self.check_memory()
+            self.lock.notify_all()
+
+    def check_memory(self) -> None:
+        """Note the peak, and a violation where more is held than there is."""
+        held = self.memory_used() + self.cache.tokens
+        self.peak_memory = max(self.peak_memory, held)
+        if held > self.options.memory_tokens:
+            self.violations.append(f"memory {held} of {self.options.memory_tokens}")
+
+    def remove(self, name: str) -> bool:
+        """Free a stream; return whether it was known."""
+        stream = self.streams.pop(name, None)
+        if stream is None:
+            self.unknown_cancels += 1
+            return False
+        self.muted.discard(name)
+        self.disconnect(stream)
+        return True
+
+    def run(self) -> None:
+        """Step for ever; wait while there is no stream."""
+        last = time.monotonic()
+        while True:
+            with self.lock:
+                while not self.streams:
+                    self.lock.wait()
+                    last = time.monotonic()
+            time.sleep(STEP_S)
+            now = time.monotonic()
+            with self.lock:
+                self.step(min(MAXIMUM_STEP_S, now - last))
+            last = now
+
+    def step(self, elapsed_s: float) -> None:
+        """Advance prefill by priority, then decode the batch, then write what is new."""
+        if self.faults.stall:
+            return
+        elapsed = elapsed_s * self.options.speed * self.faults.slow
+        prefilling = self.prefill(elapsed)
+        self.prefill_busy_s += elapsed_s if prefilling else 0.0
+        self.decode(elapsed, prefilling)
+        now = time.monotonic()
+        for stream in list(self.streams.values()):
+            if stream.connection is not None and stream.stream not in self.muted:
+                self.write(stream, now)
+
+    def prefill(self, elapsed: float) -> bool:
+        """Spend the prefill rate on waiting prompts by priority; return whether there were any."""
+        waiting = [s for s in self.streams.values() if not s.prefill_over]
+        budget = self.options.prefill_rate * elapsed
+        for stream in sorted(waiting, key=lambda s: (s.priority, s.sequence)):
+            spent = min(budget, stream.prefill_tokens - stream.prefilled)
+            stream.prefilled += spent
+            budget -= spent
+            if stream.prefill_over and stream.chain:
+                self.cache.store(stream.chain, self.cache_room())
+                self.check_memory()
+            if budget <= 0:
+                break
+        return bool(waiting)
+
+    def decode(self, elapsed: float, prefilling: bool) -> None:
+        """Generate tokens for every stream of the batch."""
+        batch = [s for s in self.streams.values() if s.decoding]
+        options = self.options
+        factor = 1 + options.batch_slowdown * (len(batch) - 1)
+        factor *= 1 + options.prefill_slowdown if prefilling else 1
+        decoded = elapsed * 1_000 / (options.decode_ms * factor)
+        for stream in batch:
+            if stream.generated < stream.first_index + 1:
+                stream.generated = min(stream.answer_tokens, stream.first_index + 1)
+            else:
+                stream.generated = min(stream.answer_tokens, stream.generated + decoded)
+
+    def write(self, stream: Stream, now: float) -> None:
+        """Write what the reader of a stream has not had yet, without blocking."""
+        if not stream.pending and stream.decoding:
+            stream.pending = self.render(stream)
+        if not stream.pending:
+            if now - stream.written_at <= KEEP_ALIVE_S:
+                return
+            stream.pending = b"\n"
+        assert stream.connection is not None
+        try:
+            sent = stream.connection.send(stream.pending)
+        except BlockingIOError:
+            return
+        except OSError:
+            self.disconnect(stream)
+            return
+        stream.pending = stream.pending[sent:]
+        stream.written_at = now
+        if stream.ended and not stream.pending:
+            self.disconnect(stream)
+            self.streams.pop(stream.stream, None)
+
+    def render(self, stream: Stream) -> bytes:
+        """Return the lines for the tokens that are new to the reader."""
+        made = int(stream.generated)
+        whole = made >= stream.answer_tokens
+        if made <= stream.next_index and not whole:
+            return b""
+        lines: list[str] = []
+        for index in range(stream.next_index, made):
+            lines += self.spoil(stream, render_token(stream.stream, stream.seed, index))
+        stream.next_index = max(stream.next_index, made)
+        if whole and not stream.ended:
+            stream.ended = True
+            lines.append(stream.held)
+            lines.append(json.dumps({"stream": stream.stream, "end": "length"}) + "\n")
+        return "".join(lines).encode()
+
+    def spoil(self, stream: Stream, line: str) -> list[str]:
+        """Return the lines that go out for one line, by the faults asked for."""
+        faults = self.faults
+        held, stream.held = stream.held, ""
+        lines = [line, held]
+        if faults.repeat > 0:
+            faults.repeat -= 1
+            lines = [line, line, held]
+        elif faults.skip > 0:
+            faults.skip -= 1
+            lines = [held]
+        elif faults.reorder > 0 and not held:
+            faults.reorder -= 1
+            stream.held = line
+            lines = []
+        elif faults.cross > 0:
+            faults.cross -= 1
+            others = [s for s in self.streams.values() if s is not stream] or [stream]
+            strange = render_token(others[0].stream + "-x", others[0].seed, stream.next_index)
+            lines = [strange, line, held]
+        return lines
+
+    def disconnect(self, stream: Stream) -> None:
+        """Close the reader's connection; the stream itself lives on."""
+        if stream.connection is not None:
+            stream.connection.close()
+        stream.connection = None
+        stream.pending = b""
+        stream.held = ""
+
+    def cut(self) -> None:
+        """Close the connections of all streams that have begun their answer."""
+        for stream in self.streams.values():
+            if stream.next_index > stream.first_index:
+                self.disconnect(stream)
+
+    def attach(self, stream: Stream, connection: socket.socket, index: int) -> None:
+        """Give the stream's tokens from ``index`` on to this connection."""
+        self.disconnect(stream)
+        self.muted.discard(stream.stream)
+        stream.connection = socket.socket(fileno=socket.dup(connection.fileno()))
+        stream.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        stream.connection.setblocking(False)
+        stream.next_index = index
+        stream.ended = False
+        stream.pending = STREAM_HEAD
+
+    def report(self) -> dict[str, object]:
+        """Return the load as of now."""
+        self.reported += 1
+        streams = [
+            {
+                "stream": s.stream,
+                "owner": s.owner,
+                "incarnation": s.incarnation,
+                "memory_tokens": s.memory_tokens,
+                "prompt_tokens": int(s.prefill_tokens),
+                "prefilled_tokens": int(s.prefilled),
+                "generated_tokens": int(s.generated),
+            }
+            for s in self.streams.values()
+        ]
+        return {
+            "engine": self.options.name,
+            "incarnation": self.incarnation,
+            "sequence": self.reported,
+            "leaving": self.faults.leaving,
+            "memory_tokens": self.options.memory_tokens,
+            "memory_used": self.memory_used(),
+            "slots": self.options.slots,
+            "streams": streams,
+            "models": self.models,
+        }
+
+    def lagged_report(self) -> dict[str, object]:
+        """Return the newest report that is at least the lag old."""
+        now = time.monotonic()
+        lag_s = self.report_lag_ms / 1_000
+        self.reports.append((now, self.report()))
+        while len(self.reports) > 1 and self.reports[1][0] <= now - lag_s:
+            self.reports.pop(0)
+        return self.reports[0][1]
+
+    def describe(self) -> dict[str, object]:
+        """Return what a check of the invariants needs."""
+        return {
+            "streams": len(self.streams),
+            "memory_used": self.memory_used(),
+            "cache_tokens": self.cache.tokens,
+            "memory_tokens": self.options.memory_tokens,
+            "peak_memory": self.peak_memory,
+            "unknown_cancels": self.unknown_cancels,
+            "violations": self.violations,
+            "opened": self.opened,
+            "prefill_busy_s": self.prefill_busy_s,
+            "faults": asdict(self.faults),
+        }
+
+
+def render_token(stream: str, seed: str, index: int) -> str:
+    """Return the line of one token."""
+    return f'{{"stream":"{stream}","index":{index},"text":"{answer_token(seed, index)}"}}\n'
--- a/standins/web.py
+++ b/standins/web.py
@@ -89,10 +89,10 @@
         return route, rest
 
     def shutdown_request(self, request: Any) -> None:
-        """Leave a detached connection open; close any other."""
+        """Close a connection; of a detached one close only this reference to it."""
         if request.fileno() in self.detached:
             self.detached.discard(request.fileno())
-            request.detach()
+            request.close()
             return
         super().shutdown_request(request)
 
