Measure slowdown, crest, equal treatment and the data path on real processes

An open-loop load generator of two processes counts every latency from the intended send and checks every answer byte for byte; policies change through the inventory's rules on one deployment, so that baselines are paired.

--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,74 @@
+"""``python -m bench``: measures the deployment and writes a table and a data file.
+
+Exit code 1 says that an answer was wrong, incomplete or never came, or that an engine's invariant
+was broken; missing a target does not change the exit code, it is in the table.
+"""
+
+from __future__ import annotations
+
+import argparse
+import shlex
+import sys
+import time
+from dataclasses import asdict
+from pathlib import Path
+
+from bench.measures import MEASURES, Bench
+from bench.path import measure_path
+from bench.results import Row, write_data, write_line, write_table
+from bench.running import BENCH_PLAN, Policies
+from standins.deployment import deploy
+
+POLICIES = "response_ratio/owner_share,first_come/least_loaded"
+PATH = "path"
+
+
+def read_options() -> argparse.Namespace:
+    """Return the options of the command line."""
+    parser = argparse.ArgumentParser(prog="python -m bench", description=__doc__)
+    names = [*MEASURES, PATH]
+    parser.add_argument("--measure", nargs="+", choices=names, default=names)
+    parser.add_argument("--seeds", type=int, default=3, help="how many seeds")
+    parser.add_argument("--quick", action="store_true", help="shorter runs")
+    parser.add_argument("--policies", default=POLICIES, help="ORDER/PLACEMENT, comma-separated")
+    parser.add_argument("--output", type=Path, default=Path("bench/results/bench.json"))
+    return parser.parse_args()
+
+
+def main() -> int:
+    """Run the chosen measures."""
+    options = read_options()
+    started = time.monotonic()
+    policies = [Policies(*text.split("/")) for text in options.policies.split(",")]
+    seeds = range(1, options.seeds + 1)
+    rows: list[Row] = []
+    faults = 0
+    details: list[object] = []
+    chosen = [name for name in options.measure if name in MEASURES]
+    if chosen:
+        with deploy(BENCH_PLAN) as deployment:
+            bench = Bench(deployment, policies, seeds, options.quick)
+            for name in chosen:
+                rows += MEASURES[name](bench)
+        faults = sum(run.faults for _, run in bench.runs)
+        details = [
+            {
+                "label": label,
+                "policies": run.policies.label,
+                "seed": run.seed,
+                "streams_left": run.streams_left,
+                "bad": [asdict(o) for o in run.outcomes if o.verdict != "in_time"],
+            }
+            for label, run in bench.runs
+        ]
+    if PATH in options.measure:
+        rows += measure_path(options.quick)
+    write_table(rows)
+    command = "python -m bench " + shlex.join(sys.argv[1:])
+    write_data(options.output, command.strip(), rows, details)
+    write_line(f"# {time.monotonic() - started:.0f} s; data in {options.output}")
+    return 1 if faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/results.py
@@ -0,0 +1,84 @@
+"""Figures of a bench run: values by seed, medians and spread, the table and the data file."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from collections.abc import Sequence
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from statistics import median
+
+PERCENT = 100
+
+
+@dataclass(frozen=True)
+class Row:
+    """One figure of one case, with one value a seed; ``target`` is empty where there is none."""
+
+    measure: str
+    case: str
+    figure: str
+    values: tuple[float, ...]
+    target: str = ""
+
+    @property
+    def median(self) -> float:
+        """Return the median over the seeds."""
+        return median(self.values)
+
+
+def percentile(values: Sequence[float], percent: float) -> float:
+    """Return the least value that so many percent of the values do not exceed."""
+    if not values:
+        return float("nan")
+    ordered = sorted(values)
+    rank = max(1, -(-len(ordered) * percent // PERCENT))
+    return ordered[int(rank) - 1]
+
+
+def write_line(line: str) -> None:
+    """Write one line to standard output at once."""
+    sys.stdout.write(line + "\n")
+    sys.stdout.flush()
+
+
+def write_table(rows: Sequence[Row]) -> None:
+    """Write the figures as a table: median, least and greatest over the seeds."""
+    heads = ("measure", "case", "figure", "median", "least", "greatest", "target")
+    cells = [
+        (
+            row.measure,
+            row.case,
+            row.figure,
+            f"{row.median:.3g}" if row.median < 1_000 else f"{row.median:.0f}",
+            f"{min(row.values):.4g}",
+            f"{max(row.values):.4g}",
+            row.target,
+        )
+        for row in rows
+    ]
+    widths = [max(len(line[n]) for line in (heads, *cells)) for n in range(len(heads))]
+    for line in (heads, *cells):
+        pairs = zip(line, widths, strict=True)
+        write_line("  ".join(cell.ljust(width) for cell, width in pairs).rstrip())
+
+
+def read_commit() -> str:
+    """Return the commit that is measured, marked when the tree differs from it."""
+    command = ["git", "describe", "--always", "--dirty", "--abbrev=10"]
+    found = subprocess.run(command, capture_output=True, text=True, check=False)
+    return found.stdout.strip() or "unknown"
+
+
+def write_data(path: Path, command: str, rows: Sequence[Row], details: object) -> None:
+    """Write the figures and what lies behind them as JSON."""
+    path.parent.mkdir(parents=True, exist_ok=True)
+    data = {
+        "command": command,
+        "commit": read_commit(),
+        "rows": [{**asdict(row), "median": row.median} for row in rows],
+        "details": details,
+    }
+    path.write_text(json.dumps(data, indent=1) + "\n")
--- /dev/null
+++ b/bench/running.py
@@ -0,0 +1,172 @@
+"""Runs a demand against a deployment: policies by the inventory's rules, load, check of quiet."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import asdict, dataclass, replace
+from pathlib import Path
+from typing import Any
+
+from bench.demand import TEAMS, Arrival, Fleet
+from bench.load import Outcome
+from standins.deployment import Deployment, DeploymentPlan, Process, call
+
+SPEED = 4.0
+MS_PER_SECOND = 1_000
+RULES_PATIENCE_S = 15.0
+QUIET_PATIENCE_S = 8.0
+POLL_S = 0.1
+START_S = 1.0
+LOADERS = 2
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+FAULTY = ("wrong", "incomplete", "silent")
+BENCH_PLAN = DeploymentPlan(teams=TEAMS, speed=SPEED, log_level="WARNING", balancer_lag_ms=100)
+
+
+@dataclass(frozen=True)
+class Policies:
+    """The policies in force, as the rules name them."""
+
+    order: str
+    placement: str
+
+    @property
+    def label(self) -> str:
+        """Return the policies as the command line names them."""
+        return f"{self.order}/{self.placement}"
+
+
+@dataclass(frozen=True)
+class Run:
+    """What came of one demand: outcomes in order of arrival, and what was left on the engines."""
+
+    policies: Policies
+    seed: int
+    outcomes: tuple[Outcome, ...]
+    streams_left: int
+    violations: int
+
+    def count(self, *verdicts: str) -> int:
+        """Return how many outcomes have one of the verdicts."""
+        return sum(outcome.verdict in verdicts for outcome in self.outcomes)
+
+    @property
+    def faults(self) -> int:
+        """Return how many answers were wrong, incomplete or never came."""
+        return self.count(*FAULTY) + self.violations
+
+
+def fleet_of(plan: DeploymentPlan) -> Fleet:
+    """Return the engines' rates in wall-clock terms."""
+    rate = plan.prefill_rate * plan.speed
+    return Fleet(plan.engines, rate, plan.decode_ms / plan.speed, plan.memory_tokens)
+
+
+def set_policies(deployment: Deployment, policies: Policies) -> None:
+    """Put the rules and wait until every instance has them."""
+    deployment.plan = replace(deployment.plan, order=policies.order, placement=policies.placement)
+    version = deployment.put_inventory()
+    give_up = time.monotonic() + RULES_PATIENCE_S
+    while any(read_version(deployment, entry) != version for entry in deployment.entries):
+        if time.monotonic() > give_up:
+            raise RuntimeError(f"version {version} is not in force everywhere")
+        time.sleep(POLL_S)
+
+
+def read_version(deployment: Deployment, entry: Process) -> int:
+    """Return the version in force on an instance."""
+    headers = {"Authorization": f"Bearer {deployment.operator_token}"}
+    state = json.loads(call("GET", f"{entry.url('operators')}/state", headers=headers))
+    found = state.get("state", state)["inventory"]
+    return int(found["version"]) if found else 0
+
+
+def run_demand(
+    deployment: Deployment,
+    policies: Policies,
+    seed: int,
+    arrivals: Sequence[Arrival],
+    during: Callable[[], None] | None = None,
+    during_ms: float = 0.0,
+) -> Run:
+    """Send the arrivals; ``during`` happens that many ms into the run."""
+    timer = threading.Timer(START_S + during_ms / MS_PER_SECOND, during or int)
+    timer.start()
+    loaders = start_loaders(deployment, arrivals)
+    outcomes = read_outcomes(loaders)
+    timer.join()
+    left, violations = wait_quiet(deployment)
+    return Run(policies, seed, outcomes, left, violations)
+
+
+def start_loaders(
+    deployment: Deployment, arrivals: Sequence[Arrival]
+) -> list[subprocess.Popen[bytes]]:
+    """Start the load processes, which share the arrivals and begin together."""
+    start_at_s = time.monotonic() + START_S
+    ports = [entry.ports["callers"] for entry in deployment.entries]
+    loaders = []
+    for place in range(LOADERS):
+        plan = {
+            "arrivals": [asdict(arrival) for arrival in arrivals[place::LOADERS]],
+            "ports": ports[place % len(ports) :] + ports[: place % len(ports)],
+            "keys": deployment.keys,
+            "start_at_s": start_at_s,
+        }
+        command = [sys.executable, "-m", "bench.load"]
+        loader = subprocess.Popen(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+        assert loader.stdin is not None
+        loader.stdin.write(json.dumps(plan).encode())
+        loader.stdin.close()
+        loader.stdin = None
+        loaders.append(loader)
+    return loaders
+
+
+def read_outcomes(loaders: Sequence[subprocess.Popen[bytes]]) -> tuple[Outcome, ...]:
+    """Wait for the load processes and return all outcomes."""
+    outcomes: list[Outcome] = []
+    for loader in loaders:
+        answer, _ = loader.communicate()
+        if loader.returncode != 0:
+            raise RuntimeError("a load process failed")
+        outcomes += [Outcome(**outcome) for outcome in json.loads(answer)["outcomes"]]
+    return tuple(outcomes)
+
+
+def wait_quiet(deployment: Deployment) -> tuple[int, int]:
+    """Wait until no engine holds a stream; return the streams left and the violations."""
+    give_up = time.monotonic() + QUIET_PATIENCE_S
+    while True:
+        states = [read_invariants(engine) for engine in deployment.engines]
+        left = sum(state["streams"] for state in states)
+        if left == 0 or time.monotonic() > give_up:
+            return left, sum(len(state["violations"]) for state in states)
+        time.sleep(POLL_S)
+
+
+def read_invariants(engine: Process) -> dict[str, Any]:
+    """Return an engine's own figures; an engine that is gone holds nothing."""
+    with contextlib.suppress(OSError):
+        found: dict[str, Any] = json.loads(call("GET", f"{engine.url()}/invariants"))
+        return found
+    return {"streams": 0, "violations": [], "tokens_written": 0}
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return the processor time that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+
+
+def resident_bytes(pid: int) -> int:
+    """Return the resident memory of a process."""
+    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_BYTES
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -38,6 +38,7 @@
     order: str = "response_ratio"
     placement: str = "owner_share"
     log_level: str = "INFO"
+    engine_options: tuple[str, ...] = ()
 
 
 @dataclass
@@ -79,7 +80,8 @@
     def inventory_text(self) -> str:
         """Return the inventory of what runs, in INI."""
         plan = self.plan
-        lines = ["[model assistant]", "context_tokens = 1100000", ""]
+        lines = ["[rules]", f"order = {plan.order}", f"placement = {plan.placement}", ""]
+        lines += ["[model assistant]", "context_tokens = 1100000", ""]
         for centre in plan.data_centres:
             lines += [f"[data_centre {centre}]", ""]
         for number, process in enumerate(self.engines):
@@ -243,5 +245,5 @@
     arguments = ["-m", "standins.engine", "--name", name, "--port", str(port)]
     arguments += ["--speed", str(plan.speed), "--prefill-rate", str(plan.prefill_rate)]
     arguments += ["--decode-ms", str(plan.decode_ms), "--slots", str(plan.slots)]
-    arguments += ["--memory-tokens", str(plan.memory_tokens)]
+    arguments += ["--memory-tokens", str(plan.memory_tokens), *plan.engine_options]
     return launch(name, arguments, deployment.folder)
--- a/standins/model.py
+++ b/standins/model.py
@@ -121,6 +121,7 @@
     unknown_cancels: int = 0
     violations: list[str] = field(default_factory=list)
     prefill_busy_s: float = 0.0
+    tokens_written: int = 0
     reports: list[tuple[float, dict[str, object]]] = field(default_factory=list)
 
     @classmethod
@@ -251,6 +252,7 @@
         lines: list[str] = []
         for index in range(stream.next_index, made):
             lines += self.spoil(stream, render_token(stream.stream, stream.seed, index))
+        self.tokens_written += max(0, made - stream.next_index)
         stream.next_index = max(stream.next_index, made)
         if whole and not stream.ended:
             stream.ended = True
@@ -353,6 +355,7 @@
             "violations": self.violations,
             "opened": self.opened,
             "prefill_busy_s": self.prefill_busy_s,
+            "tokens_written": self.tokens_written,
             "faults": asdict(self.faults),
         }
 
