--- a/bench/demand.py
+++ b/bench/demand.py
@@ -7,9 +7,9 @@
 from random import Random
 
 MS_PER_SECOND = 1_000
-ANSWER_TOKENS = 20
+ANSWER_TOKENS = 30
 DEADLINE_BASE_MS = 1_500
-DEADLINE_SERVICE_FACTOR = 5
+DEADLINE_SERVICE_FACTOR = 4
 TEAMS = tuple(f"team-{number}" for number in range(1, 11))
 TEAM_WEIGHTS = (30, 20, 15, 5, 5, 5, 5, 5, 5, 5)
 SHORT = ((1_000, 100),)
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -8,6 +8,7 @@
 
 from bench.best import count_best
 from bench.demand import (
+    ANSWER_TOKENS,
     LONG,
     MIXED,
     SHORT,
@@ -23,10 +24,10 @@
 from bench.running import Policies, Run, fleet_of, run_demand, set_policies
 from standins.deployment import Deployment, start_engine
 
-SHORT_RATE = 25.0
-LONG_SHARE = 0.6
+SHORT_RATE = 60.0
+LONG_SHARE = 0.85
 EQUAL_SHARE = 0.7
-CREST_LOW = 0.6
+CREST_LOW = 0.8
 CREST_FACTOR = 3
 CREST_START_MS = 2_000
 CREST_RISE_MS = 2_000
@@ -260,8 +261,8 @@
         repeats = IDLE_REPEATS if length < max(MIXED)[0] else 1
         for number in range(repeats):
             name = f"idle-{length}-{number}"
-            arrivals.append(Arrival(name, at, TEAMS[0], length, 20, 60_000))
-            at += fleet.service_ms(length, 20) * 1.1 + 150
+            arrivals.append(Arrival(name, at, TEAMS[0], length, ANSWER_TOKENS, 60_000))
+            at += fleet.service_ms(length, ANSWER_TOKENS) * 1.1 + 150
     policies = bench.policies[0]
     set_policies(bench.deployment, policies)
     run = bench.run("one at a time", policies, 0, arrivals)
--- a/bench/running.py
+++ b/bench/running.py
@@ -28,7 +28,9 @@
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 FAULTY = ("wrong", "incomplete", "silent")
-BENCH_PLAN = DeploymentPlan(teams=TEAMS, speed=SPEED, log_level="WARNING", balancer_lag_ms=100)
+BENCH_PLAN = DeploymentPlan(
+    teams=TEAMS, speed=SPEED, slots=24, log_level="WARNING", balancer_lag_ms=100
+)
 
 
 @dataclass(frozen=True)
