--- a/src/lentilwell/_inventory_index.py
+++ b/src/lentilwell/_inventory_index.py
@@ -39,12 +39,28 @@
             if view is not None:
                 engines.remove(name)
         elif view is None:
-            engines[name] = EngineView(spec)
+            engines[name] = add_engine(state, spec)
         elif view.spec != spec:
             engines[name] = replace(view, spec=spec)
     return index.apply(replace(state, engines=engines.persistent()))
 
 
+def add_engine(state: State, spec: Engine) -> EngineView:
+    """Return the view of a new engine; one that was in use before it left counts that again."""
+    view = EngineView(spec)
+    for attempt in state.attempts.values():
+        for share in attempt.placements:
+            if share.engine == spec.name:
+                prefilled = attempt.first_token_at is not None
+                view = replace(
+                    view,
+                    own_streams=view.own_streams + 1,
+                    own_memory=view.own_memory + share.memory_tokens,
+                    own_backlog=view.own_backlog + (0 if prefilled else share.memory_tokens),
+                )
+    return view
+
+
 class _ModelIndex:
     """Changes the names by model; a removed name's place is taken by the last one."""
 
