--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -57,6 +57,8 @@
                 "policies": run.policies.label,
                 "seed": run.seed,
                 "streams_left": run.streams_left,
+                "entry_share": round(run.entry_share, 3),
+                "machine_share": round(run.machine_share, 3),
                 "bad": [asdict(o) for o in run.outcomes if o.verdict != "in_time"],
             }
             for label, run in bench.runs
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -74,7 +74,8 @@
         lag = percentile([o.lag_ms for o in run.outcomes], 99)
         write_line(
             f"# {label} {policies.label} seed {seed}: {counts}; "
-            f"send lag p99 {lag:.1f} ms; streams left {run.streams_left}"
+            f"send lag p99 {lag:.1f} ms; streams left {run.streams_left}; "
+            f"busiest entry {run.entry_share:.0%} of a core; machine {run.machine_share:.0%} busy"
         )
         return run
 
--- a/bench/path.py
+++ b/bench/path.py
@@ -27,6 +27,7 @@
 from standins.deployment import Deployment, deploy
 
 STREAMS = (500, 1_200)
+REQUESTS = 480
 TOKEN_MS = 75.0
 OPEN_S = 8.0
 SETTLE_S = 2.0
@@ -91,8 +92,14 @@
     ]
 
 
-def measure_streams(deployment: Deployment, streams: int) -> dict[str, float]:
-    """Hold so many streams open on the instance, and measure over one window."""
+def measure_streams(streams: int) -> dict[str, float]:
+    """Hold so many streams open on a fresh instance, and measure over one window."""
+    with deploy(PATH_PLAN) as deployment:
+        return hold_streams(deployment, streams)
+
+
+def hold_streams(deployment: Deployment, streams: int) -> dict[str, float]:
+    """Open the streams, wait until they are settled, and measure."""
     idle = resident_bytes(deployment.entries[0].popen.pid)
     loaders = start_loaders(deployment, list_arrivals(streams))
     time.sleep(START_S + OPEN_S + SETTLE_S)
@@ -129,12 +136,28 @@
     }
 
 
+def measure_requests() -> dict[str, float]:
+    """Return the processor time of a request with one token, and of an instance at rest."""
+    plan = replace(PATH_PLAN, decode_ms=1.0)
+    with deploy(plan) as deployment:
+        pid = deployment.entries[0].popen.pid
+        time.sleep(SETTLE_S)
+        began, at = cpu_seconds(pid), time.monotonic()
+        time.sleep(WINDOW_S)
+        idle = (cpu_seconds(pid) - began) / (time.monotonic() - at)
+        began, at = cpu_seconds(pid), time.monotonic()
+        requests = [replace(arrival, answer_tokens=1) for arrival in list_arrivals(REQUESTS)]
+        outcomes = read_outcomes(start_loaders(deployment, requests))
+        spent = cpu_seconds(pid) - began - idle * (time.monotonic() - at)
+        answered = sum(outcome.verdict == "in_time" for outcome in outcomes)
+    return {"ms a request": spent / answered * MS_PER_SECOND, "idle core share %": idle * PERCENT}
+
+
 def measure_path(quick: bool) -> list[Row]:
     """Measure one instance at each number of streams, once; each on a fresh deployment."""
     rows: list[Row] = []
     for streams in STREAMS[:1] if quick else STREAMS:
-        with deploy(PATH_PLAN) as deployment:
-            figures = measure_streams(deployment, streams)
+        figures = measure_streams(streams)
         write_line(f"# path, {streams} streams: done")
         targets = {"streams open": str(streams), "wrong, incomplete or silent": "0"}
         rows += [
--- a/bench/running.py
+++ b/bench/running.py
@@ -25,6 +25,7 @@
 POLL_S = 0.1
 START_S = 1.0
 LOADERS = 2
+IDLE_FIELD = 3
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 FAULTY = ("wrong", "incomplete", "silent")
@@ -48,13 +49,19 @@
 
 @dataclass(frozen=True)
 class Run:
-    """What came of one demand: outcomes in order of arrival, and what was left on the engines."""
+    """What came of one demand: outcomes in order of arrival, and what was left on the engines.
+
+    ``entry_share`` is the busiest instance's use of one core, ``machine_share`` the use of all
+    cores by whatever ran on the machine, both from 0 to 1 and over the whole run.
+    """
 
     policies: Policies
     seed: int
     outcomes: tuple[Outcome, ...]
     streams_left: int
     violations: int
+    entry_share: float
+    machine_share: float
 
     def count(self, *verdicts: str) -> int:
         """Return how many outcomes have one of the verdicts."""
@@ -102,11 +109,36 @@
     """Send the arrivals; ``during`` happens that many ms into the run."""
     timer = threading.Timer(START_S + during_ms / MS_PER_SECOND, during or int)
     timer.start()
-    loaders = start_loaders(deployment, arrivals)
-    outcomes = read_outcomes(loaders)
+    before = read_usage(deployment)
+    outcomes = read_outcomes(start_loaders(deployment, arrivals))
+    after = read_usage(deployment)
     timer.join()
     left, violations = wait_quiet(deployment)
-    return Run(policies, seed, outcomes, left, violations)
+    entry_share = max(
+        (b - a) / (after.at_s - before.at_s)
+        for a, b in zip(before.entries_s, after.entries_s, strict=True)
+    )
+    machine_share = (after.busy_s - before.busy_s) / (after.total_s - before.total_s)
+    return Run(policies, seed, outcomes, left, violations, entry_share, machine_share)
+
+
+@dataclass(frozen=True)
+class Usage:
+    """Processor time so far: of each instance, and of the machine, busy and in all."""
+
+    at_s: float
+    entries_s: tuple[float, ...]
+    busy_s: float
+    total_s: float
+
+
+def read_usage(deployment: Deployment) -> Usage:
+    """Return the processor time used so far."""
+    fields = [int(field) for field in Path("/proc/stat").read_text().split("\n")[0].split()[1:9]]
+    entries = tuple(cpu_seconds(entry.popen.pid) for entry in deployment.entries)
+    idle = fields[IDLE_FIELD] + fields[IDLE_FIELD + 1]
+    total = sum(fields)
+    return Usage(time.monotonic(), entries, (total - idle) / CLOCK_TICKS, total / CLOCK_TICKS)
 
 
 def start_loaders(
