--- a/bench/measures.py
+++ b/bench/measures.py
@@ -37,6 +37,7 @@
 QUICK_FACTOR = 0.5
 LOSS_AFTER_MS = 1_000
 IDLE_REPEATS = 5
+READINGS = ((0.1, 1_000_000), (0.2, 256_000), (0.5, 1_000_000), (0.6, 256_000))
 
 
 @dataclass
@@ -235,14 +236,13 @@
 def measure_equal(bench: Bench) -> list[Row]:
     """Median slowdown by team and by length, and time to first token, under a steady mix."""
     fleet = fleet_of(bench.deployment.plan)
-    mix = (*MIXED, (256_000, 0.6), (1_000_000, 0.15))
-    rate = EQUAL_SHARE * fleet.capacity(mean_tokens(mix))
-    idle = measure_idle(bench, [length for length, _ in mix])
+    rate = EQUAL_SHARE * fleet.capacity(mean_tokens(MIXED))
+    idle = measure_idle(bench, [length for length, _ in (*MIXED, *LONG)])
 
     def run_mix(policies: Policies, seed: int) -> dict[str, float]:
         duration = DURATION_MS * bench.scale
-        arrivals = draw_arrivals(seed, fleet, mix, lambda _: rate, duration, "mix")
-        run = bench.run("steady mix", policies, seed, arrivals)
+        mixed = draw_arrivals(seed, fleet, MIXED, lambda _: rate, duration, "mix")
+        run = bench.run("steady mix", policies, seed, merge(mixed, list_readings(duration)))
         return summarize_equal(run, idle)
 
     targets = {
@@ -253,6 +253,16 @@
     return make_rows("equal", each_case(bench, run_mix), targets)
 
 
+def list_readings(duration_ms: float) -> list[Arrival]:
+    """Return the longest readings, which are too rare to be left to chance in a short run."""
+    return [
+        Arrival(
+            f"reading-{share}", share * duration_ms, TEAMS[place], length, ANSWER_TOKENS, 60_000
+        )
+        for place, (share, length) in enumerate(READINGS)
+    ]
+
+
 def measure_idle(bench: Bench, lengths: Sequence[int]) -> dict[int, float]:
     """Return the median time of a request by length when it is the only one."""
     fleet = fleet_of(bench.deployment.plan)
--- a/bench/results.py
+++ b/bench/results.py
@@ -7,6 +7,7 @@
 import sys
 from collections.abc import Sequence
 from dataclasses import asdict, dataclass
+from math import isnan
 from pathlib import Path
 from statistics import median
 
@@ -72,13 +73,19 @@
     return found.stdout.strip() or "unknown"
 
 
+def describe_row(row: Row) -> dict[str, object]:
+    """Return a row for the data file; a figure that a run did not give is null."""
+    values = [None if isnan(value) else value for value in row.values]
+    return {**asdict(row), "values": values, "median": None if None in values else row.median}
+
+
 def write_data(path: Path, command: str, rows: Sequence[Row], details: object) -> None:
     """Write the figures and what lies behind them as JSON."""
     path.parent.mkdir(parents=True, exist_ok=True)
     data = {
         "command": command,
         "commit": read_commit(),
-        "rows": [{**asdict(row), "median": row.median} for row in rows],
+        "rows": [describe_row(row) for row in rows],
         "details": details,
     }
     path.write_text(json.dumps(data, indent=1) + "\n")
--- a/bench/running.py
+++ b/bench/running.py
@@ -16,6 +16,7 @@
 
 from bench.demand import TEAMS, Arrival, Fleet
 from bench.load import Outcome
+from bench.results import write_line
 from standins.deployment import Deployment, DeploymentPlan, Process, call
 
 SPEED = 4.0
@@ -114,6 +115,8 @@
     after = read_usage(deployment)
     timer.join()
     left, violations = wait_quiet(deployment)
+    for engine in deployment.engines if left else ():
+        write_line(f"# left on {engine.name}: {list_streams(engine)}")
     entry_share = max(
         (b - a) / (after.at_s - before.at_s)
         for a, b in zip(before.entries_s, after.entries_s, strict=True)
@@ -187,6 +190,18 @@
         time.sleep(POLL_S)
 
 
+def list_streams(engine: Process) -> list[str]:
+    """Return what an engine still holds, one text a stream."""
+    with contextlib.suppress(OSError):
+        report = json.loads(call("GET", f"{engine.url()}/v1/load"))
+        return [
+            f"{s['stream']} prompt {s['prompt_tokens']} read {s['prefilled_tokens']} "
+            f"made {s['generated_tokens']}"
+            for s in report["streams"]
+        ]
+    return []
+
+
 def read_invariants(engine: Process) -> dict[str, Any]:
     """Return an engine's own figures; an engine that is gone holds nothing."""
     with contextlib.suppress(OSError):
