Prove order, shares, admission and estimates by tests, and mend what they found

- A request that arrived for a team already tried waited for the next change of an engine: the newest request is now tried at once when all else is settled.
- A team whose tag rose while it stood in a heap was taken at its old place.

--- a/src/lentilwell/_dispatch.py
+++ b/src/lentilwell/_dispatch.py
@@ -8,7 +8,7 @@
 from lentilwell._effects import Effect, StartAttempt
 from lentilwell._ending import end_request
 from lentilwell._errors import Failure, PromptTooLong, Unauthorized, UnknownModel
-from lentilwell._estimates import estimate_cost_ms, estimate_service_ms
+from lentilwell._estimates import estimate_cost_ms, estimate_service_ms, length_class
 from lentilwell._fairness import charge, put_back, take_team, unpark
 from lentilwell._messages import Placement, Request
 from lentilwell._order import note_start, rank_heads
@@ -62,11 +62,13 @@
 @follows
 def dispatch(state: State) -> Step:
     """Start requests until nothing fits or the bounds per event are reached."""
-    if state.inventory is None or not state.waiting or is_settled(state):
+    if state.inventory is None or not state.waiting:
         return state, ()
+    if is_settled(state):
+        return try_newest(state)
     effects: list[Effect] = []
     scan = Scan()
-    state = unpark(state)
+    state = unpark(replace(state, untried=""))
     for turn in range(STARTS_PER_EVENT + FAILED_TEAMS_PER_EVENT):
         if not (state.ready or state.parked) or len(scan.aside) == FAILED_TEAMS_PER_EVENT:
             break
@@ -88,6 +90,23 @@
     return state.now < scanned.at + RESCAN_MS
 
 
+def try_newest(state: State) -> Step:
+    """Look for room for what this event has queued; all else was tried a moment ago."""
+    waiting = state.waiting.get(state.untried)
+    if waiting is None:
+        return state, ()
+    state = replace(state, untried="")
+    request = waiting.request
+    ids = state.queues[request.team].classes[length_class(request.prompt_tokens)]
+    if ids.first != request.request_id or find_unservable(state, request) is not None:
+        return state, ()
+    placements = place(state, request)
+    if placements:
+        state, started = start(state, waiting, placements)
+        return state, (started,)
+    return state, ()
+
+
 def serve_team(state: State, team: str, scan: Scan) -> Step:
     """Start the best request of a taken team that fits; set the team aside where none does."""
     state, effects = end_unservable(trim(state, team), team)
--- a/src/lentilwell/_fairness.py
+++ b/src/lentilwell/_fairness.py
@@ -42,12 +42,19 @@
 
 
 def take_team(state: State, from_ready: bool) -> tuple[State, str]:
-    """Take the team with the lowest tag out of both heaps, or out of the ready one alone."""
-    if from_ready or state.ready.key <= state.parked.key:
-        team, rest = state.ready.pop()
-        return replace(state, ready=rest), team
-    team, rest = state.parked.pop()
-    return replace(state, parked=rest), team
+    """Take the team with the lowest tag out of both heaps, or out of the ready one alone.
+
+    A team whose tag has risen since it was put there first moves to its right place.
+    """
+    while True:
+        ready = from_ready or state.ready.key <= state.parked.key
+        key = state.ready.key if ready else state.parked.key
+        team, rest = (state.ready if ready else state.parked).pop()
+        tag = state.queues[team].tag or 0.0
+        state = replace(state, ready=rest) if ready else replace(state, parked=rest)
+        if tag <= key:
+            return state, team
+        state = put_back(state, team, fitted=ready)
 
 
 def put_back(state: State, team: str, fitted: bool) -> State:
@@ -94,7 +101,7 @@
 def correct(state: State, team: str, by_ms: float) -> State:
     """Correct a team's charge once it is known what a request really used.
 
-    A team that waits keeps its place until it is taken next, so its tag may be ahead of its place.
+    A team that waits keeps its place in the heaps until it is taken next.
     """
     queue = state.queues.get(team)
     if queue is None or queue.tag is None:
--- a/src/lentilwell/_queues.py
+++ b/src/lentilwell/_queues.py
@@ -53,6 +53,7 @@
         queues=state.queues.set(request.team, queue),
         waiting=state.waiting.set(request.request_id, waiting),
         timers=state.timers.push(latest_start(state, waiting), request.request_id),
+        untried=request.request_id,
     )
     return join(count_queued(state, waiting, 1), request.team)
 
--- a/src/lentilwell/_state.py
+++ b/src/lentilwell/_state.py
@@ -160,6 +160,7 @@
     reservations: PMap[str, Reservation] = field(default_factory=pmap)
     reserved: PMap[str, tuple[str, ...]] = field(default_factory=pmap)
     scanned: Scanned = field(default_factory=Scanned)
+    untried: str = ""
     raises: Heap = field(default_factory=Heap)
     raised_at: int = 0
     retry_percents: int = 6_400
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,13 +1,23 @@
 """What is refused at once, and with which failure."""
 
+from dataclasses import replace
+
 import pytest
 from pyrsistent import pmap
 
 from lentilwell import Identity, Request, State, reduce
 from lentilwell._effects import EndRequest, StartAttempt
-from lentilwell._errors import PromptTooLong, UnknownModel
-from lentilwell._events import InventoryAccepted, RequestArrived
+from lentilwell._errors import Overloaded, PromptTooLong, UnknownModel
+from lentilwell._estimates import estimate_service_ms
+from lentilwell._events import (
+    AttemptFinished,
+    FirstTokenSeen,
+    InventoryAccepted,
+    RequestArrived,
+    TickPassed,
+)
 from lentilwell._inventory import Engine, Inventory, Model, Team
+from lentilwell._retries import take_retry
 
 MEMORY = 400_000
 ANY_ENGINE = Team("t", 1, ())
@@ -52,3 +62,98 @@
     else:
         assert effect == EndRequest("r", refusal)
         assert not state.waiting and not state.timers
+
+
+def learn_paces(state, tokens=1_000, prefill_ms=100, rounds=10):
+    """Let the state see finished requests: ``prefill_ms`` each, then 10 ms a token."""
+    for number in range(rounds):
+        now = state.now + 1
+        name = f"warm-{tokens}-{number}"
+        request = make_request(name, tokens, now, now + 900_000)
+        state, (started,) = reduce(state, RequestArrived(now, request))
+        state, _ = reduce(state, FirstTokenSeen(now + prefill_ms, started.attempt_id))
+        state, _ = reduce(state, AttemptFinished(now + prefill_ms + 90, started.attempt_id, 10))
+    return state
+
+
+def fill_engines(state, name="full", tokens=1_000, deadline_ms=10_000):
+    """Arrive until requests wait; return the state and the ids of those that wait."""
+    for number in range(100):
+        request = make_request(f"{name}-{number}", tokens, state.now, state.now + deadline_ms)
+        state, _ = reduce(state, RequestArrived(state.now, request))
+        if len(state.waiting) >= 40:
+            break
+    return state
+
+
+def test_estimates_are_learned_bounded_and_survive_outliers():
+    state = learn_paces(make_state())
+    request = make_request("r")
+    learned = estimate_service_ms(state, request)
+    assert learned == pytest.approx(200, rel=0.15)
+    now = state.now + 1
+    state, (started,) = reduce(state, RequestArrived(now, make_request("slow", at=now)))
+    state, _ = reduce(state, FirstTokenSeen(now + 500_000, started.attempt_id))
+    assert estimate_service_ms(state, request) < 2 * learned
+    state = learn_paces(state, rounds=30)
+    assert estimate_service_ms(state, request) == pytest.approx(200, rel=0.15)
+
+
+def test_what_cannot_end_in_time_is_refused_at_once_and_told_when_to_come_back():
+    state = fill_engines(learn_paces(make_state(centres=("a",), slots=1)))
+    hopeless = make_request("r", at=state.now, deadline_at=state.now + 2_000)
+    answers = set()
+    for seed in range(20):
+        _, effects = reduce(replace(state, random=seed), RequestArrived(state.now, hopeless))
+        (refusal,) = [e for e in effects if isinstance(e, EndRequest) and e.request_id == "r"]
+        assert isinstance(refusal.failure, Overloaded) and refusal.failure.after_ms > 1_000
+        answers.add(refusal.failure.after_ms)
+    assert len(answers) > 10, "no jitter"
+    patient = make_request("r", at=state.now, deadline_at=state.now + 60_000)
+    state, effects = reduce(state, RequestArrived(state.now, patient))
+    assert "r" in state.waiting and not effects
+
+
+def test_a_request_too_long_for_its_own_deadline_is_refused_only_by_a_trusted_estimate():
+    request = make_request("r", at=5_000, deadline_at=5_100)
+    _, (effect,) = reduce(make_state(), RequestArrived(5_000, request))
+    assert isinstance(effect, StartAttempt), "a mere prior refused a request"
+    _, (effect,) = reduce(learn_paces(make_state()), RequestArrived(5_000, request))
+    assert isinstance(effect, EndRequest) and isinstance(effect.failure, Overloaded)
+
+
+def test_a_burst_of_one_team_does_not_get_another_team_refused():
+    teams = (ANY_ENGINE, Team("other", 1, ()))
+    state = fill_engines(learn_paces(make_state(("a",), teams, slots=1)))
+    request = make_request("r", at=state.now, deadline_at=state.now + 2_000, team="other")
+    state, _ = reduce(state, RequestArrived(state.now, request))
+    assert "r" in state.waiting
+
+
+def test_a_waiting_request_ends_as_soon_as_it_cannot_be_in_time():
+    state = learn_paces(make_state(centres=("a",), slots=1))
+    for name, wait_ms in (("first", 60_000), ("r", 3_000)):
+        request = make_request(name, at=state.now, deadline_at=state.now + wait_ms)
+        state, _ = reduce(state, RequestArrived(state.now, request))
+    deadline_at = state.waiting["r"].request.deadline_at
+    state, effects = reduce(state, TickPassed(deadline_at - 300))
+    assert not [e for e in effects if isinstance(e, EndRequest)] and "r" in state.waiting
+    state, effects = reduce(state, TickPassed(deadline_at - 100))
+    (ended,) = [effect for effect in effects if isinstance(effect, EndRequest)]
+    assert isinstance(ended.failure, Overloaded) and not state.waiting
+
+
+def test_the_retry_budget_is_a_share_of_fresh_requests():
+    state = make_state()
+    taken = 0
+    for _ in range(1_000):
+        state, allowed = take_retry(state, "t")
+        taken += allowed
+    assert taken <= 64, "more than the burst"
+    for number in range(200):
+        state, _ = reduce(state, RequestArrived(1, make_request(f"r{number}")))
+    again = 0
+    for _ in range(100):
+        state, allowed = take_retry(state, "t")
+        again += allowed
+    assert again == 20
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
+    initialize,
     invariant,
     precondition,
     rule,
@@ -28,8 +29,9 @@
     TickPassed,
 )
 from lentilwell._inventory import Engine, Inventory, Model, Rules, Team
-from lentilwell._messages import Cause, LoadReport
+from lentilwell._messages import Cause, LoadReport, StreamReport
 from lentilwell._order import ORDERS
+from lentilwell._state import EnginePace, Pace
 
 TICK_MS = 50
 MEMORY = 400_000
@@ -98,6 +100,14 @@
         names = sorted(self.state.attempts)
         return names[pick % len(names)]
 
+    @initialize(trusted=st.booleans())
+    def trust_estimates(self, trusted):
+        if trusted:
+            pace = Pace(20.0, 100, 10**9)
+            bands = pmap(dict.fromkeys(range(12), pace))
+            paces = pmap({"": EnginePace(bands, pace)})
+            self.state = replace(self.state, paces=paces)
+
     has_attempts = precondition(lambda self: self.state.attempts)
 
     @rule(team=st.sampled_from([*TEAMS, "stranger"]), tokens=LENGTHS, in_ms=st.integers(1, 90_000))
@@ -161,10 +171,17 @@
         self.apply(InventoryAccepted(self.now, make_inventory(self.version - 1, self.order)))
         assert self.state.inventory.version == self.version
 
-    @rule(engine=st.sampled_from(sorted(CENTRES)), leaving=st.booleans(), used=st.integers(0, 2))
-    def report(self, engine, leaving, used):
-        held = used * MEMORY // 2
-        report = LoadReport(engine, "1", self.now, leaving, MEMORY, held, 3, (), ("m",))
+    @rule(engine=st.sampled_from(sorted(CENTRES)), leaving=st.booleans(), others=st.integers(0, 2))
+    def report(self, engine, leaving, others):
+        streams = [
+            StreamReport(attempt.attempt_id, "i", "1", share.memory_tokens, 1, 0, 0)
+            for attempt in self.state.attempts.values()
+            for share in attempt.placements
+            if share.engine == engine
+        ]
+        streams += [StreamReport(f"s{n}", "j", "1", MEMORY // 2, 1, 0, 0) for n in range(others)]
+        used = sum(stream.memory_tokens for stream in streams)
+        report = LoadReport(engine, "1", self.now, leaving, MEMORY, used, 3, tuple(streams), ("m",))
         self.apply(LoadReported(self.now, report))
 
     @precondition(lambda self: self.made > 8)
