--- a/src/lentilwell/_admission.py
+++ b/src/lentilwell/_admission.py
@@ -4,8 +4,6 @@
 
 from dataclasses import replace
 
-from pyrsistent import pmap, pvector
-
 from lentilwell._capacities import measure_capacities
 from lentilwell._deadlines import find_overload, skip_draw
 from lentilwell._dispatch import find_unservable
@@ -13,12 +11,13 @@
 from lentilwell._ending import end_request
 from lentilwell._errors import DeadlineExceeded, Failure, NotReady, Overloaded
 from lentilwell._events import CallerGone, DrainStarted, InventoryAccepted, RequestArrived
-from lentilwell._inventory import Engine, Inventory
+from lentilwell._inventory import Inventory
+from lentilwell._inventory_index import index_inventory
 from lentilwell._messages import Request
 from lentilwell._queues import enqueue
 from lentilwell._reducer import Step, handles
 from lentilwell._retries import earn_retry
-from lentilwell._state import EngineView, State, Waiting
+from lentilwell._state import State, Waiting
 
 
 @handles(RequestArrived)
@@ -62,41 +61,8 @@
     if state.inventory is not None and event.inventory.version <= state.inventory.version:
         return state, ()
     capacities = measure_capacities(event.inventory)
-    state = replace(state, inventory=event.inventory, capacities=capacities)
-    return forget_removed(index_engines(state, event.inventory), event.inventory), ()
-
-
-def index_engines(state: State, inventory: Inventory) -> State:
-    """Rebuild the views and the index by model, keeping what is known of engines that stay."""
-    engines = state.engines.evolver()
-    for name in state.engines:
-        if name not in inventory.engines:
-            engines.remove(name)
-    by_model: dict[str, list[str]] = {}
-    for name in sorted(inventory.engines):
-        spec = inventory.engines[name]
-        view = state.engines.get(name)
-        engines.set(name, add_engine(state, spec) if view is None else replace(view, spec=spec))
-        for model in spec.models:
-            by_model.setdefault(model, []).append(name)
-    index = pmap({model: pvector(names) for model, names in by_model.items()})
-    return replace(state, engines=engines.persistent(), by_model=index)
-
-
-def add_engine(state: State, spec: Engine) -> EngineView:
-    """Return the view of a new engine; one that was in use before it left counts that again."""
-    view = EngineView(spec)
-    for attempt in state.attempts.values():
-        for share in attempt.placements:
-            if share.engine == spec.name:
-                prefilled = attempt.first_token_at is not None
-                view = replace(
-                    view,
-                    own_streams=view.own_streams + 1,
-                    own_memory=view.own_memory + share.memory_tokens,
-                    own_backlog=view.own_backlog + (0 if prefilled else share.memory_tokens),
-                )
-    return view
+    state = replace(index_inventory(state, event), capacities=capacities)
+    return forget_removed(state, event.inventory), ()
 
 
 def forget_removed(state: State, inventory: Inventory) -> State:
--- a/src/lentilwell/_application.py
+++ b/src/lentilwell/_application.py
@@ -14,6 +14,7 @@
 from prometheus_client import CollectorRegistry
 
 from lentilwell._callers import CallersApp, CallersContext
+from lentilwell._claim_runner import ClaimRunner
 from lentilwell._clock import Clock, SystemClock
 from lentilwell._configuration import fetch_inventory
 from lentilwell._core import Core
@@ -36,10 +37,18 @@
     TickPassed,
 )
 from lentilwell._inventory import Engine, Inventory
+from lentilwell._membership import MEMBERS_INTERVAL_MS, MembersPoller
 from lentilwell._messages import Identity
 from lentilwell._operators import OperatorsApp, OperatorsContext
+from lentilwell._peers import (
+    REFRESH_INTERVAL_MS,
+    PeerNetwork,
+    PeersContext,
+    register_peer_runners,
+)
 from lentilwell._platform import DIALECTS
 from lentilwell._server import PooledServer
+from lentilwell._service_instances import CallSlots, InstanceChooser
 from lentilwell._services import ServiceGateway
 from lentilwell._settings import Settings
 from lentilwell._state import State
@@ -49,6 +58,8 @@
 TICK_MS = 50
 REPORT_INTERVAL_MS = 250
 CONFIGURATION_INTERVAL_MS = 1_000
+CLAIM_RETRY_INTERVAL_MS = 250
+CLAIM_CLOSE_PATIENCE_MS = 5_000
 CONTROL_WORKERS = 16
 OPERATORS_WORKERS = 4
 INCARNATION_LENGTH = 8
@@ -69,6 +80,7 @@
         self.platform = DIALECTS[settings.platform.dialect](settings.platform)
         self.engines = HttpEngineControl()
         self.transfer = TransferLoop(self.clock, self.core.post)
+        self.peers = self._make_peers()
         self.metrics = CollectorRegistry()
         self._control = ThreadPoolExecutor(CONTROL_WORKERS, thread_name_prefix="control")
         self._loops = ThreadPoolExecutor(thread_name_prefix="loop")
@@ -77,6 +89,10 @@
         self._on_start: list[Hook] = []
         self._on_stop: list[Hook] = []
         self._reading: dict[str, Future[None]] = {}
+        self._slots = CallSlots(settings.callers.workers)
+        self.claims = ClaimRunner(
+            self.platform, self.clock, settings.instance.name, self._slots.limit
+        )
         self.callers = self._make_callers()
         self.operators = self._make_operators()
         register_runners(self)
@@ -117,6 +133,7 @@
         signal.signal(signal.SIGINT, lambda *_: self.drain())
         self.start()
         ports = {"callers": self.callers.port, "operators": self.operators.port}
+        ports["peers"] = self.peers.server.port
         sys.stdout.write(json.dumps(ports) + "\n")
         sys.stdout.flush()
         while not self._stopping.wait(TICK_MS / 1_000):
@@ -153,16 +170,17 @@
 
     def _make_callers(self) -> PooledServer:
         callers = self.settings.callers
+        chooser = InstanceChooser(self.clock, self.identity.data_centre)
         context = CallersContext(
             inventory=lambda: self.core.state.inventory,
             transfer=self.transfer,
-            services=ServiceGateway(),
+            services=ServiceGateway(self.claims, chooser, self._slots, self.clock),
             post=self.core.post,
             on_end=self._log_end,
         )
         app = CallersApp(callers, self.clock, context)
         return PooledServer(
-            callers.host, callers.port, app, callers.workers, callers.read_timeout_ms
+            callers.host, callers.port, app, callers.workers, callers.read_timeout_ms, self.clock
         )
 
     def _make_operators(self) -> PooledServer:
@@ -175,18 +193,41 @@
         )
         app = OperatorsApp(operators.token, context)
         timeout_ms = self.settings.callers.read_timeout_ms
-        return PooledServer(operators.host, operators.port, app, OPERATORS_WORKERS, timeout_ms)
+        return PooledServer(
+            operators.host, operators.port, app, OPERATORS_WORKERS, timeout_ms, self.clock
+        )
+
+    def _make_peers(self) -> PeerNetwork:
+        context = PeersContext(
+            post=self.core.post,
+            version=lambda: 0,
+            head=lambda: None,
+            content=lambda _digest: None,
+            heard_version=lambda _peer, _version: None,
+        )
+        return PeerNetwork(self.settings.peers, self.identity, self.clock, context)
 
     def _register_hooks(self) -> None:
         self.on_start(self._load_configuration)
         self.on_start(lambda: _ignore(self.transfer.start()))
         self.on_stop(self.transfer.close)
         self.on_stop(self.core.close)
+        self._register_peers()
+        self.on_stop(lambda: _ignore(self.claims.close(CLAIM_CLOSE_PATIENCE_MS)))
         for server in (self.callers, self.operators):
             self._register_server(server)
         self.every(TICK_MS, lambda: _ignore(self.core.post(TickPassed(self.clock.now()))))
         self.every(CONFIGURATION_INTERVAL_MS, self._load_configuration)
         self.every(REPORT_INTERVAL_MS, self._read_reports)
+        self.every(CLAIM_RETRY_INTERVAL_MS, self.claims.retry_deferred)
+
+    def _register_peers(self) -> None:
+        poller = MembersPoller(self.platform, self.clock, self.core.post, self.peers.note_members)
+        register_peer_runners(self.core, self.peers)
+        self.on_start(lambda: _ignore(self._loops.submit(self.peers.server.serve)))
+        self.on_stop(self.peers.close)
+        self.every(MEMBERS_INTERVAL_MS, poller.poll)
+        self.every(REFRESH_INTERVAL_MS, self.peers.refresh)
 
     def _register_server(self, server: PooledServer) -> None:
         self.on_start(lambda: _ignore(self._loops.submit(server.serve_forever, 0.1)))
