--- a/src/lentilwell/_dispatch.py
+++ b/src/lentilwell/_dispatch.py
@@ -4,15 +4,21 @@
 
 from dataclasses import dataclass, field, replace
 
+from lentilwell._backlogs import add_backlog
 from lentilwell._capacities import find_capacity
 from lentilwell._effects import Effect, StartAttempt
 from lentilwell._ending import end_request
 from lentilwell._errors import Failure, PromptTooLong, Unauthorized, UnknownModel
-from lentilwell._estimates import estimate_cost_ms, estimate_service_ms
+from lentilwell._estimates import (
+    estimate_cost_ms,
+    estimate_prefill_ms,
+    estimate_service_ms,
+    length_class,
+)
 from lentilwell._fairness import charge, put_back, take_team, unpark
 from lentilwell._messages import Placement, Request
 from lentilwell._order import note_start, rank_heads
-from lentilwell._placement import PLACEMENTS, usable_engines
+from lentilwell._placement import PLACEMENTS
 from lentilwell._priorities import find_priority, push_raise
 from lentilwell._queues import take_waiting, trim
 from lentilwell._reducer import Step, follows
@@ -62,11 +68,13 @@
 @follows
 def dispatch(state: State) -> Step:
     """Start requests until nothing fits or the bounds per event are reached."""
-    if state.inventory is None or not state.waiting or is_settled(state):
+    if state.inventory is None or not state.waiting:
         return state, ()
+    if is_settled(state):
+        return try_newest(state)
     effects: list[Effect] = []
     scan = Scan()
-    state = unpark(state)
+    state = unpark(replace(state, untried=""))
     for turn in range(STARTS_PER_EVENT + FAILED_TEAMS_PER_EVENT):
         if not (state.ready or state.parked) or len(scan.aside) == FAILED_TEAMS_PER_EVENT:
             break
@@ -88,6 +96,23 @@
     return state.now < scanned.at + RESCAN_MS
 
 
+def try_newest(state: State) -> Step:
+    """Look for room for what this event has queued; all else was tried a moment ago."""
+    waiting = state.waiting.get(state.untried)
+    if waiting is None:
+        return state, ()
+    state = replace(state, untried="")
+    request = waiting.request
+    ids = state.queues[request.team].classes[length_class(request.prompt_tokens)]
+    if ids.first != request.request_id or find_unservable(state, request) is not None:
+        return state, ()
+    placements = place(state, request)
+    if placements:
+        state, started = start(state, waiting, placements)
+        return state, (started,)
+    return state, ()
+
+
 def serve_team(state: State, team: str, scan: Scan) -> Step:
     """Start the best request of a taken team that fits; set the team aside where none does."""
     state, effects = end_unservable(trim(state, team), team)
@@ -116,7 +141,7 @@
             return state, placements
         scan.note(state, request)
     if best and is_large(request, find_capacity(state.capacities, request.team, request.model)):
-        state = reserve(state, request, usable_engines(state, request))
+        state = reserve(state, request)
     return state, ()
 
 
@@ -174,10 +199,12 @@
         tokens=waiting.tokens,
         failures=waiting.failures,
         cost_ms=cost_ms,
+        prefill_ms=estimate_prefill_ms(state, request, waiting.tokens),
         ends_at=state.now + int(service_ms),
         alone=state.engines[placements[0].engine].own_backlog <= 0,
     )
     state = take_waiting(book(state, placements), request.request_id)
+    state = add_backlog(state, attempt)
     state = note_start(state, request, cost_ms)
     state = charge(forget_reservation(state, request.request_id), request.team, cost_ms)
     state = replace(
