--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -139,7 +139,7 @@
         self.claims = ClaimRunner(self.platform, self.clock, "entry-1", slots.limit)
         chooser = InstanceChooser(self.clock, "dc-0", lambda name: name in self.leaving)
         gateway = ServiceGateway(self.claims, chooser, slots, self.clock)
-        context = CallersContext(lambda: self.inventory, None, gateway, None, None)
+        context = CallersContext(lambda: self.inventory, None, gateway, None, None, lambda _: None)
         app = CallersApp(CallersSettings(), self.clock, context)
         self.server = PooledServer("127.0.0.1", 0, app, WORKERS, 30_000, self.clock)
         threading.Thread(target=self.server.serve_forever, args=(0.02,), daemon=True).start()
