Keep cancels until confirmed; add health, leaving marks, digests, owners, grants and spans

Cause: a lost cancel left memory on an engine for good, an engine that failed was avoided for 250 ms only, and several instances placed without knowing of each other.

Digest.leaving_upstreams now carries LeavingMark(upstream, incarnation) instead of names: by a bare name, a late digest of one instance would mark the next life of an engine as leaving. PeerView is kept by life (instance and incarnation), so a late digest of an old life changes nothing about the new one.

--- a/src/lentilwell/__init__.py
+++ b/src/lentilwell/__init__.py
@@ -1,6 +1,6 @@
 """A serving layer for prompts of very unlike lengths, and its parts as a library."""
 
-from lentilwell import _admission, _dispatch, _recovery
+from lentilwell import _admission, _dispatch, _grants, _recovery, _reports, _ticks
 from lentilwell._clock import Clock, ManualClock, SystemClock
 from lentilwell._errors import Failure, LentilwellError
 from lentilwell._messages import Identity, Placement, Request
@@ -20,4 +20,4 @@
     "reduce",
 ]
 
-_REGISTERED = (_admission, _dispatch, _recovery)
+_REGISTERED = (_admission, _dispatch, _grants, _recovery, _reports, _ticks)
--- a/src/lentilwell/_admission.py
+++ b/src/lentilwell/_admission.py
@@ -6,13 +6,14 @@
 
 from pyrsistent import pmap, pvector
 
-from lentilwell._effects import CancelAttempt, CancelStream, Effect, EndRequest
+from lentilwell._attempts import stop_attempt
+from lentilwell._effects import Effect, EndRequest
 from lentilwell._errors import DeadlineExceeded, Failure, NotReady
 from lentilwell._events import CallerGone, DrainStarted, InventoryAccepted, RequestArrived
 from lentilwell._inventory import Inventory
 from lentilwell._order import length_class
 from lentilwell._reducer import Step, follows, handles
-from lentilwell._state import Attempt, EngineView, State, TeamQueue, Waiting, empty_ids, empty_queue
+from lentilwell._state import EngineView, State, TeamQueue, Waiting, empty_ids, empty_queue
 
 DEADLINE_BUCKET_MS = 50
 
@@ -32,43 +33,14 @@
     )
 
 
-def release(state: State, attempt_id: str) -> State:
-    """Forget an attempt and give back what it booked."""
-    attempt = state.attempts[attempt_id]
-    engines = state.engines
-    for share in attempt.placements:
-        view = engines.get(share.engine)
-        if view is not None:
-            backlog = 0 if attempt.first_token_at is not None else share.memory_tokens
-            view = replace(
-                view,
-                own_streams=view.own_streams - 1,
-                own_memory=view.own_memory - share.memory_tokens,
-                own_backlog=view.own_backlog - backlog,
-            )
-            engines = engines.set(share.engine, view)
-    return replace(
-        state,
-        engines=engines,
-        attempts=state.attempts.remove(attempt_id),
-        in_hand=state.in_hand.discard(attempt.request.request_id),
-    )
-
-
-def stop_attempt(attempt: Attempt) -> tuple[Effect, ...]:
-    """Return the effects that stop reading an attempt and free its streams on every engine."""
-    frees = [CancelStream(share.engine, attempt.attempt_id) for share in attempt.placements]
-    return (CancelAttempt(attempt.attempt_id), *frees)
-
-
 def end_request(state: State, request_id: str, failure: Failure | None) -> Step:
     """End a request wherever it is; with a failure, the caller is answered at once."""
     effects: list[Effect] = []
     known = request_id in state.waiting or request_id in state.in_hand
     attempt_id = state.in_hand.get(request_id)
     if attempt_id is not None:
-        effects.extend(stop_attempt(state.attempts[attempt_id]))
-        state = release(state, attempt_id)
+        state, stopped = stop_attempt(state, attempt_id)
+        effects.extend(stopped)
     state = replace(state, waiting=state.waiting.discard(request_id))
     if known and failure is not None:
         effects.append(EndRequest(request_id, failure))
@@ -113,17 +85,20 @@
     """Rebuild the views and the index by model, keeping what is known of engines that stay."""
     engines = state.engines.evolver()
     for name in state.engines:
-        if name not in inventory.engines:
+        if name not in inventory.engines and name not in state.by_engine:
             engines.remove(name)
     by_model: dict[str, list[str]] = {}
+    by_place: dict[tuple[str, str], list[str]] = {}
     for name in sorted(inventory.engines):
         spec = inventory.engines[name]
         view = state.engines.get(name)
         engines.set(name, EngineView(spec) if view is None else replace(view, spec=spec))
         for model in spec.models:
             by_model.setdefault(model, []).append(name)
+            by_place.setdefault((model, spec.data_centre), []).append(name)
     index = pmap({model: pvector(names) for model, names in by_model.items()})
-    return replace(state, engines=engines.persistent(), by_model=index)
+    places = pmap({place: pvector(names) for place, names in by_place.items()})
+    return replace(state, engines=engines.persistent(), by_model=index, by_place=places)
 
 
 @follows
--- a/src/lentilwell/_application.py
+++ b/src/lentilwell/_application.py
@@ -282,8 +282,9 @@
 
 
 def find_engine(state: State, name: str) -> Engine | None:
-    """Return an engine of the inventory in force."""
-    return None if state.inventory is None else state.inventory.engines.get(name)
+    """Return an engine of the inventory in force, or one that still has streams in hand."""
+    view = state.engines.get(name)
+    return None if view is None else view.spec
 
 
 def list_targets(
@@ -297,7 +298,8 @@
     targets: list[StreamTarget] = []
     for position, share in enumerate(known):
         lead = position == 0
-        prefill = min(prompt_left, share.memory_tokens)
+        answer_tokens = request.answer_tokens if lead else 0
+        prefill = min(prompt_left, share.memory_tokens - answer_tokens)
         prompt_left -= prefill
         body = OpenStream(
             stream=effect.attempt_id,
--- a/src/lentilwell/_dispatch.py
+++ b/src/lentilwell/_dispatch.py
@@ -4,8 +4,9 @@
 
 from dataclasses import replace
 
-from lentilwell._effects import Effect, StartAttempt
+from lentilwell._effects import Effect
 from lentilwell._estimates import estimate_service_ms
+from lentilwell._grants import begin_attempt
 from lentilwell._messages import Placement, Request
 from lentilwell._order import ORDERS, Candidate
 from lentilwell._placement import PLACEMENTS
@@ -23,14 +24,14 @@
         return state, ()
     effects: list[Effect] = []
     for _ in range(STARTS_PER_EVENT):
-        state, effect = start_one(state)
-        if effect is None:
+        state, started = start_one(state)
+        if not started:
             break
-        effects.append(effect)
+        effects.extend(started)
     return state, tuple(effects)
 
 
-def start_one(state: State) -> tuple[State, StartAttempt | None]:
+def start_one(state: State) -> Step:
     """Start the best request of the first team, by service so far over weight, that has one."""
     assert state.inventory is not None
     teams = state.inventory.teams
@@ -44,7 +45,7 @@
             placements = place(state, waiting.request)
             if placements:
                 return start(state, waiting, placements)
-    return state, None
+    return state, ()
 
 
 def place(state: State, request: Request) -> tuple[Placement, ...]:
@@ -80,9 +81,7 @@
     )
 
 
-def start(
-    state: State, waiting: Waiting, placements: tuple[Placement, ...]
-) -> tuple[State, StartAttempt]:
+def start(state: State, waiting: Waiting, placements: tuple[Placement, ...]) -> Step:
     """Book the placements and make the attempt."""
     request = waiting.request
     identity = state.identity
@@ -120,4 +119,4 @@
         in_hand=state.in_hand.set(request.request_id, attempt_id),
         engines=engines,
     )
-    return state, StartAttempt(attempt_id, request, placements, priority, waiting.tokens)
+    return begin_attempt(state, attempt)
--- a/src/lentilwell/_messages.py
+++ b/src/lentilwell/_messages.py
@@ -24,6 +24,11 @@
     incarnation: str
     data_centre: str
 
+    @property
+    def life(self) -> str:
+        """Return the name of this one life, as the ids of its attempts begin."""
+        return f"{self.instance}.{self.incarnation}"
+
 
 @dataclass(frozen=True)
 class Request:
@@ -78,6 +83,11 @@
     prefilled_tokens: int
     generated_tokens: int
 
+    @property
+    def life(self) -> str:
+        """Return the life of the instance that opened the stream."""
+        return f"{self.owner}.{self.incarnation}"
+
 
 @dataclass(frozen=True)
 class LoadReport:
@@ -113,6 +123,14 @@
     backlog_tokens: int
 
 
+@dataclass(frozen=True)
+class LeavingMark:
+    """An upstream is leaving; ``incarnation`` is its life that leaves, empty where not known."""
+
+    upstream: str
+    incarnation: str
+
+
 @dataclass(frozen=True)
 class Digest:
     """What an instance tells its peers a few times a second. Sequences rise by one."""
@@ -122,7 +140,7 @@
     configuration: int
     leaving: bool
     uses: tuple[EngineUse, ...]
-    leaving_upstreams: tuple[str, ...]
+    leaving_upstreams: tuple[LeavingMark, ...]
     waiting: int
     waiting_tokens: int
 
--- /dev/null
+++ b/src/lentilwell/_owners.py
@@ -0,0 +1,54 @@
+"""Which entry instance owns an engine or a place: rendezvous hash over the live instances.
+
+Liveness counts from the last digest, or from this instance's own waking where that is later, so
+that an instance that was paused does not take all others for dead.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import xxhash
+
+from lentilwell._state import PeerView, State
+
+SUSPECT_MS = 1_000
+DEAD_MS = 5_000
+
+
+def silence_ms(state: State, peer: PeerView) -> int:
+    """Return for how long a peer has been silent while this instance was listening."""
+    return state.now - max(peer.heard_at, state.awake_at)
+
+
+def is_live(state: State, peer: PeerView) -> bool:
+    """Tell whether a peer was heard recently enough to own engines."""
+    return not peer.forgotten and silence_ms(state, peer) < SUSPECT_MS
+
+
+def has_live_peers(state: State) -> bool:
+    """Tell whether there is any other live instance."""
+    own = state.identity.instance
+    return any(
+        is_live(state, peer) and peer.digest.sender.instance != own for peer in state.peers.values()
+    )
+
+
+def find_owner(state: State, key: str, data_centre: str) -> str:
+    """Return the instance that owns ``key``: one of the data centre, else any live one."""
+    candidates = {} if state.draining else {state.identity.instance: state.identity.data_centre}
+    for peer in state.peers.values():
+        if is_live(state, peer) and not peer.digest.leaving:
+            sender = peer.digest.sender
+            candidates[sender.instance] = sender.data_centre
+    near = [name for name, centre in candidates.items() if centre == data_centre]
+    return choose(key, near or candidates) or state.identity.instance
+
+
+def choose(key: str, names: Iterable[str]) -> str:
+    """Return the name with the highest hash together with ``key``, or an empty string."""
+    return max(names, key=lambda name: (_score(key, name), name), default="")
+
+
+def _score(key: str, name: str) -> int:
+    return xxhash.xxh64_intdigest(f"{key}\0{name}")
--- a/src/lentilwell/_placement.py
+++ b/src/lentilwell/_placement.py
@@ -1,95 +1,150 @@
 """Which engine, or span of engines, takes a request: policies that a rule selects.
 
-A policy sees the state and one waiting request and returns the placements, the lead first, or an
-empty tuple where there is no room now. It never looks at more than ``SAMPLE_ENGINES`` engines, so
-its cost does not grow with the fleet.
+A policy scores one engine for one request; the lowest score among the engines that have room wins.
+Never more than ``SAMPLE_ENGINES`` engines are looked at, so the cost does not grow with the fleet.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterator, Sequence
 
+from lentilwell._estimates import DEFAULT_PREFILL_TOKENS_PER_MS
+from lentilwell._health import is_usable
+from lentilwell._holds import is_held
 from lentilwell._messages import Placement, Request
+from lentilwell._room import count_backlog, count_streams, free_memory
+from lentilwell._spans import find_span
 from lentilwell._state import EngineView, State, draw
 
 SAMPLE_ENGINES = 16
+DECODE_MS_PER_STREAM = 5.0
+OTHER_CENTRE_MS = 3.0
+TIE_MS = 20.0
+LONG_READING_SHARE = 4
 
 PlacementPolicy = Callable[[State, Request], tuple[Placement, ...]]
+ScorePolicy = Callable[[State, Request, EngineView], float]
 PLACEMENTS: dict[str, PlacementPolicy] = {}
 
 
-def placement(name: str) -> Callable[[PlacementPolicy], PlacementPolicy]:
-    """Register a placement policy under the name that the rules use."""
+def placement(name: str, sample: int = SAMPLE_ENGINES) -> Callable[[ScorePolicy], ScorePolicy]:
+    """Register a policy under the name that the rules use; it chooses among ``sample`` engines."""
 
-    def register(policy: PlacementPolicy) -> PlacementPolicy:
-        PLACEMENTS[name] = policy
-        return policy
+    def register(score: ScorePolicy) -> ScorePolicy:
+        def place(state: State, request: Request) -> tuple[Placement, ...]:
+            return place_request(state, request, score, sample)
+
+        PLACEMENTS[name] = place
+        return score
 
     return register
 
 
-def usable_engines(state: State, request: Request) -> Iterable[EngineView]:
-    """Yield up to ``SAMPLE_ENGINES`` engines that may take this team's work for this model."""
-    names = state.by_model.get(request.model, ())
-    if state.inventory is None or not names:
+def place_request(
+    state: State, request: Request, score: ScorePolicy, sample: int
+) -> tuple[Placement, ...]:
+    """Return the best engine with room, or a span; an empty tuple where there is no room now."""
+    if is_held(state, request.request_id):
+        return ()
+    views = list(usable_engines(state, request))
+    if views and request.memory_tokens > max(view.spec.memory_tokens for view in views):
+        return find_span(state, request)
+    roomy = [view for view in views if has_room(state, request, view)][:sample]
+    if not roomy:
+        return ()
+    best = min(roomy, key=lambda view: score(state, request, view))
+    return (Placement(best.spec.name, request.memory_tokens),)
+
+
+def has_room(state: State, request: Request, view: EngineView) -> bool:
+    """Tell whether an engine has a slot and the memory for a request, as far as is known."""
+    memory = request.memory_tokens
+    long_reading = memory * LONG_READING_SHARE > view.spec.memory_tokens
+    if long_reading and view.crowded_until > state.now:
+        return False
+    if view.own_streams >= view.spec.slots or count_streams(state, view) >= view.spec.slots:
+        return False
+    return free_memory(state, view) >= memory
+
+
+def usable_engines(state: State, request: Request) -> Iterator[EngineView]:
+    """Yield engines that may take this team's work for this model, in random order of start.
+
+    Where every engine of the sample is ejected, those are yielded that have nothing in hand.
+    """
+    found = False
+    ejected: list[EngineView] = []
+    for view in sample_engines(state, request):
+        if is_usable(view, state.now):
+            found = True
+            yield view
+        elif not view.leaving and view.avoided_until <= state.now and view.own_streams == 0:
+            ejected.append(view)
+    if not found:
+        yield from ejected
+
+
+def sample_engines(state: State, request: Request) -> Iterator[EngineView]:
+    """Yield up to ``SAMPLE_ENGINES`` engines of the model within the team's sharing rules.
+
+    Half of the sample is from the own data centre where it has as many.
+    """
+    inventory = state.inventory
+    team = inventory.teams.get(request.team) if inventory is not None else None
+    if inventory is None or team is None:
+        return
+    if team.engines:
+        yield from _sample_allowed(state, request, team.engines)
         return
-    allowed = state.inventory.teams[request.team].engines
-    _, start = draw(state.random, len(names))
-    for offset in range(min(SAMPLE_ENGINES, len(names))):
-        view = state.engines[names[(start + offset) % len(names)]]
-        if allowed and view.spec.name not in allowed:
-            continue
-        if view.leaving or view.ejected_until > state.now:
-            continue
-        yield view
-
-
-def free_memory(state: State, view: EngineView) -> int:
-    """Return the tokens of memory that nobody is known to hold: own use and peers' digests."""
-    held = view.own_memory
-    for peer in state.peers.values():
-        held += sum(u.memory_tokens for u in peer.digest.uses if u.engine == view.spec.name)
-    if view.report is not None:
-        held = max(held, view.report.memory_used)
-    return view.spec.memory_tokens - held
-
-
-def find_span(state: State, request: Request) -> tuple[Placement, ...]:
-    """Return a whole span in one data centre for a request above one engine's memory."""
-    by_centre: dict[str, list[EngineView]] = {}
-    for view in usable_engines(state, request):
-        by_centre.setdefault(view.spec.data_centre, []).append(view)
-    for views in by_centre.values():
-        placements: list[Placement] = []
-        missing = request.memory_tokens
-        for view in sorted(views, key=lambda v: -free_memory(state, v)):
-            share = min(missing, free_memory(state, view))
-            if share > 0 and view.own_streams < view.spec.slots:
-                placements.append(Placement(view.spec.name, share))
-                missing -= share
-            if missing == 0:
-                return tuple(placements)
-    return ()
+    near: Sequence[str] = state.by_place.get((request.model, state.identity.data_centre), ())
+    every: Sequence[str] = state.by_model.get(request.model, ())
+    if len(every) <= SAMPLE_ENGINES:
+        yield from rotate(state, every, SAMPLE_ENGINES)
+        return
+    names = dict.fromkeys(view.spec.name for view in rotate(state, near, SAMPLE_ENGINES // 2))
+    names.update(dict.fromkeys(view.spec.name for view in rotate(state, every, SAMPLE_ENGINES)))
+    for name in list(names)[:SAMPLE_ENGINES]:
+        yield state.engines[name]
 
 
-@placement("least_loaded")
-def place_least_loaded(state: State, request: Request) -> tuple[Placement, ...]:
-    """Take the engine with the least backlog that has memory and a slot, else a span."""
-    best: EngineView | None = None
-    largest = 0
-    for view in usable_engines(state, request):
-        largest = max(largest, view.spec.memory_tokens)
-        if view.own_streams >= view.spec.slots:
-            continue
-        if free_memory(state, view) < request.memory_tokens:
-            continue
-        if best is None or view.own_backlog < best.own_backlog:
-            best = view
-    if best is not None:
-        return (Placement(best.spec.name, request.memory_tokens),)
-    if request.memory_tokens > largest > 0:
-        return find_span(state, request)
-    return ()
+def rotate(state: State, names: Sequence[str], limit: int) -> Iterator[EngineView]:
+    """Yield the views of up to ``limit`` names from a random start on."""
+    if not names:
+        return
+    _, start = draw(state.random + state.now, len(names))
+    for offset in range(min(limit, len(names))):
+        yield state.engines[names[(start + offset) % len(names)]]
+
 
+def _sample_allowed(state: State, request: Request, allowed: Sequence[str]) -> Iterator[EngineView]:
+    known = [name for name in allowed if name in state.engines]
+    serving = [name for name in known if request.model in state.engines[name].spec.models]
+    yield from rotate(state, serving, SAMPLE_ENGINES)
 
-PLACEMENTS["owner_share"] = place_least_loaded
+
+@placement("least_loaded")
+def score_least_loaded(_state: State, _request: Request, view: EngineView) -> float:
+    """Take the engine with the least memory in use by its last report alone."""
+    if view.report is None:
+        return 0.0
+    return view.report.memory_used / max(1, view.spec.memory_tokens)
+
+
+@placement("two_choices", sample=2)
+def score_two_choices(state: State, request: Request, view: EngineView) -> float:
+    """Take the better of two random engines by own use and the last report."""
+    own = view.own_memory / max(1, view.spec.memory_tokens)
+    return max(own, score_least_loaded(state, request, view))
+
+
+@placement("owner_share")
+def score_owner_share(state: State, request: Request, view: EngineView) -> float:
+    """Take the earliest first token by own use, peers' digests and the report.
+
+    Scores that differ by less than a tie are equal, so that instances do not all choose alike.
+    """
+    wait_ms = count_backlog(state, view) / DEFAULT_PREFILL_TOKENS_PER_MS
+    wait_ms += count_streams(state, view) * DECODE_MS_PER_STREAM
+    ties = round(wait_ms / TIE_MS)
+    near = view.spec.data_centre == state.identity.data_centre
+    return ties * TIE_MS + (0.0 if near else OTHER_CENTRE_MS)
--- a/src/lentilwell/_recovery.py
+++ b/src/lentilwell/_recovery.py
@@ -4,23 +4,22 @@
 
 from dataclasses import replace
 
-from lentilwell._admission import end_request, enqueue, release, stop_attempt
-from lentilwell._effects import CancelStream, ResumeAttempt
+from lentilwell._admission import end_request, enqueue
+from lentilwell._attempts import release, stop_attempt
+from lentilwell._cancels import cancel_streams
+from lentilwell._effects import ResumeAttempt
 from lentilwell._errors import UpstreamFailed
-from lentilwell._events import (
-    AttemptFailed,
-    AttemptFinished,
-    FirstTokenSeen,
-    LoadReported,
-    ProgressSeen,
-)
+from lentilwell._events import AttemptFailed, AttemptFinished, FirstTokenSeen, ProgressSeen
+from lentilwell._health import note_failure, note_refusal, note_success
+from lentilwell._holds import hold_request
+from lentilwell._leaving import mark_leaving
 from lentilwell._messages import Cause
 from lentilwell._reducer import Step, handles
-from lentilwell._state import State, Waiting
+from lentilwell._state import Attempt, State, Waiting
 
 MAXIMUM_FAILURES = 3
 MAXIMUM_RESUMES = 2
-AVOID_MS = 250
+SPAN_RETRY_MS = 200
 
 
 @handles(FirstTokenSeen)
@@ -37,7 +36,8 @@
             engines = engines.set(share.engine, view)
     attempt = replace(attempt, first_token_at=state.now)
     attempts = state.attempts.set(event.attempt_id, attempt)
-    return replace(state, engines=engines, attempts=attempts), ()
+    state = replace(state, engines=engines, attempts=attempts)
+    return note_successes(state, attempt), ()
 
 
 @handles(ProgressSeen)
@@ -52,49 +52,58 @@
 
 @handles(AttemptFinished)
 def finish_attempt(state: State, event: AttemptFinished) -> Step:
-    """The answer is whole: give back what was booked."""
+    """The answer is whole: give back what was booked, and free the segments of a span."""
     attempt = state.attempts.get(event.attempt_id)
     if attempt is None:
         return state, ()
-    segments = attempt.placements[1:]
-    frees = tuple(CancelStream(share.engine, event.attempt_id) for share in segments)
-    return release(state, event.attempt_id), frees
+    state = note_successes(release(state, event.attempt_id), attempt)
+    segments = (share.engine for share in attempt.placements[1:])
+    return cancel_streams(state, segments, event.attempt_id)
 
 
 @handles(AttemptFailed)
 def recover(state: State, event: AttemptFailed) -> Step:
     """Resume a silent attempt on a fresh connection; else go on elsewhere, or give up."""
     attempt = state.attempts.get(event.attempt_id)
-    if attempt is None:
+    if attempt is None or event.attempt_id in state.asks:
         return state, ()
+    attempt = replace(attempt, tokens=max(attempt.tokens, event.tokens))
     if event.cause is Cause.STALLED and attempt.resumes < MAXIMUM_RESUMES:
         attempt = replace(attempt, resumes=attempt.resumes + 1)
         state = replace(state, attempts=state.attempts.set(event.attempt_id, attempt))
         return state, (ResumeAttempt(event.attempt_id),)
-    refused = event.cause in (Cause.REFUSED, Cause.LEAVING)
-    failures = attempt.failures if refused else attempt.failures + 1
+    state = replace(state, attempts=state.attempts.set(event.attempt_id, attempt))
+    if event.cause is Cause.LEAVING:
+        view = state.engines.get(event.engine)
+        state = mark_leaving(state, event.engine, view.incarnation if view is not None else "")
+        return refuse_attempt(state, attempt)
+    if event.cause is Cause.REFUSED:
+        return refuse_attempt(note_refusal(state, event.engine), attempt)
+    return lose_attempt(note_failure(state, event.engine), event.attempt_id)
+
+
+def refuse_attempt(state: State, attempt: Attempt) -> Step:
+    """Put a request back whose engines had no room; a span waits, so that two do not race on."""
+    state, effects = stop_attempt(state, attempt.attempt_id)
+    if len(attempt.placements) > 1:
+        state = hold_request(state, attempt.request.request_id, SPAN_RETRY_MS)
+    again = Waiting(attempt.request, attempt.tokens, attempt.failures)
+    return enqueue(state, again, at_front=True), effects
+
+
+def lose_attempt(state: State, attempt_id: str) -> Step:
+    """Let a request whose attempt broke go on elsewhere, within its bound of failures."""
+    attempt = state.attempts[attempt_id]
+    failures = attempt.failures + 1
     if failures >= MAXIMUM_FAILURES:
-        request_id = attempt.request.request_id
-        return end_request(state, request_id, UpstreamFailed())
-    state = avoid_engine(release(state, event.attempt_id), event.engine)
-    again = Waiting(attempt.request, max(attempt.tokens, event.tokens), failures)
-    return enqueue(state, again, at_front=True), stop_attempt(attempt)
-
-
-def avoid_engine(state: State, name: str) -> State:
-    """Place nothing on an engine for a short while after it refused or failed."""
-    view = state.engines.get(name)
-    if view is None:
-        return state
-    view = replace(view, ejected_until=state.now + AVOID_MS)
-    return replace(state, engines=state.engines.set(name, view))
-
-
-@handles(LoadReported)
-def note_report(state: State, event: LoadReported) -> Step:
-    """Keep the newest report of an engine."""
-    view = state.engines.get(event.report.engine)
-    if view is None:
-        return state, ()
-    view = replace(view, report=event.report, reported_at=state.now, leaving=event.report.leaving)
-    return replace(state, engines=state.engines.set(event.report.engine, view)), ()
+        return end_request(state, attempt.request.request_id, UpstreamFailed())
+    state, effects = stop_attempt(state, attempt_id)
+    again = Waiting(attempt.request, attempt.tokens, failures)
+    return enqueue(state, again, at_front=True), effects
+
+
+def note_successes(state: State, attempt: Attempt) -> State:
+    """Every engine of the attempt worked."""
+    for share in attempt.placements:
+        state = note_success(state, share.engine)
+    return state
--- /dev/null
+++ b/src/lentilwell/_reports.py
@@ -0,0 +1,106 @@
+"""Load reports of engines: the newest is kept, and all that a report tells is acted on.
+
+A report of an incarnation that was replaced is a late one and ignored, unless nothing newer comes.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from pyrsistent import pset
+
+from lentilwell._cancels import compare_cancels
+from lentilwell._effects import Effect
+from lentilwell._events import LoadReported
+from lentilwell._health import note_readable, store_view
+from lentilwell._leaving import compare_report
+from lentilwell._messages import LoadReport
+from lentilwell._orphans import watch_streams
+from lentilwell._recovery import lose_attempt
+from lentilwell._reducer import Step, handles
+from lentilwell._state import EngineView, State
+
+PAST_INCARNATIONS = 4
+PAST_REPORTS = 3
+FRESH_ATTEMPT_MS = 1_000
+
+
+@handles(LoadReported)
+def note_report(state: State, event: LoadReported) -> Step:
+    """Keep an engine's report and act on what it tells."""
+    report = event.report
+    view = state.engines.get(report.engine)
+    if view is None:
+        return state, ()
+    if is_late(view, report):
+        return store_view(state, replace(view, past_reports=view.past_reports + 1)), ()
+    previous = view.report
+    reborn = view.incarnation not in ("", report.incarnation)
+    state = store_view(state, take_report(state, view, report))
+    state = note_readable(state, report.engine)
+    state = compare_report(state, report)
+    state = compare_cancels(state, report)
+    state, effects = watch_streams(state, previous, report)
+    if reborn:
+        state, more = lose_streams(state, report)
+        effects += more
+    return state, effects
+
+
+def is_late(view: EngineView, report: LoadReport) -> bool:
+    """Tell whether a report is older than what is known."""
+    if view.report is not None and report.incarnation == view.incarnation:
+        return report.sequence <= view.report.sequence
+    return report.incarnation in view.past_incarnations and view.past_reports < PAST_REPORTS
+
+
+def take_report(state: State, view: EngineView, report: LoadReport) -> EngineView:
+    """Return the view with a newer report."""
+    past = view.past_incarnations
+    if view.incarnation not in ("", report.incarnation):
+        past = tuple(inc for inc in past if inc != report.incarnation)
+        past = (*past, view.incarnation)[-PAST_INCARNATIONS:]
+    partly = sum(
+        stream.prefilled_tokens
+        for stream in report.streams
+        if stream.prefilled_tokens < stream.prompt_tokens
+    )
+    unclaimed = sum(
+        stream.memory_tokens
+        for stream in report.streams
+        if stream.life != state.identity.life and not is_counted(state, stream.life)
+    )
+    return replace(
+        view,
+        report=report,
+        reported_at=state.now,
+        incarnation=report.incarnation,
+        past_incarnations=past,
+        past_reports=0,
+        partly_prefilled=partly,
+        unclaimed_memory=unclaimed,
+    )
+
+
+def is_counted(state: State, life: str) -> bool:
+    """Tell whether the use of a peer's life is in the sums of the digests."""
+    peer = state.peers.get(life)
+    return peer is not None and not peer.forgotten
+
+
+def lose_streams(state: State, report: LoadReport) -> Step:
+    """Fail the attempts whose streams died with the engine's last life.
+
+    One that began just now may be on the new life already; its own connection will tell.
+    """
+    shown = {stream.stream for stream in report.streams}
+    effects: tuple[Effect, ...] = ()
+    for attempt_id in sorted(state.by_engine.get(report.engine, pset())):
+        attempt = state.attempts.get(attempt_id)
+        if attempt is None or attempt_id in shown or attempt_id in state.asks:
+            continue
+        if state.now - attempt.started_at < FRESH_ATTEMPT_MS:
+            continue
+        state, more = lose_attempt(state, attempt_id)
+        effects += more
+    return state, effects
--- /dev/null
+++ b/src/lentilwell/_spans.py
@@ -0,0 +1,78 @@
+"""Spans: several engines of one data centre that hold one prompt together, whole or not at all.
+
+A span books nothing until it fits whole, and a refusal by one of its engines gives all back, so a
+reading that waits never holds a part of what another needs; shorter work goes on meanwhile.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from lentilwell._health import is_usable
+from lentilwell._messages import Placement, Request
+from lentilwell._room import count_streams, free_memory
+from lentilwell._state import EngineView, State, draw
+
+SPAN_SAMPLE = 32
+LEAST_SHARE_TOKENS = 1_024
+
+
+def find_span(state: State, request: Request) -> tuple[Placement, ...]:
+    """Return the span with the fewest engines in the data centre with most room, or nothing."""
+    best: tuple[Placement, ...] = ()
+    most = 0
+    for model, centre in state.by_place:
+        if model != request.model:
+            continue
+        views = list_roomy(state, request, centre)
+        room = sum(free for free, _ in views)
+        if room <= most:
+            continue
+        shares = cut_shares(request, views)
+        if shares:
+            best, most = shares, room
+    return best
+
+
+def list_roomy(state: State, request: Request, centre: str) -> list[tuple[int, EngineView]]:
+    """Return the engines of one data centre that can hold a share, most room first."""
+    names = allowed_names(state, request, centre)
+    if not names:
+        return []
+    _, start = draw(state.random + state.now, len(names))
+    roomy: list[tuple[int, EngineView]] = []
+    for offset in range(min(SPAN_SAMPLE, len(names))):
+        view = state.engines[names[(start + offset) % len(names)]]
+        if not is_usable(view, state.now) or count_streams(state, view) >= view.spec.slots:
+            continue
+        free = free_memory(state, view)
+        if free >= LEAST_SHARE_TOKENS:
+            roomy.append((free, view))
+    return sorted(roomy, key=lambda found: (-found[0], found[1].spec.name))
+
+
+def allowed_names(state: State, request: Request, centre: str) -> Sequence[str]:
+    """Return the engines of a data centre that the team may use for the model."""
+    inventory = state.inventory
+    team = inventory.teams.get(request.team) if inventory is not None else None
+    if team is None:
+        return ()
+    if not team.engines:
+        return state.by_place[(request.model, centre)]
+    specs = [state.engines[name].spec for name in team.engines if name in state.engines]
+    return [s.name for s in specs if s.data_centre == centre and request.model in s.models]
+
+
+def cut_shares(request: Request, views: Sequence[tuple[int, EngineView]]) -> tuple[Placement, ...]:
+    """Cut a request into shares, the largest first; the lead's holds the whole answer too."""
+    missing = request.memory_tokens
+    shares: list[Placement] = []
+    for free, view in views:
+        share = min(missing, free)
+        shares.append(Placement(view.spec.name, share))
+        missing -= share
+        if missing == 0:
+            break
+    if missing > 0 or shares[0].memory_tokens <= request.answer_tokens:
+        return ()
+    return tuple(shares)
--- a/src/lentilwell/_state.py
+++ b/src/lentilwell/_state.py
@@ -4,10 +4,18 @@
 
 from dataclasses import dataclass, field
 
-from pyrsistent import PDeque, PMap, PVector, pdeque, pmap, pvector
+from pyrsistent import PDeque, PMap, PSet, PVector, pdeque, pmap, pvector
 
 from lentilwell._inventory import Engine, Inventory
-from lentilwell._messages import Digest, Identity, LoadReport, Placement, Request
+from lentilwell._messages import (
+    Digest,
+    EngineUse,
+    GrantAsk,
+    Identity,
+    LoadReport,
+    Placement,
+    Request,
+)
 
 _MASK_64 = (1 << 64) - 1
 _GOLDEN_GAMMA = 0x9E3779B97F4A7C15
@@ -51,14 +59,66 @@
     leaving: bool = False
     failures: int = 0
     ejected_until: int = 0
+    ejections: int = 0
+    unreadable: int = 0
+    avoided_until: int = 0
+    crowded_until: int = 0
+    incarnation: str = ""
+    past_incarnations: tuple[str, ...] = ()
+    past_reports: int = 0
+    partly_prefilled: int = 0
+    unclaimed_memory: int = 0
 
 
 @dataclass(frozen=True)
 class PeerView:
-    """What this instance knows of one peer by its digests."""
+    """What this instance knows of one life of a peer by its digests; ``uses`` is by engine."""
 
     digest: Digest
     heard_at: int
+    uses: PMap[str, EngineUse] = field(default_factory=pmap)
+    forgotten: bool = False
+
+
+@dataclass(frozen=True)
+class Timer:
+    """Base of the timers; each subclass lives in the module that handles it."""
+
+
+@dataclass(frozen=True)
+class PendingCancel:
+    """A stream that is being cancelled until its engine is known to have freed it."""
+
+    engine: str
+    stream: str
+    tries: int = 0
+    absent_reports: int = 0
+
+
+@dataclass(frozen=True)
+class PendingAsk:
+    """An attempt that is booked here and waits for the owner's grant before it starts."""
+
+    attempt_id: str
+    owner: str
+    asked_at: int
+
+
+@dataclass(frozen=True)
+class GivenGrant:
+    """Memory that this instance, as owner, has promised to a peer and not yet seen in use."""
+
+    ask: GrantAsk
+    given_at: int
+    expires_at: int
+
+
+@dataclass(frozen=True)
+class OwnMark:
+    """An upstream is leaving by this instance's own knowledge; holds for one incarnation."""
+
+    incarnation: str
+    marked_at: int
 
 
 @dataclass(frozen=True)
@@ -88,6 +148,24 @@
     peers: PMap[str, PeerView] = field(default_factory=pmap)
     deadlines: PMap[int, PVector[str]] = field(default_factory=pmap)
     digest_sequence: int = 0
+    digest_due_at: int = 0
+    ticked_at: int | None = None
+    awake_at: int = 0
+    timers: PMap[int, PVector[Timer]] = field(default_factory=pmap)
+    timers_passed: int = 0
+    by_place: PMap[tuple[str, str], PVector[str]] = field(default_factory=pmap)
+    by_engine: PMap[str, PSet[str]] = field(default_factory=pmap)
+    peer_use: PMap[str, EngineUse] = field(default_factory=pmap)
+    members_changed_at: int = 0
+    cancels: PMap[str, PMap[str, PendingCancel]] = field(default_factory=pmap)
+    sightings: PMap[str, PMap[str, int]] = field(default_factory=pmap)
+    signs: PMap[str, int] = field(default_factory=pmap)
+    ejected: PMap[str, PSet[str]] = field(default_factory=pmap)
+    leaving: PMap[str, OwnMark] = field(default_factory=pmap)
+    peer_marks: PMap[str, PMap[str, str]] = field(default_factory=pmap)
+    asks: PMap[str, PendingAsk] = field(default_factory=pmap)
+    grants: PMap[str, PMap[str, GivenGrant]] = field(default_factory=pmap)
+    held_until: PMap[str, int] = field(default_factory=pmap)
 
 
 def draw(state_random: int, below: int) -> tuple[int, int]:
--- /dev/null
+++ b/src/lentilwell/_ticks.py
@@ -0,0 +1,24 @@
+"""The tick: notices a pause of this process, fires the timers and sends the digest."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from lentilwell._digests import send_digest
+from lentilwell._events import TickPassed
+from lentilwell._reducer import Step, handles
+from lentilwell._state import State
+from lentilwell._timers import fire_due
+
+PAUSE_MS = 1_000
+
+
+@handles(TickPassed)
+def pass_tick(state: State, event: TickPassed) -> Step:
+    """Do what is due; after a pause, silence counts anew from now."""
+    if state.ticked_at is None or state.now - state.ticked_at > PAUSE_MS:
+        state = replace(state, awake_at=state.now, members_changed_at=state.now)
+    state = replace(state, ticked_at=state.now)
+    state, fired = fire_due(state)
+    state, sent = send_digest(state)
+    return state, (*fired, *sent)
--- /dev/null
+++ b/src/lentilwell/_timers.py
@@ -0,0 +1,61 @@
+"""Timers of the reducer: frozen data in buckets of time, fired by the tick.
+
+A timer is never cancelled: one that finds nothing left to do is ignored by its handler. Firing
+costs the timers that are due, not those that wait.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any, TypeVar
+
+from pyrsistent import pvector
+
+from lentilwell._effects import Effect
+from lentilwell._reducer import Step
+from lentilwell._state import State, Timer
+
+TIMER_BUCKET_MS = 50
+
+_TimerT = TypeVar("_TimerT", bound=Timer)
+_HANDLERS: dict[type[Timer], Callable[[State, Any], Step]] = {}
+
+
+def fires(
+    timer_type: type[_TimerT],
+) -> Callable[[Callable[[State, _TimerT], Step]], Callable[[State, _TimerT], Step]]:
+    """Register the decorated function as the handler of ``timer_type``."""
+
+    def register(handler: Callable[[State, _TimerT], Step]) -> Callable[[State, _TimerT], Step]:
+        _HANDLERS[timer_type] = handler
+        return handler
+
+    return register
+
+
+def schedule(state: State, at: int, timer: Timer) -> State:
+    """Let a timer fire on the first tick at or after ``at``, rounded up to a bucket."""
+    bucket = max(-(-at // TIMER_BUCKET_MS), state.timers_passed + 1)
+    timers = state.timers.get(bucket, pvector()).append(timer)
+    return replace(state, timers=state.timers.set(bucket, timers))
+
+
+def fire_due(state: State) -> Step:
+    """Fire every timer that is due, in order of its bucket."""
+    effects: tuple[Effect, ...] = ()
+    for bucket in _due_buckets(state):
+        timers = state.timers[bucket]
+        state = replace(state, timers=state.timers.remove(bucket), timers_passed=bucket)
+        for timer in timers:
+            state, more = _HANDLERS[type(timer)](state, timer)
+            effects += more
+    return replace(state, timers_passed=state.now // TIMER_BUCKET_MS), effects
+
+
+def _due_buckets(state: State) -> list[int]:
+    """Return the buckets due; after a long gap it is cheaper to look at those there are."""
+    first, current = state.timers_passed + 1, state.now // TIMER_BUCKET_MS
+    if current - first >= len(state.timers):
+        return sorted(bucket for bucket in state.timers if bucket <= current)
+    return [bucket for bucket in range(first, current + 1) if bucket in state.timers]
