--- a/src/lentilwell/_admission.py
+++ b/src/lentilwell/_admission.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from pyrsistent import pmap, pvector
+from pyrsistent import PMap, PVector, pmap, pvector
 
 from lentilwell._attempts import stop_attempt
 from lentilwell._effects import Effect, EndRequest
@@ -97,7 +97,9 @@
             by_model.setdefault(model, []).append(name)
             by_place.setdefault((model, spec.data_centre), []).append(name)
     index = pmap({model: pvector(names) for model, names in by_model.items()})
-    places = pmap({place: pvector(names) for place, names in by_place.items()})
+    places: PMap[tuple[str, str], PVector[str]] = pmap(
+        {place: pvector(names) for place, names in by_place.items()}
+    )
     return replace(state, engines=engines.persistent(), by_model=index, by_place=places)
 
 
--- a/src/lentilwell/_owners.py
+++ b/src/lentilwell/_owners.py
@@ -51,4 +51,4 @@
 
 
 def _score(key: str, name: str) -> int:
-    return xxhash.xxh64_intdigest(f"{key}\0{name}")
+    return xxhash.xxh64_intdigest(f"{key}\0{name}".encode())
