--- a/src/lentilwell/_admission.py
+++ b/src/lentilwell/_admission.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from pyrsistent import PMap, PVector, pmap, pvector
 
 from lentilwell._attempts import stop_attempt
@@ -12,6 +10,7 @@
 from lentilwell._events import CallerGone, DrainStarted, InventoryAccepted, RequestArrived
 from lentilwell._inventory import Inventory
 from lentilwell._order import length_class
+from lentilwell._records import replace
 from lentilwell._reducer import Step, follows, handles
 from lentilwell._state import EngineView, State, TeamQueue, Waiting, empty_ids, empty_queue
 
--- a/src/lentilwell/_attempts.py
+++ b/src/lentilwell/_attempts.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from pyrsistent import pset
 
 from lentilwell._cancels import cancel_streams
 from lentilwell._effects import CancelAttempt
+from lentilwell._records import replace
 from lentilwell._reducer import Step
 from lentilwell._state import Attempt, State
 
--- a/src/lentilwell/_cancels.py
+++ b/src/lentilwell/_cancels.py
@@ -8,13 +8,14 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from pyrsistent import PMap, pmap
 
 from lentilwell._effects import CancelStream, Effect
 from lentilwell._events import CancelConfirmed
 from lentilwell._messages import LoadReport
+from lentilwell._records import replace
 from lentilwell._reducer import Step, handles
 from lentilwell._state import PendingCancel, State, Timer
 from lentilwell._timers import fires, schedule
--- a/src/lentilwell/_digests.py
+++ b/src/lentilwell/_digests.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from pyrsistent import PMap, pmap
 
@@ -15,6 +15,7 @@
 from lentilwell._leaving import compare_marks, list_marks
 from lentilwell._messages import Digest, EngineUse
 from lentilwell._owners import DEAD_MS, SUSPECT_MS, is_live, silence_ms
+from lentilwell._records import replace
 from lentilwell._reducer import Step, handles
 from lentilwell._state import PeerView, State, Timer
 from lentilwell._timers import fires, schedule
--- a/src/lentilwell/_dispatch.py
+++ b/src/lentilwell/_dispatch.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from lentilwell._effects import Effect
 from lentilwell._estimates import estimate_service_ms
 from lentilwell._grants import begin_attempt
 from lentilwell._messages import Placement, Request
 from lentilwell._order import ORDERS, Candidate
 from lentilwell._placement import PLACEMENTS
+from lentilwell._records import replace
 from lentilwell._reducer import Step, follows
 from lentilwell._state import Attempt, State, TeamQueue, Waiting, draw
 
--- a/src/lentilwell/_grants.py
+++ b/src/lentilwell/_grants.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from pyrsistent import PMap, pmap
 
@@ -23,6 +23,7 @@
 from lentilwell._inventory import Engine
 from lentilwell._messages import GrantAnswer, GrantAsk
 from lentilwell._owners import find_owner, has_live_peers
+from lentilwell._records import replace
 from lentilwell._reducer import Step, handles
 from lentilwell._room import free_memory
 from lentilwell._state import Attempt, EngineView, GivenGrant, PendingAsk, State, Timer, Waiting
--- a/src/lentilwell/_health.py
+++ b/src/lentilwell/_health.py
@@ -6,11 +6,10 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from pyrsistent import pset
 
 from lentilwell._events import LoadUnreadable
+from lentilwell._records import replace
 from lentilwell._reducer import Step, handles
 from lentilwell._state import EngineView, State, draw
 
--- a/src/lentilwell/_holds.py
+++ b/src/lentilwell/_holds.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
+from lentilwell._records import replace
 from lentilwell._reducer import Step
 from lentilwell._state import State, Timer, draw
 from lentilwell._timers import fires, schedule
--- a/src/lentilwell/_leaving.py
+++ b/src/lentilwell/_leaving.py
@@ -7,13 +7,12 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from pyrsistent import pmap
 
 from lentilwell._events import MembersListed
 from lentilwell._health import store_view
 from lentilwell._messages import LeavingMark, LoadReport, Member, MemberKind
+from lentilwell._records import replace
 from lentilwell._reducer import Step, handles
 from lentilwell._state import OwnMark, State
 
--- a/src/lentilwell/_orphans.py
+++ b/src/lentilwell/_orphans.py
@@ -8,8 +8,6 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from pyrsistent import PMap, pmap
 
 from lentilwell._cancels import cancel_stream
@@ -17,6 +15,7 @@
 from lentilwell._effects import Effect
 from lentilwell._messages import LoadReport, StreamReport
 from lentilwell._owners import DEAD_MS, find_owner
+from lentilwell._records import replace
 from lentilwell._reducer import Step
 from lentilwell._state import State
 
--- a/src/lentilwell/_recovery.py
+++ b/src/lentilwell/_recovery.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from lentilwell._admission import end_request, enqueue
 from lentilwell._attempts import release, stop_attempt
 from lentilwell._cancels import cancel_streams
@@ -14,6 +12,7 @@
 from lentilwell._holds import hold_request
 from lentilwell._leaving import mark_leaving
 from lentilwell._messages import Cause
+from lentilwell._records import replace
 from lentilwell._reducer import Step, handles
 from lentilwell._state import Attempt, State, Waiting
 
--- a/src/lentilwell/_reports.py
+++ b/src/lentilwell/_reports.py
@@ -5,8 +5,6 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from pyrsistent import pset
 
 from lentilwell._cancels import compare_cancels
@@ -16,6 +14,7 @@
 from lentilwell._leaving import compare_report
 from lentilwell._messages import LoadReport
 from lentilwell._orphans import watch_streams
+from lentilwell._records import replace
 from lentilwell._recovery import lose_attempt
 from lentilwell._reducer import Step, handles
 from lentilwell._state import EngineView, State
--- a/src/lentilwell/_ticks.py
+++ b/src/lentilwell/_ticks.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from lentilwell._digests import send_digest
 from lentilwell._events import TickPassed
+from lentilwell._records import replace
 from lentilwell._reducer import Step, handles
 from lentilwell._state import State
 from lentilwell._timers import fire_due
--- a/src/lentilwell/_timers.py
+++ b/src/lentilwell/_timers.py
@@ -7,12 +7,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import replace
 from typing import Any, TypeVar
 
 from pyrsistent import pvector
 
 from lentilwell._effects import Effect
+from lentilwell._records import replace
 from lentilwell._reducer import Step
 from lentilwell._state import State, Timer
 
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,507 @@
+"""A small fleet for tests: reducers, engines of a few lines, and a network that obeys the test."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from dataclasses import dataclass, field, replace
+
+from pyrsistent import pmap
+
+from lentilwell import Identity, Request, State, reduce
+from lentilwell import _events as ev
+from lentilwell._inventory import Engine, Inventory, Model, Team
+from lentilwell._messages import Cause, LoadReport, StreamReport
+
+MEMORY = 100_000
+SLOTS = 6
+TICK_MS = 50
+REPORT_MS = 250
+STALL_MS = 3_000
+PREFILL_TOKENS_PER_MS = 50
+DECODE_MS = 10
+CENTRES = {"e0": "north", "e1": "north", "e2": "north", "e3": "south", "e4": "south"}
+HOMES = {"a": "north", "b": "north", "c": "south", "d": "south"}
+TEAMS = {"open": (), "bound": ("e0", "e1", "e3")}
+SPREAD_MS = 2_000
+
+
+def make_inventory(version=1, centres=CENTRES, teams=TEAMS):
+    engines = {
+        name: Engine(name, "http://127.0.0.1", centre, ("m",), MEMORY, SLOTS)
+        for name, centre in centres.items()
+    }
+    return Inventory(
+        version=version,
+        engines=pmap(engines),
+        models=pmap({"m": Model("m", 1_000_000)}),
+        teams=pmap({name: Team(name, 1, (), engines=allowed) for name, allowed in teams.items()}),
+    )
+
+
+@dataclass
+class Stream:
+    stream: str
+    owner: Identity
+    memory: int
+    prompt: int
+    lead: bool
+    index: int
+    answer: int
+    opened_at: int
+    prefilled: int = 0
+    spare_ms: int = 0
+
+    @property
+    def is_prefilled(self):
+        return self.prefilled == self.prompt
+
+
+@dataclass
+class FakeEngine:
+    name: str
+    centre: str
+    life: int = 1
+    alive: bool = True
+    leaving: bool = False
+    leaving_since: int = 0
+    sequence: int = 0
+    streams: dict[str, Stream] = field(default_factory=dict)
+    snapshot: LoadReport | None = None
+
+    def used(self):
+        return sum(stream.memory for stream in self.streams.values())
+
+    def refusal(self, memory):
+        if not self.alive:
+            return Cause.CONNECT
+        if self.leaving:
+            return Cause.LEAVING
+        full = self.used() + memory > MEMORY or len(self.streams) >= SLOTS
+        return Cause.REFUSED if full else None
+
+    def step(self, ms):
+        budget = ms * PREFILL_TOKENS_PER_MS
+        for stream in sorted(self.streams.values(), key=lambda s: (s.prompt, s.stream)):
+            spent = min(budget, stream.prompt - stream.prefilled)
+            stream.prefilled += spent
+            budget -= spent
+            if stream.lead and stream.prefilled == stream.prompt:
+                stream.spare_ms += ms
+                made, stream.spare_ms = divmod(stream.spare_ms, DECODE_MS)
+                stream.index = min(stream.answer, stream.index + made)
+
+    def report(self):
+        self.sequence += 1
+        shown = tuple(
+            StreamReport(
+                s.stream,
+                s.owner.instance,
+                s.owner.incarnation,
+                s.memory,
+                s.prompt,
+                s.prefilled,
+                s.index,
+            )
+            for s in self.streams.values()
+        )
+        return LoadReport(
+            self.name,
+            str(self.life),
+            self.sequence,
+            self.leaving,
+            MEMORY,
+            self.used(),
+            SLOTS,
+            shown,
+            ("m",),
+        )
+
+
+@dataclass
+class Caller:
+    request: Request
+    delivered: int = 0
+    ends: list[object] = field(default_factory=list)
+
+
+@dataclass
+class Reading:
+    """An attempt as the transfer thread of an instance sees it."""
+
+    caller: Caller
+    placements: tuple
+    heard_at: int
+    first_seen: bool = False
+    failed: bool = False
+
+
+@dataclass
+class Instance:
+    state: State
+    alive: bool = True
+    paused: bool = False
+    woke_at: int = 0
+    inbox: list[ev.Event] = field(default_factory=list)
+    readings: dict[str, Reading] = field(default_factory=dict)
+
+    @property
+    def identity(self):
+        return self.state.identity
+
+
+class Fleet:
+    """The world. ``noise`` is the share of messages that are lost, late or repeated."""
+
+    def __init__(self, seed=0, noise=0.0, homes=HOMES, centres=CENTRES, teams=TEAMS):
+        self.random = random.Random(seed)
+        self.noise = noise
+        self.now = 1_000
+        self.queue = []
+        self.pushed = 0
+        self.cut = False
+        self.healed_at = 0
+        self.lose_cancels = False
+        self.inventory = make_inventory(centres=centres, teams=teams)
+        self.engines = {name: FakeEngine(name, centre) for name, centre in centres.items()}
+        self.instances = {}
+        self.callers = {}
+        self.lost = set()
+        self.started = []
+        self.homes = homes
+        for name in homes:
+            self.boot(name)
+        self.advance(2 * REPORT_MS)
+
+    def boot(self, name):
+        old = self.instances.get(name)
+        life = 1 if old is None else int(old.identity.incarnation) + 1
+        seed = self.random.randrange(1 << 60)
+        state = State(Identity(name, str(life), self.homes[name]), random=seed)
+        self.instances[name] = Instance(state, woke_at=self.now)
+        self.apply(self.instances[name], ev.InventoryAccepted(self.now, self.inventory))
+
+    def live(self):
+        return [i for i in self.instances.values() if i.alive]
+
+    def push(self, delay, action):
+        self.pushed += 1
+        heapq.heappush(self.queue, (self.now + delay, self.pushed, action))
+
+    def send(self, action, lossy=True):
+        """Carry a message: it may be lost, late or repeated where the network is noisy."""
+        draw = self.random.random() / self.noise if self.noise and lossy else 3.0
+        if draw < 1 / 3:
+            return
+        self.push(self.random.choice((700, 1_500, 4_000)) if draw < 2 / 3 else 2, action)
+        if 2 / 3 <= draw < 1:
+            self.push(900, action)
+
+    def reaches(self, centre, other):
+        return not self.cut or centre == other
+
+    def post(self, instance, event):
+        if not instance.alive:
+            return
+        if instance.paused:
+            instance.inbox.append(event)
+        else:
+            self.apply(instance, event)
+
+    def apply(self, instance, event):
+        event = replace(event, at=self.now)
+        instance.state, effects = reduce(instance.state, event)
+        for effect in effects:
+            getattr(self, f"run_{type(effect).__name__}")(instance, effect)
+
+    def run_StartAttempt(self, instance, effect):  # noqa: N802
+        caller = self.callers[effect.request.request_id]
+        assert effect.first_index <= caller.delivered
+        allowed = instance.state.inventory.teams[effect.request.team].engines
+        assert len({CENTRES.get(p.engine, "north") for p in effect.placements}) == 1
+        assert sum(p.memory_tokens for p in effect.placements) == effect.request.memory_tokens
+        for share in effect.placements:
+            assert not allowed or share.engine in allowed
+            self.check_leaving(instance, self.engines[share.engine])
+        self.started.append((instance.identity.instance, effect))
+        instance.readings[effect.attempt_id] = Reading(caller, effect.placements, self.now)
+        left = effect.request.prompt_tokens
+        for position, share in enumerate(effect.placements):
+            answer = effect.request.answer_tokens if position == 0 else 0
+            prompt = min(left, share.memory_tokens - answer)
+            left -= prompt
+            stream = Stream(
+                effect.attempt_id,
+                instance.identity,
+                share.memory_tokens,
+                prompt,
+                position == 0,
+                caller.delivered,
+                effect.request.answer_tokens,
+                self.now,
+            )
+            slow = self.noise and self.random.random() < self.noise / 4
+            delay = 1_500 if slow else 1 + position
+            self.push(delay, lambda e=share.engine, s=stream: self.open(instance, e, s))
+        assert left == 0
+
+    def check_leaving(self, instance, engine):
+        since = max(engine.leaving_since, instance.woke_at, self.healed_at)
+        reachable = self.reaches(instance.identity.data_centre, engine.centre)
+        late = engine.leaving and engine.alive and reachable and self.now - since > SPREAD_MS
+        assert not late, "new work to a leaving upstream"
+
+    def open(self, instance, name, stream):
+        engine = self.engines[name]
+        if not self.reaches(instance.identity.data_centre, engine.centre):
+            self.fail(instance, stream.stream, name, Cause.CONNECT)
+            return
+        cause = engine.refusal(stream.memory)
+        if cause is not None:
+            self.fail(instance, stream.stream, name, cause)
+        elif stream.stream not in engine.streams:
+            engine.streams[stream.stream] = stream
+            assert engine.used() <= MEMORY
+
+    def fail(self, instance, attempt_id, engine, cause):
+        reading = instance.readings.get(attempt_id)
+        if reading is not None and not reading.failed:
+            reading.failed = True
+            tokens = reading.caller.delivered
+            self.post(instance, ev.AttemptFailed(self.now, attempt_id, engine, cause, tokens))
+
+    def run_ResumeAttempt(self, instance, effect):  # noqa: N802
+        reading = instance.readings[effect.attempt_id]
+        reading.failed, reading.heard_at = False, self.now
+        for share in reading.placements:
+            engine = self.engines[share.engine]
+            if not engine.alive or not self.reaches(instance.identity.data_centre, engine.centre):
+                self.push(1, lambda e=share.engine: self.lose(instance, effect, e, Cause.CONNECT))
+            elif effect.attempt_id not in engine.streams:
+                self.push(1, lambda e=share.engine: self.lose(instance, effect, e, Cause.REFUSED))
+
+    def lose(self, instance, effect, engine, cause):
+        self.fail(instance, effect.attempt_id, engine, cause)
+
+    def run_CancelAttempt(self, instance, effect):  # noqa: N802
+        instance.readings.pop(effect.attempt_id, None)
+
+    def run_ChangePriority(self, instance, effect):  # noqa: N802
+        pass
+
+    def run_EndRequest(self, instance, effect):  # noqa: N802
+        self.end(effect.request_id, effect.failure)
+
+    def end(self, request_id, outcome):
+        caller = self.callers[request_id]
+        assert not caller.ends, "a request ended twice"
+        caller.ends.append(outcome)
+
+    def run_CancelStream(self, instance, effect):  # noqa: N802
+        def cancel():
+            engine = self.engines[effect.engine]
+            near = self.reaches(instance.identity.data_centre, engine.centre)
+            if engine.alive and near and not self.lose_cancels:
+                engine.streams.pop(effect.stream, None)
+                confirmed = ev.CancelConfirmed(self.now, effect.engine, effect.stream)
+                self.send(lambda: self.post(instance, confirmed))
+
+        self.send(cancel)
+
+    def run_SendDigest(self, instance, effect):  # noqa: N802
+        for name in self.homes:
+            if name != instance.identity.instance:
+                self.send(
+                    lambda n=name: self.to_peer(instance, n, ev.DigestReceived, effect.digest)
+                )
+
+    def to_peer(self, sender, name, event_type, *fields):
+        peer = self.instances[name]
+        if peer.alive and self.reaches(sender.identity.data_centre, peer.identity.data_centre):
+            self.post(peer, event_type(self.now, *fields))
+            return True
+        return False
+
+    def run_AskGrant(self, instance, effect):  # noqa: N802
+        def ask():
+            if not self.to_peer(instance, effect.owner, ev.GrantAsked, effect.ask):
+                missed = ev.GrantUnanswered(self.now, effect.ask.grant_id, effect.ask.engine)
+                self.post(instance, missed)
+
+        self.send(ask)
+
+    def run_AnswerGrant(self, instance, effect):  # noqa: N802
+        self.send(lambda: self.to_peer(instance, effect.peer, ev.GrantAnswered, effect.answer))
+
+    def advance(self, ms, tick_ms=TICK_MS):
+        for _ in range(0, ms, tick_ms):
+            until = self.now + tick_ms
+            while self.queue and self.queue[0][0] <= until:
+                due, _, action = heapq.heappop(self.queue)
+                self.now = max(self.now, due)
+                action()
+            self.now = until
+            for engine in self.engines.values():
+                if engine.alive:
+                    engine.step(tick_ms)
+            for instance in self.live():
+                if not instance.paused:
+                    self.read(instance)
+                    self.apply(instance, ev.TickPassed(self.now))
+            if self.now % REPORT_MS < tick_ms:
+                self.report()
+            self.check()
+
+    def read(self, instance):
+        """Deliver what the engines have made; end, or note silence."""
+        centre = instance.identity.data_centre
+        for attempt_id, reading in list(instance.readings.items()):
+            lead = self.engines[reading.placements[0].engine]
+            parts = [self.engines[share.engine] for share in reading.placements]
+            if reading.failed or attempt_id not in instance.readings:
+                continue
+            if all(attempt_id in p.streams and self.reaches(centre, p.centre) for p in parts):
+                reading.heard_at = self.now
+                stream = lead.streams[attempt_id]
+                whole = all(p.streams[attempt_id].is_prefilled for p in parts)
+                if whole and stream.index > reading.caller.delivered:
+                    self.deliver(instance, attempt_id, reading, stream)
+            elif self.now - reading.heard_at > STALL_MS:
+                self.fail(instance, attempt_id, reading.placements[-1].engine, Cause.STALLED)
+
+    def deliver(self, instance, attempt_id, reading, stream):
+        caller = reading.caller
+        caller.delivered = stream.index
+        if not reading.first_seen:
+            reading.first_seen = True
+            self.post(instance, ev.FirstTokenSeen(self.now, attempt_id))
+        if stream.index < stream.answer or attempt_id not in instance.readings:
+            return
+        instance.readings.pop(attempt_id)
+        self.engines[reading.placements[0].engine].streams.pop(attempt_id)
+        self.end(caller.request.request_id, None)
+        self.post(instance, ev.AttemptFinished(self.now, attempt_id, stream.index))
+
+    def report(self):
+        for engine in self.engines.values():
+            shown, engine.snapshot = engine.snapshot, engine.report() if engine.alive else None
+            for instance in self.live():
+                near = self.reaches(instance.identity.data_centre, engine.centre)
+                if engine.alive and near and shown is not None:
+                    event = ev.LoadReported(self.now, shown)
+                elif engine.alive and near:
+                    continue
+                else:
+                    event = ev.LoadUnreadable(self.now, engine.name)
+                self.send(lambda i=instance, e=event: self.post(i, e))
+
+    def check(self):
+        for instance in self.live():
+            if instance.paused:
+                continue
+            open_ids = [*instance.state.waiting, *instance.state.in_hand]
+            for request_id in open_ids:
+                deadline_at = self.callers[request_id].request.deadline_at
+                assert self.now <= deadline_at + 2 * TICK_MS, "a request outlived its deadline"
+
+    def arrive(self, name, prompt, answer=5, team="open", within=20_000):
+        instance = self.instances[name]
+        if not instance.alive or instance.paused:
+            return None
+        request_id = f"r{len(self.callers)}"
+        request = Request(request_id, team, "m", prompt, answer, self.now, self.now + within)
+        self.callers[request_id] = Caller(request)
+        self.apply(instance, ev.RequestArrived(self.now, request))
+        return request_id
+
+    def kill_engine(self, name, silent=False):
+        engine = self.engines[name]
+        gone, engine.streams, engine.alive = list(engine.streams), {}, False
+        engine.snapshot = None
+        for instance in self.live():
+            for attempt_id in gone:
+                if not silent:
+                    self.fail(instance, attempt_id, name, Cause.BROKEN)
+
+    def start_engine(self, name):
+        engine = self.engines[name]
+        if not engine.alive:
+            engine.alive, engine.leaving, engine.life = True, False, engine.life + 1
+            engine.sequence = 0
+
+    def leave(self, name):
+        engine = self.engines[name]
+        if engine.alive and not engine.leaving:
+            engine.leaving, engine.leaving_since = True, self.now
+
+    def kill_instance(self, name):
+        instance = self.instances[name]
+        instance.alive = False
+        for request_id in (*instance.state.waiting, *instance.state.in_hand):
+            self.lost.add(request_id)
+
+    def pause(self, name):
+        self.instances[name].paused = True
+
+    def wake(self, name):
+        instance = self.instances[name]
+        if instance.alive and instance.paused:
+            instance.paused, instance.woke_at = False, self.now
+            events, instance.inbox = instance.inbox, []
+            for event in events:
+                self.apply(instance, event)
+
+    def partition(self, cut):
+        if self.cut and not cut:
+            self.healed_at = self.now
+        self.cut = cut
+
+    def change_teams(self, allowed):
+        teams = {"open": (), "bound": allowed}
+        centres = {name: engine.centre for name, engine in self.engines.items()}
+        self.inventory = make_inventory(self.inventory.version + 1, centres, teams)
+        for instance in self.live():
+            event = ev.InventoryAccepted(self.now, self.inventory)
+            self.push(self.random.randrange(2_000), lambda i=instance, e=event: self.post(i, e))
+
+    def settle(self, ms=80_000):
+        """Mend everything, let all end, and check that nothing is left anywhere."""
+        self.noise, self.lose_cancels = 0.0, False
+        self.partition(False)
+        for name in self.engines:
+            if self.engines[name].leaving:
+                self.kill_engine(name)
+            self.start_engine(name)
+        for name in self.homes:
+            self.wake(name)
+        until = self.now + ms
+        while self.now < until and not self.is_settled():
+            self.advance(5_000, tick_ms=250)
+        self.check_settled()
+
+    def is_settled(self):
+        try:
+            self.check_settled()
+        except AssertionError:
+            return False
+        return True
+
+    def check_settled(self):
+        for request_id, caller in self.callers.items():
+            assert caller.ends or request_id in self.lost, f"{request_id} never ended"
+            if caller.ends and caller.ends[0] is None:
+                assert caller.delivered == caller.request.answer_tokens
+        for engine in self.engines.values():
+            assert not engine.streams, f"{engine.name} holds {list(engine.streams)}"
+        for instance in self.live():
+            check_empty(instance.state)
+
+
+def check_empty(state):
+    """Nothing may be booked, waited for or remembered after everything has ended."""
+    kept = ("attempts", "waiting", "in_hand", "by_engine", "cancels", "asks", "grants")
+    for name in (*kept, "held_until", "peer_use", "sightings", "leaving", "peer_marks"):
+        assert not getattr(state, name), (state.identity, name, getattr(state, name))
+    for view in state.engines.values():
+        assert (view.own_streams, view.own_memory, view.own_backlog) == (0, 0, 0), view
+        assert not view.leaving
