--- a/src/lentilwell/_attempts.py
+++ b/src/lentilwell/_attempts.py
@@ -38,6 +38,8 @@
                 own_backlog=view.own_backlog - backlog,
             )
             engines = engines.set(share.engine, view)
+        if not left and not is_listed(state, share.engine):
+            engines = engines.discard(share.engine)
     return replace(
         state,
         engines=engines,
@@ -48,6 +50,11 @@
     )
 
 
+def is_listed(state: State, engine: str) -> bool:
+    """Tell whether an engine is in the inventory in force."""
+    return state.inventory is not None and engine in state.inventory.engines
+
+
 def stop_attempt(state: State, attempt_id: str) -> Step:
     """Release an attempt, stop reading it, and cancel its streams until they are freed."""
     attempt = state.attempts[attempt_id]
--- a/src/lentilwell/_state.py
+++ b/src/lentilwell/_state.py
@@ -145,6 +145,7 @@
     in_hand: PMap[str, str] = field(default_factory=pmap)
     engines: PMap[str, EngineView] = field(default_factory=pmap)
     by_model: PMap[str, PVector[str]] = field(default_factory=pmap)
+    model_places: PMap[str, PMap[str, int]] = field(default_factory=pmap)
     peers: PMap[str, PeerView] = field(default_factory=pmap)
     deadlines: PMap[int, PVector[str]] = field(default_factory=pmap)
     digest_sequence: int = 0
@@ -154,6 +155,7 @@
     timers: PMap[int, PVector[Timer]] = field(default_factory=pmap)
     timers_passed: int = 0
     by_place: PMap[tuple[str, str], PVector[str]] = field(default_factory=pmap)
+    place_places: PMap[tuple[str, str], PMap[str, int]] = field(default_factory=pmap)
     by_engine: PMap[str, PSet[str]] = field(default_factory=pmap)
     peer_use: PMap[str, EngineUse] = field(default_factory=pmap)
     members_changed_at: int = 0
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -79,7 +79,7 @@
 FleetUnderFaults.TestCase.settings = settings(
     derandomize=True,
     deadline=None,
-    max_examples=int(__import__("os").environ.get("N", "25")),
+    max_examples=40,
     stateful_step_count=20,
     suppress_health_check=list(HealthCheck),
 )
