Serve through the loss of most engines, and free streams whose engine's owner is new

Cause 1: a data centre cut off left three of five engines unreachable; the floor of half kept one of them in use and three refused connections ended a request as UpstreamFailed. A connection that was refused ran nothing, so it no longer counts against the request, and engines that fail but may not be ejected come last. Cause 2: streams of a killed instance stayed for 30 s and more, since the engine's owner was its own successor, which knew nothing of it. Every instance now cancels in turn.

--- a/src/lentilwell/_health.py
+++ b/src/lentilwell/_health.py
@@ -34,6 +34,11 @@
     return 0 < view.ejected_until <= now and view.own_streams == 0
 
 
+def is_doubtful(view: EngineView) -> bool:
+    """Tell whether an engine fails but could not be ejected, since too few would be left."""
+    return view.failures >= EJECT_AFTER_FAILURES or view.unreadable >= EJECT_AFTER_UNREADABLE
+
+
 def note_failure(state: State, name: str) -> State:
     """Count a failed attempt; avoid the engine shortly, or eject it after too many in a row."""
     view = state.engines.get(name)
--- a/src/lentilwell/_orphans.py
+++ b/src/lentilwell/_orphans.py
@@ -2,7 +2,8 @@
 
 A stream is suspect when this instance opened it and does not know it, when the life that opened it
 is silent, or when that life's digest claims nothing on the engine. A suspect that stays in the
-reports for its grace time is cancelled, by the instance that opened it or by the engine's owner. A
+reports for its grace time is cancelled, by the instance that opened it or by the engine's owner, or
+later by the next in turn, since an owner that has just started knows of no life before its own. A
 new stream in a report is a sign that its opener lives. A wrong cancel costs its reader a retry.
 """
 
@@ -14,7 +15,7 @@
 from lentilwell._digests import MAXIMUM_USES
 from lentilwell._effects import Effect
 from lentilwell._messages import LoadReport, StreamReport
-from lentilwell._owners import DEAD_MS, find_owner
+from lentilwell._owners import DEAD_MS, find_turn
 from lentilwell._records import replace
 from lentilwell._reducer import Step
 from lentilwell._state import State
@@ -23,6 +24,7 @@
 DEAD_GRACE_MS = 5_000
 UNCLAIMED_GRACE_MS = 10_000
 UNKNOWN_GRACE_MS = 30_000
+TURN_MS = 5_000
 MAXIMUM_SIGNS = 1_024
 
 
@@ -38,7 +40,8 @@
             continue
         since = max(before.get(stream.stream, state.now), state.awake_at)
         seen[stream.stream] = since
-        if state.now - since >= grace_ms and _is_ours(state, report.engine, stream):
+        ripe_ms = state.now - since - grace_ms
+        if ripe_ms >= 0 and ripe_ms >= find_delay(state, report.engine, stream):
             state, more = cancel_stream(state, report.engine, stream.stream)
             effects += more
     sightings = state.sightings
@@ -56,10 +59,11 @@
     peer = state.peers.get(stream.life)
     heard_at = peer.heard_at if peer is not None else 0
     heard_at = max(heard_at, state.signs.get(stream.life, 0), state.awake_at)
-    if peer is None:
-        return UNKNOWN_GRACE_MS if state.now - heard_at >= DEAD_MS else None
     if state.now - heard_at >= DEAD_MS:
-        return DEAD_GRACE_MS
+        known = peer is not None or stream.owner == state.identity.instance
+        return DEAD_GRACE_MS if known else UNKNOWN_GRACE_MS
+    if peer is None:
+        return None
     whole = len(peer.digest.uses) < MAXIMUM_USES
     return UNCLAIMED_GRACE_MS if whole and engine not in peer.uses else None
 
@@ -71,12 +75,12 @@
     return any(share.engine == engine for share in attempt.placements)
 
 
-def _is_ours(state: State, engine: str, stream: StreamReport) -> bool:
-    """Tell whether it falls to this instance to cancel an orphan."""
+def find_delay(state: State, engine: str, stream: StreamReport) -> int:
+    """Return how much longer this instance waits: the owner not at all, the others in turn."""
     if stream.owner == state.identity.instance:
-        return True
+        return 0
     centre = state.engines[engine].spec.data_centre
-    return find_owner(state, engine, centre) == state.identity.instance
+    return find_turn(state, engine, centre) * TURN_MS
 
 
 def _note_signs(state: State, previous: LoadReport | None, report: LoadReport) -> State:
--- a/src/lentilwell/_owners.py
+++ b/src/lentilwell/_owners.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-
 import xxhash
 
 from lentilwell._state import PeerView, State
@@ -36,18 +34,30 @@
 
 def find_owner(state: State, key: str, data_centre: str) -> str:
     """Return the instance that owns ``key``: one of the data centre, else any live one."""
+    names = list_candidates(state, data_centre)
+    return max(names, key=lambda name: _rank(key, name), default=state.identity.instance)
+
+
+def find_turn(state: State, key: str, data_centre: str) -> int:
+    """Return how many live instances come before this one for ``key``; the owner's turn is 0."""
+    own = _rank(key, state.identity.instance)
+    names = list_candidates(state, data_centre)
+    return sum(1 for name in names if _rank(key, name) > own)
+
+
+def list_candidates(state: State, data_centre: str) -> list[str]:
+    """Return the live instances of a data centre that stay, or where there are none, all."""
     candidates = {} if state.draining else {state.identity.instance: state.identity.data_centre}
     for peer in state.peers.values():
         if is_live(state, peer) and not peer.digest.leaving:
             sender = peer.digest.sender
             candidates[sender.instance] = sender.data_centre
     near = [name for name, centre in candidates.items() if centre == data_centre]
-    return choose(key, near or candidates) or state.identity.instance
+    return near or list(candidates)
 
 
-def choose(key: str, names: Iterable[str]) -> str:
-    """Return the name with the highest hash together with ``key``, or an empty string."""
-    return max(names, key=lambda name: (_score(key, name), name), default="")
+def _rank(key: str, name: str) -> tuple[int, str]:
+    return _score(key, name), name
 
 
 def _score(key: str, name: str) -> int:
--- a/src/lentilwell/_placement.py
+++ b/src/lentilwell/_placement.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterator, Sequence
 
 from lentilwell._estimates import DEFAULT_PREFILL_TOKENS_PER_MS
-from lentilwell._health import is_usable
+from lentilwell._health import is_doubtful, is_usable
 from lentilwell._holds import is_held
 from lentilwell._messages import Placement, Request
 from lentilwell._room import count_backlog, count_streams, free_memory
@@ -52,7 +52,7 @@
     roomy = [view for view in views if has_room(state, request, view)][:sample]
     if not roomy:
         return ()
-    best = min(roomy, key=lambda view: score(state, request, view))
+    best = min(roomy, key=lambda view: (is_doubtful(view), score(state, request, view)))
     return (Placement(best.spec.name, request.memory_tokens),)
 
 
--- a/src/lentilwell/_recovery.py
+++ b/src/lentilwell/_recovery.py
@@ -78,11 +78,14 @@
         return refuse_attempt(state, attempt)
     if event.cause is Cause.REFUSED:
         return refuse_attempt(note_refusal(state, event.engine), attempt)
-    return lose_attempt(note_failure(state, event.engine), event.attempt_id)
+    state = note_failure(state, event.engine)
+    if event.cause is Cause.CONNECT and attempt.first_token_at is None:
+        return refuse_attempt(state, attempt)
+    return lose_attempt(state, event.attempt_id)
 
 
 def refuse_attempt(state: State, attempt: Attempt) -> Step:
-    """Put a request back whose engines had no room; a span waits, so that two do not race on."""
+    """Put a request back of which an engine took nothing; a span waits, so that two do not race."""
     state, effects = stop_attempt(state, attempt.attempt_id)
     if len(attempt.placements) > 1:
         state = hold_request(state, attempt.request.request_id, SPAN_RETRY_MS)
--- a/src/lentilwell/_spans.py
+++ b/src/lentilwell/_spans.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Sequence
 
-from lentilwell._health import is_usable
+from lentilwell._health import is_doubtful, is_usable
 from lentilwell._messages import Placement, Request
 from lentilwell._room import count_streams, free_memory
 from lentilwell._state import EngineView, State, draw
@@ -16,34 +16,41 @@
 SPAN_SAMPLE = 32
 LEAST_SHARE_TOKENS = 1_024
 
+Roomy = tuple[int, EngineView]
+
 
 def find_span(state: State, request: Request) -> tuple[Placement, ...]:
     """Return the span with the fewest engines in the data centre with most room, or nothing."""
+    centres = [centre for model, centre in state.by_place if model == request.model]
+    sampled = [list_roomy(state, request, centre) for centre in centres]
+    sound = [[share for share in views if not is_doubtful(share[1])] for views in sampled]
+    return choose_span(request, sound) or choose_span(request, sampled)
+
+
+def choose_span(request: Request, sampled: Sequence[Sequence[Roomy]]) -> tuple[Placement, ...]:
+    """Return the span in the data centre with most room, of those sampled."""
     best: tuple[Placement, ...] = ()
     most = 0
-    for model, centre in state.by_place:
-        if model != request.model:
-            continue
-        views = list_roomy(state, request, centre)
+    for views in sampled:
         room = sum(free for free, _ in views)
-        if room <= most:
-            continue
-        shares = cut_shares(request, views)
+        shares = cut_shares(request, views) if room > most else ()
         if shares:
             best, most = shares, room
     return best
 
 
-def list_roomy(state: State, request: Request, centre: str) -> list[tuple[int, EngineView]]:
+def list_roomy(state: State, request: Request, centre: str) -> list[Roomy]:
     """Return the engines of one data centre that can hold a share, most room first."""
     names = allowed_names(state, request, centre)
     if not names:
         return []
     _, start = draw(state.random + state.now, len(names))
-    roomy: list[tuple[int, EngineView]] = []
+    roomy: list[Roomy] = []
     for offset in range(min(SPAN_SAMPLE, len(names))):
         view = state.engines[names[(start + offset) % len(names)]]
-        if not is_usable(view, state.now) or count_streams(state, view) >= view.spec.slots:
+        if not is_usable(view, state.now):
+            continue
+        if count_streams(state, view) >= view.spec.slots:
             continue
         free = free_memory(state, view)
         if free >= LEAST_SHARE_TOKENS:
@@ -63,7 +70,7 @@
     return [s.name for s in specs if s.data_centre == centre and request.model in s.models]
 
 
-def cut_shares(request: Request, views: Sequence[tuple[int, EngineView]]) -> tuple[Placement, ...]:
+def cut_shares(request: Request, views: Sequence[Roomy]) -> tuple[Placement, ...]:
     """Cut a request into shares, the largest first; the lead's holds the whole answer too."""
     missing = request.memory_tokens
     shares: list[Placement] = []
