--- a/src/lentilwell/_digests.py
+++ b/src/lentilwell/_digests.py
@@ -135,7 +135,7 @@
 def _forget(state: State, life: str, peer: PeerView) -> State:
     state = _count_uses(state, peer.uses, pmap())
     state = compare_marks(state, life, peer.digest.leaving_upstreams, ())
-    digest = replace(peer.digest, uses=(), leaving_upstreams=())
+    digest = replace(peer.digest, uses=(), leaving_upstreams=(), waiting=0, waiting_tokens=0)
     forgotten = PeerView(digest, peer.heard_at, forgotten=True)
     return replace(state, peers=state.peers.set(life, forgotten))
 
--- /dev/null
+++ b/src/lentilwell/_ending.py
@@ -0,0 +1,98 @@
+"""Giving back what requests hold, and ending them."""
+
+from __future__ import annotations
+
+from pyrsistent import pset
+
+from lentilwell._cancels import cancel_streams
+from lentilwell._effects import CancelAttempt, Effect, EndRequest
+from lentilwell._errors import Failure
+from lentilwell._estimates import estimate_cost_ms, learn_decode, prefill_ms
+from lentilwell._fairness import correct
+from lentilwell._queues import drop_waiting
+from lentilwell._records import replace
+from lentilwell._reducer import Step
+from lentilwell._reservations import forget_reservation
+from lentilwell._state import Attempt, State
+
+
+def release(state: State, attempt_id: str, tokens: int | None = None) -> State:
+    """Forget an attempt, give back what it booked and correct its charge.
+
+    ``tokens`` counts the whole answer where the attempt ended whole; decoding is learned from it.
+    """
+    attempt = state.attempts[attempt_id]
+    engines, by_engine = state.engines, state.by_engine
+    for share in attempt.placements:
+        left = by_engine.get(share.engine, pset()).discard(attempt_id)
+        by_engine = by_engine.set(share.engine, left) if left else by_engine.discard(share.engine)
+        view = engines.get(share.engine)
+        if view is not None:
+            backlog = 0 if attempt.first_token_at is not None else share.memory_tokens
+            view = replace(
+                view,
+                own_streams=view.own_streams - 1,
+                own_memory=view.own_memory - share.memory_tokens,
+                own_backlog=view.own_backlog - backlog,
+            )
+            engines = engines.set(share.engine, view)
+        if not left and not is_listed(state, share.engine):
+            engines = engines.discard(share.engine)
+    if tokens is not None:
+        state = learn_decode(state, attempt, tokens)
+    state = correct(state, attempt.request.team, used_ms(state, attempt) - attempt.cost_ms)
+    return replace(
+        state,
+        engines=engines,
+        by_engine=by_engine,
+        asks=state.asks.discard(attempt_id),
+        attempts=state.attempts.remove(attempt_id),
+        in_hand=state.in_hand.discard(attempt.request.request_id),
+    )
+
+
+def used_ms(state: State, attempt: Attempt) -> float:
+    """Return the engine time that an attempt has really taken from others.
+
+    Before the first token it is at most the time since the start, for each engine of the span.
+    Afterwards it is the prefill and the time held, by the same shares as in the estimate.
+    """
+    held_ms = state.now - attempt.started_at
+    if attempt.first_token_at is None:
+        return min(attempt.cost_ms, float(held_ms * len(attempt.placements)))
+    estimate_ms = max(1, attempt.ends_at - attempt.started_at)
+    prefill = prefill_ms(state, attempt.request.prompt_tokens + attempt.first_index)
+    full_ms = estimate_cost_ms(state, attempt.request, attempt.first_index)
+    decoded_ms = max(0.0, full_ms - prefill) * min(1.0, held_ms / estimate_ms)
+    return prefill + decoded_ms
+
+
+def is_listed(state: State, engine: str) -> bool:
+    """Tell whether an engine is in the inventory in force."""
+    return state.inventory is not None and engine in state.inventory.engines
+
+
+def stop_attempt(state: State, attempt_id: str) -> Step:
+    """Release an attempt, stop reading it, and cancel its streams until they are freed."""
+    attempt = state.attempts[attempt_id]
+    asked_only = attempt_id in state.asks
+    state = release(state, attempt_id)
+    if asked_only:
+        return state, ()
+    engines = (share.engine for share in attempt.placements)
+    state, frees = cancel_streams(state, engines, attempt_id)
+    return state, (CancelAttempt(attempt_id), *frees)
+
+
+def end_request(state: State, request_id: str, failure: Failure | None) -> Step:
+    """End a request wherever it is; with a failure, the caller is answered at once."""
+    effects: list[Effect] = []
+    known = request_id in state.waiting or request_id in state.in_hand
+    attempt_id = state.in_hand.get(request_id)
+    if attempt_id is not None:
+        state, stopped = stop_attempt(state, attempt_id)
+        effects.extend(stopped)
+    state = forget_reservation(drop_waiting(state, request_id), request_id)
+    if known and failure is not None:
+        effects.append(EndRequest(request_id, failure))
+    return state, tuple(effects)
--- a/src/lentilwell/_grants.py
+++ b/src/lentilwell/_grants.py
@@ -11,18 +11,18 @@
 
 from dataclasses import dataclass
 
-from pyrsistent import PMap, pmap
+from pyrsistent import PMap, pmap, pset
 
-from lentilwell._admission import enqueue
-from lentilwell._attempts import index_attempt, release
 from lentilwell._digests import DIGEST_INTERVAL_MS
 from lentilwell._effects import AnswerGrant, AskGrant, Effect, StartAttempt
+from lentilwell._ending import release
 from lentilwell._events import GrantAnswered, GrantAsked, GrantUnanswered
 from lentilwell._health import store_view
 from lentilwell._holds import hold_request
 from lentilwell._inventory import Engine
 from lentilwell._messages import GrantAnswer, GrantAsk
 from lentilwell._owners import find_owner, has_live_peers
+from lentilwell._queues import enqueue
 from lentilwell._records import replace
 from lentilwell._reducer import Step, handles
 from lentilwell._room import free_memory
@@ -68,6 +68,16 @@
     return state, (AskGrant(owner, ask),)
 
 
+def index_attempt(state: State, attempt: Attempt) -> State:
+    """Note on which engines an attempt is."""
+    by_engine = state.by_engine
+    for share in attempt.placements:
+        by_engine = by_engine.set(
+            share.engine, by_engine.get(share.engine, pset()).add(attempt.attempt_id)
+        )
+    return replace(state, by_engine=by_engine)
+
+
 def find_granter(state: State, attempt: Attempt) -> str | None:
     """Return the peer to ask, or None where the attempt may start by this instance's own view."""
     lead = state.engines[attempt.placements[0].engine].spec
@@ -140,7 +150,8 @@
     attempt = state.attempts[ask.attempt_id]
     if not all(may_still_take(state, attempt, share.engine) for share in attempt.placements):
         return put_back(state, ask, 0), ()
-    attempt = replace(attempt, started_at=state.now)
+    waited_ms = state.now - attempt.started_at
+    attempt = replace(attempt, started_at=state.now, ends_at=attempt.ends_at + waited_ms)
     state = replace(
         state,
         asks=state.asks.remove(ask.attempt_id),
--- a/src/lentilwell/_placement.py
+++ b/src/lentilwell/_placement.py
@@ -8,10 +8,11 @@
 
 from collections.abc import Callable, Iterator, Sequence
 
-from lentilwell._estimates import DEFAULT_PREFILL_TOKENS_PER_MS
+from lentilwell._estimates import estimate_service_ms, prefill_ms
 from lentilwell._health import is_doubtful, is_usable
 from lentilwell._holds import is_held
 from lentilwell._messages import Placement, Request
+from lentilwell._reservations import may_use
 from lentilwell._room import count_backlog, count_streams, free_memory
 from lentilwell._spans import find_span
 from lentilwell._state import EngineView, State, draw
@@ -74,7 +75,10 @@
     """
     found = False
     ejected: list[EngineView] = []
+    estimate_ms = estimate_service_ms(state, request) if state.reservations else 0.0
     for view in sample_engines(state, request):
+        if state.reservations and not may_use(state, view, request, estimate_ms):
+            continue
         if is_usable(view, state.now):
             found = True
             yield view
@@ -143,7 +147,7 @@
 
     Scores that differ by less than a tie are equal, so that instances do not all choose alike.
     """
-    wait_ms = count_backlog(state, view) / DEFAULT_PREFILL_TOKENS_PER_MS
+    wait_ms = prefill_ms(state, count_backlog(state, view), view.spec.name)
     wait_ms += count_streams(state, view) * DECODE_MS_PER_STREAM
     ties = round(wait_ms / TIE_MS)
     near = view.spec.data_centre == state.identity.data_centre
--- a/src/lentilwell/_recovery.py
+++ b/src/lentilwell/_recovery.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
-from lentilwell._admission import end_request, enqueue
-from lentilwell._attempts import release, stop_attempt
 from lentilwell._cancels import cancel_streams
 from lentilwell._effects import ResumeAttempt
+from lentilwell._ending import end_request, release, stop_attempt
 from lentilwell._errors import UpstreamFailed
+from lentilwell._estimates import learn_prefill
 from lentilwell._events import AttemptFailed, AttemptFinished, FirstTokenSeen, ProgressSeen
 from lentilwell._health import note_failure, note_refusal, note_success
 from lentilwell._holds import hold_request
 from lentilwell._leaving import mark_leaving
 from lentilwell._messages import Cause
+from lentilwell._queues import enqueue
 from lentilwell._records import replace
 from lentilwell._reducer import Step, handles
 from lentilwell._state import Attempt, State, Waiting
@@ -36,7 +37,7 @@
     attempt = replace(attempt, first_token_at=state.now)
     attempts = state.attempts.set(event.attempt_id, attempt)
     state = replace(state, engines=engines, attempts=attempts)
-    return note_successes(state, attempt), ()
+    return learn_prefill(note_successes(state, attempt), attempt), ()
 
 
 @handles(ProgressSeen)
@@ -55,7 +56,7 @@
     attempt = state.attempts.get(event.attempt_id)
     if attempt is None:
         return state, ()
-    state = note_successes(release(state, event.attempt_id), attempt)
+    state = note_successes(release(state, event.attempt_id, event.tokens), attempt)
     segments = (share.engine for share in attempt.placements[1:])
     return cancel_streams(state, segments, event.attempt_id)
 
--- a/src/lentilwell/_spans.py
+++ b/src/lentilwell/_spans.py
@@ -8,8 +8,10 @@
 
 from collections.abc import Sequence
 
+from lentilwell._estimates import estimate_service_ms
 from lentilwell._health import is_doubtful, is_usable
 from lentilwell._messages import Placement, Request
+from lentilwell._reservations import may_use
 from lentilwell._room import count_streams, free_memory
 from lentilwell._state import EngineView, State, draw
 
@@ -45,6 +47,7 @@
     if not names:
         return []
     _, start = draw(state.random + state.now, len(names))
+    estimate_ms = estimate_service_ms(state, request) if state.reservations else 0.0
     roomy: list[Roomy] = []
     for offset in range(min(SPAN_SAMPLE, len(names))):
         view = state.engines[names[(start + offset) % len(names)]]
@@ -52,6 +55,8 @@
             continue
         if count_streams(state, view) >= view.spec.slots:
             continue
+        if state.reservations and not may_use(state, view, request, estimate_ms):
+            continue
         free = free_memory(state, view)
         if free >= LEAST_SHARE_TOKENS:
             roomy.append((free, view))
--- a/src/lentilwell/_timers.py
+++ b/src/lentilwell/_timers.py
@@ -36,26 +36,26 @@
 
 def schedule(state: State, at: int, timer: Timer) -> State:
     """Let a timer fire on the first tick at or after ``at``, rounded up to a bucket."""
-    bucket = max(-(-at // TIMER_BUCKET_MS), state.timers_passed + 1)
-    timers = state.timers.get(bucket, pvector()).append(timer)
-    return replace(state, timers=state.timers.set(bucket, timers))
+    bucket = max(-(-at // TIMER_BUCKET_MS), state.wheel_passed + 1)
+    timers = state.wheel.get(bucket, pvector()).append(timer)
+    return replace(state, wheel=state.wheel.set(bucket, timers))
 
 
 def fire_due(state: State) -> Step:
     """Fire every timer that is due, in order of its bucket."""
     effects: tuple[Effect, ...] = ()
     for bucket in _due_buckets(state):
-        timers = state.timers[bucket]
-        state = replace(state, timers=state.timers.remove(bucket), timers_passed=bucket)
+        timers = state.wheel[bucket]
+        state = replace(state, wheel=state.wheel.remove(bucket), wheel_passed=bucket)
         for timer in timers:
             state, more = _HANDLERS[type(timer)](state, timer)
             effects += more
-    return replace(state, timers_passed=state.now // TIMER_BUCKET_MS), effects
+    return replace(state, wheel_passed=state.now // TIMER_BUCKET_MS), effects
 
 
 def _due_buckets(state: State) -> list[int]:
     """Return the buckets due; after a long gap it is cheaper to look at those there are."""
-    first, current = state.timers_passed + 1, state.now // TIMER_BUCKET_MS
-    if current - first >= len(state.timers):
-        return sorted(bucket for bucket in state.timers if bucket <= current)
-    return [bucket for bucket in range(first, current + 1) if bucket in state.timers]
+    first, current = state.wheel_passed + 1, state.now // TIMER_BUCKET_MS
+    if current - first >= len(state.wheel):
+        return sorted(bucket for bucket in state.wheel if bucket <= current)
+    return [bucket for bucket in range(first, current + 1) if bucket in state.wheel]
