--- a/src/lentilwell/_health.py
+++ b/src/lentilwell/_health.py
@@ -36,6 +36,8 @@
 
 def is_doubtful(view: EngineView) -> bool:
     """Tell whether an engine fails but could not be ejected, since too few would be left."""
+    if view.ejected_until > 0:
+        return False
     return view.failures >= EJECT_AFTER_FAILURES or view.unreadable >= EJECT_AFTER_UNREADABLE
 
 
--- a/src/lentilwell/_recovery.py
+++ b/src/lentilwell/_recovery.py
@@ -15,6 +15,7 @@
 from lentilwell._queues import enqueue
 from lentilwell._records import replace
 from lentilwell._reducer import Step, handles
+from lentilwell._retries import take_retry
 from lentilwell._state import Attempt, State, Waiting
 
 MAXIMUM_FAILURES = 3
@@ -95,13 +96,17 @@
 
 
 def lose_attempt(state: State, attempt_id: str) -> Step:
-    """Let a request whose attempt broke go on elsewhere, within its bound of failures."""
+    """Let a request whose attempt broke go on elsewhere, within its bound and the retry budget."""
     attempt = state.attempts[attempt_id]
+    request = attempt.request
     failures = attempt.failures + 1
-    if failures >= MAXIMUM_FAILURES:
-        return end_request(state, attempt.request.request_id, UpstreamFailed())
+    allowed = False
+    if failures < MAXIMUM_FAILURES:
+        state, allowed = take_retry(state, request.team)
+    if not allowed:
+        return end_request(state, request.request_id, UpstreamFailed())
     state, effects = stop_attempt(state, attempt_id)
-    again = Waiting(attempt.request, attempt.tokens, failures)
+    again = Waiting(request, attempt.tokens, failures)
     return enqueue(state, again, at_front=True), effects
 
 
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,99 @@
+"""Which engine is chosen: policies, sharing rules, spans and the size of the sample."""
+
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+
+from lentilwell import Identity, Request, State, reduce
+from lentilwell import _events as ev
+from lentilwell._messages import Digest, EngineUse, LoadReport
+from lentilwell._placement import PLACEMENTS, sample_engines
+from tests.fleet import MEMORY, SLOTS, make_inventory
+
+
+def make_state(centres=None, teams=None, home="north", seed=1):
+    inventory = make_inventory(
+        centres=centres or {"e0": "north", "e1": "north", "e2": "south"},
+        teams=teams or {"t": ()},
+    )
+    state = State(Identity("a", "1", home), random=seed)
+    return reduce(state, ev.InventoryAccepted(0, inventory))[0]
+
+
+def make_request(prompt=1_000, team="t", answer=10):
+    return Request("r", team, "m", prompt, answer, 0, 60_000)
+
+
+def report(state, engine, used, streams=()):
+    load = LoadReport(engine, "x", 1, False, MEMORY, used, SLOTS, streams, ("m",))
+    return reduce(state, ev.LoadReported(0, load))[0]
+
+
+def hear(state, name, *uses):
+    digest = Digest(Identity(name, "1", "north"), 1, 1, False, uses, (), 0, 0)
+    return reduce(state, ev.DigestReceived(0, digest))[0]
+
+
+def place(state, request, policy="owner_share"):
+    return [share.engine for share in PLACEMENTS[policy](state, request)]
+
+
+def test_least_loaded_goes_by_the_report_alone():
+    state = report(report(make_state(), "e0", 10_000), "e1", 20_000)
+    state = report(state, "e2", 30_000)
+    state = hear(state, "b", EngineUse("e0", 3, 60_000, 60_000))
+    assert place(state, make_request(), "least_loaded") == ["e0"]
+    assert place(state, make_request(), "owner_share") == ["e1"]
+
+
+def test_two_choices_differ_between_draws_and_owner_share_spreads_equals():
+    for policy in ("two_choices", "owner_share"):
+        states = [make_state({f"e{n}": "north" for n in range(8)}, seed=s) for s in range(200)]
+        counts = Counter(place(state, make_request(), policy)[0] for state in states)
+        assert len(counts) == 8 and max(counts.values()) < 200 / 8 * 2.5
+
+
+def test_own_data_centre_wins_between_equals_and_loses_to_a_clear_backlog():
+    for home, near in (("north", {"e0", "e1"}), ("south", {"e2"})):
+        assert set(place(make_state(home=home), make_request())) <= near
+    state = hear(make_state(home="south"), "b", EngineUse("e2", 1, 50_000, 50_000))
+    assert place(state, make_request())[0] in {"e0", "e1"}
+
+
+@pytest.mark.parametrize("prompt", [1_000, 80_000, 150_000])
+@pytest.mark.parametrize("policy", sorted(PLACEMENTS))
+def test_sharing_rules_are_hard_limits(prompt, policy):
+    centres = {f"e{n}": "north" for n in range(40)}
+    state = make_state(centres, {"t": ("e7", "e31")})
+    assert set(place(state, make_request(prompt), policy)) <= {"e7", "e31"}
+    assert place(state, make_request(prompt), policy)
+    alone = make_state(centres, {"t": ("e7",)})
+    assert place(alone, make_request(150_000), policy) == []
+
+
+def test_span_is_of_one_data_centre_with_few_engines_and_room_for_the_answer():
+    centres = {"e0": "north", "e1": "north", "e2": "south", "e3": "south", "e4": "south"}
+    state = report(make_state(centres), "e3", 50_000)
+    shares = PLACEMENTS["owner_share"](state, make_request(190_000, answer=5_000))
+    assert {state.engines[s.engine].spec.data_centre for s in shares} == {"south"}
+    assert len(shares) == 2 and shares[0].memory_tokens > 5_000
+    assert sum(share.memory_tokens for share in shares) == 195_000
+    assert place(state, make_request(260_000)) == []
+
+
+def test_sample_is_bounded_and_covers_the_own_data_centre():
+    centres = {f"e{n}": f"dc{n % 20}" for n in range(2_000)}
+    state = make_state(centres, home="dc3")
+    names = [view.spec.name for view in sample_engines(state, make_request())]
+    assert len(names) == 16 and sum(centres[name] == "dc3" for name in names) >= 8
+
+
+def test_engine_that_left_the_inventory_keeps_its_books_until_its_attempts_end():
+    state = make_state({"e0": "north"})
+    state, (start,) = reduce(state, ev.RequestArrived(0, make_request()))
+    other = replace(make_inventory(2, {"e9": "north"}, {"t": ()}))
+    state, _ = reduce(state, ev.InventoryAccepted(0, other))
+    assert state.engines["e0"].own_streams == 1 and "e0" not in state.by_model["m"]
+    state, _ = reduce(state, ev.AttemptFinished(0, start.attempt_id, 10))
+    assert set(state.engines) == {"e9"}
