--- a/src/lentilwell/_ending.py
+++ b/src/lentilwell/_ending.py
@@ -4,6 +4,7 @@
 
 from pyrsistent import pset
 
+from lentilwell._backlogs import remove_backlog, remove_hold
 from lentilwell._cancels import cancel_streams
 from lentilwell._effects import CancelAttempt, Effect, EndRequest
 from lentilwell._errors import Failure
@@ -38,6 +39,9 @@
             engines = engines.set(share.engine, view)
         if not left and not is_listed(state, share.engine):
             engines = engines.discard(share.engine)
+    if attempt.first_token_at is None:
+        state = remove_backlog(state, attempt)
+    state = remove_hold(state, attempt)
     if tokens is not None:
         state = learn_decode(state, attempt, tokens)
     state = correct(state, attempt.request.team, used_ms(state, attempt) - attempt.cost_ms)
--- a/src/lentilwell/_placement.py
+++ b/src/lentilwell/_placement.py
@@ -8,12 +8,13 @@
 
 from collections.abc import Callable, Iterator, Sequence
 
+from lentilwell._backlogs import sum_ahead
 from lentilwell._estimates import estimate_service_ms, prefill_ms
 from lentilwell._health import is_doubtful, is_usable
 from lentilwell._holds import is_held
 from lentilwell._messages import Placement, Request
 from lentilwell._reservations import may_use
-from lentilwell._room import count_backlog, count_streams, free_memory
+from lentilwell._room import count_others_backlog, count_streams, free_memory
 from lentilwell._spans import find_span
 from lentilwell._state import EngineView, State, draw
 
@@ -77,7 +78,7 @@
     ejected: list[EngineView] = []
     estimate_ms = estimate_service_ms(state, request) if state.reservations else 0.0
     for view in sample_engines(state, request):
-        if state.reservations and not may_use(state, view, request, estimate_ms):
+        if not may_use(state, view, request, estimate_ms):
             continue
         if is_usable(view, state.now):
             found = True
@@ -145,9 +146,12 @@
 def score_owner_share(state: State, request: Request, view: EngineView) -> float:
     """Take the earliest first token by own use, peers' digests and the report.
 
+    Own prefills count where they go before the request; those of peers are known only in sum.
+
     Scores that differ by less than a tie are equal, so that instances do not all choose alike.
     """
-    wait_ms = prefill_ms(state, count_backlog(state, view), view.spec.name)
+    wait_ms = sum_ahead(state.backlogs.get(view.spec.name), request)
+    wait_ms += prefill_ms(state, count_others_backlog(state, view), view.spec.name)
     wait_ms += count_streams(state, view) * DECODE_MS_PER_STREAM
     ties = round(wait_ms / TIE_MS)
     near = view.spec.data_centre == state.identity.data_centre
--- a/src/lentilwell/_recovery.py
+++ b/src/lentilwell/_recovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from lentilwell._backlogs import remove_backlog
 from lentilwell._cancels import cancel_streams
 from lentilwell._effects import ResumeAttempt
 from lentilwell._ending import end_request, release, stop_attempt
@@ -35,6 +36,7 @@
         if view is not None:
             view = replace(view, own_backlog=view.own_backlog - share.memory_tokens)
             engines = engines.set(share.engine, view)
+    state = remove_backlog(state, attempt)
     attempt = replace(attempt, first_token_at=state.now)
     attempts = state.attempts.set(event.attempt_id, attempt)
     state = replace(state, engines=engines, attempts=attempts)
--- a/src/lentilwell/_reports.py
+++ b/src/lentilwell/_reports.py
@@ -62,7 +62,7 @@
     partly = sum(
         stream.prefilled_tokens
         for stream in report.streams
-        if stream.prefilled_tokens < stream.prompt_tokens
+        if stream.life != state.identity.life and stream.prefilled_tokens < stream.prompt_tokens
     )
     unclaimed = sum(
         stream.memory_tokens
--- a/src/lentilwell/_room.py
+++ b/src/lentilwell/_room.py
@@ -28,8 +28,7 @@
     return max(streams, len(view.report.streams) if view.report is not None else 0)
 
 
-def count_backlog(state: State, view: EngineView) -> int:
-    """Return the tokens that wait for their prefill, less what the report shows as done."""
+def count_others_backlog(state: State, view: EngineView) -> int:
+    """Return the tokens of peers that wait for their prefill, less what the report shows done."""
     use = state.peer_use.get(view.spec.name)
-    backlog = view.own_backlog + (use.backlog_tokens if use is not None else 0)
-    return max(0, backlog - view.partly_prefilled)
+    return 0 if use is None else max(0, use.backlog_tokens - view.partly_prefilled)
--- a/src/lentilwell/_spans.py
+++ b/src/lentilwell/_spans.py
@@ -55,12 +55,12 @@
             continue
         if count_streams(state, view) >= view.spec.slots:
             continue
-        if state.reservations and not may_use(state, view, request, estimate_ms):
+        if not may_use(state, view, request, estimate_ms):
             continue
         free = free_memory(state, view)
         if free >= LEAST_SHARE_TOKENS:
             roomy.append((free, view))
-    return sorted(roomy, key=lambda found: (-found[0], found[1].spec.name))
+    return sorted(roomy, key=lambda found: -found[0])
 
 
 def allowed_names(state: State, request: Request, centre: str) -> Sequence[str]:
