--- a/src/lentilwell/_dispatch.py
+++ b/src/lentilwell/_dispatch.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from lentilwell._backlogs import add_backlog
 from lentilwell._capacities import find_capacity
-from lentilwell._effects import Effect, StartAttempt
+from lentilwell._effects import Effect
 from lentilwell._ending import end_request
 from lentilwell._errors import Failure, PromptTooLong, Unauthorized, UnknownModel
 from lentilwell._estimates import (
@@ -16,11 +16,13 @@
     length_class,
 )
 from lentilwell._fairness import charge, put_back, take_team, unpark
+from lentilwell._grants import begin_attempt
 from lentilwell._messages import Placement, Request
 from lentilwell._order import note_start, rank_heads
 from lentilwell._placement import PLACEMENTS
 from lentilwell._priorities import find_priority, push_raise
 from lentilwell._queues import take_waiting, trim
+from lentilwell._records import replace
 from lentilwell._reducer import Step, follows
 from lentilwell._reservations import forget_reservation, is_large, reserve
 from lentilwell._state import Attempt, Scanned, State, Waiting, draw
@@ -109,7 +111,7 @@
     placements = place(state, request)
     if placements:
         state, started = start(state, waiting, placements)
-        return state, (started,)
+        return state, started
     return state, ()
 
 
@@ -123,7 +125,7 @@
         state, placements = try_head(state, waiting, scan, best=position == 0)
         if placements:
             state, started = start(state, waiting, placements)
-            return put_back(state, team, fitted=True), (*effects, started)
+            return put_back(state, team, fitted=True), (*effects, *started)
     if heads:
         scan.aside.append(team)
         return state, effects
@@ -179,9 +181,7 @@
     return PLACEMENTS[state.inventory.rules.placement](state, request)
 
 
-def start(
-    state: State, waiting: Waiting, placements: tuple[Placement, ...]
-) -> tuple[State, StartAttempt]:
+def start(state: State, waiting: Waiting, placements: tuple[Placement, ...]) -> Step:
     """Book the placements and make the attempt."""
     request = waiting.request
     identity = state.identity
@@ -215,7 +215,7 @@
         in_hand=state.in_hand.set(request.request_id, attempt_id),
         raises=push_raise(state, attempt),
     )
-    return state, StartAttempt(attempt_id, request, placements, priority, waiting.tokens)
+    return begin_attempt(state, attempt)
 
 
 def book(state: State, placements: tuple[Placement, ...]) -> State:
