Follow accepted versions by deltas from the platform and from peers

The head row names a record by digest; a record is a delta of whole sections or a whole text, and names the record before it, so that one digest vouches for the whole chain from either source.

Peers tell an instance the highest version they ever heard of its name, so that a restart with the platform down does not go below it; it stays not ready instead.

--- a/src/lentilwell/_application.py
+++ b/src/lentilwell/_application.py
@@ -15,7 +15,11 @@
 
 from lentilwell._callers import CallersApp, CallersContext
 from lentilwell._clock import Clock, SystemClock
-from lentilwell._configuration import fetch_inventory
+from lentilwell._configuration import (
+    CONFIGURATION_INTERVAL_MS,
+    ConfigurationFollower,
+    PeerSource,
+)
 from lentilwell._core import Core
 from lentilwell._dump import dump_state
 from lentilwell._effects import (
@@ -30,7 +34,6 @@
 from lentilwell._events import (
     CancelConfirmed,
     DrainStarted,
-    InventoryAccepted,
     LoadReported,
     LoadUnreadable,
     TickPassed,
@@ -55,7 +58,6 @@
 
 TICK_MS = 50
 REPORT_INTERVAL_MS = 250
-CONFIGURATION_INTERVAL_MS = 1_000
 CONTROL_WORKERS = 16
 OPERATORS_WORKERS = 4
 INCARNATION_LENGTH = 8
@@ -77,6 +79,7 @@
         self.engines = HttpEngineControl()
         self.transfer = TransferLoop(self.clock, self.core.post)
         self.peers = self._make_peers()
+        self.configuration = self._make_configuration()
         self.metrics = CollectorRegistry()
         self._control = ThreadPoolExecutor(CONTROL_WORKERS, thread_name_prefix="control")
         self._loops = ThreadPoolExecutor(thread_name_prefix="loop")
@@ -189,15 +192,15 @@
     def _make_peers(self) -> PeerNetwork:
         context = PeersContext(
             post=self.core.post,
-            version=lambda: 0,
-            head=lambda: None,
-            content=lambda _digest: None,
-            heard_version=lambda _peer, _version: None,
+            version=lambda: self.configuration.version,
+            head=lambda: self.configuration.read_head(),
+            content=lambda digest: self.configuration.read_record(digest),
+            heard_version=self._hear_version,
         )
         return PeerNetwork(self.settings.peers, self.identity, self.clock, context)
 
     def _register_hooks(self) -> None:
-        self.on_start(self._load_configuration)
+        self.on_start(self.configuration.poll)
         self.on_start(lambda: _ignore(self.transfer.start()))
         self.on_stop(self.transfer.close)
         self.on_stop(self.core.close)
@@ -205,7 +208,7 @@
         for server in (self.callers, self.operators):
             self._register_server(server)
         self.every(TICK_MS, lambda: _ignore(self.core.post(TickPassed(self.clock.now()))))
-        self.every(CONFIGURATION_INTERVAL_MS, self._load_configuration)
+        self.every(CONFIGURATION_INTERVAL_MS, self.configuration.poll)
         self.every(REPORT_INTERVAL_MS, self._read_reports)
 
     def _register_peers(self) -> None:
@@ -221,11 +224,15 @@
         self.on_stop(server.server_close)
         self.on_stop(server.shutdown)
 
-    def _load_configuration(self) -> None:
-        current = self.core.state.inventory
-        found = fetch_inventory(self.platform, 0 if current is None else current.version)
-        if found is not None:
-            self.core.post(InventoryAccepted(self.clock.now(), found)).result()
+    def _make_configuration(self) -> ConfigurationFollower:
+        source = PeerSource(self.peers.fetch_head, self.peers.fetch_content)
+        return ConfigurationFollower(
+            self.platform, source, self.clock, lambda event: self.core.post(event).result()
+        )
+
+    def _hear_version(self, peer: str, version: int, told: int) -> None:
+        if self.configuration.hear(peer, version, told):
+            self.call_later(lambda: _ignore(self.configuration.fetch(peer)))
 
     def _read_reports(self) -> None:
         inventory = self.core.state.inventory
--- a/src/lentilwell/_peer_link.py
+++ b/src/lentilwell/_peer_link.py
@@ -110,7 +110,7 @@
         key: bytes,
         identity: Identity,
         own_address: str,
-        heard: Callable[[Identity, int], None],
+        heard: Callable[[Identity, int, int], None],
     ) -> None:
         self.address = address
         self.peer: Identity | None = None
@@ -203,7 +203,7 @@
         self._reconnect_ms = RECONNECT_MINIMUM_MS
         self.sent_bytes += len(body)
         self.sent_messages += 1
-        self._heard(self._session.peer, reply.configuration)
+        self._heard(self._session.peer, reply.configuration, reply.told)
         return reply
 
     def _drop_session(self) -> None:
--- a/src/lentilwell/_peers.py
+++ b/src/lentilwell/_peers.py
@@ -37,6 +37,7 @@
 MAXIMUM_CONTENT_BYTES = 67_108_864
 FETCH_TIMEOUT_S = 5.0
 REFRESH_INTERVAL_MS = 250
+MAXIMUM_TOLD = 1_024
 
 
 @dataclass(frozen=True)
@@ -47,7 +48,7 @@
     version: Callable[[], int]
     head: Callable[[], bytes | None]
     content: Callable[[str], bytes | None]
-    heard_version: Callable[[str, int], None]
+    heard_version: Callable[[str, int, int], None]
 
 
 @dataclass(frozen=True)
@@ -100,6 +101,7 @@
         self._learned: dict[str, tuple[str, int]] = {}
         self._links: dict[str, PeerLink] = {}
         self._asks: dict[str, _Ask] = {}
+        self._told: dict[str, int] = {}
         self._lock = Lock()
         self._budget = ByteBudget(clock, DIGEST_BYTES_PER_SECOND)
         self._turn = 0
@@ -200,13 +202,15 @@
     def _receive(self, caller: Caller, message: Any) -> Any:
         """Take in one authenticated message and return the reply."""
         self._learn(caller)
-        reply = ttypes.Reply(self._context.version())
+        name = caller.identity.instance
+        reply = ttypes.Reply(self._context.version(), told=self._told.get(name, 0))
         now = self._clock.now()
         if message.digest is not None:
             digest = decode_digest(message.digest)
             _check_sender(caller, digest.sender)
             self._context.post(DigestReceived(now, digest))
-            self._context.heard_version(caller.identity.instance, digest.configuration)
+            self._note_told(name, digest.configuration)
+            self._context.heard_version(name, digest.configuration, 0)
         elif message.ask is not None:
             ask = decode_ask(message.ask)
             _check_sender(caller, ask.sender)
@@ -272,8 +276,13 @@
         self._links[address] = link
         self._workers.submit(link.run)
 
-    def _note_reply(self, peer: Identity, version: int) -> None:
-        self._context.heard_version(peer.instance, version)
+    def _note_told(self, name: str, version: int) -> None:
+        """Remember the highest version that an instance said it had, whatever its incarnation."""
+        if name in self._told or len(self._told) < MAXIMUM_TOLD:
+            self._told[name] = max(version, self._told.get(name, 0))
+
+    def _note_reply(self, peer: Identity, version: int, told: int) -> None:
+        self._context.heard_version(peer.instance, version, told)
 
     def _find_link(self, name: str) -> PeerLink | None:
         for link in list(self._links.values()):
--- a/src/lentilwell/_wire/ttypes.py
+++ b/src/lentilwell/_wire/ttypes.py
@@ -1379,12 +1379,14 @@
 
 class Reply(object):
     """
-    Answers every message; ``configuration`` is the version in force at the receiver.
+    Answers every message; ``configuration`` is the version in force at the receiver, ``told`` the
+    highest one that the receiver ever heard of this sender, in this or an earlier life.
 
     Attributes:
      - configuration
      - head
      - content
+     - told
 
     """
 
@@ -1392,13 +1394,15 @@
         'configuration',
         'head',
         'content',
+        'told',
     )
 
 
-    def __init__(self, configuration=None, head=None, content=None,):
+    def __init__(self, configuration=None, head=None, content=None, told=None,):
         self.configuration = configuration
         self.head = head
         self.content = content
+        self.told = told
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1425,6 +1429,11 @@
                     self.content.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.told = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1447,12 +1456,18 @@
             oprot.writeFieldBegin('content', TType.STRUCT, 3)
             self.content.write(oprot)
             oprot.writeFieldEnd()
+        if self.told is not None:
+            oprot.writeFieldBegin('told', TType.I64, 4)
+            oprot.writeI64(self.told)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
         if self.configuration is None:
             raise TProtocolException(message='Required field configuration is unset!')
+        if self.told is None:
+            raise TProtocolException(message='Required field told is unset!')
         return
 
     def __repr__(self):
@@ -1572,6 +1587,7 @@
     (1, TType.I64, 'configuration', None, None, ),  # 1
     (2, TType.STRING, 'head', 'BINARY', None, ),  # 2
     (3, TType.STRUCT, 'content', [Content, None], None, ),  # 3
+    (4, TType.I64, 'told', None, None, ),  # 4
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/lentilwell/peers.thrift
+++ b/src/lentilwell/peers.thrift
@@ -89,11 +89,15 @@
   2: required binary part
 }
 
-/** Answers every message; ``configuration`` is the version in force at the receiver. */
+/**
+ * Answers every message; ``configuration`` is the version in force at the receiver, ``told`` the
+ * highest one that the receiver ever heard of this sender, in this or an earlier life.
+ */
 struct Reply {
   1: required i64 configuration
   2: optional binary head
   3: optional Content content
+  4: required i64 told
 }
 
 service Exchange {
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -61,7 +61,7 @@
             version=lambda: 7,
             head=lambda: b"head",
             content=self.contents.get,
-            heard_version=lambda peer, version: self.versions.append((peer, version)),
+            heard_version=lambda *heard: self.versions.append(heard),
         )
         settings_ = PeersSettings(key=key, seeds=seeds)
         self.network = PeerNetwork(settings_, self.identity, SystemClock(), context)
@@ -137,7 +137,9 @@
     b.network.answer_grant("a", replace(answer, grant_id="never asked"))
     wait_for(lambda: a.seen(GrantAnswered))
     assert [event.answer for event in a.seen(GrantAnswered)] == [answer]
-    assert ("b", 7) in a.versions
+    assert ("b", 7, 0) in a.versions
+    b.network.send_digest(make_digest(b.identity, configuration=9))
+    wait_for(lambda: ("b", 9, 0) in a.versions and ("a", 7, 9) in b.versions)
 
 
 def test_seeds_and_greetings_make_peers_without_the_list(nodes):
