Add check and inventory commands, and prove the protocol with real processes

Exit codes: 0 done, 1 refused or conflict, 2 usage, 3 outcome unknown.

Real processes: two editors race on one base and one wins, a lost answer is settled, a wrong or undeliverable edit changes nothing, an instance that starts without the platform takes its peer's version, and one with neither is not ready until the platform is back.

--- a/src/lentilwell/_cli.py
+++ b/src/lentilwell/_cli.py
@@ -7,7 +7,7 @@
 from collections.abc import Sequence
 from importlib.metadata import version
 
-from lentilwell import _cli_operators
+from lentilwell import _cli_inventory, _cli_operators
 from lentilwell._application import Application
 from lentilwell._commands import COMMANDS, add_nothing, add_settings, command
 from lentilwell._errors import EXIT_DONE, LentilwellError
@@ -16,7 +16,7 @@
 
 EXIT_CODES = "exit codes: 0 done, 1 refused or conflict, 2 usage, 3 outcome unknown"
 
-_COMMAND_MODULES = (_cli_operators,)
+_COMMAND_MODULES = (_cli_inventory, _cli_operators)
 
 
 @command(
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -130,10 +130,11 @@
             ]
         )
 
-    def start_entry(self, name: str, data_centre: str) -> Process:
+    def start_entry(self, name: str, data_centre: str, peers_line: str = "") -> Process:
         """Start one entry instance and list it with the platform."""
         path = self.folder / f"{name}.ini"
-        path.write_text(self.settings_text(name, data_centre))
+        text = self.settings_text(name, data_centre)
+        path.write_text(text.replace("[peers]\n", f"[peers]\n{peers_line}\n"))
         process = launch(name, ["-m", "lentilwell", "entry", "--settings", str(path)], self.folder)
         self.entries.append(process)
         self.list_member(process, "entry", data_centre, "peers")
