--- a/src/lentilwell/_application.py
+++ b/src/lentilwell/_application.py
@@ -52,7 +52,7 @@
 REPORT_INTERVAL_MS = 250
 CONFIGURATION_INTERVAL_MS = 1_000
 CLAIM_RETRY_INTERVAL_MS = 250
-CLAIM_CLOSE_PATIENCE_MS = 5_000
+CLAIM_CLOSE_PATIENCE_MS = 60_000
 CONTROL_WORKERS = 16
 OPERATORS_WORKERS = 4
 INCARNATION_LENGTH = 8
@@ -193,7 +193,7 @@
         self.on_start(lambda: _ignore(self.transfer.start()))
         self.on_stop(self.transfer.close)
         self.on_stop(self.core.close)
-        self.on_stop(lambda: _ignore(self.claims.close(CLAIM_CLOSE_PATIENCE_MS)))
+        self.on_stop(self._close_claims)
         for server in (self.callers, self.operators):
             self._register_server(server)
         self.every(TICK_MS, lambda: _ignore(self.core.post(TickPassed(self.clock.now()))))
@@ -201,6 +201,10 @@
         self.every(REPORT_INTERVAL_MS, self._read_reports)
         self.every(CLAIM_RETRY_INTERVAL_MS, self.claims.retry_deferred)
 
+    def _close_claims(self) -> None:
+        patience_ms = min(CLAIM_CLOSE_PATIENCE_MS, self.settings.stop.patience_ms)
+        self.claims.close(patience_ms)
+
     def _register_server(self, server: PooledServer) -> None:
         self.on_start(lambda: _ignore(self._loops.submit(server.serve_forever, 0.1)))
         self.on_stop(server.server_close)
--- a/src/lentilwell/_platform.py
+++ b/src/lentilwell/_platform.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import base64
 from collections.abc import Callable
 from typing import TypeVar
 from urllib.parse import quote, urlencode
@@ -37,7 +36,7 @@
 
 class _RowBody(msgspec.Struct):
     key: str
-    value: str
+    value: bytes
     version: int
 
 
@@ -166,7 +165,7 @@
 
 
 def _to_row(body: _RowBody) -> Row:
-    return Row(body.key, base64.b64decode(body.value), body.version)
+    return Row(body.key, body.value, body.version)
 
 
 def _to_member(body: _MemberBody) -> Member:
--- a/tests/test_once_only.py
+++ b/tests/test_once_only.py
@@ -6,6 +6,8 @@
 import http.client
 import json
 import signal
+import subprocess
+import sys
 import time
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
@@ -79,6 +81,13 @@
         time.sleep(0.02)
 
 
+def run_keys(deployment, *arguments):
+    settings = str(deployment.folder / "entry-2.ini")
+    command = [sys.executable, "-m", "lentilwell", "keys", *arguments, "--settings", settings]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=PATIENCE_S)
+    return done.returncode, done.stdout
+
+
 def retry_until(deployment, key, status, allowed):
     """Retry through all instances in turn until one gives the status."""
     entries = [entry for entry in deployment.entries if entry.popen.poll() is None]
@@ -119,6 +128,11 @@
             assert send(second, deployment, "kill").code == "outcome_pending"
         assert count_calls(deployment, "arrivals", "kill") == 1
 
+    code, listed = run_keys(deployment, "list")
+    assert code == 0 and "kill" in listed and "pause" not in listed
+    settling = ("settle", "kill", "--team", "counters", "--outcome", "ran")
+    assert run_keys(deployment, *settling)[0] == 1, "its attempt might still wake and send"
+
 
 def test_table_down_losing_and_late(deployment):
     first, second = deployment.entries
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -15,17 +15,25 @@
 from lentilwell import ManualClock, SystemClock
 from lentilwell import _cli_keys as keys
 from lentilwell._callers import CallersApp, CallersContext
-from lentilwell._claim_runner import CLAIM_PREFIX, ClaimRunner, decode_row, name_row
-from lentilwell._claims import SETTLE_MARGIN_MS, ClaimStatus, Settlement
+from lentilwell._claim_runner import (
+    CLAIM_PREFIX,
+    ClaimedCall,
+    ClaimRunner,
+    decode_row,
+    name_row,
+)
+from lentilwell._claims import PAUSE_LIMIT_MS, SETTLE_MARGIN_MS, ClaimStatus, Settlement
 from lentilwell._errors import (
     AnswerLost,
     ConflictError,
     NotFound,
+    NotRun,
     OutcomeUnknownError,
     RefusedError,
     Unavailable,
     VersionConflict,
 )
+from lentilwell._http import HttpAnswer, HttpFailure
 from lentilwell._inventory import Inventory, Route, Service, Team
 from lentilwell._ports import Row
 from lentilwell._server import PooledServer
@@ -354,6 +362,36 @@
     assert len(counted) == 2
 
 
+def test_stop_records_what_is_left(make):
+    gateway = make(RawService())
+    gateway.platform.faults = [None, "unavailable", "unavailable"]
+    assert gateway.post("k").status == 201
+    assert gateway.claims.close(5_000) == 0
+    (row,) = gateway.platform.rows.values()
+    assert decode_row(row).claim.status is ClaimStatus.FINISHED
+
+
+@pytest.mark.parametrize(("pause_ms", "sent"), [(PAUSE_LIMIT_MS, 1), (PAUSE_LIMIT_MS + 1, 0)])
+def test_holder_that_was_paused_before_the_first_byte_does_not_send(pause_ms, sent):
+    platform, clock, made, idle = MemoryPlatform(), ManualClock(), [], []
+    runner = ClaimRunner(platform, clock, "entry-1", 1)
+
+    def make(guard):
+        clock.advance(pause_ms)
+        if not guard():
+            return Err(HttpFailure(sent=False, refused=True))
+        made.append(1)
+        return Ok(HttpAnswer(200, (), b""))
+
+    call = ClaimedCall("t", "k", "POST /", "digest", 10_000, make, lambda: idle.append(1))
+    told = runner.run(call)
+    runner.close(0)
+    assert len(made) == sent and idle == [1]
+    assert told.is_ok() if sent else told == Err(NotRun())
+    wanted = ClaimStatus.FINISHED if sent else ClaimStatus.FREE
+    assert decode_row(platform.rows[name_row("t", "k")]).claim.status is wanted
+
+
 def unsettled(gateway):
     gateway.platform.faults = []
     assert gateway.post("k").code == "outcome_unknown"
