--- a/src/lentilwell/_application.py
+++ b/src/lentilwell/_application.py
@@ -11,7 +11,6 @@
 from threading import Event as Flag
 
 from loguru import logger
-from prometheus_client import CollectorRegistry
 
 from lentilwell._callers import CallersApp, CallersContext
 from lentilwell._claim_runner import ClaimRunner
@@ -37,8 +36,16 @@
     TickPassed,
 )
 from lentilwell._inventory import Engine, Inventory
+from lentilwell._membership import MEMBERS_INTERVAL_MS, MembersPoller
 from lentilwell._messages import Identity
+from lentilwell._metrics import OUTCOME_CALLER_GONE, OUTCOME_WHOLE, Counts, Metrics
 from lentilwell._operators import OperatorsApp, OperatorsContext
+from lentilwell._peers import (
+    REFRESH_INTERVAL_MS,
+    PeerNetwork,
+    PeersContext,
+    register_peer_runners,
+)
 from lentilwell._platform import DIALECTS
 from lentilwell._server import PooledServer
 from lentilwell._service_instances import CallSlots, InstanceChooser
@@ -55,6 +62,7 @@
 CLAIM_CLOSE_PATIENCE_MS = 60_000
 CONTROL_WORKERS = 16
 OPERATORS_WORKERS = 4
+LOOP_WORKERS = 32
 INCARNATION_LENGTH = 8
 
 Hook = Callable[[], None]
@@ -73,9 +81,10 @@
         self.platform = DIALECTS[settings.platform.dialect](settings.platform)
         self.engines = HttpEngineControl()
         self.transfer = TransferLoop(self.clock, self.core.post)
-        self.metrics = CollectorRegistry()
+        self.peers = self._make_peers()
+        self.metrics = Metrics(lambda: self.core.state, self._count)
         self._control = ThreadPoolExecutor(CONTROL_WORKERS, thread_name_prefix="control")
-        self._loops = ThreadPoolExecutor(thread_name_prefix="loop")
+        self._loops = ThreadPoolExecutor(LOOP_WORKERS, thread_name_prefix="loop")
         self._stopping = Flag()
         self._stopped = Flag()
         self._on_start: list[Hook] = []
@@ -125,6 +134,7 @@
         signal.signal(signal.SIGINT, lambda *_: self.drain())
         self.start()
         ports = {"callers": self.callers.port, "operators": self.operators.port}
+        ports["peers"] = self.peers.server.port
         sys.stdout.write(json.dumps(ports) + "\n")
         sys.stdout.flush()
         while not self._stopping.wait(TICK_MS / 1_000):
@@ -168,6 +178,7 @@
             services=ServiceGateway(self.claims, chooser, self._slots, self.clock),
             post=self.core.post,
             on_end=self._log_end,
+            on_refusal=self.metrics.count_refusal,
         )
         app = CallersApp(callers, self.clock, context)
         return PooledServer(
@@ -180,7 +191,7 @@
             is_ready=self.is_ready,
             dump=lambda: dump_state(self.core.state),
             drain=self.drain,
-            metrics=self.metrics,
+            metrics=self.metrics.registry,
         )
         app = OperatorsApp(operators.token, context)
         timeout_ms = self.settings.callers.read_timeout_ms
@@ -188,11 +199,22 @@
             operators.host, operators.port, app, OPERATORS_WORKERS, timeout_ms, self.clock
         )
 
+    def _make_peers(self) -> PeerNetwork:
+        context = PeersContext(
+            post=self.core.post,
+            version=lambda: 0,
+            head=lambda: None,
+            content=lambda _digest: None,
+            heard_version=lambda _peer, _version: None,
+        )
+        return PeerNetwork(self.settings.peers, self.identity, self.clock, context)
+
     def _register_hooks(self) -> None:
         self.on_start(self._load_configuration)
         self.on_start(lambda: _ignore(self.transfer.start()))
         self.on_stop(self.transfer.close)
         self.on_stop(self.core.close)
+        self._register_peers()
         self.on_stop(self._close_claims)
         for server in (self.callers, self.operators):
             self._register_server(server)
@@ -205,6 +227,14 @@
         patience_ms = min(CLAIM_CLOSE_PATIENCE_MS, self.settings.stop.patience_ms)
         self.claims.close(patience_ms)
 
+    def _register_peers(self) -> None:
+        poller = MembersPoller(self.platform, self.clock, self.core.post, self.peers.note_members)
+        register_peer_runners(self.core, self.peers)
+        self.on_start(lambda: _ignore(self._loops.submit(self.peers.server.serve)))
+        self.on_stop(self.peers.close)
+        self.every(MEMBERS_INTERVAL_MS, poller.poll)
+        self.every(REFRESH_INTERVAL_MS, self.peers.refresh)
+
     def _register_server(self, server: PooledServer) -> None:
         self.on_start(lambda: _ignore(self._loops.submit(server.serve_forever, 0.1)))
         self.on_stop(server.server_close)
@@ -231,20 +261,38 @@
         else:
             self.core.post(LoadUnreadable(now, engine.name))
 
+    def _count(self) -> Counts:
+        return Counts(self.core.events, self.transfer.chunks, self.transfer.open_exchanges)
+
     def _log_end(self, exchange: Exchange) -> None:
         request = exchange.request
+        total_ms = self.clock.now() - request.arrived_at
+        first_ms = None
+        if exchange.first_token_at is not None:
+            first_ms = exchange.first_token_at - request.arrived_at
+        outcome = judge_outcome(exchange)
+        self.metrics.count_end(request, outcome, exchange.next_index, first_ms, total_ms)
         logger.info(
             "request ended",
             request=request.request_id,
             team=request.team,
             model=request.model,
+            attempt=exchange.attempt_id or None,
+            outcome=outcome,
             prompt_tokens=request.prompt_tokens,
             answer_tokens=exchange.next_index,
-            failure=exchange.failure.code if exchange.failure else None,
-            total_ms=self.clock.now() - request.arrived_at,
+            first_token_ms=first_ms,
+            total_ms=total_ms,
         )
 
 
+def judge_outcome(exchange: Exchange) -> str:
+    """Return how an exchange ended: whole, the code of its failure, or the caller gone."""
+    if exchange.failure is not None:
+        return exchange.failure.code
+    return OUTCOME_WHOLE if exchange.closing else OUTCOME_CALLER_GONE
+
+
 def register_runners(app: Application) -> None:
     """Register how each effect of the reducer is carried out."""
 
--- a/src/lentilwell/_recovery.py
+++ b/src/lentilwell/_recovery.py
@@ -4,9 +4,11 @@
 
 from dataclasses import replace
 
-from lentilwell._admission import end_request, enqueue, release, stop_attempt
+from lentilwell._backlogs import remove_backlog
 from lentilwell._effects import CancelStream, ResumeAttempt
+from lentilwell._ending import end_request, release, stop_attempt
 from lentilwell._errors import UpstreamFailed
+from lentilwell._estimates import learn_prefill
 from lentilwell._events import (
     AttemptFailed,
     AttemptFinished,
@@ -15,6 +17,7 @@
     ProgressSeen,
 )
 from lentilwell._messages import Cause
+from lentilwell._queues import enqueue
 from lentilwell._reducer import Step, handles
 from lentilwell._state import State, Waiting
 
@@ -35,9 +38,11 @@
         if view is not None:
             view = replace(view, own_backlog=view.own_backlog - share.memory_tokens)
             engines = engines.set(share.engine, view)
+    state = remove_backlog(state, attempt)
     attempt = replace(attempt, first_token_at=state.now)
     attempts = state.attempts.set(event.attempt_id, attempt)
-    return replace(state, engines=engines, attempts=attempts), ()
+    state = replace(state, engines=engines, attempts=attempts)
+    return learn_prefill(state, attempt), ()
 
 
 @handles(ProgressSeen)
@@ -58,7 +63,7 @@
         return state, ()
     segments = attempt.placements[1:]
     frees = tuple(CancelStream(share.engine, event.attempt_id) for share in segments)
-    return release(state, event.attempt_id), frees
+    return release(state, event.attempt_id, event.tokens), frees
 
 
 @handles(AttemptFailed)
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -38,6 +38,7 @@
     order: str = "response_ratio"
     placement: str = "owner_share"
     log_level: str = "INFO"
+    engine_options: tuple[str, ...] = ()
 
 
 @dataclass
@@ -79,7 +80,10 @@
     def inventory_text(self) -> str:
         """Return the inventory of what runs, in INI."""
         plan = self.plan
-        lines = ["[model assistant]", "context_tokens = 1100000", ""]
+        lines = ["[rules]", f"order = {plan.order}", f"placement = {plan.placement}", ""]
+        lines += ["[model assistant]", "context_tokens = 1100000", ""]
+        for centre in plan.data_centres:
+            lines += [f"[data_centre {centre}]", ""]
         for number, process in enumerate(self.engines):
             centre = plan.data_centres[number % len(plan.data_centres)]
             lines += [f"[engine {process.name}]", f"url = {process.url()}"]
@@ -134,8 +138,24 @@
         path.write_text(self.settings_text(name, data_centre))
         process = launch(name, ["-m", "lentilwell", "entry", "--settings", str(path)], self.folder)
         self.entries.append(process)
+        self.list_member(process, "entry", data_centre, "peers")
         return process
 
+    def list_member(
+        self, process: Process, kind: str, data_centre: str, listener: str = "port"
+    ) -> None:
+        """Put a started process into the platform's list of instances."""
+        member = {
+            "name": process.name,
+            "kind": kind,
+            "address": f"127.0.0.1:{process.ports[listener]}",
+            "data_centre": data_centre,
+            "incarnation": str(process.popen.pid),
+            "leaving": False,
+        }
+        url = f"{self.platform.url()}/instances/{process.name}"
+        call("PUT", url, json.dumps(member).encode())
+
     def stop(self) -> list[int]:
         """Stop everything, entry instances gracefully first; return their exit codes."""
         codes = stop_processes(self.entries)
@@ -204,10 +224,14 @@
     plan = deployment.plan
     for number in range(plan.engines):
         deployment.engines.append(start_engine(deployment, f"engine-{number + 1}"))
+        centre = plan.data_centres[number % len(plan.data_centres)]
+        deployment.list_member(deployment.engines[-1], "engine", centre)
     for number in range(plan.services):
         service = f"{plan.service_name}-{number + 1}"
         arguments = ["-m", "standins.service", "--name", service]
         deployment.services.append(launch(service, arguments, deployment.folder))
+        centre = plan.data_centres[number % len(plan.data_centres)]
+        deployment.list_member(deployment.services[-1], "service", centre)
     deployment.keys = {team: f"key-of-{team}" for team in plan.teams}
     deployment.put_inventory()
     for number in range(plan.instances):
@@ -221,5 +245,5 @@
     arguments = ["-m", "standins.engine", "--name", name, "--port", str(port)]
     arguments += ["--speed", str(plan.speed), "--prefill-rate", str(plan.prefill_rate)]
     arguments += ["--decode-ms", str(plan.decode_ms), "--slots", str(plan.slots)]
-    arguments += ["--memory-tokens", str(plan.memory_tokens)]
+    arguments += ["--memory-tokens", str(plan.memory_tokens), *plan.engine_options]
     return launch(name, arguments, deployment.folder)
