--- a/src/lentilwell/_application.py
+++ b/src/lentilwell/_application.py
@@ -61,7 +61,7 @@
 TICK_MS = 50
 REPORT_INTERVAL_MS = 250
 CLAIM_RETRY_INTERVAL_MS = 250
-CLAIM_CLOSE_PATIENCE_MS = 5_000
+CLAIM_CLOSE_PATIENCE_MS = 60_000
 CONTROL_WORKERS = 16
 OPERATORS_WORKERS = 4
 LOOP_WORKERS = 32
@@ -218,7 +218,7 @@
         self.on_stop(self.transfer.close)
         self.on_stop(self.core.close)
         self._register_peers()
-        self.on_stop(lambda: _ignore(self.claims.close(CLAIM_CLOSE_PATIENCE_MS)))
+        self.on_stop(self._close_claims)
         for server in (self.callers, self.operators):
             self._register_server(server)
         self.every(TICK_MS, lambda: _ignore(self.core.post(TickPassed(self.clock.now()))))
@@ -226,6 +226,10 @@
         self.every(REPORT_INTERVAL_MS, self._read_reports)
         self.every(CLAIM_RETRY_INTERVAL_MS, self.claims.retry_deferred)
 
+    def _close_claims(self) -> None:
+        patience_ms = min(CLAIM_CLOSE_PATIENCE_MS, self.settings.stop.patience_ms)
+        self.claims.close(patience_ms)
+
     def _register_peers(self) -> None:
         poller = MembersPoller(self.platform, self.clock, self.core.post, self.peers.note_members)
         register_peer_runners(self.core, self.peers)
