--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -72,6 +72,7 @@
     keys: dict[str, str] = field(default_factory=dict)
     operator_token: str = "operator-token"
     version: int = 0
+    streams_left: set[str] = field(default_factory=set)
 
     def processes(self) -> list[Process]:
         """Return all processes, entry instances first."""
--- a/standins/model.py
+++ b/standins/model.py
@@ -343,10 +343,15 @@
             self.reports.pop(0)
         return self.reports[0][1]
 
+    def describe_stream(self, stream: Stream) -> str:
+        """Return what a reader of a report of leaks needs."""
+        return f"{stream.stream} {stream.role} of {stream.memory_tokens} on {self.options.name}"
+
     def describe(self) -> dict[str, object]:
         """Return what a check of the invariants needs."""
         return {
             "streams": len(self.streams),
+            "names": [self.describe_stream(stream) for stream in self.streams.values()],
             "memory_used": self.memory_used(),
             "cache_tokens": self.cache.tokens,
             "memory_tokens": self.options.memory_tokens,
