--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,7 +15,7 @@
 
 from bench.measures import MEASURES, Bench
 from bench.path import measure_path
-from bench.results import Row, write_data, write_line, write_table
+from bench.results import Row, read_commit, write_data, write_line, write_table
 from bench.running import BENCH_PLAN, Policies
 from standins.deployment import deploy
 
@@ -39,6 +39,7 @@
     """Run the chosen measures."""
     options = read_options()
     started = time.monotonic()
+    commit = read_commit()
     policies = [Policies(*text.split("/")) for text in options.policies.split(",")]
     seeds = range(1, options.seeds + 1)
     rows: list[Row] = []
@@ -67,7 +68,7 @@
         rows += measure_path(options.quick)
     write_table(rows)
     command = "python -m bench " + shlex.join(sys.argv[1:])
-    write_data(options.output, command.strip(), rows, details)
+    write_data(options.output, command.strip(), commit, rows, details)
     write_line(f"# {time.monotonic() - started:.0f} s; data in {options.output}")
     return 1 if faults else 0
 
--- a/bench/results.py
+++ b/bench/results.py
@@ -79,12 +79,12 @@
     return {**asdict(row), "values": values, "median": None if None in values else row.median}
 
 
-def write_data(path: Path, command: str, rows: Sequence[Row], details: object) -> None:
+def write_data(path: Path, command: str, commit: str, rows: Sequence[Row], details: object) -> None:
     """Write the figures and what lies behind them as JSON."""
     path.parent.mkdir(parents=True, exist_ok=True)
     data = {
         "command": command,
-        "commit": read_commit(),
+        "commit": commit,
         "rows": [describe_row(row) for row in rows],
         "details": details,
     }
