Look at fewer things an event, and pass over teams that have left

- dispatch looks at a head only where it may fit or may need a reservation, finds a team's capacity once a search, and checks whether the inventory can still serve a request only when it did not fit.

--- a/src/lentilwell/_admission.py
+++ b/src/lentilwell/_admission.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from lentilwell._capacities import measure_capacities
 from lentilwell._deadlines import find_overload, skip_draw
 from lentilwell._dispatch import find_unservable
@@ -15,6 +13,7 @@
 from lentilwell._inventory_index import index_inventory
 from lentilwell._messages import Request
 from lentilwell._queues import enqueue
+from lentilwell._records import replace
 from lentilwell._reducer import Step, handles
 from lentilwell._retries import earn_retry
 from lentilwell._state import State, Waiting
--- a/src/lentilwell/_backlogs.py
+++ b/src/lentilwell/_backlogs.py
@@ -6,12 +6,11 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from pyrsistent import PMap, pmap
 
 from lentilwell._estimates import length_class
 from lentilwell._messages import Request
+from lentilwell._records import replace
 from lentilwell._state import Attempt, State
 
 Totals = PMap[int, float]
--- a/src/lentilwell/_deadlines.py
+++ b/src/lentilwell/_deadlines.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from lentilwell._backlogs import sum_ahead
 from lentilwell._capacities import Capacity, find_capacity
 from lentilwell._effects import Effect
@@ -18,6 +16,7 @@
 from lentilwell._fairness import find_weight
 from lentilwell._messages import Request
 from lentilwell._queues import latest_start
+from lentilwell._records import replace
 from lentilwell._reducer import Step, follows
 from lentilwell._state import State, TeamQueue, Waiting, draw
 
--- a/src/lentilwell/_dispatch.py
+++ b/src/lentilwell/_dispatch.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from lentilwell._backlogs import add_backlog
-from lentilwell._capacities import find_capacity
+from lentilwell._capacities import Capacity, find_capacity
 from lentilwell._effects import Effect, StartAttempt
 from lentilwell._ending import end_request
 from lentilwell._errors import Failure, PromptTooLong, Unauthorized, UnknownModel
@@ -21,6 +21,7 @@
 from lentilwell._placement import PLACEMENTS
 from lentilwell._priorities import find_priority, push_raise
 from lentilwell._queues import take_waiting, trim
+from lentilwell._records import replace
 from lentilwell._reducer import Step, follows
 from lentilwell._reservations import forget_reservation, is_large, reserve
 from lentilwell._state import Attempt, Scanned, State, Waiting, draw
@@ -30,6 +31,8 @@
 RESCAN_MS = 20
 _WHOLE_RANGE = 1 << 32
 
+ScanKey = tuple[str, tuple[str, ...]]
+
 
 @dataclass
 class Scan:
@@ -40,13 +43,22 @@
     """
 
     aside: list[str] = field(default_factory=list)
-    too_large: dict[tuple[str, tuple[str, ...]], int] = field(default_factory=dict)
+    too_large: dict[ScanKey, int] = field(default_factory=dict)
+    capacities: dict[ScanKey, Capacity | None] = field(default_factory=dict)
 
-    def key(self, state: State, request: Request) -> tuple[str, tuple[str, ...]]:
+    def key(self, state: State, request: Request) -> ScanKey:
         """Return what decides which engines a request may use."""
         assert state.inventory is not None
         return request.model, state.inventory.teams[request.team].engines
 
+    def find_capacity(self, state: State, request: Request) -> Capacity | None:
+        """Return the capacity of the engines that a request may use."""
+        key = self.key(state, request)
+        if key not in self.capacities:
+            found = find_capacity(state.capacities, request.team, request.model)
+            self.capacities[key] = found
+        return self.capacities[key]
+
     def excludes(self, state: State, request: Request) -> bool:
         """Tell whether a request is known not to fit."""
         limit = self.too_large.get(self.key(state, request))
@@ -55,8 +67,9 @@
     def considers(self, state: State, waiting: Waiting) -> bool:
         """Tell whether a head is worth a try: it may fit, or is large enough for a reservation."""
         request = waiting.request
-        capacity = find_capacity(state.capacities, request.team, request.model)
-        return is_large(request, capacity) or not self.excludes(state, request)
+        if not self.excludes(state, request):
+            return True
+        return is_large(request, self.find_capacity(state, request))
 
     def note(self, state: State, request: Request) -> None:
         """Remember that a request did not fit."""
@@ -76,9 +89,11 @@
     scan = Scan()
     state = unpark(replace(state, untried=""))
     for turn in range(STARTS_PER_EVENT + FAILED_TEAMS_PER_EVENT):
-        if not (state.ready or state.parked) or len(scan.aside) == FAILED_TEAMS_PER_EVENT:
+        if len(scan.aside) == FAILED_TEAMS_PER_EVENT:
+            break
+        state, team = take_team(state, from_ready=turn % 2 == 1)
+        if not team:
             break
-        state, team = take_team(state, from_ready=bool(turn % 2 and state.ready))
         state, more = serve_team(state, team, scan)
         effects.extend(more)
     for team in scan.aside:
@@ -115,16 +130,23 @@
 
 def serve_team(state: State, team: str, scan: Scan) -> Step:
     """Start the best request of a taken team that fits; set the team aside where none does."""
-    state, effects = end_unservable(trim(state, team), team)
+    inventory = state.inventory
+    assert inventory is not None
+    state = trim(state, team)
+    if team not in inventory.teams:
+        return end_team(state, team)
     queue = state.queues[team]
     heads = [state.waiting[ids.first] for ids in queue.classes.values()]
     ranked = rank_heads(state, queue, [head for head in heads if scan.considers(state, head)])
+    effects: tuple[Effect, ...] = ()
     for position, waiting in enumerate(ranked):
         state, placements = try_head(state, waiting, scan, best=position == 0)
         if placements:
             state, started = start(state, waiting, placements)
             return put_back(state, team, fitted=True), (*effects, started)
-    if heads:
+        state, ended = end_unservable(state, waiting.request)
+        effects += ended
+    if state.queues[team].classes:
         scan.aside.append(team)
         return state, effects
     return put_back(state, team, fitted=False), effects
@@ -140,24 +162,28 @@
         if placements:
             return state, placements
         scan.note(state, request)
-    if best and is_large(request, find_capacity(state.capacities, request.team, request.model)):
+    if best and is_large(request, scan.find_capacity(state, request)):
         state = reserve(state, request)
     return state, ()
 
 
-def end_unservable(state: State, team: str) -> Step:
-    """End heads that the inventory in force can no longer serve."""
+def end_team(state: State, team: str) -> Step:
+    """End all that waits for a team that the inventory no longer names."""
     effects: tuple[Effect, ...] = ()
-    for kind in tuple(state.queues[team].classes):
-        while kind in state.queues[team].classes:
-            request = state.waiting[state.queues[team].classes[kind].first].request
-            failure = find_unservable(state, request)
-            if failure is None:
-                break
-            state, more = end_request(state, request.request_id, failure)
+    for ids in state.queues[team].classes.values():
+        for request_id in ids:
+            state, more = end_request(state, request_id, Unauthorized())
             effects += more
-            state = trim(state, team)
-    return state, effects
+    return put_back(trim(state, team), team, fitted=False), effects
+
+
+def end_unservable(state: State, request: Request) -> Step:
+    """End a request that did not fit if the inventory in force can never serve it."""
+    failure = find_unservable(state, request)
+    if failure is None:
+        return state, ()
+    state, effects = end_request(state, request.request_id, failure)
+    return trim(state, request.team), effects
 
 
 def find_unservable(state: State, request: Request) -> Failure | None:
--- a/src/lentilwell/_ending.py
+++ b/src/lentilwell/_ending.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from lentilwell._backlogs import remove_backlog, remove_hold
 from lentilwell._effects import CancelAttempt, CancelStream, Effect, EndRequest
 from lentilwell._errors import Failure
 from lentilwell._estimates import estimate_cost_ms, learn_decode, prefill_ms
 from lentilwell._fairness import correct
 from lentilwell._queues import drop_waiting
+from lentilwell._records import replace
 from lentilwell._reducer import Step
 from lentilwell._reservations import forget_reservation
 from lentilwell._state import Attempt, State
--- a/src/lentilwell/_fairness.py
+++ b/src/lentilwell/_fairness.py
@@ -10,8 +10,7 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
+from lentilwell._records import replace
 from lentilwell._state import State, TeamQueue
 
 BURST_MS = 1_000.0
@@ -42,12 +41,13 @@
 
 
 def take_team(state: State, from_ready: bool) -> tuple[State, str]:
-    """Take the team with the lowest tag out of both heaps, or out of the ready one alone.
+    """Take the team with the lowest tag out of both heaps, or out of the ready one where it can.
 
-    A team whose tag has risen since it was put there first moves to its right place.
+    A team whose tag has risen since it was put there first moves to its right place. The name is
+    empty where no team is left.
     """
-    while True:
-        ready = from_ready or state.ready.key <= state.parked.key
+    while state.ready or state.parked:
+        ready = bool(state.ready) and (from_ready or state.ready.key <= state.parked.key)
         key = state.ready.key if ready else state.parked.key
         team, rest = (state.ready if ready else state.parked).pop()
         tag = state.queues[team].tag or 0.0
@@ -55,6 +55,7 @@
         if tag <= key:
             return state, team
         state = put_back(state, team, fitted=ready)
+    return state, ""
 
 
 def put_back(state: State, team: str, fitted: bool) -> State:
--- a/src/lentilwell/_order.py
+++ b/src/lentilwell/_order.py
@@ -7,12 +7,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from pyrsistent import PMap, pmap
 
 from lentilwell._estimates import estimate_service_ms, length_class
 from lentilwell._messages import Request
+from lentilwell._records import replace
 from lentilwell._state import State, TeamQueue, Waiting
 
 OrderPolicy = Callable[["Candidate"], float]
--- a/src/lentilwell/_priorities.py
+++ b/src/lentilwell/_priorities.py
@@ -7,12 +7,11 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from lentilwell._effects import ChangePriority
 from lentilwell._estimates import estimate_service_ms, prefill_ms
 from lentilwell._heap import Heap
 from lentilwell._messages import Request
+from lentilwell._records import replace
 from lentilwell._reducer import Step, follows
 from lentilwell._state import Attempt, State
 
--- a/src/lentilwell/_queues.py
+++ b/src/lentilwell/_queues.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from pyrsistent import pmap
 
 from lentilwell._backlogs import Totals, add_total
 from lentilwell._estimates import estimate_cost_ms, estimate_service_ms, length_class
 from lentilwell._fairness import join
 from lentilwell._fifo import Fifo, make_fifo
+from lentilwell._records import replace
 from lentilwell._state import State, TeamQueue, Waiting
 
 STALE_LIMIT = 64
--- a/src/lentilwell/_reducer.py
+++ b/src/lentilwell/_reducer.py
@@ -7,11 +7,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import replace
 from typing import Any, TypeVar
 
 from lentilwell._effects import Effect
 from lentilwell._events import Event
+from lentilwell._records import replace
 from lentilwell._state import State
 
 Step = tuple[State, tuple[Effect, ...]]
--- a/src/lentilwell/_reservations.py
+++ b/src/lentilwell/_reservations.py
@@ -8,11 +8,12 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from lentilwell._backlogs import sum_ahead
 from lentilwell._capacities import Capacity
 from lentilwell._messages import Placement, Request
+from lentilwell._records import replace
 from lentilwell._state import EngineView, Reservation, State, draw
 
 LARGE_DIVISOR = 4
--- a/src/lentilwell/_retries.py
+++ b/src/lentilwell/_retries.py
@@ -6,8 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
+from lentilwell._records import replace
 from lentilwell._state import State, TeamQueue
 
 RETRY_PERCENTS = 100
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -18,6 +18,7 @@
     RequestArrived,
     TickPassed,
 )
+from lentilwell._fairness import correct, take_team, unpark
 from lentilwell._fifo import make_fifo
 from lentilwell._heap import Heap
 from lentilwell._inventory import Engine, Inventory, Model, Rules, Team
@@ -275,3 +276,19 @@
         server.pass_time(50)
         assert len(server.raises) - before <= 8
     assert all(attempt.priority == 0 for attempt in server.state.attempts.values())
+
+
+def test_a_team_that_left_is_passed_over_when_teams_are_taken():
+    server = Server([Team("gone", 1, ()), Team("waits", 1, ())])
+    server.arrive("waits", 300_000)
+    server.arrive("waits", 300_000)
+    name = server.arrive("gone", 300_000)
+    state = unpark(reduce(server.state, CallerGone(0, name))[0])
+    state = replace(state, ready=state.ready, parked=Heap())
+    while state.ready:
+        state, _ = take_team(state, from_ready=True)
+    state = correct(state, "gone", 5_000.0)
+    only = Heap().push(0.0, "gone")
+    assert take_team(replace(state, ready=only), from_ready=True)[1] == ""
+    parked = replace(state, ready=only, parked=Heap().push(0.0, "waits"))
+    assert take_team(parked, from_ready=True)[1] == "waits"
