Probe the smallest head of a team after its best one did not fit

Cause: with no room at all, each head of a team was tried from the best to the worst, a look at 16 engines each. If the smallest has no room, none has.

--- a/src/lentilwell/_dispatch.py
+++ b/src/lentilwell/_dispatch.py
@@ -146,6 +146,8 @@
             return put_back(state, team, fitted=True), (*effects, started)
         state, ended = end_unservable(state, waiting.request)
         effects += ended
+        if position == 0:
+            probe_smallest(state, ranked[1:], scan)
     if state.queues[team].classes:
         scan.aside.append(team)
         return state, effects
@@ -167,6 +169,15 @@
     return state, ()
 
 
+def probe_smallest(state: State, heads: list[Waiting], scan: Scan) -> None:
+    """Look whether the smallest of several heads fits; where not, none of them does."""
+    if len(heads) < 2:
+        return
+    smallest = min(heads, key=lambda waiting: waiting.request.memory_tokens).request
+    if not scan.excludes(state, smallest) and not place(state, smallest):
+        scan.note(state, smallest)
+
+
 def end_team(state: State, team: str) -> Step:
     """End all that waits for a team that the inventory no longer names."""
     effects: tuple[Effect, ...] = ()
