--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 	@$(PY) -m standins.up
 
 test: $(SETUP)
-	$(PY) -m pytest -n 4
+	$(PY) -m pytest -n 4 --dist loadfile
 
 bench: $(SETUP)
 	$(PY) -m bench
--- a/src/lentilwell/_application.py
+++ b/src/lentilwell/_application.py
@@ -7,7 +7,7 @@
 import sys
 import uuid
 from collections.abc import Callable
-from concurrent.futures import Future, ThreadPoolExecutor
+from concurrent.futures import ThreadPoolExecutor
 from threading import Event as Flag
 
 from loguru import logger
@@ -22,23 +22,9 @@
 )
 from lentilwell._core import Core
 from lentilwell._dump import dump_state
-from lentilwell._effects import (
-    CancelAttempt,
-    CancelStream,
-    ChangePriority,
-    EndRequest,
-    ResumeAttempt,
-    StartAttempt,
-)
-from lentilwell._engines import HttpEngineControl, OpenStream
-from lentilwell._events import (
-    CancelConfirmed,
-    DrainStarted,
-    LoadReported,
-    LoadUnreadable,
-    TickPassed,
-)
-from lentilwell._inventory import Engine, Inventory
+from lentilwell._engines import HttpEngineControl
+from lentilwell._errors import NotReady
+from lentilwell._events import DrainStarted, TickPassed
 from lentilwell._membership import MEMBERS_INTERVAL_MS, MembersPoller
 from lentilwell._messages import Identity
 from lentilwell._metrics import OUTCOME_CALLER_GONE, OUTCOME_WHOLE, Counts, Metrics
@@ -50,21 +36,23 @@
     register_peer_runners,
 )
 from lentilwell._platform import DIALECTS
+from lentilwell._polling import CACHE_INTERVAL_MS, REPORT_INTERVAL_MS, EnginePoller
+from lentilwell._runners import RunnerContext, register_runners
 from lentilwell._server import PooledServer
 from lentilwell._service_instances import CallSlots, InstanceChooser
 from lentilwell._services import ServiceGateway
 from lentilwell._settings import Settings
 from lentilwell._state import State
 from lentilwell._streams import Exchange
-from lentilwell._transfer import StreamTarget, TransferLoop
+from lentilwell._transfer import TransferLoop
 
 TICK_MS = 50
-REPORT_INTERVAL_MS = 250
 CLAIM_RETRY_INTERVAL_MS = 250
 CLAIM_CLOSE_PATIENCE_MS = 60_000
 CONTROL_WORKERS = 16
 OPERATORS_WORKERS = 4
 LOOP_WORKERS = 32
+LAST_WORDS_MS = 2_000
 INCARNATION_LENGTH = 8
 
 Hook = Callable[[], None]
@@ -82,6 +70,7 @@
         self.core = Core(State(self.identity, random=seed))
         self.platform = DIALECTS[settings.platform.dialect](settings.platform)
         self.engines = HttpEngineControl()
+        self.poller = EnginePoller(self.engines, self.clock, self.core)
         self.transfer = TransferLoop(self.clock, self.core.post)
         self.peers = self._make_peers()
         self.configuration = self._make_configuration()
@@ -92,14 +81,13 @@
         self._stopped = Flag()
         self._on_start: list[Hook] = []
         self._on_stop: list[Hook] = []
-        self._reading: dict[str, Future[None]] = {}
         self._slots = CallSlots(settings.callers.workers)
         self.claims = ClaimRunner(
             self.platform, self.clock, settings.instance.name, self._slots.limit
         )
         self.callers = self._make_callers()
         self.operators = self._make_operators()
-        register_runners(self)
+        register_runners(self._make_runner_context())
         self._register_hooks()
 
     def on_start(self, hook: Hook) -> Hook:
@@ -169,9 +157,17 @@
         while self.clock.now() < lag_over:
             self._stopped.wait(TICK_MS / 1_000)
         self.core.post(DrainStarted(self.clock.now()))
-        while self.transfer.open_exchanges and self.clock.now() < give_up:
+        while self._has_work() and self.clock.now() < give_up:
+            self._stopped.wait(TICK_MS / 1_000)
+        self.transfer.end_all(NotReady())
+        cut_off = self.clock.now() + LAST_WORDS_MS
+        while self.transfer.open_exchanges and self.clock.now() < cut_off:
             self._stopped.wait(TICK_MS / 1_000)
 
+    def _has_work(self) -> bool:
+        """Tell whether a caller waits for the rest of an answer, or an engine for a cancel."""
+        return self.transfer.open_exchanges > 0 or bool(self.core.state.cancels)
+
     def _make_callers(self) -> PooledServer:
         callers = self.settings.callers
         chooser = InstanceChooser(self.clock, self.identity.data_centre)
@@ -217,19 +213,31 @@
         self.on_start(lambda: _ignore(self.transfer.start()))
         self.on_stop(self.transfer.close)
         self.on_stop(self.core.close)
+        self.on_stop(self.poller.close)
         self._register_peers()
         self.on_stop(self._close_claims)
         for server in (self.callers, self.operators):
             self._register_server(server)
         self.every(TICK_MS, lambda: _ignore(self.core.post(TickPassed(self.clock.now()))))
         self.every(CONFIGURATION_INTERVAL_MS, self.configuration.poll)
-        self.every(REPORT_INTERVAL_MS, self._read_reports)
+        self.every(REPORT_INTERVAL_MS, self.poller.poll_reports)
+        self.every(CACHE_INTERVAL_MS, self.poller.poll_caches)
         self.every(CLAIM_RETRY_INTERVAL_MS, self.claims.retry_deferred)
 
     def _close_claims(self) -> None:
         patience_ms = min(CLAIM_CLOSE_PATIENCE_MS, self.settings.stop.patience_ms)
         self.claims.close(patience_ms)
 
+    def _make_runner_context(self) -> RunnerContext:
+        return RunnerContext(
+            identity=self.identity,
+            clock=self.clock,
+            core=self.core,
+            engines=self.engines,
+            transfer=self.transfer,
+            call_later=self.call_later,
+        )
+
     def _register_peers(self) -> None:
         poller = MembersPoller(self.platform, self.clock, self.core.post, self.peers.note_members)
         register_peer_runners(self.core, self.peers)
@@ -253,21 +261,6 @@
         if self.configuration.hear(peer, version, told):
             self.call_later(lambda: _ignore(self.configuration.fetch(peer)))
 
-    def _read_reports(self) -> None:
-        inventory = self.core.state.inventory
-        for engine in inventory.engines.values() if inventory is not None else ():
-            last = self._reading.get(engine.name)
-            if last is None or last.done():
-                self._reading[engine.name] = self._control.submit(self._read_report, engine)
-
-    def _read_report(self, engine: Engine) -> None:
-        report = self.engines.read_load(engine.name, engine.url)
-        now = self.clock.now()
-        if report.is_ok():
-            self.core.post(LoadReported(now, report.unwrap()))
-        else:
-            self.core.post(LoadUnreadable(now, engine.name))
-
     def _count(self) -> Counts:
         return Counts(self.core.events, self.transfer.chunks, self.transfer.open_exchanges)
 
@@ -300,96 +293,6 @@
     return OUTCOME_WHOLE if exchange.closing else OUTCOME_CALLER_GONE
 
 
-def register_runners(app: Application) -> None:
-    """Register how each effect of the reducer is carried out."""
-
-    @app.core.runs(StartAttempt)
-    def start_attempt(state: State, effect: StartAttempt) -> None:
-        inventory = state.inventory
-        if inventory is None:
-            return
-
-        def make_targets(exchange: Exchange) -> list[StreamTarget]:
-            return list_targets(app.identity, effect, exchange, inventory)
-
-        app.transfer.open_attempt(effect.attempt_id, effect.request.request_id, make_targets)
-
-    @app.core.runs(ResumeAttempt)
-    def resume_attempt(_state: State, effect: ResumeAttempt) -> None:
-        app.transfer.resume_attempt(effect.attempt_id)
-
-    @app.core.runs(CancelAttempt)
-    def cancel_attempt(_state: State, effect: CancelAttempt) -> None:
-        app.transfer.drop_attempt(effect.attempt_id)
-
-    @app.core.runs(EndRequest)
-    def end_request(_state: State, effect: EndRequest) -> None:
-        app.transfer.end_exchange(effect.request_id, effect.failure)
-
-    @app.core.runs(CancelStream)
-    def cancel_stream(state: State, effect: CancelStream) -> None:
-        engine = find_engine(state, effect.engine)
-        if engine is None:
-            return
-
-        def cancel() -> None:
-            if app.engines.cancel_stream(engine.url, effect.stream).is_ok():
-                app.core.post(CancelConfirmed(app.clock.now(), effect.engine, effect.stream))
-
-        app.call_later(cancel)
-
-    @app.core.runs(ChangePriority)
-    def change_priority(state: State, effect: ChangePriority) -> None:
-        attempt = state.attempts.get(effect.attempt_id)
-        for share in attempt.placements if attempt is not None else ():
-            engine = find_engine(state, share.engine)
-            if engine is not None:
-                app.call_later(
-                    lambda url=engine.url: _ignore(  # type: ignore[misc]
-                        app.engines.change_priority(url, effect.attempt_id, effect.priority)
-                    )
-                )
-
-
-def find_engine(state: State, name: str) -> Engine | None:
-    """Return an engine of the inventory in force, or one that still has streams in hand."""
-    view = state.engines.get(name)
-    return None if view is None else view.spec
-
-
-def list_targets(
-    identity: Identity, effect: StartAttempt, exchange: Exchange, inventory: Inventory
-) -> list[StreamTarget]:
-    """Return the streams to open for an attempt, the lead first, from what was delivered so far."""
-    request = effect.request
-    known = [s for s in effect.placements if s.engine in inventory.engines]
-    urls = [inventory.engines[share.engine].url for share in known]
-    prompt_left = request.prompt_tokens
-    targets: list[StreamTarget] = []
-    for position, share in enumerate(known):
-        lead = position == 0
-        answer_tokens = request.answer_tokens if lead else 0
-        prefill = min(prompt_left, share.memory_tokens - answer_tokens)
-        prompt_left -= prefill
-        body = OpenStream(
-            stream=effect.attempt_id,
-            owner=identity.instance,
-            incarnation=identity.incarnation,
-            role="lead" if lead else "segment",
-            model=request.model,
-            prompt=exchange.prompt if lead else "",
-            continued="".join(exchange.texts) if lead else "",
-            first_index=exchange.next_index,
-            answer_tokens=request.answer_tokens,
-            prefill_tokens=prefill,
-            memory_tokens=share.memory_tokens,
-            priority=effect.priority,
-            segments=tuple(urls[1:]) if lead else (),
-        )
-        targets.append(StreamTarget(share.engine, urls[position], body))
-    return targets
-
-
 def _guard(task: Callable[[], None]) -> Callable[[], None]:
     def run() -> None:
         try:
--- /dev/null
+++ b/src/lentilwell/_polling.py
@@ -0,0 +1,101 @@
+"""Reading the engines' load reports and cache events at intervals."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
+from dataclasses import dataclass
+
+from result import Err
+
+from lentilwell._clock import Clock
+from lentilwell._core import Core
+from lentilwell._events import CacheChanged, LoadReported, LoadUnreadable
+from lentilwell._inventory import Engine
+from lentilwell._ports import CacheBatch, EngineControl
+
+REPORT_INTERVAL_MS = 250
+CACHE_INTERVAL_MS = 500
+READERS = 16
+
+
+class EnginePoller:
+    """Reads every engine of the inventory; an engine that hangs holds one reader at most."""
+
+    def __init__(self, engines: EngineControl, clock: Clock, core: Core) -> None:
+        self._engines = engines
+        self._clock = clock
+        self._core = core
+        self._reports = _Readers("report")
+        self._caches = _Readers("cache")
+        self._places: dict[str, CachePlace] = {}
+
+    def poll_reports(self) -> None:
+        """Start reading the reports of engines whose last reading is over."""
+        for engine in self._list_engines():
+            self._reports.read(engine, self._read_report)
+
+    def poll_caches(self) -> None:
+        """Start reading the cache events of engines whose last reading is over."""
+        for engine in self._list_engines():
+            self._caches.read(engine, self._read_cache)
+
+    def close(self) -> None:
+        """Wait for the readings in progress."""
+        self._reports.close()
+        self._caches.close()
+
+    def _list_engines(self) -> tuple[Engine, ...]:
+        inventory = self._core.state.inventory
+        return () if inventory is None else tuple(inventory.engines.values())
+
+    def _read_report(self, engine: Engine) -> None:
+        report = self._engines.read_load(engine.name, engine.url)
+        now = self._clock.now()
+        if isinstance(report, Err):
+            self._core.post(LoadUnreadable(now, engine.name))
+        else:
+            self._core.post(LoadReported(now, report.ok_value))
+
+    def _read_cache(self, engine: Engine) -> None:
+        place = self._places.get(engine.name, CachePlace("", 0))
+        found = self._engines.read_cache_events(engine.name, engine.url, place.sequence)
+        if isinstance(found, Err):
+            return
+        batch = found.ok_value
+        self._places[engine.name] = follow_batch(place, batch)
+        if batch.events or batch.incarnation != place.incarnation:
+            now = self._clock.now()
+            self._core.post(CacheChanged(now, engine.name, batch.incarnation, batch.events))
+
+
+@dataclass(frozen=True)
+class CachePlace:
+    """How far the cache events of one life of an engine have been read."""
+
+    incarnation: str
+    sequence: int
+
+
+def follow_batch(place: CachePlace, batch: CacheBatch) -> CachePlace:
+    """Return the place after a batch; a new life of the engine is read from its beginning."""
+    if place.incarnation and batch.incarnation != place.incarnation:
+        return CachePlace(batch.incarnation, 0)
+    last = max((event.sequence for event in batch.events), default=place.sequence)
+    return CachePlace(batch.incarnation, last)
+
+
+class _Readers:
+    """Runs at most one reading an engine at a time on a bounded number of threads."""
+
+    def __init__(self, name: str) -> None:
+        self._executor = ThreadPoolExecutor(READERS, thread_name_prefix=name)
+        self._running: dict[str, Future[None]] = {}
+
+    def read(self, engine: Engine, task: Callable[[Engine], None]) -> None:
+        last = self._running.get(engine.name)
+        if last is None or last.done():
+            self._running[engine.name] = self._executor.submit(task, engine)
+
+    def close(self) -> None:
+        self._executor.shutdown(wait=True, cancel_futures=True)
--- a/src/lentilwell/_transfer.py
+++ b/src/lentilwell/_transfer.py
@@ -144,6 +144,10 @@
         """Answer the caller with a failure."""
         self._call(lambda: self._end_exchange(request_id, failure))
 
+    def end_all(self, failure: Failure) -> None:
+        """Answer every caller whose answer is not whole with a failure."""
+        self._call(lambda: self._end_all(failure))
+
     def _call(self, command: Callable[[], None]) -> None:
         self._commands.append(command)
         with contextlib.suppress(BlockingIOError):
@@ -277,6 +281,10 @@
         exchange.connection.close()
         exchange.on_end(exchange)
 
+    def _end_all(self, failure: Failure) -> None:
+        for request_id in list(self._exchanges):
+            self._end_exchange(request_id, failure)
+
     def _end_exchange(self, request_id: str, failure: Failure) -> None:
         exchange = self._exchanges.get(request_id)
         if exchange is not None and not exchange.closing:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -76,6 +76,7 @@
     assert json.loads(state)["inventory"]["version"] == 1
     key = deployment.keys["counters"]
     assert key.encode() not in state and b"key_digests" not in state
+    assert complete(entry.url("callers"), key, "counted", 3).done
     metrics = operate(deployment, entry, "/metrics").decode()
     assert "lentilwell_configuration_version 1.0" in metrics
     assert 'lentilwell_requests_total{model="assistant",outcome="whole"}' in metrics
