--- a/src/lentilwell/_references.py
+++ b/src/lentilwell/_references.py
@@ -56,8 +56,8 @@
             ("services", "service", team.services, inventory.services),
         ):
             yield from _find_dangling(title, key, kind, names, known, find_line)
-        usable = team.engines or tuple(inventory.engines)
-        if not any(name in inventory.engines for name in usable):
+        usable = any(name in inventory.engines for name in team.engines)
+        if not (usable if team.engines else inventory.engines):
             yield NoEngines(title, "engines", find_line(title, "engines"))
 
 
