--- a/src/lentilwell/_backlogs.py
+++ b/src/lentilwell/_backlogs.py
@@ -31,6 +31,14 @@
     return sum(total for shorter, total in totals.items() if shorter <= kind)
 
 
+def engine_wait_ms(state: State, engine: str, request: Request) -> float:
+    """Estimate how long an engine prefills what this instance gave it before this request.
+
+    A long prefill there does not count for a short request, which goes before it.
+    """
+    return sum_ahead(state.backlogs.get(engine), request)
+
+
 def add_backlog(state: State, attempt: Attempt) -> State:
     """Count an attempt that starts."""
     return count_hold(count_backlog(state, attempt, 1), attempt, 1)
--- a/src/lentilwell/_inventory_index.py
+++ b/src/lentilwell/_inventory_index.py
@@ -1,16 +1,19 @@
-"""What the reducer derives from an inventory: views of the engines and the index by model."""
+"""What the reducer derives from an inventory: engine views, and names by model and by place."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import replace
+from typing import Generic, TypeVar
 
-from pyrsistent import pmap, pvector
+from pyrsistent import PMap, PVector, pmap, pvector
 
 from lentilwell._events import InventoryAccepted
-from lentilwell._inventory import Engine
+from lentilwell._inventory import Engine, Inventory
+from lentilwell._records import replace
 from lentilwell._state import EngineView, State
 
+_KeyT = TypeVar("_KeyT")
+
 
 def index_inventory(state: State, event: InventoryAccepted) -> State:
     """Bring views and index to the event's inventory.
@@ -22,79 +25,82 @@
     state = replace(state, inventory=event.inventory)
     known = previous is not None and event.base == previous.version
     if known and event.changed_engines is not None:
-        return index_engines(state, event.changed_engines)
-    return index_engines(state, sorted({*state.engines, *event.inventory.engines}))
+        return index_engines(state, previous, event.changed_engines)
+    named = {*state.engines, *event.inventory.engines}
+    return index_engines(state, previous, sorted(named))
+
 
+def index_engines(state: State, previous: Inventory | None, names: Iterable[str]) -> State:
+    """Bring the views and the indexes of the named engines to the inventory in force.
 
-def index_engines(state: State, names: Iterable[str]) -> State:
-    """Bring the views and the index of the named engines to the inventory in force."""
+    An engine that left the inventory keeps its view while this instance has streams on it.
+    """
     assert state.inventory is not None
     engines = state.engines.evolver()
-    index = _ModelIndex(state)
+    models = _NameIndex(state.by_model, state.model_places)
+    centres = _NameIndex(state.by_place, state.place_places)
     for name in names:
         view = state.engines.get(name)
+        before = previous.engines.get(name) if previous is not None else None
         spec = state.inventory.engines.get(name)
-        index.move(name, view.spec if view is not None else None, spec)
+        models.move(name, _list_models(before), _list_models(spec))
+        centres.move(name, _list_places(before), _list_places(spec))
         if spec is None:
-            if view is not None:
+            if view is not None and name not in state.by_engine:
                 engines.remove(name)
         elif view is None:
-            engines[name] = add_engine(state, spec)
+            engines[name] = EngineView(spec)
         elif view.spec != spec:
             engines[name] = replace(view, spec=spec)
-    return index.apply(replace(state, engines=engines.persistent()))
-
-
-def add_engine(state: State, spec: Engine) -> EngineView:
-    """Return the view of a new engine; one that was in use before it left counts that again."""
-    view = EngineView(spec)
-    for attempt in state.attempts.values():
-        for share in attempt.placements:
-            if share.engine == spec.name:
-                prefilled = attempt.first_token_at is not None
-                view = replace(
-                    view,
-                    own_streams=view.own_streams + 1,
-                    own_memory=view.own_memory + share.memory_tokens,
-                    own_backlog=view.own_backlog + (0 if prefilled else share.memory_tokens),
-                )
-    return view
-
-
-class _ModelIndex:
-    """Changes the names by model; a removed name's place is taken by the last one."""
-
-    def __init__(self, state: State) -> None:
-        self._names = state.by_model
-        self._places = state.model_places
-
-    def move(self, name: str, before: Engine | None, after: Engine | None) -> None:
-        """Take an engine out of the models it had and put it into those it has."""
-        old = dict.fromkeys(before.models if before is not None else ())
-        new = dict.fromkeys(after.models if after is not None else ())
-        for model in old:
-            if model not in new:
-                self._remove(model, name)
-        for model in new:
-            if model not in old:
-                self._add(model, name)
-
-    def apply(self, state: State) -> State:
-        """Return the state with the changed index."""
-        return replace(state, by_model=self._names, model_places=self._places)
-
-    def _add(self, model: str, name: str) -> None:
-        names = self._names.get(model, pvector())
-        places = self._places.get(model, pmap())
-        self._places = self._places.set(model, places.set(name, len(names)))
-        self._names = self._names.set(model, names.append(name))
-
-    def _remove(self, model: str, name: str) -> None:
-        names, places = self._names[model], self._places[model]
+    return replace(
+        state,
+        engines=engines.persistent(),
+        by_model=models.names,
+        model_places=models.places,
+        by_place=centres.names,
+        place_places=centres.places,
+    )
+
+
+def _list_models(engine: Engine | None) -> list[str]:
+    return [] if engine is None else list(engine.models)
+
+
+def _list_places(engine: Engine | None) -> list[tuple[str, str]]:
+    return [] if engine is None else [(model, engine.data_centre) for model in engine.models]
+
+
+class _NameIndex(Generic[_KeyT]):
+    """Changes the names by key; a removed name's place is taken by the last one."""
+
+    def __init__(
+        self, names: PMap[_KeyT, PVector[str]], places: PMap[_KeyT, PMap[str, int]]
+    ) -> None:
+        self.names = names
+        self.places = places
+
+    def move(self, name: str, before: Iterable[_KeyT], after: Iterable[_KeyT]) -> None:
+        """Take an engine from under the keys that it had and put it under those it has."""
+        old, new = dict.fromkeys(before), dict.fromkeys(after)
+        for key in old:
+            if key not in new:
+                self._remove(key, name)
+        for key in new:
+            if key not in old:
+                self._add(key, name)
+
+    def _add(self, key: _KeyT, name: str) -> None:
+        names = self.names.get(key, pvector())
+        places = self.places.get(key, pmap())
+        self.places = self.places.set(key, places.set(name, len(names)))
+        self.names = self.names.set(key, names.append(name))
+
+    def _remove(self, key: _KeyT, name: str) -> None:
+        names, places = self.names[key], self.places[key]
         place, last = places[name], names[-1]
         names, places = names.set(place, last).delete(len(names) - 1), places.set(last, place)
         if not names:
-            self._names, self._places = self._names.remove(model), self._places.remove(model)
+            self.names, self.places = self.names.remove(key), self.places.remove(key)
             return
-        self._names = self._names.set(model, names)
-        self._places = self._places.set(model, places.remove(name))
+        self.names = self.names.set(key, names)
+        self.places = self.places.set(key, places.remove(name))
--- a/src/lentilwell/_peer_codec.py
+++ b/src/lentilwell/_peer_codec.py
@@ -8,7 +8,14 @@
 from thrift import TSerialization
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 
-from lentilwell._messages import Digest, EngineUse, GrantAnswer, GrantAsk, Identity
+from lentilwell._messages import (
+    Digest,
+    EngineUse,
+    GrantAnswer,
+    GrantAsk,
+    Identity,
+    LeavingMark,
+)
 from lentilwell._wire import ttypes
 
 MAXIMUM_FRAME_BYTES = 1_048_576
@@ -50,6 +57,17 @@
     return Identity(wire.instance, wire.incarnation, wire.data_centre)
 
 
+def encode_mark(mark: LeavingMark) -> str:
+    """Return a mark as the upstream's name and its incarnation on two lines."""
+    return f"{mark.upstream}\n{mark.incarnation}"
+
+
+def decode_mark(wire: str) -> LeavingMark:
+    """Read a mark; one without a second line names no incarnation."""
+    upstream, _, incarnation = wire.partition("\n")
+    return LeavingMark(upstream, incarnation)
+
+
 def encode_digest(digest: Digest) -> bytes:
     """Return a digest as the body of a message."""
     uses = [
@@ -62,7 +80,7 @@
         configuration=digest.configuration,
         leaving=digest.leaving,
         uses=uses,
-        leaving_upstreams=list(digest.leaving_upstreams),
+        leaving_upstreams=[encode_mark(mark) for mark in digest.leaving_upstreams],
         waiting=digest.waiting,
         waiting_tokens=digest.waiting_tokens,
     )
@@ -81,7 +99,7 @@
         configuration=wire.configuration,
         leaving=wire.leaving,
         uses=uses,
-        leaving_upstreams=tuple(wire.leaving_upstreams),
+        leaving_upstreams=tuple(decode_mark(mark) for mark in wire.leaving_upstreams),
         waiting=wire.waiting,
         waiting_tokens=wire.waiting_tokens,
     )
--- a/src/lentilwell/_reservations.py
+++ b/src/lentilwell/_reservations.py
@@ -10,8 +10,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from lentilwell._backlogs import sum_ahead
+from lentilwell._backlogs import engine_wait_ms
 from lentilwell._capacities import Capacity
+from lentilwell._health import is_usable
 from lentilwell._messages import Placement, Request
 from lentilwell._records import replace
 from lentilwell._state import EngineView, Reservation, State, draw
@@ -61,7 +62,7 @@
         view = state.engines[names[(start + offset) % len(names)]]
         if allowed and view.spec.name not in allowed:
             continue
-        if not view.leaving and view.ejected_until <= state.now:
+        if is_usable(view, state.now):
             yield view
 
 
@@ -73,7 +74,7 @@
     until_at = state.now
     for name in kept:
         view = state.engines.get(name)
-        if view is None or view.leaving or view.ejected_until > state.now:
+        if view is None or not is_usable(view, state.now):
             return forget_reservation(state, request.request_id)
         needed = state.reservations[name].memory_tokens
         until_at = max(until_at, estimate_drain(state, view, needed))
@@ -160,16 +161,16 @@
 def may_use(state: State, view: EngineView, request: Request, estimate_ms: float) -> bool:
     """Tell whether a request may take this engine now.
 
-    It may not where this instance has given the engine enough to prefill before it already: the
-    order between requests is better kept in the queues than inside engines. And it may not spoil a
-    reservation that the engine carries for another.
+    It may where the engine is kept for it. It may not where this instance has given the engine
+    enough to prefill before it already: the order between requests is better kept in the queues
+    than inside engines. And it may not spoil a reservation that the engine carries for another.
     """
-    if sum_ahead(state.backlogs.get(view.spec.name), request) >= BACKLOG_LIMIT_MS:
-        return False
     kept = state.reservations.get(view.spec.name)
-    if kept is None or kept.request_id == request.request_id:
+    if kept is not None and kept.request_id == request.request_id:
         return True
-    if state.now + estimate_ms <= kept.until_at:
+    if engine_wait_ms(state, view.spec.name, request) >= BACKLOG_LIMIT_MS:
+        return False
+    if kept is None or state.now + estimate_ms <= kept.until_at:
         return True
     free = view.spec.memory_tokens - view.own_memory
     if view.report is not None:
