--- a/bench/order_trial.py
+++ b/bench/order_trial.py
@@ -233,7 +233,7 @@
         for n in range(ENGINES)
     }
     teams = {f"team-{n}": Team(f"team-{n}", 1, ()) for n in range(len(TEAM_SHARES))}
-    rules = replace(Rules(), order=order, placement="least_loaded")
+    rules = replace(Rules(), order=order, placement="owner_share")
     models = pmap({"m": Model("m", 1_100_000)})
     inventory = Inventory(1, pmap(specs), models=models, teams=pmap(teams), rules=rules)
     state = reduce(State(Identity("i", "1", "dc-0"), random=7), InventoryAccepted(0, inventory))[0]
