--- a/src/lentilwell/_digests.py
+++ b/src/lentilwell/_digests.py
@@ -142,16 +142,16 @@
 
 def _count_uses(state: State, before: PMap[str, EngineUse], now: PMap[str, EngineUse]) -> State:
     """Change the sums by what differs between two digests of a peer."""
-    sums = state.peer_use
+    sums = state.peer_use.evolver()
     for engine in {*before, *now}:
         old, new = before.get(engine), now.get(engine)
         if old == new:
             continue
-        total = sums.get(engine)
+        total = state.peer_use.get(engine)
         total = add_use(total, old, -1) if old is not None else total
         total = add_use(total, new, 1) if new is not None else total
         if total is not None and total.streams > 0:
-            sums = sums.set(engine, total)
-        else:
-            sums = sums.discard(engine)
-    return replace(state, peer_use=sums)
+            sums[engine] = total
+        elif engine in state.peer_use:
+            sums.remove(engine)
+    return replace(state, peer_use=sums.persistent())
--- a/src/lentilwell/_placement.py
+++ b/src/lentilwell/_placement.py
@@ -19,6 +19,7 @@
 from lentilwell._state import EngineView, State, draw
 
 SAMPLE_ENGINES = 16
+LARGE_FLEET_SAMPLE = 8
 DECODE_MS_PER_STREAM = 5.0
 OTHER_CENTRE_MS = 3.0
 TIE_MS = 20.0
@@ -92,7 +93,7 @@
 def sample_engines(state: State, request: Request) -> Iterator[EngineView]:
     """Yield up to ``SAMPLE_ENGINES`` engines of the model within the team's sharing rules.
 
-    Half of the sample is from the own data centre where it has as many.
+    Where there are more, ``LARGE_FLEET_SAMPLE`` do, half of them from the own data centre.
     """
     inventory = state.inventory
     team = inventory.teams.get(request.team) if inventory is not None else None
@@ -106,9 +107,9 @@
     if len(every) <= SAMPLE_ENGINES:
         yield from rotate(state, every, SAMPLE_ENGINES)
         return
-    names = dict.fromkeys(view.spec.name for view in rotate(state, near, SAMPLE_ENGINES // 2))
-    names.update(dict.fromkeys(view.spec.name for view in rotate(state, every, SAMPLE_ENGINES)))
-    for name in list(names)[:SAMPLE_ENGINES]:
+    names = dict.fromkeys(view.spec.name for view in rotate(state, near, LARGE_FLEET_SAMPLE // 2))
+    names.update(dict.fromkeys(view.spec.name for view in rotate(state, every, LARGE_FLEET_SAMPLE)))
+    for name in list(names)[:LARGE_FLEET_SAMPLE]:
         yield state.engines[name]
 
 
