Count cached prefixes in the choice of an engine

An approximate index per engine from cache events; a gap or a new life empties it until events are read from the beginning. Bounds: 64 engines, 4,096 blocks each. Proof: tests/test_placement.py. Not measured: nothing posts CacheChanged in the running process yet, and requests carry no hashes.

--- a/src/lentilwell/_placement.py
+++ b/src/lentilwell/_placement.py
@@ -13,6 +13,7 @@
 from lentilwell._health import is_doubtful, is_usable
 from lentilwell._holds import is_held
 from lentilwell._messages import Placement, Request
+from lentilwell._prefixes import count_reused
 from lentilwell._reservations import may_use
 from lentilwell._room import count_others_backlog, count_streams, free_memory
 from lentilwell._spans import find_span
@@ -147,13 +148,15 @@
 def score_owner_share(state: State, request: Request, view: EngineView) -> float:
     """Take the earliest first token by own use, peers' digests and the report.
 
-    Own prefills count where they go before the request; those of peers are known only in sum.
+    Own prefills count where they go before the request; those of peers are known only in sum. The
+    prefill that a cached prefix saves counts against the wait.
 
     Scores that differ by less than a tie are equal, so that instances do not all choose alike.
     """
     wait_ms = sum_ahead(state.backlogs.get(view.spec.name), request)
     wait_ms += prefill_ms(state, count_others_backlog(state, view), view.spec.name)
     wait_ms += count_streams(state, view) * DECODE_MS_PER_STREAM
+    wait_ms -= prefill_ms(state, count_reused(state, request, view.spec.name), view.spec.name)
     ties = round(wait_ms / TIE_MS)
     near = view.spec.data_centre == state.identity.data_centre
     return ties * TIE_MS + (0.0 if near else OTHER_CENTRE_MS)
--- /dev/null
+++ b/src/lentilwell/_prefixes.py
@@ -0,0 +1,86 @@
+"""Which prompt blocks each engine has cached: an approximate index from the engines' cache events.
+
+Events come late and with gaps. A gap, or another incarnation, makes an engine's index stale: it is
+empty and counts for nothing until events are read again from the beginning. The engines indexed
+and the blocks of each are bounded; what is beyond the bounds is not noted. Hashes are salted with the cache
+group, so a block of another group is never found.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from pyrsistent import PSet
+
+from lentilwell._events import CacheChanged
+from lentilwell._messages import Request
+from lentilwell._records import replace
+from lentilwell._reducer import Step, handles
+from lentilwell._state import EngineCache, State
+
+MAXIMUM_BLOCKS = 4_096
+MAXIMUM_INDEXES = 64
+
+
+@handles(CacheChanged)
+def note_cache(state: State, event: CacheChanged) -> Step:
+    """Bring an engine's index up to date, or mark it stale."""
+    if event.engine not in state.engines:
+        return replace(state, caches=state.caches.discard(event.engine)), ()
+    cache = state.caches.get(event.engine)
+    if cache is None and len(state.caches) >= MAXIMUM_INDEXES:
+        return state, ()
+    if cache is None or cache.incarnation != event.incarnation:
+        cache = EngineCache(event.incarnation)
+    cache = apply_events(cache, event)
+    return replace(state, caches=state.caches.set(event.engine, cache)), ()
+
+
+def apply_events(cache: EngineCache, event: CacheChanged) -> EngineCache:
+    """Return the index after the events; those that were seen before change nothing."""
+    blocks = cache.blocks
+    sequence = cache.sequence
+    for change in event.events:
+        if change.sequence <= sequence:
+            continue
+        if change.sequence != sequence + 1:
+            return EngineCache(event.incarnation)
+        sequence = change.sequence
+        if not change.stored:
+            blocks = blocks.discard(change.block)
+        elif len(blocks) < MAXIMUM_BLOCKS:
+            blocks = blocks.add(change.block)
+    return replace(cache, sequence=sequence, blocks=blocks)
+
+
+def next_sequence(state: State, engine: str) -> int:
+    """Return the last sequence known of an engine's events; 0 reads them from the beginning."""
+    cache = state.caches.get(engine)
+    return 0 if cache is None else cache.sequence
+
+
+def count_reused(state: State, request: Request, engine: str) -> int:
+    """Return about how many tokens of the prompt an engine need not prefill again."""
+    cache = state.caches.get(engine)
+    view = state.engines.get(engine)
+    if cache is None or view is None or not request.prefix:
+        return 0
+    if view.incarnation not in ("", cache.incarnation):
+        return 0
+    blocks = count_leading(request.prefix, cache.blocks)
+    return request.prompt_tokens * blocks // len(request.prefix)
+
+
+def count_leading(chain: Sequence[int], blocks: PSet[int]) -> int:
+    """Return how many leading blocks are cached, by bisection.
+
+    A chain is cached from its beginning, since each hash covers all before it.
+    """
+    low, high = 0, len(chain)
+    while low < high:
+        middle = (low + high) // 2
+        if chain[middle] in blocks:
+            low = middle + 1
+        else:
+            high = middle
+    return low
--- a/src/lentilwell/_state.py
+++ b/src/lentilwell/_state.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from pyrsistent import PMap, PSet, PVector, pmap
+from pyrsistent import PMap, PSet, PVector, pmap, pset
 
 from lentilwell._capacities import Capacities
 from lentilwell._fifo import Fifo
@@ -128,6 +128,15 @@
     expires_at: int
 
 
+@dataclass(frozen=True)
+class EngineCache:
+    """The blocks that an engine has cached, by its events up to ``sequence``; 0 is stale."""
+
+    incarnation: str
+    sequence: int = 0
+    blocks: PSet[int] = field(default_factory=pset)
+
+
 @dataclass(frozen=True)
 class OwnMark:
     """An upstream is leaving by this instance's own knowledge; holds for one incarnation."""
@@ -231,6 +240,7 @@
     asks: PMap[str, PendingAsk] = field(default_factory=pmap)
     grants: PMap[str, PMap[str, GivenGrant]] = field(default_factory=pmap)
     held_until: PMap[str, int] = field(default_factory=pmap)
+    caches: PMap[str, EngineCache] = field(default_factory=pmap)
     capacities: Capacities = field(default_factory=pmap)
     paces: PMap[str, EnginePace] = field(default_factory=pmap)
     virtual_ms: float = 0.0
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -7,8 +7,9 @@
 
 from lentilwell import Identity, Request, State, reduce
 from lentilwell import _events as ev
-from lentilwell._messages import Digest, EngineUse, LoadReport
+from lentilwell._messages import CacheEvent, Digest, EngineUse, LoadReport
 from lentilwell._placement import PLACEMENTS, sample_engines
+from lentilwell._prefixes import MAXIMUM_BLOCKS, count_reused, next_sequence
 from tests.fleet import MEMORY, SLOTS, make_inventory
 
 
@@ -97,3 +98,47 @@
     assert state.engines["e0"].own_streams == 1 and "e0" not in state.by_model["m"]
     state, _ = reduce(state, ev.AttemptFinished(0, start.attempt_id, 10))
     assert set(state.engines) == {"e9"}
+
+
+def cache(state, engine, life, *changes):
+    events = tuple(CacheEvent(sequence, stored, block) for sequence, stored, block in changes)
+    return reduce(state, ev.CacheChanged(0, engine, life, events))[0]
+
+
+def reused(state, engine, chain=(11, 12, 13, 14)):
+    request = replace(make_request(4_000), prefix=chain)
+    return count_reused(state, request, engine)
+
+
+def test_cached_prefix_wins_until_its_engine_is_busy():
+    state = make_state({f"e{n}": "north" for n in range(8)})
+    state = cache(state, "e5", "x", *((n, True, 10 + n) for n in range(1, 5)))
+    request = replace(make_request(4_000), prefix=(11, 12, 13, 14))
+    assert reused(state, "e5") == 4_000 and place(state, request) == ["e5"]
+    assert reused(state, "e5", (11, 12, 99, 98)) == 2_000
+    assert reused(state, "e5", (91, 92, 93, 94)) == 0
+    busy = hear(state, "b", EngineUse("e5", 1, 50_000, 50_000))
+    assert place(busy, request) != ["e5"]
+
+
+def test_gap_or_new_life_makes_the_index_stale_until_read_from_the_beginning():
+    state = cache(make_state(), "e0", "x", (1, True, 11), (2, True, 12))
+    assert next_sequence(state, "e0") == 2
+    state = cache(state, "e0", "x", (2, True, 12), (3, False, 12))
+    assert reused(state, "e0") == 1_000 and next_sequence(state, "e0") == 3
+    gap = cache(state, "e0", "x", (5, True, 12))
+    assert reused(gap, "e0") == 0 and next_sequence(gap, "e0") == 0
+    again = cache(gap, "e0", "x", *((n, True, 10 + n) for n in range(1, 6)))
+    assert reused(again, "e0") == 4_000
+    reborn = cache(again, "e0", "y", (6, True, 15))
+    assert reused(reborn, "e0") == 0 and next_sequence(reborn, "e0") == 0
+    reported = report(again, "e0", 0)
+    changed = replace(reported.engines["e0"], incarnation="z")
+    reported = replace(reported, engines=reported.engines.set("e0", changed))
+    assert reused(reported, "e0") == 0
+
+
+def test_index_of_an_engine_is_bounded():
+    changes = ((n, True, n) for n in range(1, MAXIMUM_BLOCKS + 100))
+    state = cache(make_state(), "e0", "x", *changes)
+    assert len(state.caches["e0"].blocks) == MAXIMUM_BLOCKS
