Read cache events of the engines, and pass the salted hashes of a prompt to its engine

An index that waited for a reading from the beginning could stay empty for good, since engines keep a bounded number of events; after a gap it now begins anew with what follows. Without the salted hashes an engine shared cached prefixes between teams.

--- a/src/lentilwell/_application.py
+++ b/src/lentilwell/_application.py
@@ -32,6 +32,7 @@
 )
 from lentilwell._engines import HttpEngineControl, OpenStream
 from lentilwell._events import (
+    CacheChanged,
     CancelConfirmed,
     DrainStarted,
     LoadReported,
@@ -50,6 +51,7 @@
     register_peer_runners,
 )
 from lentilwell._platform import DIALECTS
+from lentilwell._prefixes import last_sequence
 from lentilwell._server import PooledServer
 from lentilwell._service_instances import CallSlots, InstanceChooser
 from lentilwell._services import ServiceGateway
@@ -60,6 +62,7 @@
 
 TICK_MS = 50
 REPORT_INTERVAL_MS = 250
+CACHE_INTERVAL_MS = 500
 CLAIM_RETRY_INTERVAL_MS = 250
 CLAIM_CLOSE_PATIENCE_MS = 60_000
 CONTROL_WORKERS = 16
@@ -93,6 +96,7 @@
         self._on_start: list[Hook] = []
         self._on_stop: list[Hook] = []
         self._reading: dict[str, Future[None]] = {}
+        self._reading_cache: dict[str, Future[None]] = {}
         self._slots = CallSlots(settings.callers.workers)
         self.claims = ClaimRunner(
             self.platform, self.clock, settings.instance.name, self._slots.limit
@@ -224,6 +228,7 @@
         self.every(TICK_MS, lambda: _ignore(self.core.post(TickPassed(self.clock.now()))))
         self.every(CONFIGURATION_INTERVAL_MS, self.configuration.poll)
         self.every(REPORT_INTERVAL_MS, self._read_reports)
+        self.every(CACHE_INTERVAL_MS, self._read_caches)
         self.every(CLAIM_RETRY_INTERVAL_MS, self.claims.retry_deferred)
 
     def _close_claims(self) -> None:
@@ -268,6 +273,22 @@
         else:
             self.core.post(LoadUnreadable(now, engine.name))
 
+    def _read_caches(self) -> None:
+        inventory = self.core.state.inventory
+        for engine in inventory.engines.values() if inventory is not None else ():
+            last = self._reading_cache.get(engine.name)
+            if last is None or last.done():
+                task = self._control.submit(self._read_cache, engine)
+                self._reading_cache[engine.name] = task
+
+    def _read_cache(self, engine: Engine) -> None:
+        after = last_sequence(self.core.state, engine.name)
+        batch = self.engines.read_cache_events(engine.name, engine.url, after)
+        if batch.is_ok() and batch.unwrap().events:
+            found = batch.unwrap()
+            now = self.clock.now()
+            self.core.post(CacheChanged(now, engine.name, found.incarnation, found.events))
+
     def _count(self) -> Counts:
         return Counts(self.core.events, self.transfer.chunks, self.transfer.open_exchanges)
 
@@ -385,6 +406,7 @@
             memory_tokens=share.memory_tokens,
             priority=effect.priority,
             segments=tuple(urls[1:]) if lead else (),
+            prefix=request.prefix if lead else (),
         )
         targets.append(StreamTarget(share.engine, urls[position], body))
     return targets
--- a/src/lentilwell/_engines.py
+++ b/src/lentilwell/_engines.py
@@ -19,7 +19,8 @@
     """The body that opens a stream; ``prefill_tokens`` is this engine's share of the prompt.
 
     ``continued`` is the text of the answer up to ``first_index``; ``segments`` names the streams of
-    the other engines of a span, for the lead.
+    the other engines of a span, for the lead. ``prefix`` is the chain of the prompt's block hashes,
+    salted with the cache group.
     """
 
     stream: str
@@ -35,6 +36,7 @@
     memory_tokens: int
     priority: int
     segments: tuple[str, ...] = ()
+    prefix: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/src/lentilwell/_prefixes.py
+++ b/src/lentilwell/_prefixes.py
@@ -1,16 +1,16 @@
 """Which prompt blocks each engine has cached: an approximate index from the engines' cache events.
 
-Events come late and with gaps. A gap, or another incarnation, makes an engine's index stale: it is
-empty and counts for nothing until events are read again from the beginning. The engines indexed
-and the blocks of each are bounded; what is beyond the bounds is not noted. Hashes are salted with the cache
-group, so a block of another group is never found.
+Events come late and with gaps. After a gap, or in a new life of the engine, the index begins anew
+with what follows, so it may lack blocks but keeps none whose eviction was lost. The engines indexed
+and the blocks of each are bounded; what is beyond the bounds is not noted. Hashes are salted with
+the cache group, so a block of another group is never found.
 """
 
 from __future__ import annotations
 
 from collections.abc import Sequence
 
-from pyrsistent import PSet
+from pyrsistent import PSet, pset
 
 from lentilwell._events import CacheChanged
 from lentilwell._messages import Request
@@ -24,7 +24,7 @@
 
 @handles(CacheChanged)
 def note_cache(state: State, event: CacheChanged) -> Step:
-    """Bring an engine's index up to date, or mark it stale."""
+    """Bring an engine's index up to date."""
     if event.engine not in state.engines:
         return replace(state, caches=state.caches.discard(event.engine)), ()
     cache = state.caches.get(event.engine)
@@ -44,7 +44,7 @@
         if change.sequence <= sequence:
             continue
         if change.sequence != sequence + 1:
-            return EngineCache(event.incarnation)
+            blocks = pset()
         sequence = change.sequence
         if not change.stored:
             blocks = blocks.discard(change.block)
@@ -53,10 +53,13 @@
     return replace(cache, sequence=sequence, blocks=blocks)
 
 
-def next_sequence(state: State, engine: str) -> int:
+def last_sequence(state: State, engine: str) -> int:
     """Return the last sequence known of an engine's events; 0 reads them from the beginning."""
     cache = state.caches.get(engine)
-    return 0 if cache is None else cache.sequence
+    view = state.engines.get(engine)
+    if cache is None or view is None or view.incarnation not in ("", cache.incarnation):
+        return 0
+    return cache.sequence
 
 
 def count_reused(state: State, request: Request, engine: str) -> int:
