--- a/src/lentilwell/_polling.py
+++ b/src/lentilwell/_polling.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
-from dataclasses import dataclass
 
 from result import Err
 
@@ -12,7 +11,8 @@
 from lentilwell._core import Core
 from lentilwell._events import CacheChanged, LoadReported, LoadUnreadable
 from lentilwell._inventory import Engine
-from lentilwell._ports import CacheBatch, EngineControl
+from lentilwell._ports import EngineControl
+from lentilwell._prefixes import last_sequence
 
 REPORT_INTERVAL_MS = 250
 CACHE_INTERVAL_MS = 500
@@ -28,7 +28,6 @@
         self._core = core
         self._reports = _Readers("report")
         self._caches = _Readers("cache")
-        self._places: dict[str, CachePlace] = {}
 
     def poll_reports(self) -> None:
         """Start reading the reports of engines whose last reading is over."""
@@ -58,33 +57,14 @@
             self._core.post(LoadReported(now, report.ok_value))
 
     def _read_cache(self, engine: Engine) -> None:
-        place = self._places.get(engine.name, CachePlace("", 0))
-        found = self._engines.read_cache_events(engine.name, engine.url, place.sequence)
-        if isinstance(found, Err):
-            return
-        batch = found.ok_value
-        self._places[engine.name] = follow_batch(place, batch)
-        if batch.events or batch.incarnation != place.incarnation:
+        after = last_sequence(self._core.state, engine.name)
+        found = self._engines.read_cache_events(engine.name, engine.url, after)
+        if found.is_ok() and found.unwrap().events:
+            batch = found.unwrap()
             now = self._clock.now()
             self._core.post(CacheChanged(now, engine.name, batch.incarnation, batch.events))
 
 
-@dataclass(frozen=True)
-class CachePlace:
-    """How far the cache events of one life of an engine have been read."""
-
-    incarnation: str
-    sequence: int
-
-
-def follow_batch(place: CachePlace, batch: CacheBatch) -> CachePlace:
-    """Return the place after a batch; a new life of the engine is read from its beginning."""
-    if place.incarnation and batch.incarnation != place.incarnation:
-        return CachePlace(batch.incarnation, 0)
-    last = max((event.sequence for event in batch.events), default=place.sequence)
-    return CachePlace(batch.incarnation, last)
-
-
 class _Readers:
     """Runs at most one reading an engine at a time on a bounded number of threads."""
 
