Ship the program as one file that runs as one process

A zipped application (shiv) unpacks its native modules once under SHIV_ROOT and runs in the same process.

--- a/Makefile
+++ b/Makefile
@@ -47,5 +47,12 @@
 	mv build/thrift/lentilwell/_wire src/lentilwell/_wire
 	rm -f src/lentilwell/_wire/Exchange-remote
 
+build: $(SETUP)
+	rm -rf build/site
+	$(PY) -m pip install --quiet --target build/site -r requirements.txt
+	$(PY) -m pip install --quiet --target build/site --no-deps --no-build-isolation .
+	mkdir -p dist
+	$(VENV)/bin/shiv --site-packages build/site --console-script lentilwell --output-file dist/lentilwell
+
 clean:
 	rm -rf build dist .pytest_cache .mypy_cache .ruff_cache .hypothesis
