Forget all that was kept about an engine once it is gone

Cause: cache indexes, sightings and ejections of engines that had left the inventory stayed; 64 such indexes would have kept out those of the engines that are there. Proof: test_engine_that_left_the_ inventory_keeps_its_books_until_its_attempts_end, which failed before for the cache index.

--- a/src/lentilwell/_ending.py
+++ b/src/lentilwell/_ending.py
@@ -13,6 +13,7 @@
 from lentilwell._queues import drop_waiting
 from lentilwell._records import replace
 from lentilwell._reducer import Step
+from lentilwell._removal import remove_engine
 from lentilwell._reservations import forget_reservation
 from lentilwell._state import Attempt, State
 
@@ -37,15 +38,13 @@
                 own_backlog=view.own_backlog - backlog,
             )
             engines = engines.set(share.engine, view)
-        if not left and not is_listed(state, share.engine):
-            engines = engines.discard(share.engine)
     if attempt.first_token_at is None:
         state = remove_backlog(state, attempt)
     state = remove_hold(state, attempt)
     if tokens is not None:
         state = learn_decode(state, attempt, tokens)
     state = correct(state, attempt.request.team, used_ms(state, attempt) - attempt.cost_ms)
-    return replace(
+    state = replace(
         state,
         engines=engines,
         by_engine=by_engine,
@@ -53,6 +52,10 @@
         attempts=state.attempts.remove(attempt_id),
         in_hand=state.in_hand.discard(attempt.request.request_id),
     )
+    for share in attempt.placements:
+        if share.engine not in by_engine and not is_listed(state, share.engine):
+            state = remove_engine(state, share.engine)
+    return state
 
 
 def used_ms(state: State, attempt: Attempt) -> float:
--- a/src/lentilwell/_grants.py
+++ b/src/lentilwell/_grants.py
@@ -25,11 +25,10 @@
 from lentilwell._queues import enqueue
 from lentilwell._records import replace
 from lentilwell._reducer import Step, handles
-from lentilwell._room import free_memory
+from lentilwell._room import free_memory, is_long_reading
 from lentilwell._state import Attempt, EngineView, GivenGrant, PendingAsk, State, Timer, Waiting
 from lentilwell._timers import fires, schedule
 
-LONG_READING_SHARE = 4
 ASK_PATIENCE_MS = 400
 STALE_ASK_MS = 1_000
 GRANT_VALID_MS = 600
@@ -80,11 +79,11 @@
 
 def find_granter(state: State, attempt: Attempt) -> str | None:
     """Return the peer to ask, or None where the attempt may start by this instance's own view."""
-    lead = state.engines[attempt.placements[0].engine].spec
+    view = state.engines[attempt.placements[0].engine]
     memory = attempt.request.memory_tokens
-    if memory * LONG_READING_SHARE <= lead.memory_tokens or not has_live_peers(state):
+    if not is_long_reading(memory, view) or not has_live_peers(state):
         return None
-    owner = find_owner(state, grant_key(lead, memory), lead.data_centre)
+    owner = find_owner(state, grant_key(view.spec, memory), view.spec.data_centre)
     return None if owner == state.identity.instance else owner
 
 
--- a/src/lentilwell/_inventory_index.py
+++ b/src/lentilwell/_inventory_index.py
@@ -10,6 +10,7 @@
 from lentilwell._events import InventoryAccepted
 from lentilwell._inventory import Engine, Inventory
 from lentilwell._records import replace
+from lentilwell._removal import remove_engine
 from lentilwell._state import EngineView, State
 
 _KeyT = TypeVar("_KeyT")
@@ -37,6 +38,7 @@
     """
     assert state.inventory is not None
     engines = state.engines.evolver()
+    gone: list[str] = []
     models = _NameIndex(state.by_model, state.model_places)
     centres = _NameIndex(state.by_place, state.place_places)
     for name in names:
@@ -46,13 +48,13 @@
         models.move(name, _list_models(before), _list_models(spec))
         centres.move(name, _list_places(before), _list_places(spec))
         if spec is None:
-            if view is not None and name not in state.by_engine:
-                engines.remove(name)
+            if name not in state.by_engine:
+                gone.append(name)
         elif view is None:
             engines[name] = EngineView(spec)
         elif view.spec != spec:
             engines[name] = replace(view, spec=spec)
-    return replace(
+    state = replace(
         state,
         engines=engines.persistent(),
         by_model=models.names,
@@ -60,6 +62,9 @@
         by_place=centres.names,
         place_places=centres.places,
     )
+    for name in gone:
+        state = remove_engine(state, name)
+    return state
 
 
 def _list_models(engine: Engine | None) -> list[str]:
--- a/src/lentilwell/_placement.py
+++ b/src/lentilwell/_placement.py
@@ -15,7 +15,7 @@
 from lentilwell._messages import Placement, Request
 from lentilwell._prefixes import count_reused
 from lentilwell._reservations import may_use
-from lentilwell._room import count_others_backlog, count_streams, free_memory
+from lentilwell._room import count_others_backlog, count_streams, free_memory, is_long_reading
 from lentilwell._spans import find_span
 from lentilwell._state import EngineView, State, draw
 
@@ -24,7 +24,6 @@
 DECODE_MS_PER_STREAM = 5.0
 OTHER_CENTRE_MS = 3.0
 TIE_MS = 20.0
-LONG_READING_SHARE = 4
 
 PlacementPolicy = Callable[[State, Request], tuple[Placement, ...]]
 ScorePolicy = Callable[[State, Request, EngineView], float]
@@ -63,8 +62,7 @@
 def has_room(state: State, request: Request, view: EngineView) -> bool:
     """Tell whether an engine has a slot and the memory for a request, as far as is known."""
     memory = request.memory_tokens
-    long_reading = memory * LONG_READING_SHARE > view.spec.memory_tokens
-    if long_reading and view.crowded_until > state.now:
+    if view.crowded_until > state.now and is_long_reading(memory, view):
         return False
     if view.own_streams >= view.spec.slots or count_streams(state, view) >= view.spec.slots:
         return False
--- /dev/null
+++ b/src/lentilwell/_removal.py
@@ -0,0 +1,29 @@
+"""What goes with an engine that has left the inventory and has nothing of this instance in hand."""
+
+from __future__ import annotations
+
+from pyrsistent import pset
+
+from lentilwell._records import replace
+from lentilwell._state import State
+
+
+def remove_engine(state: State, name: str) -> State:
+    """Forget an engine and all that was kept about it."""
+    view = state.engines.get(name)
+    if view is None:
+        return state
+    ejected = state.ejected
+    for model in view.spec.models:
+        left = ejected.get(model, pset()).discard(name)
+        ejected = ejected.set(model, left) if left else ejected.discard(model)
+    return replace(
+        state,
+        engines=state.engines.remove(name),
+        ejected=ejected,
+        cancels=state.cancels.discard(name),
+        sightings=state.sightings.discard(name),
+        caches=state.caches.discard(name),
+        leaving=state.leaving.discard(name),
+        peer_marks=state.peer_marks.discard(name),
+    )
--- a/src/lentilwell/_room.py
+++ b/src/lentilwell/_room.py
@@ -4,6 +4,13 @@
 
 from lentilwell._state import EngineView, State
 
+LONG_READING_SHARE = 4
+
+
+def is_long_reading(memory_tokens: int, view: EngineView) -> bool:
+    """Tell whether a request takes so large a share of an engine that its owner is asked."""
+    return memory_tokens * LONG_READING_SHARE > view.spec.memory_tokens
+
 
 def free_memory(state: State, view: EngineView) -> int:
     """Return the tokens of memory that nobody is known to hold or to have been promised."""
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -92,12 +92,13 @@
 
 def test_engine_that_left_the_inventory_keeps_its_books_until_its_attempts_end():
     state = make_state({"e0": "north"})
+    state = cache(state, "e0", "x", (1, True, 11))
     state, (start,) = reduce(state, ev.RequestArrived(0, make_request()))
     other = replace(make_inventory(2, {"e9": "north"}, {"t": ()}))
     state, _ = reduce(state, ev.InventoryAccepted(0, other))
     assert state.engines["e0"].own_streams == 1 and "e0" not in state.by_model["m"]
     state, _ = reduce(state, ev.AttemptFinished(0, start.attempt_id, 10))
-    assert set(state.engines) == {"e9"}
+    assert set(state.engines) == {"e9"} and not state.caches
 
 
 def cache(state, engine, life, *changes):
