Count of a lagged report only what is in nobody's books

Cause: room was the least of the books and the last report, and a report shows streams for up to 450 ms after their end, so engines stood idle at a crest. Streams that are being cancelled, and memory held by no stream, still count.

--- a/src/lentilwell/_reports.py
+++ b/src/lentilwell/_reports.py
@@ -5,14 +5,14 @@
 
 from __future__ import annotations
 
-from pyrsistent import pset
+from pyrsistent import pmap, pset
 
 from lentilwell._cancels import compare_cancels
 from lentilwell._effects import Effect
 from lentilwell._events import LoadReported
 from lentilwell._health import note_readable, store_view
 from lentilwell._leaving import compare_report
-from lentilwell._messages import LoadReport
+from lentilwell._messages import LoadReport, StreamReport
 from lentilwell._orphans import watch_streams
 from lentilwell._records import replace
 from lentilwell._recovery import lose_attempt
@@ -64,11 +64,8 @@
         for stream in report.streams
         if stream.life != state.identity.life and stream.prefilled_tokens < stream.prompt_tokens
     )
-    unclaimed = sum(
-        stream.memory_tokens
-        for stream in report.streams
-        if stream.life != state.identity.life and not is_counted(state, stream.life)
-    )
+    claimed = [stream for stream in report.streams if is_claimed(state, report.engine, stream)]
+    claimed_memory = sum(stream.memory_tokens for stream in claimed)
     return replace(
         view,
         report=report,
@@ -77,13 +74,19 @@
         past_incarnations=past,
         past_reports=0,
         partly_prefilled=partly,
-        unclaimed_memory=unclaimed,
+        unclaimed_memory=max(0, report.memory_used - claimed_memory),
+        unclaimed_streams=len(report.streams) - len(claimed),
     )
 
 
-def is_counted(state: State, life: str) -> bool:
-    """Tell whether the use of a peer's life is in the sums of the digests."""
-    peer = state.peers.get(life)
+def is_claimed(state: State, engine: str, stream: StreamReport) -> bool:
+    """Tell whether a stream is in the books of this instance or in a peer's digests.
+
+    A stream that is being cancelled is in nobody's books, but holds its memory until it is freed.
+    """
+    if stream.life == state.identity.life:
+        return stream.stream not in state.cancels.get(engine, pmap())
+    peer = state.peers.get(stream.life)
     return peer is not None and not peer.forgotten
 
 
--- a/src/lentilwell/_room.py
+++ b/src/lentilwell/_room.py
@@ -1,4 +1,8 @@
-"""How much room an engine has, by this instance's own books, its peers' digests and the report."""
+"""How much room an engine has, by this instance's own books, its peers' digests and the report.
+
+A report lags: what it shows of this instance and of live peers may have ended long ago, so of the
+report only that counts which is in nobody's books.
+"""
 
 from __future__ import annotations
 
@@ -15,13 +19,10 @@
 def free_memory(state: State, view: EngineView) -> int:
     """Return the tokens of memory that nobody is known to hold or to have been promised."""
     name = view.spec.name
-    held = view.own_memory
+    held = view.own_memory + view.unclaimed_memory
     use = state.peer_use.get(name)
     if use is not None:
         held += use.memory_tokens
-    held += view.unclaimed_memory
-    if view.report is not None:
-        held = max(held, view.report.memory_used)
     for grant in state.grants[name].values() if name in state.grants else ():
         if grant.expires_at > state.now:
             held += grant.ask.memory_tokens
@@ -31,8 +32,7 @@
 def count_streams(state: State, view: EngineView) -> int:
     """Return the streams that are known to be on an engine."""
     use = state.peer_use.get(view.spec.name)
-    streams = view.own_streams + (use.streams if use is not None else 0)
-    return max(streams, len(view.report.streams) if view.report is not None else 0)
+    return view.own_streams + view.unclaimed_streams + (use.streams if use is not None else 0)
 
 
 def count_others_backlog(state: State, view: EngineView) -> int:
--- a/src/lentilwell/_state.py
+++ b/src/lentilwell/_state.py
@@ -83,6 +83,7 @@
     past_reports: int = 0
     partly_prefilled: int = 0
     unclaimed_memory: int = 0
+    unclaimed_streams: int = 0
 
 
 @dataclass(frozen=True)
