--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -20,7 +20,7 @@
 from typing import TypeVar
 
 from lentilwell import Identity, State, reduce
-from lentilwell._configuration import ConfigurationEditor
+from lentilwell._configuration_editor import ConfigurationEditor
 from lentilwell._documents import Document, Section, parse_document
 from lentilwell._events import InventoryAccepted
 from lentilwell._platform import DIALECTS
--- a/src/lentilwell/_cli_inventory.py
+++ b/src/lentilwell/_cli_inventory.py
@@ -13,7 +13,7 @@
 
 from lentilwell._clock import MS_PER_SECOND
 from lentilwell._commands import add_settings, command
-from lentilwell._configuration import ConfigurationEditor, Loaded
+from lentilwell._configuration_editor import ConfigurationEditor, Loaded
 from lentilwell._documents import Document, parse_document, render_document
 from lentilwell._errors import EXIT_DONE, UsageError
 from lentilwell._platform import DIALECTS
--- a/src/lentilwell/_documents.py
+++ b/src/lentilwell/_documents.py
@@ -8,10 +8,9 @@
 
 import configparser
 import re
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable
 from dataclasses import MISSING, dataclass, field, fields, replace
 from typing import Any, get_type_hints
-from urllib.parse import urlsplit
 
 from pyrsistent import PMap, pmap
 
@@ -25,15 +24,8 @@
     Service,
     Team,
 )
-from lentilwell._order import ORDERS
-from lentilwell._placement import PLACEMENTS
 from lentilwell._problems import (
-    BadFlag,
-    BadKeyDigest,
-    BadNumber,
     BadSyntax,
-    BadText,
-    BadUrl,
     DanglingName,
     DuplicateKey,
     DuplicateSection,
@@ -42,19 +34,15 @@
     NoEngines,
     Problem,
     UnknownKey,
-    UnknownPolicy,
     UnknownSection,
 )
 from lentilwell._references import check_references
+from lentilwell._values import BY_KEY, BY_TYPE, ValueRefused
 
 RULES_TITLE = "rules"
-MAXIMUM_NUMBER = 1 << 40
-MAXIMUM_PERCENT = 100
-_KEY_DIGEST = re.compile(r"[0-9a-f]{64}")
 _HEADER = re.compile(r"\[(?P<title>.+)\]")
 _INDENTED = re.compile(r"\s+(\[|[^#;].*=)")
 _ENTRY = re.compile(r"(?P<key>[^=\s][^=]*?)\s*=")
-_FLAGS = {"yes": True, "no": False}
 _INI_NAMES = {"key_digests": "key_sha256"}
 _DEFAULTS = {"weight": "1", "key_sha256": "", "idempotent": "no"}
 
@@ -76,89 +64,6 @@
 Document = PMap[str, Section]
 
 
-class _Refused(Exception):
-    """A value is wrong; makes the problem for its place."""
-
-    def __init__(self, kind: type[Problem], *details: object) -> None:
-        self._kind = kind
-        self._details = details
-
-    def make(self, section: str, key: str, line: int) -> Problem:
-        """Return the problem at a place."""
-        return self._kind(section, key, line, *self._details)
-
-
-def _read_number(least: int, most: int = MAXIMUM_NUMBER) -> Callable[[str], int]:
-    def read(text: str) -> int:
-        if not (text.isascii() and text.isdecimal() and len(text) < 16):
-            raise _Refused(BadNumber, least, most)
-        if not least <= int(text) <= most:
-            raise _Refused(BadNumber, least, most)
-        return int(text)
-
-    return read
-
-
-def _read_flag(text: str) -> bool:
-    if text not in _FLAGS:
-        raise _Refused(BadFlag)
-    return _FLAGS[text]
-
-
-def _read_text(text: str) -> str:
-    if not text or "\n" in text:
-        raise _Refused(BadText)
-    return text
-
-
-def _read_names(text: str) -> tuple[str, ...]:
-    return tuple(text.split())
-
-
-def _read_url(text: str) -> str:
-    try:
-        parts = urlsplit(text)
-        whole = parts.scheme in ("http", "https") and bool(parts.hostname) and bool(parts.port)
-    except ValueError:
-        raise _Refused(BadUrl) from None
-    extra = parts.path or parts.query or parts.fragment or parts.username is not None
-    if not whole or extra or re.search(r"\s", text):
-        raise _Refused(BadUrl)
-    return text
-
-
-def _read_key_digests(text: str) -> tuple[str, ...]:
-    digests = _read_names(text)
-    if not all(_KEY_DIGEST.fullmatch(digest) for digest in digests):
-        raise _Refused(BadKeyDigest)
-    return digests
-
-
-def _read_policy(registry: Mapping[str, object]) -> Callable[[str], str]:
-    def read(text: str) -> str:
-        if text not in registry:
-            raise _Refused(UnknownPolicy, ", ".join(sorted(registry)))
-        return text
-
-    return read
-
-
-_BY_TYPE: dict[Any, Callable[[str], Any]] = {
-    int: _read_number(1),
-    bool: _read_flag,
-    str: _read_text,
-    tuple[str, ...]: _read_names,
-}
-_BY_KEY: dict[str, Callable[[str], Any]] = {
-    "url": _read_url,
-    "key_sha256": _read_key_digests,
-    "order": _read_policy(ORDERS),
-    "placement": _read_policy(PLACEMENTS),
-    "retry_budget_percent": _read_number(0, MAXIMUM_PERCENT),
-    "deadline_ms_per_1k_tokens": _read_number(0),
-}
-
-
 @dataclass(frozen=True)
 class _Kind:
     """A kind of section: the class it builds, the fields its title gives, and its map."""
@@ -270,10 +175,10 @@
         if key not in given:
             problems.append(MissingKey(section.title, key, section.line))
             continue
-        read = _BY_KEY.get(key) or _BY_TYPE[_HINTS[word][spec.name]]
+        read = BY_KEY.get(key) or BY_TYPE[_HINTS[word][spec.name]]
         try:
             values[spec.name] = read(given[key])
-        except _Refused as refused:
+        except ValueRefused as refused:
             problems.append(refused.make(section.title, key, section.find_line(key)))
     return (None if problems else kind.build(**values)), tuple(problems)
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -15,6 +15,7 @@
 from thrift.transport.TTransport import TFramedTransport, TTransportException
 
 from lentilwell import ManualClock, SystemClock
+from lentilwell._byte_budget import ByteBudget
 from lentilwell._events import DigestReceived, GrantAnswered, GrantAsked, GrantUnanswered
 from lentilwell._membership import select_peers
 from lentilwell._messages import (
@@ -36,7 +37,7 @@
     encode_identity,
 )
 from lentilwell._peer_link import _Session
-from lentilwell._peers import ByteBudget, PeerNetwork, PeersContext
+from lentilwell._peers import PeerNetwork, PeersContext
 from lentilwell._settings import PeersSettings
 from lentilwell._wire import Exchange, ttypes
 
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -10,7 +10,8 @@
 from result import Err, Ok
 
 from lentilwell import ManualClock, _versions
-from lentilwell._configuration import ConfigurationEditor, ConfigurationFollower, PeerSource
+from lentilwell._configuration import ConfigurationFollower, PeerSource
+from lentilwell._configuration_editor import ConfigurationEditor
 from lentilwell._documents import Section
 from lentilwell._errors import (
     AnswerLost,
