--- a/src/lentilwell/_dispatch.py
+++ b/src/lentilwell/_dispatch.py
@@ -2,19 +2,27 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
-from lentilwell._capacities import find_capacity
-from lentilwell._effects import Effect, StartAttempt
+from lentilwell._backlogs import add_backlog
+from lentilwell._capacities import Capacity, find_capacity
+from lentilwell._effects import Effect
 from lentilwell._ending import end_request
 from lentilwell._errors import Failure, PromptTooLong, Unauthorized, UnknownModel
-from lentilwell._estimates import estimate_cost_ms, estimate_service_ms
+from lentilwell._estimates import (
+    estimate_cost_ms,
+    estimate_prefill_ms,
+    estimate_service_ms,
+    length_class,
+)
 from lentilwell._fairness import charge, put_back, take_team, unpark
+from lentilwell._grants import begin_attempt
 from lentilwell._messages import Placement, Request
 from lentilwell._order import note_start, rank_heads
-from lentilwell._placement import PLACEMENTS, usable_engines
+from lentilwell._placement import PLACEMENTS
 from lentilwell._priorities import find_priority, push_raise
 from lentilwell._queues import take_waiting, trim
+from lentilwell._records import replace
 from lentilwell._reducer import Step, follows
 from lentilwell._reservations import forget_reservation, is_large, reserve
 from lentilwell._state import Attempt, Scanned, State, Waiting, draw
@@ -24,6 +32,8 @@
 RESCAN_MS = 20
 _WHOLE_RANGE = 1 << 32
 
+ScanKey = tuple[str, tuple[str, ...]]
+
 
 @dataclass
 class Scan:
@@ -34,13 +44,22 @@
     """
 
     aside: list[str] = field(default_factory=list)
-    too_large: dict[tuple[str, tuple[str, ...]], int] = field(default_factory=dict)
+    too_large: dict[ScanKey, int] = field(default_factory=dict)
+    capacities: dict[ScanKey, Capacity | None] = field(default_factory=dict)
 
-    def key(self, state: State, request: Request) -> tuple[str, tuple[str, ...]]:
+    def key(self, state: State, request: Request) -> ScanKey:
         """Return what decides which engines a request may use."""
         assert state.inventory is not None
         return request.model, state.inventory.teams[request.team].engines
 
+    def find_capacity(self, state: State, request: Request) -> Capacity | None:
+        """Return the capacity of the engines that a request may use."""
+        key = self.key(state, request)
+        if key not in self.capacities:
+            found = find_capacity(state.capacities, request.team, request.model)
+            self.capacities[key] = found
+        return self.capacities[key]
+
     def excludes(self, state: State, request: Request) -> bool:
         """Tell whether a request is known not to fit."""
         limit = self.too_large.get(self.key(state, request))
@@ -49,8 +68,9 @@
     def considers(self, state: State, waiting: Waiting) -> bool:
         """Tell whether a head is worth a try: it may fit, or is large enough for a reservation."""
         request = waiting.request
-        capacity = find_capacity(state.capacities, request.team, request.model)
-        return is_large(request, capacity) or not self.excludes(state, request)
+        if not self.excludes(state, request):
+            return True
+        return is_large(request, self.find_capacity(state, request))
 
     def note(self, state: State, request: Request) -> None:
         """Remember that a request did not fit."""
@@ -62,15 +82,19 @@
 @follows
 def dispatch(state: State) -> Step:
     """Start requests until nothing fits or the bounds per event are reached."""
-    if state.inventory is None or not state.waiting or is_settled(state):
+    if state.inventory is None or not state.waiting:
         return state, ()
+    if is_settled(state):
+        return try_newest(state)
     effects: list[Effect] = []
     scan = Scan()
-    state = unpark(state)
+    state = unpark(replace(state, untried=""))
     for turn in range(STARTS_PER_EVENT + FAILED_TEAMS_PER_EVENT):
-        if not (state.ready or state.parked) or len(scan.aside) == FAILED_TEAMS_PER_EVENT:
+        if len(scan.aside) == FAILED_TEAMS_PER_EVENT:
+            break
+        state, team = take_team(state, from_ready=turn % 2 == 1)
+        if not team:
             break
-        state, team = take_team(state, from_ready=bool(turn % 2 and state.ready))
         state, more = serve_team(state, team, scan)
         effects.extend(more)
     for team in scan.aside:
@@ -88,18 +112,44 @@
     return state.now < scanned.at + RESCAN_MS
 
 
+def try_newest(state: State) -> Step:
+    """Look for room for what this event has queued; all else was tried a moment ago."""
+    waiting = state.waiting.get(state.untried)
+    if waiting is None:
+        return state, ()
+    state = replace(state, untried="")
+    request = waiting.request
+    ids = state.queues[request.team].classes[length_class(request.prompt_tokens)]
+    if ids.first != request.request_id or find_unservable(state, request) is not None:
+        return state, ()
+    placements = place(state, request)
+    if placements:
+        state, started = start(state, waiting, placements)
+        return state, started
+    return state, ()
+
+
 def serve_team(state: State, team: str, scan: Scan) -> Step:
     """Start the best request of a taken team that fits; set the team aside where none does."""
-    state, effects = end_unservable(trim(state, team), team)
+    inventory = state.inventory
+    assert inventory is not None
+    state = trim(state, team)
+    if team not in inventory.teams:
+        return end_team(state, team)
     queue = state.queues[team]
     heads = [state.waiting[ids.first] for ids in queue.classes.values()]
     ranked = rank_heads(state, queue, [head for head in heads if scan.considers(state, head)])
+    effects: tuple[Effect, ...] = ()
     for position, waiting in enumerate(ranked):
         state, placements = try_head(state, waiting, scan, best=position == 0)
         if placements:
             state, started = start(state, waiting, placements)
-            return put_back(state, team, fitted=True), (*effects, started)
-    if heads:
+            return put_back(state, team, fitted=True), (*effects, *started)
+        state, ended = end_unservable(state, waiting.request)
+        effects += ended
+        if position == 0:
+            probe_smallest(state, ranked[1:], scan)
+    if state.queues[team].classes:
         scan.aside.append(team)
         return state, effects
     return put_back(state, team, fitted=False), effects
@@ -115,24 +165,37 @@
         if placements:
             return state, placements
         scan.note(state, request)
-    if best and is_large(request, find_capacity(state.capacities, request.team, request.model)):
-        state = reserve(state, request, usable_engines(state, request))
+    if best and is_large(request, scan.find_capacity(state, request)):
+        state = reserve(state, request)
     return state, ()
 
 
-def end_unservable(state: State, team: str) -> Step:
-    """End heads that the inventory in force can no longer serve."""
+def probe_smallest(state: State, heads: list[Waiting], scan: Scan) -> None:
+    """Look whether the smallest of several heads fits; where not, none of them does."""
+    if len(heads) < 2:
+        return
+    smallest = min(heads, key=lambda waiting: waiting.request.memory_tokens).request
+    if not scan.excludes(state, smallest) and not place(state, smallest):
+        scan.note(state, smallest)
+
+
+def end_team(state: State, team: str) -> Step:
+    """End all that waits for a team that the inventory no longer names."""
     effects: tuple[Effect, ...] = ()
-    for kind in tuple(state.queues[team].classes):
-        while kind in state.queues[team].classes:
-            request = state.waiting[state.queues[team].classes[kind].first].request
-            failure = find_unservable(state, request)
-            if failure is None:
-                break
-            state, more = end_request(state, request.request_id, failure)
+    for ids in state.queues[team].classes.values():
+        for request_id in ids:
+            state, more = end_request(state, request_id, Unauthorized())
             effects += more
-            state = trim(state, team)
-    return state, effects
+    return put_back(trim(state, team), team, fitted=False), effects
+
+
+def end_unservable(state: State, request: Request) -> Step:
+    """End a request that did not fit if the inventory in force can never serve it."""
+    failure = find_unservable(state, request)
+    if failure is None:
+        return state, ()
+    state, effects = end_request(state, request.request_id, failure)
+    return trim(state, request.team), effects
 
 
 def find_unservable(state: State, request: Request) -> Failure | None:
@@ -154,9 +217,7 @@
     return PLACEMENTS[state.inventory.rules.placement](state, request)
 
 
-def start(
-    state: State, waiting: Waiting, placements: tuple[Placement, ...]
-) -> tuple[State, StartAttempt]:
+def start(state: State, waiting: Waiting, placements: tuple[Placement, ...]) -> Step:
     """Book the placements and make the attempt."""
     request = waiting.request
     identity = state.identity
@@ -174,10 +235,12 @@
         tokens=waiting.tokens,
         failures=waiting.failures,
         cost_ms=cost_ms,
+        prefill_ms=estimate_prefill_ms(state, request, waiting.tokens),
         ends_at=state.now + int(service_ms),
         alone=state.engines[placements[0].engine].own_backlog <= 0,
     )
     state = take_waiting(book(state, placements), request.request_id)
+    state = add_backlog(state, attempt)
     state = note_start(state, request, cost_ms)
     state = charge(forget_reservation(state, request.request_id), request.team, cost_ms)
     state = replace(
@@ -188,7 +251,7 @@
         in_hand=state.in_hand.set(request.request_id, attempt_id),
         raises=push_raise(state, attempt),
     )
-    return state, StartAttempt(attempt_id, request, placements, priority, waiting.tokens)
+    return begin_attempt(state, attempt)
 
 
 def book(state: State, placements: tuple[Placement, ...]) -> State:
--- a/src/lentilwell/_queues.py
+++ b/src/lentilwell/_queues.py
@@ -2,26 +2,18 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
-from pyrsistent import PMap, pmap
+from pyrsistent import pmap
 
+from lentilwell._backlogs import Totals, add_total
 from lentilwell._estimates import estimate_cost_ms, estimate_service_ms, length_class
 from lentilwell._fairness import join
 from lentilwell._fifo import Fifo, make_fifo
-from lentilwell._messages import Request
+from lentilwell._records import replace
+from lentilwell._reservations import forget_reservation
 from lentilwell._state import State, TeamQueue, Waiting
 
 STALE_LIMIT = 64
 
-Totals = PMap[int, float]
-
-
-def add_total(totals: Totals, kind: int, by_ms: float) -> Totals:
-    """Return the totals by class with one changed; a class without anything has no entry."""
-    total = totals.get(kind, 0.0) + by_ms
-    return totals.set(kind, total) if total > 1e-6 else totals.discard(kind)
-
 
 def count_queued(state: State, waiting: Waiting, sign: int) -> State:
     """Add a request to the totals of its model and team, or take it off."""
@@ -40,12 +32,17 @@
 
 
 def enqueue(state: State, waiting: Waiting, at_front: bool = False) -> State:
-    """Put a request into its team's queue; one that is resumed goes to the front of its class."""
+    """Put a request into its team's queue; one that is resumed goes to the front of its class.
+
+    The head that it displaces is not tried any more, so no engine is kept for that one.
+    """
     request = waiting.request
     waiting = replace(waiting, cost_ms=estimate_cost_ms(state, request, waiting.tokens))
     queue = state.queues.get(request.team, TeamQueue())
     kind = length_class(request.prompt_tokens)
     ids = queue.classes.get(kind, Fifo())
+    if at_front and ids:
+        state = forget_reservation(state, ids.first)
     ids = ids.prepend(request.request_id) if at_front else ids.append(request.request_id)
     queue = replace(queue, classes=queue.classes.set(kind, ids))
     state = replace(
@@ -53,6 +50,7 @@
         queues=state.queues.set(request.team, queue),
         waiting=state.waiting.set(request.request_id, waiting),
         timers=state.timers.push(latest_start(state, waiting), request.request_id),
+        untried=request.request_id,
     )
     return join(count_queued(state, waiting, 1), request.team)
 
@@ -128,9 +126,3 @@
     for kind, ids in queue.classes.items():
         queue = set_class(queue, kind, make_fifo(name for name in ids if name in state.waiting))
     return replace(state, queues=state.queues.set(team, replace(queue, stale=0)))
-
-
-def queued_ahead(totals: Totals, request: Request) -> float:
-    """Return the engine time that waits in the request's class and the shorter ones."""
-    kind = length_class(request.prompt_tokens)
-    return sum(total for shorter, total in totals.items() if shorter <= kind)
--- a/src/lentilwell/peers.thrift
+++ b/src/lentilwell/peers.thrift
@@ -36,6 +36,7 @@
   4: required i64 backlog_tokens
 }
 
+/** Each of ``leaving_upstreams`` is a name and the incarnation that leaves, on two lines. */
 struct Digest {
   1: required Identity sender
   2: required i64 sequence
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -24,6 +24,7 @@
     GrantAnswer,
     GrantAsk,
     Identity,
+    LeavingMark,
     Member,
     MemberKind,
 )
@@ -46,7 +47,16 @@
 
 def make_digest(identity, sequence=1, engines=0, configuration=0):
     uses = tuple(EngineUse(f"caerdydd-{n}", n, 1_000 * n, 10 * n) for n in range(engines))
-    return Digest(identity, sequence, configuration, False, uses, ("abertawe-1",), 3, 4_000)
+    return Digest(
+        identity,
+        sequence,
+        configuration,
+        False,
+        uses,
+        (LeavingMark("abertawe-1", "7f3a"),),
+        3,
+        4_000,
+    )
 
 
 class Node:
