--- a/bench/figures.py
+++ b/bench/figures.py
@@ -44,6 +44,7 @@
         "in time": len(in_time),
         "late": run.count("late"),
         "refused": run.count("refused", "unreachable"),
+        "expired before the first token": run.count("expired"),
         "failed in the stream": run.count("failed"),
         "wrong, incomplete or silent": run.bad_answers,
         "streams left": run.streams_left,
--- a/bench/load.py
+++ b/bench/load.py
@@ -23,6 +23,7 @@
 LATE_MARGIN_MS = 3_000
 PREPARE_MS = 300
 MODEL = "assistant"
+EXPIRED_CODE = "deadline_exceeded"
 
 
 @dataclass
@@ -186,9 +187,10 @@
     if not head:
         return "incomplete", ""
     try:
-        return "refused", json.loads(body)["error"]["code"]
+        code = json.loads(body)["error"]["code"]
     except ValueError:
         return "incomplete", ""
+    return ("expired" if code == EXPIRED_CODE else "refused"), code
 
 
 def describe(exchange: Exchange) -> Outcome:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -87,6 +87,7 @@
         (encode([*TOKENS, TOKENS[0], DONE]), "wrong"),
         (encode([TOKENS[0], ERROR]), "failed"),
         (REFUSAL, "refused"),
+        (REFUSAL.replace(b"overloaded", b"deadline_exceeded"), "expired"),
         (b"", "incomplete"),
     ],
 )
