--- a/src/lentilwell/_dump.py
+++ b/src/lentilwell/_dump.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from typing import Any
 
-from pyrsistent import PMap, PVector
+from pyrsistent import PMap, PSet, PVector
 
 from lentilwell._fifo import Fifo
 from lentilwell._heap import Heap
@@ -29,7 +29,7 @@
         return {name: _plain(getattr(value, name)) for name in names}
     if isinstance(value, Mapping | PMap):
         return {str(key): _plain(item) for key, item in value.items()}
-    if isinstance(value, list | tuple | frozenset | PVector):
+    if isinstance(value, list | tuple | frozenset | PSet | PVector):
         return [_plain(item) for item in value]
     if isinstance(value, Enum):
         return value.value
