Let a planned stop not wait for cancels on engines that cannot be reached

Cause: a stop waits for pending cancels, and one on a dead engine is never confirmed, so the stop lasted its whole patience. What the engine holds, should it come back, is cancelled by its owner among the instances that stay.

--- a/src/lentilwell/_application.py
+++ b/src/lentilwell/_application.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from lentilwell._callers import CallersApp, CallersContext
+from lentilwell._cancels import has_open_cancels
 from lentilwell._claim_runner import ClaimRunner
 from lentilwell._clock import Clock, SystemClock
 from lentilwell._configuration import (
@@ -166,7 +167,7 @@
 
     def _has_work(self) -> bool:
         """Tell whether a caller waits for the rest of an answer, or an engine for a cancel."""
-        return self.transfer.open_exchanges > 0 or bool(self.core.state.cancels)
+        return self.transfer.open_exchanges > 0 or has_open_cancels(self.core.state)
 
     def _make_callers(self) -> PooledServer:
         callers = self.settings.callers
--- a/src/lentilwell/_cancels.py
+++ b/src/lentilwell/_cancels.py
@@ -14,6 +14,7 @@
 
 from lentilwell._effects import CancelStream, Effect
 from lentilwell._events import CancelConfirmed
+from lentilwell._health import EJECT_AFTER_UNREADABLE
 from lentilwell._messages import LoadReport
 from lentilwell._records import replace
 from lentilwell._reducer import Step, handles
@@ -77,6 +78,15 @@
     return _drop(state, event.engine, event.stream), ()
 
 
+def has_open_cancels(state: State) -> bool:
+    """Tell whether a cancel may still be confirmed: its engine's reports can be read.
+
+    What an unreachable engine holds is left to its owner among the instances that stay.
+    """
+    views = (state.engines.get(name) for name in state.cancels)
+    return any(view is not None and view.unreadable < EJECT_AFTER_UNREADABLE for view in views)
+
+
 def compare_cancels(state: State, report: LoadReport) -> State:
     """Drop the cancels whose streams the engine has not shown in enough newer reports."""
     pending = state.cancels.get(report.engine)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -8,6 +8,7 @@
 from lentilwell import Identity, Request, State, reduce
 from lentilwell import _effects as fx
 from lentilwell import _events as ev
+from lentilwell._cancels import has_open_cancels
 from lentilwell._errors import UpstreamFailed
 from lentilwell._messages import (
     Cause,
@@ -101,6 +102,16 @@
     assert session.times(fx.CancelStream) == times and not session.state.cancels
 
 
+def test_cancel_on_an_unreachable_engine_holds_up_no_stop():
+    session = Session()
+    engine = session.arrive().placements[0].engine
+    session.send(ev.CallerGone(0, "r"))
+    assert has_open_cancels(session.state)
+    for _ in range(3):
+        session.send(ev.LoadUnreadable(0, engine))
+    assert session.state.cancels and not has_open_cancels(session.state)
+
+
 def test_cancel_ends_after_two_reports_without_the_stream():
     session = Session()
     start = session.arrive()
