--- a/src/lentilwell/__init__.py
+++ b/src/lentilwell/__init__.py
@@ -13,20 +13,46 @@
 )
 from lentilwell._clock import Clock, ManualClock, SystemClock
 from lentilwell._errors import Failure, LentilwellError
+from lentilwell._inventory import (
+    Engine,
+    Inventory,
+    Model,
+    Route,
+    Rules,
+    Service,
+    Team,
+    make_inventory,
+)
 from lentilwell._messages import Identity, Placement, Request
+from lentilwell._order import order
+from lentilwell._placement import placement
+from lentilwell._ports import EngineControl, Peers, Platform
 from lentilwell._reducer import reduce
 from lentilwell._state import State
 
 __all__ = [
     "Clock",
+    "Engine",
+    "EngineControl",
     "Failure",
     "Identity",
+    "Inventory",
     "LentilwellError",
     "ManualClock",
+    "Model",
+    "Peers",
     "Placement",
+    "Platform",
     "Request",
+    "Route",
+    "Rules",
+    "Service",
     "State",
     "SystemClock",
+    "Team",
+    "make_inventory",
+    "order",
+    "placement",
     "reduce",
 ]
 
--- a/src/lentilwell/_inventory.py
+++ b/src/lentilwell/_inventory.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from pyrsistent import PMap, pmap
@@ -100,3 +101,15 @@
     teams: PMap[str, Team] = field(default_factory=pmap)
     rules: Rules = field(default_factory=Rules)
     data_centres: PMap[str, DataCentre] = field(default_factory=pmap)
+
+
+def make_inventory(
+    version: int, engines: Iterable[Engine], models: Iterable[Model], teams: Iterable[Team]
+) -> Inventory:
+    """Return an inventory of these parts, with the default rules and no services."""
+    return Inventory(
+        version,
+        engines=pmap({engine.name: engine for engine in engines}),
+        models=pmap({model.name: model for model in models}),
+        teams=pmap({team.name: team for team in teams}),
+    )
--- /dev/null
+++ b/src/lentilwell/effects.py
@@ -0,0 +1,29 @@
+"""The effects of the reducer, for programs that embed it."""
+
+from lentilwell._effects import (
+    AnswerGrant,
+    AskGrant,
+    CancelAttempt,
+    CancelStream,
+    ChangePriority,
+    Effect,
+    EndRequest,
+    OrderEngine,
+    ResumeAttempt,
+    SendDigest,
+    StartAttempt,
+)
+
+__all__ = [
+    "AnswerGrant",
+    "AskGrant",
+    "CancelAttempt",
+    "CancelStream",
+    "ChangePriority",
+    "Effect",
+    "EndRequest",
+    "OrderEngine",
+    "ResumeAttempt",
+    "SendDigest",
+    "StartAttempt",
+]
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,71 @@
+"""The pages agree with the code: settings, errors, the example of embedding, links."""
+
+import re
+import subprocess
+import sys
+from dataclasses import MISSING, fields
+from pathlib import Path
+from typing import get_type_hints
+
+import pytest
+
+from lentilwell import _errors
+from lentilwell._inventory import Rules
+from lentilwell._metrics import Counts, Metrics
+from lentilwell._settings import Settings
+from lentilwell._state import State
+
+ROOT = Path(__file__).parent.parent
+OPERATING = (ROOT / "docs/OPERATING.md").read_text()
+
+
+def list_settings():
+    for section, kind in get_type_hints(Settings).items():
+        for field in fields(kind):
+            default = "required" if field.default is MISSING else f"`{field.default}`"
+            yield f"| `{section}` | `{field.name}` | {default.replace('``', 'empty')} |"
+
+
+@pytest.mark.parametrize("row", list(list_settings()))
+def test_every_setting_is_on_the_page(row):
+    assert row in OPERATING
+
+
+@pytest.mark.parametrize("field", fields(Rules), ids=lambda field: field.name)
+def test_every_rule_is_on_the_page(field):
+    assert f"| `{field.name}` | `{field.default}` |" in OPERATING
+
+
+def list_failures(kind=_errors.Failure):
+    yield kind
+    for child in kind.__subclasses__():
+        yield from list_failures(child)
+
+
+@pytest.mark.parametrize("failure", list(list_failures()), ids=lambda kind: kind.__name__)
+def test_every_error_is_on_the_callers_page(failure):
+    page = (ROOT / "docs/INTERFACE.md").read_text()
+    rows = [row for row in page.splitlines() if f"`{failure.code}`" in row]
+    assert any(row.startswith(f"| {failure.status} |") for row in rows)
+
+
+def test_every_metric_is_on_the_page():
+    metrics = Metrics(lambda: State(None), lambda: Counts(0, 0, 0))
+    for family in metrics.registry.collect():
+        assert f"`{family.name}" in OPERATING, family.name
+
+
+def test_example_of_embedding_runs():
+    command = [sys.executable, str(ROOT / "examples/embedding.py")]
+    done = subprocess.run(command, capture_output=True, text=True, timeout=60, check=True)
+    lines = done.stdout.splitlines()
+    assert [line.partition(" ")[0] for line in lines] == ["request-0", "request-1", "request-2"]
+    assert lines[2] == "request-2 ends: context_length_exceeded"
+
+
+@pytest.mark.parametrize(
+    "page", sorted(ROOT.glob("*.md")) + sorted(ROOT.glob("docs/*.md")), ids=str
+)
+def test_links_between_pages_lead_somewhere(page):
+    for target in re.findall(r"\]\(([^)#]+)", page.read_text()):
+        assert target.startswith("http") or (page.parent / target).exists(), target
