--- a/src/lentilwell/_deadlines.py
+++ b/src/lentilwell/_deadlines.py
@@ -114,12 +114,14 @@
         return end_request(state, request.request_id, DeadlineExceeded())
     due_at = latest_start(state, waiting)
     if due_at < state.now and is_trusted(state, request):
-        failure = overloaded(state, state.now - due_at) if is_fresh(waiting) else DeadlineExceeded()
+        failure = (
+            overloaded(state, state.now - due_at) if never_ran(waiting) else DeadlineExceeded()
+        )
         return end_request(skip_draw(state), request.request_id, failure)
     due_at = due_at if due_at > state.now else request.deadline_at
     return replace(state, timers=state.timers.push(due_at, request.request_id)), ()
 
 
-def is_fresh(waiting: Waiting) -> bool:
+def never_ran(waiting: Waiting) -> bool:
     """Tell whether no attempt of the request has ever run, so that it may be called not run."""
     return waiting.tokens == 0 and waiting.failures == 0
