--- a/src/lentilwell/_runners.py
+++ b/src/lentilwell/_runners.py
@@ -129,6 +129,7 @@
             memory_tokens=share.memory_tokens,
             priority=effect.priority,
             segments=tuple(urls[1:]) if lead else (),
+            prefix=request.prefix if lead else (),
         )
         targets.append(StreamTarget(share.engine, urls[position], body))
     return targets
--- a/src/lentilwell/_transfer.py
+++ b/src/lentilwell/_transfer.py
@@ -20,7 +20,7 @@
 
 from lentilwell._clock import Clock
 from lentilwell._engines import OpenStream, StreamLine
-from lentilwell._errors import Failure
+from lentilwell._errors import DeadlineExceeded, Failure
 from lentilwell._events import (
     AttemptFailed,
     AttemptFinished,
@@ -37,6 +37,7 @@
 STALL_LIMIT_MS = 3_000
 PROGRESS_INTERVAL_MS = 500
 CLOSE_PATIENCE_MS = 2_000
+DEADLINE_MARGIN_MS = 150
 READ_BYTES = 4_096
 _REFUSED_STATUS = 429
 _LEAVING_STATUS = 503
@@ -229,15 +230,14 @@
         if not data:
             self._lose_caller(exchange)
 
-    def _check_closing(self, now: int) -> None:
-        """Cut callers that do not read the end of their answer in time."""
+    def _check_deadlines(self, now: int) -> None:
+        """End what is late, also when the reducer is behind, and cut callers that do not read."""
         for exchange in list(self._exchanges.values()):
-            if not exchange.closing:
-                continue
-            limit = exchange.closing_at + CLOSE_PATIENCE_MS
-            if exchange.failure is None:
-                limit = max(limit, exchange.request.deadline_at)
-            if now > limit:
+            deadline_at = exchange.request.deadline_at
+            if not exchange.closing and now > deadline_at + DEADLINE_MARGIN_MS:
+                self._end_exchange(exchange.request.request_id, DeadlineExceeded())
+                self._post(CallerGone(now, exchange.request.request_id))
+            elif exchange.closing and now > closing_limit(exchange):
                 self._finish_exchange(exchange)
 
     def _lose_caller(self, exchange: Exchange) -> None:
@@ -449,7 +449,7 @@
         if now - self._stalls_checked_at < POLL_MS:
             return
         self._stalls_checked_at = now
-        self._check_closing(now)
+        self._check_deadlines(now)
         oldest = now - STALL_LIMIT_MS
         for transfer in list(self._by_curl.values()):
             if not transfer.paused and not transfer.failed and transfer.heard_at < oldest:
@@ -459,6 +459,14 @@
 _JSON = (("Content-Type", "application/json"),)
 
 
+def closing_limit(exchange: Exchange) -> int:
+    """Return until when a caller may take the end of its answer: its deadline, if that is whole."""
+    limit = exchange.closing_at + CLOSE_PATIENCE_MS
+    if exchange.failure is not None:
+        return limit
+    return max(limit, exchange.request.deadline_at)
+
+
 def _note_status(transfer: _Transfer, line: bytes) -> None:
     if line.startswith(b"HTTP/"):
         transfer.status = int(line.split(b" ", 2)[1])
