Let a holder that was settled while paused speak for itself only

An operator settled a paused holder's key as not run, another attempt ran it, the holder woke, was refused its release and said that the key's call was not run. It now speaks of its own attempt.

--- a/src/lentilwell/_claims.py
+++ b/src/lentilwell/_claims.py
@@ -370,7 +370,13 @@
     return replace(state, phase=Phase.DONE), (ReplyFailure(NotRun()),)
 
 
-@_on((Phase.RELEASING,), WriteRefused, WriteLost, WriteUnavailable)
+@_on((Phase.RELEASING,), WriteRefused)
+def _reply_moved(state: ClaimState, _received: WriteRefused) -> Step:
+    """The row moved on, by an operator or by this write's own first try: speak for oneself only."""
+    return _free_later(state, AttemptNotRun())
+
+
+@_on((Phase.RELEASING,), WriteLost, WriteUnavailable)
 def _release_later(state: ClaimState, _received: Input) -> Step:
     return _free_later(state, NotRunKeyHeld())
 
--- a/src/lentilwell/_errors.py
+++ b/src/lentilwell/_errors.py
@@ -299,7 +299,7 @@
     def message(self) -> str:
         """Say that the key may stay taken."""
         return (
-            "The call was not run, but its key could not be freed yet; the same key answers "
+            "This attempt was not run, but its key could not be freed yet; the same key answers "
             "'outcome_pending' until it is, and a new key can be used at once."
         )
 
