--- a/bench/reducer_cost.py
+++ b/bench/reducer_cost.py
@@ -110,9 +110,9 @@
         request = session.make_request()
         first = Waiting(request)
         share = Placement(f"engine-{number}", request.memory_tokens)
-        state, effect = start(enqueue(session.state, first), first, (share,))
+        state, _ = start(enqueue(session.state, first), first, (share,))
         session.state = state
-        session.attempts.append(effect.attempt_id)
+        session.attempts.append(state.in_hand[request.request_id])
     for _ in range(waiting):
         session.state = enqueue(session.state, Waiting(session.make_request()))
 
--- a/src/lentilwell/__init__.py
+++ b/src/lentilwell/__init__.py
@@ -1,23 +1,69 @@
 """A serving layer for prompts of very unlike lengths, and its parts as a library."""
 
-from lentilwell import _admission, _deadlines, _dispatch, _priorities, _recovery
+from lentilwell import (
+    _admission,
+    _deadlines,
+    _dispatch,
+    _grants,
+    _prefixes,
+    _priorities,
+    _recovery,
+    _reports,
+    _ticks,
+)
 from lentilwell._clock import Clock, ManualClock, SystemClock
 from lentilwell._errors import Failure, LentilwellError
+from lentilwell._inventory import (
+    Engine,
+    Inventory,
+    Model,
+    Route,
+    Rules,
+    Service,
+    Team,
+    make_inventory,
+)
 from lentilwell._messages import Identity, Placement, Request
+from lentilwell._order import order
+from lentilwell._placement import placement
+from lentilwell._ports import EngineControl, Peers, Platform
 from lentilwell._reducer import reduce
 from lentilwell._state import State
 
 __all__ = [
     "Clock",
+    "Engine",
+    "EngineControl",
     "Failure",
     "Identity",
+    "Inventory",
     "LentilwellError",
     "ManualClock",
+    "Model",
+    "Peers",
     "Placement",
+    "Platform",
     "Request",
+    "Route",
+    "Rules",
+    "Service",
     "State",
     "SystemClock",
+    "Team",
+    "make_inventory",
+    "order",
+    "placement",
     "reduce",
 ]
 
-_REGISTERED = (_admission, _deadlines, _dispatch, _priorities, _recovery)
+_REGISTERED = (
+    _admission,
+    _deadlines,
+    _dispatch,
+    _grants,
+    _prefixes,
+    _priorities,
+    _recovery,
+    _reports,
+    _ticks,
+)
--- a/src/lentilwell/_ending.py
+++ b/src/lentilwell/_ending.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
+from pyrsistent import pset
 
 from lentilwell._backlogs import remove_backlog, remove_hold
-from lentilwell._effects import CancelAttempt, CancelStream, Effect, EndRequest
+from lentilwell._cancels import cancel_streams
+from lentilwell._effects import CancelAttempt, Effect, EndRequest
 from lentilwell._errors import Failure
 from lentilwell._estimates import estimate_cost_ms, learn_decode, prefill_ms
 from lentilwell._fairness import correct
 from lentilwell._queues import drop_waiting
+from lentilwell._records import replace
 from lentilwell._reducer import Step
+from lentilwell._removal import remove_engine
 from lentilwell._reservations import forget_reservation
 from lentilwell._state import Attempt, State
 
@@ -21,8 +24,10 @@
     ``tokens`` counts the whole answer where the attempt ended whole; decoding is learned from it.
     """
     attempt = state.attempts[attempt_id]
-    engines = state.engines
+    engines, by_engine = state.engines, state.by_engine
     for share in attempt.placements:
+        left = by_engine.get(share.engine, pset()).discard(attempt_id)
+        by_engine = by_engine.set(share.engine, left) if left else by_engine.discard(share.engine)
         view = engines.get(share.engine)
         if view is not None:
             backlog = 0 if attempt.first_token_at is not None else share.memory_tokens
@@ -39,12 +44,18 @@
     if tokens is not None:
         state = learn_decode(state, attempt, tokens)
     state = correct(state, attempt.request.team, used_ms(state, attempt) - attempt.cost_ms)
-    return replace(
+    state = replace(
         state,
         engines=engines,
+        by_engine=by_engine,
+        asks=state.asks.discard(attempt_id),
         attempts=state.attempts.remove(attempt_id),
         in_hand=state.in_hand.discard(attempt.request.request_id),
     )
+    for share in attempt.placements:
+        if share.engine not in by_engine and not is_listed(state, share.engine):
+            state = remove_engine(state, share.engine)
+    return state
 
 
 def used_ms(state: State, attempt: Attempt) -> float:
@@ -63,10 +74,21 @@
     return prefill + decoded_ms
 
 
-def stop_attempt(attempt: Attempt) -> tuple[Effect, ...]:
-    """Return the effects that stop reading an attempt and free its streams on every engine."""
-    frees = [CancelStream(share.engine, attempt.attempt_id) for share in attempt.placements]
-    return (CancelAttempt(attempt.attempt_id), *frees)
+def is_listed(state: State, engine: str) -> bool:
+    """Tell whether an engine is in the inventory in force."""
+    return state.inventory is not None and engine in state.inventory.engines
+
+
+def stop_attempt(state: State, attempt_id: str) -> Step:
+    """Release an attempt, stop reading it, and cancel its streams until they are freed."""
+    attempt = state.attempts[attempt_id]
+    asked_only = attempt_id in state.asks
+    state = release(state, attempt_id)
+    if asked_only:
+        return state, ()
+    engines = (share.engine for share in attempt.placements)
+    state, frees = cancel_streams(state, engines, attempt_id)
+    return state, (CancelAttempt(attempt_id), *frees)
 
 
 def end_request(state: State, request_id: str, failure: Failure | None) -> Step:
@@ -75,8 +97,8 @@
     known = request_id in state.waiting or request_id in state.in_hand
     attempt_id = state.in_hand.get(request_id)
     if attempt_id is not None:
-        effects.extend(stop_attempt(state.attempts[attempt_id]))
-        state = release(state, attempt_id)
+        state, stopped = stop_attempt(state, attempt_id)
+        effects.extend(stopped)
     state = forget_reservation(drop_waiting(state, request_id), request_id)
     if known and failure is not None:
         effects.append(EndRequest(request_id, failure))
--- /dev/null
+++ b/src/lentilwell/_polling.py
@@ -0,0 +1,81 @@
+"""Reading the engines' load reports and cache events at intervals."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
+
+from result import Err
+
+from lentilwell._clock import Clock
+from lentilwell._core import Core
+from lentilwell._events import CacheChanged, LoadReported, LoadUnreadable
+from lentilwell._inventory import Engine
+from lentilwell._ports import EngineControl
+from lentilwell._prefixes import last_sequence
+
+REPORT_INTERVAL_MS = 250
+CACHE_INTERVAL_MS = 500
+READERS = 16
+
+
+class EnginePoller:
+    """Reads every engine of the inventory; an engine that hangs holds one reader at most."""
+
+    def __init__(self, engines: EngineControl, clock: Clock, core: Core) -> None:
+        self._engines = engines
+        self._clock = clock
+        self._core = core
+        self._reports = _Readers("report")
+        self._caches = _Readers("cache")
+
+    def poll_reports(self) -> None:
+        """Start reading the reports of engines whose last reading is over."""
+        for engine in self._list_engines():
+            self._reports.read(engine, self._read_report)
+
+    def poll_caches(self) -> None:
+        """Start reading the cache events of engines whose last reading is over."""
+        for engine in self._list_engines():
+            self._caches.read(engine, self._read_cache)
+
+    def close(self) -> None:
+        """Wait for the readings in progress."""
+        self._reports.close()
+        self._caches.close()
+
+    def _list_engines(self) -> tuple[Engine, ...]:
+        inventory = self._core.state.inventory
+        return () if inventory is None else tuple(inventory.engines.values())
+
+    def _read_report(self, engine: Engine) -> None:
+        report = self._engines.read_load(engine.name, engine.url)
+        now = self._clock.now()
+        if isinstance(report, Err):
+            self._core.post(LoadUnreadable(now, engine.name))
+        else:
+            self._core.post(LoadReported(now, report.ok_value))
+
+    def _read_cache(self, engine: Engine) -> None:
+        after = last_sequence(self._core.state, engine.name)
+        found = self._engines.read_cache_events(engine.name, engine.url, after)
+        if found.is_ok() and found.unwrap().events:
+            batch = found.unwrap()
+            now = self._clock.now()
+            self._core.post(CacheChanged(now, engine.name, batch.incarnation, batch.events))
+
+
+class _Readers:
+    """Runs at most one reading an engine at a time on a bounded number of threads."""
+
+    def __init__(self, name: str) -> None:
+        self._executor = ThreadPoolExecutor(READERS, thread_name_prefix=name)
+        self._running: dict[str, Future[None]] = {}
+
+    def read(self, engine: Engine, task: Callable[[Engine], None]) -> None:
+        last = self._running.get(engine.name)
+        if last is None or last.done():
+            self._running[engine.name] = self._executor.submit(task, engine)
+
+    def close(self) -> None:
+        self._executor.shutdown(wait=True, cancel_futures=True)
--- a/src/lentilwell/_queues.py
+++ b/src/lentilwell/_queues.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from pyrsistent import pmap
 
 from lentilwell._backlogs import Totals, add_total
 from lentilwell._estimates import estimate_cost_ms, estimate_service_ms, length_class
 from lentilwell._fairness import join
 from lentilwell._fifo import Fifo, make_fifo
+from lentilwell._records import replace
+from lentilwell._reservations import forget_reservation
 from lentilwell._state import State, TeamQueue, Waiting
 
 STALE_LIMIT = 64
@@ -32,12 +32,17 @@
 
 
 def enqueue(state: State, waiting: Waiting, at_front: bool = False) -> State:
-    """Put a request into its team's queue; one that is resumed goes to the front of its class."""
+    """Put a request into its team's queue; one that is resumed goes to the front of its class.
+
+    The head that it displaces is not tried any more, so no engine is kept for that one.
+    """
     request = waiting.request
     waiting = replace(waiting, cost_ms=estimate_cost_ms(state, request, waiting.tokens))
     queue = state.queues.get(request.team, TeamQueue())
     kind = length_class(request.prompt_tokens)
     ids = queue.classes.get(kind, Fifo())
+    if at_front and ids:
+        state = forget_reservation(state, ids.first)
     ids = ids.prepend(request.request_id) if at_front else ids.append(request.request_id)
     queue = replace(queue, classes=queue.classes.set(kind, ids))
     state = replace(
