--- a/src/lentilwell/_placement.py
+++ b/src/lentilwell/_placement.py
@@ -13,16 +13,17 @@
 from lentilwell._health import is_doubtful, is_usable
 from lentilwell._holds import is_held
 from lentilwell._messages import Placement, Request
+from lentilwell._prefixes import count_reused
 from lentilwell._reservations import may_use
-from lentilwell._room import count_others_backlog, count_streams, free_memory
+from lentilwell._room import count_others_backlog, count_streams, free_memory, is_long_reading
 from lentilwell._spans import find_span
 from lentilwell._state import EngineView, State, draw
 
 SAMPLE_ENGINES = 16
+LARGE_FLEET_SAMPLE = 8
 DECODE_MS_PER_STREAM = 5.0
 OTHER_CENTRE_MS = 3.0
 TIE_MS = 20.0
-LONG_READING_SHARE = 4
 
 PlacementPolicy = Callable[[State, Request], tuple[Placement, ...]]
 ScorePolicy = Callable[[State, Request, EngineView], float]
@@ -61,8 +62,7 @@
 def has_room(state: State, request: Request, view: EngineView) -> bool:
     """Tell whether an engine has a slot and the memory for a request, as far as is known."""
     memory = request.memory_tokens
-    long_reading = memory * LONG_READING_SHARE > view.spec.memory_tokens
-    if long_reading and view.crowded_until > state.now:
+    if view.crowded_until > state.now and is_long_reading(memory, view):
         return False
     if view.own_streams >= view.spec.slots or count_streams(state, view) >= view.spec.slots:
         return False
@@ -92,7 +92,7 @@
 def sample_engines(state: State, request: Request) -> Iterator[EngineView]:
     """Yield up to ``SAMPLE_ENGINES`` engines of the model within the team's sharing rules.
 
-    Half of the sample is from the own data centre where it has as many.
+    Where there are more, ``LARGE_FLEET_SAMPLE`` do, half of them from the own data centre.
     """
     inventory = state.inventory
     team = inventory.teams.get(request.team) if inventory is not None else None
@@ -106,9 +106,9 @@
     if len(every) <= SAMPLE_ENGINES:
         yield from rotate(state, every, SAMPLE_ENGINES)
         return
-    names = dict.fromkeys(view.spec.name for view in rotate(state, near, SAMPLE_ENGINES // 2))
-    names.update(dict.fromkeys(view.spec.name for view in rotate(state, every, SAMPLE_ENGINES)))
-    for name in list(names)[:SAMPLE_ENGINES]:
+    names = dict.fromkeys(view.spec.name for view in rotate(state, near, LARGE_FLEET_SAMPLE // 2))
+    names.update(dict.fromkeys(view.spec.name for view in rotate(state, every, LARGE_FLEET_SAMPLE)))
+    for name in list(names)[:LARGE_FLEET_SAMPLE]:
         yield state.engines[name]
 
 
@@ -146,13 +146,15 @@
 def score_owner_share(state: State, request: Request, view: EngineView) -> float:
     """Take the earliest first token by own use, peers' digests and the report.
 
-    Own prefills count where they go before the request; those of peers are known only in sum.
+    Own prefills count where they go before the request; those of peers are known only in sum. The
+    prefill that a cached prefix saves counts against the wait.
 
     Scores that differ by less than a tie are equal, so that instances do not all choose alike.
     """
     wait_ms = sum_ahead(state.backlogs.get(view.spec.name), request)
     wait_ms += prefill_ms(state, count_others_backlog(state, view), view.spec.name)
     wait_ms += count_streams(state, view) * DECODE_MS_PER_STREAM
+    wait_ms -= prefill_ms(state, count_reused(state, request, view.spec.name), view.spec.name)
     ties = round(wait_ms / TIE_MS)
     near = view.spec.data_centre == state.identity.data_centre
     return ties * TIE_MS + (0.0 if near else OTHER_CENTRE_MS)
