Leave service instances out once they are known to be leaving

Cause: the gateway had no view of services that leave; the marks of _leaving hold for services too. Check: pytest tests/test_once_only.py tests/test_path.py tests/test_callers.py, 44 passed.

--- a/src/lentilwell/_application.py
+++ b/src/lentilwell/_application.py
@@ -25,6 +25,7 @@
 from lentilwell._engines import HttpEngineControl
 from lentilwell._errors import NotReady
 from lentilwell._events import DrainStarted, TickPassed
+from lentilwell._leaving import is_leaving
 from lentilwell._membership import MEMBERS_INTERVAL_MS, MembersPoller
 from lentilwell._messages import Identity
 from lentilwell._metrics import OUTCOME_CALLER_GONE, OUTCOME_WHOLE, Counts, Metrics
@@ -170,7 +171,11 @@
 
     def _make_callers(self) -> PooledServer:
         callers = self.settings.callers
-        chooser = InstanceChooser(self.clock, self.identity.data_centre)
+        chooser = InstanceChooser(
+            self.clock,
+            self.identity.data_centre,
+            lambda name: is_leaving(self.core.state, name),
+        )
         context = CallersContext(
             inventory=lambda: self.core.state.inventory,
             transfer=self.transfer,
--- a/tests/test_once_only.py
+++ b/tests/test_once_only.py
@@ -261,3 +261,25 @@
         assert runs == 1 or not answers, key
         unknown = [told.code == "outcome_unknown" for told in heard[key]]
         assert last.code != "not_run" or not any(unknown), key
+
+
+def test_leaving_service_gets_no_new_call(deployment):
+    leaving, staying = deployment.services
+    member = {"name": leaving.name, "kind": "service", "address": leaving.url()}
+    member |= {"data_centre": "caerdydd", "incarnation": "1", "leaving": True}
+    call(
+        "PUT", f"{deployment.platform.url()}/instances/{leaving.name}", json.dumps(member).encode()
+    )
+
+    def is_left_alone():
+        before = json.loads(call("GET", f"{leaving.url()}/arrivals"))["lookups"]
+        for turn in range(4):
+            assert send(deployment.entries[turn % 2], deployment, "", method="GET").status == 200
+        return json.loads(call("GET", f"{leaving.url()}/arrivals"))["lookups"] == before
+
+    wait_for(is_left_alone)
+    for number in range(4):
+        assert send(deployment.entries[number % 2], deployment, f"leave-{number}").status == 200
+        assert count_calls(deployment, "runs", f"leave-{number}") == 1
+    assert not set(json.loads(call("GET", f"{leaving.url()}/runs")))
+    assert len(json.loads(call("GET", f"{staying.url()}/runs"))) == 4
