--- a/standins/engine.py
+++ b/standins/engine.py
@@ -14,7 +14,8 @@
 
 from standins.answers import answer_seed
 from standins.cache import BLOCK_TOKENS, hash_blocks
-from standins.model import EngineModel, EngineOptions, Stream
+from standins.model import EngineModel
+from standins.stream import EngineOptions, Stream
 from standins.web import (
     Call,
     DetachConnection,
--- a/standins/model.py
+++ b/standins/model.py
@@ -13,8 +13,8 @@
 import uuid
 from dataclasses import asdict, dataclass, field
 
-from standins.answers import answer_token
 from standins.cache import BLOCK_TOKENS, PrefixCache
+from standins.stream import EngineOptions, Faults, Stream, render_token
 
 STEP_S = 0.005
 MAXIMUM_STEP_S = 1.0
@@ -25,82 +25,6 @@
 )
 
 
-@dataclass(frozen=True)
-class EngineOptions:
-    """The constants of one engine's model. Rates are in model time, before ``speed``.
-
-    The time between tokens grows by ``batch_slowdown`` for each further stream in the batch, and
-    by ``prefill_slowdown`` while a prefill runs.
-    """
-
-    name: str
-    speed: float = 1.0
-    prefill_rate: float = 20_000.0
-    decode_ms: float = 20.0
-    batch_slowdown: float = 0.002
-    prefill_slowdown: float = 0.2
-    memory_tokens: int = 450_000
-    slots: int = 64
-    models: tuple[str, ...] = ("assistant",)
-    report_lag_ms: int = 200
-    load_ms: float = 0.0
-    checks_fencing: bool = False
-
-
-@dataclass
-class Stream:
-    """One stream in the engine, with the model's progress and the socket that reads it."""
-
-    stream: str
-    owner: str
-    incarnation: str
-    role: str
-    seed: str
-    priority: int
-    sequence: int
-    memory_tokens: int
-    prefill_tokens: float
-    first_index: int
-    answer_tokens: int
-    chain: tuple[int, ...] = ()
-    segments_ready: bool = True
-    prefilled: float = 0.0
-    generated: float = 0.0
-    connection: socket.socket | None = None
-    next_index: int = 0
-    pending: bytes = b""
-    held: str = ""
-    ended: bool = False
-    written_at: float = 0.0
-
-    @property
-    def prefill_over(self) -> bool:
-        """Tell whether this engine's part of the prompt is read."""
-        return self.prefilled >= self.prefill_tokens
-
-    @property
-    def decoding(self) -> bool:
-        """Tell whether the stream is in the batch that generates tokens."""
-        return self.role == "lead" and self.prefill_over and self.segments_ready
-
-
-@dataclass
-class Faults:
-    """What the engine has been told to do wrong; the counts are of lines still to spoil."""
-
-    stall: bool = False
-    refuse: bool = False
-    mute_open: bool = False
-    drop_requests: bool = False
-    leaving: bool = False
-    lost_reports: bool = False
-    slow: float = 1.0
-    repeat: int = 0
-    skip: int = 0
-    reorder: int = 0
-    cross: int = 0
-
-
 @dataclass
 class EngineModel:
     """The engine's state and its batch loop; ``lock`` guards all of it."""
@@ -363,8 +287,3 @@
             "tokens_written": self.tokens_written,
             "faults": asdict(self.faults),
         }
-
-
-def render_token(stream: str, seed: str, index: int) -> str:
-    """Return the line of one token."""
-    return f'{{"stream":"{stream}","index":{index},"text":"{answer_token(seed, index)}"}}\n'
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -13,7 +13,8 @@
 from standins.answers import answer_text
 from standins.cache import BLOCK_TOKENS, PrefixCache, hash_blocks
 from standins.deployment import call, launch, stop_processes
-from standins.model import EngineModel, EngineOptions, Stream
+from standins.model import EngineModel
+from standins.stream import EngineOptions, Stream
 
 STREAM = {
     "owner": "entry-1",
