--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -9,12 +9,20 @@
 import subprocess
 import sys
 import tempfile
+import time
 import urllib.request
+import uuid
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from lentilwell._clock import MS_PER_SECOND
+from lentilwell._configuration_editor import ConfigurationEditor
+from lentilwell._documents import parse_document
+from lentilwell._platform import HttpPlatform
+from lentilwell._settings import PlatformSettings
+
 STOP_PATIENCE_S = 20
 READY_PATIENCE_S = 20
 
@@ -102,14 +110,11 @@
         return "\n".join(lines)
 
     def put_inventory(self) -> int:
-        """Store the inventory as the next accepted version, straight into the platform."""
-        text = self.inventory_text().encode()
-        digest = hashlib.sha256(text).hexdigest()
-        call("PUT", f"{self.platform.url()}/objects/configuration/{digest}", text)
-        head = {"version": self.version + 1, "digest": digest, "edit_id": "setup"}
-        url = f"{self.platform.url()}/table/configuration.head"
-        call("PUT", url, json.dumps(head).encode(), {"If-Version": str(self.version)})
-        self.version += 1
+        """Make the inventory the next accepted version, as operators do."""
+        dialect = HttpPlatform(PlatformSettings(self.platform.url()))
+        editor = ConfigurationEditor(dialect, lambda ms: time.sleep(ms / MS_PER_SECOND))
+        document, _ = parse_document(self.inventory_text(), 1)
+        self.version = editor.put(document, self.version, uuid.uuid4().hex)
         return self.version
 
     def settings_text(self, name: str, data_centre: str) -> str:
