--- a/bench/control_tables.py
+++ b/bench/control_tables.py
@@ -194,6 +194,24 @@
                 "% of a core",
                 CONTROL_CORE_PERCENT,
             ),
+            Line(
+                "loading and applying one changed engine of 10,000",
+                (
+                    (changes, Measured("load one change with 10000 engines"), US_TO_PERCENT),
+                    (changes, Measured("apply one change with 10000 engines"), US_TO_PERCENT),
+                ),
+                "% of a core",
+                CONTROL_CORE_PERCENT,
+            ),
+            Line(
+                "the same for a node that knows 400 engines",
+                (
+                    (changes, Measured("load one change with 400 engines"), US_TO_PERCENT),
+                    (changes, Measured("apply one change with 400 engines"), US_TO_PERCENT),
+                ),
+                "% of a core",
+                CONTROL_CORE_PERCENT,
+            ),
             Line(
                 "memory of the engines",
                 ((engines, Measured("inventory memory an engine"), BYTES_TO_MIB),),
