Part failures from exceptions, claim messages from the protocol, and read the deadline header once

Behaviour is unchanged; the tests keep their assertions. Check: pytest test_callers test_services test_claims test_docs test_platform test_settings, make lint.

--- a/src/lentilwell/__init__.py
+++ b/src/lentilwell/__init__.py
@@ -12,7 +12,8 @@
     _ticks,
 )
 from lentilwell._clock import Clock, ManualClock, SystemClock
-from lentilwell._errors import Failure, LentilwellError
+from lentilwell._errors import LentilwellError
+from lentilwell._failures import Failure
 from lentilwell._inventory import (
     Engine,
     Inventory,
--- a/src/lentilwell/_admission.py
+++ b/src/lentilwell/_admission.py
@@ -7,8 +7,8 @@
 from lentilwell._dispatch import find_unservable
 from lentilwell._effects import EndRequest
 from lentilwell._ending import end_request
-from lentilwell._errors import DeadlineExceeded, Failure, NotReady, Overloaded
 from lentilwell._events import CallerGone, DrainStarted, InventoryAccepted, RequestArrived
+from lentilwell._failures import DeadlineExceeded, Failure, NotReady, Overloaded
 from lentilwell._inventory import Inventory
 from lentilwell._inventory_index import index_inventory
 from lentilwell._messages import Request
--- a/src/lentilwell/_application.py
+++ b/src/lentilwell/_application.py
@@ -24,8 +24,8 @@
 from lentilwell._core import Core
 from lentilwell._dump import dump_state
 from lentilwell._engines import HttpEngineControl
-from lentilwell._errors import NotReady
 from lentilwell._events import DrainStarted, TickPassed
+from lentilwell._failures import NotReady
 from lentilwell._leaving import is_leaving
 from lentilwell._membership import MEMBERS_INTERVAL_MS, MembersPoller
 from lentilwell._messages import Identity
--- a/src/lentilwell/_callers.py
+++ b/src/lentilwell/_callers.py
@@ -17,7 +17,8 @@
 from werkzeug.wrappers import Response
 
 from lentilwell._clock import MS_PER_SECOND, Clock
-from lentilwell._errors import (
+from lentilwell._events import Event, RequestArrived
+from lentilwell._failures import (
     BodyTooLarge,
     Failure,
     InvalidRequest,
@@ -28,8 +29,8 @@
     UnknownModel,
     UnknownRoute,
 )
-from lentilwell._events import Event, RequestArrived
-from lentilwell._inventory import Inventory, Team
+from lentilwell._headers import read_deadline_ms
+from lentilwell._inventory import Inventory, Rules, Team
 from lentilwell._messages import BYTES_PER_TOKEN, Request, count_tokens
 from lentilwell._responses import respond_failure
 from lentilwell._server import ConnectionDetached, leave_body_unread, take_connection
@@ -42,7 +43,6 @@
 )
 from lentilwell._transfer import TransferLoop
 
-DEADLINE_HEADER = "X-Deadline-Ms"
 DEFAULT_ANSWER_TOKENS = 16
 BLOCK_TOKENS = 1_024
 TOKENS_PER_THOUSAND = 1_000
@@ -210,7 +210,7 @@
         tokens = count_tokens(text)
         if tokens + prompt.answer_tokens > model.context_tokens:
             return Err(PromptTooLong(model.context_tokens))
-        deadline = read_deadline_ms(http, inventory, tokens)
+        deadline = read_deadline_ms(http, inventory.rules, allow_time_ms(inventory.rules, tokens))
         if isinstance(deadline, Err):
             return deadline
         now = self._clock.now()
@@ -245,18 +245,10 @@
         self._context.post(RequestArrived(self._clock.now(), request))
 
 
-def read_deadline_ms(
-    http: HttpRequest, inventory: Inventory, prompt_tokens: int
-) -> Result[int, Failure]:
-    """Return the time the request may take: the header's, capped, or the rules' for its length."""
-    rules = inventory.rules
-    given = http.headers.get(DEADLINE_HEADER)
-    if given is None:
-        by_length = rules.deadline_ms_per_1k_tokens * prompt_tokens // TOKENS_PER_THOUSAND
-        return Ok(min(rules.maximum_deadline_ms, rules.default_deadline_ms + by_length))
-    if not given.isdecimal() or len(given) > 15 or int(given) == 0:
-        return Err(InvalidRequest(f"{DEADLINE_HEADER} must be a whole number of ms, 1 or more."))
-    return Ok(min(rules.maximum_deadline_ms, int(given)))
+def allow_time_ms(rules: Rules, prompt_tokens: int) -> int:
+    """Return the time that the rules give a request of this length which names no deadline."""
+    by_length = rules.deadline_ms_per_1k_tokens * prompt_tokens // TOKENS_PER_THOUSAND
+    return rules.default_deadline_ms + by_length
 
 
 def find_team(inventory: Inventory, http: HttpRequest) -> Team | None:
--- a/src/lentilwell/_claim_runner.py
+++ b/src/lentilwell/_claim_runner.py
@@ -20,7 +20,7 @@
 from loguru import logger
 from result import Err, Ok, Result
 
-from lentilwell._claims import (
+from lentilwell._claim_messages import (
     Action,
     Answered,
     Began,
@@ -49,17 +49,11 @@
     WriteRefused,
     WriteRow,
     WriteUnavailable,
-    step,
 )
+from lentilwell._claims import step
 from lentilwell._clock import MS_PER_SECOND, Clock
-from lentilwell._errors import (
-    AnswerLost,
-    AnswerUnavailable,
-    AttemptNotRun,
-    Failure,
-    PlatformFailure,
-    VersionConflict,
-)
+from lentilwell._errors import AnswerLost, PlatformFailure, VersionConflict
+from lentilwell._failures import AnswerUnavailable, AttemptNotRun, Failure
 from lentilwell._http import Guard, HttpAnswer, HttpFailure
 from lentilwell._ports import Platform, Row
 
--- a/src/lentilwell/_cli_keys.py
+++ b/src/lentilwell/_cli_keys.py
@@ -9,16 +9,9 @@
 import msgspec
 from result import Ok
 
+from lentilwell._claim_messages import Claim, FoundClaim
 from lentilwell._claim_runner import CLAIM_PREFIX, decode_row, name_row
-from lentilwell._claims import (
-    SETTLE_MARGIN_MS,
-    Claim,
-    FoundClaim,
-    Settlement,
-    is_unsettled,
-    may_settle,
-    settle,
-)
+from lentilwell._claims import SETTLE_MARGIN_MS, Settlement, is_unsettled, may_settle, settle
 from lentilwell._clock import MS_PER_SECOND, Clock, SystemClock
 from lentilwell._commands import add_settings, command
 from lentilwell._errors import (
--- a/src/lentilwell/_deadlines.py
+++ b/src/lentilwell/_deadlines.py
@@ -11,8 +11,8 @@
 from lentilwell._capacities import Capacity, find_capacity
 from lentilwell._effects import Effect
 from lentilwell._ending import end_request
-from lentilwell._errors import DeadlineExceeded, Failure, Overloaded
 from lentilwell._estimates import estimate_service_ms, is_trusted
+from lentilwell._failures import DeadlineExceeded, Failure, Overloaded
 from lentilwell._fairness import find_weight
 from lentilwell._messages import Request
 from lentilwell._queues import latest_start
--- a/src/lentilwell/_dispatch.py
+++ b/src/lentilwell/_dispatch.py
@@ -8,13 +8,13 @@
 from lentilwell._capacities import Capacity, find_capacity
 from lentilwell._effects import Effect
 from lentilwell._ending import end_request
-from lentilwell._errors import Failure, PromptTooLong, Unauthorized, UnknownModel
 from lentilwell._estimates import (
     estimate_cost_ms,
     estimate_prefill_ms,
     estimate_service_ms,
     length_class,
 )
+from lentilwell._failures import Failure, PromptTooLong, Unauthorized, UnknownModel
 from lentilwell._fairness import charge, put_back, take_team, unpark
 from lentilwell._grants import begin_attempt
 from lentilwell._messages import Placement, Request
--- a/src/lentilwell/_effects.py
+++ b/src/lentilwell/_effects.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from lentilwell._errors import Failure
+from lentilwell._failures import Failure
 from lentilwell._messages import Digest, GrantAnswer, GrantAsk, Placement, Request
 
 
--- a/src/lentilwell/_ending.py
+++ b/src/lentilwell/_ending.py
@@ -7,8 +7,8 @@
 from lentilwell._backlogs import remove_backlog, remove_hold
 from lentilwell._cancels import cancel_streams
 from lentilwell._effects import CancelAttempt, Effect, EndRequest
-from lentilwell._errors import Failure
 from lentilwell._estimates import estimate_cost_ms, learn_decode, prefill_ms
+from lentilwell._failures import Failure
 from lentilwell._fairness import correct
 from lentilwell._queues import drop_waiting
 from lentilwell._records import replace
--- a/src/lentilwell/_operators.py
+++ b/src/lentilwell/_operators.py
@@ -12,7 +12,7 @@
 from werkzeug.wrappers import Request as HttpRequest
 from werkzeug.wrappers import Response
 
-from lentilwell._errors import NotReady, Unauthorized, UnknownRoute
+from lentilwell._failures import NotReady, Unauthorized, UnknownRoute
 from lentilwell._responses import respond_failure
 
 
--- a/src/lentilwell/_recovery.py
+++ b/src/lentilwell/_recovery.py
@@ -6,9 +6,9 @@
 from lentilwell._cancels import cancel_streams
 from lentilwell._effects import ResumeAttempt
 from lentilwell._ending import end_request, release, stop_attempt
-from lentilwell._errors import UpstreamFailed
 from lentilwell._estimates import learn_prefill
 from lentilwell._events import AttemptFailed, AttemptFinished, FirstTokenSeen, ProgressSeen
+from lentilwell._failures import UpstreamFailed
 from lentilwell._health import note_failure, note_refusal, note_success
 from lentilwell._holds import hold_request
 from lentilwell._leaving import mark_leaving
--- a/src/lentilwell/_responses.py
+++ b/src/lentilwell/_responses.py
@@ -4,7 +4,7 @@
 
 from werkzeug.wrappers import Response
 
-from lentilwell._errors import Failure
+from lentilwell._failures import Failure
 from lentilwell._streams import encode_failure, retry_after_seconds
 
 
--- a/src/lentilwell/_server.py
+++ b/src/lentilwell/_server.py
@@ -18,7 +18,7 @@
 from werkzeug.serving import BaseWSGIServer, WSGIRequestHandler
 
 from lentilwell._clock import MS_PER_SECOND, Clock
-from lentilwell._errors import Failure, HeadersTooLarge, InvalidRequest, NotReady, ReadTimeout
+from lentilwell._failures import Failure, HeadersTooLarge, InvalidRequest, NotReady, ReadTimeout
 from lentilwell._streams import render_failure
 
 WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
--- a/src/lentilwell/_services.py
+++ b/src/lentilwell/_services.py
@@ -16,10 +16,10 @@
 from werkzeug.wrappers import Request as HttpRequest
 from werkzeug.wrappers import Response
 
+from lentilwell._claim_messages import RecordedAnswer
 from lentilwell._claim_runner import LATE_ANSWER_MS, ClaimedCall, ClaimRunner
-from lentilwell._claims import RecordedAnswer
 from lentilwell._clock import Clock
-from lentilwell._errors import (
+from lentilwell._failures import (
     Failure,
     InvalidRequest,
     KeyMissing,
@@ -29,6 +29,7 @@
     ServiceFailed,
     UnknownRoute,
 )
+from lentilwell._headers import read_deadline_ms
 from lentilwell._http import Guard, HttpAnswer, HttpCall, HttpFailure, send
 from lentilwell._inventory import Inventory, Service, Team
 from lentilwell._responses import respond_failure
@@ -44,7 +45,6 @@
 MAXIMUM_CONNECTS = 3
 LOOKUP_TRIES = 2
 RAW_HEADERS = "lentilwell.headers"
-_DEADLINE_HEADER = "X-Deadline-Ms"
 _BODYLESS_STATUS = (204, 304)
 _HOP_HEADERS = frozenset(
     (
@@ -138,7 +138,7 @@
         self, http: HttpRequest, body: bytes, team: Team, inventory: Inventory
     ) -> Result[ServiceCall, Failure]:
         target = read_target(http.environ["RAW_URI"])
-        timeout = read_timeout_ms(http, inventory)
+        timeout = read_deadline_ms(http, inventory.rules, CALL_TIMEOUT_MS)
         if isinstance(timeout, Err):
             return timeout
         if not target.startswith("/services/") or "#" in target:
@@ -245,16 +245,6 @@
     return "/" + rest.partition("/")[2]
 
 
-def read_timeout_ms(http: HttpRequest, inventory: Inventory) -> Result[int, Failure]:
-    """Return the time the call may take: the header's, capped by the rules, or the default."""
-    given = http.headers.get(_DEADLINE_HEADER)
-    if given is None:
-        return Ok(CALL_TIMEOUT_MS)
-    if not given.isdecimal() or len(given) > 15 or int(given) == 0:
-        return Err(InvalidRequest(f"{_DEADLINE_HEADER} must be a whole number of ms, 1 or more."))
-    return Ok(min(inventory.rules.maximum_deadline_ms, int(given)))
-
-
 def keep_headers(headers: Iterable[tuple[str, str]], without: frozenset[str]) -> Headers:
     """Return the headers that pass on, in order and with duplicates."""
     found = tuple(headers)
--- a/src/lentilwell/_sessions.py
+++ b/src/lentilwell/_sessions.py
@@ -11,8 +11,8 @@
 from enum import Enum
 
 from lentilwell._effects import Effect
-from lentilwell._errors import Failure
 from lentilwell._events import Event
+from lentilwell._failures import Failure
 from lentilwell._inventory import Inventory
 from lentilwell._messages import LoadReport, Placement, Request
 from lentilwell._reducer import reduce
--- a/src/lentilwell/_streams.py
+++ b/src/lentilwell/_streams.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from lentilwell._errors import Failure
+from lentilwell._failures import Failure
 from lentilwell._messages import Request
 
 BUFFER_LIMIT_BYTES = 65_536
--- a/src/lentilwell/_transfer.py
+++ b/src/lentilwell/_transfer.py
@@ -20,7 +20,6 @@
 
 from lentilwell._clock import Clock
 from lentilwell._engines import OpenStream, StreamLine
-from lentilwell._errors import DeadlineExceeded, Failure
 from lentilwell._events import (
     AttemptFailed,
     AttemptFinished,
@@ -29,6 +28,7 @@
     FirstTokenSeen,
     ProgressSeen,
 )
+from lentilwell._failures import DeadlineExceeded, Failure
 from lentilwell._http import HttpCall, prepare
 from lentilwell._messages import Cause
 from lentilwell._streams import BUFFER_LIMIT_BYTES, Exchange
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -7,7 +7,6 @@
 
 from lentilwell import Identity, Request, State, reduce
 from lentilwell._effects import EndRequest, StartAttempt
-from lentilwell._errors import Overloaded, PromptTooLong, UnknownModel
 from lentilwell._estimates import estimate_service_ms
 from lentilwell._events import (
     AttemptFinished,
@@ -16,6 +15,7 @@
     RequestArrived,
     TickPassed,
 )
+from lentilwell._failures import Overloaded, PromptTooLong, UnknownModel
 from lentilwell._inventory import Engine, Inventory, Model, Team
 from lentilwell._retries import take_retry
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -9,7 +9,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from lentilwell import _claims as c
-from lentilwell._errors import (
+from lentilwell._failures import (
     AlreadyRan,
     AttemptNotRun,
     KeyReused,
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from lentilwell import _errors
+from lentilwell import _failures
 from lentilwell._inventory import Rules
 from lentilwell._metrics import Counts, Metrics
 from lentilwell._settings import Settings
@@ -36,7 +36,7 @@
     assert f"| `{field.name}` | `{field.default}` |" in OPERATING
 
 
-def list_failures(kind=_errors.Failure):
+def list_failures(kind=_failures.Failure):
     yield kind
     for child in kind.__subclasses__():
         yield from list_failures(child)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -9,7 +9,7 @@
 from lentilwell import _effects as fx
 from lentilwell import _events as ev
 from lentilwell._cancels import has_open_cancels
-from lentilwell._errors import UpstreamFailed
+from lentilwell._failures import UpstreamFailed
 from lentilwell._messages import (
     Cause,
     Digest,
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -4,7 +4,6 @@
 
 from lentilwell import Identity, Request, State, reduce
 from lentilwell._effects import CancelAttempt, CancelStream, EndRequest, ResumeAttempt, StartAttempt
-from lentilwell._errors import DeadlineExceeded
 from lentilwell._events import (
     AttemptFailed,
     AttemptFinished,
@@ -13,6 +12,7 @@
     RequestArrived,
     TickPassed,
 )
+from lentilwell._failures import DeadlineExceeded
 from lentilwell._inventory import Engine, Inventory, Model, Team
 from lentilwell._messages import Cause
 
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -15,6 +15,7 @@
 from lentilwell import ManualClock, SystemClock
 from lentilwell import _cli_keys as keys
 from lentilwell._callers import CallersApp, CallersContext
+from lentilwell._claim_messages import ClaimStatus
 from lentilwell._claim_runner import (
     CLAIM_PREFIX,
     ClaimedCall,
@@ -22,17 +23,17 @@
     decode_row,
     name_row,
 )
-from lentilwell._claims import PAUSE_LIMIT_MS, SETTLE_MARGIN_MS, ClaimStatus, Settlement
+from lentilwell._claims import PAUSE_LIMIT_MS, SETTLE_MARGIN_MS, Settlement
 from lentilwell._errors import (
     AnswerLost,
     ConflictError,
     NotFound,
-    NotRun,
     OutcomeUnknownError,
     RefusedError,
     Unavailable,
     VersionConflict,
 )
+from lentilwell._failures import NotRun
 from lentilwell._http import HttpAnswer, HttpFailure
 from lentilwell._inventory import Inventory, Route, Service, Team
 from lentilwell._ports import Row
--- a/tests/test_transfer.py
+++ b/tests/test_transfer.py
@@ -10,7 +10,6 @@
 
 from lentilwell import Request, SystemClock
 from lentilwell._engines import OpenStream
-from lentilwell._errors import DeadlineExceeded
 from lentilwell._events import (
     AttemptFailed,
     AttemptFinished,
@@ -18,6 +17,7 @@
     FirstTokenSeen,
     ProgressSeen,
 )
+from lentilwell._failures import DeadlineExceeded
 from lentilwell._messages import Cause
 from lentilwell._streams import BUFFER_LIMIT_BYTES, AnswerForm, Exchange, StreamedForm
 from lentilwell._transfer import StreamTarget, TransferLoop
