Write nothing after the end of an answer, and bound an engine's line

Cause: found on reading. Between the end that the deadline gave an answer and the reducer's word to drop its attempt, further chunks were still written behind the last chunk of the body; and an engine that sends no line end grew the process without bound. Ruled out as harmless: a client may read on.

--- a/src/lentilwell/_transfer.py
+++ b/src/lentilwell/_transfer.py
@@ -39,6 +39,7 @@
 CLOSE_PATIENCE_MS = 2_000
 DEADLINE_MARGIN_MS = 150
 READ_BYTES = 4_096
+LINE_LIMIT_BYTES = 65_536
 _REFUSED_STATUS = 429
 _LEAVING_STATUS = 503
 
@@ -346,7 +347,7 @@
     def _take(self, transfer: _Transfer, data: bytes) -> int:
         """Take bytes of a stream; returning a pause leaves them with curl."""
         exchange = transfer.attempt.exchange
-        if transfer.failed:
+        if transfer.failed or exchange.closing or exchange.gone:
             return len(data)
         if len(exchange.buffer) > BUFFER_LIMIT_BYTES:
             transfer.paused = True
@@ -355,6 +356,8 @@
         if transfer.status == 200:
             *lines, transfer.rest = (transfer.rest + data).split(b"\n")
             self._take_lines(transfer, [line for line in lines if line])
+        if len(transfer.rest) > LINE_LIMIT_BYTES:
+            self._fail(transfer, Cause.BROKEN)
         return len(data)
 
     def _take_lines(self, transfer: _Transfer, lines: list[bytes]) -> None:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
+from lentilwell import _claim_messages as m
 from lentilwell import _claims as c
 from lentilwell._failures import (
     AlreadyRan,
@@ -27,7 +28,7 @@
 @dataclass
 class Attempt:
     key: str
-    state: c.ClaimState
+    state: m.ClaimState
     claimed_at: int = 0
     todo: tuple = ()
     alive: bool = True
@@ -52,24 +53,24 @@
         self.settled = set()
 
     def begin(self, key, digest):
-        state = c.ClaimState(f"attempt-{len(self.attempts)}", digest, self.now + PATIENCE_MS)
+        state = m.ClaimState(f"attempt-{len(self.attempts)}", digest, self.now + PATIENCE_MS)
         attempt = Attempt(key, state)
         self.attempts.append(attempt)
-        self.feed(attempt, c.Began)
+        self.feed(attempt, m.Began)
         return attempt
 
     def feed(self, attempt, kind, *values):
         attempt.state, actions = c.step(attempt.state, kind(self.now, self.wall, *values))
         for action in actions:
-            if isinstance(action, c.ReplyAnswer | c.ReplyFailure):
+            if isinstance(action, m.ReplyAnswer | m.ReplyFailure):
                 self.check_reply(attempt, action)
                 attempt.replies.append(action)
-        rest = [a for a in actions if not isinstance(a, c.ReplyAnswer | c.ReplyFailure)]
-        if isinstance(c.Transmit(), type(rest[0]) if rest else c.Input):
+        rest = [a for a in actions if not isinstance(a, m.ReplyAnswer | m.ReplyFailure)]
+        if isinstance(m.Transmit(), type(rest[0]) if rest else m.Input):
             self.transmit(attempt)
             rest = []
-        attempt.deferred = c.Defer() in rest
-        attempt.todo = tuple(a for a in rest if a != c.Defer())
+        attempt.deferred = m.Defer() in rest
+        attempt.todo = tuple(a for a in rest if a != m.Defer())
 
     def transmit(self, attempt):
         assert not attempt.replies, "sent after the caller had its reply"
@@ -79,7 +80,7 @@
 
     def check_reply(self, attempt, reply):
         assert not attempt.replies, "two replies"
-        if isinstance(reply, c.ReplyAnswer):
+        if isinstance(reply, m.ReplyAnswer):
             assert reply.answer == self.answers[attempt.key][1]
             assert attempt.state.request_digest == self.answers[attempt.key][0]
         elif isinstance(reply.failure, NotRun):
@@ -91,9 +92,9 @@
                 assert self.runs[attempt.key] == 0 or moved
 
     def write(self, attempt, action, fault):
-        if action.status is c.ClaimStatus.HELD:
+        if action.status is m.ClaimStatus.HELD:
             attempt.claimed_at = self.wall
-        claim = c.Claim(
+        claim = m.Claim(
             status=action.status,
             team="counters",
             key=attempt.key,
@@ -106,52 +107,52 @@
         )
         write = (attempt.key, action.expected_version, claim)
         if fault == "unavailable":
-            return self.feed(attempt, c.WriteUnavailable)
+            return self.feed(attempt, m.WriteUnavailable)
         if fault in ("lost", "lost_late"):
             self.late += [write] if fault == "lost_late" else []
-            return self.feed(attempt, c.WriteLost)
+            return self.feed(attempt, m.WriteLost)
         version = self.apply(*write)
         if fault == "repeated":
             version = self.apply(*write)
         if fault == "lost_after":
-            return self.feed(attempt, c.WriteLost)
+            return self.feed(attempt, m.WriteLost)
         if version is None:
-            return self.feed(attempt, c.WriteRefused)
-        return self.feed(attempt, c.RowWritten, version)
+            return self.feed(attempt, m.WriteRefused)
+        return self.feed(attempt, m.RowWritten, version)
 
     def apply(self, key, expected_version, claim):
-        if self.rows.get(key, c.FoundClaim()).version != expected_version:
+        if self.rows.get(key, m.FoundClaim()).version != expected_version:
             return None
-        self.rows[key] = c.FoundClaim(expected_version + 1, claim)
+        self.rows[key] = m.FoundClaim(expected_version + 1, claim)
         return expected_version + 1
 
     def perform(self, attempt, fault):
         (action,) = attempt.todo
-        if isinstance(action, c.WriteRow):
+        if isinstance(action, m.WriteRow):
             self.write(attempt, action, fault)
-        elif isinstance(action, c.ReadRow) and fault == "none":
-            self.feed(attempt, c.RowRead, self.rows.get(attempt.key, c.FoundClaim()))
-        elif isinstance(action, c.ReadRow):
-            self.feed(attempt, c.ReadFailed)
-        elif isinstance(action, c.Connect):
-            self.feed(attempt, c.Connected if fault == "none" else c.NotConnected)
+        elif isinstance(action, m.ReadRow) and fault == "none":
+            self.feed(attempt, m.RowRead, self.rows.get(attempt.key, m.FoundClaim()))
+        elif isinstance(action, m.ReadRow):
+            self.feed(attempt, m.ReadFailed)
+        elif isinstance(action, m.Connect):
+            self.feed(attempt, m.Connected if fault == "none" else m.NotConnected)
 
     def serve(self, attempt, lose_answer):
         self.network.remove(attempt)
         self.runs[attempt.key] += 1
-        answer = c.RecordedAnswer(200, (), f"run {self.runs[attempt.key]}".encode())
+        answer = m.RecordedAnswer(200, (), f"run {self.runs[attempt.key]}".encode())
         self.answers[attempt.key] = (attempt.state.request_digest, answer)
         self.end_call(attempt, None if lose_answer else answer)
 
     def end_call(self, attempt, answer):
         if attempt.alive and attempt.waiting:
             attempt.waiting = False
-            self.feed(attempt, *((c.Unanswered,) if answer is None else (c.Answered, answer)))
+            self.feed(attempt, *((m.Unanswered,) if answer is None else (m.Answered, answer)))
 
     def pass_deadline(self, attempt, early_ms=0):
         self.now = max(self.now, attempt.state.deadline_at - early_ms)
         state, todo, deferred = attempt.state, attempt.todo, attempt.deferred
-        self.feed(attempt, c.DeadlinePassed)
+        self.feed(attempt, m.DeadlinePassed)
         if attempt.state.phase is state.phase:
             attempt.todo, attempt.deferred = todo, deferred
 
@@ -162,14 +163,14 @@
                 if attempt.todo:
                     self.perform(attempt, "none")
                 elif attempt.deferred:
-                    self.feed(attempt, c.Resumed)
+                    self.feed(attempt, m.Resumed)
                 elif attempt in self.network:
                     self.serve(attempt, lose_answer=False)
                 elif attempt.waiting:
                     self.end_call(attempt, None)
         for attempt in self.attempts:
             if attempt.alive:
-                assert attempt.state.phase is c.Phase.DONE and attempt.replies
+                assert attempt.state.phase is m.Phase.DONE and attempt.replies
 
 
 class ClaimMachine(RuleBasedStateMachine):
@@ -217,7 +218,7 @@
     @precondition(lambda self: self.has(can_resume))
     @rule(data=st.data())
     def resume(self, data):
-        self.world.feed(self.pick(data, can_resume), c.Resumed)
+        self.world.feed(self.pick(data, can_resume), m.Resumed)
 
     @precondition(lambda self: self.world.late)
     @rule(data=st.data())
@@ -265,7 +266,7 @@
         if not c.may_settle(found.claim, world.wall) or any(a.key == key for a in world.network):
             return
         outcome = c.Settlement.RAN if world.runs[key] else c.Settlement.NOT_RUN
-        world.rows[key] = c.FoundClaim(found.version + 1, c.settle(found.claim, outcome))
+        world.rows[key] = m.FoundClaim(found.version + 1, c.settle(found.claim, outcome))
         world.settled.add(key)
 
     @invariant()
@@ -276,7 +277,7 @@
     def sent_key_stays_taken(self):
         for attempt in self.world.attempts:
             if attempt.transmitted and attempt.key not in self.world.settled:
-                assert self.world.rows[attempt.key].claim.status is not c.ClaimStatus.FREE
+                assert self.world.rows[attempt.key].claim.status is not m.ClaimStatus.FREE
 
     def teardown(self):
         """Heal everything, let what lives end, and call each key once more."""
@@ -285,7 +286,7 @@
         for write in world.late:
             world.apply(*write)
         for key in KEYS:
-            before = world.rows.get(key, c.FoundClaim())
+            before = world.rows.get(key, m.FoundClaim())
             attempt = world.begin(key, "a")
             world.run_out()
             self.check_last(key, before.claim, attempt)
@@ -295,13 +296,13 @@
         dead = {a.state.attempt_id for a in self.world.attempts if not a.alive}
         sent = [a for a in self.world.attempts if a.key == key and a.transmitted]
         (reply,) = attempt.replies
-        if claim is None or claim.status is c.ClaimStatus.FREE:
-            assert reply == c.ReplyAnswer(self.world.answers[key][1], replayed=False)
-        elif claim.status is c.ClaimStatus.HELD:
+        if claim is None or claim.status is m.ClaimStatus.FREE:
+            assert reply == m.ReplyAnswer(self.world.answers[key][1], replayed=False)
+        elif claim.status is m.ClaimStatus.HELD:
             assert claim.attempt_id in dead
-        elif claim.status is c.ClaimStatus.FINISHED and claim.request_digest == "a":
-            assert reply == c.ReplyAnswer(self.world.answers[key][1], replayed=True)
-        elif claim.status is c.ClaimStatus.UNKNOWN:
+        elif claim.status is m.ClaimStatus.FINISHED and claim.request_digest == "a":
+            assert reply == m.ReplyAnswer(self.world.answers[key][1], replayed=True)
+        elif claim.status is m.ClaimStatus.UNKNOWN:
             assert sent
 
 
@@ -320,22 +321,22 @@
 
 
 def held_row(status, digest="a", answer=None):
-    claim = c.Claim(status, "counters", "k", digest, "other", "entry-2", 0, 1, answer)
-    return c.FoundClaim(1, claim)
+    claim = m.Claim(status, "counters", "k", digest, "other", "entry-2", 0, 1, answer)
+    return m.FoundClaim(1, claim)
 
 
-ANSWER = c.RecordedAnswer(201, (("X", "1"),), b"done")
+ANSWER = m.RecordedAnswer(201, (("X", "1"),), b"done")
 
 
 @pytest.mark.parametrize(
     ("row", "reply"),
     [
-        (held_row(c.ClaimStatus.HELD), c.ReplyFailure(OutcomePending())),
-        (held_row(c.ClaimStatus.UNKNOWN), c.ReplyFailure(OutcomeUnknown())),
-        (held_row(c.ClaimStatus.RAN), c.ReplyFailure(AlreadyRan())),
-        (held_row(c.ClaimStatus.HELD, "b"), c.ReplyFailure(KeyReused())),
-        (held_row(c.ClaimStatus.FINISHED, "b", ANSWER), c.ReplyFailure(KeyReused())),
-        (held_row(c.ClaimStatus.FINISHED, "a", ANSWER), c.ReplyAnswer(ANSWER, replayed=True)),
+        (held_row(m.ClaimStatus.HELD), m.ReplyFailure(OutcomePending())),
+        (held_row(m.ClaimStatus.UNKNOWN), m.ReplyFailure(OutcomeUnknown())),
+        (held_row(m.ClaimStatus.RAN), m.ReplyFailure(AlreadyRan())),
+        (held_row(m.ClaimStatus.HELD, "b"), m.ReplyFailure(KeyReused())),
+        (held_row(m.ClaimStatus.FINISHED, "b", ANSWER), m.ReplyFailure(KeyReused())),
+        (held_row(m.ClaimStatus.FINISHED, "a", ANSWER), m.ReplyAnswer(ANSWER, replayed=True)),
     ],
 )
 def test_taken_key_is_told_and_never_sent(row, reply):
@@ -344,25 +345,25 @@
     attempt = world.begin(KEYS[0], "a")
     for _ in range(2):
         attempt.state, actions = (
-            c.step(attempt.state, c.WriteRefused(0, 0))
-            if attempt.state.phase is c.Phase.CLAIMING
-            else c.step(attempt.state, c.RowRead(0, 0, row))
+            c.step(attempt.state, m.WriteRefused(0, 0))
+            if attempt.state.phase is m.Phase.CLAIMING
+            else c.step(attempt.state, m.RowRead(0, 0, row))
         )
-    assert actions == (reply,) and attempt.state.phase is c.Phase.DONE
+    assert actions == (reply,) and attempt.state.phase is m.Phase.DONE
 
 
 TOLD = [
     (("unavailable",), AttemptNotRun, None),
-    (("lost", "lost"), AttemptNotRun, c.ClaimStatus.FREE),
-    (("lost_late", "none"), AttemptNotRun, c.ClaimStatus.FREE),
-    (("lost_after", "lost"), AttemptNotRun, c.ClaimStatus.FREE),
-    (("none", "lost"), NotRun, c.ClaimStatus.FREE),
-    (("none", "lost", "lost"), NotRunKeyHeld, c.ClaimStatus.FREE),
-    (("repeated", "lost"), OutcomePending, c.ClaimStatus.FREE),
-    (("none", "none", "lost"), OutcomeUnknown, c.ClaimStatus.UNKNOWN),
-    (("none", "none", "none", "lost"), None, c.ClaimStatus.FINISHED),
-    (("repeated", "none", "none"), None, c.ClaimStatus.FINISHED),
-    (("lost_after", "none", "none"), None, c.ClaimStatus.FINISHED),
+    (("lost", "lost"), AttemptNotRun, m.ClaimStatus.FREE),
+    (("lost_late", "none"), AttemptNotRun, m.ClaimStatus.FREE),
+    (("lost_after", "lost"), AttemptNotRun, m.ClaimStatus.FREE),
+    (("none", "lost"), NotRun, m.ClaimStatus.FREE),
+    (("none", "lost", "lost"), NotRunKeyHeld, m.ClaimStatus.FREE),
+    (("repeated", "lost"), OutcomePending, m.ClaimStatus.FREE),
+    (("none", "none", "lost"), OutcomeUnknown, m.ClaimStatus.UNKNOWN),
+    (("none", "none", "none", "lost"), None, m.ClaimStatus.FINISHED),
+    (("repeated", "none", "none"), None, m.ClaimStatus.FINISHED),
+    (("lost_after", "none", "none"), None, m.ClaimStatus.FINISHED),
 ]
 
 
@@ -390,7 +391,7 @@
     world.perform(paused, "none")
     found = world.rows[KEYS[0]]
     settled = c.settle(found.claim, c.Settlement.NOT_RUN)
-    world.rows[KEYS[0]] = c.FoundClaim(found.version + 1, settled)
+    world.rows[KEYS[0]] = m.FoundClaim(found.version + 1, settled)
     paused.alive = False
     world.begin(KEYS[0], "a")
     world.run_out()
@@ -398,7 +399,7 @@
     world.now += 5_000
     world.run_out()
     assert world.runs[KEYS[0]] == 1
-    assert paused.replies == [c.ReplyFailure(AttemptNotRun())]
+    assert paused.replies == [m.ReplyFailure(AttemptNotRun())]
 
 
 def test_settled_claim_is_no_longer_its_attempts_own():
@@ -407,7 +408,7 @@
     world.perform(paused, "lost_after")
     found = world.rows[KEYS[0]]
     settled = c.settle(found.claim, c.Settlement.NOT_RUN)
-    world.rows[KEYS[0]] = c.FoundClaim(found.version + 1, settled)
+    world.rows[KEYS[0]] = m.FoundClaim(found.version + 1, settled)
     other = world.begin(KEYS[0], "a")
     world.run_out()
     assert [paused.transmitted, other.transmitted].count(True) == 1
@@ -420,5 +421,5 @@
     world.perform(attempt, "none")
     world.now, world.wall = now_ms, wall_ms
     world.run_out()
-    assert not attempt.transmitted and attempt.replies == [c.ReplyFailure(NotRun())]
+    assert not attempt.transmitted and attempt.replies == [m.ReplyFailure(NotRun())]
     assert replace(world.rows[KEYS[0]], claim=None).version == 2
--- a/tests/test_transfer.py
+++ b/tests/test_transfer.py
@@ -154,6 +154,7 @@
         ({"scripts": [script(line(0), line(1))]}, Cause.BROKEN, 2),
         ({"scripts": [script(line(0), "{nonsense\n")]}, Cause.BROKEN, 0),
         ({"scripts": [script()]}, Cause.BROKEN, 0),
+        ({"scripts": [script("x" * 200_000)], "hold": True}, Cause.BROKEN, 0),
         ({"scripts": [b""]}, Cause.BROKEN, 0),
         ({"scripts": [b"HTTP/1.1 429 No\r\n\r\n{}"]}, Cause.REFUSED, 0),
         ({"scripts": [b"HTTP/1.1 503 No\r\n\r\n{}"]}, Cause.LEAVING, 0),
@@ -269,6 +270,22 @@
     assert rig.ended.get(timeout=WAIT_S) is rig.exchange
 
 
+def test_chunks_that_come_after_the_end_are_dropped():
+    rig = Rig([script(line(0))], hold=True)
+    rig.loop.close()
+    rig.loop._turn()
+    rig.open()
+    rig.loop._turn()
+    (transfer,) = rig.loop._attempts["s"].transfers
+    transfer.status = 200
+    rig.exchange.end_failed(DeadlineExceeded(), 0)
+    ended = bytes(rig.exchange.buffer)
+    rig.loop._take(transfer, line(0).encode())
+    assert bytes(rig.exchange.buffer) == ended and not rig.exchange.texts
+    rig.caller.close()
+    rig.engine.close()
+
+
 def test_progress_is_told_a_few_times_a_second_only():
     rig = Rig([script(*(line(n) for n in range(5_000)), END)], 5_000)
     rig.open()
