Find a caller's team by an index of key digests

Cause: found on reading: each request looked through all teams. Ruled out: keeping the index in the reducer's state, which would hold every digest twice. Also: the demonstration has ten teams, as the users do.

--- a/src/lentilwell/_callers.py
+++ b/src/lentilwell/_callers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import uuid
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -41,6 +40,7 @@
     Exchange,
     StreamedForm,
 )
+from lentilwell._team_keys import TeamKeys
 from lentilwell._transfer import TransferLoop
 
 DEFAULT_ANSWER_TOKENS = 16
@@ -144,6 +144,7 @@
         self._settings = settings
         self._clock = clock
         self._context = context
+        self._keys = TeamKeys()
 
     def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         """Answer one request, or give its socket away."""
@@ -162,7 +163,7 @@
         inventory = self._context.inventory()
         if inventory is None:
             return self._refuse_early(http, NotReady())
-        team = find_team(inventory, http)
+        team = self._keys.find_team(inventory, http.headers.get("Authorization", ""))
         if team is None:
             return self._refuse_early(http, Unauthorized())
         if http.path == "/v1/models" and http.method == "GET":
@@ -251,18 +252,6 @@
     return rules.default_deadline_ms + by_length
 
 
-def find_team(inventory: Inventory, http: HttpRequest) -> Team | None:
-    """Return the team whose key the caller sent."""
-    kind, _, key = http.headers.get("Authorization", "").partition(" ")
-    if kind.lower() != "bearer" or not key:
-        return None
-    digest = hashlib.sha256(key.strip().encode()).hexdigest()
-    for team in inventory.teams.values():
-        if digest in team.key_digests:
-            return team
-    return None
-
-
 def read_body(http: HttpRequest, limit_bytes: int) -> Result[bytes, Failure]:
     """Read the whole body within the limit of size and time."""
     try:
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -36,7 +36,18 @@
     engines: int = 14
     services: int = 3
     service_name: str = "bookings"
-    teams: tuple[str, ...] = ("counters", "pricing")
+    teams: tuple[str, ...] = (
+        "counters",
+        "pricing",
+        "fitting",
+        "repairs",
+        "returns",
+        "stock",
+        "purchasing",
+        "training",
+        "accounts",
+        "head-office",
+    )
     memory_tokens: int = 450_000
     slots: int = 64
     speed: float = 20.0
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -15,6 +15,7 @@
 from lentilwell._inventory import Engine, Inventory, Model, Team
 from lentilwell._server import PooledServer
 from lentilwell._settings import CallersSettings
+from lentilwell._team_keys import TeamKeys
 
 KEY = "secret-key-of-team"
 GOOD = {"model": "m", "prompt": "hello", "max_tokens": 4}
@@ -168,6 +169,20 @@
     assert [model["id"] for model in listed["data"]] == ["m"]
 
 
+def test_keys_follow_the_inventory_in_force():
+    digests = [hashlib.sha256(key.encode()).hexdigest() for key in ("old", "new")]
+    before, after = (
+        Inventory(n, teams=pmap({"t": Team("t", 1, (digest,))})) for n, digest in enumerate(digests)
+    )
+    keys = TeamKeys()
+    assert keys.find_team(before, "Bearer old").name == "t"
+    assert keys.find_team(after, "Bearer old") is None
+    assert keys.find_team(after, "bearer new").name == "t"
+    assert keys.find_team(before, "Bearer new") is None
+    for nothing in ("", "Bearer", "Bearer ", "Basic new", "new"):
+        assert keys.find_team(after, nothing) is None
+
+
 def test_prefix_chains_differ_between_cache_groups():
     text = b"x" * 3 * 4_096
     assert len(hash_prefix(text, "a")) == 3
