Say 'not run' only where the call is known not to have run

Cause: an attempt that met a dead table, or whose claim's answer was lost, answered 'not_run' though an earlier attempt with the same key might have run: a caller that reads the code and not the message was told wrongly of its request. Such attempts now answer 'attempt_not_run'; 'not_run' is said only by the holder of the claim that has sent nothing. Ruled out: 'outcome_unknown' for them, since it would keep callers of a first attempt from knowing that nothing was sent.

--- a/src/lentilwell/_failures.py
+++ b/src/lentilwell/_failures.py
@@ -242,9 +242,12 @@
 class AttemptNotRun(NotRun):
     """This attempt was not run and never will be; it never held the claim.
 
-    It says nothing of an earlier attempt with the same key.
+    It says nothing of an earlier attempt with the same key, which may have run; its code therefore
+    differs from the one that speaks of the call itself.
     """
 
+    code: ClassVar[str] = "attempt_not_run"
+
     @property
     def message(self) -> str:
         """Say what is known, and of which attempt."""
