--- a/src/lentilwell/_transfer.py
+++ b/src/lentilwell/_transfer.py
@@ -18,9 +18,8 @@
 import pycurl
 from loguru import logger
 
-from lentilwell._chunks import Expected, check_lines
 from lentilwell._clock import Clock
-from lentilwell._engines import OpenStream
+from lentilwell._engines import OpenStream, StreamLine
 from lentilwell._events import (
     AttemptFailed,
     AttemptFinished,
@@ -44,6 +43,8 @@
 _REFUSED_STATUS = 429
 _LEAVING_STATUS = 503
 
+_decode_line = msgspec.json.Decoder(StreamLine).decode
+
 
 @dataclass(frozen=True)
 class StreamTarget:
@@ -354,24 +355,37 @@
         transfer.heard_at = self._clock.now()
         if transfer.status == 200:
             *lines, transfer.rest = (transfer.rest + data).split(b"\n")
-            self._take_lines(transfer, lines)
+            self._take_lines(transfer, [line for line in lines if line])
         if len(transfer.rest) > LINE_LIMIT_BYTES:
             self._fail(transfer, Cause.BROKEN)
         return len(data)
 
     def _take_lines(self, transfer: _Transfer, lines: list[bytes]) -> None:
-        if not transfer.lead:
-            return
         exchange = transfer.attempt.exchange
-        stream = transfer.target.body.stream
-        expected = Expected(stream, exchange.next_index, exchange.request.answer_tokens)
-        found = check_lines(lines, expected)
-        transfer.end = found.end
-        if found.texts:
-            self._deliver(transfer.attempt, list(found.texts))
-        if found.fault is not None:
-            self._fail(transfer, found.fault)
-        elif found.end:
+        texts: list[str] = []
+        whole = 0
+        for raw in lines:
+            line = _parse_line(raw)
+            if line is None:
+                self._fail(transfer, Cause.BROKEN)
+                return
+            if line.stream != transfer.target.body.stream or not transfer.lead:
+                continue
+            if line.end:
+                transfer.end = line.end
+                whole = line.tokens if line.tokens >= 0 else exchange.request.answer_tokens
+                break
+            if line.index < exchange.next_index + len(texts):
+                continue
+            if line.index > exchange.next_index + len(texts):
+                self._fail(transfer, Cause.GAP)
+                return
+            texts.append(line.text)
+        if texts:
+            self._deliver(transfer.attempt, texts)
+        if transfer.end and exchange.next_index != whole:
+            self._fail(transfer, Cause.GAP)
+        elif transfer.end:
             self._end_lead(transfer)
 
     def _deliver(self, attempt: _Attempt, texts: list[str]) -> None:
@@ -461,6 +475,13 @@
         transfer.status = int(line.split(b" ", 2)[1])
 
 
+def _parse_line(raw: bytes) -> StreamLine | None:
+    try:
+        return _decode_line(raw)
+    except msgspec.DecodeError:
+        return None
+
+
 def _judge(status: int, code: int | None) -> Cause:
     if code in (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST):
         return Cause.CONNECT
