--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 
 export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
 
-.PHONY: setup demo up test bench lint format thrift build clean
+.PHONY: setup demo up test search bench lint format thrift build clean
 
 $(STAMP): requirements.txt requirements-dev.txt pyproject.toml
 	test -x $(PY) || $(PYTHON) -m venv $(VENV)
@@ -27,6 +27,15 @@
 test: $(SETUP)
 	$(PY) -m pytest -n 4 --dist loadfile
 
+# A long search of the state machines. SEED=N repeats one; EXAMPLES=N is their number a machine.
+SEED ?= $(shell $(PYTHON) -c 'import secrets; print(secrets.randbelow(2**32))')
+EXAMPLES ?= 2000
+search: seed := $(SEED)
+search: $(SETUP)
+	@echo "searching $(EXAMPLES) examples a machine with SEED=$(seed)"
+	LENTILWELL_SEARCH=$(EXAMPLES) $(PY) -m pytest -n 4 --timeout 3600 --hypothesis-seed=$(seed) \
+		tests/test_claims.py tests/test_fleet.py tests/test_sessions.py tests/test_versions.py
+
 bench: $(SETUP)
 	$(PY) -m bench
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -4,7 +4,6 @@
 from random import Random
 
 import pytest
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
@@ -19,6 +18,7 @@
     OutcomePending,
     OutcomeUnknown,
 )
+from tests.searching import bound_search
 
 KEYS = ("refund-1", "refund-2")
 PATIENCE_MS = 2_000
@@ -315,9 +315,7 @@
 
 
 TestClaimMachine = ClaimMachine.TestCase
-TestClaimMachine.settings = settings(
-    derandomize=True, deadline=None, max_examples=300, stateful_step_count=40
-)
+TestClaimMachine.settings = bound_search(max_examples=300, stateful_step_count=40)
 
 
 def held_row(status, digest="a", answer=None):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,11 +1,12 @@
 """Several instances and engines under faults: what the brief says must always hold."""
 
 import hypothesis.strategies as st
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
 from lentilwell import _events as ev
 from tests.fleet import CENTRES, HOMES, MEMORY, Fleet, Stream
+from tests.searching import bound_search
 
 NAMES = st.sampled_from(sorted(HOMES))
 ENGINES = st.sampled_from(sorted(CENTRES))
@@ -77,12 +78,8 @@
             self.fleet.settle()
 
 
-FleetUnderFaults.TestCase.settings = settings(
-    derandomize=True,
-    deadline=None,
-    max_examples=40,
-    stateful_step_count=20,
-    suppress_health_check=list(HealthCheck),
+FleetUnderFaults.TestCase.settings = bound_search(
+    max_examples=40, stateful_step_count=20, suppressed=HealthCheck
 )
 TestFleetUnderFaults = FleetUnderFaults.TestCase
 
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 import pytest
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -36,6 +36,7 @@
 from lentilwell._order import ORDERS
 from lentilwell._sessions import Session
 from lentilwell._state import EnginePace, Pace
+from tests.searching import bound_search
 
 TICK_MS = 50
 MEMORY = 400_000
@@ -247,12 +248,10 @@
     machine = type(f"Promises_{order}", (Promises,), {"order": order})
     run_state_machine_as_test(
         machine,
-        settings=settings(
-            derandomize=True,
-            deadline=None,
+        settings=bound_search(
             max_examples=60 if order == "response_ratio" else 15,
             stateful_step_count=50,
-            suppress_health_check=list(HealthCheck),
+            suppressed=HealthCheck,
         ),
     )
 
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -3,7 +3,6 @@
 from contextlib import suppress
 
 import pytest
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 from pyrsistent import pmap
@@ -24,6 +23,7 @@
 )
 from lentilwell._ports import Platform, Row
 from lentilwell._versions import HEAD_KEY, ChainError, Delta, Head, decode_head, load
+from tests.searching import bound_search
 
 NAMES = ("a", "b", "c")
 ROUNDS = 2 * len(NAMES) + 2
@@ -329,7 +329,7 @@
 
 
 class TestConfiguration(ConfigurationMachine.TestCase):
-    settings = settings(derandomize=True, deadline=None, max_examples=200, stateful_step_count=40)
+    settings = bound_search(max_examples=200, stateful_step_count=40)
 
 
 def put(world, number, base):
