--- a/src/lentilwell/_peer_auth.py
+++ b/src/lentilwell/_peer_auth.py
@@ -15,7 +15,6 @@
 from lentilwell._messages import Identity
 
 NONCE_BYTES = 16
-PROOF_BYTES = 32
 _SEQUENCE_BYTES = 8
 _LENGTH_BYTES = 4
 
--- a/src/lentilwell/_ports.py
+++ b/src/lentilwell/_ports.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from result import Result
@@ -128,6 +127,3 @@
     @abstractmethod
     def answer_grant(self, peer: str, answer: GrantAnswer) -> None:
         """Answer a peer's ask."""
-
-
-Inbox = Callable[[object], None]
--- a/src/lentilwell/_transfer.py
+++ b/src/lentilwell/_transfer.py
@@ -40,7 +40,8 @@
 DEADLINE_MARGIN_MS = 150
 READ_BYTES = 4_096
 LINE_LIMIT_BYTES = 65_536
-_REFUSED_STATUS = 429
+_REFUSED_FROM_STATUS = 429
+_REFUSED_STATUSES = (404, 409)
 _LEAVING_STATUS = 503
 
 _decode_line = msgspec.json.Decoder(StreamLine).decode
@@ -487,6 +488,6 @@
         return Cause.CONNECT
     if status == _LEAVING_STATUS:
         return Cause.LEAVING
-    if status >= _REFUSED_STATUS or status == 409 or status == 404:
+    if status >= _REFUSED_FROM_STATUS or status in _REFUSED_STATUSES:
         return Cause.REFUSED
     return Cause.BROKEN
