Place prompts where they make the fewest requests late, read by one engine or several

Change: policy least_cost, a model of reading and passes by the services' figures; the cost of a choice is the lateness it adds for all on the engines concerned.

--- a/src/lentilwell/gateway/__init__.py
+++ b/src/lentilwell/gateway/__init__.py
@@ -1,5 +1,6 @@
 """Forwarding of HTTP requests to upstreams that a store lists, and the decisions behind it."""
 
+from lentilwell.gateway import _least_cost
 from lentilwell.gateway._budget import BudgetRules
 from lentilwell.gateway._catalog import (
     Catalog,
@@ -70,3 +71,5 @@
     "find_header",
     "open_link",
 ]
+
+_REGISTERED = (_least_cost,)
--- a/src/lentilwell/gateway/_books.py
+++ b/src/lentilwell/gateway/_books.py
@@ -16,8 +16,9 @@
     """One request's work at one upstream.
 
     ``read_ms`` is the estimate of its reading there, ``reading`` tells whether that still goes on.
-    ``writes`` is false for an upstream that only helps to read. ``pause_ms`` is the longest pause
-    that its stream bears, ``worth`` what its caller's time counts.
+    ``writes`` is false for an upstream that only helps to read. ``due_at`` is when its first event
+    is due, ``pause_ms`` the longest pause that its stream bears; ``weight`` is what being on time
+    counts for it against other jobs.
     """
 
     name: str
@@ -27,19 +28,27 @@
     memory_tokens: int
     reading: bool = True
     writes: bool = True
+    due_at: int = 0
     pause_ms: int = 0
+    weight: float = 1.0
 
 
 @dataclass(frozen=True)
 class Load:
-    """The work at one upstream at one moment. ``backlog_ms`` is the reading still to be done."""
+    """The work at one upstream at one moment. ``backlog_ms`` is the reading still to be done.
 
-    jobs: int = 0
-    writers: int = 0
+    ``context_tokens`` is the memory of the requests that write.
+    """
+
+    jobs: tuple[Job, ...] = ()
     backlog_ms: float = 0.0
     memory_tokens: int = 0
     context_tokens: int = 0
-    shortest_pause_ms: int = 0
+
+    @property
+    def writers(self) -> int:
+        """Return the number of requests that write."""
+        return sum(not job.reading for job in self.jobs)
 
 
 class Books:
@@ -96,14 +105,11 @@
 def measure_jobs(jobs: list[Job], now: int) -> Load:
     """Return the load that these jobs make together."""
     writing = [job for job in jobs if not job.reading]
-    pauses = [job.pause_ms for job in jobs if job.writes and job.pause_ms]
     return Load(
-        jobs=len(jobs),
-        writers=len(writing),
+        jobs=tuple(jobs),
         backlog_ms=sum_backlog([job for job in jobs if job.reading], now),
         memory_tokens=sum(job.memory_tokens for job in jobs),
         context_tokens=sum(job.memory_tokens for job in writing),
-        shortest_pause_ms=min(pauses, default=0),
     )
 
 
--- a/src/lentilwell/gateway/_choice.py
+++ b/src/lentilwell/gateway/_choice.py
@@ -29,22 +29,34 @@
 
 @dataclass(frozen=True)
 class Wish:
-    """What is to be placed; ``engine`` is None for a plain service."""
+    """What is to be placed; ``engine`` is None for a plain service.
+
+    ``waited_ms`` is the time since the request arrived, ``now`` the moment of the choice, ``point``
+    a random number from 0 up to 1.
+    """
 
     prompt: Prompt | None
     engine: EngineSpec | None
     objective_ms: int
     pause_ms: int
+    waited_ms: int
+    now: int
     point: float
 
 
 @dataclass(frozen=True)
 class Choice:
-    """The chosen upstream, those that help it to read, and the estimate of each one's reading."""
+    """The chosen upstream, those that help it to read, and the estimate of each one's reading.
+
+    ``first_event_ms`` is the estimate of the time to the first event from now on, ``weight`` what
+    the request counts against others.
+    """
 
     upstream: Upstream
     helpers: tuple[Upstream, ...] = ()
     read_ms: float = 0.0
+    first_event_ms: float = 0.0
+    weight: float = 1.0
 
 
 Policy = Callable[[Wish, Sequence[Candidate]], Choice | None]
@@ -73,5 +85,5 @@
 
 
 def _count_jobs(candidate: Candidate) -> tuple[float, bool]:
-    busy = candidate.load.jobs / max(1, candidate.upstream.slots)
+    busy = len(candidate.load.jobs) / max(1, candidate.upstream.slots)
     return busy + candidate.penalty_ms, not candidate.near
--- a/src/lentilwell/gateway/_exchange.py
+++ b/src/lentilwell/gateway/_exchange.py
@@ -89,6 +89,8 @@
         self._server_failure: tuple[AnswerHead, bytes] | None = None
         self._first_ms: int | None = None
         self._upstream = ""
+        self._expected_ms = 0
+        self._helpers = 0
 
     async def run(self) -> None:
         """Serve the request and write its answer."""
@@ -120,6 +122,9 @@
             return self._decide(NoPlace(), "no upstream")
         self._excluded |= {choice.upstream.name}
         self._upstream = choice.upstream.name
+        self._helpers = len(choice.helpers)
+        waited_ms = self._clock.now() - self._subject.request.arrived_at
+        self._expected_ms = round(waited_ms + choice.first_event_ms)
         self._book(choice)
         try:
             return await self._send(choice)
@@ -129,7 +134,11 @@
     def _choose(self) -> Choice | None:
         subject = self._subject
         return self._fleet.choose(
-            subject.service, subject.route, subject.facts.prompt, self._excluded
+            subject.service,
+            subject.route,
+            subject.facts.prompt,
+            subject.request.arrived_at,
+            self._excluded,
         )
 
     async def _send(self, choice: Choice) -> Effect:
@@ -269,7 +278,9 @@
                 read_ms=choice.read_ms,
                 memory_tokens=prompt.memory_tokens if prompt is not None and lead else 0,
                 writes=lead,
+                due_at=self._subject.request.arrived_at + self._subject.route.objective_ms,
                 pause_ms=self._subject.route.pause_ms,
+                weight=choice.weight,
             )
             self._fleet.books.add(job)
 
@@ -322,6 +333,8 @@
             outcome=ending.value,
             sends=self._course.sends,
             first_ms=self._first_ms,
+            expected_first_ms=self._expected_ms,
+            helpers=self._helpers,
             total_ms=self._clock.now() - self._subject.request.arrived_at,
         )
 
--- a/src/lentilwell/gateway/_fleet.py
+++ b/src/lentilwell/gateway/_fleet.py
@@ -51,7 +51,12 @@
         return budget
 
     def choose(
-        self, service: str, route: Route, prompt: Prompt | None, excluded: frozenset[str]
+        self,
+        service: str,
+        route: Route,
+        prompt: Prompt | None,
+        arrived_at: int,
+        excluded: frozenset[str],
     ) -> Choice | None:
         """Ask the policy for an upstream; those in ``excluded`` are not asked again."""
         now = self.clock.now()
@@ -67,6 +72,8 @@
             engine=spec.engine if spec is not None else None,
             objective_ms=route.objective_ms,
             pause_ms=route.pause_ms,
+            waited_ms=now - arrived_at,
+            now=now,
             point=self.random.random(),
         )
         admitted = self.ejection.admit(usable, now)
--- /dev/null
+++ b/src/lentilwell/gateway/_least_cost.py
@@ -0,0 +1,166 @@
+"""Places a request where it costs all concerned the least time, by a model of the engines. Pure.
+
+Load that this answers: short and long prompts on the same engines, in bursts of either. A long
+reading on an engine stretches the pauses of the streams that are written there and delays the first
+events behind it. Spread over several engines each part is short, but more engines are disturbed.
+The cost of a choice is the chance that the request itself is late, plus what the choice adds to the
+chances of the requests already there, each by its weight.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from lentilwell.gateway._books import Job
+from lentilwell.gateway._catalog import EngineSpec
+from lentilwell.gateway._choice import (
+    Candidate,
+    Choice,
+    Wish,
+    choose_least_outstanding,
+    policy,
+)
+from lentilwell.gateway._reading import read_ms, write_pass_ms
+
+READERS_TRIED = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17)
+LEAST_PART_TOKENS = 4_096
+SAFE_SHARE = 0.6
+LATE_SHARE = 1.1
+BEYOND_LATE_SLOPE = 0.1
+SLOWNESS_WEIGHT = 0.15
+READER_COST = 0.01
+FULL_COST = 1.0
+OVERFLOW_COST = 4.0
+OTHER_DATA_CENTRE_COST = 0.002
+LEAST_WEIGHT = 0.3
+
+
+@dataclass(frozen=True)
+class Option:
+    """One way to place a request, and its cost in requests that come late."""
+
+    readers: tuple[Candidate, ...]
+    part_ms: float
+    first_event_ms: float
+    cost: float
+
+
+@policy("least_cost")
+def choose_least_cost(wish: Wish, candidates: Sequence[Candidate]) -> Choice | None:
+    """Take the engines, one or several, that make the fewest requests late."""
+    engine, prompt = wish.engine, wish.prompt
+    if engine is None or prompt is None:
+        return choose_least_outstanding(wish, candidates)
+    if not candidates:
+        return None
+    weight = find_weight(engine, prompt.prompt_tokens)
+    options = [
+        plan(wish, engine, weight, candidates, readers)
+        for readers in READERS_TRIED
+        if readers == 1
+        or (readers <= len(candidates) and prompt.prompt_tokens >= readers * LEAST_PART_TOKENS)
+    ]
+    best = min(options, key=lambda option: option.cost)
+    lead, *helpers = best.readers
+    return Choice(
+        upstream=lead.upstream,
+        helpers=tuple(helper.upstream for helper in helpers),
+        read_ms=best.part_ms,
+        first_event_ms=best.first_event_ms,
+        weight=weight,
+    )
+
+
+def plan(
+    wish: Wish, engine: EngineSpec, weight: float, candidates: Sequence[Candidate], readers: int
+) -> Option:
+    """Return the best way to read with this many engines."""
+    assert wish.prompt is not None
+    part_ms = read_ms(engine, wish.prompt.prompt_tokens) / readers
+    costs = [cost_of(wish, engine, weight, candidate, part_ms) for candidate in candidates]
+    places = sorted(range(len(candidates)), key=costs.__getitem__)
+    chosen = tuple(candidates[place] for place in places[:readers])
+    lead = min(chosen, key=lambda candidate: lead_cost(wish, engine, candidate))
+    ordered = (lead, *(candidate for candidate in chosen if candidate is not lead))
+    first_ms = max(first_event_ms(engine, candidate, part_ms) for candidate in chosen)
+    own = weight * lateness(wish.waited_ms + first_ms, wish.objective_ms)
+    harm = sum(harm_of(wish.now, engine, candidate, part_ms, readers > 1) for candidate in chosen)
+    extra = lead_cost(wish, engine, lead) + weight * READER_COST * (readers - 1)
+    return Option(ordered, part_ms, first_ms, own + harm + extra)
+
+
+def cost_of(
+    wish: Wish, engine: EngineSpec, weight: float, candidate: Candidate, part_ms: float
+) -> float:
+    """Return the cost of reading a part of the prompt at one engine."""
+    expected_ms = wish.waited_ms + first_event_ms(engine, candidate, part_ms)
+    own = weight * lateness(expected_ms, wish.objective_ms)
+    return own + harm_of(wish.now, engine, candidate, part_ms, ahead=False) + candidate.penalty_ms
+
+
+def lead_cost(wish: Wish, engine: EngineSpec, candidate: Candidate) -> float:
+    """Return what makes an engine a bad place to hold the prompt and to write the answer."""
+    assert wish.prompt is not None
+    load = candidate.load
+    cost = 0.0 if candidate.near else OTHER_DATA_CENTRE_COST
+    if len(load.jobs) >= engine.slots:
+        cost += FULL_COST * (1 + len(load.jobs) - engine.slots)
+    if load.memory_tokens + wish.prompt.memory_tokens > engine.memory_tokens:
+        cost += OVERFLOW_COST
+    return cost
+
+
+def first_event_ms(engine: EngineSpec, candidate: Candidate, part_ms: float) -> float:
+    """Return the time until an engine has read a part and finished the pass after it, in ms."""
+    load = candidate.load
+    pass_ms = write_pass_ms(engine, load.writers + 1, load.context_tokens)
+    begun_ms = pass_ms / 2 if load.writers else 0.0
+    return load.backlog_ms + part_ms + pass_ms + begun_ms
+
+
+def harm_of(
+    now: int, engine: EngineSpec, candidate: Candidate, part_ms: float, ahead: bool
+) -> float:
+    """Return how many more requests of one engine come late if it reads ``part_ms`` more.
+
+    ``ahead`` says that the part goes before other readings, as the parts of a spread prompt do.
+    """
+    load = candidate.load
+    pass_ms = write_pass_ms(engine, load.writers, load.context_tokens) + load.backlog_ms
+    harm = 0.0
+    for job in load.jobs:
+        if not job.reading:
+            harm += job.weight * added(pass_ms, part_ms, job.pause_ms)
+        elif ahead:
+            harm += harm_reading(now, job, load.backlog_ms + pass_ms, part_ms)
+    return harm
+
+
+def harm_reading(now: int, job: Job, expected_ms: float, part_ms: float) -> float:
+    """Return how much more likely a request that waits for its first event comes late."""
+    objective_ms = max(1, job.due_at - job.begun_at)
+    return job.weight * added(now - job.begun_at + expected_ms, part_ms, objective_ms)
+
+
+def added(before_ms: float, more_ms: float, limit_ms: int) -> float:
+    """Return what ``more_ms`` adds to the lateness against a limit."""
+    return lateness(before_ms + more_ms, limit_ms) - lateness(before_ms, limit_ms)
+
+
+def lateness(expected_ms: float, limit_ms: int) -> float:
+    """Return the chance of being late from an estimate: 0 to 1, and a little more beyond that.
+
+    Estimates err, so the chance rises well before the limit. A small part grows with the time
+    itself, so that of two safe choices the quicker is taken.
+    """
+    share = expected_ms / max(1, limit_ms)
+    chance = min(1.0, max(0.0, (share - SAFE_SHARE) / (LATE_SHARE - SAFE_SHARE)))
+    beyond = BEYOND_LATE_SLOPE * max(0.0, share - LATE_SHARE)
+    return chance + beyond + SLOWNESS_WEIGHT * share
+
+
+def find_weight(engine: EngineSpec, prompt_tokens: int) -> float:
+    """Return what a request counts: more for a longer prompt than the usual one."""
+    usual = max(1, engine.usual_prompt_tokens)
+    return LEAST_WEIGHT + (1 - LEAST_WEIGHT) * prompt_tokens / usual
--- a/src/lentilwell/gateway/_settings.py
+++ b/src/lentilwell/gateway/_settings.py
@@ -21,4 +21,4 @@
     stop_patience_ms: int
     budget: BudgetRules
     log_level: str = "INFO"
-    policy: str = "least_outstanding"
+    policy: str = "least_cost"
