--- a/src/lentilwell/gateway/_books.py
+++ b/src/lentilwell/gateway/_books.py
@@ -16,9 +16,9 @@
     """One request's work at one upstream.
 
     ``read_ms`` is the estimate of its reading there, ``reading`` tells whether that still goes on.
-    ``writes`` is false for an upstream that only helps to read. ``due_at`` is when its first event
-    is due, ``pause_ms`` the longest pause that its stream bears; ``weight`` is what being on time
-    counts for it against other jobs.
+    ``writes`` is false for an upstream that only helps to read or to hold. ``due_at`` is when the
+    first event is due, ``pause_ms`` the longest pause that the stream bears; ``weight`` is what
+    being on time counts for it against other jobs.
     """
 
     name: str
@@ -71,7 +71,7 @@
             if job is None or not job.reading:
                 continue
             self.on_change()
-            if job.writes:
+            if job.writes or job.memory_tokens:
                 self._own[upstream][name] = replace(job, reading=False)
             else:
                 self.remove(name, (upstream,))
--- a/src/lentilwell/gateway/_choice.py
+++ b/src/lentilwell/gateway/_choice.py
@@ -44,6 +44,14 @@
     point: float
 
 
+@dataclass(frozen=True)
+class Helper:
+    """An upstream that reads a part; it also keeps ``memory_tokens`` of the prompt, if any."""
+
+    upstream: Upstream
+    memory_tokens: int = 0
+
+
 @dataclass(frozen=True)
 class Choice:
     """The chosen upstream, those that help it to read, and the estimate of each one's reading.
@@ -53,11 +61,16 @@
     """
 
     upstream: Upstream
-    helpers: tuple[Upstream, ...] = ()
+    helpers: tuple[Helper, ...] = ()
     read_ms: float = 0.0
     first_event_ms: float = 0.0
     weight: float = 1.0
 
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Return the names of all upstreams concerned, the chosen one first."""
+        return (self.upstream.name, *(helper.upstream.name for helper in self.helpers))
+
 
 Policy = Callable[[Wish, Sequence[Candidate]], Choice | None]
 POLICIES: dict[str, Policy] = {}
--- a/src/lentilwell/gateway/_exchange.py
+++ b/src/lentilwell/gateway/_exchange.py
@@ -33,6 +33,7 @@
 from lentilwell.gateway._event_stream import BrokenStream, EventSequence, EventSplitter
 from lentilwell.gateway._failures import LinkBroken, Unreachable
 from lentilwell.gateway._fleet import Fleet
+from lentilwell.gateway._leases import Leases, LeaseSet, NoMemory
 from lentilwell.gateway._link import Link
 from lentilwell.gateway._links import Links
 from lentilwell.gateway._messages import (
@@ -57,6 +58,7 @@
 
     fleet: Fleet
     links: Links
+    leases: Leases
     dialect: Dialect
 
 
@@ -79,6 +81,7 @@
     def __init__(self, tools: Tools, subject: Subject, caller: Caller) -> None:
         self._fleet = tools.fleet
         self._links = tools.links
+        self._leases = tools.leases
         self._dialect = tools.dialect
         self._clock = tools.fleet.clock
         self._subject = subject
@@ -120,17 +123,28 @@
         choice = self._choose()
         if choice is None:
             return self._decide(NoPlace(), "no upstream")
-        self._excluded |= {choice.upstream.name}
         self._upstream = choice.upstream.name
         self._helpers = len(choice.helpers)
         waited_ms = self._clock.now() - self._subject.request.arrived_at
         self._expected_ms = round(waited_ms + choice.first_event_ms)
         self._book(choice)
         try:
-            return await self._send(choice)
+            return await self._reserve_and_send(choice)
         finally:
             self._unbook(choice)
 
+    async def _reserve_and_send(self, choice: Choice) -> Effect:
+        """Set memory aside where the choice needs it, and send the request."""
+        try:
+            leases = await self._leases.take(choice.helpers)
+        except NoMemory as error:
+            self._excluded |= {error.upstream}
+            return self._decide(Unreached(), str(error))
+        try:
+            return await self._send(choice, leases)
+        finally:
+            leases.release()
+
     def _choose(self) -> Choice | None:
         subject = self._subject
         return self._fleet.choose(
@@ -141,7 +155,8 @@
             self._excluded,
         )
 
-    async def _send(self, choice: Choice) -> Effect:
+    async def _send(self, choice: Choice, leases: LeaseSet) -> Effect:
+        self._excluded |= {choice.upstream.name}
         fresh = self._subject.route.repeat is Repeat.NEVER
         try:
             link = await self._links.take(choice.upstream.address, fresh)
@@ -150,7 +165,7 @@
             return self._decide(Unreached(), str(error))
         try:
             self._advance(Sending())
-            self._write(link, choice)
+            self._write(link, choice, leases)
             effect = await self._receive(link, choice)
             self._links.give_back(choice.upstream.address, link)
             return effect
@@ -161,7 +176,7 @@
             if not link.idle:
                 link.close()
 
-    def _write(self, link: Link, choice: Choice) -> None:
+    def _write(self, link: Link, choice: Choice, leases: LeaseSet) -> None:
         subject = self._subject
         envelope = Envelope(
             upstream=choice.upstream.name,
@@ -169,7 +184,10 @@
             team=subject.team.name if subject.team is not None else None,
             rank=find_rank(subject.route, subject.team),
             resume_after=self._sequence.last,
-            readers=tuple(Reader(helper.address) for helper in choice.helpers),
+            readers=tuple(
+                Reader(helper.upstream.address, leases.find_ticket(helper.upstream.name))
+                for helper in choice.helpers
+            ),
         )
         headers = self._dialect.write_headers(subject.request, envelope)
         request = subject.request
@@ -269,28 +287,31 @@
 
     def _book(self, choice: Choice) -> None:
         prompt = self._subject.facts.prompt
-        for upstream in (choice.upstream, *choice.helpers):
-            lead = upstream is choice.upstream
-            job = Job(
-                name=self._subject.facts.request_id,
-                upstream=upstream.name,
-                begun_at=self._clock.now(),
-                read_ms=choice.read_ms,
-                memory_tokens=prompt.memory_tokens if prompt is not None and lead else 0,
-                writes=lead,
-                due_at=self._subject.request.arrived_at + self._subject.route.objective_ms,
-                pause_ms=self._subject.route.pause_ms,
-                weight=choice.weight,
-            )
-            self._fleet.books.add(job)
+        needed = prompt.memory_tokens if prompt is not None else 0
+        spread = sum(helper.memory_tokens for helper in choice.helpers)
+        self._book_one(choice, choice.upstream.name, needed - spread, writes=True)
+        for helper in choice.helpers:
+            self._book_one(choice, helper.upstream.name, helper.memory_tokens, writes=False)
+
+    def _book_one(self, choice: Choice, upstream: str, memory_tokens: int, writes: bool) -> None:
+        job = Job(
+            name=self._subject.facts.request_id,
+            upstream=upstream,
+            begun_at=self._clock.now(),
+            read_ms=choice.read_ms,
+            memory_tokens=memory_tokens,
+            writes=writes,
+            due_at=self._subject.request.arrived_at + self._subject.route.objective_ms,
+            pause_ms=self._subject.route.pause_ms,
+            weight=choice.weight,
+        )
+        self._fleet.books.add(job)
 
     def _note_read(self, choice: Choice) -> None:
-        names = [upstream.name for upstream in (choice.upstream, *choice.helpers)]
-        self._fleet.books.note_read(self._subject.facts.request_id, names)
+        self._fleet.books.note_read(self._subject.facts.request_id, choice.names)
 
     def _unbook(self, choice: Choice) -> None:
-        names = [upstream.name for upstream in (choice.upstream, *choice.helpers)]
-        self._fleet.books.remove(self._subject.facts.request_id, names)
+        self._fleet.books.remove(self._subject.facts.request_id, choice.names)
 
     def _note_success(self, choice: Choice) -> None:
         self._fleet.ejection.note_success(choice.upstream.name)
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -16,6 +16,7 @@
 from lentilwell.gateway._exchange import Exchange, Tools, answer_failure, find_subject
 from lentilwell.gateway._fleet import CatalogListener, Fleet, UpstreamListener
 from lentilwell.gateway._follower import Follower
+from lentilwell.gateway._leases import Leases
 from lentilwell.gateway._link import split_address
 from lentilwell.gateway._links import Links
 from lentilwell.gateway._messages import InboundRequest
@@ -41,16 +42,18 @@
         self.clock: Clock = BootClock()
         self.fleet = Fleet(self.clock, settings.data_centre, settings.budget, settings.policy)
         self.links = Links(self.clock)
+        life = uuid.uuid4().hex[:LIFE_LENGTH]
         self.peers = Peers(
             settings.instance,
-            uuid.uuid4().hex[:LIFE_LENGTH],
+            life,
             settings.peers_address,
             self.clock,
             self.fleet.books,
         )
         self.fleet.books.on_change = self.peers.note_change
         self.fleet.count_instances = lambda: self.peers.instances
-        self._tools = Tools(self.fleet, self.links, dialect)
+        self.leases = Leases(self.links, dialect, life, settings.longest_hold_ms)
+        self._tools = Tools(self.fleet, self.links, self.leases, dialect)
         self._dialect = dialect
         self._feeds = feeds
         self._callers: set[Caller] = set()
@@ -81,7 +84,7 @@
         while not self._may_end():
             await asyncio.sleep(HOUSEKEEPING_MS / 1_000)
             self._keep_house()
-        self._stop()
+        await self._stop()
 
     def drain(self) -> None:
         """Begin a planned stop; a second call changes nothing."""
@@ -191,13 +194,14 @@
     def _stopping_for(self) -> int:
         return 0 if self._stopping_since is None else self.clock.now() - self._stopping_since
 
-    def _stop(self) -> None:
+    async def _stop(self) -> None:
         for server in self._servers:
             server.close()
         for task in self._tasks:
             task.cancel()
         for caller in list(self._callers):
             caller.abort()
+        await self.leases.settle()
         self.links.close()
         self.peers.close()
         logger.info("stopped")
--- a/src/lentilwell/gateway/_least_cost.py
+++ b/src/lentilwell/gateway/_least_cost.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -17,6 +18,7 @@
 from lentilwell.gateway._choice import (
     Candidate,
     Choice,
+    Helper,
     Wish,
     choose_least_outstanding,
     policy,
@@ -31,7 +33,8 @@
 SLOWNESS_WEIGHT = 0.15
 READER_COST = 0.01
 FULL_COST = 1.0
-OVERFLOW_COST = 4.0
+MEMORY_COST = 1.0
+MEMORY_SHARE = 0.95
 OTHER_DATA_CENTRE_COST = 0.002
 LEAST_WEIGHT = 0.3
 
@@ -40,7 +43,8 @@
 class Option:
     """One way to place a request, and its cost in requests that come late."""
 
-    readers: tuple[Candidate, ...]
+    lead: Candidate
+    helpers: tuple[Helper, ...]
     part_ms: float
     first_event_ms: float
     cost: float
@@ -61,11 +65,12 @@
         if readers == 1
         or (readers <= len(candidates) and prompt.prompt_tokens >= readers * LEAST_PART_TOKENS)
     ]
-    best = min(options, key=lambda option: option.cost)
-    lead, *helpers = best.readers
+    best = min((option for option in options if option), key=_cost, default=None)
+    if best is None:
+        return None
     return Choice(
-        upstream=lead.upstream,
-        helpers=tuple(helper.upstream for helper in helpers),
+        upstream=best.lead.upstream,
+        helpers=best.helpers,
         read_ms=best.part_ms,
         first_event_ms=best.first_event_ms,
         weight=weight,
@@ -74,20 +79,52 @@
 
 def plan(
     wish: Wish, engine: EngineSpec, weight: float, candidates: Sequence[Candidate], readers: int
-) -> Option:
-    """Return the best way to read with this many engines."""
+) -> Option | None:
+    """Return the best way to read with this many engines, or None if they cannot hold it."""
     assert wish.prompt is not None
     part_ms = read_ms(engine, wish.prompt.prompt_tokens) / readers
     costs = [cost_of(wish, engine, weight, candidate, part_ms) for candidate in candidates]
     places = sorted(range(len(candidates)), key=costs.__getitem__)
-    chosen = tuple(candidates[place] for place in places[:readers])
+    chosen = [candidates[place] for place in places[:readers]]
     lead = min(chosen, key=lambda candidate: lead_cost(wish, engine, candidate))
-    ordered = (lead, *(candidate for candidate in chosen if candidate is not lead))
+    others = [candidate for candidate in chosen if candidate is not lead]
+    helpers = share_memory(engine, wish.prompt.memory_tokens, lead, others)
+    if helpers is None:
+        return None
     first_ms = max(first_event_ms(engine, candidate, part_ms) for candidate in chosen)
     own = weight * lateness(wish.waited_ms + first_ms, wish.objective_ms)
     harm = sum(harm_of(wish.now, engine, candidate, part_ms, readers > 1) for candidate in chosen)
     extra = lead_cost(wish, engine, lead) + weight * READER_COST * (readers - 1)
-    return Option(ordered, part_ms, first_ms, own + harm + extra)
+    return Option(lead, helpers, part_ms, first_ms, own + harm + extra)
+
+
+def share_memory(
+    engine: EngineSpec, needed: int, lead: Candidate, others: Sequence[Candidate]
+) -> tuple[Helper, ...] | None:
+    """Return the helpers, each with the memory that it keeps for a prompt too large for the lead.
+
+    None means that these engines together do not have the memory now.
+    """
+    missing = needed - free_memory(engine, lead)
+    if missing <= 0:
+        return tuple(Helper(other.upstream) for other in others)
+    free = [free_memory(engine, other) for other in others]
+    if missing > sum(free):
+        return None
+    share = missing / sum(free)
+    kept = [min(room, math.ceil(room * share)) for room in free]
+    pairs = zip(others, kept, strict=True)
+    return tuple(Helper(other.upstream, tokens) for other, tokens in pairs)
+
+
+def free_memory(engine: EngineSpec, candidate: Candidate) -> int:
+    """Return the memory that an engine can give to one more prompt, in tokens."""
+    usable = int(engine.memory_tokens * MEMORY_SHARE)
+    return max(0, usable - candidate.load.memory_tokens)
+
+
+def _cost(option: Option) -> float:
+    return option.cost
 
 
 def cost_of(
@@ -106,9 +143,8 @@
     cost = 0.0 if candidate.near else OTHER_DATA_CENTRE_COST
     if len(load.jobs) >= engine.slots:
         cost += FULL_COST * (1 + len(load.jobs) - engine.slots)
-    if load.memory_tokens + wish.prompt.memory_tokens > engine.memory_tokens:
-        cost += OVERFLOW_COST
-    return cost
+    lacking = wish.prompt.memory_tokens - free_memory(engine, candidate)
+    return cost + MEMORY_COST * max(0, lacking) / engine.memory_tokens
 
 
 def first_event_ms(engine: EngineSpec, candidate: Candidate, part_ms: float) -> float:
--- a/src/lentilwell/gateway/_messages.py
+++ b/src/lentilwell/gateway/_messages.py
@@ -127,3 +127,23 @@
     at_fault: str | None
     idle_ms: int | None
     closing: bool
+
+
+@dataclass(frozen=True)
+class Order:
+    """An order to an upstream about memory that is set aside there: a whole HTTP request."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+
+
+@dataclass(frozen=True)
+class Lease:
+    """Memory of one upstream set aside under a ticket, for ``hold_ms`` from its arrival on."""
+
+    ticket: str
+    upstream: str
+    memory_tokens: int
+    hold_ms: int
--- a/src/lentilwell/gateway/_ports.py
+++ b/src/lentilwell/gateway/_ports.py
@@ -8,7 +8,15 @@
 import h11
 
 from lentilwell.gateway._catalog import Catalog
-from lentilwell.gateway._messages import AnswerHead, Envelope, Facts, Headers, InboundRequest
+from lentilwell.gateway._messages import (
+    AnswerHead,
+    Envelope,
+    Facts,
+    Headers,
+    InboundRequest,
+    Lease,
+    Order,
+)
 from lentilwell.gateway._peers import Membership
 from lentilwell.gateway._upstreams import Upstream
 
@@ -54,6 +62,12 @@
     def read_head(self, response: h11.Response) -> AnswerHead:
         """Return the head of an upstream's answer."""
 
+    def write_reserve(self, lease: Lease) -> Order:
+        """Return the order that sets memory aside, or renews the lease of a ticket."""
+
+    def write_release(self, lease: Lease) -> Order:
+        """Return the order that gives the memory of a ticket back."""
+
 
 @dataclass(frozen=True)
 class Feeds:
--- a/src/lentilwell/gateway/_settings.py
+++ b/src/lentilwell/gateway/_settings.py
@@ -12,7 +12,7 @@
     """Who this process is, where it listens and which bounds hold. Durations in milliseconds.
 
     Addresses are host:port; the peers' one takes datagrams. ``stop_patience_ms`` is how long a
-    planned stop may take in all.
+    planned stop may take in all, ``longest_hold_ms`` how long an unrenewed lease may last.
     """
 
     instance: str
@@ -21,6 +21,7 @@
     ready_address: str
     peers_address: str
     stop_patience_ms: int
+    longest_hold_ms: int
     budget: BudgetRules
     log_level: str = "INFO"
     policy: str = "least_cost"
