Weigh first events and pauses by ramps of their own; keep the lead's memory in view

Ruled out: a fixed cost for each reader, other weights for long prompts (long ones on time fall faster than short ones gain), larger least parts. Change: ramps from 0.45 and 0.8 of the limit; the lead is chosen with its memory and slots.

--- a/src/lentilwell/gateway/_least_cost.py
+++ b/src/lentilwell/gateway/_least_cost.py
@@ -27,11 +27,11 @@
 
 READERS_TRIED = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17)
 LEAST_PART_TOKENS = 4_096
-SAFE_SHARE = 0.6
-LATE_SHARE = 1.1
+FIRST_EVENT_SAFE = 0.45
+PAUSE_SAFE = 0.8
+LATE_SHARE = 1.05
 BEYOND_LATE_SLOPE = 0.1
 SLOWNESS_WEIGHT = 0.15
-READER_COST = 0.01
 PASS_SHARE = 0.5
 FULL_COST = 1.0
 MEMORY_COST = 1.0
@@ -86,18 +86,19 @@
     part_ms = read_ms(engine, wish.prompt.prompt_tokens) / readers
     spread = readers > 1
     costs = [cost_of(wish, engine, weight, candidate, part_ms, spread) for candidate in candidates]
+    leading = [lead_cost(wish, engine, candidate) for candidate in candidates]
     places = sorted(range(len(candidates)), key=costs.__getitem__)
-    chosen = [candidates[place] for place in places[:readers]]
-    lead = min(chosen, key=lambda candidate: lead_cost(wish, engine, candidate))
-    others = [candidate for candidate in chosen if candidate is not lead]
+    first = min(places, key=lambda place: costs[place] + leading[place])
+    others = [candidates[place] for place in places if place != first][: readers - 1]
+    lead = candidates[first]
     helpers = share_memory(engine, wish.prompt.memory_tokens, lead, others)
     if helpers is None:
         return None
+    chosen = (lead, *others)
     first_ms = max(first_event_ms(engine, candidate, part_ms, spread) for candidate in chosen)
-    own = weight * lateness(wish.waited_ms + first_ms, wish.objective_ms)
+    own = weight * lateness(wish.waited_ms + first_ms, wish.objective_ms, FIRST_EVENT_SAFE)
     harm = sum(harm_of(wish.now, engine, candidate, part_ms, spread) for candidate in chosen)
-    extra = lead_cost(wish, engine, lead) + weight * READER_COST * (readers - 1)
-    return Option(lead, helpers, part_ms, first_ms, own + harm + extra)
+    return Option(lead, helpers, part_ms, first_ms, own + harm + leading[first])
 
 
 def share_memory(
@@ -105,10 +106,11 @@
 ) -> tuple[Helper, ...] | None:
     """Return the helpers, each with the memory that it keeps for a prompt too large for the lead.
 
-    None means that these engines together do not have the memory now.
+    None means that these engines together do not have the memory now. A prompt that fits one engine
+    may also wait for memory there, so it needs nobody else's.
     """
     missing = needed - free_memory(engine, lead)
-    if missing <= 0:
+    if missing <= 0 or (not others and needed <= engine.memory_tokens * MEMORY_SHARE):
         return tuple(Helper(other.upstream) for other in others)
     free = [free_memory(engine, other) for other in others]
     if missing > sum(free):
@@ -139,7 +141,7 @@
 ) -> float:
     """Return the cost of reading a part of the prompt at one engine."""
     expected_ms = wish.waited_ms + first_event_ms(engine, candidate, part_ms, spread)
-    own = weight * lateness(expected_ms, wish.objective_ms)
+    own = weight * lateness(expected_ms, wish.objective_ms, FIRST_EVENT_SAFE)
     return own + harm_of(wish.now, engine, candidate, part_ms, spread) + candidate.penalty_ms
 
 
@@ -181,7 +183,7 @@
     harm = 0.0
     for job in load.jobs:
         if not job.reading:
-            harm += job.weight * added(pass_ms, part_ms, job.pause_ms)
+            harm += job.weight * added(pass_ms, part_ms, job.pause_ms, PAUSE_SAFE)
         elif spread and not job.spread:
             harm += harm_reading(now, job, load.backlog_ms + pass_ms, part_ms)
     return harm
@@ -190,22 +192,24 @@
 def harm_reading(now: int, job: Job, expected_ms: float, part_ms: float) -> float:
     """Return how much more likely a request that waits for its first event comes late."""
     objective_ms = max(1, job.due_at - job.begun_at)
-    return job.weight * added(now - job.begun_at + expected_ms, part_ms, objective_ms)
+    return job.weight * added(
+        now - job.begun_at + expected_ms, part_ms, objective_ms, FIRST_EVENT_SAFE
+    )
 
 
-def added(before_ms: float, more_ms: float, limit_ms: int) -> float:
+def added(before_ms: float, more_ms: float, limit_ms: int, safe: float) -> float:
     """Return what ``more_ms`` adds to the lateness against a limit."""
-    return lateness(before_ms + more_ms, limit_ms) - lateness(before_ms, limit_ms)
+    return lateness(before_ms + more_ms, limit_ms, safe) - lateness(before_ms, limit_ms, safe)
 
 
-def lateness(expected_ms: float, limit_ms: int) -> float:
+def lateness(expected_ms: float, limit_ms: int, safe: float) -> float:
     """Return the chance of being late from an estimate: 0 to 1, and a little more beyond that.
 
-    Estimates err, so the chance rises well before the limit. A small part grows with the time
-    itself, so that of two safe choices the quicker is taken.
+    Estimates err, so the chance rises from the share ``safe`` of the limit on. A small part grows
+    with the time itself, so that of two safe choices the quicker is taken.
     """
     share = expected_ms / max(1, limit_ms)
-    chance = min(1.0, max(0.0, (share - SAFE_SHARE) / (LATE_SHARE - SAFE_SHARE)))
+    chance = min(1.0, max(0.0, (share - safe) / (LATE_SHARE - safe)))
     beyond = BEYOND_LATE_SLOPE * max(0.0, share - LATE_SHARE)
     return chance + beyond + SLOWNESS_WEIGHT * share
 
--- /dev/null
+++ b/tests/played_load.py
@@ -0,0 +1,235 @@
+"""Plays a load of prompts against placement policies on modelled engines, in simulated time."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+import random
+from dataclasses import dataclass, field
+
+from lentilwell.gateway._books import Books, Job
+from lentilwell.gateway._catalog import EngineSpec
+from lentilwell.gateway._choice import POLICIES, Candidate, Wish
+from lentilwell.gateway._messages import Prompt
+from lentilwell.gateway._upstreams import Upstream
+from standins.batch import Batch, BatchJob, BatchSpec
+
+SPEC = BatchSpec()
+ENGINE = EngineSpec(
+    slots=SPEC.slots,
+    memory_tokens=SPEC.memory_tokens,
+    step_ms=SPEC.step_ms,
+    step_ms_per_writer=SPEC.step_ms_per_writer,
+    step_ms_per_1k_context=SPEC.step_ms_per_1k_context,
+    read_tokens_per_ms=SPEC.read_tokens_per_ms,
+    pairs_ms_per_million=SPEC.pairs_ms_per_million,
+    chunk_tokens=SPEC.chunk_tokens,
+    pass_steps=SPEC.pass_steps,
+    usual_prompt_tokens=11_108,
+    usual_answer_tokens=1_622,
+)
+
+
+@dataclass(frozen=True)
+class Kind:
+    """A kind of request: rate, length of prompt and answer, and what is on time."""
+
+    name: str
+    per_s: float
+    prompt_tokens: int
+    spread: float
+    most_tokens: int
+    events: int
+    objective_ms: int
+    pause_ms: int
+
+
+SHORT = Kind("short", 12.5, 4_960, 0.9, 23_800, 33, 300, 250)
+MIDDLE = Kind("middle", 0.635, 45_000, 0.5, 110_000, 20, 1_500, 600)
+LONG = Kind("long", 0.384, 154_000, 0.55, 300_000, 16, 3_000, 1_000)
+KINDS = (SHORT, MIDDLE, LONG)
+
+
+@dataclass
+class Served:
+    """How one request was served; ``first_ms`` from its arrival, ``pause_ms`` the longest."""
+
+    kind: Kind
+    prompt_tokens: int
+    arrived_at: float
+    engines: tuple[int, ...] = ()
+    unread: set[int] = field(default_factory=set)
+    first_ms: float | None = None
+    last_at: float = 0.0
+    pause_ms: float = 0.0
+
+    @property
+    def on_time(self) -> bool:
+        """Tell whether the first event and every pause were on time."""
+        if self.first_ms is None:
+            return False
+        return self.first_ms <= self.kind.objective_ms and self.pause_ms <= self.kind.pause_ms
+
+
+@dataclass(frozen=True)
+class Phase:
+    """A stretch of the load, each kind's rate multiplied."""
+
+    length_s: float
+    short: float
+    middle: float
+    long: float
+
+    def find_factor(self, kind: Kind) -> float:
+        """Return the factor of a kind."""
+        return {"short": self.short, "middle": self.middle, "long": self.long}[kind.name]
+
+
+CALM = (Phase(30, 1.0, 1.0, 1.0),)
+SWINGS = (
+    Phase(9.5, 0.32, 1.3, 2.8),
+    Phase(9.5, 2.5, 0.5, 0.05),
+    Phase(9.5, 0.36, 1.3, 2.7),
+)
+
+
+def draw_arrivals(phases: tuple[Phase, ...], seed: int) -> list[tuple[float, Kind, int]]:
+    """Return arrivals in order: moment in ms, kind, prompt tokens."""
+    rng = random.Random(seed)
+    arrivals: list[tuple[float, Kind, int]] = []
+    begin_s = 0.0
+    for phase in phases:
+        for kind in KINDS:
+            at = begin_s
+            while True:
+                at += rng.expovariate(kind.per_s * phase.find_factor(kind))
+                if at >= begin_s + phase.length_s:
+                    break
+                mu = math.log(kind.prompt_tokens) - kind.spread**2 / 2
+                tokens = int(min(kind.most_tokens, rng.lognormvariate(mu, kind.spread)))
+                arrivals.append((at * 1_000, kind, max(100, tokens)))
+        begin_s += phase.length_s
+    return sorted(arrivals, key=lambda arrival: arrival[0])
+
+
+class Play:
+    """One play: engines, one instance's books, a policy."""
+
+    def __init__(self, policy: str, engines: int, seed: int) -> None:
+        self.policy = POLICIES[policy]
+        self.books = Books()
+        self.batches = [Batch(SPEC) for _ in range(engines)]
+        self.upstreams = [
+            Upstream(f"u{at}", "engines", f"127.0.0.1:{at + 1}", "dc", SPEC.slots, False)
+            for at in range(engines)
+        ]
+        self.served: dict[str, Served] = {}
+        self.busy: set[int] = set()
+        self.rng = random.Random(seed)
+        self.order = itertools.count()
+        self.queue: list[tuple[float, int, str, object]] = []
+
+    def run(self, arrivals: list[tuple[float, Kind, int]]) -> list[Served]:
+        """Play all arrivals to their ends."""
+        for at, kind, tokens in arrivals:
+            self._push(at, "arrive", (kind, tokens))
+        while self.queue:
+            now, _, what, data = heapq.heappop(self.queue)
+            getattr(self, f"_{what}")(now, data)
+        return list(self.served.values())
+
+    def _push(self, at: float, what: str, data: object) -> None:
+        heapq.heappush(self.queue, (at, next(self.order), what, data))
+
+    def _arrive(self, now: float, data: tuple[Kind, int]) -> None:
+        kind, tokens = data
+        name = f"r{len(self.served)}"
+        wish = Wish(
+            prompt=Prompt(tokens, kind.events * 51),
+            engine=ENGINE,
+            objective_ms=kind.objective_ms,
+            pause_ms=kind.pause_ms,
+            waited_ms=0,
+            now=int(now),
+            point=self.rng.random(),
+        )
+        candidates = [
+            Candidate(up, self.books.measure(up.name, int(now)), near=True) for up in self.upstreams
+        ]
+        choice = self.policy(wish, candidates)
+        assert choice is not None
+        names = choice.names
+        places = tuple(int(up[1:]) for up in names)
+        self.served[name] = Served(kind, tokens, now, places, set(places), last_at=now)
+        for place in places:
+            lead = place == places[0]
+            self.books.add(
+                Job(
+                    name=name,
+                    upstream=f"u{place}",
+                    begun_at=int(now),
+                    read_ms=choice.read_ms,
+                    memory_tokens=tokens if lead else 0,
+                    writes=lead,
+                    due_at=int(now) + kind.objective_ms,
+                    pause_ms=kind.pause_ms,
+                    weight=choice.weight,
+                    spread=len(places) > 1,
+                )
+            )
+            job = BatchJob(name, tokens, kind.events, len(places), lead)
+            job.released = len(places) == 1
+            self.batches[place].add(job)
+            self._start(now, place)
+
+    def _start(self, now: float, place: int) -> None:
+        if place in self.busy:
+            return
+        result = self.batches[place].run_pass()
+        if result is not None:
+            self.busy.add(place)
+            self._push(now + result.length_ms, "end_pass", (place, result))
+
+    def _end_pass(self, now: float, data: tuple[int, object]) -> None:
+        place, result = data
+        self.busy.discard(place)
+        for name in result.read:
+            self._note_read(now, name, place)
+        for name in result.wrote:
+            self._note_event(now, name)
+        for name in result.ended:
+            if self.served[name].engines[0] == place:
+                self.books.remove(name, [f"u{at}" for at in self.served[name].engines])
+        self._start(now, place)
+
+    def _note_read(self, now: float, name: str, place: int) -> None:
+        served = self.served[name]
+        served.unread.discard(place)
+        if served.unread:
+            return
+        lead = served.engines[0]
+        for job in self.batches[lead].jobs:
+            if job.name == name:
+                job.released = True
+        self._start(now, lead)
+
+    def _note_event(self, now: float, name: str) -> None:
+        served = self.served[name]
+        if served.first_ms is None:
+            served.first_ms = now - served.arrived_at
+            self.books.note_read(name, [f"u{at}" for at in served.engines])
+        else:
+            served.pause_ms = max(served.pause_ms, now - served.last_at)
+        served.last_at = now
+
+
+def share_on_time(served: list[Served], kind: Kind) -> float:
+    """Return the share of a kind's requests that came on time."""
+    of_kind = [one for one in served if one.kind is kind]
+    return sum(one.on_time for one in of_kind) / max(1, len(of_kind))
+
+
+def play(policy: str, phases: tuple[Phase, ...], seed: int, engines: int = 14) -> list[Served]:
+    """Play phases of load once."""
+    return Play(policy, engines, seed).run(draw_arrivals(phases, seed))
