--- a/src/lentilwell/gateway/_caller.py
+++ b/src/lentilwell/gateway/_caller.py
@@ -14,6 +14,7 @@
 from lentilwell.gateway._messages import Headers, InboundRequest
 
 PIPELINED_BYTES = 65_536
+HEADER_EXTRA_BYTES = 4
 JSON_TYPE = (b"Content-Type", b"application/json")
 
 
@@ -169,6 +170,12 @@
 
     def _take_head(self, event: h11.Request) -> bool:
         headers = tuple(event.headers.raw_items())
+        if _count_bytes(event.target, headers) > self._context.limits.header_bytes:
+            self._reject(431, "the request line and the headers are too long")
+            return False
+        if _is_framed_twice(headers):
+            self._reject(400, "a length and a transfer coding exclude each other")
+            return False
         arrived_at = self._first_byte_at if self._first_byte_at is not None else self._clock.now()
         self._request = InboundRequest(event.method, event.target, headers, arrived_at)
         self._body, self._body_bytes = [], 0
@@ -251,3 +258,12 @@
             self._reject(408, "the request did not arrive whole in time")
         elif self._transport is not None:
             self._transport.close()
+
+
+def _count_bytes(target: bytes, headers: Headers) -> int:
+    return len(target) + sum(len(name) + len(value) + HEADER_EXTRA_BYTES for name, value in headers)
+
+
+def _is_framed_twice(headers: Headers) -> bool:
+    """Tell whether another reader of these bytes could see another end of the request."""
+    return {b"content-length", b"transfer-encoding"} <= {name.lower() for name, _ in headers}
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -80,11 +80,11 @@
 
     async def run(self) -> None:
         """Start, serve until a planned stop is over, and stop."""
-        await self._start()
+        await self.start()
         while not self._may_end():
             await asyncio.sleep(HOUSEKEEPING_MS / 1_000)
             self._keep_house()
-        await self._stop()
+        await self.stop()
 
     def drain(self) -> None:
         """Begin a planned stop; a second call changes nothing."""
@@ -142,11 +142,18 @@
         logger.info("request rejected", status=status, reason=reason, configuration=version)
         answer_failure(caller, status, reason, retry_after_ms)
 
-    async def _start(self) -> None:
+    @property
+    def callers_port(self) -> int:
+        """Return the port on which callers are served, once started."""
+        port: int = self._servers[-1].sockets[0].getsockname()[1]
+        return port
+
+    async def start(self) -> None:
+        """Listen, and begin to follow the store."""
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(_log_unhandled)
-        loop.add_signal_handler(signal.SIGTERM, self.drain)
-        loop.add_signal_handler(signal.SIGINT, self.drain)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.drain)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         host, port = split_address(self.settings.ready_address)
         readiness = await loop.create_server(
@@ -194,7 +201,8 @@
     def _stopping_for(self) -> int:
         return 0 if self._stopping_since is None else self.clock.now() - self._stopping_since
 
-    async def _stop(self) -> None:
+    async def stop(self) -> None:
+        """Cut what is left and give back what is held."""
         for server in self._servers:
             server.close()
         for task in self._tasks:
--- /dev/null
+++ b/tests/gateway_world.py
@@ -0,0 +1,299 @@
+"""A gateway in this process between scripted upstreams and raw callers, all on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field, replace
+
+from wire_headers import PlatformDialect
+
+from lentilwell.gateway import (
+    BudgetRules,
+    Catalog,
+    Entry,
+    Feeds,
+    Gateway,
+    GatewaySettings,
+    Listing,
+    Repeat,
+    Route,
+    ServiceSpec,
+    Share,
+    Team,
+    Upstream,
+)
+
+HOST = "a.example"
+KEY = "key-1"
+WAIT_S = 5
+
+Script = Callable[["Arrival"], Awaitable[None]]
+
+
+@dataclass
+class Arrival:
+    """One request as it came to an upstream, and the connection to answer on."""
+
+    upstream: str
+    line: bytes
+    headers: dict[str, str]
+    body: bytes
+    writer: asyncio.StreamWriter
+    reader: asyncio.StreamReader
+    connection: int
+    cut: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def answer(self, status=200, body=b"", signed=True, framing="length", **headers):
+        """Write a whole answer; underscores in header names stand for dashes."""
+        known = {"Request-Id": self.headers.get("request-id", "")}
+        if signed:
+            known["Server-Stamp"] = f"stamp-{self.upstream}"
+        known.update({name.replace("_", "-"): str(value) for name, value in headers.items()})
+        if framing == "length":
+            known["Content-Length"] = str(len(body))
+        text = f"HTTP/1.1 {status} X\r\n" + "".join(f"{n}: {v}\r\n" for n, v in known.items())
+        await self.write(text.encode() + b"\r\n" + body)
+
+    async def begin_stream(self):
+        """Write the head of a chunked stream."""
+        head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+        head += f"Request-Id: {self.headers['request-id']}\r\n"
+        await self.write(f"{head}Server-Stamp: stamp-{self.upstream}\r\n\r\n".encode())
+
+    async def write_events(self, *numbers, torn=b""):
+        """Write events of a chunked stream, the last one torn where asked."""
+        data = b"".join(b"id: %d\ndata: e%d\n\n" % (n, n) for n in numbers) + torn
+        await self.write(b"%x\r\n%s\r\n" % (len(data), data))
+
+    async def end_stream(self):
+        """Write the end of a chunked stream."""
+        await self.write(b"0\r\n\r\n")
+
+    async def write(self, data):
+        """Write raw bytes."""
+        self.writer.write(data)
+        await self.writer.drain()
+
+    def reset(self):
+        """Break the connection."""
+        self.writer.transport.abort()
+
+
+class ScriptedUpstream:
+    """Answers requests by a script; keeps all arrivals and how each connection ended."""
+
+    def __init__(self, name: str, script: Script) -> None:
+        self.name = name
+        self.script = script
+        self.arrivals: list[Arrival] = []
+        self.connections = 0
+        self.lost = asyncio.Event()
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> str:
+        """Listen and return the address."""
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        number = self.connections
+        try:
+            while arrival := await self._read(reader, writer, number):
+                self.arrivals.append(arrival)
+                await self.script(arrival)
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            self.lost.set()
+        finally:
+            writer.close()
+
+    async def _read(self, reader, writer, number):
+        head = await reader.readuntil(b"\r\n\r\n")
+        line, *rest = head[:-4].decode().split("\r\n")
+        headers = {n.lower(): v.strip() for n, _, v in (row.partition(":") for row in rest)}
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
+        return Arrival(self.name, line.encode(), headers, body, writer, reader, number)
+
+
+class FixedFeed:
+    """A table that holds what it is given; ``put`` changes it."""
+
+    def __init__(self, *entries: Entry) -> None:
+        self.entries = entries
+        self.version = 1
+        self.changed = asyncio.Event()
+
+    def put(self, *entries: Entry) -> None:
+        """Change rows."""
+        self.entries = entries
+        self.version += 1
+        self.changed.set()
+
+    async def read_all(self) -> Listing:
+        """Return all rows."""
+        return Listing(self.entries, self.version)
+
+    async def read_changes(self, after: int) -> Listing:
+        """Return rows changed after a version, once there are some."""
+        if self.version <= after:
+            self.changed.clear()
+            await self.changed.wait()
+        return Listing(self.entries, self.version)
+
+
+class NoMembership:
+    """A list without other instances."""
+
+    async def announce(self, instance, address):
+        """List nothing."""
+
+    async def list_addresses(self):
+        """Return nobody."""
+        return {}
+
+
+def make_route(kind: str, **changes) -> Route:
+    """Return the route ``/KIND/`` of a kind: once, whole or stream."""
+    repeat = {"once": Repeat.NEVER, "whole": Repeat.WHOLE, "stream": Repeat.RESUME}[kind]
+    known = {
+        "name": kind,
+        "host": HOST,
+        "prefix": f"/{kind}/",
+        "shares": (Share("s", 1.0),),
+        "repeat": repeat,
+        "streams": kind == "stream",
+        "timeout_ms": 3_000,
+        "objective_ms": 300,
+        "pause_ms": 250,
+        "rank": 2,
+        "most_upstreams": 2,
+        "public": False,
+    }
+    return Route(**{**known, **changes})
+
+
+CATALOG = Catalog(
+    version=1,
+    routes=(make_route("once"), make_route("whole"), make_route("stream")),
+    services={"s": ServiceSpec("s", "/health", 100, None)},
+    teams=(Team("blue", (KEY,), None),),
+)
+SETTINGS = GatewaySettings(
+    instance="test",
+    data_centre="dc",
+    callers_address="127.0.0.1:0",
+    ready_address="127.0.0.1:0",
+    peers_address="127.0.0.1:0",
+    stop_patience_ms=8_000,
+    longest_hold_ms=20_000,
+    budget=BudgetRules(0.2, 100, 10_000),
+    policy="least_outstanding",
+)
+
+
+@dataclass
+class World:
+    """The running gateway and its upstreams."""
+
+    gateway: Gateway
+    upstreams: list[ScriptedUpstream]
+    catalog: FixedFeed
+    listing: FixedFeed
+    numbers: list[int] = field(default_factory=lambda: [0])
+
+    @property
+    def arrivals(self) -> list[Arrival]:
+        """Return what came to all upstreams."""
+        return [arrival for upstream in self.upstreams for arrival in upstream.arrivals]
+
+    async def connect(self):
+        """Open a caller's connection."""
+        return await asyncio.open_connection("127.0.0.1", self.gateway.callers_port)
+
+    async def call(self, path, method="POST", body=b"", connection=None, **headers):
+        """Make one call and return its answer."""
+        reader, writer = connection or await self.connect()
+        writer.write(self.format(path, method, body, **headers))
+        answer = await asyncio.wait_for(read_answer(reader), WAIT_S)
+        if connection is None:
+            writer.close()
+        return answer
+
+    def format(self, path, method="POST", body=b"", **headers) -> bytes:
+        """Return the bytes of a call with a new id."""
+        self.numbers[0] += 1
+        known = {"Host": HOST, "Request-Id": f"id{self.numbers[0]}", "Credential": KEY}
+        known["Deadline-Ms"] = "3000"
+        if body:
+            known["Content-Length"] = str(len(body))
+        known.update({name.replace("_", "-"): value for name, value in headers.items()})
+        rows = "".join(f"{n}: {v}\r\n" for n, v in known.items() if v is not None)
+        return f"{method} {path} HTTP/1.1\r\n{rows}\r\n".encode() + body
+
+
+@dataclass(frozen=True)
+class Answer:
+    """An answer as a caller sees it; ``whole`` tells whether it reached its end."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+async def read_answer(reader) -> Answer:
+    """Read one answer, framed by length or in chunks, or cut off."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    line, *rows = head[:-4].split("\r\n")
+    headers = {n.lower(): v.strip() for n, _, v in (row.partition(":") for row in rows)}
+    status = int(line.split(" ")[1])
+    body, whole = b"", True
+    try:
+        if headers.get("transfer-encoding") == "chunked":
+            while size := int(await reader.readline(), 16):
+                body += (await reader.readexactly(size + 2))[:-2]
+            await reader.readline()
+        else:
+            body = await reader.readexactly(int(headers.get("content-length", 0)))
+    except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+        whole = False
+    return Answer(status, headers, body, whole)
+
+
+@asynccontextmanager
+async def run_world(*scripts: Script, catalog: Catalog | None = CATALOG):
+    """Run a gateway before an upstream for each script; ``None`` stands for one that refuses."""
+    upstreams, entries = [], []
+    for place, script in enumerate(scripts):
+        upstream = ScriptedUpstream(f"u{place}", script)
+        address = await upstream.start() if script is not None else "127.0.0.1:1"
+        upstreams.append(upstream)
+        entries.append(Entry(upstream.name, Upstream(upstream.name, "s", address, "dc", 8, False)))
+    feeds = Feeds(
+        FixedFeed(*([Entry("config", catalog)] if catalog else [])),
+        FixedFeed(*entries),
+        NoMembership(),
+    )
+    gateway = Gateway(SETTINGS, PlatformDialect(), feeds)
+    await gateway.start()
+    gateway.fleet.random.seed(1)
+    while catalog is not None and not gateway.ready:
+        await asyncio.sleep(0.005)
+    try:
+        yield World(gateway, upstreams, feeds.catalog, feeds.upstreams)
+    finally:
+        await gateway.stop()
+        for upstream in upstreams:
+            if upstream.server is not None:
+                upstream.server.close()
+
+
+def with_route(kind: str, **changes) -> Catalog:
+    """Return the configuration with one route changed."""
+    routes = tuple(
+        replace(route, **changes) if route.name == kind else route for route in CATALOG.routes
+    )
+    return replace(CATALOG, routes=routes)
--- /dev/null
+++ b/tests/test_gateway_event_stream.py
@@ -0,0 +1,73 @@
+"""Events of a stream reach the caller whole, once and in order, over any number of upstreams."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lentilwell.gateway._event_stream import (
+    MOST_EVENT_BYTES,
+    BrokenStream,
+    EventSequence,
+    EventSplitter,
+    StreamEvent,
+)
+
+
+def make_event(number, text="x"):
+    return f"id: {number}\ndata: {text}\n\n".encode()
+
+
+@given(st.integers(0, 12), st.lists(st.integers(1, 40), min_size=1, max_size=60))
+def test_any_cut_of_the_bytes_gives_the_same_events(count, sizes):
+    data = b"".join(make_event(number) for number in range(1, count + 1))
+    splitter, events, at = EventSplitter(), [], 0
+    while at < len(data):
+        size = sizes[at % len(sizes)]
+        events += splitter.take(data[at : at + size])
+        at += size
+    assert [event.number for event in events] == list(range(1, count + 1))
+    assert b"".join(event.data for event in events) == data
+    assert not splitter.torn
+
+
+def test_torn_last_event_is_kept_back():
+    splitter = EventSplitter()
+    assert [event.number for event in splitter.take(make_event(1) + b"id: 2\nda")] == [1]
+    assert splitter.torn
+
+
+def test_event_without_end_is_an_error():
+    with pytest.raises(BrokenStream):
+        EventSplitter().take(b"x" * (MOST_EVENT_BYTES + 1))
+
+
+@pytest.mark.parametrize(
+    ("event", "number"),
+    [
+        (b"weight-versions: 3\nid: 7\ndata: a\n\n", 7),
+        (b"data: a\n\n", None),
+        (b"id: x\ndata: a\n\n", None),
+        (b"id:5\n\n", 5),
+    ],
+)
+def test_number_of_an_event(event, number):
+    assert EventSplitter().take(event) == [StreamEvent(event, number)]
+
+
+def test_events_that_the_caller_has_are_dropped_after_a_resume():
+    sequence = EventSequence(last=3)
+    numbers = [1, 2, 3, 4, 5]
+    assert [n for n in numbers if sequence.accept(StreamEvent(b"", n))] == [4, 5]
+
+
+def test_gap_is_an_error():
+    sequence = EventSequence(last=3)
+    with pytest.raises(BrokenStream, match="event 5 follows event 3"):
+        sequence.accept(StreamEvent(b"", 5))
+
+
+def test_first_event_may_have_any_number_and_those_without_pass():
+    sequence = EventSequence(last=None)
+    assert sequence.accept(StreamEvent(b"", None))
+    assert sequence.accept(StreamEvent(b"", 9))
+    assert sequence.last == 9
--- /dev/null
+++ b/tests/test_gateway_forwarding.py
@@ -0,0 +1,424 @@
+"""Requests through a running gateway: what upstreams get and what callers get back."""
+
+import asyncio
+import functools
+from dataclasses import replace
+
+import pytest
+
+from lentilwell.gateway import Entry, Limits
+from tests.gateway_world import CATALOG, KEY, Arrival, read_answer, run_world, with_route
+
+
+def in_loop(test):
+    """Run an asynchronous test."""
+
+    @functools.wraps(test)
+    def run(*arguments, **named):
+        asyncio.run(test(*arguments, **named))
+
+    return run
+
+
+async def answer_ok(arrival):
+    await arrival.answer(body=b"hello")
+
+
+async def say_not_run(arrival):
+    await arrival.answer(503, signed=False, Not_Run=1)
+
+
+async def say_misdirected(arrival):
+    await arrival.answer(421, signed=False, Instance_Id="other")
+
+
+async def reset(arrival):
+    arrival.reset()
+
+
+async def stay_silent(arrival):
+    await arrival.reader.read()
+    arrival.cut.set()
+
+
+async def fail(arrival):
+    await arrival.answer(500, b"oops")
+
+
+async def truncate(arrival):
+    await arrival.answer(framing="none", body=b"hel", Content_Length=5)
+    arrival.reset()
+
+
+async def answer_unsigned(arrival):
+    await arrival.answer(body=b"hello", signed=False)
+
+
+async def answer_encoded(arrival):
+    await arrival.answer(body=b"hello", Content_Encoding="gzip")
+
+
+async def answer_for_another(arrival):
+    await arrival.answer(body=b"theirs", Request_Id="another")
+
+
+async def answer_garbage(arrival):
+    await arrival.write(b"\x00\x01 nonsense\r\n\r\n")
+
+
+async def answer_twice(arrival):
+    await arrival.answer(body=b"hello")
+    await arrival.answer(body=b"hello")
+
+
+async def stream_whole(arrival):
+    begin = int(arrival.headers.get("last-event-id", 0))
+    await arrival.begin_stream()
+    await arrival.write_events(*range(begin + 1, 6))
+    await arrival.end_stream()
+
+
+async def stream_and_break(arrival):
+    await arrival.begin_stream()
+    await arrival.write_events(1, 2, torn=b"id: 3\nda")
+    arrival.reset()
+
+
+def ids(body):
+    return [int(row[4:]) for row in body.decode().split("\n") if row.startswith("id: ")]
+
+
+@in_loop
+async def test_request_and_answer_pass_unchanged():
+    async with run_world(answer_ok) as world:
+        answer = await world.call(
+            "/once/x?a=1", body=b"payload", X_Own="1", X_Drop="2", Connection="x-drop"
+        )
+        assert (answer.status, answer.body) == (200, b"hello")
+        assert answer.headers["server-stamp"] == "stamp-u0"
+        [arrival] = world.arrivals
+        assert arrival.line == b"POST /once/x?a=1 HTTP/1.1"
+        assert arrival.body == b"payload"
+        assert arrival.headers["request-id"] == "id1"
+        assert arrival.headers["x-own"] == "1" and "x-drop" not in arrival.headers
+
+
+@in_loop
+async def test_headers_that_the_gateway_sets_cannot_be_forged():
+    forged = {"Tenant": "green", "Expect_Instance": "u9", "Request_Priority": "0", "Helpers": "x:1"}
+    async with run_world(answer_ok) as world:
+        await world.call("/once/x", **forged)
+        headers = world.arrivals[0].headers
+        assert headers["tenant"] == "blue" and headers["expect-instance"] == "u0"
+        assert headers["request-priority"] == "2"
+        assert "helpers" not in headers and "credential" not in headers
+        assert 0 < int(headers["deadline-ms"]) <= 3_000
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "status"),
+    [
+        ("/none/x", {}, 404),
+        ("/once/x", {"Host": "b.example"}, 404),
+        ("/once/x", {"Credential": "wrong"}, 401),
+        ("/once/x", {"Credential": None}, 401),
+        ("/once/x", {"Deadline_Ms": "soon"}, 400),
+    ],
+)
+@in_loop
+async def test_improper_requests_reach_no_upstream(path, headers, status):
+    async with run_world(answer_ok) as world:
+        assert (await world.call(path, **headers)).status == status
+        assert not world.arrivals
+
+
+@in_loop
+async def test_public_route_needs_no_key():
+    async with run_world(answer_ok, catalog=with_route("once", public=True)) as world:
+        assert (await world.call("/once/x", Credential=None)).status == 200
+        assert "tenant" not in world.arrivals[0].headers
+
+
+@in_loop
+async def test_without_a_configuration_callers_are_told_to_come_back():
+    async with run_world(answer_ok, catalog=None) as world:
+        answer = await world.call("/once/x")
+        assert answer.status == 503 and float(answer.headers["retry-after"]) > 0
+        assert not world.gateway.ready
+
+
+@pytest.mark.parametrize(
+    "script", [reset, truncate, answer_unsigned, answer_encoded, answer_for_another, answer_garbage]
+)
+@in_loop
+async def test_what_may_have_run_is_not_sent_again_unless_it_may_repeat(script):
+    async with run_world(script, script) as world:
+        assert (await world.call("/once/x")).status == 502
+        assert len(world.arrivals) == 1
+        answer = await world.call("/whole/x", method="GET")
+        assert answer.status == 502 and answer.body != b"theirs"
+        assert len(world.arrivals) == 3
+
+
+@pytest.mark.parametrize("script", [reset, truncate, answer_unsigned, answer_garbage, fail])
+@in_loop
+async def test_idempotent_request_is_served_by_the_second_upstream(script):
+    async with run_world(script, answer_ok) as world:
+        for _ in range(3):
+            answer = await world.call("/whole/x", method="GET")
+            assert (answer.status, answer.body) == (200, b"hello")
+
+
+@pytest.mark.parametrize("script", [say_not_run, say_misdirected])
+@in_loop
+async def test_refused_request_goes_elsewhere_whatever_its_kind(script):
+    async with run_world(script, answer_ok) as world:
+        for _ in range(3):
+            assert (await world.call("/once/x")).status == 200
+
+
+@pytest.mark.parametrize("script", [say_not_run, say_misdirected])
+@in_loop
+async def test_request_refused_everywhere_is_said_not_to_have_run(script):
+    async with run_world(script, script) as world:
+        answer = await world.call("/once/x")
+        assert answer.status == 503 and float(answer.headers["retry-after"]) > 0
+        assert "server-stamp" not in answer.headers
+
+
+@in_loop
+async def test_one_upstream_at_most_where_the_route_says_so():
+    catalog = with_route("once", most_upstreams=1)
+    async with run_world(say_not_run, say_not_run, catalog=catalog) as world:
+        assert (await world.call("/once/x")).status == 503
+        assert len(world.arrivals) == 1
+
+
+@in_loop
+async def test_upstream_that_refuses_connections_is_passed_over():
+    async with run_world(None, None, answer_ok) as world:
+        for _ in range(4):
+            assert (await world.call("/once/x")).status == 200
+
+
+@in_loop
+async def test_no_upstream_at_all_is_said_at_once():
+    async with run_world() as world:
+        answer = await world.call("/once/x")
+        assert answer.status == 503 and float(answer.headers["retry-after"]) > 0
+
+
+@in_loop
+async def test_failure_of_an_upstream_passes_with_its_signature():
+    async with run_world(fail, fail) as world:
+        for path in ("/once/x", "/whole/x"):
+            answer = await world.call(path)
+            assert (answer.status, answer.body) == (500, b"oops")
+            assert answer.headers["server-stamp"].startswith("stamp-")
+
+
+@in_loop
+async def test_bytes_after_an_answer_belong_to_nobody():
+    async with run_world(answer_twice) as world:
+        connection = await world.connect()
+        for _ in range(4):
+            answer = await world.call("/whole/x", method="GET", connection=connection)
+            assert answer.status in (200, 502) and answer.body != b"hellohello"
+            await asyncio.sleep(0.02)
+        assert world.upstreams[0].connections >= 4
+
+
+@in_loop
+async def test_connections_are_kept_on_both_sides():
+    async with run_world(answer_ok) as world:
+        connection = await world.connect()
+        for _ in range(5):
+            assert (await world.call("/whole/x", connection=connection)).status == 200
+        assert world.upstreams[0].connections == 1
+
+
+@in_loop
+async def test_call_that_may_not_repeat_gets_a_fresh_connection():
+    async with run_world(answer_ok) as world:
+        for _ in range(3):
+            await world.call("/once/x")
+        assert world.upstreams[0].connections == 3
+
+
+@in_loop
+async def test_route_timeout_ends_the_wait():
+    async with run_world(stay_silent, catalog=with_route("once", timeout_ms=200)) as world:
+        begin = asyncio.get_running_loop().time()
+        answer = await world.call("/once/x")
+        assert answer.status == 504
+        assert asyncio.get_running_loop().time() - begin < 0.7
+        assert int(world.arrivals[0].headers["deadline-ms"]) <= 200
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/stream/x"])
+@in_loop
+async def test_caller_that_leaves_ends_the_work_at_the_upstream(path):
+    async with run_world(stay_silent) as world:
+        _, writer = await world.connect()
+        writer.write(world.format(path))
+        while not world.arrivals:
+            await asyncio.sleep(0.005)
+        writer.close()
+        await asyncio.wait_for(world.arrivals[0].cut.wait(), 0.5)
+
+
+@in_loop
+async def test_broken_stream_goes_on_elsewhere_without_a_seam():
+    async with run_world(stream_and_break, stream_and_break, stream_whole) as world:
+        world.upstreams[1].script = stream_whole
+        seen = []
+        for _ in range(4):
+            answer = await world.call("/stream/x")
+            seen.append(answer)
+            assert answer.whole and ids(answer.body) == [1, 2, 3, 4, 5]
+        resumed = [a for a in world.arrivals if "last-event-id" in a.headers]
+        assert resumed and all(a.headers["last-event-id"] == "2" for a in resumed)
+        stamps = {answer.headers["server-stamp"] for answer in seen}
+        assert "stamp-u0" in stamps
+
+
+@in_loop
+async def test_stream_that_cannot_go_on_does_not_look_complete():
+    async with run_world(stream_and_break) as world:
+        answer = await world.call("/stream/x")
+        assert not answer.whole and ids(answer.body) == [1, 2]
+
+
+@in_loop
+async def test_callers_own_resume_is_passed_on():
+    async with run_world(stream_whole) as world:
+        answer = await world.call("/stream/x", Last_Event_Id="3")
+        assert ids(answer.body) == [4, 5]
+        assert world.arrivals[0].headers["last-event-id"] == "3"
+
+
+@in_loop
+async def test_stream_that_may_not_resume_is_sent_once():
+    async with run_world(
+        stream_and_break,
+        stream_and_break,
+        catalog=with_route("stream", repeat=CATALOG.routes[0].repeat),
+    ) as world:
+        assert not (await world.call("/stream/x")).whole
+        assert len(world.arrivals) == 1
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"POST /once/x HTTP/1.1\r\nHost: a.example\r\nContent-Length: 5\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /once/y HTTP/1.1\r\n\r\n",
+        b"POST /once/x HTTP/1.1\r\nHost: a.example\r\nContent-Length: 5\r\n"
+        b"Content-Length: 6\r\n\r\n",
+        b"POST /once/x HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
+        b"POST /once/x HTTP/1.1\r\nHost: a.example\r\nBad Name: 1\r\n\r\n",
+        b"nonsense\r\n\r\n",
+    ],
+)
+@in_loop
+async def test_ambiguous_requests_are_rejected_and_closed(raw):
+    async with run_world(answer_ok) as world:
+        reader, writer = await world.connect()
+        writer.write(raw)
+        answer = await asyncio.wait_for(read_answer(reader), 2)
+        assert 400 <= answer.status < 500
+        assert await asyncio.wait_for(reader.read(), 2) == b""
+        assert not world.arrivals
+        writer.close()
+
+
+@in_loop
+async def test_body_in_chunks_arrives_whole():
+    async with run_world(answer_ok) as world:
+        reader, writer = await world.connect()
+        head = world.format("/once/x", Transfer_Encoding="chunked")
+        writer.write(head + b"3\r\nabc\r\n")
+        await asyncio.sleep(0.02)
+        writer.write(b"2\r\nde\r\n0\r\n\r\n")
+        assert (await read_answer(reader)).status == 200
+        assert world.arrivals[0].body == b"abcde"
+        writer.close()
+
+
+@pytest.mark.parametrize(
+    ("limits", "raw", "status"),
+    [
+        (Limits(body_bytes=10), b"Content-Length: 11\r\n\r\nhello hello", 413),
+        (Limits(header_bytes=200), b"X-Long: " + b"x" * 500 + b"\r\n\r\n", 431),
+        (Limits(header_timeout_ms=100), b"X-Slow: ", 408),
+    ],
+)
+@in_loop
+async def test_limits_have_their_own_status(limits, raw, status):
+    async with run_world(answer_ok, catalog=replace(CATALOG, limits=limits)) as world:
+        reader, writer = await world.connect()
+        head = f"POST /once/x HTTP/1.1\r\nHost: a.example\r\nCredential: {KEY}\r\n"
+        writer.write(head.encode() + raw)
+        answer = await asyncio.wait_for(read_answer(reader), 2)
+        assert answer.status == status and not world.arrivals
+        writer.close()
+
+
+@in_loop
+async def test_pipelined_requests_are_answered_in_order():
+    async with run_world(answer_ok) as world:
+        reader, writer = await world.connect()
+        writer.write(world.format("/whole/a") + world.format("/whole/b") + world.format("/none/"))
+        statuses = [(await asyncio.wait_for(read_answer(reader), 2)).status for _ in range(3)]
+        assert statuses == [200, 200, 404]
+        writer.close()
+
+
+@in_loop
+async def test_early_answer_is_passed_on_and_its_connection_dropped():
+    async def answer_early(arrival):
+        await arrival.answer(413, b"too long")
+
+    async with run_world(answer_early) as world:
+        upstream = world.upstreams[0]
+
+        async def read_head_only(reader, writer, number):
+            head = await reader.readuntil(b"\r\n\r\n")
+            rows = head[:-4].decode().split("\r\n")[1:]
+            headers = {n.lower(): v.strip() for n, _, v in (r.partition(":") for r in rows)}
+            if len(upstream.arrivals) == number:
+                await asyncio.sleep(10)
+            return Arrival("u0", b"", headers, b"", writer, reader, number)
+
+        upstream._read = read_head_only
+        for _ in range(2):
+            answer = await world.call("/whole/x", body=b"x" * 3_000_000)
+            assert answer.status == 413
+
+
+@in_loop
+async def test_planned_stop_serves_what_is_open_and_closes_between_requests():
+    async def answer_slowly(arrival):
+        await asyncio.sleep(0.3)
+        await arrival.answer(body=b"hello")
+
+    async with run_world(answer_slowly) as world:
+        connection = await world.connect()
+        pending = asyncio.ensure_future(world.call("/once/x", connection=connection))
+        await asyncio.sleep(0.1)
+        world.gateway.drain()
+        assert not world.gateway.ready
+        answer = await pending
+        assert answer.status == 200 and answer.headers["connection"] == "close"
+        assert (await world.call("/once/x")).status == 200
+
+
+@in_loop
+async def test_newer_configuration_is_in_force_and_an_older_one_never_again():
+    async with run_world(answer_ok) as world:
+        newer = replace(CATALOG, version=5, routes=CATALOG.routes[1:])
+        for catalog in (newer, CATALOG):
+            world.catalog.put(Entry("config", catalog))
+            await asyncio.sleep(0.05)
+            assert (await world.call("/once/x")).status == 404
+            assert (await world.call("/whole/x")).status == 200
--- /dev/null
+++ b/tests/test_gateway_placement.py
@@ -0,0 +1,101 @@
+"""Placement by least cost: single choices, and whole loads played on modelled engines."""
+
+import pytest
+
+from lentilwell.gateway._books import Books, Job
+from lentilwell.gateway._choice import POLICIES, Candidate, Wish
+from lentilwell.gateway._least_cost import MEMORY_SHARE, share_memory
+from lentilwell.gateway._messages import Prompt
+from lentilwell.gateway._reading import read_ms
+from lentilwell.gateway._upstreams import Upstream
+from tests.played_load import CALM, ENGINE, LONG, SHORT, SWINGS, play, share_on_time
+
+SEEDS = (1, 2, 3)
+
+
+def upstream(number):
+    return Upstream(f"u{number}", "s", f"127.0.0.1:{number}", "dc", 8, False)
+
+
+def job(number, **changes):
+    known = {"name": f"j{number}", "upstream": f"u{number}", "begun_at": 0, "read_ms": 0.0}
+    return Job(**{**known, "memory_tokens": 1_000, **changes})
+
+
+def choose(prompt_tokens, jobs, engines=4, objective_ms=300, now=0, policy="least_cost"):
+    books = Books()
+    for one in jobs:
+        books.add(one)
+    upstreams = [upstream(number) for number in range(engines)]
+    candidates = [Candidate(one, books.measure(one.name, now), True) for one in upstreams]
+    wish = Wish(Prompt(prompt_tokens, 100), ENGINE, objective_ms, 250, 0, now, 0.0)
+    return POLICIES[policy](wish, candidates)
+
+
+@pytest.mark.parametrize(("tokens", "idle_ms"), [(5_000, 30), (45_000, 440), (154_000, 3_052)])
+def test_reading_time_of_an_idle_engine(tokens, idle_ms):
+    assert read_ms(ENGINE, tokens) == pytest.approx(idle_ms, rel=0.1)
+
+
+def test_short_prompt_goes_where_nothing_is_read():
+    busy = [job(number, read_ms=2_000.0, due_at=3_000) for number in (0, 1, 3)]
+    assert choose(4_000, busy).names == ("u2",)
+
+
+def test_long_prompt_avoids_engines_whose_streams_would_stall():
+    writing = [job(number, reading=False, pause_ms=250) for number in (0, 1)]
+    choice = choose(100_000, writing, objective_ms=6_000)
+    assert set(choice.names) <= {"u2", "u3"}
+
+
+def test_long_prompt_is_spread_where_one_engine_would_be_late():
+    choice = choose(154_000, [], engines=8, objective_ms=1_500)
+    assert len(choice.names) >= 3
+    assert choice.first_event_ms <= 1_500
+
+
+def test_prompt_larger_than_an_engine_is_held_by_several():
+    choice = choose(700_000, [], engines=14, objective_ms=3_000)
+    held = sum(helper.memory_tokens for helper in choice.helpers)
+    room = int(ENGINE.memory_tokens * MEMORY_SHARE)
+    assert 700_100 - held <= room
+    assert all(helper.memory_tokens <= room for helper in choice.helpers)
+
+
+def test_prompt_larger_than_all_engines_has_no_place():
+    assert choose(700_000, [], engines=2) is None
+
+
+def test_prompt_that_fits_one_engine_is_never_refused_for_memory():
+    full = [job(number, memory_tokens=310_000, reading=False) for number in range(4)]
+    assert choose(10_000, full) is not None
+
+
+def test_shares_of_memory_fit_each_engine():
+    books = Books()
+    for number, tokens in ((0, 100_000), (1, 250_000), (2, 0)):
+        books.add(job(number, memory_tokens=tokens))
+    lead, *others = [
+        Candidate(upstream(number), books.measure(f"u{number}", 0), True) for number in range(3)
+    ]
+    helpers = share_memory(ENGINE, 400_000, lead, others)
+    room = int(ENGINE.memory_tokens * MEMORY_SHARE)
+    assert sum(helper.memory_tokens for helper in helpers) >= 400_000 - (room - 100_000)
+    assert helpers[0].memory_tokens <= room - 250_000
+    assert share_memory(ENGINE, 700_000, lead, others) is None
+
+
+@pytest.mark.parametrize("phases", [CALM, SWINGS], ids=["calm", "swings"])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_short_prompts_are_on_time_beside_long_ones(phases, seed):
+    """Bursts by turns of long and of short prompts: what callers get, against the baseline."""
+    served = play("least_cost", phases, seed)
+    baseline = play("least_outstanding", phases, seed)
+    assert share_on_time(served, LONG) >= 0.9
+    assert share_on_time(served, LONG) >= share_on_time(baseline, LONG) + 0.2
+    assert share_on_time(served, SHORT) >= share_on_time(baseline, SHORT) - 0.01
+
+
+def test_no_prompt_is_left_unserved():
+    served = play("least_cost", SWINGS, seed=4)
+    assert all(one.first_ms is not None for one in served)
--- /dev/null
+++ b/tests/test_gateway_upstreams.py
@@ -0,0 +1,78 @@
+"""Which upstreams may take requests, whatever the listing says and when."""
+
+from dataclasses import replace
+
+from lentilwell.gateway._upstreams import (
+    RELIST_MS,
+    Change,
+    Directory,
+    Upstream,
+    drop_missing,
+    note_regained,
+    take_changes,
+    take_listing,
+)
+
+ONE = Upstream("one", "s", "127.0.0.1:1", "dc", 8, False)
+TWO = Upstream("two", "s", "127.0.0.1:2", "dc", 8, False)
+GONE = Change("one", None, removed=True)
+
+
+def names(directory, now, service="s"):
+    return [upstream.name for upstream in directory.find_usable(service, now)]
+
+
+def test_listed_upstreams_of_the_service_are_usable():
+    other = replace(TWO, name="other", service="t")
+    directory = take_listing(Directory(), [ONE, TWO, other], now=0)
+    assert names(directory, 0) == ["one", "two"]
+
+
+def test_leaving_upstream_takes_nothing_at_once():
+    directory = take_listing(Directory(), [ONE, TWO], now=0)
+    directory = take_changes(directory, [Change("one", replace(ONE, leaving=True))], now=1)
+    assert names(directory, 1) == ["two"]
+
+
+def test_removed_entry_takes_nothing_at_once():
+    directory = take_listing(Directory(), [ONE, TWO], now=0)
+    assert names(take_changes(directory, [GONE], now=1), 1) == ["two"]
+
+
+def test_unreadable_entry_names_no_upstream():
+    directory = take_listing(Directory(), [ONE, TWO], now=0)
+    assert names(take_changes(directory, [Change("one", None)], now=1), 1) == ["two"]
+
+
+def test_entries_lapsed_in_an_outage_stay_until_they_had_time_to_return():
+    directory = take_listing(Directory(), [ONE, TWO], now=0)
+    directory = note_regained(directory, now=10_000)
+    directory = take_changes(directory, [GONE], now=10_000)
+    assert names(directory, 10_000 + RELIST_MS - 1) == ["one", "two"]
+    assert names(directory, 10_000 + RELIST_MS) == ["two"]
+    assert "one" not in drop_missing(directory, 10_000 + RELIST_MS).listed
+
+
+def test_entry_that_returns_in_time_stays_for_good():
+    directory = note_regained(take_listing(Directory(), [ONE, TWO], now=0), now=10_000)
+    directory = take_changes(directory, [GONE], now=10_100)
+    directory = take_changes(directory, [Change("one", ONE)], now=11_000)
+    assert names(drop_missing(directory, 20_000), 20_000) == ["one", "two"]
+
+
+def test_whole_listing_after_an_outage_spares_the_lapsed_for_the_same_time():
+    directory = note_regained(take_listing(Directory(), [ONE, TWO], now=0), now=10_000)
+    directory = take_listing(directory, [TWO], now=10_010)
+    assert names(directory, 10_500) == ["one", "two"]
+    assert names(directory, 10_000 + RELIST_MS) == ["two"]
+
+
+def test_whole_listing_without_an_outage_drops_what_it_lacks():
+    directory = take_listing(take_listing(Directory(), [ONE, TWO], now=0), [TWO], now=100)
+    assert names(directory, 100) == ["two"]
+
+
+def test_leaving_mark_of_an_outage_is_believed():
+    directory = note_regained(take_listing(Directory(), [ONE, TWO], now=0), now=10_000)
+    directory = take_changes(directory, [Change("one", replace(ONE, leaving=True)), GONE], 10_001)
+    assert names(directory, 10_002) == ["two"]
