--- a/src/lentilwell/gateway/_course.py
+++ b/src/lentilwell/gateway/_course.py
@@ -52,7 +52,12 @@
 
 @dataclass(frozen=True)
 class Sending:
-    """The first byte of the request is about to be written to an upstream."""
+    """The first byte of the request is about to be written to an upstream.
+
+    ``anew`` is false for an upstream that has refused this request before.
+    """
+
+    anew: bool = True
 
 
 @dataclass(frozen=True)
@@ -62,7 +67,12 @@
 
 @dataclass(frozen=True)
 class SaidNotRun:
-    """The upstream says that it did not run the request."""
+    """The upstream says that it did not run the request.
+
+    ``elsewhere`` is true where another upstream, a helper, is at fault: the same one may be tried.
+    """
+
+    elsewhere: bool = False
 
 
 @dataclass(frozen=True)
@@ -128,8 +138,8 @@
 def advance(course: Course, event: Event) -> tuple[Course, Effect | None]:
     """Apply one event and return the next state and what to do, None for going on."""
     match event:
-        case Sending():
-            sends = course.sends + 1
+        case Sending(anew):
+            sends = course.sends + int(anew)
             return replace(course, phase=Phase.SENT, may_have_run=True, sends=sends), None
         case AnswerBegun():
             return replace(course, phase=Phase.ANSWERING, delivered=True), None
@@ -143,8 +153,8 @@
             return _give_up(course, Ending.UNKNOWN)
         case Unreached():
             return replace(course, phase=Phase.PLACING), Place(again=course.sends > 0)
-        case SaidNotRun():
-            return _try_again(replace(course, may_have_run=False))
+        case SaidNotRun(elsewhere):
+            return _try_again(replace(course, may_have_run=False), elsewhere)
         case Broken():
             return _recover(course)
 
@@ -157,8 +167,8 @@
     return _try_again(replace(course, ran_before=True, may_have_run=False))
 
 
-def _try_again(course: Course) -> tuple[Course, Effect]:
-    if course.sends >= course.most_sends:
+def _try_again(course: Course, same: bool = False) -> tuple[Course, Effect]:
+    if course.sends >= course.most_sends and not same:
         return _give_up(course, Ending.UNKNOWN)
     return replace(course, phase=Phase.PLACING), Place(again=True)
 
--- a/src/lentilwell/gateway/_ejection.py
+++ b/src/lentilwell/gateway/_ejection.py
@@ -1,6 +1,7 @@
-"""Outlier ejection: upstreams that fail in a row take no requests for a while. Pure bookkeeping.
+"""Outlier ejection: upstreams that fail take no requests for a while. Pure bookkeeping.
 
-At least half of the upstreams of a service are always admitted.
+An upstream that answers badly is let back after a time, and at least half of a service stays
+admitted. One that cannot be reached is let back by a successful probe only.
 """
 
 from __future__ import annotations
@@ -13,15 +14,18 @@
 FAILURES_TO_EJECT = 2
 FIRST_EJECTION_MS = 1_000
 LONGEST_EJECTION_MS = 8_000
+NEIGHBOURS_OUT = 2
+NEIGHBOUR_MS = 2_000
 
 
 @dataclass(frozen=True)
 class Standing:
-    """How an upstream has done of late."""
+    """How an upstream has done of late. ``unreachable_at`` is set until a probe succeeds."""
 
     failures: int = 0
     ejections: int = 0
     ejected_until: int = 0
+    unreachable_at: int | None = None
 
 
 class Ejection:
@@ -31,33 +35,52 @@
         self._standings: dict[str, Standing] = {}
 
     def note_success(self, upstream: str) -> None:
-        """An answer came: forget all failures."""
+        """An answer or a probe came through: forget all failures."""
         self._standings.pop(upstream, None)
 
-    def note_failure(self, upstream: str, now: int, severe: bool = False) -> bool:
-        """Count a failure and return whether the upstream is ejected by it.
-
-        ``severe`` ejects at once: the upstream could not be reached or said that it leaves.
-        """
+    def note_failure(self, upstream: str, now: int) -> bool:
+        """Count a failed answer and return whether the upstream is ejected by it."""
         standing = self._standings.get(upstream, Standing())
         failures = standing.failures + 1
-        if not severe and failures < FAILURES_TO_EJECT:
+        if failures < FAILURES_TO_EJECT:
             self._standings[upstream] = Standing(failures, standing.ejections)
             return False
         away_ms = min(LONGEST_EJECTION_MS, FIRST_EJECTION_MS << min(standing.ejections, 8))
         self._standings[upstream] = Standing(failures, standing.ejections + 1, now + away_ms)
         return True
 
+    def note_unreachable(self, upstream: str, now: int) -> None:
+        """The upstream takes no connection, or is another one by now."""
+        standing = self._standings.get(upstream, Standing())
+        self._standings[upstream] = Standing(
+            standing.failures, standing.ejections, standing.ejected_until, now
+        )
+
+    def is_unreachable(self, upstream: str) -> bool:
+        """Tell whether an upstream waits for a probe."""
+        return self._standings.get(upstream, Standing()).unreachable_at is not None
+
     def admit(self, usable: Sequence[Upstream], now: int) -> list[Upstream]:
-        """Return the upstreams that may take requests; the longest ejected return first."""
-        admitted = [upstream for upstream in usable if not self._is_out(upstream, now)]
-        least = (len(usable) + 1) // 2
+        """Return the upstreams that may take requests; none is left out where all would be."""
+        reachable = [upstream for upstream in usable if not self.is_unreachable(upstream.name)]
+        if not reachable:
+            return list(usable)
+        admitted = [upstream for upstream in reachable if not self._is_out(upstream, now)]
+        least = (len(reachable) + 1) // 2
         if len(admitted) < least:
-            out = [upstream for upstream in usable if self._is_out(upstream, now)]
+            out = [upstream for upstream in reachable if self._is_out(upstream, now)]
             out.sort(key=lambda upstream: self._standings[upstream.name].ejected_until)
             admitted.extend(out[: least - len(admitted)])
         return admitted
 
+    def find_doubtful_centres(self, usable: Sequence[Upstream], now: int) -> frozenset[str]:
+        """Return the data centres in which several upstreams have become unreachable just now."""
+        counts: dict[str, int] = {}
+        for upstream in usable:
+            at = self._standings.get(upstream.name, Standing()).unreachable_at
+            if at is not None and now - at < NEIGHBOUR_MS:
+                counts[upstream.data_centre] = counts.get(upstream.data_centre, 0) + 1
+        return frozenset(centre for centre, count in counts.items() if count >= NEIGHBOURS_OUT)
+
     def _is_out(self, upstream: Upstream, now: int) -> bool:
-        standing = self._standings.get(upstream.name)
-        return standing is not None and standing.ejected_until > now
+        return self._standings.get(upstream.name, Standing()).ejected_until > now
--- a/src/lentilwell/gateway/_exchange.py
+++ b/src/lentilwell/gateway/_exchange.py
@@ -45,7 +45,9 @@
     Reader,
     drop_headers,
 )
+from lentilwell.gateway._patience import find_patience
 from lentilwell.gateway._ports import Dialect
+from lentilwell.gateway._upstreams import Upstream
 
 LONGEST_BODY_BYTES = 16_777_216
 RETRY_AFTER_MS = 300
@@ -88,9 +90,12 @@
         self._caller = caller
         self._course = Course(subject.route.repeat, subject.route.most_upstreams)
         self._excluded: frozenset[str] = frozenset()
+        self._tried: frozenset[str] = frozenset()
         self._sequence = EventSequence(subject.facts.last_event)
         self._server_failure: tuple[AnswerHead, bytes] | None = None
         self._first_ms: int | None = None
+        self._last_event_at = 0
+        self._longest_pause_ms = 0
         self._upstream = ""
         self._expected_ms = 0
         self._helpers = 0
@@ -156,20 +161,21 @@
         )
 
     async def _send(self, choice: Choice, leases: LeaseSet) -> Effect:
-        self._excluded |= {choice.upstream.name}
         fresh = self._subject.route.repeat is Repeat.NEVER
         try:
             link = await self._links.take(choice.upstream.address, fresh)
         except Unreachable as error:
-            self._note_failure(choice, str(error), severe=True)
+            self._note_unreachable(choice.upstream, str(error))
             return self._decide(Unreached(), str(error))
         try:
-            self._advance(Sending())
+            self._advance(Sending(anew=choice.upstream.name not in self._tried))
+            self._tried |= {choice.upstream.name}
             self._write(link, choice, leases)
             effect = await self._receive(link, choice)
             self._links.give_back(choice.upstream.address, link)
             return effect
         except (LinkBroken, BrokenStream) as error:
+            self._excluded |= {choice.upstream.name}
             self._note_failure(choice, str(error))
             return self._decide(Broken(), str(error))
         finally:
@@ -194,7 +200,7 @@
         link.send(request.method, request.target, headers, request.body)
 
     async def _receive(self, link: Link, choice: Choice) -> Effect:
-        head = self._dialect.read_head(await link.read_head())
+        head = self._dialect.read_head(await link.read_head(self._find_patience(choice)))
         link.idle_limit_ms = head.idle_ms
         link.reusable = link.reusable and not head.closing
         if head.request_id and head.request_id != self._subject.facts.request_id:
@@ -217,20 +223,34 @@
     async def _take_refusal(self, link: Link, head: AnswerHead, choice: Choice) -> Effect:
         await _read_body(link)
         link.finish()
-        fault = head.at_fault or choice.upstream.name
+        fault = self._find_fault(head, choice)
+        self._excluded |= {fault.name}
         logger.info(
             "upstream refused",
             request=self._subject.facts.request_id,
             upstream=choice.upstream.name,
             status=head.status,
-            at_fault=fault,
+            at_fault=fault.name,
         )
-        return self._decide(SaidNotRun(), f"upstream answered {head.status} without running it")
+        if head.misdirected and fault is choice.upstream:
+            self._fleet.forget(fault)
+        elif fault is not choice.upstream:
+            self._note_unreachable(fault, f"named at fault with status {head.status}")
+        reason = f"upstream answered {head.status} without running it"
+        return self._decide(SaidNotRun(elsewhere=fault is not choice.upstream), reason)
+
+    def _find_fault(self, head: AnswerHead, choice: Choice) -> Upstream:
+        """Return the upstream that a refusal is due to: the refusing one, or one of its helpers."""
+        for helper in choice.helpers:
+            if helper.upstream.address == head.at_fault:
+                return helper.upstream
+        return choice.upstream
 
     async def _take_failure(self, link: Link, head: AnswerHead, choice: Choice) -> Effect:
         """The upstream ran the request and failed: try elsewhere where allowed, else pass it on."""
         body = await _read_body(link)
         link.finish()
+        self._excluded |= {choice.upstream.name}
         if head.status < 500:
             self._note_success(choice)
         else:
@@ -245,14 +265,13 @@
     async def _relay(self, link: Link, head: AnswerHead, choice: Choice) -> Effect:
         """Pass on a stream's events as they come, each once and whole."""
         splitter = EventSplitter()
-        while (data := await link.read_data()) is not None:
+        while (data := await link.read_data(self._find_patience(choice))) is not None:
             for event in splitter.take(data):
                 if not self._sequence.accept(event):
                     continue
                 if not self._course.delivered:
                     self._begin_stream(head)
-                if self._first_ms is None:
-                    self._first_ms = self._clock.now() - self._subject.request.arrived_at
+                self._note_event()
                 self._note_read(choice)
                 await self._caller.write(event.data)
         if splitter.torn:
@@ -264,6 +283,14 @@
         self._caller.end()
         return self._decide(AnswerWhole())
 
+    def _note_event(self) -> None:
+        now = self._clock.now()
+        if self._first_ms is None:
+            self._first_ms = now - self._subject.request.arrived_at
+        else:
+            self._longest_pause_ms = max(self._longest_pause_ms, now - self._last_event_at)
+        self._last_event_at = now
+
     def _begin_stream(self, head: AnswerHead) -> None:
         self._advance(AnswerBegun())
         self._caller.begin(head.status, clean(head.headers))
@@ -317,11 +344,26 @@
     def _note_success(self, choice: Choice) -> None:
         self._fleet.ejection.note_success(choice.upstream.name)
 
-    def _note_failure(self, choice: Choice, reason: str, severe: bool = False) -> None:
-        now = self._clock.now()
-        if self._fleet.ejection.note_failure(choice.upstream.name, now, severe):
+    def _note_failure(self, choice: Choice, reason: str) -> None:
+        if self._fleet.ejection.note_failure(choice.upstream.name, self._clock.now()):
             logger.info("upstream ejected", upstream=choice.upstream.name, reason=reason)
 
+    def _note_unreachable(self, upstream: Upstream, reason: str) -> None:
+        self._excluded |= {upstream.name}
+        self._fleet.ejection.note_unreachable(upstream.name, self._clock.now())
+        logger.info("upstream unreachable", upstream=upstream.name, reason=reason)
+
+    def _find_patience(self, choice: Choice) -> int | None:
+        """Return how long the upstream may be silent from now on."""
+        route = self._subject.route
+        engine = self._fleet.find_engine(self._subject.service)
+        now = self._clock.now()
+        loads = [self._fleet.books.measure(name, now) for name in choice.names]
+        load = max(loads, key=lambda one: one.backlog_ms)
+        return find_patience(
+            route, engine, load, choice.first_event_ms if not self._first_ms else None
+        )
+
     def _advance(self, event: Event) -> Effect | None:
         self._course, effect = advance(self._course, event)
         return effect
@@ -346,6 +388,7 @@
         return effect.ending
 
     def _log(self, ending: Ending) -> None:
+        prompt = self._subject.facts.prompt
         logger.info(
             "request ended",
             request=self._subject.facts.request_id,
@@ -356,7 +399,9 @@
             sends=self._course.sends,
             first_ms=self._first_ms,
             expected_first_ms=self._expected_ms,
+            longest_pause_ms=self._longest_pause_ms,
             helpers=self._helpers,
+            tokens=prompt.prompt_tokens if prompt is not None else None,
             total_ms=self._clock.now() - self._subject.request.arrived_at,
         )
 
--- a/src/lentilwell/gateway/_failures.py
+++ b/src/lentilwell/gateway/_failures.py
@@ -15,6 +15,10 @@
     """The connection ended, or the upstream sent bytes that are no answer to this request."""
 
 
+class LinkSilent(LinkBroken):
+    """The upstream sent nothing for too long."""
+
+
 class StoreError(Exception):
     """Base of the failures of the store."""
 
--- a/src/lentilwell/gateway/_fleet.py
+++ b/src/lentilwell/gateway/_fleet.py
@@ -11,7 +11,7 @@
 from lentilwell._clock import Clock
 from lentilwell.gateway._books import Books
 from lentilwell.gateway._budget import BudgetRules, RetryBudget
-from lentilwell.gateway._catalog import Catalog, Route
+from lentilwell.gateway._catalog import Catalog, EngineSpec, Route
 from lentilwell.gateway._choice import POLICIES, Candidate, Choice, Wish
 from lentilwell.gateway._ejection import Ejection
 from lentilwell.gateway._messages import Prompt
@@ -67,10 +67,9 @@
             for upstream in self.directory.find_usable(service, now)
             if upstream.name not in excluded
         ]
-        spec = self.catalog.services.get(service) if self.catalog is not None else None
         wish = Wish(
             prompt=prompt,
-            engine=spec.engine if spec is not None else None,
+            engine=self.find_engine(service),
             objective_ms=route.objective_ms,
             pause_ms=route.pause_ms,
             waited_ms=now - arrived_at,
@@ -78,9 +77,25 @@
             point=self.random.random(),
         )
         admitted = self.ejection.admit(usable, now)
-        candidates = [self._describe(upstream, now) for upstream in admitted]
+        doubtful = self.ejection.find_doubtful_centres(usable, now)
+        candidates = [
+            self._describe(upstream, now)
+            for upstream in admitted
+            if upstream.data_centre not in doubtful
+        ] or [self._describe(upstream, now) for upstream in admitted]
         return POLICIES[self.policy](wish, candidates)
 
+    def find_engine(self, service: str) -> EngineSpec | None:
+        """Return how the engines of a service work, None for a plain service."""
+        spec = self.catalog.services.get(service) if self.catalog is not None else None
+        return spec.engine if spec is not None else None
+
+    def forget(self, upstream: Upstream) -> None:
+        """Take an upstream off the list whose address belongs to another one by now."""
+        change = Change(upstream.name, None)
+        self.directory = take_changes(self.directory, [change], self.clock.now())
+        logger.info("upstream gone", upstream=upstream.name, address=upstream.address)
+
     def _describe(self, upstream: Upstream, now: int) -> Candidate:
         return Candidate(
             upstream=upstream,
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -22,6 +22,7 @@
 from lentilwell.gateway._messages import InboundRequest
 from lentilwell.gateway._peers import Peers
 from lentilwell.gateway._ports import Dialect, Feeds
+from lentilwell.gateway._prober import Prober
 from lentilwell.gateway._readiness import Readiness
 from lentilwell.gateway._settings import GatewaySettings
 
@@ -172,6 +173,7 @@
             catalog.run(),
             upstreams.run(),
             self.peers.keep_listed(self._feeds.membership),
+            Prober(self.fleet, self.links).run(),
         )
         self._tasks = [loop.create_task(run) for run in runs]
         logger.info("started", callers=self.settings.callers_address)
--- a/src/lentilwell/gateway/_link.py
+++ b/src/lentilwell/gateway/_link.py
@@ -9,10 +9,10 @@
 import h11
 
 from lentilwell._clock import Clock
-from lentilwell.gateway._failures import LinkBroken, Unreachable
+from lentilwell.gateway._failures import LinkBroken, LinkSilent, Unreachable
 from lentilwell.gateway._messages import Headers
 
-CONNECT_TIMEOUT_MS = 400
+CONNECT_TIMEOUT_MS = 250
 UNACKNOWLEDGED_TIMEOUT_MS = 2_000
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
@@ -27,11 +27,11 @@
         self._clock = clock
         self._http = h11.Connection(h11.CLIENT)
         self._transport: asyncio.Transport | None = None
-        self._wake: asyncio.Future[None] | None = None
+        self._wake: asyncio.Future[bool] | None = None
         self._lost: Exception | None = None
         self._in_use = False
         self.reusable = True
-        self.idle_since = 0
+        self.idle_since = clock.now()
         self.idle_limit_ms: int | None = None
 
     @property
@@ -82,18 +82,18 @@
             raise Unreachable(f"the request cannot be written: {error}") from error
         self._transport.write(b"".join(part for part in parts if part))
 
-    async def read_head(self) -> h11.Response:
-        """Return the head of the answer."""
+    async def read_head(self, patience_ms: int | None = None) -> h11.Response:
+        """Return the head of the answer; raise ``LinkSilent`` after ``patience_ms`` of silence."""
         while True:
-            event = await self._next_event()
+            event = await self._next_event(patience_ms)
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise LinkBroken("the answer has no head")
 
-    async def read_data(self) -> bytes | None:
-        """Return the next bytes of the body, None at its end."""
-        event = await self._next_event()
+    async def read_data(self, patience_ms: int | None = None) -> bytes | None:
+        """Return the next bytes of the body, None at its end; raise as ``read_head`` does."""
+        event = await self._next_event(patience_ms)
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
@@ -125,7 +125,7 @@
             self._lost = error
         self._notify()
 
-    async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
+    async def _next_event(self, patience_ms: int | None) -> h11.Event | type[h11.PAUSED]:
         while True:
             try:
                 event = self._http.next_event()
@@ -137,18 +137,29 @@
                 raise LinkBroken(str(self._lost)) from self._lost
             if self._transport is not None and self.reusable:
                 self._transport.resume_reading()
-            await self._wait()
-
-    async def _wait(self) -> None:
-        self._wake = asyncio.get_running_loop().create_future()
+            if not await self._wait(patience_ms):
+                raise LinkSilent(f"nothing came for {patience_ms} ms")
+
+    async def _wait(self, patience_ms: int | None) -> bool:
+        """Wait for bytes or the end; return False where neither came in time.
+
+        Bytes that came while this process stood still are taken before the time-out is.
+        """
+        loop = asyncio.get_running_loop()
+        self._wake = loop.create_future()
+        timer = None
+        if patience_ms is not None:
+            timer = loop.call_later(patience_ms / 1_000, self._notify, False)
         try:
-            await self._wake
+            return await self._wake
         finally:
             self._wake = None
+            if timer is not None:
+                timer.cancel()
 
-    def _notify(self) -> None:
+    def _notify(self, came: bool = True) -> None:
         if self._wake is not None and not self._wake.done():
-            self._wake.set_result(None)
+            self._wake.set_result(came)
 
 
 def set_dead_peer_timeouts(sock: socket.socket) -> None:
--- a/src/lentilwell/gateway/_messages.py
+++ b/src/lentilwell/gateway/_messages.py
@@ -113,7 +113,8 @@
 class AnswerHead:
     """The head of an upstream's answer, read by the dialect.
 
-    ``not_run`` is the upstream's word that it did not run the request, ``signed`` says that the
+    ``not_run`` is the upstream's word that it did not run the request, ``misdirected`` that it is
+    not the one that was meant (or another one of a spread request is not), ``signed`` says that the
     answer carries an upstream's signature, ``at_fault`` names the upstream that failed it.
     ``idle_ms`` is how long the upstream keeps an idle connection, None where it does not say.
     """
@@ -122,6 +123,7 @@
     headers: Headers
     request_id: str
     not_run: bool
+    misdirected: bool
     signed: bool
     encoded: bool
     at_fault: str | None
--- /dev/null
+++ b/src/lentilwell/gateway/_patience.py
@@ -0,0 +1,33 @@
+"""How long an upstream may be silent before its request is taken elsewhere. Pure.
+
+Load that this answers: upstreams that go dark while streams are on them. A caller leaves a silent
+stream after some seconds; taken elsewhere in time, it goes on. An upstream that is merely busy is
+waited for: the limit follows the estimate of its work.
+"""
+
+from __future__ import annotations
+
+from lentilwell.gateway._books import Load
+from lentilwell.gateway._catalog import EngineSpec, Repeat, Route
+from lentilwell.gateway._reading import write_pass_ms
+
+ESTIMATE_FACTOR = 1.5
+STREAM_SLACK_MS = 600
+PLAIN_OBJECTIVES = 2
+LEAST_PLAIN_MS = 250
+
+
+def find_patience(
+    route: Route, engine: EngineSpec | None, load: Load, first_event_ms: float | None
+) -> int | None:
+    """Return the longest silence to wait for in ms; None where only the deadline ends the wait.
+
+    ``first_event_ms`` is the estimate while the first event is awaited, None after it.
+    """
+    if route.repeat is Repeat.NEVER:
+        return None
+    if engine is None or not route.streams:
+        return max(LEAST_PLAIN_MS, PLAIN_OBJECTIVES * route.objective_ms)
+    pass_ms = write_pass_ms(engine, load.writers, load.context_tokens)
+    expected_ms = max(pass_ms + load.backlog_ms, first_event_ms or 0.0)
+    return round(ESTIMATE_FACTOR * expected_ms) + STREAM_SLACK_MS
--- a/tests/test_gateway_ejection.py
+++ b/tests/test_gateway_ejection.py
@@ -33,11 +33,12 @@
         ejection.note_success("u1")
 
 
-def test_severe_failure_ejects_at_once_and_for_longer_each_time():
+def test_each_ejection_is_longer_up_to_a_limit():
     ejection = Ejection()
     now, times = 0, []
     for _ in range(6):
-        ejection.note_failure("u1", now, severe=True)
+        while not ejection.note_failure("u1", now):
+            pass
         away = 0
         while "u1" not in names(ejection, now + away):
             away += 100
@@ -46,12 +47,35 @@
     assert times == sorted(times) and times[0] < times[-1] <= LONGEST_EJECTION_MS
 
 
-@given(
-    st.lists(st.tuples(st.sampled_from("1234"), st.booleans(), st.integers(0, 500)), max_size=60)
-)
+def test_unreachable_upstream_waits_for_a_probe_however_few_are_left():
+    ejection = Ejection()
+    for name in ("u1", "u2", "u3"):
+        ejection.note_unreachable(name, 0)
+    assert names(ejection, 1_000_000) == {"u4"}
+    ejection.note_success("u2")
+    assert names(ejection, 1_000_000) == {"u2", "u4"}
+
+
+def test_where_none_is_reachable_all_are_tried():
+    ejection = Ejection()
+    for upstream in UPSTREAMS:
+        ejection.note_unreachable(upstream.name, 0)
+    assert names(ejection, 0) == {"u1", "u2", "u3", "u4"}
+
+
+def test_data_centre_is_doubtful_once_several_of_it_are_unreachable():
+    ejection = Ejection()
+    ejection.note_unreachable("u1", 0)
+    assert not ejection.find_doubtful_centres(UPSTREAMS, 0)
+    ejection.note_unreachable("u2", 100)
+    assert ejection.find_doubtful_centres(UPSTREAMS, 100) == {"dc"}
+    assert not ejection.find_doubtful_centres(UPSTREAMS, 10_000)
+
+
+@given(st.lists(st.tuples(st.sampled_from("1234"), st.integers(0, 500)), max_size=60))
 def test_at_least_half_are_admitted_whatever_fails(steps):
     ejection, now = Ejection(), 0
-    for number, severe, later_ms in steps:
+    for number, later_ms in steps:
         now += later_ms
-        ejection.note_failure(f"u{number}", now, severe)
+        ejection.note_failure(f"u{number}", now)
         assert len(names(ejection, now)) >= 2
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import functools
+import json
 from dataclasses import replace
 
 import pytest
 
-from lentilwell.gateway import Entry, Limits
+from lentilwell.gateway import Entry, Limits, ServiceSpec
 from tests.gateway_world import CATALOG, KEY, Arrival, read_answer, run_world, with_route
+from tests.played_load import ENGINE
 
 
 def in_loop(test):
@@ -422,3 +424,130 @@
             await asyncio.sleep(0.05)
             assert (await world.call("/once/x")).status == 404
             assert (await world.call("/whole/x")).status == 200
+
+
+async def stream_and_fall_silent(arrival):
+    await arrival.begin_stream()
+    await arrival.write_events(1, 2)
+    await stay_silent(arrival)
+
+
+@pytest.mark.parametrize("script", [stay_silent, stream_and_fall_silent])
+@in_loop
+async def test_silent_stream_goes_on_elsewhere_before_its_caller_gives_up(script):
+    async with run_world(script, stream_whole) as world:
+        for _ in range(2):
+            answer = await asyncio.wait_for(world.call("/stream/x"), 2)
+            assert answer.whole and ids(answer.body) == [1, 2, 3, 4, 5]
+
+
+@in_loop
+async def test_silent_look_up_is_taken_elsewhere():
+    async with run_world(stay_silent, answer_ok) as world:
+        for _ in range(2):
+            assert (await asyncio.wait_for(world.call("/whole/x"), 2)).status == 200
+
+
+@in_loop
+async def test_silence_is_no_reason_to_repeat_what_may_run_once():
+    async with run_world(
+        stay_silent, stay_silent, catalog=with_route("once", timeout_ms=1_500)
+    ) as world:
+        assert (await world.call("/once/x")).status == 504
+        assert len(world.arrivals) == 1
+
+
+@in_loop
+async def test_misdirected_upstream_is_taken_off_the_list():
+    async with run_world(say_misdirected, answer_ok) as world:
+        for _ in range(4):
+            assert (await world.call("/once/x")).status == 200
+        assert len(world.upstreams[0].arrivals) <= 1
+
+
+@in_loop
+async def test_unreachable_upstream_is_let_back_by_a_probe():
+    async with run_world(answer_ok) as world:
+        upstream = world.upstreams[0]
+        port = upstream.server.sockets[0].getsockname()[1]
+        upstream.server.close()
+        await upstream.server.wait_closed()
+        assert (await world.call("/once/x")).status == 503
+        assert world.gateway.fleet.ejection.is_unreachable("u0")
+        upstream.server = await asyncio.start_server(upstream._serve, "127.0.0.1", port)
+        await asyncio.sleep(0.7)
+        assert not world.gateway.fleet.ejection.is_unreachable("u0")
+        assert (await world.call("/once/x")).status == 200
+
+
+def with_engines():
+    """Return a configuration whose streams are spread over engines."""
+    spec = ServiceSpec("s", "/health", 100, ENGINE)
+    routes = (*CATALOG.routes[:2], replace(CATALOG.routes[2], objective_ms=400))
+    return replace(CATALOG, services={"s": spec}, routes=routes)
+
+
+@in_loop
+async def test_helper_at_fault_is_left_out_and_the_first_upstream_asked_again():
+    async def blame_first_helper(arrival):
+        helpers = arrival.headers.get("helpers", "").split(",")
+        if dead in helpers:
+            await arrival.answer(503, signed=False, Not_Run=1, At_Server=dead)
+        else:
+            await stream_whole(arrival)
+
+    async with run_world(*[blame_first_helper] * 4, catalog=with_engines()) as world:
+        world.gateway.fleet.policy = "least_cost"
+        dead = world.gateway.fleet.directory.listed["u3"].address
+        answer = await world.call("/stream/x", Token_Count="100000,100")
+        assert answer.whole and ids(answer.body) == [1, 2, 3, 4, 5]
+        assert "helpers" in world.arrivals[0].headers
+        if len(world.arrivals) > 1:
+            assert world.gateway.fleet.ejection.is_unreachable("u3")
+            assert dead not in world.arrivals[-1].headers.get("helpers", "")
+
+
+@in_loop
+async def test_memory_is_set_aside_and_given_back_for_a_prompt_larger_than_one_engine():
+    orders = []
+
+    async def serve(arrival):
+        if not arrival.line.startswith(b"POST /order "):
+            await asyncio.sleep(1.3)
+            await stream_whole(arrival)
+            return
+        order = json.loads(arrival.body)
+        orders.append((arrival.upstream, order["operation"], order["id"]))
+        await arrival.answer(200, b"{}")
+
+    async with run_world(*[serve] * 4, catalog=with_engines()) as world:
+        world.gateway.fleet.policy = "least_cost"
+        answer = await world.call("/stream/x", Token_Count="700000,100")
+        assert answer.whole
+        await world.gateway.leases.settle()
+        [request] = [a for a in world.arrivals if not a.line.startswith(b"POST /order")]
+        tickets = [entry.split("/")[1] for entry in request.headers["helpers"].split(",")]
+        assert len(set(tickets)) == len(tickets) == 3
+        for ticket in tickets:
+            operations = [operation for _, operation, name in orders if name == ticket]
+            assert operations[0] == "reserve" and operations[-1] == "release"
+            assert operations.count("reserve") >= 2 and operations.count("release") == 1
+
+
+@in_loop
+async def test_memory_that_is_not_granted_everywhere_is_given_back_at_once():
+    orders = []
+
+    async def refuse_one(arrival):
+        order = json.loads(arrival.body)
+        orders.append((order["operation"], order["id"]))
+        full = arrival.upstream == "u2" and order["operation"] == "reserve"
+        await arrival.answer(409 if full else 200, b"{}")
+
+    async with run_world(*[refuse_one] * 3, catalog=with_engines()) as world:
+        world.gateway.fleet.policy = "least_cost"
+        answer = await world.call("/stream/x", Token_Count="800000,100")
+        assert answer.status == 503 and float(answer.headers["retry-after"]) > 0
+        await world.gateway.leases.settle()
+        reserved = {name for operation, name in orders if operation == "reserve"}
+        assert {name for operation, name in orders if operation == "release"} == reserved
