Probe upstreams in doubt at once, and leave silent connections to those out of reach

Change: silence and failed connections call a probe at once; a failed probe refreshes the doubt on the data centre and ends the waiting on silent connections there, save for requests that may run once.

--- a/src/lentilwell/gateway/_ejection.py
+++ b/src/lentilwell/gateway/_ejection.py
@@ -1,12 +1,13 @@
 """Outlier ejection: upstreams that fail take no requests for a while. Pure bookkeeping.
 
 An upstream that answers badly is let back after a time, and at least half of a service stays
-admitted. One that cannot be reached is let back by a successful probe only.
+admitted. One that cannot be reached is let back by a successful probe only; ``on_doubt`` is called
+when there is one to probe.
 """
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from lentilwell.gateway._upstreams import Upstream
@@ -33,6 +34,7 @@
 
     def __init__(self) -> None:
         self._standings: dict[str, Standing] = {}
+        self.on_doubt: Callable[[], None] = lambda: None
 
     def note_success(self, upstream: str) -> None:
         """An answer or a probe came through: forget all failures."""
@@ -50,8 +52,10 @@
         return True
 
     def note_unreachable(self, upstream: str, now: int) -> None:
-        """The upstream takes no connection, or is another one by now."""
+        """The upstream takes no connection or is silent: a probe has to show that it is there."""
         standing = self._standings.get(upstream, Standing())
+        if standing.unreachable_at is None:
+            self.on_doubt()
         self._standings[upstream] = Standing(
             standing.failures, standing.ejections, standing.ejected_until, now
         )
--- a/src/lentilwell/gateway/_exchange.py
+++ b/src/lentilwell/gateway/_exchange.py
@@ -31,7 +31,7 @@
     advance,
 )
 from lentilwell.gateway._event_stream import BrokenStream, EventSequence, EventSplitter
-from lentilwell.gateway._failures import LinkBroken, Unreachable
+from lentilwell.gateway._failures import LinkBroken, LinkSilent, Unreachable
 from lentilwell.gateway._fleet import Fleet
 from lentilwell.gateway._leases import Leases, LeaseSet, NoMemory
 from lentilwell.gateway._link import Link
@@ -168,12 +168,16 @@
             self._note_unreachable(choice.upstream, str(error))
             return self._decide(Unreached(), str(error))
         try:
+            link.patient = fresh
             self._advance(Sending(anew=choice.upstream.name not in self._tried))
             self._tried |= {choice.upstream.name}
             self._write(link, choice, leases)
             effect = await self._receive(link, choice)
             self._links.give_back(choice.upstream.address, link)
             return effect
+        except LinkSilent as error:
+            self._note_unreachable(choice.upstream, str(error))
+            return self._decide(Broken(), str(error))
         except (LinkBroken, BrokenStream) as error:
             self._excluded |= {choice.upstream.name}
             self._note_failure(choice, str(error))
--- a/src/lentilwell/gateway/_link.py
+++ b/src/lentilwell/gateway/_link.py
@@ -21,7 +21,10 @@
 
 
 class Link(asyncio.Protocol):
-    """A connection to one upstream. ``reusable`` turns false for good once anything is amiss."""
+    """A connection to one upstream. ``reusable`` turns false for good once anything is amiss.
+
+    ``patient`` is set while a request is on it that only its deadline may end.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
@@ -30,7 +33,9 @@
         self._wake: asyncio.Future[bool] | None = None
         self._lost: Exception | None = None
         self._in_use = False
+        self._heard_at = clock.now()
         self.reusable = True
+        self.patient = False
         self.idle_since = clock.now()
         self.idle_limit_ms: int | None = None
 
@@ -71,6 +76,7 @@
         """Write a whole request; it may have arrived from the first byte on."""
         assert self._transport is not None
         self._in_use = True
+        self._heard_at = self._clock.now()
         request = h11.Request(method=method, target=target, headers=list(headers))
         try:
             parts = [self._http.send(request)]
@@ -112,6 +118,12 @@
         self._http.start_next_cycle()
         self.idle_since = self._clock.now()
 
+    def give_up_silent(self, silent_ms: int) -> None:
+        """The upstream is known to be out of reach: stop waiting if nothing came for a while."""
+        silent = self._clock.now() - self._heard_at >= silent_ms
+        if self._in_use and not self.patient and silent:
+            self._notify(False)
+
     def close(self) -> None:
         """Close the connection at once; the upstream stops its work."""
         self.reusable = False
@@ -119,6 +131,7 @@
             self._transport.abort()
 
     def _feed(self, data: bytes) -> None:
+        self._heard_at = self._clock.now()
         try:
             self._http.receive_data(data)
         except h11.RemoteProtocolError as error:
@@ -138,7 +151,8 @@
             if self._transport is not None and self.reusable:
                 self._transport.resume_reading()
             if not await self._wait(patience_ms):
-                raise LinkSilent(f"nothing came for {patience_ms} ms")
+                silent_ms = self._clock.now() - self._heard_at
+                raise LinkSilent(f"nothing came for {silent_ms} ms")
 
     async def _wait(self, patience_ms: int | None) -> bool:
         """Wait for bytes or the end; return False where neither came in time.
--- a/src/lentilwell/gateway/_links.py
+++ b/src/lentilwell/gateway/_links.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import weakref
 from collections.abc import Iterable
 
 from lentilwell._clock import Clock
@@ -18,6 +19,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._idle: dict[str, list[Link]] = {}
+        self._taken: dict[str, weakref.WeakSet[Link]] = {}
         self.opened = 0
 
     async def take(self, address: str, fresh: bool) -> Link:
@@ -29,7 +31,14 @@
                 return link
             link.close()
         self.opened += 1
-        return await open_link(address, self._clock)
+        link = await open_link(address, self._clock)
+        self._taken.setdefault(address, weakref.WeakSet()).add(link)
+        return link
+
+    def give_up_silent(self, address: str, silent_ms: int) -> None:
+        """Stop waiting on the connections to an upstream that is known to be out of reach."""
+        for link in list(self._taken.get(address, ())):
+            link.give_up_silent(silent_ms)
 
     def give_back(self, address: str, link: Link) -> None:
         """Keep a connection whose last answer is whole."""
@@ -53,6 +62,9 @@
             self._idle[address] = kept
             if not kept:
                 del self._idle[address]
+        for address in list(self._taken):
+            if not self._taken[address]:
+                del self._taken[address]
 
     def close(self) -> None:
         """Close all idle connections."""
--- a/src/lentilwell/gateway/_prober.py
+++ b/src/lentilwell/gateway/_prober.py
@@ -1,4 +1,4 @@
-"""Tries to reach upstreams that took no connection, and lets back those that do again."""
+"""Tries to reach upstreams in doubt: lets back those that answer, leaves those that do not."""
 
 from __future__ import annotations
 
@@ -12,6 +12,7 @@
 from lentilwell.gateway._upstreams import Upstream
 
 PROBE_INTERVAL_MS = 500
+SILENT_MS = 350
 
 
 class Prober:
@@ -22,19 +23,30 @@
         self._links = links
 
     async def run(self) -> None:
-        """Probe for good."""
+        """Probe for good, at once after an upstream has come into doubt."""
+        doubt = asyncio.Event()
+        self._fleet.ejection.on_doubt = doubt.set
         while True:
-            await asyncio.sleep(PROBE_INTERVAL_MS / 1_000)
-            listed = self._fleet.directory.listed.values()
-            ejection = self._fleet.ejection
-            lost = [one for one in listed if ejection.is_unreachable(one.name)]
-            await asyncio.gather(*(self._probe(upstream) for upstream in lost))
-
-    async def _probe(self, upstream: Upstream) -> None:
+            await doubt.wait()
+            doubt.clear()
+            if await self._probe_all():
+                asyncio.get_running_loop().call_later(PROBE_INTERVAL_MS / 1_000, doubt.set)
+
+    async def _probe_all(self) -> bool:
+        """Probe all that are in doubt; return whether some still are."""
+        listed = self._fleet.directory.listed.values()
+        lost = [one for one in listed if self._fleet.ejection.is_unreachable(one.name)]
+        reached = await asyncio.gather(*(self._probe(upstream) for upstream in lost))
+        return not all(reached)
+
+    async def _probe(self, upstream: Upstream) -> bool:
         try:
             link = await self._links.take(upstream.address, fresh=True)
         except Unreachable:
-            return
+            self._fleet.ejection.note_unreachable(upstream.name, self._fleet.clock.now())
+            self._links.give_up_silent(upstream.address, SILENT_MS)
+            return False
         self._links.give_back(upstream.address, link)
         self._fleet.ejection.note_success(upstream.name)
-        logger.info("upstream reached again", upstream=upstream.name, address=upstream.address)
+        logger.info("upstream reached", upstream=upstream.name, address=upstream.address)
+        return True
