--- a/src/lentilwell/gateway/_exchange.py
+++ b/src/lentilwell/gateway/_exchange.py
@@ -204,7 +204,7 @@
         link.send(request.method, request.target, headers, request.body)
 
     async def _receive(self, link: Link, choice: Choice) -> Effect:
-        head = self._dialect.read_head(await link.read_head(self._find_patience(choice)))
+        head = self._dialect.read_head(await link.read_head(lambda: self._find_patience(choice)))
         link.idle_limit_ms = head.idle_ms
         link.reusable = link.reusable and not head.closing
         if head.request_id and head.request_id != self._subject.facts.request_id:
@@ -269,7 +269,7 @@
     async def _relay(self, link: Link, head: AnswerHead, choice: Choice) -> Effect:
         """Pass on a stream's events as they come, each once and whole."""
         splitter = EventSplitter()
-        while (data := await link.read_data(self._find_patience(choice))) is not None:
+        while (data := await link.read_data(lambda: self._find_patience(choice))) is not None:
             for event in splitter.take(data):
                 if not self._sequence.accept(event):
                     continue
--- a/src/lentilwell/gateway/_link.py
+++ b/src/lentilwell/gateway/_link.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import socket
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import h11
 
@@ -20,6 +20,14 @@
 READ_AHEAD_BYTES = 262_144
 
 
+FindPatience = Callable[[], int | None]
+
+
+def wait_for_good() -> int | None:
+    """Wait however long the upstream is silent."""
+    return None
+
+
 class Link(asyncio.Protocol):
     """A connection to one upstream. ``reusable`` turns false for good once anything is amiss.
 
@@ -34,6 +42,7 @@
         self._lost: Exception | None = None
         self._in_use = False
         self._heard_at = clock.now()
+        self._given_up = False
         self.reusable = True
         self.patient = False
         self.idle_since = clock.now()
@@ -88,18 +97,18 @@
             raise Unreachable(f"the request cannot be written: {error}") from error
         self._transport.write(b"".join(part for part in parts if part))
 
-    async def read_head(self, patience_ms: int | None = None) -> h11.Response:
-        """Return the head of the answer; raise ``LinkSilent`` after ``patience_ms`` of silence."""
+    async def read_head(self, find_patience: FindPatience = wait_for_good) -> h11.Response:
+        """Return the head of the answer; raise ``LinkSilent`` after too long a silence."""
         while True:
-            event = await self._next_event(patience_ms)
+            event = await self._next_event(find_patience)
             if isinstance(event, h11.Response):
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise LinkBroken("the answer has no head")
 
-    async def read_data(self, patience_ms: int | None = None) -> bytes | None:
+    async def read_data(self, find_patience: FindPatience = wait_for_good) -> bytes | None:
         """Return the next bytes of the body, None at its end; raise as ``read_head`` does."""
-        event = await self._next_event(patience_ms)
+        event = await self._next_event(find_patience)
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
@@ -122,6 +131,7 @@
         """The upstream is known to be out of reach: stop waiting if nothing came for a while."""
         silent = self._clock.now() - self._heard_at >= silent_ms
         if self._in_use and not self.patient and silent:
+            self._given_up = True
             self._notify(False)
 
     def close(self) -> None:
@@ -138,7 +148,7 @@
             self._lost = error
         self._notify()
 
-    async def _next_event(self, patience_ms: int | None) -> h11.Event | type[h11.PAUSED]:
+    async def _next_event(self, find_patience: FindPatience) -> h11.Event | type[h11.PAUSED]:
         while True:
             try:
                 event = self._http.next_event()
@@ -150,9 +160,18 @@
                 raise LinkBroken(str(self._lost)) from self._lost
             if self._transport is not None and self.reusable:
                 self._transport.resume_reading()
-            if not await self._wait(patience_ms):
-                silent_ms = self._clock.now() - self._heard_at
+            await self._wait_while_patient(find_patience)
+
+    async def _wait_while_patient(self, find_patience: FindPatience) -> None:
+        """Wait for bytes; the patience is asked for again each time that it has run out."""
+        while True:
+            patience_ms = find_patience()
+            silent_ms = self._clock.now() - self._heard_at
+            if self._given_up or (patience_ms is not None and silent_ms >= patience_ms):
                 raise LinkSilent(f"nothing came for {silent_ms} ms")
+            left_ms = None if patience_ms is None else patience_ms - silent_ms
+            if await self._wait(left_ms):
+                return
 
     async def _wait(self, patience_ms: int | None) -> bool:
         """Wait for bytes or the end; return False where neither came in time.
--- /dev/null
+++ b/standins/rows.py
@@ -0,0 +1,200 @@
+"""A stand-in for a table store over HTTP: versioned rows, long-polled feeds, faults on command."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qsl, urlsplit
+
+import h11
+
+PAGE_ROWS = 500
+
+
+@dataclass
+class Row:
+    """One row; removed rows stay in the history."""
+
+    table: str
+    key: str
+    value: bytes
+    version: int
+    removed: bool = False
+
+
+@dataclass
+class RowStore:
+    """The rows and the faults. ``status`` answers every call with it, ``silent`` with nothing."""
+
+    rows: dict[tuple[str, str], Row] = field(default_factory=dict)
+    version: int = 0
+    oldest: int = 0
+    status: int | None = None
+    silent: bool = False
+    lose_answers: bool = False
+    calls: list[str] = field(default_factory=list)
+    changed: asyncio.Condition = field(default_factory=asyncio.Condition)
+
+    async def put(self, table: str, key: str, value: object) -> None:
+        """Write a row; anything but bytes goes in as JSON."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        await self._change(Row(table, key, data, self.version + 1))
+
+    async def drop(self, table: str, key: str) -> None:
+        """Remove a row."""
+        await self._change(Row(table, key, b"", self.version + 1, removed=True))
+
+    def forget_history(self) -> None:
+        """Keep the rows, but no changes before now."""
+        self.oldest = self.version
+
+    async def _change(self, row: Row) -> None:
+        async with self.changed:
+            self.version += 1
+            self.rows[(row.table, row.key)] = row
+            self.changed.notify_all()
+
+    def list_rows(self, table: str, begin: str, limit: int) -> tuple[list[Row], bool]:
+        """Return rows of a table from a key on, and whether there are more."""
+        found = sorted(
+            (row for row in self.rows.values() if row.table == table and not row.removed),
+            key=lambda row: row.key.encode(),
+        )
+        found = [row for row in found if row.key >= begin]
+        return found[:limit], len(found) > limit
+
+    async def wait_changes(self, table: str, after: int, wait_s: float) -> list[Row]:
+        """Return the rows changed after a version, waiting for the first."""
+
+        def changed() -> list[Row]:
+            rows = [r for r in self.rows.values() if r.table == table and r.version > after]
+            return sorted(rows, key=lambda row: row.version)
+
+        async with self.changed:
+            try:
+                await asyncio.wait_for(self.changed.wait_for(lambda: bool(changed())), wait_s)
+            except TimeoutError:
+                return []
+            return changed()
+
+
+class RowServer:
+    """Serves a ``RowStore``."""
+
+    def __init__(self, store: RowStore) -> None:
+        self.store = store
+        self._server: asyncio.Server | None = None
+
+    async def start(self, port: int = 0) -> str:
+        """Listen on loopback and return the address."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+        host, bound = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{bound}"
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        connection = h11.Connection(h11.SERVER)
+        try:
+            while True:
+                request = await _read_request(connection, reader)
+                if request is None:
+                    return
+                await self._answer(connection, writer, *request)
+                connection.start_next_cycle()
+        except (h11.ProtocolError, ConnectionError, asyncio.CancelledError):
+            return
+        finally:
+            writer.close()
+
+    async def _answer(
+        self,
+        connection: h11.Connection,
+        writer: asyncio.StreamWriter,
+        head: h11.Request,
+        body: bytes,
+    ) -> None:
+        target = urlsplit(head.target.decode())
+        query = dict(parse_qsl(target.query, keep_blank_values=True))
+        self.store.calls.append(target.path)
+        if self.store.silent:
+            await asyncio.Event().wait()
+        status = self.store.status or 0
+        answer: dict[str, Any] = {}
+        if not status:
+            status, answer = await self._call(target.path, query, body)
+        if self.store.lose_answers and target.path == "/rows-tx":
+            raise ConnectionError("the answer is lost")
+        data = json.dumps(answer).encode()
+        response = h11.Response(
+            status_code=status,
+            headers=[("Content-Type", "application/json"), ("Content-Length", str(len(data)))],
+        )
+        parts = [connection.send(response), connection.send(h11.Data(data=data))]
+        parts.append(connection.send(h11.EndOfMessage()))
+        writer.write(b"".join(part or b"" for part in parts))
+        await writer.drain()
+
+    async def _call(
+        self, path: str, query: Mapping[str, str], body: bytes
+    ) -> tuple[int, dict[str, Any]]:
+        store = self.store
+        if path == "/rows-get":
+            limit = int(query.get("limit", PAGE_ROWS))
+            rows, more = store.list_rows(query["table"], query.get("from", ""), limit)
+            return 200, {**_describe(store, rows), "has_more": more}
+        if path == "/rows-feed":
+            after = int(query["after"])
+            if after < store.oldest:
+                return 410, {}
+            wait_s = int(query["wait_ms"]) / 1_000
+            return 200, _describe(store, await store.wait_changes(query["table"], after, wait_s))
+        if path == "/rows-tx":
+            for write in json.loads(body)["writes"]:
+                await store.put(write["table"], write["key"], base64.b64decode(write["value"]))
+            return 200, _describe(store, [])
+        return 404, {}
+
+
+def _describe(store: RowStore, rows: list[Row]) -> dict[str, Any]:
+    listed = [
+        {
+            "table": row.table,
+            "part": "",
+            "key": row.key,
+            "schema_version": row.version,
+            **({"removed": True} if row.removed else {"value": _encode(row.value)}),
+        }
+        for row in rows
+    ]
+    return {"rows": listed, "schema_version": store.version, "now_ms": 0}
+
+
+def _encode(value: bytes) -> str:
+    return base64.b64encode(value).decode()
+
+
+async def _read_request(
+    connection: h11.Connection, reader: asyncio.StreamReader
+) -> tuple[h11.Request, bytes] | None:
+    head: h11.Request | None = None
+    body = b""
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await reader.read(65_536))
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += event.data
+        elif isinstance(event, h11.EndOfMessage) and head is not None:
+            return head, body
+        else:
+            return None
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -8,6 +8,7 @@
 import pytest
 
 from lentilwell.gateway import Entry, Limits, ServiceSpec
+from lentilwell.gateway._books import Job
 from tests.gateway_world import CATALOG, KEY, Arrival, read_answer, run_world, with_route
 from tests.played_load import ENGINE
 
@@ -551,3 +552,21 @@
         await world.gateway.leases.settle()
         reserved = {name for operation, name in orders if operation == "reserve"}
         assert {name for operation, name in orders if operation == "release"} == reserved
+
+
+@in_loop
+async def test_upstream_that_turns_busy_while_it_is_waited_for_is_not_left():
+    """A long reading that is placed there later explains the silence."""
+
+    async def answer_late(arrival):
+        await asyncio.sleep(1.2)
+        await stream_whole(arrival)
+
+    async with run_world(answer_late, answer_late, catalog=with_engines()) as world:
+        pending = asyncio.ensure_future(world.call("/stream/x", Token_Count="1000,100"))
+        await asyncio.sleep(0.1)
+        now = world.gateway.clock.now()
+        for name in ("u0", "u1"):
+            world.gateway.fleet.books.add(Job("long", name, now, 2_000.0, 100_000))
+        assert (await pending).whole
+        assert len(world.arrivals) == 1
--- /dev/null
+++ b/tests/test_platform_process.py
@@ -0,0 +1,313 @@
+"""The program of ``platform/`` as a process, between stand-ins of the store and of the servers."""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from standins.batch_server import BatchServer
+from standins.rows import RowServer, RowStore
+from tests.gateway_world import read_answer
+from tests.test_gateway_forwarding import in_loop
+
+ROOT = Path(__file__).parent.parent
+KEY = "k-1"
+HOST = "h.example"
+WAIT_S = 15
+ENGINE = {
+    "slots": 8,
+    "kv_capacity": 315_000,
+    "step_ms": 0.85,
+    "per_seq_ms": 0.0085,
+    "context_per_k": 0.00285,
+    "read_per_s": 177_000.0,
+    "pairs_per_m": 0.184,
+    "chunk": 2_048,
+    "stride": 51,
+    "usual": {"prompt": 11_108, "answer": 1_622},
+}
+
+
+def configuration(version=1, **changes):
+    route = {
+        "host": HOST,
+        "timeout_ms": 10_000,
+        "target_latency_ms": 300,
+        "target_gap_ms": 250,
+        "priority": 1,
+        "max_attempts": 2,
+        "public": False,
+    }
+    routes = [
+        {
+            **route,
+            "name": "s",
+            "prefix": "/s/",
+            "kind": "streaming",
+            "service": "engines",
+            "resumable": True,
+        },
+        {**route, "name": "w", "prefix": "/w/", "kind": "idempotent", "service": "desk"},
+        {**route, "name": "o", "prefix": "/o/", "kind": "non_idempotent", "service": "desk"},
+    ]
+    found = {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "engines", "health_path": "/health", "max_connections": 99, "engine": ENGINE},
+            {"name": "desk", "health_path": "/health", "max_connections": 99},
+        ],
+        "limits": {},
+        "tenants": [{"name": "blue", "api_keys": [KEY], "priority": 0}],
+    }
+    return {**found, **changes}
+
+
+def entry(server, service, **changes):
+    found = {
+        "service": service,
+        "address": server.address,
+        "zone": "z1",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "cold_remaining_ms": 0,
+        "sequence": 1,
+        "born": 1,
+    }
+    return {**found, **changes}
+
+
+def find_free_ports(count):
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for one in sockets:
+            one.bind(("127.0.0.1", 0))
+        return [one.getsockname()[1] for one in sockets]
+
+
+class Instance:
+    """One process of the gateway."""
+
+    def __init__(self, folder, name, store_address):
+        front, ready, peers = find_free_ports(3)
+        self.name, self.front, self.ready = name, front, ready
+        self.path = folder / f"{name}.json"
+        settings = {
+            "node_name": name,
+            "ip": "127.0.0.1",
+            "zone": "z1",
+            "listen": {"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}"},
+            "internal_ports": [peers, peers],
+            "bounds": {"grace_s": 6, "retry_budget_ratio": 0.2, "extra_retries": 100},
+            "platform": {"address": store_address},
+            "unknown": {"fields": ["are", "ignored"]},
+        }
+        self.path.write_text(json.dumps(settings))
+        self.process = None
+
+    async def start(self):
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(ROOT / "platform/start.py"),
+            env={**os.environ, "LENTILWELL_CONFIG": str(self.path)},
+            stdout=asyncio.subprocess.PIPE,
+        )
+
+    async def ask_ready(self):
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.ready)
+        except OSError:
+            return None
+        writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        answer = await read_answer(reader)
+        writer.close()
+        return answer.status
+
+    async def wait_ready(self):
+        async with asyncio.timeout(WAIT_S):
+            while await self.ask_ready() != 200:
+                await asyncio.sleep(0.02)
+
+    async def call(self, path, request_id, body=b"", **headers):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.front)
+        known = {"Host": HOST, "Request-Id": request_id, "Credential": KEY, "Deadline-Ms": "10000"}
+        known.update({name.replace("_", "-"): value for name, value in headers.items()})
+        known["Content-Length"] = str(len(body))
+        rows = "".join(f"{name}: {value}\r\n" for name, value in known.items())
+        writer.write(f"POST {path} HTTP/1.1\r\n{rows}\r\n".encode() + body)
+        answer = await asyncio.wait_for(read_answer(reader), WAIT_S)
+        writer.close()
+        return answer
+
+    async def read_log(self):
+        data = await self.process.stdout.read()
+        return [json.loads(line) for line in data.splitlines()]
+
+
+class Site:
+    """A store, engines, services and gateways."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.store = RowStore()
+        self.fleet = {}
+        self.engines, self.services, self.instances = [], [], []
+
+    async def start(self, engines=3, services=2, instances=2):
+        self.rows = RowServer(self.store)
+        address = await self.rows.start()
+        await self.store.put("op", "config", configuration())
+        for number in range(engines):
+            self.engines.append(BatchServer(f"e{number}", self.fleet, speed=8.0))
+        for number in range(services):
+            self.services.append(BatchServer(f"d{number}", {}))
+        for kind, servers in (("engines", self.engines), ("desk", self.services)):
+            for server in servers:
+                await server.start()
+                await self.store.put("servers", server.name, entry(server, kind))
+        for number in range(instances):
+            self.instances.append(Instance(self.folder, f"n{number}", address))
+        for instance in self.instances:
+            await instance.start()
+        for instance in self.instances:
+            await instance.wait_ready()
+
+    async def close(self):
+        for instance in self.instances:
+            if instance.process is not None and instance.process.returncode is None:
+                instance.process.kill()
+                await instance.process.wait()
+        for server in (*self.engines, *self.services):
+            server.close()
+        self.rows.close()
+
+
+@contextlib.asynccontextmanager
+async def run_site(folder, **sizes):
+    site = Site(folder)
+    try:
+        await site.start(**sizes)
+        yield site
+    finally:
+        await site.close()
+
+
+@in_loop
+async def test_whole_path_serves_prompts_of_all_lengths(tmp_path):
+    async with run_site(tmp_path) as site:
+        first, second = site.instances
+        answers = await asyncio.gather(
+            *(first.call("/s/x", f"a{n}", Token_Count="4000,500") for n in range(5)),
+            *(second.call("/s/x", f"b{n}", Token_Count="60000,300") for n in range(2)),
+            second.call("/s/x", "wide", Token_Count="500000,300"),
+            first.call("/w/x", "c", body=b"look"),
+            second.call("/o/x", "d", body=b"book"),
+        )
+        assert [answer.status for answer in answers] == [200] * 10
+        assert all(answer.whole for answer in answers)
+        assert answers[-1].body == b"book"
+        assert all(not engine.tickets for engine in site.engines) or await settle(site)
+
+
+async def settle(site):
+    """Wait until all memory is given back."""
+    async with asyncio.timeout(WAIT_S):
+        while any(engine.tickets for engine in site.engines):
+            await asyncio.sleep(0.05)
+    return True
+
+
+@in_loop
+async def test_configuration_and_listing_are_followed_in_every_instance(tmp_path):
+    async with run_site(tmp_path) as site:
+        routes = configuration()["routes"][:2]
+        await site.store.put("op", "config", configuration(version=7, routes=routes))
+        await site.store.put("servers", "d0", entry(site.services[0], "desk", state="draining"))
+        await site.store.put("servers", "broken", b"\xff{")
+        await site.store.drop("servers", "e0")
+        await asyncio.sleep(0.5)
+        for number, instance in enumerate(site.instances):
+            assert (await instance.call("/o/x", f"o{number}")).status == 404
+            assert (await instance.call("/w/x", f"w{number}")).status == 200
+            answer = await instance.call("/s/x", f"s{number}", Token_Count="4000,100")
+            assert answer.status == 200
+        assert not site.services[0].served and not site.engines[0].served
+
+
+@in_loop
+async def test_store_outage_is_served_through_and_changes_arrive_after_it(tmp_path):
+    async with run_site(tmp_path, instances=1) as site:
+        [instance] = site.instances
+        site.store.status = 503
+        await asyncio.sleep(1.5)
+        assert (await instance.call("/w/x", "during")).status == 200
+        assert await instance.ask_ready() == 200
+        site.store.forget_history()
+        site.store.status = None
+        await site.store.put("op", "config", configuration(version=9, routes=[]))
+        async with asyncio.timeout(WAIT_S):
+            while (await instance.call("/w/x", "after")).status != 404:
+                await asyncio.sleep(0.05)
+
+
+@in_loop
+async def test_planned_stop_finishes_what_is_open(tmp_path):
+    async with run_site(tmp_path, instances=1) as site:
+        [instance] = site.instances
+        pending = asyncio.ensure_future(instance.call("/s/x", "open", Token_Count="4000,2000"))
+        await asyncio.sleep(0.4)
+        begin = time.monotonic()
+        instance.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.3)
+        assert await instance.ask_ready() == 503
+        assert (await instance.call("/w/x", "late")).status == 200
+        answer = await pending
+        assert answer.status == 200 and answer.whole
+        log = await instance.read_log()
+        assert await instance.process.wait() == 0
+        assert time.monotonic() - begin < 6
+        events = [line["event"] for line in log]
+        assert events[0] == "started" and events[-1] == "stopped" and "stop begun" in events
+
+
+@in_loop
+async def test_log_leads_from_an_id_to_the_cause(tmp_path):
+    async with run_site(tmp_path, instances=1, services=1) as site:
+        [instance] = site.instances
+        site.services[0].close()
+        answer = await instance.call("/o/x", "lost-one")
+        assert answer.status == 503
+        instance.process.send_signal(signal.SIGTERM)
+        log = await instance.read_log()
+        lines = [line for line in log if line.get("request") == "lost-one"]
+        assert lines[-1]["event"] == "request ended" and lines[-1]["outcome"] == "not_run"
+        assert any("does not accept" in line.get("reason", "") for line in lines)
+
+
+@pytest.mark.parametrize("number", range(2))
+@in_loop
+async def test_killed_instance_comes_back_and_holds_no_memory(tmp_path, number):
+    async with run_site(tmp_path) as site:
+        instance = site.instances[number]
+        pending = asyncio.ensure_future(instance.call("/s/x", "w", Token_Count="700000,3000"))
+        async with asyncio.timeout(WAIT_S):
+            while not any(engine.tickets for engine in site.engines):
+                await asyncio.sleep(0.02)
+        instance.process.kill()
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            await pending
+        await instance.process.wait()
+        await asyncio.sleep(4)
+        held = [t for engine in site.engines for t in engine.tickets if engine.holds(t)]
+        assert not held
+        await instance.start()
+        await instance.wait_ready()
+        assert (await instance.call("/w/x", "again")).status == 200
