Refuse at once what surely comes too late; repeat orders about memory until they are answered

Change: judge_choice compares the estimate with the moment at which callers leave a silent stream. Orders are idempotent and sent again after 250 ms, releases up to 12 times; leases last 2.4 s and are renewed each 0.8 s.

--- a/src/lentilwell/gateway/_exchange.py
+++ b/src/lentilwell/gateway/_exchange.py
@@ -7,6 +7,7 @@
 
 from loguru import logger
 
+from lentilwell.gateway._admission import judge_choice
 from lentilwell.gateway._books import Job
 from lentilwell.gateway._caller import Caller
 from lentilwell.gateway._catalog import Repeat
@@ -86,13 +87,13 @@
         self._longest_pause_ms = 0
         self._upstream = ""
         self._expected_ms = 0
+        self._retry_after_ms = RETRY_AFTER_MS
         self._helpers = 0
 
     async def run(self) -> None:
         """Serve the request and write its answer."""
-        left_ms = self._subject.deadline_at - self._clock.now()
         try:
-            async with asyncio.timeout(max(0, left_ms) / 1_000):
+            async with asyncio.timeout(max(0, self._find_left_ms()) / 1_000):
                 ending = await self._serve()
         except TimeoutError:
             ending = self._finish(TimeOver())
@@ -116,6 +117,12 @@
         choice = self._choose()
         if choice is None:
             return self._decide(NoPlace(), "no upstream")
+        hopeless = judge_choice(self._subject.route, choice, self._find_left_ms())
+        if hopeless is not None and not self._course.delivered:
+            self._retry_after_ms = hopeless.retry_after_ms
+            return self._decide(
+                NoPlace(), f"first event expected in {choice.first_event_ms:.0f} ms"
+            )
         self._upstream = choice.upstream.name
         self._helpers = len(choice.helpers)
         waited_ms = self._clock.now() - self._subject.request.arrived_at
@@ -138,6 +145,9 @@
         finally:
             leases.release()
 
+    def _find_left_ms(self) -> int:
+        return self._subject.deadline_at - self._clock.now()
+
     def _choose(self) -> Choice | None:
         subject = self._subject
         return self._fleet.choose(
@@ -179,7 +189,7 @@
         subject = self._subject
         envelope = Envelope(
             upstream=choice.upstream.name,
-            left_ms=max(1, subject.deadline_at - self._clock.now()),
+            left_ms=max(1, self._find_left_ms()),
             team=subject.team.name if subject.team is not None else None,
             rank=subject.rank,
             resume_after=self._sequence.last,
@@ -296,7 +306,7 @@
             self._caller.abort()
             return
         if ending is Ending.NOT_RUN:
-            answer_failure(self._caller, 503, "the request has not run", RETRY_AFTER_MS)
+            answer_failure(self._caller, 503, "the request has not run", self._retry_after_ms)
         elif self._server_failure is not None:
             head, body = self._server_failure
             self._caller.answer(head.status, clean(head.headers), body)
--- a/src/lentilwell/gateway/_leases.py
+++ b/src/lentilwell/gateway/_leases.py
@@ -20,10 +20,11 @@
 from lentilwell.gateway._ports import Dialect
 from lentilwell.gateway._upstreams import Upstream
 
-HOLD_MS = 3_000
-RENEW_MS = 1_000
-ORDER_TIMEOUT_MS = 600
-RELEASE_TRIES = 3
+HOLD_MS = 2_400
+RENEW_MS = 800
+ORDER_TIMEOUT_MS = 250
+ORDER_TRIES = 3
+RELEASE_TRIES = 12
 DONE = 200
 
 
@@ -58,7 +59,7 @@
         """Set memory aside at all helpers that keep some, or at none and raise ``NoMemory``."""
         held = [self._make(helper) for helper in helpers if helper.memory_tokens > 0]
         results = await asyncio.gather(
-            *(self._order(one, self._dialect.write_reserve(one.lease)) for one in held),
+            *(self._order_surely(one, self._dialect.write_reserve(one.lease)) for one in held),
             return_exceptions=True,
         )
         lease_set = LeaseSet(held, self._renew, self._release)
@@ -83,7 +84,7 @@
 
     async def _renew(self, held: Held) -> None:
         try:
-            status = await self._order(held, self._dialect.write_reserve(held.lease))
+            status = await self._order_surely(held, self._dialect.write_reserve(held.lease))
         except LinkError as error:
             logger.info("lease not renewed", ticket=held.lease.ticket, reason=str(error))
             return
@@ -96,12 +97,20 @@
         task.add_done_callback(self._releasing.discard)
 
     async def _release_surely(self, held: Held) -> None:
-        for _ in range(RELEASE_TRIES):
+        try:
+            await self._order_surely(held, self._dialect.write_release(held.lease), RELEASE_TRIES)
+        except LinkError as error:
+            logger.info("lease not released", ticket=held.lease.ticket, reason=str(error))
+
+    async def _order_surely(self, held: Held, order: Order, tries: int = ORDER_TRIES) -> int:
+        """Send an order again where its answer is lost: orders about a ticket are idempotent."""
+        for tries_left in reversed(range(tries)):
             try:
-                await self._order(held, self._dialect.write_release(held.lease))
-                return
-            except LinkError as error:
-                logger.info("lease not released", ticket=held.lease.ticket, reason=str(error))
+                return await self._order(held, order)
+            except LinkBroken:
+                if not tries_left:
+                    raise
+        raise AssertionError("the last try returns or raises")
 
     async def _order(self, held: Held, order: Order) -> int:
         """Send an order and return the status of its answer."""
