Read changed settings again, by SIGHUP or by the file's time

A taken metrics port no longer ends the process (found by tests that ran two processes on one loopback address).

--- a/src/lentilwell/gateway/_budget.py
+++ b/src/lentilwell/gateway/_budget.py
@@ -28,6 +28,10 @@
         self._requests: deque[int] = deque()
         self._retries: deque[int] = deque()
 
+    def change_rules(self, rules: BudgetRules) -> None:
+        """Take other rules into force."""
+        self._rules = rules
+
     def note_request(self, now: int) -> None:
         """Count a caller's request."""
         self._requests.append(now)
--- a/src/lentilwell/gateway/_fleet.py
+++ b/src/lentilwell/gateway/_fleet.py
@@ -51,6 +51,12 @@
             budget = self.budgets[service] = RetryBudget(self.budget_rules)
         return budget
 
+    def change_budget(self, rules: BudgetRules) -> None:
+        """Take changed rules for retries into force; what was spent stays spent."""
+        self.budget_rules = rules
+        for budget in self.budgets.values():
+            budget.change_rules(rules)
+
     def choose(
         self,
         service: str,
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -69,7 +69,7 @@
         self._stopping_since: int | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._servers: list[asyncio.Server] = []
-        self.on_reload: Callable[[], None] = lambda: None
+        self.read_changed_settings: Callable[[], GatewaySettings | None] = lambda: None
 
     @property
     def limits(self) -> Limits:
@@ -160,9 +160,9 @@
         loop.set_exception_handler(_log_unhandled)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.drain)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self._listen(self.settings.ready_address, lambda: StatusProtocol(self._readiness))
-        await self._listen(self.settings.metrics_address, lambda: StatusProtocol(self._status))
+        await self._listen_for_operators()
         await self._listen(self.settings.callers_address, lambda: Caller(self.clock, self))
         host, port = split_address(self.settings.peers_address)
         await loop.create_datagram_endpoint(lambda: self.peers, (host, port))
@@ -182,14 +182,31 @@
         loop = asyncio.get_running_loop()
         self._servers.append(await loop.create_server(make, host, port, backlog=BACKLOG))
 
+    async def _listen_for_operators(self) -> None:
+        """Serve metrics and state; callers are served without them too."""
+        address = self.settings.metrics_address
+        try:
+            await self._listen(address, lambda: StatusProtocol(self._status))
+        except OSError as error:
+            logger.error("metrics not served", address=address, reason=str(error))
+
     def _answer_readiness(self) -> StatusAnswer:
         return StatusAnswer(200 if self.ready else 503)
 
-    def _reload(self) -> None:
-        logger.info("reload asked for")
-        self.on_reload()
+    def reload(self) -> None:
+        """Take changed settings into force; listeners stay as they are until the next start."""
+        settings = self.read_changed_settings()
+        if settings is None or settings == self.settings:
+            return
+        listening = (settings.callers_address, settings.ready_address, settings.peers_address)
+        old = self.settings
+        same = listening == (old.callers_address, old.ready_address, old.peers_address)
+        logger.info("settings reloaded", listeners_unchanged=same, budget=settings.budget.extra)
+        self.settings = settings
+        self.fleet.change_budget(settings.budget)
 
     def _keep_house(self) -> None:
+        self.reload()
         for task in self._tasks:
             if task.done():
                 task.result()
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import os
 import signal
@@ -105,11 +106,20 @@
         return [one.getsockname()[1] for one in sockets]
 
 
+_IPS = itertools.count(2)
+
+
+def find_free_ip():
+    """Return a loopback address that no other test process uses: every instance has its own."""
+    pid = os.getpid()
+    return f"127.{20 + pid % 200}.{pid // 200 % 250}.{next(_IPS)}"
+
+
 class Instance:
     """One process of the gateway."""
 
-    def __init__(self, folder, name, number, store_address):
-        self.ip = f"127.0.0.{number + 2}"
+    def __init__(self, folder, name, store_address):
+        self.ip = find_free_ip()
         front, ready, peers = find_free_ports(3)
         self.name, self.front, self.ready = name, front, ready
         self.path = folder / f"{name}.json"
@@ -194,7 +204,7 @@
                 await server.start()
                 await self.store.put("servers", server.name, entry(server, kind))
         for number in range(instances):
-            self.instances.append(Instance(self.folder, f"n{number}", number, address))
+            self.instances.append(Instance(self.folder, f"n{number}", address))
         for instance in self.instances:
             await instance.start()
         for instance in self.instances:
@@ -298,6 +308,25 @@
         assert events[0] == "started" and events[-1] == "stopped" and "stop begun" in events
 
 
+@pytest.mark.parametrize("hangup", [True, False])
+@in_loop
+async def test_changed_settings_are_read_again(tmp_path, hangup):
+    async with run_site(tmp_path, instances=1) as site:
+        [instance] = site.instances
+        settings = json.loads(instance.path.read_text())
+        settings["bounds"]["extra_retries"] = 7
+        instance.path.write_text("{")
+        await asyncio.sleep(0.4)
+        instance.path.write_text(json.dumps(settings))
+        if hangup:
+            instance.process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.6)
+        assert (await instance.call("/w/x", "a")).status == 200
+        instance.process.send_signal(signal.SIGTERM)
+        events = [(line["event"], line.get("budget")) for line in await instance.read_log()]
+        assert ("settings reloaded", 7) in events and ("settings unreadable", None) in events
+
+
 @in_loop
 async def test_log_leads_from_an_id_to_the_cause(tmp_path):
     async with run_site(tmp_path, instances=1, services=1) as site:
