--- a/src/lentilwell/_log_writer.py
+++ b/src/lentilwell/_log_writer.py
@@ -1,18 +1,20 @@
 """Writes log lines from a thread of its own, so that a reader that stalls never blocks the rest.
 
-The queue is bounded: lines that do not fit are dropped and counted, and the count is written once
-there is room again.
+Queue and rate are bounded: lines beyond them are dropped and counted, and the count is written
+once there is room again.
 """
 
 from __future__ import annotations
 
 import threading
+import time
 from collections import deque
 from typing import Protocol
 
 import msgspec
 
 MOST_QUEUED_LINES = 4_096
+MOST_LINES_PER_S = 2_000
 
 
 class Sink(Protocol):
@@ -28,9 +30,17 @@
 class LogWriter:
     """Queues lines and writes them to ``sink`` in order."""
 
-    def __init__(self, sink: Sink, most_lines: int = MOST_QUEUED_LINES) -> None:
+    def __init__(
+        self,
+        sink: Sink,
+        most_queued: int = MOST_QUEUED_LINES,
+        most_per_s: int = MOST_LINES_PER_S,
+    ) -> None:
         self._sink = sink
-        self._most_lines = most_lines
+        self._most_queued = most_queued
+        self._most_per_s = most_per_s
+        self._second = 0
+        self._in_second = 0
         self._lines: deque[str] = deque()
         self._dropped = 0
         self._changed = threading.Condition()
@@ -39,11 +49,12 @@
         self._thread.start()
 
     def write(self, line: str) -> None:
-        """Queue a line, or drop it where the queue is full."""
+        """Queue a line, or drop it where the queue is full or the second has had its share."""
         with self._changed:
-            if len(self._lines) >= self._most_lines:
+            if not self._has_room():
                 self._dropped += 1
                 return
+            self._in_second += 1
             self._lines.append(line)
             self._changed.notify()
 
@@ -54,6 +65,12 @@
             self._changed.notify()
         self._thread.join(patience_s)
 
+    def _has_room(self) -> bool:
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second, self._in_second = second, 0
+        return len(self._lines) < self._most_queued and self._in_second < self._most_per_s
+
     def _run(self) -> None:
         while lines := self._take():
             self._sink.write("".join(lines))
--- a/src/lentilwell/gateway/_exchange.py
+++ b/src/lentilwell/gateway/_exchange.py
@@ -120,6 +120,7 @@
         hopeless = judge_choice(self._subject.route, choice, self._find_left_ms())
         if hopeless is not None and not self._course.delivered:
             self._retry_after_ms = hopeless.retry_after_ms
+            self._log_choice(choice)
             return self._decide(
                 NoPlace(), f"first event expected in {choice.first_event_ms:.0f} ms"
             )
@@ -127,6 +128,7 @@
         self._helpers = len(choice.helpers)
         waited_ms = self._clock.now() - self._subject.request.arrived_at
         self._expected_ms = round(waited_ms + choice.first_event_ms)
+        self._log_choice(choice)
         self._book(choice)
         try:
             return await self._reserve_and_send(choice)
@@ -390,6 +392,25 @@
         assert isinstance(effect, End)
         return effect.ending
 
+    def _log_choice(self, choice: Choice) -> None:
+        """Log where the request goes, and the newest and oldest of what decided it."""
+        fleet, now = self._fleet, self._clock.now()
+        load = fleet.books.measure(choice.upstream.name, now)
+        logger.info(
+            "request placed",
+            request=self._subject.facts.request_id,
+            service=self._subject.service,
+            configuration=self._subject.catalog_version,
+            listing=fleet.listing_version,
+            upstream=choice.upstream.name,
+            helpers=len(choice.helpers),
+            expected_first_ms=round(choice.first_event_ms),
+            upstream_jobs=len(load.jobs),
+            upstream_backlog_ms=round(load.backlog_ms),
+            oldest_digest_ms=fleet.find_digest_age(),
+            excluded=len(self._excluded),
+        )
+
     def _log(self, ending: Ending) -> None:
         prompt = self._subject.facts.prompt
         total_ms = self._clock.now() - self._subject.request.arrived_at
@@ -403,6 +424,8 @@
             configuration=self._subject.catalog_version,
             upstream=self._upstream,
             outcome=ending.value,
+            team=self._subject.team.name if self._subject.team is not None else None,
+            service=self._subject.service,
             sends=self._course.sends,
             first_ms=self._first_ms,
             expected_first_ms=self._expected_ms,
--- a/src/lentilwell/gateway/_fleet.py
+++ b/src/lentilwell/gateway/_fleet.py
@@ -40,7 +40,9 @@
     listed: bool = False
     books: Books = field(default_factory=Books)
     ejection: Ejection = field(default_factory=Ejection)
+    listing_version: int = 0
     count_instances: Callable[[], int] = lambda: 1
+    find_digest_age: Callable[[], int | None] = lambda: None
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     random: random.Random = field(default_factory=random.Random)
 
@@ -67,7 +69,6 @@
     ) -> Choice | None:
         """Ask the policy for an upstream; those in ``excluded`` are not asked again."""
         now = self.clock.now()
-        self.directory = drop_missing(self.directory, now)
         usable = [
             upstream
             for upstream in self.directory.find_usable(service, now)
@@ -96,11 +97,18 @@
         spec = self.catalog.services.get(service) if self.catalog is not None else None
         return spec.engine if spec is not None else None
 
+    def drop_missing(self) -> None:
+        """Forget upstreams that lapsed in an outage of the store and did not return in time."""
+        before = self.directory.missing
+        self.directory = drop_missing(self.directory, self.clock.now())
+        for name in before.keys() - self.directory.missing.keys():
+            logger.info("upstream gone", upstream=name, reason="not listed again")
+
     def forget(self, upstream: Upstream) -> None:
         """Take an upstream off the list whose address belongs to another one by now."""
         change = Change(upstream.name, None)
         self.directory = take_changes(self.directory, [change], self.clock.now())
-        logger.info("upstream gone", upstream=upstream.name, address=upstream.address)
+        logger.info("upstream gone", upstream=upstream.name, reason="address belongs to another")
 
     def _describe(self, upstream: Upstream, now: int) -> Candidate:
         return Candidate(
@@ -156,6 +164,7 @@
         found = [entry.value for entry in listing.entries if entry.value is not None]
         self._fleet.directory = take_listing(self._fleet.directory, found, now)
         self._fleet.listed = True
+        self._fleet.listing_version = listing.version
         logger.info("upstreams listed", count=len(found), store_version=listing.version)
 
     def take_changes(self, listing: Listing[Upstream]) -> None:
@@ -163,6 +172,7 @@
         now = self._fleet.clock.now()
         changes = [Change(entry.key, entry.value, entry.removed) for entry in listing.entries]
         self._fleet.directory = take_changes(self._fleet.directory, changes, now)
+        self._fleet.listing_version = listing.version
         for change in changes:
             _log_change(change, listing.version)
 
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -55,6 +55,7 @@
         )
         self.fleet.books.on_change = self.peers.note_change
         self.fleet.count_instances = lambda: self.peers.instances
+        self.fleet.find_digest_age = self.peers.find_oldest_age
         self.leases = Leases(self.links, dialect, life, settings.longest_hold_ms)
         self._callers: set[Caller] = set()
         self.metrics = Metrics(self.fleet, lambda: len(self._callers))
@@ -211,6 +212,7 @@
             if task.done():
                 task.result()
         self.peers.keep_house()
+        self.fleet.drop_missing()
         self.links.keep_only(upstream.address for upstream in self.fleet.directory.listed.values())
         if self._stopping_for() >= IDLE_CLOSE_AFTER_MS:
             for caller in list(self._callers):
--- a/src/lentilwell/gateway/_peers.py
+++ b/src/lentilwell/gateway/_peers.py
@@ -74,6 +74,11 @@
         known = len(self._addresses) + 1
         return known if self._listed else max(ASSUMED_INSTANCES, known)
 
+    def find_oldest_age(self) -> int | None:
+        """Return the age in ms of the oldest digest in use, None where no peer is heard."""
+        now = self._clock.now()
+        return max((now - state.heard_at for state in self._heard.values()), default=None)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport."""
         self._transport = cast(asyncio.DatagramTransport, transport)
