While stopping, take only what can be finished, and tell the others

Change: can_finish estimates reading within the objective and the longest answer; what would not end in time gets 503 at once. The digest says that an instance is being stopped: where no other serves, callers are asked to return after 1.5 s instead of 50 ms.

--- a/src/lentilwell/_wire/ttypes.py
+++ b/src/lentilwell/_wire/ttypes.py
@@ -1699,6 +1699,7 @@
      - address
      - sequence
      - items
+     - stopping
 
     """
 
@@ -1708,15 +1709,17 @@
         'address',
         'sequence',
         'items',
+        'stopping',
     )
 
 
-    def __init__(self, instance=None, life=None, address=None, sequence=None, items=None,):
+    def __init__(self, instance=None, life=None, address=None, sequence=None, items=None, stopping=False,):
         self.instance = instance
         self.life = life
         self.address = address
         self.sequence = sequence
         self.items = items
+        self.stopping = stopping
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1758,6 +1761,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.stopping = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1791,6 +1799,10 @@
                 iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.stopping is not None:
+            oprot.writeFieldBegin('stopping', TType.BOOL, 6)
+            oprot.writeBool(self.stopping)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1948,6 +1960,7 @@
     (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
     (4, TType.I64, 'sequence', None, None, ),  # 4
     (5, TType.LIST, 'items', (TType.STRUCT, [WorkItem, None], False), None, ),  # 5
+    (6, TType.BOOL, 'stopping', None, False, ),  # 6
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -25,9 +25,10 @@
 from lentilwell.gateway._peers import Peers
 from lentilwell.gateway._ports import Dialect, Feeds
 from lentilwell.gateway._prober import Prober
-from lentilwell.gateway._routing import Rejection, find_subject
+from lentilwell.gateway._routing import Rejection, Subject, find_subject
 from lentilwell.gateway._settings import GatewaySettings
 from lentilwell.gateway._status import ANY_PATH, Question, StatusAnswer, StatusProtocol
+from lentilwell.gateway._stopping import can_finish
 
 BACKLOG = 1_024
 LIFE_LENGTH = 8
@@ -35,6 +36,8 @@
 LEAST_STOP_MS = 3_200
 STOP_MARGIN_MS = 300
 IDLE_CLOSE_AFTER_MS = 1_000
+ELSEWHERE_RETRY_MS = 50
+RESTART_RETRY_MS = 1_500
 
 
 class Gateway:
@@ -100,6 +103,8 @@
         """Begin a planned stop; a second call changes nothing."""
         if self._stopping_since is None:
             self._stopping_since = self.clock.now()
+            self.peers.stopping = True
+            self.peers.note_change()
             logger.info("stop begun", open_callers=len(self._callers))
 
     async def serve(self, caller: Caller, request: InboundRequest) -> None:
@@ -121,6 +126,10 @@
             self._reject(caller, facts.request_id, found.err_value)
             return
         subject = found.ok_value
+        if self.stopping and not self._can_finish(subject):
+            retry_ms = ELSEWHERE_RETRY_MS if self.peers.others_serve else RESTART_RETRY_MS
+            self._reject(caller, facts.request_id, Rejection(503, "stopping", retry_ms))
+            return
         self.fleet.find_budget(subject.service).note_request(self.clock.now())
         await Exchange(self._tools, subject, caller).run()
 
@@ -226,6 +235,10 @@
             return True
         return stopping_ms >= LEAST_STOP_MS and not any(caller.busy for caller in self._callers)
 
+    def _can_finish(self, subject: Subject) -> bool:
+        left_ms = self.settings.stop_patience_ms - STOP_MARGIN_MS - self._stopping_for()
+        return can_finish(subject, self.fleet.find_engine(subject.service), left_ms)
+
     def _stopping_for(self) -> int:
         return 0 if self._stopping_since is None else self.clock.now() - self._stopping_since
 
--- a/src/lentilwell/gateway/_peers.py
+++ b/src/lentilwell/gateway/_peers.py
@@ -49,6 +49,7 @@
     life: str
     sequence: int
     heard_at: int
+    stopping: bool
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -67,6 +68,7 @@
         self._pending: asyncio.TimerHandle | None = None
         self._sent_at = 0
         self._listed = False
+        self.stopping = False
 
     @property
     def instances(self) -> int:
@@ -74,6 +76,11 @@
         known = len(self._addresses) + 1
         return known if self._listed else max(ASSUMED_INSTANCES, known)
 
+    @property
+    def others_serve(self) -> bool:
+        """Tell whether a peer that is not being stopped is heard."""
+        return any(not state.stopping for state in self._heard.values())
+
     def find_oldest_age(self) -> int | None:
         """Return the age in ms of the oldest digest in use, None where no peer is heard."""
         now = self._clock.now()
@@ -96,7 +103,7 @@
             return
         if known is None:
             logger.info("peer heard", peer=digest.instance, address=digest.address)
-        self._heard[digest.instance] = PeerState(digest.life, digest.sequence, now)
+        self._heard[digest.instance] = PeerState(digest.life, digest.sequence, now, digest.stopping)
         self._addresses[digest.instance] = digest.address
         self._books.take_peer(digest.instance, digest.jobs)
 
@@ -149,7 +156,12 @@
         self._sent_at = now
         self._sequence += 1
         digest = WorkDigest(
-            self._instance, self._life, self._address, self._sequence, self._books.list_own()
+            self._instance,
+            self._life,
+            self._address,
+            self._sequence,
+            self._books.list_own(),
+            self.stopping,
         )
         data = encode_digest(digest, now)
         if len(data) > LONGEST_DIGEST_BYTES:
--- a/src/lentilwell/gateway/_work_digest.py
+++ b/src/lentilwell/gateway/_work_digest.py
@@ -21,19 +21,25 @@
 
 @dataclass(frozen=True)
 class WorkDigest:
-    """The jobs of one life of an instance; ``address`` is where it listens for digests."""
+    """The jobs of one life of an instance; ``address`` is where it listens for digests.
+
+    ``stopping`` tells that it takes no new callers.
+    """
 
     instance: str
     life: str
     address: str
     sequence: int
     jobs: tuple[Job, ...]
+    stopping: bool = False
 
 
 def encode_digest(digest: WorkDigest, now: int) -> bytes:
     """Return a digest's bytes; times are told as ages, since clocks differ."""
     items = [_encode_job(job, now) for job in digest.jobs]
-    wire = WireDigest(digest.instance, digest.life, digest.address, digest.sequence, items)
+    wire = WireDigest(
+        digest.instance, digest.life, digest.address, digest.sequence, items, digest.stopping
+    )
     data: bytes = serialize(wire, _FACTORY)
     return data
 
@@ -50,7 +56,9 @@
         )
     except Exception as error:  # the library raises errors of many types on hostile bytes
         raise UnreadableDigest(repr(error)) from error
-    return WorkDigest(wire.instance, wire.life, wire.address, wire.sequence, jobs)
+    return WorkDigest(
+        wire.instance, wire.life, wire.address, wire.sequence, jobs, bool(wire.stopping)
+    )
 
 
 def _encode_job(job: Job, now: int) -> WireItem:
--- a/src/lentilwell/peers.thrift
+++ b/src/lentilwell/peers.thrift
@@ -127,4 +127,5 @@
   3: required string address
   4: required i64 sequence
   5: required list<WorkItem> items
+  6: optional bool stopping = false
 }
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -595,3 +595,31 @@
         assert (await world.call("/stream/x", Token_Count="700000,100", Deadline_Ms="30000")).whole
         await world.gateway.leases.settle()
         assert {releases.count(ticket) for ticket in releases} == {6}
+
+
+@pytest.mark.parametrize(
+    ("stopping_for_ms", "path", "tokens", "status"),
+    [
+        (1_000, "/stream/x", "1000,1500", 200),
+        (6_500, "/stream/x", "1000,1500", 503),
+        (7_400, "/once/x", None, 503),
+        (3_000, "/once/x", None, 200),
+    ],
+)
+@in_loop
+async def test_stopping_instance_takes_only_what_it_can_finish(
+    stopping_for_ms, path, tokens, status
+):
+    """A hunt of kalye (mix 287565574239) cut streams that came 6.4 s after SIGTERM."""
+
+    async def serve(arrival):
+        await (stream_whole(arrival) if "stream" in str(arrival.line) else answer_ok(arrival))
+
+    async with run_world(serve, catalog=with_engines()) as world:
+        world.gateway.drain()
+        world.gateway._stopping_since -= stopping_for_ms
+        answer = await world.call(path, Token_Count=tokens)
+        assert answer.status == status and answer.headers["connection"] == "close"
+        assert len(world.arrivals) == (1 if status == 200 else 0)
+        if status == 503:
+            assert float(answer.headers["retry-after"]) >= 0
--- /dev/null
+++ b/tests/test_gateway_peers.py
@@ -0,0 +1,96 @@
+"""What instances tell each other: it arrives as it was sent, and hostile bytes change nothing."""
+
+import contextlib
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lentilwell._clock import ManualClock
+from lentilwell.gateway._books import Books, Job
+from lentilwell.gateway._peers import SILENT_MS, Peers
+from lentilwell.gateway._work_digest import (
+    UnreadableDigest,
+    WorkDigest,
+    decode_digest,
+    encode_digest,
+)
+
+JOBS = st.builds(
+    Job,
+    name=st.just(""),
+    upstream=st.text(min_size=1, max_size=20),
+    begun_at=st.integers(0, 10_000),
+    read_ms=st.integers(0, 60_000).map(float),
+    memory_tokens=st.integers(0, 1_000_000),
+    reading=st.booleans(),
+    writes=st.booleans(),
+    due_at=st.integers(0, 30_000),
+    pause_ms=st.integers(0, 5_000),
+    weight=st.floats(0, 100),
+    spread=st.booleans(),
+)
+
+
+def make_peers(clock=None):
+    return Peers("own", "life", "127.0.0.1:1", clock or ManualClock(5_000), Books())
+
+
+def send(peers, sequence=1, life="l1", stopping=False, jobs=1, now=5_000):
+    listed = tuple(Job(f"j{n}", "u", now, 100.0, 1) for n in range(jobs))
+    digest = WorkDigest("other", life, "127.0.0.1:2", sequence, listed, stopping)
+    peers.datagram_received(encode_digest(digest, now), ("127.0.0.1", 2))
+
+
+@given(st.lists(JOBS, max_size=8), st.booleans(), st.integers(-5_000, 5_000))
+def test_digest_arrives_with_times_of_the_receivers_clock(jobs, stopping, ahead_ms):
+    digest = WorkDigest("i", "l", "127.0.0.1:1", 7, tuple(jobs), stopping)
+    got = decode_digest(encode_digest(digest, 10_000), 10_000 + ahead_ms)
+    assert (got.instance, got.life, got.sequence, got.stopping) == ("i", "l", 7, stopping)
+    for sent, heard in zip(jobs, got.jobs, strict=True):
+        assert heard.begun_at == sent.begun_at + ahead_ms
+        assert heard.due_at == sent.due_at + ahead_ms
+        assert (heard.upstream, heard.read_ms, heard.weight) == (
+            sent.upstream,
+            sent.read_ms,
+            sent.weight,
+        )
+
+
+@given(st.binary(max_size=300))
+def test_hostile_bytes_raise_one_error_only(data):
+    with contextlib.suppress(UnreadableDigest):
+        decode_digest(data, 0)
+
+
+def test_hostile_bytes_change_nothing():
+    peers = make_peers()
+    peers.datagram_received(b"\xff" * 40, ("127.0.0.1", 9))
+    assert peers.find_oldest_age() is None
+
+
+def test_older_digest_of_the_same_life_is_ignored_and_a_new_life_is_not():
+    peers = make_peers()
+    send(peers, sequence=5, jobs=2)
+    send(peers, sequence=4, jobs=1)
+    assert len(peers._books.measure("u", 5_000).jobs) == 2
+    send(peers, sequence=1, life="l2", jobs=0)
+    assert not peers._books.measure("u", 5_000).jobs
+
+
+def test_silent_peer_is_forgotten_with_its_jobs_but_counts_for_the_budget():
+    clock = ManualClock(5_000)
+    peers = make_peers(clock)
+    send(peers)
+    clock.advance(SILENT_MS + 1)
+    peers.keep_house()
+    assert not peers._books.measure("u", clock.now()).jobs
+    assert peers.instances >= 2
+
+
+@pytest.mark.parametrize("stopping", [True, False])
+def test_peer_that_is_being_stopped_does_not_serve(stopping):
+    peers = make_peers()
+    assert not peers.others_serve
+    send(peers, stopping=stopping)
+    assert peers.others_serve is not stopping
