--- a/src/lentilwell/_callers.py
+++ b/src/lentilwell/_callers.py
@@ -21,6 +21,7 @@
     BodyTooLarge,
     Failure,
     InvalidRequest,
+    MethodNotAllowed,
     NotReady,
     PromptTooLong,
     ReadTimeout,
@@ -166,7 +167,10 @@
         team = self._keys.find_team(inventory, http.headers.get("Authorization", ""))
         if team is None:
             return self._refuse_early(http, Unauthorized())
-        if http.path == "/v1/models" and http.method == "GET":
+        allowed = _METHODS.get(http.path)
+        if allowed is not None and http.method != allowed:
+            return self._refuse_early(http, MethodNotAllowed(allowed))
+        if http.path == "/v1/models":
             return Ok(list_models(inventory, team))
         body = read_body(http, self._settings.maximum_body_bytes)
         if isinstance(body, Err):
@@ -174,7 +178,7 @@
         if http.path.startswith("/services/"):
             return Ok(self._context.services.serve(http, body.ok_value, team, inventory))
         parse = _PARSERS.get(http.path)
-        if parse is None or http.method != "POST":
+        if parse is None:
             return Err(UnknownRoute())
         return parse(body.ok_value).and_then(
             lambda prompt: self._admit(http, prompt, team, inventory)
@@ -277,3 +281,4 @@
 
 
 _PARSERS = {"/v1/completions": parse_completion, "/v1/chat/completions": parse_chat}
+_METHODS = {"/v1/models": "GET", **dict.fromkeys(_PARSERS, "POST")}
--- a/src/lentilwell/_failures.py
+++ b/src/lentilwell/_failures.py
@@ -129,6 +129,21 @@
         return "There is nothing at this path for this method."
 
 
+@dataclass(frozen=True)
+class MethodNotAllowed(Failure):
+    """The path is known, but not for this method; ``allowed`` names the one that it has."""
+
+    allowed: str
+    status: ClassVar[int] = 405
+    kind: ClassVar[str] = "invalid_request_error"
+    code: ClassVar[str] = "method_not_allowed"
+
+    @property
+    def message(self) -> str:
+        """Name the method to use."""
+        return f"This path takes {self.allowed} only."
+
+
 @dataclass(frozen=True)
 class PromptTooLong(Failure):
     """The prompt exceeds what the model's engines can hold together."""
--- a/src/lentilwell/_responses.py
+++ b/src/lentilwell/_responses.py
@@ -4,7 +4,7 @@
 
 from werkzeug.wrappers import Response
 
-from lentilwell._failures import Failure
+from lentilwell._failures import Failure, MethodNotAllowed
 from lentilwell._streams import encode_failure, retry_after_seconds
 
 
@@ -13,6 +13,8 @@
     response = Response(
         encode_failure(failure), status=failure.status, content_type="application/json"
     )
+    if isinstance(failure, MethodNotAllowed):
+        response.headers["Allow"] = failure.allowed
     after = retry_after_seconds(failure)
     if after is not None:
         response.headers["Retry-After"] = after
