Learn how slow engines are; leave a stream while its caller can still be served

Change: a factor an upstream from first events against their estimates, fading within 6 s, in placement and patience; patience is 3 x the estimate, bounded by when the caller leaves, and never under the known work.

--- a/src/lentilwell/gateway/_choice.py
+++ b/src/lentilwell/gateway/_choice.py
@@ -19,12 +19,12 @@
 
 @dataclass(frozen=True)
 class Candidate:
-    """An upstream that may take the request. ``penalty_ms`` counts against it as lost time."""
+    """An upstream that may take the request; ``pace`` is how slow it is, 1 as specified."""
 
     upstream: Upstream
     load: Load
     near: bool
-    penalty_ms: float = 0.0
+    pace: float = 1.0
 
 
 @dataclass(frozen=True)
@@ -57,7 +57,7 @@
     """The chosen upstream, those that help it to read, and the estimate of each one's reading.
 
     ``first_event_ms`` is the estimate of the time to the first event from now on, ``weight`` what
-    the request counts against others.
+    the request counts against others, ``pace`` how slow the chosen upstream was taken to be.
     """
 
     upstream: Upstream
@@ -65,6 +65,7 @@
     read_ms: float = 0.0
     first_event_ms: float = 0.0
     weight: float = 1.0
+    pace: float = 1.0
 
     @property
     def names(self) -> tuple[str, ...]:
@@ -99,4 +100,4 @@
 
 def _count_jobs(candidate: Candidate) -> tuple[float, bool]:
     busy = len(candidate.load.jobs) / max(1, candidate.upstream.slots)
-    return busy + candidate.penalty_ms, not candidate.near
+    return busy * candidate.pace, not candidate.near
--- a/src/lentilwell/gateway/_exchange.py
+++ b/src/lentilwell/gateway/_exchange.py
@@ -84,6 +84,8 @@
         self._server_failure: tuple[AnswerHead, bytes] | None = None
         self._first_ms: int | None = None
         self._last_event_at = 0
+        self._sent_at = 0
+        self._pace_learned = False
         self._longest_pause_ms = 0
         self._upstream = ""
         self._expected_ms = 0
@@ -171,6 +173,8 @@
             link.patient = fresh
             self._advance(Sending(anew=choice.upstream.name not in self._tried))
             self._tried |= {choice.upstream.name}
+            self._sent_at = self._clock.now()
+            self._pace_learned = False
             self._metrics.count_send(self._subject.service, self._course.sends > 1)
             self._write(link, choice, leases)
             effect = await self._receive(link, choice)
@@ -276,7 +280,7 @@
                     continue
                 if not self._course.delivered:
                     self._begin_stream(head)
-                self._note_event()
+                self._note_event(choice)
                 self._note_read(choice)
                 await self._caller.write(event.data)
         if splitter.torn:
@@ -288,14 +292,24 @@
         self._caller.end()
         return self._decide(AnswerWhole())
 
-    def _note_event(self) -> None:
+    def _note_event(self, choice: Choice) -> None:
         now = self._clock.now()
+        if not self._pace_learned:
+            self._learn_pace(choice, now)
         if self._first_ms is None:
             self._first_ms = now - self._subject.request.arrived_at
         else:
             self._longest_pause_ms = max(self._longest_pause_ms, now - self._last_event_at)
         self._last_event_at = now
 
+    def _learn_pace(self, choice: Choice, now: int) -> None:
+        """Compare the first event of this send with its estimate; helpers blur who was slow."""
+        self._pace_learned = True
+        if not choice.helpers and choice.first_event_ms:
+            expected_ms = choice.first_event_ms / choice.pace
+            actual_ms = float(now - self._sent_at)
+            self._fleet.paces.learn(choice.upstream.name, expected_ms, actual_ms, now)
+
     def _begin_stream(self, head: AnswerHead) -> None:
         self._advance(AnswerBegun())
         self._caller.begin(head.status, clean(head.headers))
@@ -365,9 +379,9 @@
         now = self._clock.now()
         loads = [self._fleet.books.measure(name, now) for name in choice.names]
         load = max(loads, key=lambda one: one.backlog_ms)
-        return find_patience(
-            route, engine, load, choice.first_event_ms if not self._first_ms else None
-        )
+        pace = self._fleet.paces.find(choice.upstream.name, now)
+        first_ms = choice.first_event_ms if self._first_ms is None else None
+        return find_patience(route, engine, load, first_ms, pace)
 
     def _advance(self, event: Event) -> Effect | None:
         self._course, effect = advance(self._course, event)
--- a/src/lentilwell/gateway/_fleet.py
+++ b/src/lentilwell/gateway/_fleet.py
@@ -15,6 +15,7 @@
 from lentilwell.gateway._choice import POLICIES, Candidate, Choice, Wish
 from lentilwell.gateway._ejection import Ejection
 from lentilwell.gateway._messages import Prompt
+from lentilwell.gateway._paces import Paces
 from lentilwell.gateway._ports import Listing
 from lentilwell.gateway._upstreams import (
     Change,
@@ -40,6 +41,7 @@
     listed: bool = False
     books: Books = field(default_factory=Books)
     ejection: Ejection = field(default_factory=Ejection)
+    paces: Paces = field(default_factory=Paces)
     listing_version: int = 0
     count_instances: Callable[[], int] = lambda: 1
     find_digest_age: Callable[[], int | None] = lambda: None
@@ -115,6 +117,7 @@
             upstream=upstream,
             load=self.books.measure(upstream.name, now),
             near=upstream.data_centre == self.data_centre,
+            pace=self.paces.find(upstream.name, now),
         )
 
 
--- a/src/lentilwell/gateway/_least_cost.py
+++ b/src/lentilwell/gateway/_least_cost.py
@@ -72,9 +72,10 @@
     return Choice(
         upstream=best.lead.upstream,
         helpers=best.helpers,
-        read_ms=best.part_ms,
+        read_ms=best.lead.pace * best.part_ms,
         first_event_ms=best.first_event_ms,
         weight=weight,
+        pace=best.lead.pace,
     )
 
 
@@ -142,7 +143,7 @@
     """Return the cost of reading a part of the prompt at one engine."""
     expected_ms = wish.waited_ms + first_event_ms(engine, candidate, part_ms, spread)
     own = weight * lateness(expected_ms, wish.objective_ms, FIRST_EVENT_SAFE)
-    return own + harm_of(wish.now, engine, candidate, part_ms, spread) + candidate.penalty_ms
+    return own + harm_of(wish.now, engine, candidate, part_ms, spread)
 
 
 def lead_cost(wish: Wish, engine: EngineSpec, candidate: Candidate) -> float:
@@ -168,7 +169,7 @@
     if spread:
         under_way = PASS_SHARE if load.writers else 0.0
         ahead_ms = load.spread_backlog_ms + under_way * (ahead_ms - load.spread_backlog_ms)
-    return ahead_ms + part_ms + pass_ms + begun_ms
+    return ahead_ms + candidate.pace * (part_ms + pass_ms + begun_ms)
 
 
 def harm_of(
@@ -179,7 +180,9 @@
     A part of a spread prompt also delays the whole prompts that wait to be read there.
     """
     load = candidate.load
-    pass_ms = write_pass_ms(engine, load.writers, load.context_tokens) + load.backlog_ms
+    part_ms *= candidate.pace
+    pass_ms = candidate.pace * write_pass_ms(engine, load.writers, load.context_tokens)
+    pass_ms += load.backlog_ms
     harm = 0.0
     for job in load.jobs:
         if not job.reading:
--- a/src/lentilwell/gateway/_patience.py
+++ b/src/lentilwell/gateway/_patience.py
@@ -7,27 +7,37 @@
 
 from __future__ import annotations
 
+from lentilwell.gateway._admission import find_leaving_ms
 from lentilwell.gateway._books import Load
 from lentilwell.gateway._catalog import EngineSpec, Repeat, Route
 from lentilwell.gateway._reading import write_pass_ms
 
-ESTIMATE_FACTOR = 1.5
-STREAM_SLACK_MS = 600
+ESTIMATE_FACTOR = 3.0
+STREAM_SLACK_MS = 450
+RESCUE_MS = 800
 PLAIN_OBJECTIVES = 2
 LEAST_PLAIN_MS = 250
 
 
 def find_patience(
-    route: Route, engine: EngineSpec | None, load: Load, first_event_ms: float | None
+    route: Route,
+    engine: EngineSpec | None,
+    load: Load,
+    first_event_ms: float | None,
+    pace: float = 1.0,
 ) -> int | None:
     """Return the longest silence to wait for in ms; None where only the deadline ends the wait.
 
-    ``first_event_ms`` is the estimate while the first event is awaited, None after it.
+    ``first_event_ms`` is the estimate while the first event is awaited, None after it; ``pace`` is
+    how slow the upstream is. A stream is taken elsewhere while its caller can still be served, even
+    if the upstream may only be slow; work that is known to wait there is always waited for.
     """
     if route.repeat is Repeat.NEVER:
         return None
     if engine is None or not route.streams:
         return max(LEAST_PLAIN_MS, PLAIN_OBJECTIVES * route.objective_ms)
-    pass_ms = write_pass_ms(engine, load.writers, load.context_tokens)
+    pass_ms = pace * write_pass_ms(engine, load.writers, load.context_tokens)
     expected_ms = max(pass_ms + load.backlog_ms, first_event_ms or 0.0)
-    return round(ESTIMATE_FACTOR * expected_ms) + STREAM_SLACK_MS
+    generous_ms = ESTIMATE_FACTOR * expected_ms + STREAM_SLACK_MS
+    rescue_ms = find_leaving_ms(route) - RESCUE_MS
+    return round(max(min(generous_ms, rescue_ms), expected_ms + STREAM_SLACK_MS))
