Part the exchange into its flow, its record and its accounting; guard resumes that fail

Beside it: a 4xx to a resumed stream would have been written as a second head, and a success without the request's id was believed.

--- /dev/null
+++ b/src/lentilwell/gateway/_accounting.py
@@ -0,0 +1,96 @@
+"""What one request's sends tell the fleet: work in hand, health and pace of upstreams."""
+
+from __future__ import annotations
+
+from loguru import logger
+
+from lentilwell.gateway._books import Job
+from lentilwell.gateway._choice import Choice
+from lentilwell.gateway._fleet import Fleet
+from lentilwell.gateway._patience import find_patience
+from lentilwell.gateway._routing import Subject
+from lentilwell.gateway._upstreams import Upstream
+
+
+class Accounting:
+    """Keeps the fleet's books for one request, a choice at a time."""
+
+    def __init__(self, fleet: Fleet, subject: Subject) -> None:
+        self._fleet = fleet
+        self._clock = fleet.clock
+        self._subject = subject
+        self._sent_at = 0
+        self._awaits_event = False
+
+    def book(self, choice: Choice) -> None:
+        """Count the request's work at the chosen upstreams."""
+        prompt = self._subject.facts.prompt
+        needed = prompt.memory_tokens if prompt is not None else 0
+        spread = sum(helper.memory_tokens for helper in choice.helpers)
+        self._book_one(choice, choice.upstream.name, needed - spread, writes=True)
+        for helper in choice.helpers:
+            self._book_one(choice, helper.upstream.name, helper.memory_tokens, writes=False)
+
+    def unbook(self, choice: Choice) -> None:
+        """Count the request's work there no more."""
+        self._fleet.books.remove(self._subject.facts.request_id, choice.names)
+
+    def note_sent(self) -> None:
+        """The request goes to an upstream now."""
+        self._sent_at = self._clock.now()
+        self._awaits_event = True
+
+    def note_event(self, choice: Choice) -> None:
+        """An event came: the first one ends the reading and tells the upstream's pace."""
+        if not self._awaits_event:
+            return
+        self._awaits_event = False
+        self._fleet.books.note_read(self._subject.facts.request_id, choice.names)
+        if choice.helpers or not choice.first_event_ms:
+            return  # helpers blur which upstream was slow
+        now = self._clock.now()
+        expected_ms = choice.first_event_ms / choice.pace
+        actual_ms = float(now - self._sent_at)
+        self._fleet.paces.learn(choice.upstream.name, expected_ms, actual_ms, now)
+
+    def note_success(self, choice: Choice) -> None:
+        """The upstream answered well."""
+        self._fleet.ejection.note_success(choice.upstream.name)
+
+    def note_failure(self, choice: Choice, reason: str) -> None:
+        """The upstream answered badly or broke off."""
+        if self._fleet.ejection.note_failure(choice.upstream.name, self._clock.now()):
+            logger.info("upstream ejected", upstream=choice.upstream.name, reason=reason)
+
+    def note_unreachable(self, upstream: Upstream, reason: str) -> None:
+        """The upstream takes no connection, is silent, or was named at fault."""
+        self._fleet.ejection.note_unreachable(upstream.name, self._clock.now())
+        logger.info("upstream unreachable", upstream=upstream.name, reason=reason)
+
+    def find_patience(self, choice: Choice) -> int | None:
+        """Return how long the chosen upstream may be silent, by what is known now; in ms."""
+        now = self._clock.now()
+        loads = [self._fleet.books.measure(name, now) for name in choice.names]
+        return find_patience(
+            self._subject.route,
+            self._fleet.find_engine(self._subject.service),
+            max(loads, key=lambda load: load.backlog_ms),
+            choice.first_event_ms if self._awaits_event else None,
+            self._fleet.paces.find(choice.upstream.name, now),
+        )
+
+    def _book_one(self, choice: Choice, upstream: str, memory_tokens: int, writes: bool) -> None:
+        route = self._subject.route
+        job = Job(
+            name=self._subject.facts.request_id,
+            upstream=upstream,
+            begun_at=self._clock.now(),
+            read_ms=choice.read_ms,
+            memory_tokens=memory_tokens,
+            writes=writes,
+            due_at=self._subject.request.arrived_at + route.objective_ms,
+            pause_ms=route.pause_ms,
+            weight=choice.weight,
+            spread=bool(choice.helpers),
+        )
+        self._fleet.books.add(job)
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -12,9 +12,10 @@
 from result import Err
 
 from lentilwell._clock import BootClock, Clock
+from lentilwell.gateway._answers import answer_failure
 from lentilwell.gateway._caller import Caller
 from lentilwell.gateway._catalog import Limits
-from lentilwell.gateway._exchange import Exchange, Tools, answer_failure
+from lentilwell.gateway._exchange import Exchange, Tools
 from lentilwell.gateway._fleet import CatalogListener, Fleet, UpstreamListener
 from lentilwell.gateway._follower import Follower
 from lentilwell.gateway._leases import Leases
--- /dev/null
+++ b/src/lentilwell/gateway/_record.py
@@ -0,0 +1,109 @@
+"""The record of one request: what it measured, its log lines and its metrics."""
+
+from __future__ import annotations
+
+from loguru import logger
+
+from lentilwell.gateway._choice import Choice
+from lentilwell.gateway._course import Ending
+from lentilwell.gateway._fleet import Fleet
+from lentilwell.gateway._metrics import Metrics
+from lentilwell.gateway._routing import Subject
+
+
+class Record:
+    """Measures one request; times in ms, ``first_ms`` from its arrival."""
+
+    def __init__(self, fleet: Fleet, metrics: Metrics, subject: Subject) -> None:
+        self._fleet = fleet
+        self._clock = fleet.clock
+        self._metrics = metrics
+        self._subject = subject
+        self._upstream = ""
+        self._helpers = 0
+        self._expected_ms = 0
+        self._last_event_at = 0
+        self._longest_pause_ms = 0
+        self.first_ms: int | None = None
+
+    def note_choice(self, choice: Choice, excluded: int) -> None:
+        """Log where the request goes, with what decided it and how old that is."""
+        now = self._clock.now()
+        load = self._fleet.books.measure(choice.upstream.name, now)
+        self._upstream = choice.upstream.name
+        self._helpers = len(choice.helpers)
+        waited_ms = now - self._subject.request.arrived_at
+        self._expected_ms = round(waited_ms + choice.first_event_ms)
+        logger.info(
+            "request placed",
+            request=self._subject.facts.request_id,
+            service=self._subject.service,
+            configuration=self._subject.catalog_version,
+            listing=self._fleet.listing_version,
+            upstream=choice.upstream.name,
+            helpers=len(choice.helpers),
+            expected_first_ms=round(choice.first_event_ms),
+            upstream_jobs=len(load.jobs),
+            upstream_backlog_ms=round(load.backlog_ms),
+            oldest_digest_ms=self._fleet.find_digest_age(),
+            excluded=excluded,
+        )
+
+    def note_send(self, sends: int) -> None:
+        """Count a send; ``sends`` counts the upstreams so far."""
+        self._metrics.count_send(self._subject.service, again=sends > 1)
+
+    def note_event(self) -> None:
+        """Take the time of an event that goes to the caller."""
+        now = self._clock.now()
+        if self.first_ms is None:
+            self.first_ms = now - self._subject.request.arrived_at
+        else:
+            self._longest_pause_ms = max(self._longest_pause_ms, now - self._last_event_at)
+        self._last_event_at = now
+
+    def note_refusal(self, status: int, at_fault: str) -> None:
+        """Log that an upstream did not run the request."""
+        logger.info(
+            "upstream refused",
+            request=self._subject.facts.request_id,
+            upstream=self._upstream,
+            status=status,
+            at_fault=at_fault,
+        )
+
+    def note_attempt(self, reason: str, sends: int, following: str) -> None:
+        """Log how an attempt ended and what follows."""
+        logger.info(
+            "attempt ended",
+            request=self._subject.facts.request_id,
+            upstream=self._upstream,
+            reason=reason,
+            sends=sends,
+            next=following,
+        )
+
+    def note_end(self, ending: Ending, sends: int) -> None:
+        """Log and count the end of the request."""
+        subject, prompt = self._subject, self._subject.facts.prompt
+        total_ms = self._clock.now() - subject.request.arrived_at
+        self._metrics.count_end(subject.service, ending.value, total_ms)
+        if self.first_ms is not None:
+            self._metrics.count_stream(prompt, self.first_ms, self._longest_pause_ms)
+        logger.info(
+            "request ended",
+            request=subject.facts.request_id,
+            route=subject.route.name,
+            configuration=subject.catalog_version,
+            upstream=self._upstream,
+            outcome=ending.value,
+            team=subject.team.name if subject.team is not None else None,
+            service=subject.service,
+            sends=sends,
+            first_ms=self.first_ms,
+            expected_first_ms=self._expected_ms,
+            longest_pause_ms=self._longest_pause_ms,
+            helpers=self._helpers,
+            tokens=prompt.prompt_tokens if prompt is not None else None,
+            total_ms=total_ms,
+        )
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -623,3 +623,26 @@
         assert len(world.arrivals) == (1 if status == 200 else 0)
         if status == 503:
             assert float(answer.headers["retry-after"]) >= 0
+
+
+@pytest.mark.parametrize("status", [404, 500])
+@in_loop
+async def test_failure_on_a_resume_never_becomes_a_second_answer(status):
+    async def break_then_fail(arrival):
+        if "last-event-id" in arrival.headers:
+            await arrival.answer(status, b"no")
+        else:
+            await stream_and_break(arrival)
+
+    async with run_world(break_then_fail, break_then_fail) as world:
+        answer = await world.call("/stream/x")
+        assert answer.status == 200 and not answer.whole and ids(answer.body) == [1, 2]
+
+
+@in_loop
+async def test_success_without_the_requests_id_is_not_believed():
+    async def answer_nameless(arrival):
+        await arrival.answer(body=b"hello", Request_Id="")
+
+    async with run_world(answer_nameless) as world:
+        assert (await world.call("/once/x")).status == 502
