--- a/src/lentilwell/_grants.py
+++ b/src/lentilwell/_grants.py
@@ -198,7 +198,7 @@
     granted = ask.grant_id in given or (is_settled(state) and fits(state, view, ask, given))
     if granted and ask.grant_id not in given:
         expires_at = state.now + GRANT_VALID_MS
-        grant = GivenGrant(ask, state.now, expires_at)
+        grant = GivenGrant(ask, expires_at)
         grants = state.grants.set(key, given.set(ask.grant_id, grant))
         state = replace(state, grants=grants)
         state = schedule(state, expires_at, GrantDue(key, ask.grant_id))
--- a/src/lentilwell/_state.py
+++ b/src/lentilwell/_state.py
@@ -125,7 +125,6 @@
     """Memory that this instance, as owner, has promised to a peer and not yet seen in use."""
 
     ask: GrantAsk
-    given_at: int
     expires_at: int
 
 
--- a/src/lentilwell/gateway/_admission.py
+++ b/src/lentilwell/gateway/_admission.py
@@ -11,11 +11,14 @@
 from lentilwell.gateway._catalog import Route
 from lentilwell.gateway._choice import Choice
 
+# Callers leave a stream after a gap of the longest of these three.
 LEAST_LEAVING_MS = 2_000
 LEAVING_OBJECTIVES = 4
 LEAVING_PAUSES = 8
+# Estimates err by some 15 in 100.
 SURELY_LATE = 1.15
 LEAST_RETRY_MS = 200
+# Callers honour a Retry-After up to this share of the time that they have left.
 LONGEST_RETRY_SHARE = 1 / 3
 
 
--- a/src/lentilwell/gateway/_books.py
+++ b/src/lentilwell/gateway/_books.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
+# What a reading that should be over by now still counts for.
 OVERDUE_SHARE = 0.25
 
 
--- a/src/lentilwell/gateway/_ejection.py
+++ b/src/lentilwell/gateway/_ejection.py
@@ -15,6 +15,7 @@
 FAILURES_TO_EJECT = 2
 FIRST_EJECTION_MS = 1_000
 LONGEST_EJECTION_MS = 8_000
+# A single one may have crashed; several point to the path.
 NEIGHBOURS_OUT = 2
 NEIGHBOUR_MS = 2_000
 
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -34,10 +34,14 @@
 BACKLOG = 1_024
 LIFE_LENGTH = 8
 HOUSEKEEPING_MS = 250
+# The balancer asks once a second and takes an instance out after two refusals.
 LEAST_STOP_MS = 3_200
+# Between the last answer and the kill: time to release leases and to write the logs.
 STOP_MARGIN_MS = 300
+# Callers on idle connections get a chance to be told by an answer first.
 IDLE_CLOSE_AFTER_MS = 1_000
 ELSEWHERE_RETRY_MS = 50
+# About the rest of a stop and a start.
 RESTART_RETRY_MS = 1_500
 TASK_RESTART_MS = 500
 
--- a/src/lentilwell/gateway/_leases.py
+++ b/src/lentilwell/gateway/_leases.py
@@ -20,7 +20,9 @@
 from lentilwell.gateway._ports import Dialect
 from lentilwell.gateway._upstreams import Upstream
 
+# Short, so that an order carried out late cannot stretch a lease for long after its request.
 HOLD_MS = 2_400
+# Leaves time for several tries before a lease runs out.
 RENEW_MS = 800
 ORDER_TIMEOUT_MS = 250
 ORDER_TRIES = 3
--- a/src/lentilwell/gateway/_least_cost.py
+++ b/src/lentilwell/gateway/_least_cost.py
@@ -25,16 +25,21 @@
 )
 from lentilwell.gateway._reading import read_ms, write_pass_ms
 
+# At most 16 helpers may be named beside the first engine.
 READERS_TRIED = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17)
+# Two chunks: smaller parts disturb more engines than they save time.
 LEAST_PART_TOKENS = 4_096
+# Shares of a limit from which on an estimate may turn out late; first events vary more.
 FIRST_EVENT_SAFE = 0.45
 PAUSE_SAFE = 0.8
 LATE_SHARE = 1.05
 BEYOND_LATE_SLOPE = 0.1
 SLOWNESS_WEIGHT = 0.15
+# The share of whole prompts' reading that is, on average, in the pass under way.
 PASS_SHARE = 0.5
 FULL_COST = 1.0
 MEMORY_COST = 1.0
+# Other instances' latest requests may not be known yet.
 MEMORY_SHARE = 0.95
 OTHER_DATA_CENTRE_COST = 0.002
 LEAST_WEIGHT = 0.3
--- a/src/lentilwell/gateway/_link.py
+++ b/src/lentilwell/gateway/_link.py
@@ -12,6 +12,7 @@
 from lentilwell.gateway._failures import LinkBroken, LinkSilent, Unreachable
 from lentilwell.gateway._messages import Headers
 
+# Many round trips, but less than the second after which a lost opening packet is sent again.
 CONNECT_TIMEOUT_MS = 250
 UNACKNOWLEDGED_TIMEOUT_MS = 2_000
 KEEPALIVE_IDLE_S = 1
--- a/src/lentilwell/gateway/_links.py
+++ b/src/lentilwell/gateway/_links.py
@@ -8,9 +8,11 @@
 from lentilwell._clock import Clock
 from lentilwell.gateway._link import Link, open_link
 
+# An upstream closes idle connections by its own clock, and its close takes time to arrive.
 IDLE_MARGIN_MS = 400
 IDLE_UNTOLD_MS = 2_000
-MOST_IDLE_PER_UPSTREAM = 16
+# All instances' connections to an upstream count against one limit of it.
+MOST_IDLE_PER_UPSTREAM = 6
 
 
 class Links:
--- a/src/lentilwell/gateway/_patience.py
+++ b/src/lentilwell/gateway/_patience.py
@@ -14,6 +14,7 @@
 
 ESTIMATE_FACTOR = 3.0
 STREAM_SLACK_MS = 450
+# A stream taken elsewhere needs this long to its first event there.
 RESCUE_MS = 800
 PLAIN_OBJECTIVES = 2
 LEAST_PLAIN_MS = 250
--- a/src/lentilwell/gateway/_peers.py
+++ b/src/lentilwell/gateway/_peers.py
@@ -24,11 +24,13 @@
     encode_digest,
 )
 
+# Several changes of one event go out together.
 COALESCE_MS = 4
 REPEAT_MS = 400
 SILENT_MS = 1_500
 ANNOUNCE_RETRY_MS = 500
 LIST_AGAIN_MS = 15_000
+# Until the list was read once: more than there are on the smallest sites.
 ASSUMED_INSTANCES = 8
 
 
--- a/src/lentilwell/gateway/_stopping.py
+++ b/src/lentilwell/gateway/_stopping.py
@@ -7,6 +7,7 @@
 from lentilwell.gateway._reading import read_ms, write_pass_ms
 from lentilwell.gateway._routing import Subject
 
+# Streams written beside this one on a busy engine.
 USUAL_WRITERS = 4
 ESTIMATE_FACTOR = 1.2
 SLACK_MS = 300
--- a/src/lentilwell/gateway/_upstreams.py
+++ b/src/lentilwell/gateway/_upstreams.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field, replace
 from typing import TypeVar
 
+# Upstreams that live list themselves again within about this time of the store's return.
 RELIST_MS = 2_000
 
 _T = TypeVar("_T")
