--- a/src/lentilwell/gateway/_ejection.py
+++ b/src/lentilwell/gateway/_ejection.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Container, Sequence
 from dataclasses import dataclass
 
 from lentilwell.gateway._upstreams import Upstream
@@ -69,6 +69,10 @@
         """Tell whether an upstream waits for a probe."""
         return self.find_standing(upstream).unreachable_at is not None
 
+    def keep_only(self, listed: Container[str]) -> None:
+        """Forget all upstreams but those listed."""
+        self._standings = {name: one for name, one in self._standings.items() if name in listed}
+
     def admit(self, usable: Sequence[Upstream], now: int) -> list[Upstream]:
         """Return the upstreams that may take requests; none is left out where all would be."""
         reachable = [upstream for upstream in usable if not self.is_unreachable(upstream.name)]
--- a/src/lentilwell/gateway/_fleet.py
+++ b/src/lentilwell/gateway/_fleet.py
@@ -87,11 +87,8 @@
         )
         admitted = self.ejection.admit(usable, now)
         doubtful = self.ejection.find_doubtful_centres(usable, now)
-        candidates = [
-            self._describe(upstream, now)
-            for upstream in admitted
-            if upstream.data_centre not in doubtful
-        ] or [self._describe(upstream, now) for upstream in admitted]
+        trusted = [one for one in admitted if one.data_centre not in doubtful] or admitted
+        candidates = [self._describe(upstream, now) for upstream in trusted]
         return POLICIES[self.policy](wish, candidates)
 
     def find_engine(self, service: str) -> EngineSpec | None:
@@ -99,12 +96,17 @@
         spec = self.catalog.services.get(service) if self.catalog is not None else None
         return spec.engine if spec is not None else None
 
-    def drop_missing(self) -> None:
-        """Forget upstreams that lapsed in an outage of the store and did not return in time."""
+    def forget_gone(self) -> None:
+        """Forget upstreams that lapsed in an outage of the store and did not return in time.
+
+        What was learned of upstreams that are no longer listed is forgotten too.
+        """
         before = self.directory.missing
         self.directory = drop_missing(self.directory, self.clock.now())
         for name in before.keys() - self.directory.missing.keys():
             logger.info("upstream gone", upstream=name, reason="not listed again")
+        self.ejection.keep_only(self.directory.listed)
+        self.paces.keep_only(self.directory.listed)
 
     def forget(self, upstream: Upstream) -> None:
         """Take an upstream off the list whose address belongs to another one by now."""
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -224,7 +224,7 @@
     def _keep_house(self) -> None:
         self.reload()
         self.peers.keep_house()
-        self.fleet.drop_missing()
+        self.fleet.forget_gone()
         self.links.keep_only(upstream.address for upstream in self.fleet.directory.listed.values())
         if self._stopping_for() >= IDLE_CLOSE_AFTER_MS:
             for caller in list(self._callers):
--- a/src/lentilwell/gateway/_paces.py
+++ b/src/lentilwell/gateway/_paces.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Container
 from dataclasses import dataclass
 
 WEIGHT = 0.4
@@ -43,3 +44,7 @@
             return 1.0
         kept = max(0.0, 1 - (now - pace.learned_at) / FORGET_MS)
         return 1.0 + (pace.factor - 1.0) * kept
+
+    def keep_only(self, listed: Container[str]) -> None:
+        """Forget all upstreams but those listed."""
+        self._paces = {name: pace for name, pace in self._paces.items() if name in listed}
--- a/tests/test_gateway_ejection.py
+++ b/tests/test_gateway_ejection.py
@@ -79,3 +79,11 @@
         now += later_ms
         ejection.note_failure(f"u{number}", now)
         assert len(names(ejection, now)) >= 2
+
+
+def test_upstreams_that_are_gone_are_forgotten():
+    ejection = Ejection()
+    ejection.note_unreachable("u1", 0)
+    ejection.note_unreachable("u2", 0)
+    ejection.keep_only({"u2"})
+    assert names(ejection, 0) == {"u1", "u3", "u4"}
--- a/tests/test_gateway_paces.py
+++ b/tests/test_gateway_paces.py
@@ -34,3 +34,11 @@
     busy = Candidate(upstreams[1], Load(backlog_ms=3_000.0), True)
     assert choose_least_cost(wish, [slow, idle]).upstream.name == "u2"
     assert choose_least_cost(wish, [slow, busy]).upstream.name == "u1"
+
+
+def test_upstreams_that_are_gone_are_forgotten():
+    paces = Paces()
+    paces.learn("gone", 100.0, 400.0, 0)
+    paces.learn("listed", 100.0, 400.0, 0)
+    paces.keep_only({"listed"})
+    assert paces.find("gone", 0) == 1.0 and paces.find("listed", 0) > 1.0
--- /dev/null
+++ b/tests/test_platform_decoding.py
@@ -0,0 +1,156 @@
+"""What the platform's rows, headers and settings are decoded into, and what is not believed."""
+
+import json
+
+import h11
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from wire_configuration import decode_catalog
+from wire_headers import PlatformDialect
+from wire_servers import decode_upstream
+from wire_settings import read_settings
+
+from lentilwell.gateway import InboundRequest, Prompt, Repeat, UnreadableRow
+
+ENTRY = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "slots": 8,
+    "state": "ready",
+    "born": 5,
+    "more": {"fields": 1},
+}
+ROUTE = {"name": "r", "host": "h", "prefix": "/p/", "kind": "streaming", "timeout_ms": 1_000}
+DIALECT = PlatformDialect()
+
+
+def encode(value):
+    return json.dumps(value).encode()
+
+
+def without(field):
+    return {name: value for name, value in ENTRY.items() if name != field}
+
+
+def test_entry_of_a_server():
+    upstream = decode_upstream("i-1", encode(ENTRY))
+    assert (upstream.name, upstream.service, upstream.data_centre) == ("i-1", "s", "z")
+    assert not upstream.leaving and upstream.born_ms == 5
+    assert decode_upstream("i-1", encode({**ENTRY, "state": "draining"})).leaving
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[]",
+        encode(without("address")),
+        encode(without("service")),
+        encode({**ENTRY, "slots": "8"}),
+        encode({**ENTRY, "state": "resting"}),
+        encode({**ENTRY, "address": "10.0.0.1"}),
+        encode({**ENTRY, "address": "10.0.0.1:99999"}),
+        encode({**ENTRY, "address": 7}),
+        encode({**ENTRY, "born": 1.5}),
+    ],
+)
+def test_entries_of_other_writers_name_no_server(value):
+    with pytest.raises(UnreadableRow):
+        decode_upstream("i-1", value)
+
+
+@given(st.binary(max_size=200))
+def test_hostile_rows_raise_one_error_only(data):
+    for decode in (decode_catalog, lambda value: decode_upstream("i", value)):
+        try:
+            decode(data)
+        except UnreadableRow:
+            continue
+
+
+@pytest.mark.parametrize(
+    ("changes", "repeat", "streams"),
+    [
+        ({}, Repeat.NEVER, True),
+        ({"resumable": True}, Repeat.RESUME, True),
+        ({"kind": "idempotent"}, Repeat.WHOLE, False),
+        ({"kind": "non_idempotent"}, Repeat.NEVER, False),
+        ({"kind": "unheard_of", "resumable": True}, Repeat.NEVER, False),
+    ],
+)
+def test_what_may_be_repeated_follows_from_the_kind(changes, repeat, streams):
+    [route] = decode_catalog(encode({"version": 1, "routes": [{**ROUTE, **changes}]})).routes
+    assert (route.repeat, route.streams) == (repeat, streams)
+
+
+def test_split_goes_before_a_single_service():
+    split = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+    route = {**ROUTE, "service": "c", "traffic_split": split}
+    [decoded] = decode_catalog(encode({"version": 1, "routes": [route]})).routes
+    assert [(share.service, share.weight) for share in decoded.shares] == [("a", 90), ("b", 10)]
+
+
+def request_with(*headers):
+    return InboundRequest(b"POST", b"/", headers, 0)
+
+
+def test_facts_of_a_request():
+    facts = DIALECT.read_facts(
+        request_with(
+            (b"request-id", b"x"),
+            (b"CREDENTIAL", b"k"),
+            (b"Deadline-Ms", b"50"),
+            (b"Token-Count", b"1460,80"),
+            (b"Last-Event-Id", b"12"),
+        )
+    )
+    assert (facts.request_id, facts.key, facts.patience_ms) == ("x", "k", 50)
+    assert facts.prompt == Prompt(1_460, 80) and facts.last_event == 12
+
+
+@pytest.mark.parametrize(
+    "header",
+    [
+        (b"Deadline-Ms", b"-1"),
+        (b"Token-Count", b"5"),
+        (b"Last-Event-Id", b"a"),
+        (b"Deadline-Ms", b""),
+    ],
+)
+def test_numbers_that_are_none_are_rejected(header):
+    with pytest.raises(ValueError, match=header[0].decode()):
+        DIALECT.read_facts(request_with(header))
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "not_run"),
+    [
+        (503, [], False),
+        (503, [("Not-Run", "1")], True),
+        (421, [], True),
+        (429, [("Not-Run", "1")], True),
+        (500, [("Server-Stamp", "s")], False),
+    ],
+)
+def test_only_an_upstreams_own_word_says_that_nothing_ran(status, headers, not_run):
+    head = DIALECT.read_head(h11.Response(status_code=status, headers=headers))
+    assert head.not_run == not_run
+
+
+@pytest.mark.parametrize(
+    ("text", "idle_ms"), [("timeout=5", 5_000), ("max=3, timeout=2", 2_000), ("x", None)]
+)
+def test_idle_limit_of_an_upstream(text, idle_ms):
+    head = DIALECT.read_head(h11.Response(status_code=200, headers=[("Keep-Alive", text)]))
+    assert head.idle_ms == idle_ms
+
+
+def test_settings_name_what_is_missing(tmp_path):
+    path = tmp_path / "local.json"
+    path.write_text('{"node_name": "n", "ip": "10.0.0.1", "zone": "z"}')
+    with pytest.raises(msgspec.ValidationError, match="listen"):
+        read_settings(path)
