--- a/tests/test_gateway_upstreams.py
+++ b/tests/test_gateway_upstreams.py
@@ -2,6 +2,9 @@
 
 from dataclasses import replace
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from lentilwell.gateway._upstreams import (
     RELIST_MS,
     Change,
@@ -76,3 +79,48 @@
     directory = note_regained(take_listing(Directory(), [ONE, TWO], now=0), now=10_000)
     directory = take_changes(directory, [Change("one", replace(ONE, leaving=True)), GONE], 10_001)
     assert names(directory, 10_002) == ["two"]
+
+
+NAMES = st.sampled_from(["a", "b", "c"])
+STEPS = st.one_of(
+    st.tuples(st.just("list"), st.frozensets(NAMES)),
+    st.tuples(st.just("ready"), NAMES),
+    st.tuples(st.just("leave"), NAMES),
+    st.tuples(st.just("remove"), NAMES),
+    st.tuples(st.just("unreadable"), NAMES),
+    st.tuples(st.just("regain"), st.none()),
+    st.tuples(st.just("wait"), st.integers(1, 3_000)),
+)
+
+
+@given(st.lists(STEPS, max_size=60))
+def test_no_sequence_of_listings_keeps_an_upstream_that_is_gone(steps):
+    """Play listings, changes and outages beside a plain account of what was last said of each."""
+    directory, now, regained_at = Directory(), 0, None
+    said: dict[str, str] = {}
+    for what, value in steps:
+        if what == "wait":
+            now += value
+        elif what == "regain":
+            directory, regained_at = note_regained(directory, now), now
+        elif what == "list":
+            found = [replace(ONE, name=name) for name in sorted(value)]
+            directory = take_listing(directory, found, now)
+            for name in said:
+                if name not in value:
+                    said[name] = "gone"
+            said.update(dict.fromkeys(value, "ready"))
+        else:
+            upstream = replace(ONE, name=value, leaving=what == "leave")
+            told = upstream if what in ("ready", "leave") else None
+            change = Change(value, told, removed=what == "remove")
+            directory = take_changes(directory, [change], now)
+            said[value] = {"ready": "ready", "leave": "leaving"}.get(what, "gone")
+        usable = set(names(directory, now))
+        for name, state in said.items():
+            if state == "ready":
+                assert name in usable
+            if state == "leaving":
+                assert name not in usable
+            if state == "gone" and name in usable:
+                assert regained_at is not None and now < regained_at + RELIST_MS
