--- a/tests/test_gateway_upstreams.py
+++ b/tests/test_gateway_upstreams.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from lentilwell.gateway._upstreams import (
@@ -93,6 +93,7 @@
 )
 
 
+@settings(max_examples=2_000)
 @given(st.lists(STEPS, max_size=60))
 def test_no_sequence_of_listings_keeps_an_upstream_that_is_gone(steps):
     """Play listings, changes and outages beside a plain account of what was last said of each."""
