--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Hypothesis repeats the same examples on every run, so that CI gives the same verdict each time."""
+"""Hypothesis repeats the same examples on every run, so that each run has the same verdict."""
 
 from hypothesis import settings
 
