--- a/src/lentilwell/gateway/_answers.py
+++ b/src/lentilwell/gateway/_answers.py
@@ -3,11 +3,8 @@
 from __future__ import annotations
 
 from lentilwell.gateway._caller import Caller
-from lentilwell.gateway._failures import LinkBroken
-from lentilwell.gateway._link import FindPatience, Link, wait_for_good
-from lentilwell.gateway._messages import Headers, drop_headers
+from lentilwell.gateway._messages import JSON_TYPE, Headers, drop_headers, encode_error
 
-LONGEST_BODY_BYTES = 16_777_216
 FRAMING = frozenset((b"content-length",))
 
 
@@ -18,19 +15,7 @@
 
 def answer_failure(caller: Caller, status: int, reason: str, retry_after_ms: int | None) -> None:
     """Answer with a failure of the gateway's own."""
-    headers: Headers = ((b"Content-Type", b"application/json"),)
+    headers: Headers = (JSON_TYPE,)
     if retry_after_ms is not None:
         headers = (*headers, (b"Retry-After", f"{retry_after_ms / 1_000:.3f}".encode()))
-    caller.answer(status, headers, b'{"error":"%s"}' % reason.encode())
-
-
-async def read_body(link: Link, find_patience: FindPatience = wait_for_good) -> bytes:
-    """Return the whole body of an answer; raise ``LinkBroken`` where it is cut or too long."""
-    parts: list[bytes] = []
-    size = 0
-    while (data := await link.read_data(find_patience)) is not None:
-        parts.append(data)
-        size += len(data)
-        if size > LONGEST_BODY_BYTES:
-            raise LinkBroken(f"the answer is longer than {LONGEST_BODY_BYTES} bytes")
-    return b"".join(parts)
+    caller.answer(status, headers, encode_error(reason))
--- a/src/lentilwell/gateway/_books.py
+++ b/src/lentilwell/gateway/_books.py
@@ -99,9 +99,10 @@
         found: dict[str, list[Job]] = {}
         for job in jobs:
             found.setdefault(job.upstream, []).append(job)
-        self._peers[peer] = {name: tuple(listed) for name, listed in found.items()}
-        if not found:
-            del self._peers[peer]
+        if found:
+            self._peers[peer] = {name: tuple(listed) for name, listed in found.items()}
+        else:
+            self._peers.pop(peer, None)
 
     def measure(self, upstream: str, now: int) -> Load:
         """Return the load of an upstream."""
--- a/src/lentilwell/gateway/_caller.py
+++ b/src/lentilwell/gateway/_caller.py
@@ -11,11 +11,10 @@
 from lentilwell._clock import Clock
 from lentilwell.gateway._catalog import Limits
 from lentilwell.gateway._link import set_dead_peer_timeouts
-from lentilwell.gateway._messages import Headers, InboundRequest
+from lentilwell.gateway._messages import JSON_TYPE, Headers, InboundRequest, encode_error
 
 PIPELINED_BYTES = 65_536
 HEADER_EXTRA_BYTES = 4
-JSON_TYPE = (b"Content-Type", b"application/json")
 
 
 class CallerContext(Protocol):
@@ -60,18 +59,12 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._first_byte_at: int | None = None
-        self.begun = False
 
     @property
     def busy(self) -> bool:
         """Tell whether a request is being read or answered."""
         return self._exchange is not None or self._request is not None or self._reading
 
-    @property
-    def answering(self) -> bool:
-        """Tell whether a request was read and its answer is not whole yet."""
-        return self._exchange is not None
-
     @property
     def _reading(self) -> bool:
         return self._first_byte_at is not None
@@ -118,7 +111,6 @@
 
     def begin(self, status: int, headers: Headers, closing: bool = False) -> None:
         """Write the head of the answer."""
-        self.begun = True
         if closing or self._context.stopping:
             headers = (*headers, (b"Connection", b"close"))
         self._write(h11.Response(status_code=status, headers=list(headers)))
@@ -195,7 +187,6 @@
     def _begin_exchange(self) -> None:
         assert self._request is not None
         self._clear_timer()
-        self.begun = False
         self._request = replace(self._request, body=b"".join(self._body))
         self._body = []
         serving = self._context.serve(self, self._request)
@@ -230,8 +221,7 @@
         self._context.note_rejected(status, reason)
         self._clear_timer()
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            body = b'{"error":"%s"}' % reason.replace('"', "'").encode()
-            self.answer(status, (JSON_TYPE,), body, closing=True)
+            self.answer(status, (JSON_TYPE,), encode_error(reason), closing=True)
         if self._transport is not None:
             self._transport.close()
 
--- a/src/lentilwell/gateway/_exchange.py
+++ b/src/lentilwell/gateway/_exchange.py
@@ -8,7 +8,7 @@
 
 from lentilwell.gateway._accounting import Accounting
 from lentilwell.gateway._admission import judge_choice
-from lentilwell.gateway._answers import answer_failure, clean_headers, read_body
+from lentilwell.gateway._answers import answer_failure, clean_headers
 from lentilwell.gateway._caller import Caller
 from lentilwell.gateway._catalog import Repeat
 from lentilwell.gateway._choice import Choice
@@ -40,12 +40,10 @@
 from lentilwell.gateway._metrics import Metrics
 from lentilwell.gateway._ports import Dialect
 from lentilwell.gateway._record import Record
-from lentilwell.gateway._routing import Subject
+from lentilwell.gateway._routing import ELSEWHERE_RETRY_MS, Subject
 from lentilwell.gateway._upstreams import Upstream
 
 RETRY_AFTER_MS = 300
-# Another instance may reach what this one cannot.
-ELSEWHERE_RETRY_MS = 50
 
 
 @dataclass(frozen=True)
@@ -212,7 +210,7 @@
             raise LinkBroken("the answer is not the upstream's own")
         if self._subject.route.streams:
             return await self._relay(link, head, choice)
-        body = await read_body(link, patience)
+        body = await link.read_body(patience)
         link.finish()
         self._accounting.note_success(choice)
         return self._pass_on(head, body)
@@ -224,7 +222,7 @@
         return self._decide(AnswerWhole())
 
     async def _take_refusal(self, link: Link, head: AnswerHead, choice: Choice) -> Effect:
-        await read_body(link)
+        await link.read_body()
         link.finish()
         fault = self._find_fault(head, choice)
         self._excluded |= {fault.name}
@@ -245,7 +243,7 @@
 
     async def _take_failure(self, link: Link, head: AnswerHead, choice: Choice) -> Effect:
         """The upstream ran the request and failed: try elsewhere where allowed, else pass it on."""
-        body = await read_body(link)
+        body = await link.read_body()
         link.finish()
         self._excluded |= {choice.upstream.name}
         if head.status < 500:
--- a/src/lentilwell/gateway/_follower.py
+++ b/src/lentilwell/gateway/_follower.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-from collections.abc import Callable
 from typing import Generic, Protocol
 
 from loguru import logger
@@ -38,7 +37,6 @@
         self._listener = listener
         self._version: int | None = None
         self._pause_ms = 0
-        self._draw: Callable[[], float] = random.Random().random
 
     async def run(self) -> None:
         """Follow the table for good."""
@@ -73,4 +71,4 @@
         if not self._pause_ms:
             logger.warning("dependency lost", table=self._name, reason=str(error))
         self._pause_ms = min(LONGEST_PAUSE_MS, max(FIRST_PAUSE_MS, 2 * self._pause_ms))
-        await asyncio.sleep(self._pause_ms * (0.5 + self._draw() / 2) / 1_000)
+        await asyncio.sleep(self._pause_ms * (0.5 + random.random() / 2) / 1_000)
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -26,7 +26,7 @@
 from lentilwell.gateway._peers import Peers
 from lentilwell.gateway._ports import Dialect, Feeds
 from lentilwell.gateway._prober import Prober
-from lentilwell.gateway._routing import Rejection, Subject, find_subject
+from lentilwell.gateway._routing import ELSEWHERE_RETRY_MS, Rejection, Subject, find_subject
 from lentilwell.gateway._settings import GatewaySettings
 from lentilwell.gateway._status import ANY_PATH, Question, StatusAnswer, StatusProtocol
 from lentilwell.gateway._stopping import can_finish
@@ -40,7 +40,6 @@
 STOP_MARGIN_MS = 300
 # Callers on idle connections get a chance to be told by an answer first.
 IDLE_CLOSE_AFTER_MS = 1_000
-ELSEWHERE_RETRY_MS = 50
 # About the rest of a stop and a start.
 RESTART_RETRY_MS = 1_500
 TASK_RESTART_MS = 500
--- a/src/lentilwell/gateway/_leases.py
+++ b/src/lentilwell/gateway/_leases.py
@@ -122,8 +122,7 @@
             async with asyncio.timeout(ORDER_TIMEOUT_MS / 1_000):
                 link.send(order.method, order.target, order.headers, order.body)
                 head = await link.read_head()
-                while await link.read_data() is not None:
-                    pass
+                await link.read_body()
                 link.finish()
         except TimeoutError as error:
             raise LinkBroken(f"no answer to an order within {ORDER_TIMEOUT_MS} ms") from error
--- a/src/lentilwell/gateway/_link.py
+++ b/src/lentilwell/gateway/_link.py
@@ -19,7 +19,7 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 READ_AHEAD_BYTES = 262_144
-
+LONGEST_BODY_BYTES = 16_777_216
 
 FindPatience = Callable[[], int | None]
 
@@ -116,6 +116,17 @@
             return None
         raise LinkBroken("the upstream closed the connection")
 
+    async def read_body(self, find_patience: FindPatience = wait_for_good) -> bytes:
+        """Return the whole body; raise as ``read_data`` does, and where it is too long."""
+        parts: list[bytes] = []
+        size = 0
+        while (data := await self.read_data(find_patience)) is not None:
+            parts.append(data)
+            size += len(data)
+            if size > LONGEST_BODY_BYTES:
+                raise LinkBroken(f"the answer is longer than {LONGEST_BODY_BYTES} bytes")
+        return b"".join(parts)
+
     def finish(self) -> None:
         """The answer is whole: make ready for the next request, or close where that is unsafe."""
         assert self._transport is not None
--- a/src/lentilwell/gateway/_messages.py
+++ b/src/lentilwell/gateway/_messages.py
@@ -4,8 +4,11 @@
 
 from dataclasses import dataclass, field
 
+import msgspec
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
+JSON_TYPE = (b"Content-Type", b"application/json")
 HOP_BY_HOP = frozenset(
     (
         b"connection",
@@ -22,6 +25,11 @@
 )
 
 
+def encode_error(reason: str) -> bytes:
+    """Return the JSON body of a failure of the gateway's own."""
+    return msgspec.json.encode({"error": reason})
+
+
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of a header, or None; ``name`` is in lower case."""
     for known, value in headers:
--- a/src/lentilwell/gateway/_reading.py
+++ b/src/lentilwell/gateway/_reading.py
@@ -21,8 +21,3 @@
     context_ms = engine.step_ms_per_1k_context * context_tokens / TOKENS_PER_K
     step_ms = engine.step_ms + engine.step_ms_per_writer * writers + context_ms
     return engine.pass_steps * step_ms
-
-
-def read_ms_per_pass(engine: EngineSpec, waiting_ms: float, chunk_ms: float) -> float:
-    """Return how much reading a pass with writers does when ``waiting_ms`` of it are waiting."""
-    return min(waiting_ms, engine.pass_steps * chunk_ms)
--- a/src/lentilwell/gateway/_routing.py
+++ b/src/lentilwell/gateway/_routing.py
@@ -11,6 +11,8 @@
 from lentilwell.gateway._messages import Facts, InboundRequest
 
 NOT_READY_RETRY_MS = 500
+# Another instance may serve what this one cannot.
+ELSEWHERE_RETRY_MS = 50
 _HASHES = 1 << 32
 
 
