--- a/src/lentilwell/gateway/_least_cost.py
+++ b/src/lentilwell/gateway/_least_cost.py
@@ -56,6 +56,15 @@
     cost: float
 
 
+@dataclass(frozen=True)
+class Reading:
+    """A part of the prompt at one engine: its first event, and its cost with the harm to others."""
+
+    first_event_ms: float
+    harm: float
+    cost: float
+
+
 @policy("least_cost")
 def choose_least_cost(wish: Wish, candidates: Sequence[Candidate]) -> Choice | None:
     """Take the engines, one or several, that make the fewest requests late."""
@@ -65,8 +74,9 @@
     if not candidates:
         return None
     weight = find_weight(engine, prompt.prompt_tokens)
+    leading = [lead_cost(wish, engine, candidate) for candidate in candidates]
     options = [
-        plan(wish, engine, weight, candidates, readers)
+        plan(wish, engine, weight, candidates, leading, readers)
         for readers in READERS_TRIED
         if readers == 1
         or (readers <= len(candidates) and prompt.prompt_tokens >= readers * LEAST_PART_TOKENS)
@@ -85,26 +95,55 @@
 
 
 def plan(
-    wish: Wish, engine: EngineSpec, weight: float, candidates: Sequence[Candidate], readers: int
+    wish: Wish,
+    engine: EngineSpec,
+    weight: float,
+    candidates: Sequence[Candidate],
+    leading: Sequence[float],
+    readers: int,
 ) -> Option | None:
-    """Return the best way to read with this many engines, or None if they cannot hold it."""
+    """Return the best way to read with this many engines, or None if they cannot hold it.
+
+    ``leading`` is what each candidate costs as the first engine, beside its reading.
+    """
     assert wish.prompt is not None
     part_ms = read_ms(engine, wish.prompt.prompt_tokens) / readers
-    spread = readers > 1
-    costs = [cost_of(wish, engine, weight, candidate, part_ms, spread) for candidate in candidates]
-    leading = [lead_cost(wish, engine, candidate) for candidate in candidates]
-    places = sorted(range(len(candidates)), key=costs.__getitem__)
-    first = min(places, key=lambda place: costs[place] + leading[place])
-    others = [candidates[place] for place in places if place != first][: readers - 1]
-    lead = candidates[first]
-    helpers = share_memory(engine, wish.prompt.memory_tokens, lead, others)
+    readings = [
+        estimate_reading(wish, engine, weight, candidate, part_ms, readers > 1)
+        for candidate in candidates
+    ]
+    places = sorted(range(len(candidates)), key=lambda place: readings[place].cost)
+    first = min(places, key=lambda place: readings[place].cost + leading[place])
+    others = [place for place in places if place != first][: readers - 1]
+    helpers = share_memory(
+        engine,
+        wish.prompt.memory_tokens,
+        candidates[first],
+        [candidates[place] for place in others],
+    )
     if helpers is None:
         return None
-    chosen = (lead, *others)
-    first_ms = max(first_event_ms(engine, candidate, part_ms, spread) for candidate in chosen)
+    chosen = [readings[place] for place in (first, *others)]
+    first_ms = max(reading.first_event_ms for reading in chosen)
     own = weight * lateness(wish.waited_ms + first_ms, wish.objective_ms, FIRST_EVENT_SAFE)
-    harm = sum(harm_of(wish.now, engine, candidate, part_ms, spread) for candidate in chosen)
-    return Option(lead, helpers, part_ms, first_ms, own + harm + leading[first])
+    harm = sum(reading.harm for reading in chosen)
+    cost = own + harm + leading[first]
+    return Option(candidates[first], helpers, part_ms, first_ms, cost)
+
+
+def estimate_reading(
+    wish: Wish,
+    engine: EngineSpec,
+    weight: float,
+    candidate: Candidate,
+    part_ms: float,
+    spread: bool,
+) -> Reading:
+    """Return what reading a part of the prompt at one engine would mean."""
+    first_ms = first_event_ms(engine, candidate, part_ms, spread)
+    own = weight * lateness(wish.waited_ms + first_ms, wish.objective_ms, FIRST_EVENT_SAFE)
+    harm = harm_of(wish.now, engine, candidate, part_ms, spread)
+    return Reading(first_ms, harm, own + harm)
 
 
 def share_memory(
@@ -137,20 +176,6 @@
     return option.cost
 
 
-def cost_of(
-    wish: Wish,
-    engine: EngineSpec,
-    weight: float,
-    candidate: Candidate,
-    part_ms: float,
-    spread: bool,
-) -> float:
-    """Return the cost of reading a part of the prompt at one engine."""
-    expected_ms = wish.waited_ms + first_event_ms(engine, candidate, part_ms, spread)
-    own = weight * lateness(expected_ms, wish.objective_ms, FIRST_EVENT_SAFE)
-    return own + harm_of(wish.now, engine, candidate, part_ms, spread)
-
-
 def lead_cost(wish: Wish, engine: EngineSpec, candidate: Candidate) -> float:
     """Return what makes an engine a bad place to hold the prompt and to write the answer."""
     assert wish.prompt is not None
