--- a/bench/placement_cost.py
+++ b/bench/placement_cost.py
@@ -6,26 +6,14 @@
 import time
 
 from lentilwell.gateway._books import Books, Job
-from lentilwell.gateway._catalog import EngineSpec
 from lentilwell.gateway._choice import POLICIES, Candidate, Wish
 from lentilwell.gateway._messages import Prompt
 from lentilwell.gateway._upstreams import Upstream
+from standins.batch import ENGINE
 
 ENGINE_COUNTS = (14, 100, 1_000)
 PROMPTS = ((5_000, 300), (154_000, 3_000))
 ROUNDS = 10
-ENGINE = EngineSpec(
-    slots=8,
-    memory_tokens=315_000,
-    step_ms=0.85,
-    step_ms_per_writer=0.0085,
-    step_ms_per_1k_context=0.00285,
-    read_tokens_per_ms=177.0,
-    pairs_ms_per_million=0.184,
-    chunk_tokens=2_048,
-    pass_steps=51,
-    usual_prompt_tokens=11_108,
-)
 
 
 def measure_placement(engines: int, prompt_tokens: int, objective_ms: int) -> float:
--- a/standins/batch.py
+++ b/standins/batch.py
@@ -8,23 +8,25 @@
 
 from dataclasses import dataclass, field
 
+from lentilwell.gateway import EngineSpec
+
 TOKENS_PER_K = 1_000
 PAIRS_PER_MILLION = 1_000_000
 
 
-@dataclass(frozen=True)
-class BatchSpec:
-    """The figures of an engine; see ``EngineSpec`` of the gateway for their meaning."""
-
-    slots: int = 8
-    memory_tokens: int = 315_000
-    step_ms: float = 0.85
-    step_ms_per_writer: float = 0.0085
-    step_ms_per_1k_context: float = 0.00285
-    read_tokens_per_ms: float = 177.0
-    pairs_ms_per_million: float = 0.184
-    chunk_tokens: int = 2_048
-    pass_steps: int = 51
+ENGINE = EngineSpec(
+    slots=8,
+    memory_tokens=315_000,
+    step_ms=0.85,
+    step_ms_per_writer=0.0085,
+    step_ms_per_1k_context=0.00285,
+    read_tokens_per_ms=177.0,
+    pairs_ms_per_million=0.184,
+    chunk_tokens=2_048,
+    pass_steps=51,
+    usual_prompt_tokens=11_108,
+    usual_answer_tokens=1_622,
+)
 
 
 @dataclass
@@ -69,7 +71,7 @@
 class Batch:
     """One engine's work. Jobs beyond its slots wait in order."""
 
-    spec: BatchSpec = field(default_factory=BatchSpec)
+    spec: EngineSpec = ENGINE
     jobs: list[BatchJob] = field(default_factory=list)
 
     def add(self, job: BatchJob) -> None:
--- a/standins/batch_server.py
+++ b/standins/batch_server.py
@@ -9,7 +9,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from standins.batch import Batch, BatchJob, BatchSpec
+from lentilwell.gateway import EngineSpec
+from standins.batch import ENGINE, Batch, BatchJob
 
 EVENT_BYTES = 20
 WATCH_S = 0.02
@@ -29,7 +30,7 @@
 
     name: str
     fleet: dict[str, BatchServer]
-    spec: BatchSpec = field(default_factory=BatchSpec)
+    spec: EngineSpec = ENGINE
     speed: float = 1.0
     address: str = ""
     served: list[str] = field(default_factory=list)
--- a/tests/played_load.py
+++ b/tests/played_load.py
@@ -9,26 +9,10 @@
 from dataclasses import dataclass, field
 
 from lentilwell.gateway._books import Books, Job
-from lentilwell.gateway._catalog import EngineSpec
 from lentilwell.gateway._choice import POLICIES, Candidate, Wish
 from lentilwell.gateway._messages import Prompt
 from lentilwell.gateway._upstreams import Upstream
-from standins.batch import Batch, BatchJob, BatchSpec
-
-SPEC = BatchSpec()
-ENGINE = EngineSpec(
-    slots=SPEC.slots,
-    memory_tokens=SPEC.memory_tokens,
-    step_ms=SPEC.step_ms,
-    step_ms_per_writer=SPEC.step_ms_per_writer,
-    step_ms_per_1k_context=SPEC.step_ms_per_1k_context,
-    read_tokens_per_ms=SPEC.read_tokens_per_ms,
-    pairs_ms_per_million=SPEC.pairs_ms_per_million,
-    chunk_tokens=SPEC.chunk_tokens,
-    pass_steps=SPEC.pass_steps,
-    usual_prompt_tokens=11_108,
-    usual_answer_tokens=1_622,
-)
+from standins.batch import ENGINE, Batch, BatchJob
 
 
 @dataclass(frozen=True)
@@ -119,9 +103,9 @@
     def __init__(self, policy: str, engines: int, seed: int) -> None:
         self.policy = POLICIES[policy]
         self.books = Books()
-        self.batches = [Batch(SPEC) for _ in range(engines)]
+        self.batches = [Batch() for _ in range(engines)]
         self.upstreams = [
-            Upstream(f"u{at}", "engines", f"127.0.0.1:{at + 1}", "dc", SPEC.slots, False)
+            Upstream(f"u{at}", "engines", f"127.0.0.1:{at + 1}", "dc", ENGINE.slots, False)
             for at in range(engines)
         ]
         self.served: dict[str, Served] = {}
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -9,8 +9,8 @@
 
 from lentilwell.gateway import Entry, Limits, ServiceSpec
 from lentilwell.gateway._books import Job
+from standins.batch import ENGINE
 from tests.gateway_world import CATALOG, KEY, Arrival, read_answer, run_world, with_route
-from tests.played_load import ENGINE
 
 
 def in_loop(test):
--- a/tests/test_gateway_paces.py
+++ b/tests/test_gateway_paces.py
@@ -6,7 +6,7 @@
 from lentilwell.gateway._messages import Prompt
 from lentilwell.gateway._paces import FORGET_MS, SLOWEST, Paces
 from lentilwell.gateway._upstreams import Upstream
-from tests.played_load import ENGINE
+from standins.batch import ENGINE
 
 
 def test_slow_upstream_is_learned_and_forgotten():
--- a/tests/test_gateway_patience.py
+++ b/tests/test_gateway_patience.py
@@ -6,8 +6,8 @@
 
 from lentilwell.gateway._books import Load
 from lentilwell.gateway._patience import find_patience
+from standins.batch import ENGINE
 from tests.gateway_world import make_route
-from tests.played_load import ENGINE
 
 
 def test_what_may_run_once_is_waited_for_until_its_deadline():
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -8,7 +8,8 @@
 from lentilwell.gateway._messages import Prompt
 from lentilwell.gateway._reading import read_ms
 from lentilwell.gateway._upstreams import Upstream
-from tests.played_load import CALM, ENGINE, LONG, SHORT, SWINGS, play, share_on_time
+from standins.batch import ENGINE
+from tests.played_load import CALM, LONG, SHORT, SWINGS, play, share_on_time
 
 SEEDS = (1, 2, 3)
 
