--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,7 @@
 	$(PY) -m black --check --quiet src platform standins bench tests examples
 	$(PY) -m ruff check --quiet src platform standins bench tests examples
 	$(PY) -m mypy
+	$(VENV)/bin/lint-imports --no-logo > /dev/null || $(VENV)/bin/lint-imports
 
 format: $(SETUP)
 	$(PY) -m black --quiet src platform standins bench tests examples
--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -20,18 +20,17 @@
 from typing import TypeVar
 
 from lentilwell import Identity, State, reduce
-from lentilwell._configuration_editor import ConfigurationEditor
-from lentilwell._documents import Document, Section, parse_document
-from lentilwell._events import InventoryAccepted
-from lentilwell._platform import DIALECTS
-from lentilwell._settings import PlatformSettings
-from lentilwell._versions import (
+from lentilwell.adapters import DIALECTS
+from lentilwell.configuration import ConfigurationEditor, Document, PlatformSettings, parse_document
+from lentilwell.configuration._documents import Section
+from lentilwell.configuration._versions import (
     decode_delta,
     digest_of,
     encode_head,
     load,
     prepare_edit,
 )
+from lentilwell.reducer import InventoryAccepted
 from standins.deployment import Deployment, DeploymentPlan, call, deploy
 
 CHANGES = 50
--- a/bench/order_trial.py
+++ b/bench/order_trial.py
@@ -15,25 +15,23 @@
 from pyrsistent import pmap
 
 from lentilwell import Identity, Request, State, reduce
-from lentilwell._effects import (
+from lentilwell._inventory import Engine, Inventory, Model, Rules, Team
+from lentilwell._messages import Cause, LoadReport, StreamReport
+from lentilwell.reducer import (
+    AttemptFailed,
+    AttemptFinished,
     CancelStream,
     ChangePriority,
     Effect,
     EndRequest,
-    StartAttempt,
-)
-from lentilwell._events import (
-    AttemptFailed,
-    AttemptFinished,
     Event,
     FirstTokenSeen,
     InventoryAccepted,
     LoadReported,
     RequestArrived,
+    StartAttempt,
     TickPassed,
 )
-from lentilwell._inventory import Engine, Inventory, Model, Rules, Team
-from lentilwell._messages import Cause, LoadReport, StreamReport
 
 STEP_MS = 10
 TICK_MS = 50
--- a/bench/reducer_cost.py
+++ b/bench/reducer_cost.py
@@ -18,19 +18,21 @@
 from pyrsistent import pmap
 
 from lentilwell import Identity, Placement, Request, State, reduce
-from lentilwell._dispatch import start
-from lentilwell._effects import Effect, EndRequest, StartAttempt
-from lentilwell._events import (
+from lentilwell._inventory import Engine, Inventory, Model, Team
+from lentilwell.decisions._dispatch import start
+from lentilwell.decisions._queues import enqueue
+from lentilwell.reducer import (
     AttemptFinished,
+    Effect,
+    EndRequest,
     Event,
     FirstTokenSeen,
     InventoryAccepted,
     RequestArrived,
+    StartAttempt,
     TickPassed,
+    Waiting,
 )
-from lentilwell._inventory import Engine, Inventory, Model, Team
-from lentilwell._queues import enqueue
-from lentilwell._state import Waiting
 
 ENGINES = (14, 400, 10_000)
 TEAMS = (10, 500, 4_900)
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -23,13 +23,13 @@
 from bench.results import read_commit, write_line
 from bench.running import resident_bytes
 from lentilwell import Identity, State, reduce
-from lentilwell._documents import parse_inventory
-from lentilwell._engines import HttpEngineControl
-from lentilwell._events import FirstTokenSeen, InventoryAccepted, ProgressSeen
 from lentilwell._messages import Digest, EngineUse
-from lentilwell._peer_auth import Handshake, open_channels
-from lentilwell._peer_codec import decode, decode_digest, encode, encode_digest
 from lentilwell._wire import ttypes
+from lentilwell.adapters import HttpEngineControl
+from lentilwell.configuration._documents import parse_inventory
+from lentilwell.peers._auth import Handshake, open_channels
+from lentilwell.peers._codec import decode, decode_digest, encode, encode_digest
+from lentilwell.reducer import FirstTokenSeen, InventoryAccepted, ProgressSeen
 from standins.deployment import launch, stop_processes
 
 SLOPES = Path("bench/results/slopes.json")
--- a/src/lentilwell/__init__.py
+++ b/src/lentilwell/__init__.py
@@ -1,16 +1,5 @@
 """A serving layer for prompts of very unlike lengths, and its parts as a library."""
 
-from lentilwell import (
-    _admission,
-    _deadlines,
-    _dispatch,
-    _grants,
-    _prefixes,
-    _priorities,
-    _recovery,
-    _reports,
-    _ticks,
-)
 from lentilwell._clock import Clock, ManualClock, SystemClock
 from lentilwell._errors import LentilwellError
 from lentilwell._failures import Failure
@@ -25,11 +14,9 @@
     make_inventory,
 )
 from lentilwell._messages import Identity, Placement, Request
-from lentilwell._order import order
-from lentilwell._placement import placement
 from lentilwell._ports import EngineControl, Peers, Platform
-from lentilwell._reducer import reduce
-from lentilwell._state import State
+from lentilwell.decisions import order, placement
+from lentilwell.reducer import State, reduce
 
 __all__ = [
     "Clock",
@@ -56,15 +43,3 @@
     "placement",
     "reduce",
 ]
-
-_REGISTERED = (
-    _admission,
-    _deadlines,
-    _dispatch,
-    _grants,
-    _prefixes,
-    _priorities,
-    _recovery,
-    _reports,
-    _ticks,
-)
--- a/src/lentilwell/__main__.py
+++ b/src/lentilwell/__main__.py
@@ -2,6 +2,6 @@
 
 import sys
 
-from lentilwell._cli import main
+from lentilwell.cli import main
 
 sys.exit(main())
--- a/src/lentilwell/_platform.py
+++ b/src/lentilwell/adapters/_platform.py
@@ -13,7 +13,7 @@
 from lentilwell._http import HttpAnswer, HttpCall, send
 from lentilwell._messages import Member, MemberKind
 from lentilwell._ports import Platform, Row
-from lentilwell._settings import PlatformSettings
+from lentilwell.configuration import PlatformSettings
 
 _BodyT = TypeVar("_BodyT")
 
--- a/src/lentilwell/_callers.py
+++ b/src/lentilwell/callers/_completions.py
@@ -16,7 +16,6 @@
 from werkzeug.wrappers import Response
 
 from lentilwell._clock import MS_PER_SECOND, Clock
-from lentilwell._events import Event, RequestArrived
 from lentilwell._failures import (
     BodyTooLarge,
     Failure,
@@ -29,20 +28,16 @@
     UnknownModel,
     UnknownRoute,
 )
-from lentilwell._headers import read_deadline_ms
 from lentilwell._inventory import Inventory, Rules, Team
 from lentilwell._messages import BYTES_PER_TOKEN, Request, count_tokens
-from lentilwell._responses import respond_failure
-from lentilwell._server import ConnectionDetached, leave_body_unread, take_connection
-from lentilwell._services import ServiceGateway
-from lentilwell._settings import CallersSettings
-from lentilwell._streams import (
-    AnswerForm,
-    Exchange,
-    StreamedForm,
-)
-from lentilwell._team_keys import TeamKeys
-from lentilwell._transfer import TransferLoop
+from lentilwell.callers._headers import read_deadline_ms
+from lentilwell.callers._responses import respond_failure
+from lentilwell.callers._server import ConnectionDetached, leave_body_unread, take_connection
+from lentilwell.callers._services import ServiceGateway
+from lentilwell.callers._team_keys import TeamKeys
+from lentilwell.configuration import CallersSettings
+from lentilwell.forwarding import AnswerForm, Exchange, StreamedForm, TransferLoop
+from lentilwell.reducer import Event, RequestArrived
 
 DEFAULT_ANSWER_TOKENS = 16
 BLOCK_TOKENS = 1_024
--- a/src/lentilwell/_operators.py
+++ b/src/lentilwell/callers/_operators.py
@@ -13,7 +13,7 @@
 from werkzeug.wrappers import Response
 
 from lentilwell._failures import NotReady, Unauthorized, UnknownRoute
-from lentilwell._responses import respond_failure
+from lentilwell.callers._responses import respond_failure
 
 
 @dataclass(frozen=True)
--- a/src/lentilwell/_responses.py
+++ b/src/lentilwell/callers/_responses.py
@@ -5,7 +5,7 @@
 from werkzeug.wrappers import Response
 
 from lentilwell._failures import Failure, MethodNotAllowed
-from lentilwell._streams import encode_failure, retry_after_seconds
+from lentilwell.forwarding import encode_failure, retry_after_seconds
 
 
 def respond_failure(failure: Failure) -> Response:
--- a/src/lentilwell/_server.py
+++ b/src/lentilwell/callers/_server.py
@@ -19,7 +19,7 @@
 
 from lentilwell._clock import MS_PER_SECOND, Clock
 from lentilwell._failures import Failure, HeadersTooLarge, InvalidRequest, NotReady, ReadTimeout
-from lentilwell._streams import render_failure
+from lentilwell.forwarding import render_failure
 
 WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 WAITING_PER_WORKER = 16
--- a/src/lentilwell/_services.py
+++ b/src/lentilwell/callers/_services.py
@@ -16,8 +16,6 @@
 from werkzeug.wrappers import Request as HttpRequest
 from werkzeug.wrappers import Response
 
-from lentilwell._claim_messages import RecordedAnswer
-from lentilwell._claim_runner import LATE_ANSWER_MS, ClaimedCall, ClaimRunner
 from lentilwell._clock import Clock
 from lentilwell._failures import (
     Failure,
@@ -29,12 +27,18 @@
     ServiceFailed,
     UnknownRoute,
 )
-from lentilwell._headers import read_deadline_ms
 from lentilwell._http import Guard, HttpAnswer, HttpCall, HttpFailure, send
 from lentilwell._inventory import Inventory, Service, Team
-from lentilwell._responses import respond_failure
-from lentilwell._service_instances import CallSlots, InstanceChooser, RetryBudget, find_instances
-from lentilwell._service_routes import find_route
+from lentilwell.callers._headers import read_deadline_ms
+from lentilwell.callers._responses import respond_failure
+from lentilwell.callers._service_instances import (
+    CallSlots,
+    InstanceChooser,
+    RetryBudget,
+    find_instances,
+)
+from lentilwell.callers._service_routes import find_route
+from lentilwell.once_only import LATE_ANSWER_MS, ClaimedCall, ClaimRunner, RecordedAnswer
 
 CALL_TIMEOUT_MS = 10_000
 CONNECT_TIMEOUT_MS = 500
--- a/src/lentilwell/_cli_inventory.py
+++ b/src/lentilwell/cli/_inventory.py
@@ -12,13 +12,18 @@
 from pyrsistent import pmap
 
 from lentilwell._clock import MS_PER_SECOND
-from lentilwell._commands import add_settings, command
-from lentilwell._configuration_editor import ConfigurationEditor, Loaded
-from lentilwell._documents import Document, parse_document, render_document
 from lentilwell._errors import EXIT_DONE, UsageError
-from lentilwell._platform import DIALECTS
-from lentilwell._settings import read_settings
-from lentilwell._versions import diff_documents
+from lentilwell.adapters import DIALECTS
+from lentilwell.cli._commands import add_settings, command
+from lentilwell.configuration import (
+    ConfigurationEditor,
+    Document,
+    Loaded,
+    diff_documents,
+    parse_document,
+    read_settings,
+    render_document,
+)
 
 _VERSION_LINE = re.compile(r"# version (\d{1,15})\b")
 
--- a/src/lentilwell/_cli_keys.py
+++ b/src/lentilwell/cli/_keys.py
@@ -9,11 +9,7 @@
 import msgspec
 from result import Ok
 
-from lentilwell._claim_messages import Claim, FoundClaim
-from lentilwell._claim_runner import CLAIM_PREFIX, decode_row, name_row
-from lentilwell._claims import SETTLE_MARGIN_MS, Settlement, is_unsettled, may_settle, settle
 from lentilwell._clock import MS_PER_SECOND, Clock, SystemClock
-from lentilwell._commands import add_settings, command
 from lentilwell._errors import (
     EXIT_DONE,
     ConflictError,
@@ -22,9 +18,22 @@
     Unavailable,
     VersionConflict,
 )
-from lentilwell._platform import DIALECTS
 from lentilwell._ports import Platform
-from lentilwell._settings import read_settings
+from lentilwell.adapters import DIALECTS
+from lentilwell.cli._commands import add_settings, command
+from lentilwell.configuration import read_settings
+from lentilwell.once_only import (
+    CLAIM_PREFIX,
+    SETTLE_MARGIN_MS,
+    Claim,
+    FoundClaim,
+    Settlement,
+    decode_row,
+    is_unsettled,
+    may_settle,
+    name_row,
+    settle,
+)
 
 PAGE_ROWS = 100
 EXAMPLES = (
--- a/src/lentilwell/_cli_operators.py
+++ b/src/lentilwell/cli/_operators.py
@@ -6,9 +6,9 @@
 import os
 import sys
 
-from lentilwell._commands import command
 from lentilwell._errors import EXIT_DONE, OutcomeUnknownError, RefusedError, UsageError
 from lentilwell._http import HttpAnswer, HttpCall, send
+from lentilwell.cli._commands import command
 
 TOKEN_VARIABLE = "LENTILWELL_OPERATOR_TOKEN"
 CALL_TIMEOUT_MS = 10_000
--- a/src/lentilwell/_cli.py
+++ b/src/lentilwell/cli/_parser.py
@@ -7,14 +7,14 @@
 from collections.abc import Sequence
 from importlib.metadata import version
 
-from lentilwell import _cli_inventory, _cli_keys, _cli_operators
-from lentilwell._application import Application
-from lentilwell._commands import COMMANDS, add_nothing, add_settings, command
 from lentilwell._errors import EXIT_DONE, LentilwellError
 from lentilwell._logs import set_up_logs
-from lentilwell._settings import read_settings
+from lentilwell.cli import _inventory, _keys, _operators
+from lentilwell.cli._commands import COMMANDS, add_nothing, add_settings, command
+from lentilwell.configuration import read_settings
+from lentilwell.shell import Application
 
-_REGISTERED = (_cli_inventory, _cli_keys, _cli_operators)
+_REGISTERED = (_inventory, _keys, _operators)
 EXIT_CODES = "exit codes: 0 done, 1 refused or conflict, 2 usage, 3 outcome unknown"
 
 
--- a/src/lentilwell/_documents.py
+++ b/src/lentilwell/configuration/_documents.py
@@ -24,7 +24,7 @@
     Service,
     Team,
 )
-from lentilwell._problems import (
+from lentilwell.configuration._problems import (
     BadSyntax,
     DanglingName,
     DuplicateKey,
@@ -36,8 +36,8 @@
     UnknownKey,
     UnknownSection,
 )
-from lentilwell._references import check_references
-from lentilwell._values import BY_KEY, BY_TYPE, ValueRefused
+from lentilwell.configuration._references import check_references
+from lentilwell.configuration._values import BY_KEY, BY_TYPE, ValueRefused
 
 RULES_TITLE = "rules"
 _HEADER = re.compile(r"\[(?P<title>.+)\]")
--- a/src/lentilwell/_configuration_editor.py
+++ b/src/lentilwell/configuration/_editor.py
@@ -8,8 +8,6 @@
 
 from result import Result
 
-from lentilwell._configuration import platform_reader
-from lentilwell._documents import Document, check_document
 from lentilwell._errors import (
     AnswerLost,
     ConflictError,
@@ -19,8 +17,10 @@
     VersionConflict,
 )
 from lentilwell._ports import Platform
-from lentilwell._problems import InventoryError
-from lentilwell._versions import (
+from lentilwell.configuration._documents import Document, check_document
+from lentilwell.configuration._follower import platform_reader
+from lentilwell.configuration._problems import InventoryError
+from lentilwell.configuration._versions import (
     HEAD_KEY,
     OBJECT_PREFIX,
     ChainError,
--- a/src/lentilwell/_configuration.py
+++ b/src/lentilwell/configuration/_follower.py
@@ -9,10 +9,9 @@
 from loguru import logger
 
 from lentilwell._clock import Clock
-from lentilwell._events import Event, InventoryAccepted
 from lentilwell._ports import Platform
-from lentilwell._problems import InventoryError
-from lentilwell._versions import (
+from lentilwell.configuration._problems import InventoryError
+from lentilwell.configuration._versions import (
     HEAD_KEY,
     OBJECT_PREFIX,
     ChainError,
@@ -25,6 +24,7 @@
     load,
     serve_record,
 )
+from lentilwell.reducer import Event, InventoryAccepted
 
 CONFIGURATION_INTERVAL_MS = 1_000
 START_LISTEN_MS = 1_000
--- a/src/lentilwell/_references.py
+++ b/src/lentilwell/configuration/_references.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Collection, Iterator
 
 from lentilwell._inventory import Inventory
-from lentilwell._problems import DanglingName, NoEngines, Problem, SharedKeyDigest
+from lentilwell.configuration._problems import DanglingName, NoEngines, Problem, SharedKeyDigest
 
 FindLine = Callable[[str, str], int]
 
--- a/src/lentilwell/_settings.py
+++ b/src/lentilwell/configuration/_settings.py
@@ -11,7 +11,7 @@
 from result import Err, Ok, Result
 
 from lentilwell._errors import UsageError
-from lentilwell._problems import (
+from lentilwell.configuration._problems import (
     BadChoice,
     BadNumber,
     BadText,
--- a/src/lentilwell/_values.py
+++ b/src/lentilwell/configuration/_values.py
@@ -7,9 +7,7 @@
 from typing import Any
 from urllib.parse import urlsplit
 
-from lentilwell._order import ORDERS
-from lentilwell._placement import PLACEMENTS
-from lentilwell._problems import (
+from lentilwell.configuration._problems import (
     BadFlag,
     BadKeyDigest,
     BadNumber,
@@ -18,6 +16,7 @@
     Problem,
     UnknownPolicy,
 )
+from lentilwell.decisions import ORDERS, PLACEMENTS
 
 MAXIMUM_NUMBER = 1 << 40
 MAXIMUM_PERCENT = 100
--- a/src/lentilwell/_versions.py
+++ b/src/lentilwell/configuration/_versions.py
@@ -15,7 +15,8 @@
 import msgspec
 from pyrsistent import PMap, pmap
 
-from lentilwell._documents import (
+from lentilwell._inventory import Inventory
+from lentilwell.configuration._documents import (
     Document,
     Section,
     apply_sections,
@@ -23,7 +24,6 @@
     render_document,
     render_section,
 )
-from lentilwell._inventory import Inventory
 
 HEAD_KEY = "configuration.head"
 OBJECT_PREFIX = "configuration/"
--- a/src/lentilwell/_admission.py
+++ b/src/lentilwell/decisions/_admission.py
@@ -2,21 +2,28 @@
 
 from __future__ import annotations
 
-from lentilwell._capacities import measure_capacities
-from lentilwell._deadlines import find_overload, skip_draw
-from lentilwell._dispatch import find_unservable
-from lentilwell._effects import EndRequest
-from lentilwell._ending import end_request
-from lentilwell._events import CallerGone, DrainStarted, InventoryAccepted, RequestArrived
 from lentilwell._failures import DeadlineExceeded, Failure, NotReady, Overloaded
 from lentilwell._inventory import Inventory
-from lentilwell._inventory_index import index_inventory
 from lentilwell._messages import Request
-from lentilwell._queues import enqueue
-from lentilwell._records import replace
-from lentilwell._reducer import Step, handles
-from lentilwell._retries import earn_retry
-from lentilwell._state import State, Waiting
+from lentilwell.decisions._deadlines import find_overload, skip_draw
+from lentilwell.decisions._dispatch import find_unservable
+from lentilwell.decisions._ending import end_request
+from lentilwell.decisions._queues import enqueue
+from lentilwell.decisions._retries import earn_retry
+from lentilwell.reducer import (
+    CallerGone,
+    DrainStarted,
+    EndRequest,
+    InventoryAccepted,
+    RequestArrived,
+    State,
+    Step,
+    Waiting,
+    handles,
+    index_inventory,
+    measure_capacities,
+    replace,
+)
 
 
 @handles(RequestArrived)
--- a/src/lentilwell/_backlogs.py
+++ b/src/lentilwell/decisions/_backlogs.py
@@ -8,10 +8,9 @@
 
 from pyrsistent import PMap, pmap
 
-from lentilwell._estimates import length_class
 from lentilwell._messages import Request
-from lentilwell._records import replace
-from lentilwell._state import Attempt, State
+from lentilwell.decisions._estimates import length_class
+from lentilwell.reducer import Attempt, State, replace
 
 Totals = PMap[int, float]
 ROUNDING = 1e-6
--- a/src/lentilwell/_cancels.py
+++ b/src/lentilwell/decisions/_cancels.py
@@ -12,14 +12,21 @@
 
 from pyrsistent import PMap, pmap
 
-from lentilwell._effects import CancelStream, Effect
-from lentilwell._events import CancelConfirmed
-from lentilwell._health import EJECT_AFTER_UNREADABLE
 from lentilwell._messages import LoadReport
-from lentilwell._records import replace
-from lentilwell._reducer import Step, handles
-from lentilwell._state import PendingCancel, State, Timer
-from lentilwell._timers import fires, schedule
+from lentilwell.decisions._health import EJECT_AFTER_UNREADABLE
+from lentilwell.reducer import (
+    CancelConfirmed,
+    CancelStream,
+    Effect,
+    PendingCancel,
+    State,
+    Step,
+    Timer,
+    fires,
+    handles,
+    replace,
+    schedule,
+)
 
 FIRST_REPEAT_MS = 250
 LONGEST_REPEAT_MS = 5_000
--- a/src/lentilwell/_deadlines.py
+++ b/src/lentilwell/decisions/_deadlines.py
@@ -7,18 +7,25 @@
 
 from __future__ import annotations
 
-from lentilwell._backlogs import sum_ahead
-from lentilwell._capacities import Capacity, find_capacity
-from lentilwell._effects import Effect
-from lentilwell._ending import end_request
-from lentilwell._estimates import estimate_service_ms, is_trusted
 from lentilwell._failures import DeadlineExceeded, Failure, Overloaded
-from lentilwell._fairness import find_weight
 from lentilwell._messages import Request
-from lentilwell._queues import latest_start
-from lentilwell._records import replace
-from lentilwell._reducer import Step, follows
-from lentilwell._state import State, TeamQueue, Waiting, draw
+from lentilwell.decisions._backlogs import sum_ahead
+from lentilwell.decisions._ending import end_request
+from lentilwell.decisions._estimates import estimate_service_ms, is_trusted
+from lentilwell.decisions._fairness import find_weight
+from lentilwell.decisions._queues import latest_start
+from lentilwell.reducer import (
+    Capacity,
+    Effect,
+    State,
+    Step,
+    TeamQueue,
+    Waiting,
+    draw,
+    find_capacity,
+    follows,
+    replace,
+)
 
 SHORTEST_RETRY_MS = 100
 JITTER_DIVISOR = 2
--- a/src/lentilwell/_digests.py
+++ b/src/lentilwell/decisions/_digests.py
@@ -10,15 +10,21 @@
 
 from pyrsistent import PMap, pmap
 
-from lentilwell._effects import SendDigest
-from lentilwell._events import DigestReceived
-from lentilwell._leaving import compare_marks, list_marks
 from lentilwell._messages import Digest, EngineUse
-from lentilwell._owners import DEAD_MS, SUSPECT_MS, is_live, silence_ms
-from lentilwell._records import replace
-from lentilwell._reducer import Step, handles
-from lentilwell._state import PeerView, State, Timer
-from lentilwell._timers import fires, schedule
+from lentilwell.decisions._leaving import compare_marks, list_marks
+from lentilwell.decisions._owners import DEAD_MS, SUSPECT_MS, is_live, silence_ms
+from lentilwell.reducer import (
+    DigestReceived,
+    PeerView,
+    SendDigest,
+    State,
+    Step,
+    Timer,
+    fires,
+    handles,
+    replace,
+    schedule,
+)
 
 DIGEST_INTERVAL_MS = 250
 MAXIMUM_USES = 2_048
--- a/src/lentilwell/_dispatch.py
+++ b/src/lentilwell/decisions/_dispatch.py
@@ -4,28 +4,36 @@
 
 from dataclasses import dataclass, field
 
-from lentilwell._backlogs import add_backlog
-from lentilwell._capacities import Capacity, find_capacity
-from lentilwell._effects import Effect
-from lentilwell._ending import end_request
-from lentilwell._estimates import (
+from lentilwell._failures import Failure, PromptTooLong, Unauthorized, UnknownModel
+from lentilwell._messages import Placement, Request
+from lentilwell.decisions._backlogs import add_backlog
+from lentilwell.decisions._ending import end_request
+from lentilwell.decisions._estimates import (
     estimate_cost_ms,
     estimate_prefill_ms,
     estimate_service_ms,
     length_class,
 )
-from lentilwell._failures import Failure, PromptTooLong, Unauthorized, UnknownModel
-from lentilwell._fairness import charge, put_back, take_team, unpark
-from lentilwell._grants import begin_attempt
-from lentilwell._messages import Placement, Request
-from lentilwell._order import note_start, rank_heads
-from lentilwell._placement import PLACEMENTS
-from lentilwell._priorities import find_priority, push_raise
-from lentilwell._queues import take_waiting, trim
-from lentilwell._records import replace
-from lentilwell._reducer import Step, follows
-from lentilwell._reservations import forget_reservation, is_large, reserve
-from lentilwell._state import Attempt, Scanned, State, Waiting, draw
+from lentilwell.decisions._fairness import charge, put_back, take_team, unpark
+from lentilwell.decisions._grants import begin_attempt
+from lentilwell.decisions._order import note_start, rank_heads
+from lentilwell.decisions._placement import PLACEMENTS
+from lentilwell.decisions._priorities import find_priority, push_raise
+from lentilwell.decisions._queues import take_waiting, trim
+from lentilwell.decisions._reservations import forget_reservation, is_large, reserve
+from lentilwell.reducer import (
+    Attempt,
+    Capacity,
+    Effect,
+    Scanned,
+    State,
+    Step,
+    Waiting,
+    draw,
+    find_capacity,
+    follows,
+    replace,
+)
 
 STARTS_PER_EVENT = 16
 FAILED_TEAMS_PER_EVENT = 4
--- a/src/lentilwell/_ending.py
+++ b/src/lentilwell/decisions/_ending.py
@@ -4,18 +4,23 @@
 
 from pyrsistent import pset
 
-from lentilwell._backlogs import remove_backlog, remove_hold
-from lentilwell._cancels import cancel_streams
-from lentilwell._effects import CancelAttempt, Effect, EndRequest
-from lentilwell._estimates import estimate_cost_ms, learn_decode, prefill_ms
 from lentilwell._failures import Failure
-from lentilwell._fairness import correct
-from lentilwell._queues import drop_waiting
-from lentilwell._records import replace
-from lentilwell._reducer import Step
-from lentilwell._removal import remove_engine
-from lentilwell._reservations import forget_reservation
-from lentilwell._state import Attempt, State
+from lentilwell.decisions._backlogs import remove_backlog, remove_hold
+from lentilwell.decisions._cancels import cancel_streams
+from lentilwell.decisions._estimates import estimate_cost_ms, learn_decode, prefill_ms
+from lentilwell.decisions._fairness import correct
+from lentilwell.decisions._queues import drop_waiting
+from lentilwell.decisions._reservations import forget_reservation
+from lentilwell.reducer import (
+    Attempt,
+    CancelAttempt,
+    Effect,
+    EndRequest,
+    State,
+    Step,
+    remove_engine,
+    replace,
+)
 
 
 def release(state: State, attempt_id: str, tokens: int | None = None) -> State:
--- a/src/lentilwell/_estimates.py
+++ b/src/lentilwell/decisions/_estimates.py
@@ -6,10 +6,8 @@
 
 from __future__ import annotations
 
-from lentilwell._capacities import Capacity, find_capacity
 from lentilwell._messages import Request
-from lentilwell._records import replace
-from lentilwell._state import Attempt, EnginePace, Pace, State
+from lentilwell.reducer import Attempt, Capacity, EnginePace, Pace, State, find_capacity, replace
 
 DEFAULT_PREFILL_TOKENS_PER_MS = 20.0
 DEFAULT_DECODE_MS_PER_TOKEN = 20.0
--- a/src/lentilwell/_fairness.py
+++ b/src/lentilwell/decisions/_fairness.py
@@ -10,8 +10,7 @@
 
 from __future__ import annotations
 
-from lentilwell._records import replace
-from lentilwell._state import State, TeamQueue
+from lentilwell.reducer import State, TeamQueue, replace
 
 BURST_MS = 1_000.0
 
--- a/src/lentilwell/_grants.py
+++ b/src/lentilwell/decisions/_grants.py
@@ -13,21 +13,36 @@
 
 from pyrsistent import PMap, pmap, pset
 
-from lentilwell._digests import DIGEST_INTERVAL_MS
-from lentilwell._effects import AnswerGrant, AskGrant, Effect, StartAttempt
-from lentilwell._ending import release
-from lentilwell._events import GrantAnswered, GrantAsked, GrantUnanswered
-from lentilwell._health import store_view
-from lentilwell._holds import hold_request
 from lentilwell._inventory import Engine
 from lentilwell._messages import GrantAnswer, GrantAsk
-from lentilwell._owners import find_owner, has_live_peers
-from lentilwell._queues import enqueue
-from lentilwell._records import replace
-from lentilwell._reducer import Step, handles
-from lentilwell._room import free_memory, is_long_reading
-from lentilwell._state import Attempt, EngineView, GivenGrant, PendingAsk, State, Timer, Waiting
-from lentilwell._timers import fires, schedule
+from lentilwell.decisions._digests import DIGEST_INTERVAL_MS
+from lentilwell.decisions._ending import release
+from lentilwell.decisions._health import store_view
+from lentilwell.decisions._holds import hold_request
+from lentilwell.decisions._owners import find_owner, has_live_peers
+from lentilwell.decisions._queues import enqueue
+from lentilwell.decisions._room import free_memory, is_long_reading
+from lentilwell.reducer import (
+    AnswerGrant,
+    AskGrant,
+    Attempt,
+    Effect,
+    EngineView,
+    GivenGrant,
+    GrantAnswered,
+    GrantAsked,
+    GrantUnanswered,
+    PendingAsk,
+    StartAttempt,
+    State,
+    Step,
+    Timer,
+    Waiting,
+    fires,
+    handles,
+    replace,
+    schedule,
+)
 
 ASK_PATIENCE_MS = 400
 STALE_ASK_MS = 1_000
--- a/src/lentilwell/_health.py
+++ b/src/lentilwell/decisions/_health.py
@@ -8,10 +8,7 @@
 
 from pyrsistent import pset
 
-from lentilwell._events import LoadUnreadable
-from lentilwell._records import replace
-from lentilwell._reducer import Step, handles
-from lentilwell._state import EngineView, State, draw
+from lentilwell.reducer import EngineView, LoadUnreadable, State, Step, draw, handles, replace
 
 EJECT_AFTER_FAILURES = 3
 EJECT_AFTER_UNREADABLE = 3
--- a/src/lentilwell/_holds.py
+++ b/src/lentilwell/decisions/_holds.py
@@ -4,10 +4,7 @@
 
 from dataclasses import dataclass
 
-from lentilwell._records import replace
-from lentilwell._reducer import Step
-from lentilwell._state import State, Timer, draw
-from lentilwell._timers import fires, schedule
+from lentilwell.reducer import State, Step, Timer, draw, fires, replace, schedule
 
 
 @dataclass(frozen=True)
--- a/src/lentilwell/_leaving.py
+++ b/src/lentilwell/decisions/_leaving.py
@@ -9,12 +9,9 @@
 
 from pyrsistent import pmap
 
-from lentilwell._events import MembersListed
-from lentilwell._health import store_view
 from lentilwell._messages import LeavingMark, LoadReport, Member, MemberKind
-from lentilwell._records import replace
-from lentilwell._reducer import Step, handles
-from lentilwell._state import OwnMark, State
+from lentilwell.decisions._health import store_view
+from lentilwell.reducer import MembersListed, OwnMark, State, Step, handles, replace
 
 RECENT_REPORT_MS = 5_000
 UNNAMED_MARK_MS = 10_000
--- a/src/lentilwell/_order.py
+++ b/src/lentilwell/decisions/_order.py
@@ -11,10 +11,9 @@
 
 from pyrsistent import PMap, pmap
 
-from lentilwell._estimates import estimate_service_ms, length_class
 from lentilwell._messages import Request
-from lentilwell._records import replace
-from lentilwell._state import State, TeamQueue, Waiting
+from lentilwell.decisions._estimates import estimate_service_ms, length_class
+from lentilwell.reducer import State, TeamQueue, Waiting, replace
 
 OrderPolicy = Callable[["Candidate"], float]
 ORDERS: dict[str, OrderPolicy] = {}
--- a/src/lentilwell/_orphans.py
+++ b/src/lentilwell/decisions/_orphans.py
@@ -11,14 +11,11 @@
 
 from pyrsistent import PMap, pmap
 
-from lentilwell._cancels import cancel_stream
-from lentilwell._digests import MAXIMUM_USES
-from lentilwell._effects import Effect
 from lentilwell._messages import LoadReport, StreamReport
-from lentilwell._owners import DEAD_MS, find_turn
-from lentilwell._records import replace
-from lentilwell._reducer import Step
-from lentilwell._state import State
+from lentilwell.decisions._cancels import cancel_stream
+from lentilwell.decisions._digests import MAXIMUM_USES
+from lentilwell.decisions._owners import DEAD_MS, find_turn
+from lentilwell.reducer import Effect, State, Step, replace
 
 OWN_GRACE_MS = 2_000
 DEAD_GRACE_MS = 5_000
--- a/src/lentilwell/_owners.py
+++ b/src/lentilwell/decisions/_owners.py
@@ -8,7 +8,7 @@
 
 import xxhash
 
-from lentilwell._state import PeerView, State
+from lentilwell.reducer import PeerView, State
 
 SUSPECT_MS = 1_000
 DEAD_MS = 5_000
--- a/src/lentilwell/_placement.py
+++ b/src/lentilwell/decisions/_placement.py
@@ -8,16 +8,21 @@
 
 from collections.abc import Callable, Iterator, Sequence
 
-from lentilwell._backlogs import sum_ahead
-from lentilwell._estimates import estimate_service_ms, prefill_ms
-from lentilwell._health import is_doubtful, is_usable
-from lentilwell._holds import is_held
 from lentilwell._messages import Placement, Request
-from lentilwell._prefixes import count_reused
-from lentilwell._reservations import may_use
-from lentilwell._room import count_others_backlog, count_streams, free_memory, is_long_reading
-from lentilwell._spans import find_span
-from lentilwell._state import EngineView, State, draw
+from lentilwell.decisions._backlogs import sum_ahead
+from lentilwell.decisions._estimates import estimate_service_ms, prefill_ms
+from lentilwell.decisions._health import is_doubtful, is_usable
+from lentilwell.decisions._holds import is_held
+from lentilwell.decisions._prefixes import count_reused
+from lentilwell.decisions._reservations import may_use
+from lentilwell.decisions._room import (
+    count_others_backlog,
+    count_streams,
+    free_memory,
+    is_long_reading,
+)
+from lentilwell.decisions._spans import find_span
+from lentilwell.reducer import EngineView, State, draw
 
 SAMPLE_ENGINES = 16
 LARGE_FLEET_SAMPLE = 8
--- a/src/lentilwell/_prefixes.py
+++ b/src/lentilwell/decisions/_prefixes.py
@@ -12,11 +12,8 @@
 
 from pyrsistent import PSet, pset
 
-from lentilwell._events import CacheChanged
 from lentilwell._messages import Request
-from lentilwell._records import replace
-from lentilwell._reducer import Step, handles
-from lentilwell._state import EngineCache, State
+from lentilwell.reducer import CacheChanged, EngineCache, State, Step, handles, replace
 
 MAXIMUM_BLOCKS = 4_096
 MAXIMUM_INDEXES = 64
--- a/src/lentilwell/_priorities.py
+++ b/src/lentilwell/decisions/_priorities.py
@@ -7,13 +7,9 @@
 
 from __future__ import annotations
 
-from lentilwell._effects import ChangePriority
-from lentilwell._estimates import estimate_service_ms, prefill_ms
-from lentilwell._heap import Heap
 from lentilwell._messages import Request
-from lentilwell._records import replace
-from lentilwell._reducer import Step, follows
-from lentilwell._state import Attempt, State
+from lentilwell.decisions._estimates import estimate_service_ms, prefill_ms
+from lentilwell.reducer import Attempt, ChangePriority, Heap, State, Step, follows, replace
 
 AGEING = 4
 SHORTEST_RAISE_MS = 250
--- a/src/lentilwell/_queues.py
+++ b/src/lentilwell/decisions/_queues.py
@@ -4,13 +4,11 @@
 
 from pyrsistent import pmap
 
-from lentilwell._backlogs import Totals, add_total
-from lentilwell._estimates import estimate_cost_ms, estimate_service_ms, length_class
-from lentilwell._fairness import join
-from lentilwell._fifo import Fifo, make_fifo
-from lentilwell._records import replace
-from lentilwell._reservations import forget_reservation
-from lentilwell._state import State, TeamQueue, Waiting
+from lentilwell.decisions._backlogs import Totals, add_total
+from lentilwell.decisions._estimates import estimate_cost_ms, estimate_service_ms, length_class
+from lentilwell.decisions._fairness import join
+from lentilwell.decisions._reservations import forget_reservation
+from lentilwell.reducer import Fifo, State, TeamQueue, Waiting, make_fifo, replace
 
 STALE_LIMIT = 64
 
--- a/src/lentilwell/_recovery.py
+++ b/src/lentilwell/decisions/_recovery.py
@@ -2,22 +2,30 @@
 
 from __future__ import annotations
 
-from lentilwell._backlogs import remove_backlog
-from lentilwell._cancels import cancel_streams
-from lentilwell._effects import ResumeAttempt
-from lentilwell._ending import end_request, release, stop_attempt
-from lentilwell._estimates import learn_prefill
-from lentilwell._events import AttemptFailed, AttemptFinished, FirstTokenSeen, ProgressSeen
 from lentilwell._failures import UpstreamFailed
-from lentilwell._health import note_failure, note_refusal, note_success
-from lentilwell._holds import hold_request
-from lentilwell._leaving import mark_leaving
 from lentilwell._messages import Cause
-from lentilwell._queues import enqueue
-from lentilwell._records import replace
-from lentilwell._reducer import Step, handles
-from lentilwell._retries import take_retry
-from lentilwell._state import Attempt, State, Waiting
+from lentilwell.decisions._backlogs import remove_backlog
+from lentilwell.decisions._cancels import cancel_streams
+from lentilwell.decisions._ending import end_request, release, stop_attempt
+from lentilwell.decisions._estimates import learn_prefill
+from lentilwell.decisions._health import note_failure, note_refusal, note_success
+from lentilwell.decisions._holds import hold_request
+from lentilwell.decisions._leaving import mark_leaving
+from lentilwell.decisions._queues import enqueue
+from lentilwell.decisions._retries import take_retry
+from lentilwell.reducer import (
+    Attempt,
+    AttemptFailed,
+    AttemptFinished,
+    FirstTokenSeen,
+    ProgressSeen,
+    ResumeAttempt,
+    State,
+    Step,
+    Waiting,
+    handles,
+    replace,
+)
 
 MAXIMUM_FAILURES = 3
 MAXIMUM_RESUMES = 2
--- a/src/lentilwell/_reports.py
+++ b/src/lentilwell/decisions/_reports.py
@@ -7,17 +7,13 @@
 
 from pyrsistent import pmap, pset
 
-from lentilwell._cancels import compare_cancels
-from lentilwell._effects import Effect
-from lentilwell._events import LoadReported
-from lentilwell._health import note_readable, store_view
-from lentilwell._leaving import compare_report
 from lentilwell._messages import LoadReport, StreamReport
-from lentilwell._orphans import watch_streams
-from lentilwell._records import replace
-from lentilwell._recovery import lose_attempt
-from lentilwell._reducer import Step, handles
-from lentilwell._state import EngineView, State
+from lentilwell.decisions._cancels import compare_cancels
+from lentilwell.decisions._health import note_readable, store_view
+from lentilwell.decisions._leaving import compare_report
+from lentilwell.decisions._orphans import watch_streams
+from lentilwell.decisions._recovery import lose_attempt
+from lentilwell.reducer import Effect, EngineView, LoadReported, State, Step, handles, replace
 
 PAST_INCARNATIONS = 4
 PAST_REPORTS = 3
--- a/src/lentilwell/_reservations.py
+++ b/src/lentilwell/decisions/_reservations.py
@@ -10,12 +10,10 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from lentilwell._backlogs import engine_wait_ms
-from lentilwell._capacities import Capacity
-from lentilwell._health import is_usable
 from lentilwell._messages import Placement, Request
-from lentilwell._records import replace
-from lentilwell._state import EngineView, Reservation, State, draw
+from lentilwell.decisions._backlogs import engine_wait_ms
+from lentilwell.decisions._health import is_usable
+from lentilwell.reducer import Capacity, EngineView, Reservation, State, draw, replace
 
 LARGE_DIVISOR = 4
 RESERVED_AT_ONCE = 8
--- a/src/lentilwell/_retries.py
+++ b/src/lentilwell/decisions/_retries.py
@@ -6,8 +6,7 @@
 
 from __future__ import annotations
 
-from lentilwell._records import replace
-from lentilwell._state import State, TeamQueue
+from lentilwell.reducer import State, TeamQueue, replace
 
 RETRY_PERCENTS = 100
 BURST_PERCENTS = 64 * RETRY_PERCENTS
--- a/src/lentilwell/_room.py
+++ b/src/lentilwell/decisions/_room.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from lentilwell._state import EngineView, State
+from lentilwell.reducer import EngineView, State
 
 LONG_READING_SHARE = 4
 
--- a/src/lentilwell/_spans.py
+++ b/src/lentilwell/decisions/_spans.py
@@ -8,12 +8,12 @@
 
 from collections.abc import Sequence
 
-from lentilwell._estimates import estimate_service_ms
-from lentilwell._health import is_doubtful, is_usable
 from lentilwell._messages import Placement, Request
-from lentilwell._reservations import may_use
-from lentilwell._room import count_streams, free_memory
-from lentilwell._state import EngineView, State, draw
+from lentilwell.decisions._estimates import estimate_service_ms
+from lentilwell.decisions._health import is_doubtful, is_usable
+from lentilwell.decisions._reservations import may_use
+from lentilwell.decisions._room import count_streams, free_memory
+from lentilwell.reducer import EngineView, State, draw
 
 SPAN_SAMPLE = 32
 LEAST_SHARE_TOKENS = 1_024
--- a/src/lentilwell/_ticks.py
+++ b/src/lentilwell/decisions/_ticks.py
@@ -2,12 +2,8 @@
 
 from __future__ import annotations
 
-from lentilwell._digests import send_digest
-from lentilwell._events import TickPassed
-from lentilwell._records import replace
-from lentilwell._reducer import Step, handles
-from lentilwell._state import State
-from lentilwell._timers import fire_due
+from lentilwell.decisions._digests import send_digest
+from lentilwell.reducer import State, Step, TickPassed, fire_due, handles, replace
 
 PAUSE_MS = 1_000
 
--- a/src/lentilwell/effects.py
+++ b/src/lentilwell/effects.py
@@ -1,6 +1,6 @@
 """The effects of the reducer, for programs that embed it."""
 
-from lentilwell._effects import (
+from lentilwell.reducer import (
     AnswerGrant,
     AskGrant,
     CancelAttempt,
--- a/src/lentilwell/events.py
+++ b/src/lentilwell/events.py
@@ -1,6 +1,6 @@
 """The events of the reducer, for programs that embed it."""
 
-from lentilwell._events import (
+from lentilwell.reducer import (
     AttemptFailed,
     AttemptFinished,
     CacheChanged,
--- a/src/lentilwell/_polling.py
+++ b/src/lentilwell/forwarding/_polling.py
@@ -8,11 +8,10 @@
 from result import Err
 
 from lentilwell._clock import Clock
-from lentilwell._core import Core
-from lentilwell._events import CacheChanged, LoadReported, LoadUnreadable
 from lentilwell._inventory import Engine
 from lentilwell._ports import EngineControl
-from lentilwell._prefixes import last_sequence
+from lentilwell.decisions import last_sequence
+from lentilwell.reducer import CacheChanged, Core, LoadReported, LoadUnreadable
 
 REPORT_INTERVAL_MS = 250
 CACHE_INTERVAL_MS = 500
--- a/src/lentilwell/_runners.py
+++ b/src/lentilwell/forwarding/_runners.py
@@ -9,23 +9,23 @@
 from result import Result
 
 from lentilwell._clock import Clock
-from lentilwell._core import Core
-from lentilwell._effects import (
+from lentilwell._inventory import Engine, Inventory
+from lentilwell._messages import Identity
+from lentilwell._ports import EngineControl, EngineUnreadable
+from lentilwell.adapters import OpenStream
+from lentilwell.forwarding._streams import Exchange
+from lentilwell.forwarding._transfer import StreamTarget, TransferLoop
+from lentilwell.reducer import (
     CancelAttempt,
+    CancelConfirmed,
     CancelStream,
     ChangePriority,
+    Core,
     EndRequest,
     ResumeAttempt,
     StartAttempt,
+    State,
 )
-from lentilwell._engines import OpenStream
-from lentilwell._events import CancelConfirmed
-from lentilwell._inventory import Engine, Inventory
-from lentilwell._messages import Identity
-from lentilwell._ports import EngineControl, EngineUnreadable
-from lentilwell._state import State
-from lentilwell._streams import Exchange
-from lentilwell._transfer import StreamTarget, TransferLoop
 
 
 @dataclass(frozen=True)
--- a/src/lentilwell/_transfer.py
+++ b/src/lentilwell/forwarding/_transfer.py
@@ -19,8 +19,12 @@
 from loguru import logger
 
 from lentilwell._clock import Clock
-from lentilwell._engines import OpenStream, StreamLine
-from lentilwell._events import (
+from lentilwell._failures import DeadlineExceeded, Failure
+from lentilwell._http import HttpCall, prepare
+from lentilwell._messages import Cause
+from lentilwell.adapters import OpenStream, StreamLine
+from lentilwell.forwarding._streams import BUFFER_LIMIT_BYTES, Exchange
+from lentilwell.reducer import (
     AttemptFailed,
     AttemptFinished,
     CallerGone,
@@ -28,10 +32,6 @@
     FirstTokenSeen,
     ProgressSeen,
 )
-from lentilwell._failures import DeadlineExceeded, Failure
-from lentilwell._http import HttpCall, prepare
-from lentilwell._messages import Cause
-from lentilwell._streams import BUFFER_LIMIT_BYTES, Exchange
 
 POLL_MS = 100
 STALL_LIMIT_MS = 3_000
--- a/src/lentilwell/_claims.py
+++ b/src/lentilwell/once_only/_claims.py
@@ -12,7 +12,17 @@
 from enum import Enum
 from typing import Any, TypeVar
 
-from lentilwell._claim_messages import (
+from lentilwell._failures import (
+    AlreadyRan,
+    AttemptNotRun,
+    Failure,
+    KeyReused,
+    NotRun,
+    NotRunKeyHeld,
+    OutcomePending,
+    OutcomeUnknown,
+)
+from lentilwell.once_only._messages import (
     Action,
     Answered,
     Began,
@@ -40,16 +50,6 @@
     WriteRow,
     WriteUnavailable,
 )
-from lentilwell._failures import (
-    AlreadyRan,
-    AttemptNotRun,
-    Failure,
-    KeyReused,
-    NotRun,
-    NotRunKeyHeld,
-    OutcomePending,
-    OutcomeUnknown,
-)
 
 PAUSE_LIMIT_MS = 1_000
 MAXIMUM_CLAIM_WRITES = 3
--- a/src/lentilwell/_claim_runner.py
+++ b/src/lentilwell/once_only/_runner.py
@@ -20,7 +20,13 @@
 from loguru import logger
 from result import Err, Ok, Result
 
-from lentilwell._claim_messages import (
+from lentilwell._clock import MS_PER_SECOND, Clock
+from lentilwell._errors import AnswerLost, PlatformFailure, VersionConflict
+from lentilwell._failures import AnswerUnavailable, AttemptNotRun, Failure
+from lentilwell._http import Guard, HttpAnswer, HttpFailure
+from lentilwell._ports import Platform, Row
+from lentilwell.once_only._claims import step
+from lentilwell.once_only._messages import (
     Action,
     Answered,
     Began,
@@ -50,12 +56,6 @@
     WriteRow,
     WriteUnavailable,
 )
-from lentilwell._claims import step
-from lentilwell._clock import MS_PER_SECOND, Clock
-from lentilwell._errors import AnswerLost, PlatformFailure, VersionConflict
-from lentilwell._failures import AnswerUnavailable, AttemptNotRun, Failure
-from lentilwell._http import Guard, HttpAnswer, HttpFailure
-from lentilwell._ports import Platform, Row
 
 CLAIM_PREFIX = "claims."
 INLINE_ANSWER_BYTES = 4_096
--- a/src/lentilwell/_peer_link.py
+++ b/src/lentilwell/peers/_link.py
@@ -17,7 +17,8 @@
 
 from lentilwell._clock import MS_PER_SECOND
 from lentilwell._messages import Identity
-from lentilwell._peer_auth import (
+from lentilwell._wire import Exchange, ttypes
+from lentilwell.peers._auth import (
     AuthenticationError,
     Channel,
     Handshake,
@@ -25,7 +26,7 @@
     make_nonce,
     open_channels,
 )
-from lentilwell._peer_codec import (
+from lentilwell.peers._codec import (
     MAXIMUM_FRAME_BYTES,
     PROTOCOLS,
     decode,
@@ -33,7 +34,6 @@
     encode,
     encode_identity,
 )
-from lentilwell._wire import Exchange, ttypes
 
 CALL_TIMEOUT_MS = 1_000
 HEARTBEAT_INTERVAL_MS = 1_000
--- a/src/lentilwell/_membership.py
+++ b/src/lentilwell/peers/_membership.py
@@ -7,9 +7,9 @@
 import xxhash
 
 from lentilwell._clock import Clock
-from lentilwell._events import Event, MembersListed
 from lentilwell._messages import Identity, Member, MemberKind
 from lentilwell._ports import Platform
+from lentilwell.reducer import Event, MembersListed
 
 MEMBERS_INTERVAL_MS = 1_000
 MAXIMUM_PEERS = 32
--- a/src/lentilwell/_peers.py
+++ b/src/lentilwell/peers/_network.py
@@ -8,14 +8,13 @@
 from threading import Lock
 from typing import Any
 
-from lentilwell._byte_budget import ByteBudget
 from lentilwell._clock import Clock
-from lentilwell._core import Core
-from lentilwell._effects import AnswerGrant, AskGrant, SendDigest
-from lentilwell._events import DigestReceived, Event, GrantAnswered, GrantAsked, GrantUnanswered
-from lentilwell._membership import MAXIMUM_PEERS, select_peers
 from lentilwell._messages import Digest, GrantAnswer, GrantAsk, Identity, Member
-from lentilwell._peer_codec import (
+from lentilwell._ports import Peers
+from lentilwell._wire import ttypes
+from lentilwell.configuration import PeersSettings
+from lentilwell.peers._byte_budget import ByteBudget
+from lentilwell.peers._codec import (
     decode_answer,
     decode_ask,
     decode_digest,
@@ -24,12 +23,21 @@
     encode_ask,
     encode_digest,
 )
-from lentilwell._peer_link import PeerLink, PeerUnreachable
-from lentilwell._peer_server import Caller, PeerServer
-from lentilwell._ports import Peers
-from lentilwell._settings import PeersSettings
-from lentilwell._state import State
-from lentilwell._wire import ttypes
+from lentilwell.peers._link import PeerLink, PeerUnreachable
+from lentilwell.peers._membership import MAXIMUM_PEERS, select_peers
+from lentilwell.peers._server import Caller, PeerServer
+from lentilwell.reducer import (
+    AnswerGrant,
+    AskGrant,
+    Core,
+    DigestReceived,
+    Event,
+    GrantAnswered,
+    GrantAsked,
+    GrantUnanswered,
+    SendDigest,
+    State,
+)
 
 DIGEST_BYTES_PER_SECOND = 10_000
 ANSWER_TIMEOUT_MS = 2_000
--- a/src/lentilwell/_peer_server.py
+++ b/src/lentilwell/peers/_server.py
@@ -15,7 +15,8 @@
 
 from lentilwell._clock import MS_PER_SECOND, Clock
 from lentilwell._messages import Identity
-from lentilwell._peer_auth import (
+from lentilwell._wire import Exchange, ttypes
+from lentilwell.peers._auth import (
     Channel,
     Handshake,
     check_handshake,
@@ -23,7 +24,7 @@
     open_channels,
     prove_server,
 )
-from lentilwell._peer_codec import (
+from lentilwell.peers._codec import (
     MAXIMUM_FRAME_BYTES,
     PROTOCOLS,
     decode,
@@ -31,7 +32,6 @@
     encode,
     encode_identity,
 )
-from lentilwell._wire import Exchange, ttypes
 
 MAXIMUM_CONNECTIONS = 96
 GREETING_TIMEOUT_MS = 2_000
--- /dev/null
+++ b/src/lentilwell/reducer/__init__.py
@@ -0,0 +1,138 @@
+"""The reducer: the state of an entry instance, and the worker that folds events into it.
+
+Here belong the state, the events and effects as frozen data, the structures that hold them, and
+what runs or shows them. What follows from an event is decided elsewhere, by handlers that register
+here.
+"""
+
+from lentilwell.reducer._capacities import Capacity, find_capacity, measure_capacities
+from lentilwell.reducer._core import Core
+from lentilwell.reducer._dump import dump_state
+from lentilwell.reducer._effects import (
+    AnswerGrant,
+    AskGrant,
+    CancelAttempt,
+    CancelStream,
+    ChangePriority,
+    Effect,
+    EndRequest,
+    OrderEngine,
+    ResumeAttempt,
+    SendDigest,
+    StartAttempt,
+)
+from lentilwell.reducer._events import (
+    AttemptFailed,
+    AttemptFinished,
+    CacheChanged,
+    CallerGone,
+    CancelConfirmed,
+    DigestReceived,
+    DrainStarted,
+    Event,
+    FirstTokenSeen,
+    GrantAnswered,
+    GrantAsked,
+    GrantUnanswered,
+    InventoryAccepted,
+    LoadReported,
+    LoadUnreadable,
+    MembersListed,
+    ProgressSeen,
+    RequestArrived,
+    TickPassed,
+)
+from lentilwell.reducer._fifo import Fifo, make_fifo
+from lentilwell.reducer._heap import Heap
+from lentilwell.reducer._inventory_index import index_inventory
+from lentilwell.reducer._records import replace
+from lentilwell.reducer._reducer import Step, follows, handles, reduce
+from lentilwell.reducer._removal import remove_engine
+from lentilwell.reducer._state import (
+    Attempt,
+    EngineCache,
+    EnginePace,
+    EngineView,
+    GivenGrant,
+    OwnMark,
+    Pace,
+    PeerView,
+    PendingAsk,
+    PendingCancel,
+    Reservation,
+    Scanned,
+    State,
+    TeamQueue,
+    Timer,
+    Waiting,
+    draw,
+)
+from lentilwell.reducer._timers import fire_due, fires, schedule
+
+__all__ = [
+    "AnswerGrant",
+    "AskGrant",
+    "Attempt",
+    "AttemptFailed",
+    "AttemptFinished",
+    "CacheChanged",
+    "CallerGone",
+    "CancelAttempt",
+    "CancelConfirmed",
+    "CancelStream",
+    "Capacity",
+    "ChangePriority",
+    "Core",
+    "DigestReceived",
+    "DrainStarted",
+    "Effect",
+    "EndRequest",
+    "EngineCache",
+    "EnginePace",
+    "EngineView",
+    "Event",
+    "Fifo",
+    "FirstTokenSeen",
+    "GivenGrant",
+    "GrantAnswered",
+    "GrantAsked",
+    "GrantUnanswered",
+    "Heap",
+    "InventoryAccepted",
+    "LoadReported",
+    "LoadUnreadable",
+    "MembersListed",
+    "OrderEngine",
+    "OwnMark",
+    "Pace",
+    "PeerView",
+    "PendingAsk",
+    "PendingCancel",
+    "ProgressSeen",
+    "RequestArrived",
+    "Reservation",
+    "ResumeAttempt",
+    "Scanned",
+    "SendDigest",
+    "StartAttempt",
+    "State",
+    "Step",
+    "TeamQueue",
+    "TickPassed",
+    "Timer",
+    "Waiting",
+    "draw",
+    "dump_state",
+    "find_capacity",
+    "fire_due",
+    "fires",
+    "follows",
+    "handles",
+    "index_inventory",
+    "make_fifo",
+    "measure_capacities",
+    "reduce",
+    "remove_engine",
+    "replace",
+    "schedule",
+]
--- a/src/lentilwell/_core.py
+++ b/src/lentilwell/reducer/_core.py
@@ -8,10 +8,10 @@
 
 from loguru import logger
 
-from lentilwell._effects import Effect
-from lentilwell._events import Event
-from lentilwell._reducer import reduce
-from lentilwell._state import State
+from lentilwell.reducer._effects import Effect
+from lentilwell.reducer._events import Event
+from lentilwell.reducer._reducer import reduce
+from lentilwell.reducer._state import State
 
 _EffectT = TypeVar("_EffectT", bound=Effect)
 Runner = Callable[[State, Any], None]
--- a/src/lentilwell/_dump.py
+++ b/src/lentilwell/reducer/_dump.py
@@ -9,9 +9,9 @@
 
 from pyrsistent import PMap, PSet, PVector
 
-from lentilwell._fifo import Fifo
-from lentilwell._heap import Heap
-from lentilwell._state import State
+from lentilwell.reducer._fifo import Fifo
+from lentilwell.reducer._heap import Heap
+from lentilwell.reducer._state import State
 
 _HIDDEN = frozenset(("key_digests", "prefix", "random", "scanned"))
 
--- a/src/lentilwell/_inventory_index.py
+++ b/src/lentilwell/reducer/_inventory_index.py
@@ -7,11 +7,11 @@
 
 from pyrsistent import PMap, PVector, pmap, pvector
 
-from lentilwell._events import InventoryAccepted
 from lentilwell._inventory import Engine, Inventory
-from lentilwell._records import replace
-from lentilwell._removal import remove_engine
-from lentilwell._state import EngineView, State
+from lentilwell.reducer._events import InventoryAccepted
+from lentilwell.reducer._records import replace
+from lentilwell.reducer._removal import remove_engine
+from lentilwell.reducer._state import EngineView, State
 
 _KeyT = TypeVar("_KeyT")
 
--- a/src/lentilwell/_reducer.py
+++ b/src/lentilwell/reducer/_reducer.py
@@ -9,10 +9,10 @@
 from collections.abc import Callable
 from typing import Any, TypeVar
 
-from lentilwell._effects import Effect
-from lentilwell._events import Event
-from lentilwell._records import replace
-from lentilwell._state import State
+from lentilwell.reducer._effects import Effect
+from lentilwell.reducer._events import Event
+from lentilwell.reducer._records import replace
+from lentilwell.reducer._state import State
 
 Step = tuple[State, tuple[Effect, ...]]
 _EventT = TypeVar("_EventT", bound=Event)
--- a/src/lentilwell/_removal.py
+++ b/src/lentilwell/reducer/_removal.py
@@ -4,8 +4,8 @@
 
 from pyrsistent import pset
 
-from lentilwell._records import replace
-from lentilwell._state import State
+from lentilwell.reducer._records import replace
+from lentilwell.reducer._state import State
 
 
 def remove_engine(state: State, name: str) -> State:
--- a/src/lentilwell/_sessions.py
+++ b/src/lentilwell/reducer/_sessions.py
@@ -10,13 +10,13 @@
 from dataclasses import dataclass, fields, is_dataclass
 from enum import Enum
 
-from lentilwell._effects import Effect
-from lentilwell._events import Event
 from lentilwell._failures import Failure
 from lentilwell._inventory import Inventory
 from lentilwell._messages import LoadReport, Placement, Request
-from lentilwell._reducer import reduce
-from lentilwell._state import State
+from lentilwell.reducer._effects import Effect
+from lentilwell.reducer._events import Event
+from lentilwell.reducer._reducer import reduce
+from lentilwell.reducer._state import State
 
 
 @dataclass(frozen=True)
--- a/src/lentilwell/_state.py
+++ b/src/lentilwell/reducer/_state.py
@@ -6,9 +6,6 @@
 
 from pyrsistent import PMap, PSet, PVector, pmap, pset
 
-from lentilwell._capacities import Capacities
-from lentilwell._fifo import Fifo
-from lentilwell._heap import Heap
 from lentilwell._inventory import Engine, Inventory
 from lentilwell._messages import (
     Digest,
@@ -19,6 +16,9 @@
     Placement,
     Request,
 )
+from lentilwell.reducer._capacities import Capacities
+from lentilwell.reducer._fifo import Fifo
+from lentilwell.reducer._heap import Heap
 
 _MASK_64 = (1 << 64) - 1
 _GOLDEN_GAMMA = 0x9E3779B97F4A7C15
--- a/src/lentilwell/_timers.py
+++ b/src/lentilwell/reducer/_timers.py
@@ -11,10 +11,10 @@
 
 from pyrsistent import pvector
 
-from lentilwell._effects import Effect
-from lentilwell._records import replace
-from lentilwell._reducer import Step
-from lentilwell._state import State, Timer
+from lentilwell.reducer._effects import Effect
+from lentilwell.reducer._records import replace
+from lentilwell.reducer._reducer import Step
+from lentilwell.reducer._state import State, Timer
 
 TIMER_BUCKET_MS = 50
 
--- a/src/lentilwell/_application.py
+++ b/src/lentilwell/shell/_application.py
@@ -12,41 +12,47 @@
 
 from loguru import logger
 
-from lentilwell._callers import CallersApp, CallersContext
-from lentilwell._cancels import has_open_cancels
-from lentilwell._claim_runner import ClaimRunner
 from lentilwell._clock import Clock, SystemClock
-from lentilwell._configuration import (
+from lentilwell._failures import NotReady
+from lentilwell._messages import Identity
+from lentilwell.adapters import DIALECTS, HttpEngineControl
+from lentilwell.callers import (
+    CallersApp,
+    CallersContext,
+    CallSlots,
+    InstanceChooser,
+    OperatorsApp,
+    OperatorsContext,
+    PooledServer,
+    ServiceGateway,
+)
+from lentilwell.configuration import (
     CONFIGURATION_INTERVAL_MS,
     ConfigurationFollower,
     PeerSource,
+    Settings,
 )
-from lentilwell._core import Core
-from lentilwell._dump import dump_state
-from lentilwell._engines import HttpEngineControl
-from lentilwell._events import DrainStarted, TickPassed
-from lentilwell._failures import NotReady
-from lentilwell._leaving import is_leaving
-from lentilwell._membership import MEMBERS_INTERVAL_MS, MembersPoller
-from lentilwell._messages import Identity
-from lentilwell._metrics import OUTCOME_CALLER_GONE, OUTCOME_WHOLE, Counts, Metrics
-from lentilwell._operators import OperatorsApp, OperatorsContext
-from lentilwell._peers import (
+from lentilwell.decisions import has_open_cancels, is_leaving
+from lentilwell.forwarding import (
+    CACHE_INTERVAL_MS,
+    REPORT_INTERVAL_MS,
+    EnginePoller,
+    Exchange,
+    RunnerContext,
+    TransferLoop,
+    register_runners,
+)
+from lentilwell.once_only import ClaimRunner
+from lentilwell.peers import (
+    MEMBERS_INTERVAL_MS,
     REFRESH_INTERVAL_MS,
+    MembersPoller,
     PeerNetwork,
     PeersContext,
     register_peer_runners,
 )
-from lentilwell._platform import DIALECTS
-from lentilwell._polling import CACHE_INTERVAL_MS, REPORT_INTERVAL_MS, EnginePoller
-from lentilwell._runners import RunnerContext, register_runners
-from lentilwell._server import PooledServer
-from lentilwell._service_instances import CallSlots, InstanceChooser
-from lentilwell._services import ServiceGateway
-from lentilwell._settings import Settings
-from lentilwell._state import State
-from lentilwell._streams import Exchange
-from lentilwell._transfer import TransferLoop
+from lentilwell.reducer import Core, DrainStarted, State, TickPassed, dump_state
+from lentilwell.shell._metrics import OUTCOME_CALLER_GONE, OUTCOME_WHOLE, Counts, Metrics
 
 TICK_MS = 50
 CLAIM_RETRY_INTERVAL_MS = 250
--- a/src/lentilwell/_metrics.py
+++ b/src/lentilwell/shell/_metrics.py
@@ -13,9 +13,9 @@
 from prometheus_client.registry import Collector
 
 from lentilwell._clock import MS_PER_SECOND
-from lentilwell._estimates import length_class
 from lentilwell._messages import Request
-from lentilwell._state import State
+from lentilwell.decisions import length_class
+from lentilwell.reducer import State
 
 FIRST_TOKEN_BUCKETS_S = (0.05, 0.1, 0.2, 0.42, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 300.0)
 REQUEST_BUCKETS_S = (0.1, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 300.0, 1_800.0)
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -18,10 +18,8 @@
 from pathlib import Path
 
 from lentilwell._clock import MS_PER_SECOND
-from lentilwell._configuration_editor import ConfigurationEditor
-from lentilwell._documents import parse_document
-from lentilwell._platform import HttpPlatform
-from lentilwell._settings import PlatformSettings
+from lentilwell.adapters._platform import HttpPlatform
+from lentilwell.configuration import ConfigurationEditor, PlatformSettings, parse_document
 
 STOP_PATIENCE_S = 20
 READY_PATIENCE_S = 20
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -9,9 +9,9 @@
 from pyrsistent import pmap
 
 from lentilwell import Identity, Request, State, reduce
-from lentilwell import _events as ev
 from lentilwell._inventory import Engine, Inventory, Model, Team
 from lentilwell._messages import Cause, LoadReport, StreamReport
+from lentilwell.reducer import _events as ev
 
 MEMORY = 100_000
 SLOTS = 6
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -6,18 +6,19 @@
 from pyrsistent import pmap
 
 from lentilwell import Identity, Request, State, reduce
-from lentilwell._effects import EndRequest, StartAttempt
-from lentilwell._estimates import estimate_service_ms
-from lentilwell._events import (
+from lentilwell._failures import Overloaded, PromptTooLong, UnknownModel
+from lentilwell._inventory import Engine, Inventory, Model, Team
+from lentilwell.decisions._estimates import estimate_service_ms
+from lentilwell.decisions._retries import take_retry
+from lentilwell.reducer import (
     AttemptFinished,
+    EndRequest,
     FirstTokenSeen,
     InventoryAccepted,
     RequestArrived,
+    StartAttempt,
     TickPassed,
 )
-from lentilwell._failures import Overloaded, PromptTooLong, UnknownModel
-from lentilwell._inventory import Engine, Inventory, Model, Team
-from lentilwell._retries import take_retry
 
 MEMORY = 400_000
 ANY_ENGINE = Team("t", 1, ())
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -10,12 +10,12 @@
 from pyrsistent import pmap
 
 from lentilwell import SystemClock
-from lentilwell._callers import CallersApp, CallersContext, hash_prefix
-from lentilwell._events import RequestArrived
 from lentilwell._inventory import Engine, Inventory, Model, Team
-from lentilwell._server import PooledServer
-from lentilwell._settings import CallersSettings
-from lentilwell._team_keys import TeamKeys
+from lentilwell.callers import CallersApp, CallersContext, PooledServer
+from lentilwell.callers._completions import hash_prefix
+from lentilwell.callers._team_keys import TeamKeys
+from lentilwell.configuration import CallersSettings
+from lentilwell.reducer import RequestArrived
 
 KEY = "secret-key-of-team"
 GOOD = {"model": "m", "prompt": "hello", "max_tokens": 4}
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -7,8 +7,6 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from lentilwell import _claim_messages as m
-from lentilwell import _claims as c
 from lentilwell._failures import (
     AlreadyRan,
     AttemptNotRun,
@@ -18,6 +16,8 @@
     OutcomePending,
     OutcomeUnknown,
 )
+from lentilwell.once_only import _claims as c
+from lentilwell.once_only import _messages as m
 from tests.searching import bound_search
 
 KEYS = ("refund-1", "refund-2")
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -11,9 +11,9 @@
 
 from lentilwell import _failures
 from lentilwell._inventory import Rules
-from lentilwell._metrics import Counts, Metrics
-from lentilwell._settings import Settings
-from lentilwell._state import State
+from lentilwell.configuration import Settings
+from lentilwell.reducer import State
+from lentilwell.shell._metrics import Counts, Metrics
 
 ROOT = Path(__file__).parent.parent
 OPERATING = (ROOT / "docs/OPERATING.md").read_text()
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -8,17 +8,10 @@
 from hypothesis import strategies as st
 
 from lentilwell import Identity, State, reduce
-from lentilwell._documents import (
-    KINDS,
-    Section,
-    apply_sections,
-    parse_document,
-    read_document,
-    render_document,
-)
-from lentilwell._events import InventoryAccepted
 from lentilwell._inventory import Inventory
-from lentilwell._problems import (
+from lentilwell.configuration import parse_document, render_document
+from lentilwell.configuration._documents import KINDS, Section, apply_sections, read_document
+from lentilwell.configuration._problems import (
     BadFlag,
     BadKeyDigest,
     BadNumber,
@@ -36,6 +29,7 @@
     UnknownPolicy,
     UnknownSection,
 )
+from lentilwell.reducer import InventoryAccepted
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 KEY = "0" * 63
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,7 +4,7 @@
 from hypothesis import HealthCheck
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
-from lentilwell import _events as ev
+from lentilwell.reducer import _events as ev
 from tests.fleet import CENTRES, HOMES, MEMORY, Fleet, Stream
 from tests.searching import bound_search
 
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -5,10 +5,10 @@
 import pytest
 
 from lentilwell import Identity
-from lentilwell import _effects as fx
-from lentilwell import _events as ev
 from lentilwell._messages import EngineUse, GrantAnswer, GrantAsk
-from lentilwell._owners import find_owner
+from lentilwell.decisions._owners import find_owner
+from lentilwell.reducer import _effects as fx
+from lentilwell.reducer import _events as ev
 from tests.fleet import MEMORY, make_inventory
 from tests.test_recovery import PEER, Session, find
 
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -8,21 +8,22 @@
 from pyrsistent import pmap
 
 from lentilwell import Identity, Request, State, reduce
-from lentilwell._effects import ChangePriority, StartAttempt
-from lentilwell._events import (
+from lentilwell._inventory import Engine, Inventory, Model, Rules, Team
+from lentilwell._messages import LoadReport, StreamReport
+from lentilwell.decisions._fairness import correct, take_team, unpark
+from lentilwell.reducer import (
     AttemptFinished,
     CallerGone,
+    ChangePriority,
     FirstTokenSeen,
+    Heap,
     InventoryAccepted,
     LoadReported,
     RequestArrived,
+    StartAttempt,
     TickPassed,
+    make_fifo,
 )
-from lentilwell._fairness import correct, take_team, unpark
-from lentilwell._fifo import make_fifo
-from lentilwell._heap import Heap
-from lentilwell._inventory import Engine, Inventory, Model, Rules, Team
-from lentilwell._messages import LoadReport, StreamReport
 
 MEMORY = 400_000
 FOREVER_MS = 1_000_000_000
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -15,9 +15,6 @@
 from thrift.transport.TTransport import TFramedTransport, TTransportException
 
 from lentilwell import ManualClock, SystemClock
-from lentilwell._byte_budget import ByteBudget
-from lentilwell._events import DigestReceived, GrantAnswered, GrantAsked, GrantUnanswered
-from lentilwell._membership import select_peers
 from lentilwell._messages import (
     Digest,
     EngineUse,
@@ -28,8 +25,12 @@
     Member,
     MemberKind,
 )
-from lentilwell._peer_auth import AuthenticationError, Handshake, open_channels
-from lentilwell._peer_codec import (
+from lentilwell._wire import Exchange, ttypes
+from lentilwell.configuration import PeersSettings
+from lentilwell.peers import PeerNetwork, PeersContext
+from lentilwell.peers._auth import AuthenticationError, Handshake, open_channels
+from lentilwell.peers._byte_budget import ByteBudget
+from lentilwell.peers._codec import (
     PROTOCOLS,
     MessageError,
     decode,
@@ -37,10 +38,9 @@
     encode_digest,
     encode_identity,
 )
-from lentilwell._peer_link import _Session
-from lentilwell._peers import PeerNetwork, PeersContext
-from lentilwell._settings import PeersSettings
-from lentilwell._wire import Exchange, ttypes
+from lentilwell.peers._link import _Session
+from lentilwell.peers._membership import select_peers
+from lentilwell.reducer import DigestReceived, GrantAnswered, GrantAsked, GrantUnanswered
 
 PATIENCE_S = 10
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -6,10 +6,11 @@
 import pytest
 
 from lentilwell import Identity, Request, State, reduce
-from lentilwell import _events as ev
 from lentilwell._messages import CacheEvent, Digest, EngineUse, LoadReport
-from lentilwell._placement import PLACEMENTS, sample_engines
-from lentilwell._prefixes import MAXIMUM_BLOCKS, count_reused, last_sequence
+from lentilwell.decisions import PLACEMENTS, last_sequence
+from lentilwell.decisions._placement import sample_engines
+from lentilwell.decisions._prefixes import MAXIMUM_BLOCKS, count_reused
+from lentilwell.reducer import _events as ev
 from tests.fleet import MEMORY, SLOTS, make_inventory
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,9 +8,9 @@
 from result import Err, Ok
 
 from lentilwell._errors import AnswerLost, NotFound, Unavailable, VersionConflict
-from lentilwell._platform import HttpPlatform
 from lentilwell._ports import Row
-from lentilwell._settings import PlatformSettings
+from lentilwell.adapters._platform import HttpPlatform
+from lentilwell.configuration import PlatformSettings
 from standins.deployment import call
 from standins.platform import Store, add_routes
 from standins.web import Server
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -6,9 +6,6 @@
 import pytest
 
 from lentilwell import Identity, Request, State, reduce
-from lentilwell import _effects as fx
-from lentilwell import _events as ev
-from lentilwell._cancels import has_open_cancels
 from lentilwell._failures import UpstreamFailed
 from lentilwell._messages import (
     Cause,
@@ -20,6 +17,9 @@
     MemberKind,
     StreamReport,
 )
+from lentilwell.decisions import has_open_cancels
+from lentilwell.reducer import _effects as fx
+from lentilwell.reducer import _events as ev
 from tests.fleet import MEMORY, SLOTS, make_inventory
 
 HOME = Identity("a", "1", "north")
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -3,18 +3,22 @@
 from pyrsistent import pmap
 
 from lentilwell import Identity, Request, State, reduce
-from lentilwell._effects import CancelAttempt, CancelStream, EndRequest, ResumeAttempt, StartAttempt
-from lentilwell._events import (
+from lentilwell._failures import DeadlineExceeded
+from lentilwell._inventory import Engine, Inventory, Model, Team
+from lentilwell._messages import Cause
+from lentilwell.reducer import (
     AttemptFailed,
     AttemptFinished,
+    CancelAttempt,
+    CancelStream,
+    EndRequest,
     FirstTokenSeen,
     InventoryAccepted,
     RequestArrived,
+    ResumeAttempt,
+    StartAttempt,
     TickPassed,
 )
-from lentilwell._failures import DeadlineExceeded
-from lentilwell._inventory import Engine, Inventory, Model, Team
-from lentilwell._messages import Cause
 
 
 def make_inventory(engines=2, memory_tokens=400_000):
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -13,17 +13,6 @@
 from result import Err, Ok
 
 from lentilwell import ManualClock, SystemClock
-from lentilwell import _cli_keys as keys
-from lentilwell._callers import CallersApp, CallersContext
-from lentilwell._claim_messages import ClaimStatus
-from lentilwell._claim_runner import (
-    CLAIM_PREFIX,
-    ClaimedCall,
-    ClaimRunner,
-    decode_row,
-    name_row,
-)
-from lentilwell._claims import PAUSE_LIMIT_MS, SETTLE_MARGIN_MS, Settlement
 from lentilwell._errors import (
     AnswerLost,
     ConflictError,
@@ -37,11 +26,28 @@
 from lentilwell._http import HttpAnswer, HttpFailure
 from lentilwell._inventory import Inventory, Route, Service, Team
 from lentilwell._ports import Row
-from lentilwell._server import PooledServer
-from lentilwell._service_instances import CallSlots, InstanceChooser
-from lentilwell._service_routes import find_route
-from lentilwell._services import ServiceGateway
-from lentilwell._settings import CallersSettings
+from lentilwell.callers import (
+    CallersApp,
+    CallersContext,
+    CallSlots,
+    InstanceChooser,
+    PooledServer,
+    ServiceGateway,
+)
+from lentilwell.callers._service_routes import find_route
+from lentilwell.cli import _keys as keys
+from lentilwell.configuration import CallersSettings
+from lentilwell.once_only import (
+    CLAIM_PREFIX,
+    SETTLE_MARGIN_MS,
+    ClaimedCall,
+    ClaimRunner,
+    Settlement,
+    decode_row,
+    name_row,
+)
+from lentilwell.once_only._claims import PAUSE_LIMIT_MS
+from lentilwell.once_only._messages import ClaimStatus
 
 KEY = "team-key"
 WORKERS = 8
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -18,24 +18,27 @@
 from pyrsistent import pmap
 
 from lentilwell import Identity, Request, State, reduce
-from lentilwell._effects import ChangePriority, EndRequest, StartAttempt
-from lentilwell._events import (
+from lentilwell._inventory import Engine, Inventory, Model, Rules, Team
+from lentilwell._messages import Cause, LoadReport, StreamReport
+from lentilwell.decisions import ORDERS
+from lentilwell.reducer import (
     AttemptFailed,
     AttemptFinished,
     CallerGone,
+    ChangePriority,
     DrainStarted,
+    EndRequest,
+    EnginePace,
     FirstTokenSeen,
     InventoryAccepted,
     LoadReported,
+    Pace,
     ProgressSeen,
     RequestArrived,
+    StartAttempt,
     TickPassed,
 )
-from lentilwell._inventory import Engine, Inventory, Model, Rules, Team
-from lentilwell._messages import Cause, LoadReport, StreamReport
-from lentilwell._order import ORDERS
-from lentilwell._sessions import Session
-from lentilwell._state import EnginePace, Pace
+from lentilwell.reducer._sessions import Session
 from tests.searching import bound_search
 
 TICK_MS = 50
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lentilwell._settings import SettingsError, parse_settings
+from lentilwell.configuration._settings import SettingsError, parse_settings
 
 GOOD = {
     "instance": {"name": "entry-1", "data_centre": "luzon-a"},
--- a/tests/test_transfer.py
+++ b/tests/test_transfer.py
@@ -9,18 +9,19 @@
 import pytest
 
 from lentilwell import Request, SystemClock
-from lentilwell._engines import OpenStream
-from lentilwell._events import (
+from lentilwell._failures import DeadlineExceeded
+from lentilwell._messages import Cause
+from lentilwell.adapters import OpenStream
+from lentilwell.forwarding import AnswerForm, Exchange, StreamedForm, TransferLoop
+from lentilwell.forwarding._streams import BUFFER_LIMIT_BYTES
+from lentilwell.forwarding._transfer import StreamTarget
+from lentilwell.reducer import (
     AttemptFailed,
     AttemptFinished,
     CallerGone,
     FirstTokenSeen,
     ProgressSeen,
 )
-from lentilwell._failures import DeadlineExceeded
-from lentilwell._messages import Cause
-from lentilwell._streams import BUFFER_LIMIT_BYTES, AnswerForm, Exchange, StreamedForm
-from lentilwell._transfer import StreamTarget, TransferLoop
 
 WAIT_S = 20
 HEAD = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -8,10 +8,7 @@
 from pyrsistent import pmap
 from result import Err, Ok
 
-from lentilwell import ManualClock, _versions
-from lentilwell._configuration import ConfigurationFollower, PeerSource
-from lentilwell._configuration_editor import ConfigurationEditor
-from lentilwell._documents import Section
+from lentilwell import ManualClock
 from lentilwell._errors import (
     AnswerLost,
     ConflictError,
@@ -22,7 +19,14 @@
     VersionConflict,
 )
 from lentilwell._ports import Platform, Row
-from lentilwell._versions import HEAD_KEY, ChainError, Delta, Head, decode_head, load
+from lentilwell.configuration import (
+    ConfigurationEditor,
+    ConfigurationFollower,
+    PeerSource,
+    _versions,
+)
+from lentilwell.configuration._documents import Section
+from lentilwell.configuration._versions import HEAD_KEY, ChainError, Delta, Head, decode_head, load
 from tests.searching import bound_search
 
 NAMES = ("a", "b", "c")
