Import the library of the entry instance only where it is used

Cause: importing lentilwell.gateway ran lentilwell/__init__, which loaded the reducer, its decisions, pyrsistent and msgspec, none of which a gateway uses; every start and restart on the platform paid. Ruled out: moving the gateway out of the package, since it shares clock, logs and wire messages. Change: the library's names live in _library and are imported on first use.

--- a/src/lentilwell/__init__.py
+++ b/src/lentilwell/__init__.py
@@ -1,45 +1,20 @@
-"""A serving layer for prompts of very unlike lengths, and its parts as a library."""
+"""A serving layer for prompts of very unlike lengths, and its parts as a library.
 
-from lentilwell._clock import Clock, ManualClock, SystemClock
-from lentilwell._errors import LentilwellError
-from lentilwell._failures import Failure
-from lentilwell._inventory import (
-    Engine,
-    Inventory,
-    Model,
-    Route,
-    Rules,
-    Service,
-    Team,
-    make_inventory,
-)
-from lentilwell._messages import Identity, Placement, Request
-from lentilwell._ports import EngineControl, Peers, Platform
-from lentilwell.decisions import order, placement
-from lentilwell.reducer import State, reduce
+The library is imported when one of its names is first used: a gateway needs none of it, and starts
+sooner without.
+"""
 
-__all__ = [
-    "Clock",
-    "Engine",
-    "EngineControl",
-    "Failure",
-    "Identity",
-    "Inventory",
-    "LentilwellError",
-    "ManualClock",
-    "Model",
-    "Peers",
-    "Placement",
-    "Platform",
-    "Request",
-    "Route",
-    "Rules",
-    "Service",
-    "State",
-    "SystemClock",
-    "Team",
-    "make_inventory",
-    "order",
-    "placement",
-    "reduce",
-]
+from __future__ import annotations
+
+from importlib import import_module
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from lentilwell._library import *  # noqa: F403
+else:
+
+    def __getattr__(name: str) -> object:
+        """Return a name of the library."""
+        if name.startswith("_"):
+            raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+        return getattr(import_module("lentilwell._library"), name)
