Memory kept elsewhere holds no stream up; as few engines as can keep it

Ruled out: lagged digests (the instance had placed both itself), backlog (91 ms). Change: only the engine that writes a stream counts for its pauses. Tests: the prompt of 309,000 beside ten keepers (5,399 ms before), number of keepers (8 before, 1 after).

--- a/src/lentilwell/gateway/_least_cost.py
+++ b/src/lentilwell/gateway/_least_cost.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-import math
+import functools
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -156,19 +156,20 @@
 ) -> tuple[Helper, ...] | None:
     """Return the helpers, each with the memory that it keeps for a prompt too large for the lead.
 
-    None means that these engines together do not have the memory now. A prompt that fits one engine
-    may also wait for memory there, so it needs nobody else's.
+    As few as possible keep some: the stream breaks with any of them. None means that these engines
+    together do not have the memory now. A prompt that fits one engine may also wait for memory
+    there, so it needs nobody else's.
     """
     missing = needed - free_memory(engine, lead)
     if missing <= 0 or (not others and needed <= engine.memory_tokens * MEMORY_SHARE):
         return tuple(Helper(other.upstream) for other in others)
-    free = [free_memory(engine, other) for other in others]
-    if missing > sum(free):
+    kept: dict[str, int] = {}
+    for other in sorted(others, key=functools.partial(free_memory, engine), reverse=True):
+        kept[other.upstream.name] = min(missing, free_memory(engine, other))
+        missing -= kept[other.upstream.name]
+    if missing > 0:
         return None
-    share = missing / sum(free)
-    kept = [min(room, math.ceil(room * share)) for room in free]
-    pairs = zip(others, kept, strict=True)
-    return tuple(Helper(other.upstream, tokens) for other, tokens in pairs)
+    return tuple(Helper(other.upstream, kept[other.upstream.name]) for other in others)
 
 
 def free_memory(engine: EngineSpec, candidate: Candidate) -> int:
@@ -214,7 +215,8 @@
 ) -> float:
     """Return how many more requests of one engine come late if it reads ``part_ms`` more.
 
-    A part of a spread prompt also delays the whole prompts that wait to be read there.
+    A part of a spread prompt also delays the whole prompts that wait to be read there. An engine
+    that only keeps memory for a stream does not hold it up.
     """
     load = candidate.load
     part_ms *= candidate.pace
@@ -222,9 +224,9 @@
     pass_ms += load.backlog_ms
     harm = 0.0
     for job in load.jobs:
-        if not job.reading:
+        if not job.reading and job.writes:
             harm += job.weight * added(pass_ms, part_ms, job.pause_ms, PAUSE_SAFE)
-        elif spread and not job.spread:
+        elif job.reading and spread and not job.spread:
             harm += harm_reading(now, job, load.backlog_ms + pass_ms, part_ms)
     return harm
 
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -72,6 +72,23 @@
     assert choose(10_000, full) is not None
 
 
+def test_memory_kept_for_a_stream_elsewhere_does_not_stop_readings():
+    """Kalye quiet-1, 7.9 s: engines that only held parts counted as if each wrote the stream."""
+    kept = [
+        job(number, reading=False, writes=False, pause_ms=1_000, weight=27.0, memory_tokens=14_000)
+        for number in range(10)
+    ]
+    choice = choose(309_000, kept, engines=10, objective_ms=3_000)
+    assert choice.first_event_ms <= 3_000
+
+
+def test_memory_is_kept_by_as_few_engines_as_can_hold_it():
+    candidates = [Candidate(upstream(number), Books().measure("u", 0), True) for number in range(9)]
+    helpers = share_memory(ENGINE, 426_000, candidates[0], candidates[1:])
+    assert len(helpers) == 8
+    assert sum(helper.memory_tokens > 0 for helper in helpers) == 1
+
+
 def test_shares_of_memory_fit_each_engine():
     books = Books()
     for number, tokens in ((0, 100_000), (1, 250_000), (2, 0)):
