--- a/src/lentilwell/gateway/_exchange.py
+++ b/src/lentilwell/gateway/_exchange.py
@@ -34,16 +34,14 @@
 from lentilwell.gateway._failures import LinkBroken, LinkSilent, Unreachable
 from lentilwell.gateway._fleet import Fleet
 from lentilwell.gateway._leases import Leases, LeaseSet, NoMemory
-from lentilwell.gateway._link import FindPatience, Link
+from lentilwell.gateway._link import Link
 from lentilwell.gateway._links import Links
 from lentilwell.gateway._messages import AnswerHead, Envelope, Reader
 from lentilwell.gateway._metrics import Metrics
 from lentilwell.gateway._ports import Dialect
-from lentilwell.gateway._prober import Prober
 from lentilwell.gateway._record import Record
 from lentilwell.gateway._routing import ELSEWHERE_RETRY_MS, Subject
 from lentilwell.gateway._upstreams import Upstream
-from lentilwell.gateway._watch import Watch
 
 RETRY_AFTER_MS = 300
 
@@ -55,7 +53,6 @@
     fleet: Fleet
     links: Links
     leases: Leases
-    prober: Prober
     dialect: Dialect
     metrics: Metrics
 
@@ -75,7 +72,6 @@
         self._fleet = tools.fleet
         self._links = tools.links
         self._leases = tools.leases
-        self._prober = tools.prober
         self._dialect = tools.dialect
         self._clock = tools.fleet.clock
         self._subject = subject
@@ -200,7 +196,7 @@
         link.send(request.method, request.target, headers, request.body)
 
     async def _receive(self, link: Link, choice: Choice) -> Effect:
-        patience = self._watch(link, choice)
+        patience = functools.partial(self._accounting.find_patience, choice)
         head = self._dialect.read_head(await link.read_head(patience))
         link.idle_limit_ms = head.idle_ms
         link.reusable = link.reusable and not head.closing
@@ -219,12 +215,6 @@
         self._accounting.note_success(choice)
         return self._pass_on(head, body)
 
-    def _watch(self, link: Link, choice: Choice) -> FindPatience:
-        """Return what tells how long the upstream may be silent."""
-        find_limit = functools.partial(self._accounting.find_patience, choice)
-        watch = Watch(self._clock, self._links, self._prober, choice.upstream, link, find_limit)
-        return functools.partial(watch.find_patience, self._subject.route)
-
     def _pass_on(self, head: AnswerHead, body: bytes) -> Effect:
         """Write an upstream's whole answer to the caller."""
         self._advance(AnswerBegun())
@@ -269,7 +259,7 @@
     async def _relay(self, link: Link, head: AnswerHead, choice: Choice) -> Effect:
         """Pass on a stream's events as they come, each once and whole."""
         splitter = EventSplitter()
-        patience = self._watch(link, choice)
+        patience = functools.partial(self._accounting.find_patience, choice)
         while (data := await link.read_data(patience)) is not None:
             for event in splitter.take(data):
                 if not self._sequence.accept(event):
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -67,10 +67,7 @@
         self.leases = Leases(self.links, dialect, life, settings.longest_hold_ms)
         self._callers: set[Caller] = set()
         self.metrics = Metrics(self.fleet, lambda: len(self._callers))
-        self._prober = Prober(self.fleet, self.links)
-        self._tools = Tools(
-            self.fleet, self.links, self.leases, self._prober, dialect, self.metrics
-        )
+        self._tools = Tools(self.fleet, self.links, self.leases, dialect, self.metrics)
         self._readiness: dict[str, Question] = {ANY_PATH: self._answer_readiness}
         self._status: dict[str, Question] = {
             "/metrics": lambda: StatusAnswer(200, self.metrics.render()),
@@ -190,7 +187,7 @@
             "configuration": catalog.run,
             "upstreams": upstreams.run,
             "instances": lambda: self.peers.keep_listed(self._feeds.membership),
-            "probes": self._prober.run,
+            "probes": Prober(self.fleet, self.links).run,
         }
         self._tasks = [loop.create_task(_run_for_good(name, run)) for name, run in runs.items()]
         logger.info("started", callers=self.settings.callers_address)
--- a/src/lentilwell/gateway/_link.py
+++ b/src/lentilwell/gateway/_link.py
@@ -32,9 +32,7 @@
 class Link(asyncio.Protocol):
     """A connection to one upstream. ``reusable`` turns false for good once anything is amiss.
 
-    ``patient`` is set while a request is on it that only its deadline may end. ``waits_since`` is
-    when its silence began: with the request, or the last bytes; ``heard_at`` when the upstream was
-    last heard: with the connection, or the last bytes.
+    ``patient`` is set while a request is on it that only its deadline may end.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -44,8 +42,7 @@
         self._wake: asyncio.Future[bool] | None = None
         self._lost: Exception | None = None
         self._in_use = False
-        self.waits_since = clock.now()
-        self.heard_at = clock.now()
+        self._heard_at = clock.now()
         self._given_up = False
         self.reusable = True
         self.patient = False
@@ -89,7 +86,7 @@
         """Write a whole request; it may have arrived from the first byte on."""
         assert self._transport is not None
         self._in_use = True
-        self.waits_since = self._clock.now()
+        self._heard_at = self._clock.now()
         request = h11.Request(method=method, target=target, headers=list(headers))
         try:
             parts = [self._http.send(request)]
@@ -144,7 +141,7 @@
 
     def give_up_silent(self, silent_ms: int) -> None:
         """The upstream is known to be out of reach: stop waiting if nothing came for a while."""
-        silent = self._clock.now() - self.waits_since >= silent_ms
+        silent = self._clock.now() - self._heard_at >= silent_ms
         if self._in_use and not self.patient and silent:
             self._given_up = True
             self._notify(False)
@@ -156,7 +153,7 @@
             self._transport.abort()
 
     def _feed(self, data: bytes) -> None:
-        self.waits_since = self.heard_at = self._clock.now()
+        self._heard_at = self._clock.now()
         try:
             self._http.receive_data(data)
         except h11.RemoteProtocolError as error:
@@ -181,7 +178,7 @@
         """Wait for bytes; the patience is asked for again each time that it has run out."""
         while True:
             patience_ms = find_patience()
-            silent_ms = self._clock.now() - self.waits_since
+            silent_ms = self._clock.now() - self._heard_at
             if self._given_up or (patience_ms is not None and silent_ms >= patience_ms):
                 raise LinkSilent(f"nothing came for {silent_ms} ms")
             left_ms = None if patience_ms is None else patience_ms - silent_ms
--- a/src/lentilwell/gateway/_links.py
+++ b/src/lentilwell/gateway/_links.py
@@ -37,11 +37,6 @@
         self._taken.setdefault(address, weakref.WeakSet()).add(link)
         return link
 
-    def find_heard_at(self, address: str, besides: Link) -> int | None:
-        """Return when an upstream was last heard on a connection other than ``besides``."""
-        others = (link for link in self._taken.get(address, ()) if link is not besides)
-        return max((link.heard_at for link in others), default=None)
-
     def give_up_silent(self, address: str, silent_ms: int) -> None:
         """Stop waiting on the connections to an upstream that is known to be out of reach."""
         for link in list(self._taken.get(address, ())):
--- a/src/lentilwell/gateway/_prober.py
+++ b/src/lentilwell/gateway/_prober.py
@@ -21,7 +21,6 @@
     def __init__(self, fleet: Fleet, links: Links) -> None:
         self._fleet = fleet
         self._links = links
-        self._checks: dict[str, asyncio.Task[bool]] = {}
 
     async def run(self) -> None:
         """Probe for good, at once after an upstream has come into doubt."""
@@ -33,13 +32,6 @@
             if await self._probe_all():
                 asyncio.get_running_loop().call_later(PROBE_INTERVAL_MS / 1_000, doubt.set)
 
-    def check(self, upstream: Upstream) -> None:
-        """Probe an upstream whose silence raises a doubt, unless that is being done."""
-        name = upstream.name
-        if name not in self._checks:
-            self._checks[name] = asyncio.get_running_loop().create_task(self._probe(upstream))
-            self._checks[name].add_done_callback(lambda _: self._checks.pop(name))
-
     async def _probe_all(self) -> bool:
         """Probe all that are in doubt; return whether some still are."""
         listed = self._fleet.directory.listed.values()
@@ -55,7 +47,6 @@
             self._links.give_up_silent(upstream.address, SILENT_MS)
             return False
         self._links.give_back(upstream.address, link)
-        if self._fleet.ejection.is_unreachable(upstream.name):
-            self._fleet.ejection.note_success(upstream.name)
-            logger.info("upstream reached", upstream=upstream.name, address=upstream.address)
+        self._fleet.ejection.note_success(upstream.name)
+        logger.info("upstream reached", upstream=upstream.name, address=upstream.address)
         return True
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -680,31 +680,3 @@
             assert answer.status == 503 and float(answer.headers["retry-after"]) <= 0.1
             assert asyncio.get_running_loop().time() - begin < 0.1
         assert world.gateway.links.opened <= 2 + 2 * 2
-
-
-@in_loop
-async def test_living_upstream_is_waited_for_though_its_estimate_is_long_past():
-    """Kalye scale-1, 31.9 s: readings of 2.8 s were thrown away at engines that were busy."""
-
-    async def answer_very_late(arrival):
-        await asyncio.sleep(2.5)
-        await stream_whole(arrival)
-
-    async with run_world(answer_very_late, answer_very_late, catalog=with_engines(3_000)) as world:
-        answer = await world.call("/stream/x", Token_Count="4000,100", Deadline_Ms="10000")
-        assert answer.whole and len(world.arrivals) == 1
-
-
-@in_loop
-async def test_upstream_that_answers_no_probe_is_left_though_its_caller_would_wait():
-    async def vanish(arrival):
-        world.upstreams[0].server.close()
-        await stay_silent(arrival)
-
-    async with run_world(vanish, stream_whole, catalog=with_engines(3_000)) as world:
-        begin = asyncio.get_running_loop().time()
-        for _ in range(2):
-            answer = await world.call("/stream/x", Token_Count="4000,100", Deadline_Ms="10000")
-            assert answer.whole
-        assert any(arrival.upstream == "u0" for arrival in world.arrivals)
-        assert asyncio.get_running_loop().time() - begin < 2.5
