Explain a request from its id: typed log lines, 'lentilwell explain', one operators' manual

Change: each kind of line is a frozen data class in gateway/_log_lines, registered under its event; 'lentilwell explain ID FILE...' reads logs of several instances and tells the story in order, with what the instance came to believe about the upstreams concerned. 'upstream unreachable' is written when the belief changes, not each time it is confirmed (6 lines in one story before). docs/OPERATING.md is part of docs/OPERATIONS.md, which shows three kinds of failed request, refused, cut off, late, by the command's real output. Ruled out: a log store or an index; a pass over the files is enough for a bounded log.

--- a/src/lentilwell/cli/_parser.py
+++ b/src/lentilwell/cli/_parser.py
@@ -9,12 +9,12 @@
 
 from lentilwell._errors import EXIT_DONE, LentilwellError
 from lentilwell._logs import set_up_logs
-from lentilwell.cli import _inventory, _keys, _operators
+from lentilwell.cli import _explain, _inventory, _keys, _operators
 from lentilwell.cli._commands import COMMANDS, add_nothing, add_settings, command
 from lentilwell.configuration import read_settings
 from lentilwell.shell import Application
 
-_REGISTERED = (_inventory, _keys, _operators)
+_REGISTERED = (_explain, _inventory, _keys, _operators)
 EXIT_CODES = "exit codes: 0 done, 1 refused or conflict, 2 usage, 3 outcome unknown"
 
 
--- a/src/lentilwell/gateway/_accounting.py
+++ b/src/lentilwell/gateway/_accounting.py
@@ -4,11 +4,10 @@
 
 from dataclasses import replace
 
-from loguru import logger
-
 from lentilwell.gateway._books import Job
 from lentilwell.gateway._choice import Choice
 from lentilwell.gateway._fleet import Fleet
+from lentilwell.gateway._log_lines import UpstreamEjected, UpstreamUnreachable, write_line
 from lentilwell.gateway._patience import find_patience
 from lentilwell.gateway._routing import Subject
 from lentilwell.gateway._upstreams import Upstream
@@ -62,12 +61,13 @@
     def note_failure(self, choice: Choice, reason: str) -> None:
         """The upstream answered badly or broke off."""
         if self._fleet.ejection.note_failure(choice.upstream.name, self._clock.now()):
-            logger.info("upstream ejected", upstream=choice.upstream.name, reason=reason)
+            write_line(UpstreamEjected(choice.upstream.name, reason))
 
     def note_unreachable(self, upstream: Upstream, reason: str) -> None:
         """The upstream takes no connection, is silent, or was named at fault."""
+        if not self._fleet.ejection.is_unreachable(upstream.name):
+            write_line(UpstreamUnreachable(upstream.name, reason))
         self._fleet.ejection.note_unreachable(upstream.name, self._clock.now())
-        logger.info("upstream unreachable", upstream=upstream.name, reason=reason)
 
     def find_patience(self, choice: Choice) -> int | None:
         """Return how long the chosen upstream may be silent, by what is known now; in ms."""
--- a/src/lentilwell/gateway/_fleet.py
+++ b/src/lentilwell/gateway/_fleet.py
@@ -6,14 +6,19 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from loguru import logger
-
 from lentilwell._clock import Clock
 from lentilwell.gateway._books import Books
 from lentilwell.gateway._budget import BudgetRules, RetryBudget
 from lentilwell.gateway._catalog import Catalog, EngineSpec, Route
 from lentilwell.gateway._choice import POLICIES, Candidate, Choice, Wish
 from lentilwell.gateway._ejection import Ejection
+from lentilwell.gateway._log_lines import (
+    ConfigurationInForce,
+    UpstreamChanged,
+    UpstreamGone,
+    UpstreamsListed,
+    write_line,
+)
 from lentilwell.gateway._messages import Prompt
 from lentilwell.gateway._paces import Paces
 from lentilwell.gateway._ports import Listing
@@ -104,7 +109,7 @@
         before = self.directory.missing
         self.directory = drop_missing(self.directory, self.clock.now())
         for name in before.keys() - self.directory.missing.keys():
-            logger.info("upstream gone", upstream=name, reason="not listed again")
+            write_line(UpstreamGone(name, "not listed again"))
         self.ejection.keep_only(self.directory.listed)
         self.paces.keep_only(self.directory.listed)
 
@@ -112,7 +117,7 @@
         """Take an upstream off the list whose address belongs to another one by now."""
         change = Change(upstream.name, None)
         self.directory = take_changes(self.directory, [change], self.clock.now())
-        logger.info("upstream gone", upstream=upstream.name, reason="address belongs to another")
+        write_line(UpstreamGone(upstream.name, "address belongs to another"))
 
     def _describe(self, upstream: Upstream, now: int) -> Candidate:
         return Candidate(
@@ -147,14 +152,14 @@
         if known is not None and catalog.version <= known.version:
             return
         self._fleet.catalog = catalog
-        logger.info(
-            "configuration in force",
+        in_force = ConfigurationInForce(
             version=catalog.version,
             previous=known.version if known is not None else None,
             store_version=seen_at_version,
             routes=len(catalog.routes),
             teams=len(catalog.teams),
         )
+        write_line(in_force)
 
 
 class UpstreamListener:
@@ -170,7 +175,7 @@
         self._fleet.directory = take_listing(self._fleet.directory, found, now)
         self._fleet.listed = True
         self._fleet.listing_version = listing.version
-        logger.info("upstreams listed", count=len(found), store_version=listing.version)
+        write_line(UpstreamsListed(len(found), listing.version))
 
     def take_changes(self, listing: Listing[Upstream]) -> None:
         """Take changed entries."""
@@ -191,4 +196,4 @@
     state = "removed" if change.removed else "unreadable"
     if change.upstream is not None:
         state = "leaving" if change.upstream.leaving else "listed"
-    logger.info("upstream changed", upstream=change.name, state=state, store_version=store_version)
+    write_line(UpstreamChanged(change.name, state, store_version))
--- a/src/lentilwell/gateway/_follower.py
+++ b/src/lentilwell/gateway/_follower.py
@@ -6,9 +6,13 @@
 import random
 from typing import Generic, Protocol
 
-from loguru import logger
-
 from lentilwell.gateway._failures import HistoryGone, StoreError
+from lentilwell.gateway._log_lines import (
+    DependencyLost,
+    DependencyRegained,
+    TableHistoryGone,
+    write_line,
+)
 from lentilwell.gateway._ports import Feed, Listing, ValueT
 
 FIRST_PAUSE_MS = 50
@@ -44,7 +48,7 @@
             try:
                 listing = await self._read()
             except HistoryGone:
-                logger.info("history gone", table=self._name, version=self._version)
+                write_line(TableHistoryGone(self._name, self._version))
                 self._version = None
             except StoreError as error:
                 await self._back_off(error)
@@ -58,7 +62,7 @@
 
     def _take(self, listing: Listing[ValueT]) -> None:
         if self._pause_ms:
-            logger.info("dependency regained", table=self._name, version=listing.version)
+            write_line(DependencyRegained(self._name, listing.version))
             self._pause_ms = 0
             self._listener.note_regained()
         if self._version is None:
@@ -69,6 +73,6 @@
 
     async def _back_off(self, error: StoreError) -> None:
         if not self._pause_ms:
-            logger.warning("dependency lost", table=self._name, reason=str(error))
+            write_line(DependencyLost(self._name, str(error)))
         self._pause_ms = min(LONGEST_PAUSE_MS, max(FIRST_PAUSE_MS, 2 * self._pause_ms))
         await asyncio.sleep(self._pause_ms * (0.5 + random.random() / 2) / 1_000)
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from loguru import logger
 from result import Err
 
 from lentilwell._clock import BootClock, Clock
@@ -21,6 +20,18 @@
 from lentilwell.gateway._leases import Leases
 from lentilwell.gateway._link import split_address
 from lentilwell.gateway._links import Links
+from lentilwell.gateway._log_lines import (
+    CallbackFailed,
+    ExchangeFailed,
+    MetricsNotServed,
+    RequestRejected,
+    SettingsReloaded,
+    Started,
+    StopBegun,
+    Stopped,
+    TaskFailed,
+    write_line,
+)
 from lentilwell.gateway._messages import InboundRequest
 from lentilwell.gateway._metrics import Metrics, dump_fleet
 from lentilwell.gateway._peers import Peers
@@ -110,14 +121,14 @@
             self._stopping_since = self.clock.now()
             self.peers.stopping = True
             self.peers.note_change()
-            logger.info("stop begun", open_callers=len(self._callers))
+            write_line(StopBegun(len(self._callers)))
 
     async def serve(self, caller: Caller, request: InboundRequest) -> None:
         """Answer one request: reject what is wrong at once, forward the rest."""
         try:
             await self._serve(caller, request)
-        except Exception:
-            logger.exception("exchange failed", target=request.target.decode("latin-1"))
+        except Exception as error:
+            write_line(ExchangeFailed(request.target.decode("latin-1")), error)
             raise
 
     async def _serve(self, caller: Caller, request: InboundRequest) -> None:
@@ -149,18 +160,13 @@
     def note_rejected(self, status: int, reason: str) -> None:
         """Log what was no proper request."""
         self.metrics.count_rejection(status)
-        logger.info("request rejected", status=status, reason=reason)
+        write_line(RequestRejected(status, reason))
 
     def _reject(self, caller: Caller, request_id: str, rejection: Rejection) -> None:
         catalog = self.fleet.catalog
         self.metrics.count_rejection(rejection.status)
-        logger.info(
-            "request rejected",
-            request=request_id,
-            status=rejection.status,
-            reason=rejection.reason,
-            configuration=catalog.version if catalog is not None else None,
-        )
+        version = catalog.version if catalog is not None else None
+        write_line(RequestRejected(rejection.status, rejection.reason, request_id, version))
         answer_failure(caller, rejection.status, rejection.reason, rejection.retry_after_ms)
 
     @property
@@ -190,7 +196,7 @@
             "probes": Prober(self.fleet, self.links).run,
         }
         self._tasks = [loop.create_task(_run_for_good(name, run)) for name, run in runs.items()]
-        logger.info("started", callers=self.settings.callers_address)
+        write_line(Started(self.settings.callers_address))
 
     async def _listen(self, address: str, make: Callable[[], asyncio.BaseProtocol]) -> None:
         host, port = split_address(address)
@@ -203,7 +209,7 @@
         try:
             await self._listen(address, lambda: StatusProtocol(self._status))
         except OSError as error:
-            logger.error("metrics not served", address=address, reason=str(error))
+            write_line(MetricsNotServed(address, str(error)))
 
     def _answer_readiness(self) -> StatusAnswer:
         return StatusAnswer(200 if self.ready else 503)
@@ -216,7 +222,7 @@
         listening = (settings.callers_address, settings.ready_address, settings.peers_address)
         old = self.settings
         same = listening == (old.callers_address, old.ready_address, old.peers_address)
-        logger.info("settings reloaded", listeners_unchanged=same, budget=settings.budget.extra)
+        write_line(SettingsReloaded(same, settings.budget.extra))
         self.settings = settings
         self.fleet.change_budget(settings.budget)
 
@@ -255,7 +261,7 @@
         await self.leases.settle()
         self.links.close()
         self.peers.close()
-        logger.info("stopped")
+        write_line(Stopped())
 
 
 async def _run_for_good(name: str, run: Callable[[], Coroutine[None, None, None]]) -> None:
@@ -263,11 +269,11 @@
     while True:
         try:
             await run()
-        except Exception:
-            logger.exception("task failed", task=name)
+        except Exception as error:
+            write_line(TaskFailed(name), error)
         await asyncio.sleep(TASK_RESTART_MS / 1_000)
 
 
 def _log_unhandled(_loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
     error = context.get("exception")
-    logger.opt(exception=error).error("callback failed", reason=str(context.get("message")))
+    write_line(CallbackFailed(str(context.get("message"))), error)
--- a/src/lentilwell/gateway/_leases.py
+++ b/src/lentilwell/gateway/_leases.py
@@ -11,11 +11,10 @@
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass
 
-from loguru import logger
-
 from lentilwell.gateway._choice import Helper
 from lentilwell.gateway._failures import LinkBroken, LinkError
 from lentilwell.gateway._links import Links
+from lentilwell.gateway._log_lines import LeaseNotReleased, LeaseNotRenewed, write_line
 from lentilwell.gateway._messages import Lease, Order
 from lentilwell.gateway._ports import Dialect
 from lentilwell.gateway._upstreams import Upstream
@@ -88,10 +87,10 @@
         try:
             status = await self._order_surely(held, self._dialect.write_reserve(held.lease))
         except LinkError as error:
-            logger.info("lease not renewed", ticket=held.lease.ticket, reason=str(error))
+            write_line(LeaseNotRenewed(held.lease.ticket, str(error)))
             return
         if status != DONE:
-            logger.info("lease not renewed", ticket=held.lease.ticket, status=status)
+            write_line(LeaseNotRenewed(held.lease.ticket, f"status {status}"))
 
     def _release(self, held: Held) -> None:
         task = asyncio.get_running_loop().create_task(self._release_surely(held))
@@ -102,7 +101,7 @@
         try:
             await self._order_surely(held, self._dialect.write_release(held.lease), RELEASE_TRIES)
         except LinkError as error:
-            logger.info("lease not released", ticket=held.lease.ticket, reason=str(error))
+            write_line(LeaseNotReleased(held.lease.ticket, str(error)))
 
     async def _order_surely(self, held: Held, order: Order, tries: int = ORDER_TRIES) -> int:
         """Send an order again where its answer is lost: orders about a ticket are idempotent."""
--- /dev/null
+++ b/src/lentilwell/gateway/_log_lines.py
@@ -0,0 +1,360 @@
+"""Every kind of log line that a gateway writes, as frozen data; times in ms unless said otherwise.
+
+A line's event and fields are its JSON form: programs that read logs go by this list.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, fields
+from typing import ClassVar, TypeVar
+
+from loguru import logger
+
+
+@dataclass(frozen=True)
+class Line:
+    """Base of all lines. ``event`` names the kind, ``level`` is the log level."""
+
+    event: ClassVar[str] = ""
+    level: ClassVar[str] = "INFO"
+
+
+LINES: dict[str, type[Line]] = {}
+
+_LineT = TypeVar("_LineT", bound=Line)
+
+
+def line(event: str, level: str = "INFO") -> Callable[[type[_LineT]], type[_LineT]]:
+    """Register a kind of line under the name of its event."""
+
+    def register(kind: type[_LineT]) -> type[_LineT]:
+        kind.event = event
+        kind.level = level
+        LINES[event] = kind
+        return kind
+
+    return register
+
+
+def write_line(written: Line, error: BaseException | None = None) -> None:
+    """Write a line to the log, with the exception that it tells of, if any."""
+    values = {field.name: getattr(written, field.name) for field in fields(written)}
+    logger.opt(exception=error).log(written.level, written.event, **values)
+
+
+@line("request placed")
+@dataclass(frozen=True)
+class RequestPlaced(Line):
+    """An upstream was chosen.
+
+    ``configuration`` and ``listing`` are the versions known, ``helpers`` names those that read a
+    part. The load is the chosen upstream's, by all instances; ``oldest_digest_ms`` is the age of
+    the oldest digest that it counts on. ``expected_first_ms`` counts from now; ``excluded`` is the
+    number of upstreams left out for this request.
+    """
+
+    request: str
+    service: str
+    configuration: int
+    listing: int
+    upstream: str
+    helpers: str
+    expected_first_ms: int
+    upstream_jobs: int
+    upstream_backlog_ms: int
+    oldest_digest_ms: int | None
+    excluded: int
+
+
+@line("upstream refused")
+@dataclass(frozen=True)
+class UpstreamRefused(Line):
+    """An upstream said that it did not run the request; ``at_fault`` names who is the cause."""
+
+    request: str
+    upstream: str
+    status: int
+    at_fault: str
+
+
+@line("attempt ended")
+@dataclass(frozen=True)
+class AttemptEnded(Line):
+    """An attempt came to nothing; ``next`` is ``place`` for another one, or the outcome."""
+
+    request: str
+    upstream: str
+    reason: str
+    sends: int
+    next: str
+
+
+@line("request ended")
+@dataclass(frozen=True)
+class RequestEnded(Line):
+    """The end of a request. ``first_ms`` and ``expected_first_ms`` count from its arrival."""
+
+    request: str
+    route: str
+    configuration: int
+    upstream: str
+    outcome: str
+    team: str | None
+    service: str
+    sends: int
+    first_ms: int | None
+    expected_first_ms: int
+    longest_pause_ms: int
+    helpers: int
+    tokens: int | None
+    total_ms: int
+
+
+@line("request rejected")
+@dataclass(frozen=True)
+class RequestRejected(Line):
+    """A request was answered without being forwarded; ``configuration`` is the version in force."""
+
+    status: int
+    reason: str
+    request: str = ""
+    configuration: int | None = None
+
+
+@line("configuration in force")
+@dataclass(frozen=True)
+class ConfigurationInForce(Line):
+    """A configuration has replaced the previous one."""
+
+    version: int
+    previous: int | None
+    store_version: int
+    routes: int
+    teams: int
+
+
+@line("upstreams listed")
+@dataclass(frozen=True)
+class UpstreamsListed(Line):
+    """The whole list of upstreams was read."""
+
+    count: int
+    store_version: int
+
+
+@line("upstream changed")
+@dataclass(frozen=True)
+class UpstreamChanged(Line):
+    """An entry of the list changed; ``state`` is listed, leaving, removed or unreadable."""
+
+    upstream: str
+    state: str
+    store_version: int
+
+
+@line("upstream gone")
+@dataclass(frozen=True)
+class UpstreamGone(Line):
+    """An upstream was taken off the list by this instance itself."""
+
+    upstream: str
+    reason: str
+
+
+@line("upstream ejected")
+@dataclass(frozen=True)
+class UpstreamEjected(Line):
+    """An upstream that fails takes no requests for a while."""
+
+    upstream: str
+    reason: str
+
+
+@line("upstream unreachable")
+@dataclass(frozen=True)
+class UpstreamUnreachable(Line):
+    """An upstream takes no requests until a probe reaches it."""
+
+    upstream: str
+    reason: str
+
+
+@line("upstream reached")
+@dataclass(frozen=True)
+class UpstreamReached(Line):
+    """A probe reached an upstream."""
+
+    upstream: str
+    address: str
+
+
+@line("peer heard")
+@dataclass(frozen=True)
+class PeerHeard(Line):
+    """A first digest of another instance came, or one after a silence."""
+
+    peer: str
+    address: str
+
+
+@line("peer silent")
+@dataclass(frozen=True)
+class PeerSilent(Line):
+    """Another instance's work is no longer counted."""
+
+    peer: str
+    silent_ms: int
+
+
+@line("instances not listed")
+@dataclass(frozen=True)
+class InstancesNotListed(Line):
+    """The store's list of instances could not be read or written."""
+
+    reason: str
+
+
+@line("digest unreadable", "WARNING")
+@dataclass(frozen=True)
+class DigestUnreadable(Line):
+    """A datagram held no digest."""
+
+    sender: str
+    reason: str
+
+
+@line("digest too long", "WARNING")
+@dataclass(frozen=True)
+class DigestTooLong(Line):
+    """The own work does not fit a datagram; the others count on the last one that did."""
+
+    bytes: int
+
+
+@line("lease not renewed")
+@dataclass(frozen=True)
+class LeaseNotRenewed(Line):
+    """Memory set aside may come free before its request ends."""
+
+    ticket: str
+    reason: str
+
+
+@line("lease not released")
+@dataclass(frozen=True)
+class LeaseNotReleased(Line):
+    """Memory set aside comes free only when its lease runs out."""
+
+    ticket: str
+    reason: str
+
+
+@line("history gone")
+@dataclass(frozen=True)
+class TableHistoryGone(Line):
+    """The store no longer has the changes after ``version``: the table is read anew."""
+
+    table: str
+    version: int | None
+
+
+@line("dependency lost", "WARNING")
+@dataclass(frozen=True)
+class DependencyLost(Line):
+    """The store does not answer for a table."""
+
+    table: str
+    reason: str
+
+
+@line("dependency regained")
+@dataclass(frozen=True)
+class DependencyRegained(Line):
+    """The store answers again for a table."""
+
+    table: str
+    version: int
+
+
+@line("row unreadable", "WARNING")
+@dataclass(frozen=True)
+class RowUnreadable(Line):
+    """A row of a table was left out."""
+
+    table: str
+    key: str
+    reason: str
+
+
+@line("started")
+@dataclass(frozen=True)
+class Started(Line):
+    """The process listens for callers at this address."""
+
+    callers: str
+
+
+@line("stop begun")
+@dataclass(frozen=True)
+class StopBegun(Line):
+    """A planned stop begins with so many connections of callers."""
+
+    open_callers: int
+
+
+@line("stopped")
+@dataclass(frozen=True)
+class Stopped(Line):
+    """The process ends."""
+
+
+@line("settings reloaded")
+@dataclass(frozen=True)
+class SettingsReloaded(Line):
+    """Changed settings are in force; changed listeners are not before the next start."""
+
+    listeners_unchanged: bool
+    budget: int
+
+
+@line("settings unreadable", "ERROR")
+@dataclass(frozen=True)
+class SettingsUnreadable(Line):
+    """Changed settings could not be read: the old ones stay in force."""
+
+    path: str
+    reason: str
+
+
+@line("metrics not served", "ERROR")
+@dataclass(frozen=True)
+class MetricsNotServed(Line):
+    """The address of metrics and state cannot be listened on."""
+
+    address: str
+    reason: str
+
+
+@line("exchange failed", "ERROR")
+@dataclass(frozen=True)
+class ExchangeFailed(Line):
+    """A fault of the program ended a request."""
+
+    target: str
+
+
+@line("task failed", "ERROR")
+@dataclass(frozen=True)
+class TaskFailed(Line):
+    """A fault of the program ended a task, which is begun anew."""
+
+    task: str
+
+
+@line("callback failed", "ERROR")
+@dataclass(frozen=True)
+class CallbackFailed(Line):
+    """A fault of the program ended a callback of the event loop."""
+
+    reason: str
--- a/src/lentilwell/gateway/_peers.py
+++ b/src/lentilwell/gateway/_peers.py
@@ -10,12 +10,18 @@
 from dataclasses import dataclass
 from typing import Protocol, cast
 
-from loguru import logger
-
 from lentilwell._clock import Clock
 from lentilwell.gateway._books import Books
 from lentilwell.gateway._failures import StoreError
 from lentilwell.gateway._link import split_address
+from lentilwell.gateway._log_lines import (
+    DigestTooLong,
+    DigestUnreadable,
+    InstancesNotListed,
+    PeerHeard,
+    PeerSilent,
+    write_line,
+)
 from lentilwell.gateway._work_digest import (
     LONGEST_DIGEST_BYTES,
     UnreadableDigest,
@@ -98,13 +104,13 @@
         try:
             digest = decode_digest(data, now)
         except UnreadableDigest as error:
-            logger.warning("digest unreadable", sender=addr[0], reason=str(error))
+            write_line(DigestUnreadable(addr[0], str(error)))
             return
         known = self._heard.get(digest.instance)
         if known is not None and known.life == digest.life and known.sequence >= digest.sequence:
             return
         if known is None:
-            logger.info("peer heard", peer=digest.instance, address=digest.address)
+            write_line(PeerHeard(digest.instance, digest.address))
         self._heard[digest.instance] = PeerState(digest.life, digest.sequence, now, digest.stopping)
         self._addresses[digest.instance] = digest.address
         self._books.take_peer(digest.instance, digest.jobs)
@@ -125,7 +131,7 @@
             self._send()
         for name, state in list(self._heard.items()):
             if now - state.heard_at > SILENT_MS:
-                logger.info("peer silent", peer=name, silent_ms=now - state.heard_at)
+                write_line(PeerSilent(name, now - state.heard_at))
                 del self._heard[name]
                 self._books.take_peer(name, ())
 
@@ -139,7 +145,7 @@
                     announced = True
                 found = await membership.list_addresses()
             except StoreError as error:
-                logger.info("instances not listed", reason=str(error))
+                write_line(InstancesNotListed(str(error)))
                 await asyncio.sleep(ANNOUNCE_RETRY_MS / 1_000)
                 continue
             found.pop(self._instance, None)
@@ -167,7 +173,7 @@
         )
         data = encode_digest(digest, now)
         if len(data) > LONGEST_DIGEST_BYTES:
-            logger.warning("digest too long", bytes=len(data))
+            write_line(DigestTooLong(len(data)))
             return
         for address in self._addresses.values():
             if self._transport is not None and address != self._address:
--- a/src/lentilwell/gateway/_prober.py
+++ b/src/lentilwell/gateway/_prober.py
@@ -4,11 +4,10 @@
 
 import asyncio
 
-from loguru import logger
-
 from lentilwell.gateway._failures import Unreachable
 from lentilwell.gateway._fleet import Fleet
 from lentilwell.gateway._links import Links
+from lentilwell.gateway._log_lines import UpstreamReached, write_line
 from lentilwell.gateway._upstreams import Upstream
 
 PROBE_INTERVAL_MS = 500
@@ -48,5 +47,5 @@
             return False
         self._links.give_back(upstream.address, link)
         self._fleet.ejection.note_success(upstream.name)
-        logger.info("upstream reached", upstream=upstream.name, address=upstream.address)
+        write_line(UpstreamReached(upstream.name, upstream.address))
         return True
--- a/src/lentilwell/gateway/_record.py
+++ b/src/lentilwell/gateway/_record.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
-from loguru import logger
-
 from lentilwell.gateway._choice import Choice
 from lentilwell.gateway._course import Ending
 from lentilwell.gateway._fleet import Fleet
+from lentilwell.gateway._log_lines import (
+    AttemptEnded,
+    RequestEnded,
+    RequestPlaced,
+    UpstreamRefused,
+    write_line,
+)
 from lentilwell.gateway._metrics import Metrics
 from lentilwell.gateway._routing import Subject
 
@@ -34,8 +39,7 @@
         self._helpers = len(choice.helpers)
         waited_ms = now - self._subject.request.arrived_at
         self._expected_ms = round(waited_ms + choice.first_event_ms)
-        logger.info(
-            "request placed",
+        placed = RequestPlaced(
             request=self._subject.facts.request_id,
             service=self._subject.service,
             configuration=self._subject.catalog_version,
@@ -48,6 +52,7 @@
             oldest_digest_ms=self._fleet.find_digest_age(),
             excluded=excluded,
         )
+        write_line(placed)
 
     def note_send(self, sends: int) -> None:
         """Count a send; ``sends`` counts the upstreams so far."""
@@ -64,24 +69,24 @@
 
     def note_refusal(self, status: int, at_fault: str) -> None:
         """Log that an upstream did not run the request."""
-        logger.info(
-            "upstream refused",
+        refused = UpstreamRefused(
             request=self._subject.facts.request_id,
             upstream=self._upstream,
             status=status,
             at_fault=at_fault,
         )
+        write_line(refused)
 
     def note_attempt(self, reason: str, sends: int, following: str) -> None:
         """Log how an attempt ended and what follows."""
-        logger.info(
-            "attempt ended",
+        ended = AttemptEnded(
             request=self._subject.facts.request_id,
             upstream=self._upstream,
             reason=reason,
             sends=sends,
             next=following,
         )
+        write_line(ended)
 
     def note_end(self, ending: Ending, sends: int) -> None:
         """Log and count the end of the request."""
@@ -90,8 +95,7 @@
         self._metrics.count_end(subject.service, ending.value, total_ms)
         if self.first_ms is not None:
             self._metrics.count_stream(prompt, self.first_ms, self._longest_pause_ms)
-        logger.info(
-            "request ended",
+        ended = RequestEnded(
             request=subject.facts.request_id,
             route=subject.route.name,
             configuration=subject.catalog_version,
@@ -107,3 +111,4 @@
             tokens=prompt.prompt_tokens if prompt is not None else None,
             total_ms=total_ms,
         )
+        write_line(ended)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -11,12 +11,14 @@
 
 from lentilwell import _failures
 from lentilwell._inventory import Rules
+from lentilwell.cli._story import MEANINGS
 from lentilwell.configuration import Settings
+from lentilwell.gateway import LINES
 from lentilwell.reducer import State
 from lentilwell.shell._metrics import Counts, Metrics
 
 ROOT = Path(__file__).parent.parent
-OPERATING = (ROOT / "docs/OPERATING.md").read_text()
+OPERATIONS = (ROOT / "docs/OPERATIONS.md").read_text()
 
 
 def list_settings():
@@ -28,12 +30,12 @@
 
 @pytest.mark.parametrize("row", list(list_settings()))
 def test_every_setting_is_on_the_page(row):
-    assert row in OPERATING
+    assert row in OPERATIONS
 
 
 @pytest.mark.parametrize("field", fields(Rules), ids=lambda field: field.name)
 def test_every_rule_is_on_the_page(field):
-    assert f"| `{field.name}` | `{field.default}` |" in OPERATING
+    assert f"| `{field.name}` | `{field.default}` |" in OPERATIONS
 
 
 def list_failures(kind=_failures.Failure):
@@ -52,7 +54,17 @@
 def test_every_metric_is_on_the_page():
     metrics = Metrics(lambda: State(None), lambda: Counts(0, 0, 0))
     for family in metrics.registry.collect():
-        assert f"`{family.name}" in OPERATING, family.name
+        assert f"`{family.name}" in OPERATIONS, family.name
+
+
+@pytest.mark.parametrize("event", sorted(LINES))
+def test_every_kind_of_log_line_is_on_the_page(event):
+    assert f"`{event}`" in OPERATIONS
+
+
+def test_every_outcome_and_its_meaning_is_on_the_page():
+    for outcome in MEANINGS:
+        assert f"| `{outcome}` |" in OPERATIONS
 
 
 def test_example_of_embedding_runs():
