--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,18 +15,20 @@
 
 from bench.measures import MEASURES, Bench
 from bench.path import measure_path
+from bench.placement import measure_placement
 from bench.results import Row, read_commit, write_data, write_line, write_table
 from bench.running import BENCH_PLAN, Policies
 from standins.deployment import deploy
 
 POLICIES = "response_ratio/owner_share,first_come/least_loaded"
 PATH = "path"
+PLACEMENT = "placement"
 
 
 def read_options() -> argparse.Namespace:
     """Return the options of the command line."""
     parser = argparse.ArgumentParser(prog="python -m bench", description=__doc__)
-    names = [*MEASURES, PATH]
+    names = [*MEASURES, PATH, PLACEMENT]
     parser.add_argument("--measure", nargs="+", choices=names, default=names)
     parser.add_argument("--seeds", type=int, default=3, help="how many seeds")
     parser.add_argument("--quick", action="store_true", help="shorter runs")
@@ -66,6 +68,10 @@
         ]
     if PATH in options.measure:
         rows += measure_path(options.quick)
+    if PLACEMENT in options.measure:
+        plot = options.output.with_name("placement.png")
+        rows += measure_placement(seeds, plot)
+        write_line(f"# time to first event by prompt length: {plot}")
     write_table(rows)
     command = "python -m bench " + shlex.join(sys.argv[1:])
     write_data(options.output, command.strip(), commit, rows, details)
--- a/src/lentilwell/gateway/__init__.py
+++ b/src/lentilwell/gateway/__init__.py
@@ -1,6 +1,6 @@
 """Forwarding of HTTP requests to upstreams that a store lists, and the decisions behind it."""
 
-from lentilwell.gateway import _least_cost
+from lentilwell.gateway import _baselines, _least_cost
 from lentilwell.gateway import _log_lines as log_lines
 from lentilwell.gateway._budget import BudgetRules
 from lentilwell.gateway._catalog import (
@@ -86,4 +86,4 @@
     "write_line",
 ]
 
-_REGISTERED = (_least_cost,)
+_REGISTERED = (_baselines, _least_cost)
--- a/tests/played_load.py
+++ b/standins/played_load.py
@@ -7,12 +7,13 @@
 import math
 import random
 from dataclasses import dataclass, field
+from typing import Any
 
 from lentilwell.gateway._books import Books, Job
 from lentilwell.gateway._choice import POLICIES, Candidate, Wish
 from lentilwell.gateway._messages import Prompt
 from lentilwell.gateway._upstreams import Upstream
-from standins.batch import ENGINE, Batch, BatchJob
+from standins.batch import ENGINE, Batch, BatchJob, PassResult
 
 
 @dataclass(frozen=True)
@@ -124,7 +125,7 @@
         self.busy: set[int] = set()
         self.rng = random.Random(seed)
         self.order = itertools.count()
-        self.queue: list[tuple[float, int, str, object]] = []
+        self.queue: list[tuple[float, int, str, Any]] = []
 
     def run(self, arrivals: list[tuple[float, Kind, int]]) -> list[Served]:
         """Play all arrivals to their ends."""
@@ -135,7 +136,7 @@
             getattr(self, f"_{what}")(now, data)
         return list(self.served.values())
 
-    def _push(self, at: float, what: str, data: object) -> None:
+    def _push(self, at: float, what: str, data: Any) -> None:
         heapq.heappush(self.queue, (at, next(self.order), what, data))
 
     def _arrive(self, now: float, data: tuple[Kind, int]) -> None:
@@ -190,7 +191,7 @@
             self.busy.add(place)
             self._push(now + result.length_ms, "end_pass", (place, result))
 
-    def _end_pass(self, now: float, data: tuple[int, object]) -> None:
+    def _end_pass(self, now: float, data: tuple[int, PassResult]) -> None:
         place, result = data
         self.busy.discard(place)
         for name in result.read:
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -9,7 +9,7 @@
 from lentilwell.gateway._reading import read_ms
 from lentilwell.gateway._upstreams import Upstream
 from standins.batch import ENGINE
-from tests.played_load import CALM, LONG, SHORT, SWINGS, play, share_on_time
+from standins.played_load import CALM, LONG, SHORT, SWINGS, play, share_on_time
 
 SEEDS = (1, 2, 3)
 
@@ -176,6 +176,21 @@
     assert share_on_time(served, LONG) >= 0.9
 
 
+@pytest.mark.parametrize(
+    ("policy", "tokens", "chosen"),
+    [
+        ("least_work", 4_000, ("u1",)),
+        ("least_work", 150_000, ("u1", "u3")),
+        ("fixed_split", 4_000, ("u3",)),
+        ("fixed_split", 30_000, ("u1",)),
+        ("fixed_split", 150_000, ("u1", "u0")),
+    ],
+)
+def test_baselines(policy, tokens, chosen):
+    busy = [job(0, read_ms=500.0), job(2, read_ms=300.0), job(3, reading=False)]
+    assert choose(tokens, busy, engines=4, policy=policy).names == chosen
+
+
 def test_no_prompt_is_left_unserved():
     served = play("least_cost", SWINGS, seed=4)
     assert all(one.first_ms is not None for one in served)
