--- /dev/null
+++ b/tests/gateway_scripts.py
@@ -0,0 +1,103 @@
+"""How scripted upstreams answer, for tests of the gateway."""
+
+import asyncio
+import functools
+from dataclasses import replace
+
+from lentilwell.gateway import ServiceSpec
+from standins.batch import ENGINE
+from tests.gateway_world import (
+    CATALOG,
+)
+
+
+def in_loop(test):
+    """Run an asynchronous test."""
+
+    @functools.wraps(test)
+    def run(*arguments, **named):
+        asyncio.run(test(*arguments, **named))
+
+    return run
+
+
+async def answer_ok(arrival):
+    await arrival.answer(body=b"hello")
+
+
+async def say_not_run(arrival):
+    await arrival.answer(503, signed=False, Not_Run=1)
+
+
+async def say_misdirected(arrival):
+    await arrival.answer(421, signed=False, Instance_Id="other")
+
+
+async def reset(arrival):
+    arrival.reset()
+
+
+async def stay_silent(arrival):
+    await arrival.reader.read()
+    arrival.cut.set()
+
+
+async def fail(arrival):
+    await arrival.answer(500, b"oops")
+
+
+async def truncate(arrival):
+    await arrival.answer(framing="none", body=b"hel", Content_Length=5)
+    arrival.reset()
+
+
+async def answer_unsigned(arrival):
+    await arrival.answer(body=b"hello", signed=False)
+
+
+async def answer_encoded(arrival):
+    await arrival.answer(body=b"hello", Content_Encoding="gzip")
+
+
+async def answer_for_another(arrival):
+    await arrival.answer(body=b"theirs", Request_Id="another")
+
+
+async def answer_garbage(arrival):
+    await arrival.write(b"\x00\x01 nonsense\r\n\r\n")
+
+
+async def answer_twice(arrival):
+    await arrival.answer(body=b"hello")
+    await arrival.answer(body=b"hello")
+
+
+async def stream_whole(arrival):
+    begin = int(arrival.headers.get("last-event-id", 0))
+    await arrival.begin_stream()
+    await arrival.write_events(*range(begin + 1, 6))
+    await arrival.end_stream()
+
+
+async def stream_and_break(arrival):
+    await arrival.begin_stream()
+    await arrival.write_events(1, 2, torn=b"id: 3\nda")
+    arrival.reset()
+
+
+async def stream_and_fall_silent(arrival):
+    await arrival.begin_stream()
+    await arrival.write_events(1, 2)
+    await stay_silent(arrival)
+
+
+def ids(body):
+    return [int(row[4:]) for row in body.decode().split("\n") if row.startswith("id: ")]
+
+
+def with_engines(objective_ms=400):
+    """Return a configuration whose streams are spread over engines."""
+    spec = ServiceSpec("s", "/health", 100, ENGINE)
+    stream = replace(CATALOG.routes[2], objective_ms=objective_ms, timeout_ms=30_000)
+    routes = (*CATALOG.routes[:2], stream)
+    return replace(CATALOG, services={"s": spec}, routes=routes)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -81,3 +81,14 @@
 def test_links_between_pages_lead_somewhere(page):
     for target in re.findall(r"\]\(([^)#]+)", page.read_text()):
         assert target.startswith("http") or (page.parent / target).exists(), target
+
+
+def list_named_tests():
+    page = (ROOT / "docs/PLATFORM.md").read_text()
+    return sorted(set(re.findall(r"`\.\.\._(\w+?)(?:\.\.\.)?`", page)))
+
+
+@pytest.mark.parametrize("part", list_named_tests())
+def test_tests_that_the_page_of_rules_names_exist(part):
+    tests = "\n".join(path.read_text() for path in (ROOT / "tests").glob("test_*.py"))
+    assert re.search(rf"def test_\w*{part}", tests)
--- /dev/null
+++ b/tests/test_gateway_memory.py
@@ -0,0 +1,109 @@
+"""Prompts read by several engines, and memory set aside for those larger than one."""
+
+import asyncio
+import json
+
+from standins.batch import ENGINE
+from tests.gateway_scripts import (
+    ids,
+    in_loop,
+    stream_whole,
+    with_engines,
+)
+from tests.gateway_world import (
+    run_world,
+)
+
+
+@in_loop
+async def test_helper_at_fault_is_left_out_and_the_first_upstream_asked_again():
+    async def blame_first_helper(arrival):
+        helpers = arrival.headers.get("helpers", "").split(",")
+        if dead in helpers:
+            await arrival.answer(503, signed=False, Not_Run=1, At_Server=dead)
+        else:
+            await stream_whole(arrival)
+
+    async with run_world(*[blame_first_helper] * 4, catalog=with_engines()) as world:
+        world.gateway.fleet.policy = "least_cost"
+        dead = world.gateway.fleet.directory.listed["u3"].address
+        answer = await world.call("/stream/x", Token_Count="200000,100")
+        assert answer.whole and ids(answer.body) == [1, 2, 3, 4, 5]
+        sent = [arrival.headers.get("helpers", "").split(",") for arrival in world.arrivals]
+        assert dead in sent[0] and len(sent) == 2
+        assert dead not in sent[1]
+        assert world.arrivals[0].upstream == world.arrivals[1].upstream
+
+
+@in_loop
+async def test_memory_is_set_aside_and_given_back_for_a_prompt_larger_than_one_engine():
+    orders = []
+
+    async def serve(arrival):
+        if not arrival.line.startswith(b"POST /order "):
+            await asyncio.sleep(1.3)
+            await stream_whole(arrival)
+            return
+        order = json.loads(arrival.body)
+        orders.append((order["operation"], order["id"], order.get("tokens")))
+        await arrival.answer(200, b"{}")
+
+    async with run_world(*[serve] * 4, catalog=with_engines(9_000)) as world:
+        world.gateway.fleet.policy = "least_cost"
+        answer = await world.call("/stream/x", Token_Count="700000,100", Deadline_Ms="30000")
+        assert answer.status == 200 and answer.whole
+        await world.gateway.leases.settle()
+        [request] = [a for a in world.arrivals if not a.line.startswith(b"POST /order")]
+        helpers = request.headers["helpers"].split(",")
+        tickets = [entry.split("/")[1] for entry in helpers if "/" in entry]
+        assert len(helpers) == 3 and len(set(tickets)) == len(tickets) == 2
+        kept = {name: tokens for operation, name, tokens in orders if operation == "reserve"}
+        assert set(kept) == set(tickets)
+        assert sum(kept.values()) >= 700_100 - ENGINE.memory_tokens
+        for ticket in tickets:
+            operations = [operation for operation, name, _ in orders if name == ticket]
+            assert operations[0] == "reserve" and operations[-1] == "release"
+            assert operations.count("reserve") >= 2 and operations.count("release") == 1
+
+
+@in_loop
+async def test_memory_that_is_not_granted_everywhere_is_given_back_at_once():
+    orders = []
+
+    async def refuse_one(arrival):
+        order = json.loads(arrival.body)
+        orders.append((order["operation"], order["id"]))
+        full = arrival.upstream == "u2" and order["operation"] == "reserve"
+        await arrival.answer(409 if full else 200, b"{}")
+
+    async with run_world(*[refuse_one] * 3, catalog=with_engines(9_000)) as world:
+        world.gateway.fleet.policy = "least_cost"
+        answer = await world.call("/stream/x", Token_Count="800000,100", Deadline_Ms="30000")
+        assert answer.status == 503 and float(answer.headers["retry-after"]) > 0
+        await world.gateway.leases.settle()
+        reserved = {name for operation, name in orders if operation == "reserve"}
+        assert {name for operation, name in orders if operation == "release"} == reserved
+
+
+@in_loop
+async def test_release_is_repeated_until_it_is_answered():
+    """Orders whose answers are lost may be carried out late, or never."""
+    releases = []
+
+    async def lose_releases(arrival):
+        if not arrival.line.startswith(b"POST /order "):
+            await stream_whole(arrival)
+            return
+        order = json.loads(arrival.body)
+        if order["operation"] == "release":
+            releases.append(order["id"])
+            if releases.count(order["id"]) < 6:
+                await arrival.reader.read()
+                return
+        await arrival.answer(200, b"{}")
+
+    async with run_world(*[lose_releases] * 4, catalog=with_engines(9_000)) as world:
+        world.gateway.fleet.policy = "least_cost"
+        assert (await world.call("/stream/x", Token_Count="700000,100", Deadline_Ms="30000")).whole
+        await world.gateway.leases.settle()
+        assert {releases.count(ticket) for ticket in releases} == {6}
