Tests of the store's client against silence, late and lost answers, refusals and forgotten history

Each call is told to have failed within its time-out, the next one is not harmed, a connection with an answer outstanding is never used again, an uncertain write is a failure.

--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,129 @@
+"""The one client of the store against a store that is silent, breaks off, refuses or forgets."""
+
+import asyncio
+import json
+
+import pytest
+import wire_store
+from wire_store import StoreClient, TableFeed
+
+from lentilwell._clock import BootClock
+from lentilwell.gateway import Entry, HistoryGone, StoreAway, UnreadableRow
+from tests.gateway_scripts import in_loop
+
+TIMEOUT_MS = 80
+ROWS = {
+    "rows": [{"table": "t", "key": "a", "value": "eA==", "schema_version": 4}],
+    "schema_version": 7,
+    "has_more": False,
+}
+
+
+class Store:
+    """Answers the calls of each connection as the next behaviour says."""
+
+    def __init__(self, *behaviours: str) -> None:
+        self.behaviours = list(behaviours)
+        self.connections = 0
+        self.calls: list[str] = []
+
+    async def __aenter__(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        host, port = self.server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+        return self
+
+    async def __aexit__(self, *_) -> None:
+        self.server.close()
+
+    async def serve(self, reader, writer) -> None:
+        self.connections += 1
+        while True:
+            try:
+                head = await reader.readuntil(b"\r\n\r\n")
+            except (asyncio.IncompleteReadError, ConnectionError):
+                return
+            self.calls.append(head.split(b" ")[1].decode())
+            await self.answer(self.behaviours.pop(0) if self.behaviours else "200", writer)
+
+    async def answer(self, behaviour, writer) -> None:
+        if behaviour == "silent":
+            return
+        if behaviour == "reset":
+            writer.transport.abort()
+            return
+        if behaviour == "late":
+            await asyncio.sleep(2 * TIMEOUT_MS / 1_000)
+        body = b"nonsense" if behaviour == "garbage" else json.dumps(ROWS).encode()
+        status = behaviour if behaviour.isdigit() else "200"
+        writer.write(b"HTTP/1.1 %s X\r\nContent-Length: %d\r\n\r\n" % (status.encode(), len(body)))
+        writer.write(body)
+
+
+@pytest.fixture(autouse=True)
+def short_timeouts(monkeypatch):
+    monkeypatch.setattr(wire_store, "CALL_TIMEOUT_MS", TIMEOUT_MS)
+    monkeypatch.setattr(wire_store, "FEED_WAIT_MS", 0)
+
+
+def decode(key, value):
+    if value != b"x":
+        raise UnreadableRow(key)
+    return value.decode()
+
+
+def follow(store):
+    return TableFeed(StoreClient(lambda: store.address, BootClock()), "t", decode)
+
+
+@pytest.mark.parametrize("behaviour", ["silent", "late", "reset", "503", "429", "garbage"])
+@in_loop
+async def test_failed_call_is_told_in_time_and_the_next_one_is_not_harmed(behaviour):
+    async with Store(behaviour) as store:
+        feed = follow(store)
+        begin = asyncio.get_running_loop().time()
+        with pytest.raises(StoreAway):
+            await feed.read_changes(3)
+        assert asyncio.get_running_loop().time() - begin < 5 * TIMEOUT_MS / 1_000
+        listing = await feed.read_changes(3)
+        assert listing.version == 7 and listing.entries == (Entry("a", "x"),)
+
+
+@pytest.mark.parametrize(("behaviour", "connections"), [("silent", 2), ("late", 2), ("503", 1)])
+@in_loop
+async def test_connection_with_an_answer_outstanding_is_never_used_again(behaviour, connections):
+    async with Store(behaviour) as store:
+        feed = follow(store)
+        with pytest.raises(StoreAway):
+            await feed.read_changes(3)
+        await feed.read_changes(3)
+        assert store.connections == connections
+
+
+@in_loop
+async def test_forgotten_history_is_told_apart():
+    async with Store("410") as store:
+        with pytest.raises(HistoryGone):
+            await follow(store).read_changes(3)
+
+
+@pytest.mark.parametrize("behaviour", ["silent", "reset", "412", "503"])
+@in_loop
+async def test_write_that_is_not_certain_is_a_failure(behaviour):
+    async with Store(behaviour) as store:
+        client = StoreClient(lambda: store.address, BootClock())
+        with pytest.raises(StoreAway):
+            await client.put_row("t", "a", b"x")
+        await client.put_row("t", "a", b"x")
+        assert store.calls == ["/rows-tx"] * 2
+
+
+@in_loop
+async def test_store_that_has_moved_is_found_at_its_new_address():
+    async with Store() as first, Store() as second:
+        addresses = [first.address]
+        feed = TableFeed(StoreClient(lambda: addresses[-1], BootClock()), "t", decode)
+        await feed.read_all()
+        addresses.append(second.address)
+        await feed.read_all()
+        assert first.connections == second.connections == 1
