Check the deploy file and settings before a start; 'lentilwell state' asks a gateway too

A wrong program or metrics port in deploy/system.toml, or a wrong settings file, showed only when the platform started it; 'lentilwell state' wanted a token that a gateway does not ask for. Change: platform/check.py names each fault; 'state' sends a token only where there is one, 'drain' still needs one. Tests: tests/test_platform_check.py, table-driven; the command against a running gateway.

--- a/src/lentilwell/cli/_operators.py
+++ b/src/lentilwell/cli/_operators.py
@@ -25,7 +25,8 @@
 @command(
     "state",
     "print the whole state of a running instance as JSON, without keys and prompts",
-    "lentilwell state --url http://10.0.0.4:9000 --token-file operator.token",
+    "lentilwell state --url http://10.0.0.4:9000 --token-file operator.token\n"
+    "  lentilwell state --url http://10.0.0.5:9464   (a gateway, which asks for no token)",
     add_target,
 )
 def print_state(options: argparse.Namespace) -> int:
@@ -43,6 +44,8 @@
 )
 def drain_instance(options: argparse.Namespace) -> int:
     """Begin a planned stop."""
+    if not read_token(options):
+        raise UsageError(f"there is no token; use --token-file or set {TOKEN_VARIABLE}")
     call_instance(options, "POST", "/drain")
     sys.stdout.write("draining\n")
     return EXIT_DONE
@@ -50,7 +53,8 @@
 
 def call_instance(options: argparse.Namespace, method: str, path: str) -> HttpAnswer:
     """Make one operators' call, or raise an error that says what to do."""
-    headers = (("Authorization", f"Bearer {read_token(options)}"),)
+    token = read_token(options)
+    headers = (("Authorization", f"Bearer {token}"),) if token else ()
     url = options.url.rstrip("/") + path
     result = send(HttpCall(method, url, headers, timeout_ms=CALL_TIMEOUT_MS))
     if result.is_err():
@@ -59,14 +63,19 @@
         raise RefusedError(f"{options.url} does not answer; check the address and the process")
     answer = result.unwrap()
     if answer.status == 401:
-        raise RefusedError("the instance refused the token; check the token file")
+        raise RefusedError(
+            f"the instance refused the token; use --token-file or set {TOKEN_VARIABLE}"
+        )
     if answer.status >= 300:
         raise RefusedError(f"the instance refused with status {answer.status}")
     return answer
 
 
 def read_token(options: argparse.Namespace) -> str:
-    """Return the operators' token from the file or the variable."""
+    """Return the operators' token from the file or the variable, empty where there is none.
+
+    A gateway asks for none.
+    """
     if options.token_file is None:
         token = os.environ.get(TOKEN_VARIABLE, "")
     else:
@@ -75,6 +84,4 @@
                 token = file.read()
         except OSError as error:
             raise UsageError(f"cannot read {options.token_file}: {error.strerror}") from error
-    if not token.strip():
-        raise UsageError(f"there is no token; use --token-file or set {TOKEN_VARIABLE}")
     return token.strip()
--- /dev/null
+++ b/tests/test_platform_check.py
@@ -0,0 +1,48 @@
+"""The check of the deploy file and of settings, before anything is started."""
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from check import list_deploy_faults, list_settings_faults
+
+ROOT = Path(__file__).parent.parent
+ROLE = """
+[roles.gateway]
+run = "python3 platform/start.py"
+share = 1.0
+metrics = "9464/metrics"
+"""
+
+
+def test_own_deploy_file_is_right():
+    program = [sys.executable, str(ROOT / "platform/check.py")]
+    done = subprocess.run(program, capture_output=True, text=True, timeout=60)
+    assert done.returncode == 0, done.stdout
+    assert "system.toml: right" in done.stdout
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "told"),
+    [
+        ("platform/start.py", "platform/none.py", "names no program"),
+        ("share = 1.0", "share = 0.0", "share must be"),
+        ("9464/metrics", "9465/metrics", "metrics must be"),
+        ("[roles.gateway]", "[other]", "has no role"),
+        ("run =", "run", "not TOML"),
+    ],
+)
+def test_each_fault_of_a_deploy_file_is_told(old, new, told):
+    assert list_deploy_faults(ROLE) == []
+    [fault] = list_deploy_faults(ROLE.replace(old, new))
+    assert told in fault
+
+
+def test_faults_of_settings_are_told(tmp_path):
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps({"node_name": "a"}))
+    [fault] = list_settings_faults(path)
+    assert "ip" in fault
+    assert list_settings_faults(tmp_path / "none.json")
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -357,6 +357,12 @@
         state = json.loads((await instance.ask("/state")).body)
         assert state["configuration"] == 1 and len(state["upstreams"]) == 5
         assert (await instance.ask("/other")).status == 404
+        command = ["-m", "lentilwell", "state", "--url", f"http://{instance.ip}:{METRICS_PORT}"]
+        program = await asyncio.create_subprocess_exec(
+            sys.executable, *command, stdout=asyncio.subprocess.PIPE
+        )
+        out, _ = await program.communicate()
+        assert program.returncode == 0 and json.loads(out)["configuration"] == 1
 
 
 @pytest.mark.parametrize("number", range(2))
