--- a/src/lentilwell/gateway/_least_cost.py
+++ b/src/lentilwell/gateway/_least_cost.py
@@ -199,6 +199,8 @@
     """Return the time until an engine has read a part and finished the pass after it, in ms.
 
     Parts of spread prompts go before whole ones, but not before those in the pass under way.
+    Earlier parts count as ahead although engines read the newest first: what is gained by passing
+    them is lost by their requests.
     """
     load = candidate.load
     pass_ms = write_pass_ms(engine, load.writers + 1, load.context_tokens)
--- a/src/lentilwell/gateway/_peers.py
+++ b/src/lentilwell/gateway/_peers.py
@@ -1,7 +1,8 @@
 """Tells the other instances what this one has in hand, by datagrams, and hears the same of them.
 
-A lost datagram is made good by the next: every one holds all jobs. A peer that has been silent is
-forgotten with its jobs. Peers are found through the store and through the datagrams themselves.
+A lost datagram is made good by the next: every one holds all jobs. An instance tells its own jobs
+at once where it hears of a new life, so that no process starts blind. A peer that has been silent
+is forgotten with its jobs. Peers are found through the store and through the datagrams themselves.
 """
 
 from __future__ import annotations
@@ -111,15 +112,18 @@
             return
         if known is None:
             write_line(PeerHeard(digest.instance, digest.address))
+        newcomer = known is None or known.life != digest.life
         self._heard[digest.instance] = PeerState(digest.life, digest.sequence, now, digest.stopping)
         self._addresses[digest.instance] = digest.address
         self._books.take_peer(digest.instance, digest.jobs)
+        if newcomer:
+            self.note_change()
 
     def error_received(self, exc: Exception) -> None:
         """A datagram could not be delivered; the next one repeats all."""
 
     def note_change(self) -> None:
-        """The own work changed: tell the peers shortly."""
+        """The own work changed, or a peer does not know it yet: tell all peers shortly."""
         if self._pending is None and self._transport is not None:
             loop = asyncio.get_running_loop()
             self._pending = loop.call_later(COALESCE_MS / 1_000, self._send)
@@ -150,6 +154,8 @@
                 continue
             found.pop(self._instance, None)
             self._addresses.update(found)
+            if not self._listed:
+                self.note_change()
             self._listed = True
             await asyncio.sleep(LIST_AGAIN_MS / 1_000)
 
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -1,5 +1,6 @@
 """What instances tell each other: it arrives as it was sent, and hostile bytes change nothing."""
 
+import asyncio
 import contextlib
 
 import pytest
@@ -8,7 +9,7 @@
 
 from lentilwell._clock import ManualClock
 from lentilwell.gateway._books import Books, Job
-from lentilwell.gateway._peers import SILENT_MS, Peers
+from lentilwell.gateway._peers import COALESCE_MS, SILENT_MS, Peers
 from lentilwell.gateway._work_digest import (
     UnreadableDigest,
     WorkDigest,
@@ -94,3 +95,53 @@
     assert not peers.others_serve
     send(peers, stopping=stopping)
     assert peers.others_serve is not stopping
+
+
+class Wire(asyncio.DatagramTransport):
+    """Keeps the datagrams that are sent, with the address."""
+
+    def __init__(self):
+        super().__init__()
+        self.sent = []
+
+    def sendto(self, data, addr=None):
+        self.sent.append((data, addr))
+
+
+class Listed:
+    """A list of instances with one other on it."""
+
+    async def announce(self, instance, address):
+        pass
+
+    async def list_addresses(self):
+        return {"other": "127.0.0.1:8"}
+
+
+@pytest.mark.parametrize(
+    ("life", "answered"), [("l1", False), ("l2", True)], ids=["same life", "new life"]
+)
+def test_newcomer_is_told_at_once_what_is_in_hand(life, answered):
+    async def run():
+        peers = make_peers()
+        send(peers, sequence=1, life="l1")
+        wire = Wire()
+        peers.connection_made(wire)
+        send(peers, sequence=2, life=life)
+        await asyncio.sleep(5 * COALESCE_MS / 1_000)
+        assert bool(wire.sent) is answered
+
+    asyncio.run(run())
+
+
+def test_started_instance_makes_itself_known_as_soon_as_it_knows_the_others():
+    async def run():
+        peers = make_peers()
+        wire = Wire()
+        peers.connection_made(wire)
+        listing = asyncio.get_running_loop().create_task(peers.keep_listed(Listed()))
+        await asyncio.sleep(5 * COALESCE_MS / 1_000)
+        listing.cancel()
+        assert [address for _, address in wire.sent] == [("127.0.0.1", 8)]
+
+    asyncio.run(run())
