--- a/Makefile
+++ b/Makefile
@@ -27,14 +27,16 @@
 test: $(SETUP)
 	$(PY) -m pytest -n 4 --dist loadfile
 
-# A long search of the state machines. SEED=N repeats one; EXAMPLES=N is their number a machine.
+# A long search of the state machines and properties. SEED=N repeats one; EXAMPLES=N is their number a machine.
 SEED ?= $(shell $(PYTHON) -c 'import secrets; print(secrets.randbelow(2**32))')
 EXAMPLES ?= 2000
 search: seed := $(SEED)
 search: $(SETUP)
 	@echo "searching $(EXAMPLES) examples a machine with SEED=$(seed)"
 	LENTILWELL_SEARCH=$(EXAMPLES) $(PY) -m pytest -n 4 --timeout 3600 --hypothesis-seed=$(seed) \
-		tests/test_claims.py tests/test_fleet.py tests/test_sessions.py tests/test_versions.py
+		tests/test_claims.py tests/test_fleet.py tests/test_sessions.py tests/test_versions.py \
+		tests/test_gateway_budget.py tests/test_gateway_course.py tests/test_gateway_ejection.py \
+		tests/test_gateway_event_stream.py tests/test_gateway_leases.py tests/test_gateway_upstreams.py
 
 bench: $(SETUP)
 	$(PY) -m bench
