A held prompt waits for at most half of its objective

Cause: the bound of a second is more than the whole objective of a short route; a prompt of 20,000 tokens that two engines read could have been held until it was late. Test: a case of it.

--- a/src/lentilwell/gateway/_exchange.py
+++ b/src/lentilwell/gateway/_exchange.py
@@ -146,7 +146,8 @@
         """Choose, and choose again once what the chosen engines read now has been read."""
         while (choice := self._choose()) is not None and not self._course.sends:
             ahead_ms = self._fleet.find_reading_ahead(choice)
-            hold_ms = find_hold_ms(choice, ahead_ms, self._held_ms)
+            objective_ms = self._subject.route.objective_ms
+            hold_ms = find_hold_ms(choice, objective_ms, ahead_ms, self._held_ms)
             if not hold_ms:
                 break
             self._record.note_hold(choice, ahead_ms, hold_ms)
--- a/src/lentilwell/gateway/_holding.py
+++ b/src/lentilwell/gateway/_holding.py
@@ -8,8 +8,9 @@
 
 from lentilwell.gateway._choice import Choice
 
-# In all, for one request.
+# In all, for one request; the share is one of its objective.
 LONGEST_HOLD_MS = 1_000
+LONGEST_HOLD_SHARE = 0.5
 LEAST_HOLD_MS = 5
 # Reading that is nearly over is not waited for.
 NEARLY_READ_MS = 20
@@ -17,14 +18,16 @@
 PASSING_SHARE = 0.5
 
 
-def find_hold_ms(choice: Choice, ahead_ms: float, held_ms: int) -> int:
+def find_hold_ms(choice: Choice, objective_ms: int, ahead_ms: float, held_ms: int) -> int:
     """Return how long to wait before choosing again, 0 for sending now.
 
-    ``ahead_ms`` is what is left of the parts at the chosen engines, the most of any of them;
-    ``held_ms`` is how long the request has waited so already.
+    ``objective_ms`` is the time to a first event that is on time, ``ahead_ms`` what is
+    left of the parts at the chosen engines, the most of any of them; ``held_ms`` is how long the
+    request has waited so already.
     """
     if not choice.helpers or ahead_ms <= NEARLY_READ_MS:
         return 0
     if choice.read_ms <= PASSING_SHARE * ahead_ms:
         return 0
-    return max(0, min(LONGEST_HOLD_MS - held_ms, max(LEAST_HOLD_MS, round(ahead_ms))))
+    longest_ms = min(LONGEST_HOLD_MS, round(objective_ms * LONGEST_HOLD_SHARE))
+    return max(0, min(longest_ms - held_ms, max(LEAST_HOLD_MS, round(ahead_ms))))
--- a/standins/played_load.py
+++ b/standins/played_load.py
@@ -175,7 +175,7 @@
         names = choice.names
         places = tuple(int(up[1:]) for up in names)
         ahead_ms = max(candidates[place].load.spread_backlog_ms for place in places)
-        hold_ms = find_hold_ms(choice, ahead_ms, int(now - arrived_at))
+        hold_ms = find_hold_ms(choice, kind.objective_ms, ahead_ms, int(now - arrived_at))
         if self.holds and hold_ms:
             self._push(now + hold_ms, "place", data)
             return
--- a/tests/test_gateway_holding.py
+++ b/tests/test_gateway_holding.py
@@ -28,11 +28,16 @@
 )
 def test_long_prompt_waits_for_what_is_read_now(read_ms, ahead_ms, held_ms, hold_ms):
     choice = Choice(upstream(0), (Helper(upstream(1)),), read_ms=read_ms)
-    assert find_hold_ms(choice, ahead_ms, held_ms) == hold_ms
+    assert find_hold_ms(choice, 3_000, ahead_ms, held_ms) == hold_ms
+
+
+def test_nothing_is_held_for_more_than_half_of_its_objective():
+    choice = Choice(upstream(0), (Helper(upstream(1)),), read_ms=900.0)
+    assert find_hold_ms(choice, 300, 800.0, 0) == 150
 
 
 def test_prompt_that_one_engine_reads_waits_its_turn_there():
-    assert find_hold_ms(Choice(upstream(0), read_ms=900.0), 400.0, 0) == 0
+    assert find_hold_ms(Choice(upstream(0), read_ms=900.0), 3_000, 400.0, 0) == 0
 
 
 def test_flood_of_long_prompts_is_served_better():
