Log lines stand beside the logs, so that no command of the entry instance loads the gateway

Found on reading the change again: 'lentilwell explain' needed the kinds of lines, so every command, 'lentilwell entry' among them, imported the whole gateway with h11 at its start; and the gateway's public module had grown six names for it. Change: gateway/_log_lines moved to lentilwell/_log_lines; the adapter and the command line take it from there. Test: tests/test_library.py, what the command line loads; it failed before.

--- a/src/lentilwell/cli/_story.py
+++ b/src/lentilwell/cli/_story.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from lentilwell.gateway import LINES, Line
-from lentilwell.gateway import log_lines as lines
+from lentilwell import _log_lines as lines
+from lentilwell._log_lines import LINES, Line
 
 # What changed shortly before a request arrived may explain where it went.
 LEAD_MS = 2_000
--- a/src/lentilwell/gateway/__init__.py
+++ b/src/lentilwell/gateway/__init__.py
@@ -1,7 +1,6 @@
 """Forwarding of HTTP requests to upstreams that a store lists, and the decisions behind it."""
 
 from lentilwell.gateway import _baselines, _least_cost
-from lentilwell.gateway import _log_lines as log_lines
 from lentilwell.gateway._budget import BudgetRules
 from lentilwell.gateway._catalog import (
     Catalog,
@@ -22,7 +21,6 @@
 )
 from lentilwell.gateway._gateway import Gateway
 from lentilwell.gateway._link import Link, open_link
-from lentilwell.gateway._log_lines import LINES, Line, RowUnreadable, SettingsUnreadable, write_line
 from lentilwell.gateway._messages import (
     AnswerHead,
     Envelope,
@@ -42,7 +40,6 @@
 from lentilwell.gateway._upstreams import Upstream
 
 __all__ = [
-    "LINES",
     "AnswerHead",
     "BudgetRules",
     "Catalog",
@@ -60,7 +57,6 @@
     "InboundRequest",
     "Lease",
     "Limits",
-    "Line",
     "Link",
     "LinkError",
     "Listing",
@@ -70,9 +66,7 @@
     "Reader",
     "Repeat",
     "Route",
-    "RowUnreadable",
     "ServiceSpec",
-    "SettingsUnreadable",
     "Share",
     "StoreAway",
     "StoreError",
@@ -81,9 +75,7 @@
     "Upstream",
     "drop_headers",
     "find_header",
-    "log_lines",
     "open_link",
-    "write_line",
 ]
 
 _REGISTERED = (_baselines, _least_cost)
--- a/src/lentilwell/gateway/_accounting.py
+++ b/src/lentilwell/gateway/_accounting.py
@@ -4,10 +4,10 @@
 
 from dataclasses import replace
 
+from lentilwell._log_lines import UpstreamEjected, UpstreamUnreachable, write_line
 from lentilwell.gateway._books import Job
 from lentilwell.gateway._choice import Choice
 from lentilwell.gateway._fleet import Fleet
-from lentilwell.gateway._log_lines import UpstreamEjected, UpstreamUnreachable, write_line
 from lentilwell.gateway._patience import find_patience
 from lentilwell.gateway._routing import Subject
 from lentilwell.gateway._upstreams import Upstream
--- a/src/lentilwell/gateway/_fleet.py
+++ b/src/lentilwell/gateway/_fleet.py
@@ -7,18 +7,18 @@
 from dataclasses import dataclass, field
 
 from lentilwell._clock import Clock
-from lentilwell.gateway._books import Books
-from lentilwell.gateway._budget import BudgetRules, RetryBudget
-from lentilwell.gateway._catalog import Catalog, EngineSpec, Route
-from lentilwell.gateway._choice import POLICIES, Candidate, Choice, Wish
-from lentilwell.gateway._ejection import Ejection
-from lentilwell.gateway._log_lines import (
+from lentilwell._log_lines import (
     ConfigurationInForce,
     UpstreamChanged,
     UpstreamGone,
     UpstreamsListed,
     write_line,
 )
+from lentilwell.gateway._books import Books
+from lentilwell.gateway._budget import BudgetRules, RetryBudget
+from lentilwell.gateway._catalog import Catalog, EngineSpec, Route
+from lentilwell.gateway._choice import POLICIES, Candidate, Choice, Wish
+from lentilwell.gateway._ejection import Ejection
 from lentilwell.gateway._messages import Prompt
 from lentilwell.gateway._paces import Paces
 from lentilwell.gateway._ports import Listing
--- a/src/lentilwell/gateway/_follower.py
+++ b/src/lentilwell/gateway/_follower.py
@@ -6,13 +6,13 @@
 import random
 from typing import Generic, Protocol
 
-from lentilwell.gateway._failures import HistoryGone, StoreError
-from lentilwell.gateway._log_lines import (
+from lentilwell._log_lines import (
     DependencyLost,
     DependencyRegained,
     TableHistoryGone,
     write_line,
 )
+from lentilwell.gateway._failures import HistoryGone, StoreError
 from lentilwell.gateway._ports import Feed, Listing, ValueT
 
 FIRST_PAUSE_MS = 50
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -11,16 +11,7 @@
 from result import Err
 
 from lentilwell._clock import BootClock, Clock
-from lentilwell.gateway._answers import answer_failure
-from lentilwell.gateway._caller import Caller
-from lentilwell.gateway._catalog import Limits
-from lentilwell.gateway._exchange import Exchange, Tools
-from lentilwell.gateway._fleet import CatalogListener, Fleet, UpstreamListener
-from lentilwell.gateway._follower import Follower
-from lentilwell.gateway._leases import Leases
-from lentilwell.gateway._link import split_address
-from lentilwell.gateway._links import Links
-from lentilwell.gateway._log_lines import (
+from lentilwell._log_lines import (
     CallbackFailed,
     ExchangeFailed,
     MetricsNotServed,
@@ -32,6 +23,15 @@
     TaskFailed,
     write_line,
 )
+from lentilwell.gateway._answers import answer_failure
+from lentilwell.gateway._caller import Caller
+from lentilwell.gateway._catalog import Limits
+from lentilwell.gateway._exchange import Exchange, Tools
+from lentilwell.gateway._fleet import CatalogListener, Fleet, UpstreamListener
+from lentilwell.gateway._follower import Follower
+from lentilwell.gateway._leases import Leases
+from lentilwell.gateway._link import split_address
+from lentilwell.gateway._links import Links
 from lentilwell.gateway._messages import InboundRequest
 from lentilwell.gateway._metrics import Metrics, dump_fleet
 from lentilwell.gateway._peers import Peers
--- a/src/lentilwell/gateway/_leases.py
+++ b/src/lentilwell/gateway/_leases.py
@@ -11,10 +11,10 @@
 from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass
 
+from lentilwell._log_lines import LeaseNotReleased, LeaseNotRenewed, write_line
 from lentilwell.gateway._choice import Helper
 from lentilwell.gateway._failures import LinkBroken, LinkError
 from lentilwell.gateway._links import Links
-from lentilwell.gateway._log_lines import LeaseNotReleased, LeaseNotRenewed, write_line
 from lentilwell.gateway._messages import Lease, Order
 from lentilwell.gateway._ports import Dialect
 from lentilwell.gateway._upstreams import Upstream
--- a/src/lentilwell/gateway/_peers.py
+++ b/src/lentilwell/gateway/_peers.py
@@ -12,10 +12,7 @@
 from typing import Protocol, cast
 
 from lentilwell._clock import Clock
-from lentilwell.gateway._books import Books
-from lentilwell.gateway._failures import StoreError
-from lentilwell.gateway._link import split_address
-from lentilwell.gateway._log_lines import (
+from lentilwell._log_lines import (
     DigestTooLong,
     DigestUnreadable,
     InstancesNotListed,
@@ -23,6 +20,9 @@
     PeerSilent,
     write_line,
 )
+from lentilwell.gateway._books import Books
+from lentilwell.gateway._failures import StoreError
+from lentilwell.gateway._link import split_address
 from lentilwell.gateway._work_digest import (
     LONGEST_DIGEST_BYTES,
     UnreadableDigest,
--- a/src/lentilwell/gateway/_prober.py
+++ b/src/lentilwell/gateway/_prober.py
@@ -4,10 +4,10 @@
 
 import asyncio
 
+from lentilwell._log_lines import UpstreamReached, write_line
 from lentilwell.gateway._failures import Unreachable
 from lentilwell.gateway._fleet import Fleet
 from lentilwell.gateway._links import Links
-from lentilwell.gateway._log_lines import UpstreamReached, write_line
 from lentilwell.gateway._upstreams import Upstream
 
 PROBE_INTERVAL_MS = 500
--- a/src/lentilwell/gateway/_record.py
+++ b/src/lentilwell/gateway/_record.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-from lentilwell.gateway._choice import Choice
-from lentilwell.gateway._course import Ending
-from lentilwell.gateway._fleet import Fleet
-from lentilwell.gateway._log_lines import (
+from lentilwell._log_lines import (
     AttemptEnded,
     RequestEnded,
     RequestHeld,
@@ -13,6 +10,9 @@
     UpstreamRefused,
     write_line,
 )
+from lentilwell.gateway._choice import Choice
+from lentilwell.gateway._course import Ending
+from lentilwell.gateway._fleet import Fleet
 from lentilwell.gateway._metrics import Metrics
 from lentilwell.gateway._routing import Subject
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -11,9 +11,9 @@
 
 from lentilwell import _failures
 from lentilwell._inventory import Rules
+from lentilwell._log_lines import LINES
 from lentilwell.cli._story import MEANINGS
 from lentilwell.configuration import Settings
-from lentilwell.gateway import LINES
 from lentilwell.reducer import State
 from lentilwell.shell._metrics import Counts, Metrics
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -7,9 +7,9 @@
 
 import pytest
 
+from lentilwell._log_lines import LINES
 from lentilwell.cli import main
 from lentilwell.cli._story import MEANINGS, find_story, parse_line, render_story, tell_line
-from lentilwell.gateway import LINES
 from lentilwell.gateway._course import Ending
 
 PLACED = {
--- a/tests/test_library.py
+++ b/tests/test_library.py
@@ -17,11 +17,21 @@
     assert not hasattr(lentilwell, "nothing")
 
 
-def test_a_gateway_loads_nothing_of_the_entry_instance():
-    program = "import sys, lentilwell.gateway; print(*sorted(sys.modules))"
+def list_loaded(module):
+    program = f"import sys, {module}; print(*sorted(sys.modules))"
     done = subprocess.run(
         [sys.executable, "-c", program], capture_output=True, text=True, timeout=60, check=True
     )
-    loaded = set(done.stdout.split())
+    return set(done.stdout.split())
+
+
+def test_a_gateway_loads_nothing_of_the_entry_instance():
+    loaded = list_loaded("lentilwell.gateway")
     assert "lentilwell.gateway" in loaded
     assert not loaded & {"lentilwell._library", "lentilwell.reducer", "pyrsistent", "pycurl"}
+
+
+def test_the_command_line_loads_nothing_of_the_gateway():
+    loaded = list_loaded("lentilwell.cli")
+    assert "lentilwell.cli" in loaded
+    assert not loaded & {"lentilwell.gateway", "h11"}
