Explain sorts only what it tells; the operators' token is read once

Found on reading the change again: 'explain' sorted every line of all logs and compared each with each line of the request; 'drain' read the token's file twice.

--- a/src/lentilwell/cli/_operators.py
+++ b/src/lentilwell/cli/_operators.py
@@ -31,7 +31,7 @@
 )
 def print_state(options: argparse.Namespace) -> int:
     """Print the state dump."""
-    answer = call_instance(options, "GET", "/state")
+    answer = call_instance(options.url, read_token(options), "GET", "/state")
     sys.stdout.write(answer.body.decode() + "\n")
     return EXIT_DONE
 
@@ -44,23 +44,23 @@
 )
 def drain_instance(options: argparse.Namespace) -> int:
     """Begin a planned stop."""
-    if not read_token(options):
+    token = read_token(options)
+    if not token:
         raise UsageError(f"there is no token; use --token-file or set {TOKEN_VARIABLE}")
-    call_instance(options, "POST", "/drain")
+    call_instance(options.url, token, "POST", "/drain")
     sys.stdout.write("draining\n")
     return EXIT_DONE
 
 
-def call_instance(options: argparse.Namespace, method: str, path: str) -> HttpAnswer:
+def call_instance(base_url: str, token: str, method: str, path: str) -> HttpAnswer:
     """Make one operators' call, or raise an error that says what to do."""
-    token = read_token(options)
     headers = (("Authorization", f"Bearer {token}"),) if token else ()
-    url = options.url.rstrip("/") + path
+    url = base_url.rstrip("/") + path
     result = send(HttpCall(method, url, headers, timeout_ms=CALL_TIMEOUT_MS))
     if result.is_err():
         if result.unwrap_err().sent and method != "GET":
             raise OutcomeUnknownError("no answer came; look at the state before trying again")
-        raise RefusedError(f"{options.url} does not answer; check the address and the process")
+        raise RefusedError(f"{base_url} does not answer; check the address and the process")
     answer = result.unwrap()
     if answer.status == 401:
         raise RefusedError(
--- a/src/lentilwell/cli/_story.py
+++ b/src/lentilwell/cli/_story.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, fields
 from datetime import datetime, timedelta
 from typing import TypeVar
@@ -55,23 +55,28 @@
     return LoggedLine(head.at, head.instance, line)
 
 
-def find_story(request: str, logged: Iterable[LoggedLine]) -> Story | None:
+def find_story(request: str, logged: Sequence[LoggedLine]) -> Story | None:
     """Return the story of a request, None where no line names it."""
-    known = sorted(logged, key=lambda one: one.at)
-    own = [one for one in known if getattr(one.line, "request", None) == request]
+    own = [one for one in logged if is_about(one.line, request)]
     if not own:
         return None
     arrived_at = min(find_arrival(one) for one in own)
+    begin = arrived_at - timedelta(milliseconds=LEAD_MS)
+    end = max(one.at for one in own)
     upstreams = {name for one in own for name in list_upstreams(one.line)}
     instances = {one.instance for one in own}
-    begin, end = arrived_at - timedelta(milliseconds=LEAD_MS), own[-1].at
     told = [
         one
-        for one in known
-        if one in own
+        for one in logged
+        if is_about(one.line, request)
         or (one.instance in instances and begin <= one.at <= end and concerns(one.line, upstreams))
     ]
-    return Story(request, arrived_at, tuple(told))
+    return Story(request, arrived_at, tuple(sorted(told, key=lambda one: one.at)))
+
+
+def is_about(line: Line, request: str) -> bool:
+    """Tell whether a line names this request."""
+    return getattr(line, "request", None) == request
 
 
 def find_arrival(logged: LoggedLine) -> datetime:
