Less to read and to do: look-ups for held prompts only where engines read together, dead state, one profile

Found on reading the change again. Every request, plain calls too, measured its upstream's books for the question whether a long prompt is held; only prompts that several engines read ask now. Gone: a flag of event sequences that nothing read, a list of orders in a test's stand-in that no check looked at, a Hypothesis profile with a stopgap value, an import of one test module by another. Behaviour unchanged; no assertion touched.

--- a/src/lentilwell/gateway/_event_stream.py
+++ b/src/lentilwell/gateway/_event_stream.py
@@ -45,7 +45,6 @@
 
     def __init__(self, last: int | None) -> None:
         self.last = last
-        self.resumed = False
 
     def accept(self, event: StreamEvent) -> bool:
         """Tell whether the caller still lacks this event; raise where one before it is missing."""
--- a/src/lentilwell/gateway/_exchange.py
+++ b/src/lentilwell/gateway/_exchange.py
@@ -144,7 +144,9 @@
 
     async def _choose_in_turn(self) -> Choice | None:
         """Choose, and choose again once what the chosen engines read now has been read."""
-        while (choice := self._choose()) is not None and not self._course.sends:
+        while (choice := self._choose()) is not None:
+            if not choice.helpers or self._course.sends:
+                break
             ahead_ms = self._fleet.find_reading_ahead(choice)
             objective_ms = self._subject.route.objective_ms
             hold_ms = find_hold_ms(choice, objective_ms, ahead_ms, self._held_ms)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,8 +7,10 @@
 
 from tests.searching import SEARCHED_EXAMPLES
 
-settings.register_profile("repeated", derandomize=True, deadline=None)
-settings.register_profile(
-    "searching", max_examples=SEARCHED_EXAMPLES or 1, database=None, deadline=None
-)
-settings.load_profile("searching" if SEARCHED_EXAMPLES else "repeated")
+if SEARCHED_EXAMPLES is None:
+    settings.register_profile("chosen", derandomize=True, deadline=None)
+else:
+    settings.register_profile(
+        "chosen", max_examples=SEARCHED_EXAMPLES, database=None, deadline=None
+    )
+settings.load_profile("chosen")
--- a/tests/gateway_scripts.py
+++ b/tests/gateway_scripts.py
@@ -6,9 +6,7 @@
 
 from lentilwell.gateway import ServiceSpec
 from standins.batch import ENGINE
-from tests.gateway_world import (
-    CATALOG,
-)
+from tests.gateway_world import CATALOG
 
 
 def in_loop(test):
--- a/tests/test_gateway_forwarding.py
+++ b/tests/test_gateway_forwarding.py
@@ -4,17 +4,8 @@
 
 import pytest
 
-from tests.gateway_scripts import (
-    answer_ok,
-    answer_twice,
-    fail,
-    in_loop,
-    stay_silent,
-)
-from tests.gateway_world import (
-    run_world,
-    with_route,
-)
+from tests.gateway_scripts import answer_ok, answer_twice, fail, in_loop, stay_silent
+from tests.gateway_world import run_world, with_route
 
 
 @in_loop
--- a/tests/test_gateway_leases.py
+++ b/tests/test_gateway_leases.py
@@ -45,7 +45,6 @@
 
     faults: list[str] = field(default_factory=list)
     tickets: dict[str, float] = field(default_factory=dict)
-    orders: list[tuple[str, str]] = field(default_factory=list)
 
     def carry_out(self, order: dict) -> None:
         if order["operation"] == "release":
@@ -71,7 +70,6 @@
 
     def send(self, _method, _target, _headers, body) -> None:
         self.order = json.loads(body)
-        self.engine.orders.append((self.order["operation"], self.order["id"]))
 
     async def read_head(self):
         if self.fault in ("", "answer lost"):
--- a/tests/test_gateway_memory.py
+++ b/tests/test_gateway_memory.py
@@ -4,15 +4,8 @@
 import json
 
 from standins.batch import ENGINE
-from tests.gateway_scripts import (
-    ids,
-    in_loop,
-    stream_whole,
-    with_engines,
-)
-from tests.gateway_world import (
-    run_world,
-)
+from tests.gateway_scripts import ids, in_loop, stream_whole, with_engines
+from tests.gateway_world import run_world
 
 
 @in_loop
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -6,16 +6,8 @@
 import pytest
 
 from lentilwell.gateway import Entry
-from tests.gateway_scripts import (
-    answer_ok,
-    in_loop,
-    stream_whole,
-    with_engines,
-)
-from tests.gateway_world import (
-    CATALOG,
-    run_world,
-)
+from tests.gateway_scripts import answer_ok, in_loop, stream_whole, with_engines
+from tests.gateway_world import CATALOG, run_world
 
 
 @in_loop
--- a/tests/test_gateway_recovery.py
+++ b/tests/test_gateway_recovery.py
@@ -23,10 +23,7 @@
     truncate,
     with_engines,
 )
-from tests.gateway_world import (
-    run_world,
-    with_route,
-)
+from tests.gateway_world import run_world, with_route
 
 
 @pytest.mark.parametrize(
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -2,12 +2,7 @@
 
 import pytest
 
-from tests.gateway_scripts import (
-    ids,
-    in_loop,
-    stream_and_break,
-    stream_whole,
-)
+from tests.gateway_scripts import ids, in_loop, stream_and_break, stream_whole
 from tests.gateway_world import CATALOG, run_world, with_route
 
 
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -16,8 +16,8 @@
 
 from standins.batch_server import BatchServer
 from standins.rows import RowServer, RowStore
+from tests.gateway_scripts import in_loop
 from tests.gateway_world import read_answer
-from tests.test_gateway_forwarding import in_loop
 
 ROOT = Path(__file__).parent.parent
 KEY = "k-1"
