One function books the work of a choice, for the gateway and for played loads

Change: list_jobs says what a choice begins at each upstream; the gateway's bookkeeping is as before, the player's now has the memory of the lead and of the keepers.

--- a/src/lentilwell/gateway/_accounting.py
+++ b/src/lentilwell/gateway/_accounting.py
@@ -5,8 +5,7 @@
 from dataclasses import replace
 
 from lentilwell._log_lines import UpstreamEjected, UpstreamUnreachable, write_line
-from lentilwell.gateway._books import Job
-from lentilwell.gateway._choice import Choice
+from lentilwell.gateway._choice import Choice, list_jobs
 from lentilwell.gateway._fleet import Fleet
 from lentilwell.gateway._patience import find_patience
 from lentilwell.gateway._routing import Subject
@@ -25,12 +24,17 @@
 
     def book(self, choice: Choice) -> None:
         """Count the request's work at the chosen upstreams."""
-        prompt = self._subject.facts.prompt
-        needed = prompt.memory_tokens if prompt is not None else 0
-        spread = sum(helper.memory_tokens for helper in choice.helpers)
-        self._book_one(choice, choice.upstream.name, needed - spread, writes=True)
-        for helper in choice.helpers:
-            self._book_one(choice, helper.upstream.name, helper.memory_tokens, writes=False)
+        facts, route = self._subject.facts, self._subject.route
+        jobs = list_jobs(
+            choice,
+            facts.request_id,
+            facts.prompt.memory_tokens if facts.prompt is not None else 0,
+            now=self._clock.now(),
+            due_at=self._subject.request.arrived_at + route.objective_ms,
+            pause_ms=route.pause_ms,
+        )
+        for job in jobs:
+            self._fleet.books.add(job)
 
     def unbook(self, choice: Choice) -> None:
         """Count the request's work there no more."""
@@ -81,19 +85,3 @@
             choice.first_event_ms if self._awaits_event else None,
             self._fleet.paces.find(choice.upstream.name, now),
         )
-
-    def _book_one(self, choice: Choice, upstream: str, memory_tokens: int, writes: bool) -> None:
-        route = self._subject.route
-        job = Job(
-            name=self._subject.facts.request_id,
-            upstream=upstream,
-            begun_at=self._clock.now(),
-            read_ms=choice.read_ms,
-            memory_tokens=memory_tokens,
-            writes=writes,
-            due_at=self._subject.request.arrived_at + route.objective_ms,
-            pause_ms=route.pause_ms,
-            weight=choice.weight,
-            spread=bool(choice.helpers),
-        )
-        self._fleet.books.add(job)
--- a/src/lentilwell/gateway/_choice.py
+++ b/src/lentilwell/gateway/_choice.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from lentilwell.gateway._books import Load
+from lentilwell.gateway._books import Job, Load
 from lentilwell.gateway._catalog import EngineSpec
 from lentilwell.gateway._messages import Prompt
 from lentilwell.gateway._upstreams import Upstream
@@ -74,6 +74,33 @@
         return (self.upstream.name, *(helper.upstream.name for helper in self.helpers))
 
 
+def list_jobs(
+    choice: Choice, name: str, memory_tokens: int, now: int, due_at: int, pause_ms: int
+) -> list[Job]:
+    """Return the work that a request begins now at each upstream of a choice, for the books.
+
+    ``memory_tokens`` is what the whole request needs, ``due_at`` when its first event is due.
+    """
+    spread = bool(choice.helpers)
+    kept = sum(helper.memory_tokens for helper in choice.helpers)
+    held = [memory_tokens - kept, *(helper.memory_tokens for helper in choice.helpers)]
+    return [
+        Job(
+            name=name,
+            upstream=upstream,
+            begun_at=now,
+            read_ms=choice.read_ms,
+            memory_tokens=tokens,
+            writes=upstream == choice.upstream.name,
+            due_at=due_at,
+            pause_ms=pause_ms,
+            weight=choice.weight,
+            spread=spread,
+        )
+        for upstream, tokens in zip(choice.names, held, strict=True)
+    ]
+
+
 Policy = Callable[[Wish, Sequence[Candidate]], Choice | None]
 POLICIES: dict[str, Policy] = {}
 
--- a/standins/played_load.py
+++ b/standins/played_load.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from lentilwell.gateway._books import Books, Job
-from lentilwell.gateway._choice import POLICIES, Candidate, Wish
+from lentilwell.gateway._books import Books
+from lentilwell.gateway._choice import POLICIES, Candidate, Wish, list_jobs
 from lentilwell.gateway._holding import find_hold_ms
 from lentilwell.gateway._messages import Prompt
 from lentilwell.gateway._upstreams import Upstream
@@ -156,8 +156,9 @@
     def _place(self, now: float, data: tuple[float, Kind, int]) -> None:
         arrived_at, kind, tokens = data
         name = f"r{len(self.served)}"
+        prompt = Prompt(tokens, kind.events * ENGINE.pass_steps)
         wish = Wish(
-            prompt=Prompt(tokens, kind.events * 51),
+            prompt=prompt,
             engine=ENGINE,
             objective_ms=kind.objective_ms,
             pause_ms=kind.pause_ms,
@@ -181,22 +182,13 @@
             return
         self.served[name] = Served(kind, tokens, arrived_at, places, set(places), last_at=now)
         self.served[name].near = choice.upstream.data_centre == centre
+        due_at = int(arrived_at) + kind.objective_ms
+        for booked in list_jobs(
+            choice, name, prompt.memory_tokens, int(now), due_at, kind.pause_ms
+        ):
+            self.books.add(booked)
         for place in places:
             lead = place == places[0]
-            self.books.add(
-                Job(
-                    name=name,
-                    upstream=f"u{place}",
-                    begun_at=int(now),
-                    read_ms=choice.read_ms,
-                    memory_tokens=tokens if lead else 0,
-                    writes=lead,
-                    due_at=int(arrived_at) + kind.objective_ms,
-                    pause_ms=kind.pause_ms,
-                    weight=choice.weight,
-                    spread=len(places) > 1,
-                )
-            )
             job = BatchJob(name, tokens, kind.events, len(places), lead)
             job.released = len(places) == 1
             self.batches[place].add(job)
