--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -16,6 +16,7 @@
 from lentilwell.configuration import Settings
 from lentilwell.reducer import State
 from lentilwell.shell._metrics import Counts, Metrics
+from tests.conftest import list_known_red
 
 ROOT = Path(__file__).parent.parent
 OPERATIONS = (ROOT / "docs/OPERATIONS.md").read_text()
@@ -92,3 +93,9 @@
 def test_tests_that_the_page_of_rules_names_exist(part):
     tests = "\n".join(path.read_text() for path in (ROOT / "tests").glob("test_*.py"))
     assert re.search(rf"def test_\w*{part}", tests)
+
+
+def test_every_entry_of_known_red_names_a_test():
+    for name in list_known_red():
+        path, _, test = name.partition("::")
+        assert f"def {test.partition('[')[0]}(" in (ROOT / path).read_text()
