Decode digests natively, and keep told jobs by upstream

Ruled out: another encoding; house style is thrift, and the library brings a native reader of the same bytes. Change: the accelerated compact protocol, its lengths bounded by the longest digest, since a native list of absurd length asks for its memory first (test); jobs by upstream, then by peer.

--- a/src/lentilwell/gateway/_books.py
+++ b/src/lentilwell/gateway/_books.py
@@ -61,13 +61,18 @@
         return sum(job.writes for job in self.jobs)
 
 
+IDLE = Load()
+
+
 class Books:
     """Jobs by upstream, the own ones by name and those of each peer as it last told them."""
 
     def __init__(self) -> None:
         self.on_change: Callable[[], None] = lambda: None
         self._own: dict[str, dict[str, Job]] = {}
-        self._peers: dict[str, dict[str, tuple[Job, ...]]] = {}
+        # By upstream, then by peer: a choice looks at many upstreams, each with few peers' jobs.
+        self._told: dict[str, dict[str, tuple[Job, ...]]] = {}
+        self._upstreams_of: dict[str, frozenset[str]] = {}
 
     def add(self, job: Job) -> None:
         """Note a job that is being sent."""
@@ -104,17 +109,25 @@
         found: dict[str, list[Job]] = {}
         for job in jobs:
             found.setdefault(job.upstream, []).append(job)
+        for upstream in self._upstreams_of.pop(peer, frozenset()) - found.keys():
+            self._drop_told(upstream, peer)
+        for upstream, listed in found.items():
+            self._told.setdefault(upstream, {})[peer] = tuple(listed)
         if found:
-            self._peers[peer] = {name: tuple(listed) for name, listed in found.items()}
-        else:
-            self._peers.pop(peer, None)
+            self._upstreams_of[peer] = frozenset(found)
 
     def measure(self, upstream: str, now: int) -> Load:
         """Return the load of an upstream."""
         jobs = list(self._own.get(upstream, {}).values())
-        for told in self._peers.values():
-            jobs.extend(told.get(upstream, ()))
-        return measure_jobs(jobs, now)
+        for told in self._told.get(upstream, {}).values():
+            jobs.extend(told)
+        return measure_jobs(jobs, now) if jobs else IDLE
+
+    def _drop_told(self, upstream: str, peer: str) -> None:
+        told = self._told[upstream]
+        del told[peer]
+        if not told:
+            del self._told[upstream]
 
 
 def measure_jobs(jobs: list[Job], now: int) -> Load:
--- a/src/lentilwell/gateway/_work_digest.py
+++ b/src/lentilwell/gateway/_work_digest.py
@@ -4,15 +4,18 @@
 
 from dataclasses import dataclass
 
-from thrift.protocol.TCompactProtocol import TCompactProtocolFactory
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.TSerialization import deserialize, serialize
 
 from lentilwell._wire.ttypes import WorkDigest as WireDigest
 from lentilwell._wire.ttypes import WorkItem as WireItem
 from lentilwell.gateway._books import Job
 
-_FACTORY = TCompactProtocolFactory()
 LONGEST_DIGEST_BYTES = 16_384
+# A datagram of hostile bytes may not ask for more memory than a whole digest takes.
+_FACTORY = TCompactProtocolAcceleratedFactory(
+    string_length_limit=LONGEST_DIGEST_BYTES, container_length_limit=LONGEST_DIGEST_BYTES
+)
 
 
 class UnreadableDigest(ValueError):
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import tracemalloc
 
 import pytest
 from hypothesis import given
@@ -64,6 +65,19 @@
         decode_digest(data, 0)
 
 
+def test_list_of_absurd_length_is_refused_without_its_memory():
+    honest = encode_digest(WorkDigest("i", "l", "127.0.0.1:1", 7, ()), 0)
+    # An empty list is one byte: no items, of structs. This one announces two thousand million.
+    absurd = honest.replace(b"\x19\x0c", b"\x19\xfc\xff\xff\xff\xff\x07")
+    assert absurd != honest
+    tracemalloc.start()
+    with pytest.raises(UnreadableDigest):
+        decode_digest(absurd, 0)
+    _, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert peak < 1_000_000
+
+
 def test_hostile_bytes_change_nothing():
     peers = make_peers()
     peers.datagram_received(b"\xff" * 40, ("127.0.0.1", 9))
