Long waits at the store that instances break off for each other; shards at hundreds of engines

Change: waits of 1 to 6 s by the instances heard; digests carry what each knows of the store, and one that is behind or hears of an outage asks at once. Instances and engines are dealt to shards of some 40 engines; sites below 80 engines stay one shard, so that only large changes by it.

--- a/src/lentilwell/_log_lines.py
+++ b/src/lentilwell/_log_lines.py
@@ -214,6 +214,19 @@
     address: str
 
 
+@line("shards dealt")
+@dataclass(frozen=True)
+class ShardsDealt(Line):
+    """The fleet was dealt to another number of shards, by the lists known.
+
+    ``peers`` and ``upstreams`` are those of this instance's shard, without services that all use.
+    """
+
+    shards: int
+    peers: int
+    upstreams: int
+
+
 @line("peer silent")
 @dataclass(frozen=True)
 class PeerSilent(Line):
@@ -293,6 +306,16 @@
     version: int
 
 
+@line("table checked")
+@dataclass(frozen=True)
+class TableChecked(Line):
+    """The wait for changes was broken off to ask anew; ``version`` is the store's as known."""
+
+    table: str
+    reason: str
+    version: int | None
+
+
 @line("row unreadable", "WARNING")
 @dataclass(frozen=True)
 class RowUnreadable(Line):
--- a/src/lentilwell/_wire/ttypes.py
+++ b/src/lentilwell/_wire/ttypes.py
@@ -1692,6 +1692,8 @@
 class WorkDigest(object):
     """
     All the work that a gateway has in hand; ``life`` differs on each start of an instance.
+    ``configuration`` is the version in force, ``listing`` the store's version of the last change
+    of the upstreams that it took; ``store_away`` tells that the store does not answer it.
 
     Attributes:
      - instance
@@ -1700,6 +1702,9 @@
      - sequence
      - items
      - stopping
+     - configuration
+     - listing
+     - store_away
 
     """
 
@@ -1710,16 +1715,22 @@
         'sequence',
         'items',
         'stopping',
+        'configuration',
+        'listing',
+        'store_away',
     )
 
 
-    def __init__(self, instance=None, life=None, address=None, sequence=None, items=None, stopping=False,):
+    def __init__(self, instance=None, life=None, address=None, sequence=None, items=None, stopping=False, configuration=0, listing=0, store_away=False,):
         self.instance = instance
         self.life = life
         self.address = address
         self.sequence = sequence
         self.items = items
         self.stopping = stopping
+        self.configuration = configuration
+        self.listing = listing
+        self.store_away = store_away
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1766,6 +1777,21 @@
                     self.stopping = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.configuration = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.listing = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.store_away = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1803,6 +1829,18 @@
             oprot.writeFieldBegin('stopping', TType.BOOL, 6)
             oprot.writeBool(self.stopping)
             oprot.writeFieldEnd()
+        if self.configuration is not None:
+            oprot.writeFieldBegin('configuration', TType.I64, 7)
+            oprot.writeI64(self.configuration)
+            oprot.writeFieldEnd()
+        if self.listing is not None:
+            oprot.writeFieldBegin('listing', TType.I64, 8)
+            oprot.writeI64(self.listing)
+            oprot.writeFieldEnd()
+        if self.store_away is not None:
+            oprot.writeFieldBegin('store_away', TType.BOOL, 9)
+            oprot.writeBool(self.store_away)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1961,6 +1999,9 @@
     (4, TType.I64, 'sequence', None, None, ),  # 4
     (5, TType.LIST, 'items', (TType.STRUCT, [WorkItem, None], False), None, ),  # 5
     (6, TType.BOOL, 'stopping', None, False, ),  # 6
+    (7, TType.I64, 'configuration', None, 0, ),  # 7
+    (8, TType.I64, 'listing', None, 0, ),  # 8
+    (9, TType.BOOL, 'store_away', None, False, ),  # 9
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/lentilwell/gateway/__init__.py
+++ b/src/lentilwell/gateway/__init__.py
@@ -34,7 +34,7 @@
     drop_headers,
     find_header,
 )
-from lentilwell.gateway._peers import Membership
+from lentilwell.gateway._peers import Member, Membership
 from lentilwell.gateway._ports import Dialect, Entry, Feed, Feeds, Listing
 from lentilwell.gateway._settings import GatewaySettings
 from lentilwell.gateway._upstreams import Upstream
@@ -60,6 +60,7 @@
     "Link",
     "LinkError",
     "Listing",
+    "Member",
     "Membership",
     "Order",
     "Prompt",
--- a/src/lentilwell/gateway/_fleet.py
+++ b/src/lentilwell/gateway/_fleet.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from lentilwell._clock import Clock
 from lentilwell._log_lines import (
     ConfigurationInForce,
+    ShardsDealt,
     UpstreamChanged,
     UpstreamGone,
     UpstreamsListed,
@@ -22,6 +23,7 @@
 from lentilwell.gateway._messages import Prompt
 from lentilwell.gateway._paces import Paces
 from lentilwell.gateway._ports import Listing
+from lentilwell.gateway._shards import ShardView
 from lentilwell.gateway._upstreams import (
     Change,
     Directory,
@@ -41,6 +43,7 @@
     data_centre: str
     budget_rules: BudgetRules
     policy: str
+    shards: ShardView
     catalog: Catalog | None = None
     directory: Directory = field(default_factory=Directory)
     listed: bool = False
@@ -48,6 +51,7 @@
     ejection: Ejection = field(default_factory=Ejection)
     paces: Paces = field(default_factory=Paces)
     listing_version: int = 0
+    shards_logged: int = 1
     count_instances: Callable[[], int] = lambda: 1
     find_digest_age: Callable[[], int | None] = lambda: None
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
@@ -74,13 +78,18 @@
         arrived_at: int,
         excluded: frozenset[str],
     ) -> Choice | None:
-        """Ask the policy for an upstream; those in ``excluded`` are not asked again."""
+        """Ask the policy for an upstream; those in ``excluded`` are not asked again.
+
+        Upstreams of other shards are looked at only where none of the own one can be chosen.
+        """
         now = self.clock.now()
         usable = [
             upstream
             for upstream in self.directory.find_usable(service, now)
             if upstream.name not in excluded
         ]
+        self.shards.take_upstreams(self.directory.listed)
+        own = [upstream for upstream in usable if self.shards.covers(upstream)]
         wish = Wish(
             prompt=prompt,
             engine=self.find_engine(service),
@@ -90,10 +99,16 @@
             now=now,
             point=self.random.random(),
         )
-        admitted = self.ejection.admit(usable, now)
-        doubtful = self.ejection.find_doubtful_centres(usable, now)
+        choice = self._choose_among(wish, own)
+        if choice is None and len(own) < len(usable):
+            choice = self._choose_among(wish, usable)
+        return choice
+
+    def _choose_among(self, wish: Wish, usable: Sequence[Upstream]) -> Choice | None:
+        admitted = self.ejection.admit(usable, wish.now)
+        doubtful = self.ejection.find_doubtful_centres(usable, wish.now)
         trusted = [one for one in admitted if one.data_centre not in doubtful] or admitted
-        candidates = [self._describe(upstream, now) for upstream in trusted]
+        candidates = [self._describe(upstream, wish.now) for upstream in trusted]
         return POLICIES[self.policy](wish, candidates)
 
     def find_reading_ahead(self, choice: Choice) -> float:
@@ -118,6 +133,14 @@
         self.ejection.keep_only(self.directory.listed)
         self.paces.keep_only(self.directory.listed)
 
+    def deal_shards(self) -> None:
+        """Follow the lists of instances and upstreams with the own shard."""
+        self.shards.take_upstreams(self.directory.listed)
+        if self.shards.shards != self.shards_logged:
+            self.shards_logged = self.shards.shards
+            own = sum(map(self.shards.covers, self.directory.listed.values()))
+            write_line(ShardsDealt(self.shards.shards, len(self.shards.peers), own))
+
     def forget(self, upstream: Upstream) -> None:
         """Take an upstream off the list whose address belongs to another one by now."""
         change = Change(upstream.name, None)
--- a/src/lentilwell/gateway/_follower.py
+++ b/src/lentilwell/gateway/_follower.py
@@ -1,14 +1,23 @@
-"""Follows a table: reads it whole once, then its changes, and begins anew where history is lost."""
+"""Follows a table: reads it whole once, then its changes, and begins anew where history is lost.
+
+Load that this answers: hundreds of instances that follow the same tables. Calls to the store are
+dear, so each waits long for a change. That the store or the path to it has failed is then found by
+few, whose waits end at different moments; the others hear of it and look for themselves.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import random
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Generic, Protocol
 
+from lentilwell._clock import MS_PER_SECOND, Clock
 from lentilwell._log_lines import (
     DependencyLost,
     DependencyRegained,
+    TableChecked,
     TableHistoryGone,
     write_line,
 )
@@ -17,6 +26,25 @@
 
 FIRST_PAUSE_MS = 50
 LONGEST_PAUSE_MS = 800
+# An instance that hears no other finds an outage within this time and the store's time-out.
+ALONE_WAIT_MS = 1_000
+# Each instance heard adds this much: their waits end at different moments.
+WAIT_PER_INSTANCE_MS = 500
+LONGEST_WAIT_MS = 6_000
+# A change reaches all that follow within this time, or the connection is dead.
+NEWS_SPREAD_MS = 300
+CHECK_INTERVAL_MS = 1_000
+
+
+@dataclass(frozen=True)
+class TableNews:
+    """What an instance knows of a table; ``changed_version`` is the store's at its last change.
+
+    ``away`` tells that the store does not answer it.
+    """
+
+    changed_version: int = 0
+    away: bool = False
 
 
 class Listener(Protocol[ValueT]):
@@ -32,21 +60,50 @@
         """The store answers again after an outage."""
 
 
+def find_wait_ms(instances: int, point: float) -> int:
+    """Return how long to wait for a change, where this many instances hear each other.
+
+    ``point`` is a random number from 0 up to 1, so that the waits of several do not end together.
+    """
+    longest_ms = min(LONGEST_WAIT_MS, max(ALONE_WAIT_MS, instances * WAIT_PER_INSTANCE_MS))
+    return round(longest_ms * (1 + point) / 2)
+
+
 class Follower(Generic[ValueT]):
     """Keeps one listener up to date until it is cancelled."""
 
-    def __init__(self, name: str, feed: Feed[ValueT], listener: Listener[ValueT]) -> None:
+    def __init__(
+        self,
+        name: str,
+        feed: Feed[ValueT],
+        listener: Listener[ValueT],
+        clock: Clock,
+        count_instances: Callable[[], int] = lambda: 1,
+    ) -> None:
         self._name = name
         self._feed = feed
         self._listener = listener
+        self._clock = clock
+        self._count_instances = count_instances
         self._version: int | None = None
+        self._changed_version = 0
         self._pause_ms = 0
+        self._reading: asyncio.Timeout | None = None
+        self._checked_at = clock.now() - CHECK_INTERVAL_MS
+        self._checking = False
+
+    @property
+    def news(self) -> TableNews:
+        """Return what this instance can tell others of the table."""
+        return TableNews(self._changed_version, bool(self._pause_ms))
 
     async def run(self) -> None:
         """Follow the table for good."""
         while True:
             try:
-                listing = await self._read()
+                listing = await self._read_until_check()
+            except TimeoutError:
+                continue  # a check was asked for
             except HistoryGone:
                 write_line(TableHistoryGone(self._name, self._version))
                 self._version = None
@@ -55,10 +112,49 @@
             else:
                 self._take(listing)
 
+    def hear(self, news: TableNews) -> None:
+        """Take what another instance knows: look anew if it knows more, or finds the store away."""
+        if news.away:
+            self.check("another instance finds the store away")
+        elif self._is_behind(news.changed_version):
+            loop = asyncio.get_running_loop()
+            loop.call_later(
+                NEWS_SPREAD_MS / MS_PER_SECOND, self._check_if_behind, news.changed_version
+            )
+
+    def check(self, reason: str) -> None:
+        """Break off a wait for changes and ask the store at once, over a new connection."""
+        now = self._clock.now()
+        waiting = self._reading is not None and self._reading.when() is None
+        if self._pause_ms or not waiting or now - self._checked_at < CHECK_INTERVAL_MS:
+            return
+        assert self._reading is not None
+        self._checked_at = now
+        self._checking = True
+        write_line(TableChecked(self._name, reason, self._version))
+        self._reading.reschedule(asyncio.get_running_loop().time())
+
+    def _check_if_behind(self, changed_version: int) -> None:
+        if self._is_behind(changed_version):
+            self.check(f"another instance has seen version {changed_version}")
+
+    def _is_behind(self, changed_version: int) -> bool:
+        return self._version is not None and self._version < changed_version
+
+    async def _read_until_check(self) -> Listing[ValueT]:
+        """Read; raise ``TimeoutError`` where a check is asked for meanwhile."""
+        try:
+            async with asyncio.timeout(None) as self._reading:
+                return await self._read()
+        finally:
+            self._reading = None
+
     async def _read(self) -> Listing[ValueT]:
         if self._version is None:
             return await self._feed.read_all()
-        return await self._feed.read_changes(self._version)
+        wait_ms = 0 if self._checking else find_wait_ms(self._count_instances(), random.random())
+        self._checking = False
+        return await self._feed.read_changes(self._version, wait_ms)
 
     def _take(self, listing: Listing[ValueT]) -> None:
         if self._pause_ms:
@@ -69,10 +165,12 @@
             self._listener.take_all(listing)
         else:
             self._listener.take_changes(listing)
+        if listing.entries:
+            self._changed_version = listing.version
         self._version = listing.version
 
     async def _back_off(self, error: StoreError) -> None:
         if not self._pause_ms:
             write_line(DependencyLost(self._name, str(error)))
         self._pause_ms = min(LONGEST_PAUSE_MS, max(FIRST_PAUSE_MS, 2 * self._pause_ms))
-        await asyncio.sleep(self._pause_ms * (0.5 + random.random() / 2) / 1_000)
+        await asyncio.sleep(self._pause_ms * (0.5 + random.random() / 2) / MS_PER_SECOND)
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -28,19 +28,21 @@
 from lentilwell.gateway._catalog import Limits
 from lentilwell.gateway._exchange import Exchange, Tools
 from lentilwell.gateway._fleet import CatalogListener, Fleet, UpstreamListener
-from lentilwell.gateway._follower import Follower
+from lentilwell.gateway._follower import Follower, Listener, TableNews
 from lentilwell.gateway._leases import Leases
 from lentilwell.gateway._link import split_address
 from lentilwell.gateway._links import Links
 from lentilwell.gateway._messages import InboundRequest
 from lentilwell.gateway._metrics import Metrics, dump_fleet
-from lentilwell.gateway._peers import Peers
-from lentilwell.gateway._ports import Dialect, Feeds
+from lentilwell.gateway._peers import Member, Peers
+from lentilwell.gateway._ports import Dialect, Feed, Feeds, ValueT
 from lentilwell.gateway._prober import Prober
 from lentilwell.gateway._routing import ELSEWHERE_RETRY_MS, Rejection, Subject, find_subject
 from lentilwell.gateway._settings import GatewaySettings
+from lentilwell.gateway._shards import ShardView
 from lentilwell.gateway._status import ANY_PATH, Question, StatusAnswer, StatusProtocol
 from lentilwell.gateway._stopping import can_finish
+from lentilwell.gateway._store_news import StoreNews
 
 BACKLOG = 1_024
 LIFE_LENGTH = 8
@@ -62,16 +64,29 @@
     def __init__(self, settings: GatewaySettings, dialect: Dialect, feeds: Feeds) -> None:
         self.settings = settings
         self.clock: Clock = BootClock()
-        self.fleet = Fleet(self.clock, settings.data_centre, settings.budget, settings.policy)
+        shards = ShardView(settings.instance, settings.data_centre)
+        self.fleet = Fleet(
+            self.clock, settings.data_centre, settings.budget, settings.policy, shards
+        )
         self.links = Links(self.clock)
         life = uuid.uuid4().hex[:LIFE_LENGTH]
         self.peers = Peers(
             settings.instance,
             life,
-            settings.peers_address,
+            Member(settings.peers_address, settings.data_centre),
             self.clock,
             self.fleet.books,
+            shards,
+        )
+        self._catalog_follower = self._follow(
+            "configuration", feeds.catalog, CatalogListener(self.fleet)
         )
+        self._upstreams_follower = self._follow(
+            "upstreams", feeds.upstreams, UpstreamListener(self.fleet)
+        )
+        self.peers.find_news = self._tell_news
+        self.peers.on_news = self._hear_news
+        self.peers.on_silence = self._check_store
         self.fleet.books.on_change = self.peers.note_change
         self.fleet.count_instances = lambda: self.peers.instances
         self.fleet.find_digest_age = self.peers.find_oldest_age
@@ -187,17 +202,37 @@
         await self._listen(self.settings.callers_address, lambda: Caller(self.clock, self))
         host, port = split_address(self.settings.peers_address)
         await loop.create_datagram_endpoint(lambda: self.peers, (host, port))
-        catalog = Follower("configuration", self._feeds.catalog, CatalogListener(self.fleet))
-        upstreams = Follower("upstreams", self._feeds.upstreams, UpstreamListener(self.fleet))
         runs = {
-            "configuration": catalog.run,
-            "upstreams": upstreams.run,
+            "configuration": self._catalog_follower.run,
+            "upstreams": self._upstreams_follower.run,
             "instances": lambda: self.peers.keep_listed(self._feeds.membership),
             "probes": Prober(self.fleet, self.links).run,
         }
         self._tasks = [loop.create_task(_run_for_good(name, run)) for name, run in runs.items()]
         write_line(Started(self.settings.callers_address))
 
+    def _follow(
+        self, name: str, feed: Feed[ValueT], listener: Listener[ValueT]
+    ) -> Follower[ValueT]:
+        return Follower(name, feed, listener, self.clock, lambda: self.peers.heard)
+
+    def _tell_news(self) -> StoreNews:
+        configuration, listing = self._catalog_follower.news, self._upstreams_follower.news
+        return StoreNews(
+            configuration.changed_version,
+            listing.changed_version,
+            configuration.away or listing.away,
+        )
+
+    def _hear_news(self, news: StoreNews) -> None:
+        self._catalog_follower.hear(TableNews(news.configuration, news.away))
+        self._upstreams_follower.hear(TableNews(news.listing, news.away))
+
+    def _check_store(self, silent_peer: str) -> None:
+        """A peer has fallen silent: what cut it off may have cut off the store."""
+        for follower in (self._catalog_follower, self._upstreams_follower):
+            follower.check(f"{silent_peer} has fallen silent")
+
     async def _listen(self, address: str, make: Callable[[], asyncio.BaseProtocol]) -> None:
         host, port = split_address(address)
         loop = asyncio.get_running_loop()
@@ -230,6 +265,7 @@
         self.reload()
         self.peers.keep_house()
         self.fleet.forget_gone()
+        self.fleet.deal_shards()
         self.links.keep_only(upstream.address for upstream in self.fleet.directory.listed.values())
         if self._stopping_for() >= IDLE_CLOSE_AFTER_MS:
             for caller in list(self._callers):
--- a/src/lentilwell/gateway/_peers.py
+++ b/src/lentilwell/gateway/_peers.py
@@ -1,4 +1,4 @@
-"""Tells the other instances what this one has in hand, by datagrams, and hears the same of them.
+"""Tells the instances of the own shard what this one has in hand, by datagrams, and hears the same.
 
 A lost datagram is made good by the next: every one holds all jobs. An instance tells its own jobs
 at once where it hears of a new life, so that no process starts blind. A peer that has been silent
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol, cast
 
@@ -23,6 +25,8 @@
 from lentilwell.gateway._books import Books
 from lentilwell.gateway._failures import StoreError
 from lentilwell.gateway._link import split_address
+from lentilwell.gateway._shards import ShardView
+from lentilwell.gateway._store_news import StoreNews
 from lentilwell.gateway._work_digest import (
     LONGEST_DIGEST_BYTES,
     UnreadableDigest,
@@ -37,18 +41,28 @@
 SILENT_MS = 1_500
 ANNOUNCE_RETRY_MS = 500
 LIST_AGAIN_MS = 15_000
+# An instance that nobody listed yet was heard: at a start of many, most come within this time.
+NEWCOMER_LIST_MS = 2_000
 # Until the list was read once: more than there are on the smallest sites.
 ASSUMED_INSTANCES = 8
 
 
+@dataclass(frozen=True)
+class Member:
+    """An instance as it is listed: where it takes datagrams, and its data centre."""
+
+    address: str
+    data_centre: str
+
+
 class Membership(Protocol):
     """The list of instances that the store keeps. Failures are ``StoreError`` classes."""
 
-    async def announce(self, instance: str, address: str) -> None:
+    async def announce(self, instance: str, member: Member) -> None:
         """List this instance under its name."""
 
-    async def list_addresses(self) -> dict[str, str]:
-        """Return the listed instances' addresses by name."""
+    async def list_members(self) -> dict[str, Member]:
+        """Return the listed instances by name."""
 
 
 @dataclass(frozen=True)
@@ -62,14 +76,17 @@
 
 
 class Peers(asyncio.DatagramProtocol):
-    """Exchanges digests of work with all other instances."""
+    """Exchanges digests of work with the other instances of the shard, and those it hears of."""
 
-    def __init__(self, instance: str, life: str, address: str, clock: Clock, books: Books) -> None:
+    def __init__(
+        self, instance: str, life: str, own: Member, clock: Clock, books: Books, shards: ShardView
+    ) -> None:
         self._instance = instance
         self._life = life
-        self._address = address
+        self._own = own
         self._clock = clock
         self._books = books
+        self._shards = shards
         self._sequence = 0
         self._addresses: dict[str, str] = {}
         self._heard: dict[str, PeerState] = {}
@@ -77,7 +94,11 @@
         self._pending: asyncio.TimerHandle | None = None
         self._sent_at = 0
         self._listed = False
+        self._newcomer = asyncio.Event()
         self.stopping = False
+        self.find_news: Callable[[], StoreNews] = StoreNews
+        self.on_news: Callable[[StoreNews], None] = lambda news: None
+        self.on_silence: Callable[[str], None] = lambda peer: None
 
     @property
     def instances(self) -> int:
@@ -85,6 +106,11 @@
         known = len(self._addresses) + 1
         return known if self._listed else max(ASSUMED_INSTANCES, known)
 
+    @property
+    def heard(self) -> int:
+        """Return how many instances hear each other, this one included."""
+        return len(self._heard) + 1
+
     @property
     def others_serve(self) -> bool:
         """Tell whether a peer that is not being stopped is heard."""
@@ -114,8 +140,11 @@
             write_line(PeerHeard(digest.instance, digest.address))
         newcomer = known is None or known.life != digest.life
         self._heard[digest.instance] = PeerState(digest.life, digest.sequence, now, digest.stopping)
+        if digest.instance not in self._addresses:
+            self._newcomer.set()
         self._addresses[digest.instance] = digest.address
         self._books.take_peer(digest.instance, digest.jobs)
+        self.on_news(digest.news)
         if newcomer:
             self.note_change()
 
@@ -138,6 +167,7 @@
                 write_line(PeerSilent(name, now - state.heard_at))
                 del self._heard[name]
                 self._books.take_peer(name, ())
+                self.on_silence(name)
 
     async def keep_listed(self, membership: Membership) -> None:
         """Announce this instance, and look for others now and then, for good."""
@@ -145,19 +175,30 @@
         while True:
             try:
                 if not announced:
-                    await membership.announce(self._instance, self._address)
+                    await membership.announce(self._instance, self._own)
                     announced = True
-                found = await membership.list_addresses()
+                found = await membership.list_members()
             except StoreError as error:
                 write_line(InstancesNotListed(str(error)))
                 await asyncio.sleep(ANNOUNCE_RETRY_MS / 1_000)
                 continue
-            found.pop(self._instance, None)
-            self._addresses.update(found)
-            if not self._listed:
-                self.note_change()
-            self._listed = True
-            await asyncio.sleep(LIST_AGAIN_MS / 1_000)
+            self._take_members(found)
+            await self._wait_to_list_again()
+
+    def _take_members(self, found: dict[str, Member]) -> None:
+        found.pop(self._instance, None)
+        self._addresses.update((name, member.address) for name, member in found.items())
+        self._shards.take_members({name: member.data_centre for name, member in found.items()})
+        if not self._listed:
+            self.note_change()
+        self._listed = True
+
+    async def _wait_to_list_again(self) -> None:
+        await asyncio.sleep(NEWCOMER_LIST_MS / 1_000)
+        self._newcomer.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LIST_AGAIN_MS / 1_000):
+                await self._newcomer.wait()
 
     def close(self) -> None:
         """Stop listening."""
@@ -172,15 +213,19 @@
         digest = WorkDigest(
             self._instance,
             self._life,
-            self._address,
+            self._own.address,
             self._sequence,
             self._books.list_own(),
             self.stopping,
+            self.find_news(),
         )
         data = encode_digest(digest, now)
         if len(data) > LONGEST_DIGEST_BYTES:
             write_line(DigestTooLong(len(data)))
             return
-        for address in self._addresses.values():
-            if self._transport is not None and address != self._address:
+        if self._transport is None:
+            return
+        for name in self._shards.peers | self._heard.keys():
+            address = self._addresses.get(name)
+            if address is not None and address != self._own.address:
                 self._transport.sendto(data, split_address(address))
--- a/src/lentilwell/gateway/_ports.py
+++ b/src/lentilwell/gateway/_ports.py
@@ -46,8 +46,8 @@
     async def read_all(self) -> Listing[ValueT]:
         """Return all rows."""
 
-    async def read_changes(self, after: int) -> Listing[ValueT]:
-        """Return the rows changed after a version; wait a while for the first."""
+    async def read_changes(self, after: int, wait_ms: int) -> Listing[ValueT]:
+        """Return the rows changed after a version; wait up to ``wait_ms`` for the first."""
 
 
 class Dialect(Protocol):
--- a/src/lentilwell/gateway/_work_digest.py
+++ b/src/lentilwell/gateway/_work_digest.py
@@ -10,6 +10,7 @@
 from lentilwell._wire.ttypes import WorkDigest as WireDigest
 from lentilwell._wire.ttypes import WorkItem as WireItem
 from lentilwell.gateway._books import Job
+from lentilwell.gateway._store_news import NO_NEWS, StoreNews
 
 LONGEST_DIGEST_BYTES = 16_384
 # A datagram of hostile bytes may not ask for more memory than a whole digest takes.
@@ -26,7 +27,7 @@
 class WorkDigest:
     """The jobs of one life of an instance; ``address`` is where it listens for digests.
 
-    ``stopping`` tells that it takes no new callers.
+    ``stopping`` tells that it takes no new callers, ``news`` what it knows of the store.
     """
 
     instance: str
@@ -35,13 +36,22 @@
     sequence: int
     jobs: tuple[Job, ...]
     stopping: bool = False
+    news: StoreNews = NO_NEWS
 
 
 def encode_digest(digest: WorkDigest, now: int) -> bytes:
     """Return a digest's bytes; times are told as ages, since clocks differ."""
     items = [_encode_job(job, now) for job in digest.jobs]
     wire = WireDigest(
-        digest.instance, digest.life, digest.address, digest.sequence, items, digest.stopping
+        digest.instance,
+        digest.life,
+        digest.address,
+        digest.sequence,
+        items,
+        digest.stopping,
+        digest.news.configuration,
+        digest.news.listing,
+        digest.news.away,
     )
     data: bytes = serialize(wire, _FACTORY)
     return data
@@ -59,8 +69,9 @@
         )
     except Exception as error:  # the library raises errors of many types on hostile bytes
         raise UnreadableDigest(repr(error)) from error
+    news = StoreNews(wire.configuration or 0, wire.listing or 0, bool(wire.store_away))
     return WorkDigest(
-        wire.instance, wire.life, wire.address, wire.sequence, jobs, bool(wire.stopping)
+        wire.instance, wire.life, wire.address, wire.sequence, jobs, bool(wire.stopping), news
     )
 
 
--- a/src/lentilwell/peers.thrift
+++ b/src/lentilwell/peers.thrift
@@ -120,7 +120,11 @@
   10: required bool spread
 }
 
-/** All the work that a gateway has in hand; ``life`` differs on each start of an instance. */
+/**
+ * All the work that a gateway has in hand; ``life`` differs on each start of an instance.
+ * ``configuration`` is the version in force, ``listing`` the store's version of the last change
+ * of the upstreams that it took; ``store_away`` tells that the store does not answer it.
+ */
 struct WorkDigest {
   1: required string instance
   2: required string life
@@ -128,4 +132,7 @@
   4: required i64 sequence
   5: required list<WorkItem> items
   6: optional bool stopping = false
+  7: optional i64 configuration = 0
+  8: optional i64 listing = 0
+  9: optional bool store_away = false
 }
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -136,7 +136,7 @@
         """Return all rows."""
         return Listing(self.entries, self.version)
 
-    async def read_changes(self, after: int) -> Listing:
+    async def read_changes(self, after: int, wait_ms: int) -> Listing:
         """Return rows changed after a version, once there are some."""
         if self.version <= after:
             self.changed.clear()
@@ -147,10 +147,10 @@
 class NoMembership:
     """A list without other instances."""
 
-    async def announce(self, instance, address):
+    async def announce(self, instance, member):
         """List nothing."""
 
-    async def list_addresses(self):
+    async def list_members(self):
         """Return nobody."""
         return {}
 
--- /dev/null
+++ b/tests/test_gateway_follower.py
@@ -0,0 +1,136 @@
+"""Following a table: long waits, and what ends them where another instance knows more."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+
+from lentilwell._clock import ManualClock
+from lentilwell.gateway import Entry, Listing, StoreAway
+from lentilwell.gateway._follower import (
+    ALONE_WAIT_MS,
+    CHECK_INTERVAL_MS,
+    LONGEST_WAIT_MS,
+    Follower,
+    TableNews,
+    find_wait_ms,
+)
+from tests.gateway_scripts import in_loop
+
+
+class Table:
+    """A table whose waits for changes never end by themselves while ``dead`` is set."""
+
+    def __init__(self):
+        self.version = 3
+        self.dead = False
+        self.away = False
+        self.waits = []
+
+    async def read_all(self):
+        return Listing((Entry("k", "v"),), self.version)
+
+    async def read_changes(self, after, wait_ms):
+        self.waits.append(wait_ms)
+        if self.away:
+            raise StoreAway("refused")
+        if wait_ms and (self.dead or self.version == after):
+            await asyncio.Event().wait()
+        rows = (Entry("k", "new"),) if self.version > after else ()
+        return Listing(rows, self.version)
+
+
+class Heard:
+    """Notes what a listener is told."""
+
+    def __init__(self):
+        self.told = []
+
+    def take_all(self, listing):
+        self.told.append(listing.version)
+
+    def take_changes(self, listing):
+        self.told.append(listing.version)
+
+    def note_regained(self):
+        self.told.append("regained")
+
+
+@asynccontextmanager
+async def following(table, monkeypatch):
+    monkeypatch.setattr("lentilwell.gateway._follower.NEWS_SPREAD_MS", 5)
+    clock, listener = ManualClock(), Heard()
+    follower = Follower("t", table, listener, clock)
+    task = asyncio.get_running_loop().create_task(follower.run())
+    await asyncio.sleep(0.01)
+    yield follower, listener, clock
+    task.cancel()
+
+
+@pytest.mark.parametrize("instances", [1, 4, 35, 300])
+def test_waits_grow_with_the_instances_that_hear_each_other(instances):
+    longest = find_wait_ms(instances, 0.999)
+    assert ALONE_WAIT_MS * 0.9 <= longest <= LONGEST_WAIT_MS
+    assert find_wait_ms(instances, 0.0) >= longest / 2 - 1
+    # Both tables of all instances: an outage meets the end of some wait within a second.
+    assert longest / (2 * instances) <= 1_000
+
+
+@in_loop
+async def test_change_that_another_instance_has_seen_is_read_over_a_dead_wait(monkeypatch):
+    table = Table()
+    async with following(table, monkeypatch) as (follower, listener, _):
+        table.dead, table.version = True, 9
+        follower.hear(TableNews(changed_version=9))
+        await asyncio.sleep(0.03)
+        assert listener.told == [3, 9]
+        assert table.waits[1] == 0
+
+
+@in_loop
+async def test_news_that_is_known_already_ends_no_wait(monkeypatch):
+    table = Table()
+    async with following(table, monkeypatch) as (follower, _, _):
+        follower.hear(TableNews(changed_version=3))
+        await asyncio.sleep(0.03)
+        assert len(table.waits) == 1
+
+
+@in_loop
+async def test_outage_that_another_instance_finds_is_found_and_its_end_is_told(monkeypatch):
+    table = Table()
+    async with following(table, monkeypatch) as (follower, listener, _):
+        table.dead = table.away = True
+        follower.hear(TableNews(away=True))
+        await asyncio.sleep(0.02)
+        assert follower.news.away
+        table.dead = table.away = False
+        table.version = 12
+        async with asyncio.timeout(3):
+            while follower.news.away:
+                await asyncio.sleep(0.01)
+        assert listener.told[-2:] == ["regained", 12]
+        assert follower.news.changed_version == 12
+
+
+@in_loop
+async def test_instances_that_go_on_telling_of_an_outage_cause_few_calls(monkeypatch):
+    table = Table()
+    async with following(table, monkeypatch) as (follower, _, clock):
+        for _ in range(50):
+            follower.hear(TableNews(away=True))
+            await asyncio.sleep(0)
+        await asyncio.sleep(0.01)
+        assert table.waits.count(0) == 1
+        clock.advance(CHECK_INTERVAL_MS)
+        follower.hear(TableNews(away=True))
+        await asyncio.sleep(0.01)
+        assert table.waits.count(0) == 2
+
+
+@in_loop
+async def test_end_of_the_follower_is_no_check(monkeypatch):
+    async with following(Table(), monkeypatch) as (follower, _, _):
+        pass
+    await asyncio.sleep(0.01)
+    follower.check("nobody follows any more")
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -10,7 +10,8 @@
 
 from lentilwell._clock import ManualClock
 from lentilwell.gateway._books import Books, Job
-from lentilwell.gateway._peers import COALESCE_MS, SILENT_MS, Peers
+from lentilwell.gateway._peers import COALESCE_MS, SILENT_MS, Member, Peers
+from lentilwell.gateway._shards import ShardView
 from lentilwell.gateway._work_digest import (
     UnreadableDigest,
     WorkDigest,
@@ -35,7 +36,9 @@
 
 
 def make_peers(clock=None):
-    return Peers("own", "life", "127.0.0.1:1", clock or ManualClock(5_000), Books())
+    own = Member("127.0.0.1:1", "a")
+    clock = clock or ManualClock(5_000)
+    return Peers("own", "life", own, clock, Books(), ShardView("own", "a"))
 
 
 def send(peers, sequence=1, life="l1", stopping=False, jobs=1, now=5_000):
@@ -125,11 +128,11 @@
 class Listed:
     """A list of instances with one other on it."""
 
-    async def announce(self, instance, address):
+    async def announce(self, instance, member):
         pass
 
-    async def list_addresses(self):
-        return {"other": "127.0.0.1:8"}
+    async def list_members(self):
+        return {"other": Member("127.0.0.1:8", "a")}
 
 
 @pytest.mark.parametrize(
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -70,7 +70,7 @@
 async def test_fault_in_a_background_task_does_not_end_the_service():
     async with run_world(answer_ok) as world:
 
-        async def fail_once(after):
+        async def fail_once(after, wait_ms):
             world.catalog.read_changes = type(world.catalog).read_changes.__get__(world.catalog)
             raise ZeroDivisionError
 
--- /dev/null
+++ b/tests/test_gateway_shards.py
@@ -0,0 +1,109 @@
+"""Shards: small fleets are one, large ones are dealt evenly, and changes move few."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lentilwell.gateway._shards import UPSTREAMS_PER_SHARD, ShardView, count_shards, deal
+from lentilwell.gateway._upstreams import Upstream
+
+CENTRES = ("a", "b", "c", "d", "e")
+FLEETS = st.dictionaries(st.text(min_size=1, max_size=8), st.sampled_from(CENTRES), max_size=60)
+
+
+def make_instances(number):
+    return {f"front-{n}": CENTRES[n % len(CENTRES)] for n in range(number)}
+
+
+def make_upstreams(number, service="engines"):
+    return {
+        f"{service}-{n}": Upstream(
+            f"{service}-{n}", service, f"10.0.0.{n}:1", CENTRES[n % len(CENTRES)], 6, False
+        )
+        for n in range(number)
+    }
+
+
+@pytest.mark.parametrize(
+    ("upstreams", "instances", "shards"),
+    [(14, 4, 1), (45, 35, 1), (112, 78, 2), (430, 300, 10), (10_000, 340, 85), (400, 3, 1)],
+)
+def test_number_of_shards_follows_the_fleet(upstreams, instances, shards):
+    assert count_shards(upstreams, instances) == shards
+
+
+@given(FLEETS, st.integers(1, 9))
+def test_each_data_centre_is_dealt_evenly(members, shards):
+    dealt = deal(members, shards)
+    assert dealt.keys() == members.keys()
+    for centre in CENTRES:
+        parts = [0] * shards
+        for name, shard in dealt.items():
+            parts[shard] += members[name] == centre
+        assert max(parts) - min(parts) <= 1
+
+
+@given(FLEETS, st.integers(1, 9), st.randoms())
+def test_dealing_does_not_depend_on_the_order_of_the_list(members, shards, order):
+    names = list(members)
+    order.shuffle(names)
+    assert deal({name: members[name] for name in names}, shards) == deal(members, shards)
+
+
+def test_member_that_goes_moves_few_others():
+    members = make_instances(300)
+    before = deal(members, 10)
+    moved = []
+    for gone in members:
+        after = deal({name: one for name, one in members.items() if name != gone}, 10)
+        moved.append(sum(before[name] != shard for name, shard in after.items()))
+    assert sum(moved) / len(moved) < 300 / 10
+
+
+def make_views(instances, listed):
+    members = make_instances(instances)
+    views = {name: ShardView(name, centre) for name, centre in members.items()}
+    for view in views.values():
+        view.take_members(members)
+        view.take_upstreams(listed)
+    return views
+
+
+def test_small_fleet_is_one_shard_in_which_all_know_all():
+    listed = make_upstreams(45)
+    for name, view in make_views(35, listed).items():
+        assert len(view.peers) == 34 and name not in view.peers
+        assert all(view.covers(upstream) for upstream in listed.values())
+
+
+def test_instances_that_place_on_an_upstream_tell_each_other():
+    listed = make_upstreams(430)
+    views = make_views(300, listed)
+    for upstream in listed.values():
+        users = {name for name, view in views.items() if view.covers(upstream)}
+        assert users
+        for name in users:
+            assert users - {name} == views[name].peers
+
+
+def test_messages_and_choices_stop_growing_with_the_fleet():
+    for instances, upstreams in ((100, 143), (300, 430), (1_000, 1_430)):
+        listed = make_upstreams(upstreams)
+        view = ShardView("front-0", "a")
+        view.take_members(make_instances(instances))
+        view.take_upstreams(listed)
+        assert sum(map(view.covers, listed.values())) < 2 * UPSTREAMS_PER_SHARD
+        assert len(view.peers) < 2 * UPSTREAMS_PER_SHARD
+
+
+def test_service_with_few_upstreams_is_used_whole_by_all():
+    listed = {**make_upstreams(430), **make_upstreams(20, "desk")}
+    view = make_views(300, listed)["front-7"]
+    assert all(view.covers(one) for one in listed.values() if one.service == "desk")
+
+
+def test_instance_that_is_not_listed_yet_has_a_shard():
+    view = ShardView("new", "a")
+    view.take_upstreams(make_upstreams(430))
+    view.take_members(make_instances(300))
+    assert view.shards == 10 and view.peers
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -12,6 +12,7 @@
 from tests.gateway_scripts import in_loop
 
 TIMEOUT_MS = 80
+WAIT_MS = 0
 ROWS = {
     "rows": [{"table": "t", "key": "a", "value": "eA==", "schema_version": 4}],
     "schema_version": 7,
@@ -63,7 +64,6 @@
 @pytest.fixture(autouse=True)
 def short_timeouts(monkeypatch):
     monkeypatch.setattr(wire_store, "CALL_TIMEOUT_MS", TIMEOUT_MS)
-    monkeypatch.setattr(wire_store, "FEED_WAIT_MS", 0)
 
 
 def decode(key, value):
@@ -83,9 +83,9 @@
         feed = follow(store)
         begin = asyncio.get_running_loop().time()
         with pytest.raises(StoreAway):
-            await feed.read_changes(3)
+            await feed.read_changes(3, WAIT_MS)
         assert asyncio.get_running_loop().time() - begin < 5 * TIMEOUT_MS / 1_000
-        listing = await feed.read_changes(3)
+        listing = await feed.read_changes(3, WAIT_MS)
         assert listing.version == 7 and listing.entries == (Entry("a", "x"),)
 
 
@@ -95,8 +95,8 @@
     async with Store(behaviour) as store:
         feed = follow(store)
         with pytest.raises(StoreAway):
-            await feed.read_changes(3)
-        await feed.read_changes(3)
+            await feed.read_changes(3, WAIT_MS)
+        await feed.read_changes(3, WAIT_MS)
         assert store.connections == connections
 
 
@@ -104,7 +104,7 @@
 async def test_forgotten_history_is_told_apart():
     async with Store("410") as store:
         with pytest.raises(HistoryGone):
-            await follow(store).read_changes(3)
+            await follow(store).read_changes(3, WAIT_MS)
 
 
 @pytest.mark.parametrize("behaviour", ["silent", "reset", "412", "503"])
