Patience ends by lack of progress; refusals count without their body; stops answer the last callers

Cause, each shown by a test that failed first (tests/test_gateway_hostile_upstreams.py): an upstream that sent a byte of an unfinished event, head or body now and then was never silent; informational answers without end held a request; bodies of refusals and failures were read up to 16 MiB each with no patience; a late copy of a refusal without an id on a kept connection was believed, so that a request which runs could be told not to have run; an unexpected error left the caller without an answer; requests that the kernel had accepted just before the end of a planned stop were cut. Change: heads and whole events are progress, bytes are not; 16 informational answers; answers read whole have 1 MiB; a refusal's body is skipped; nameless answers on used connections are broken ones; unexpected errors end as not run or unknown, whichever is true; a stop takes what was accepted, closes its listeners and waits for 100 ms of quiet.

--- a/src/lentilwell/_log_lines.py
+++ b/src/lentilwell/_log_lines.py
@@ -94,6 +94,15 @@
     at_fault: str
 
 
+@line("refusal body dropped", "DEBUG")
+@dataclass(frozen=True)
+class RefusalBodyDropped(Line):
+    """The body of a refusal did not end in time; the refusal counts, its connection is closed."""
+
+    request: str
+    reason: str
+
+
 @line("attempt ended")
 @dataclass(frozen=True)
 class AttemptEnded(Line):
--- a/src/lentilwell/gateway/_exchange.py
+++ b/src/lentilwell/gateway/_exchange.py
@@ -6,6 +6,7 @@
 import functools
 from dataclasses import dataclass
 
+from lentilwell._log_lines import ExchangeFailed, RefusalBodyDropped, write_line
 from lentilwell.gateway._accounting import Accounting
 from lentilwell.gateway._admission import judge_choice
 from lentilwell.gateway._answers import answer_failure, clean_headers
@@ -31,7 +32,7 @@
     advance,
 )
 from lentilwell.gateway._event_stream import BrokenStream, EventSequence, EventSplitter
-from lentilwell.gateway._failures import LinkBroken, LinkSilent, Unreachable
+from lentilwell.gateway._failures import LinkBroken, LinkError, LinkSilent, Unreachable
 from lentilwell.gateway._fleet import Fleet
 from lentilwell.gateway._holding import find_hold_ms
 from lentilwell.gateway._leases import Leases, LeaseSet, NoMemory
@@ -45,6 +46,8 @@
 from lentilwell.gateway._upstreams import Upstream
 
 RETRY_AFTER_MS = 300
+# The status and headers of a refusal say all; its body is only read to keep the connection.
+REFUSAL_BODY_MS = 100
 
 
 @dataclass(frozen=True)
@@ -97,6 +100,9 @@
         except asyncio.CancelledError:
             self._record.note_end(self._finish(CallerLeft()), self._course.sends)
             raise
+        except Exception as error:
+            write_line(ExchangeFailed(self._subject.request.target.decode("latin-1")), error)
+            ending = self._finish(NoPlace())
         self._record.note_end(ending, self._course.sends)
         self._conclude(ending)
 
@@ -219,6 +225,8 @@
         link.reusable = link.reusable and not head.closing
         if head.request_id and head.request_id != self._subject.facts.request_id:
             raise LinkBroken(f"the answer belongs to request {head.request_id}")
+        if not head.request_id and link.used_before:
+            raise LinkBroken("an answer without an id may be the copy of an earlier one")
         if head.not_run:
             return await self._take_refusal(link, head, choice)
         if not 200 <= head.status < 300:
@@ -239,8 +247,7 @@
         return self._decide(AnswerWhole())
 
     async def _take_refusal(self, link: Link, head: AnswerHead, choice: Choice) -> Effect:
-        await link.read_body()
-        link.finish()
+        await self._skip_body(link)
         fault = self._find_fault(head, choice)
         self._excluded |= {fault.name}
         self._record.note_refusal(head.status, fault.name)
@@ -251,6 +258,15 @@
         reason = f"upstream answered {head.status} without running it"
         return self._decide(SaidNotRun(elsewhere=fault is not choice.upstream), reason)
 
+    async def _skip_body(self, link: Link) -> None:
+        try:
+            async with asyncio.timeout(REFUSAL_BODY_MS / 1_000):
+                await link.read_body()
+            link.finish()
+        except (TimeoutError, LinkError) as error:
+            write_line(RefusalBodyDropped(self._subject.facts.request_id, repr(error)))
+            link.close()
+
     def _find_fault(self, head: AnswerHead, choice: Choice) -> Upstream:
         """Return the upstream that a refusal is due to: the refusing one, or one of its helpers."""
         for helper in choice.helpers:
@@ -260,7 +276,7 @@
 
     async def _take_failure(self, link: Link, head: AnswerHead, choice: Choice) -> Effect:
         """The upstream ran the request and failed: try elsewhere where allowed, else pass it on."""
-        body = await link.read_body()
+        body = await link.read_body(functools.partial(self._accounting.find_patience, choice))
         link.finish()
         self._excluded |= {choice.upstream.name}
         if head.status < 500:
@@ -286,6 +302,7 @@
                 self._record.note_event()
                 self._accounting.note_event(choice)
                 await self._caller.write(event.data)
+                link.note_progress()
         if splitter.torn:
             raise LinkBroken("the stream ended in the middle of an event")
         if not self._course.delivered:
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -51,6 +51,10 @@
 LEAST_STOP_MS = 3_200
 # Between the last answer and the kill: time to release leases and to write the logs.
 STOP_MARGIN_MS = 300
+# After them no connection waits to be accepted, and none has bytes that were not read.
+LAST_ACCEPT_MS = 20
+LAST_LOOK_MS = 20
+LAST_QUIET_MS = 100
 # Callers on idle connections get a chance to be told by an answer first.
 IDLE_CLOSE_AFTER_MS = 1_000
 # About the rest of a stop and a start.
@@ -128,6 +132,18 @@
         while not self._may_end():
             await asyncio.sleep(HOUSEKEEPING_MS / 1_000)
             self._keep_house()
+        await self.run_to_end()
+
+    async def run_to_end(self) -> None:
+        """Answer what came just before the end of a planned stop, and stop."""
+        # Connections that the kernel has accepted are taken before the listeners close.
+        await asyncio.sleep(LAST_ACCEPT_MS / 1_000)
+        self._close_listeners()
+        quiet_ms = 0
+        while quiet_ms < LAST_QUIET_MS and self._stopping_for() < self._longest_stop_ms:
+            await asyncio.sleep(LAST_LOOK_MS / 1_000)
+            quiet = not any(caller.busy for caller in self._callers)
+            quiet_ms = quiet_ms + LAST_LOOK_MS if quiet else 0
         await self.stop()
 
     def drain(self) -> None:
@@ -275,21 +291,28 @@
         if not self.stopping:
             return False
         stopping_ms = self._stopping_for()
-        if stopping_ms >= self.settings.stop_patience_ms - STOP_MARGIN_MS:
+        if stopping_ms >= self._longest_stop_ms:
             return True
         return stopping_ms >= LEAST_STOP_MS and not any(caller.busy for caller in self._callers)
 
     def _can_finish(self, subject: Subject) -> bool:
-        left_ms = self.settings.stop_patience_ms - STOP_MARGIN_MS - self._stopping_for()
+        left_ms = self._longest_stop_ms - self._stopping_for()
         return can_finish(subject, self.fleet.find_engine(subject.service), left_ms)
 
+    @property
+    def _longest_stop_ms(self) -> int:
+        return self.settings.stop_patience_ms - STOP_MARGIN_MS
+
     def _stopping_for(self) -> int:
         return 0 if self._stopping_since is None else self.clock.now() - self._stopping_since
 
-    async def stop(self) -> None:
-        """Cut what is left and give back what is held."""
+    def _close_listeners(self) -> None:
         for server in self._servers:
             server.close()
+
+    async def stop(self) -> None:
+        """Cut what is left and give back what is held."""
+        self._close_listeners()
         for task in self._tasks:
             task.cancel()
         for caller in list(self._callers):
--- a/src/lentilwell/gateway/_link.py
+++ b/src/lentilwell/gateway/_link.py
@@ -19,7 +19,10 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 READ_AHEAD_BYTES = 262_144
-LONGEST_BODY_BYTES = 16_777_216
+# Of an answer that is read whole; hundreds of them may be under way at once.
+LONGEST_BODY_BYTES = 1_048_576
+# Informational answers before the real one.
+MOST_INFORMATIONAL = 16
 
 FindPatience = Callable[[], int | None]
 
@@ -32,7 +35,9 @@
 class Link(asyncio.Protocol):
     """A connection to one upstream. ``reusable`` turns false for good once anything is amiss.
 
-    ``patient`` is set while a request is on it that only its deadline may end.
+    ``patient`` is set while a request is on it that only its deadline may end. ``used_before``
+    tells that an earlier request was answered on it. Patience ends by lack of progress: heads and
+    what ``note_progress`` is called for count, single bytes do not.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -43,8 +48,10 @@
         self._lost: Exception | None = None
         self._in_use = False
         self._heard_at = clock.now()
+        self._progress_at = clock.now()
         self._given_up = False
         self.reusable = True
+        self.used_before = False
         self.patient = False
         self.idle_since = clock.now()
         self.idle_limit_ms: int | None = None
@@ -87,6 +94,7 @@
         assert self._transport is not None
         self._in_use = True
         self._heard_at = self._clock.now()
+        self.note_progress()
         request = h11.Request(method=method, target=target, headers=list(headers))
         try:
             parts = [self._http.send(request)]
@@ -98,14 +106,20 @@
             raise Unreachable(f"the request cannot be written: {error}") from error
         self._transport.write(b"".join(part for part in parts if part))
 
+    def note_progress(self) -> None:
+        """What came is of use: patience begins anew."""
+        self._progress_at = self._clock.now()
+
     async def read_head(self, find_patience: FindPatience = wait_for_good) -> h11.Response:
-        """Return the head of the answer; raise ``LinkSilent`` after too long a silence."""
-        while True:
+        """Return the head of the answer; raise ``LinkSilent`` after too long without one."""
+        for _ in range(MOST_INFORMATIONAL):
             event = await self._next_event(find_patience)
             if isinstance(event, h11.Response):
+                self.note_progress()
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise LinkBroken("the answer has no head")
+        raise LinkBroken(f"{MOST_INFORMATIONAL} informational answers and no other")
 
     async def read_data(self, find_patience: FindPatience = wait_for_good) -> bytes | None:
         """Return the next bytes of the body, None at its end; raise as ``read_head`` does."""
@@ -116,15 +130,19 @@
             return None
         raise LinkBroken("the upstream closed the connection")
 
-    async def read_body(self, find_patience: FindPatience = wait_for_good) -> bytes:
+    async def read_body(
+        self,
+        find_patience: FindPatience = wait_for_good,
+        longest_bytes: int = LONGEST_BODY_BYTES,
+    ) -> bytes:
         """Return the whole body; raise as ``read_data`` does, and where it is too long."""
         parts: list[bytes] = []
         size = 0
         while (data := await self.read_data(find_patience)) is not None:
             parts.append(data)
             size += len(data)
-            if size > LONGEST_BODY_BYTES:
-                raise LinkBroken(f"the answer is longer than {LONGEST_BODY_BYTES} bytes")
+            if size > longest_bytes:
+                raise LinkBroken(f"the answer is longer than {longest_bytes} bytes")
         return b"".join(parts)
 
     def finish(self) -> None:
@@ -137,6 +155,7 @@
             self.close()
             return
         self._http.start_next_cycle()
+        self.used_before = True
         self.idle_since = self._clock.now()
 
     def give_up_silent(self, silent_ms: int) -> None:
@@ -178,9 +197,9 @@
         """Wait for bytes; the patience is asked for again each time that it has run out."""
         while True:
             patience_ms = find_patience()
-            silent_ms = self._clock.now() - self._heard_at
+            silent_ms = self._clock.now() - self._progress_at
             if self._given_up or (patience_ms is not None and silent_ms >= patience_ms):
-                raise LinkSilent(f"nothing came for {silent_ms} ms")
+                raise LinkSilent(f"no progress for {silent_ms} ms")
             left_ms = None if patience_ms is None else patience_ms - silent_ms
             if await self._wait(left_ms):
                 return
