Read changes that come one after another together; wait longer at the store where many are heard

Change: 0.3 s of pause after changes; waits up to 12 s, since a wait that misses something is ended by the news of others, and one that misses nothing harms nobody.

--- a/src/lentilwell/gateway/_follower.py
+++ b/src/lentilwell/gateway/_follower.py
@@ -30,7 +30,9 @@
 ALONE_WAIT_MS = 1_000
 # Each instance heard adds this much: their waits end at different moments.
 WAIT_PER_INSTANCE_MS = 500
-LONGEST_WAIT_MS = 6_000
+LONGEST_WAIT_MS = 12_000
+# Changes that come one after another are read together.
+GATHER_MS = 300
 # A change reaches all that follow within this time, or the connection is dead.
 NEWS_SPREAD_MS = 300
 CHECK_INTERVAL_MS = 1_000
@@ -89,6 +91,7 @@
         self._changed_version = 0
         self._pause_ms = 0
         self._reading: asyncio.Timeout | None = None
+        self._asked_at = clock.now()
         self._checked_at = clock.now() - CHECK_INTERVAL_MS
         self._checking = False
 
@@ -110,7 +113,7 @@
             except StoreError as error:
                 await self._back_off(error)
             else:
-                self._take(listing)
+                await self._take(listing)
 
     def hear(self, news: TableNews) -> None:
         """Take what another instance knows: look anew if it knows more, or finds the store away."""
@@ -126,7 +129,10 @@
         """Break off a wait for changes and ask the store at once, over a new connection."""
         now = self._clock.now()
         waiting = self._reading is not None and self._reading.when() is None
-        if self._pause_ms or not waiting or now - self._checked_at < CHECK_INTERVAL_MS:
+        just_asked = now - self._asked_at < NEWS_SPREAD_MS
+        if self._pause_ms or not waiting or just_asked:
+            return
+        if now - self._checked_at < CHECK_INTERVAL_MS:
             return
         assert self._reading is not None
         self._checked_at = now
@@ -150,24 +156,28 @@
             self._reading = None
 
     async def _read(self) -> Listing[ValueT]:
+        self._asked_at = self._clock.now()
         if self._version is None:
             return await self._feed.read_all()
         wait_ms = 0 if self._checking else find_wait_ms(self._count_instances(), random.random())
         self._checking = False
         return await self._feed.read_changes(self._version, wait_ms)
 
-    def _take(self, listing: Listing[ValueT]) -> None:
+    async def _take(self, listing: Listing[ValueT]) -> None:
+        followed = self._version is not None
         if self._pause_ms:
             write_line(DependencyRegained(self._name, listing.version))
             self._pause_ms = 0
             self._listener.note_regained()
-        if self._version is None:
-            self._listener.take_all(listing)
-        else:
+        if followed:
             self._listener.take_changes(listing)
+        else:
+            self._listener.take_all(listing)
+        self._version = listing.version
         if listing.entries:
             self._changed_version = listing.version
-        self._version = listing.version
+        if listing.entries and followed:
+            await asyncio.sleep(GATHER_MS / MS_PER_SECOND)
 
     async def _back_off(self, error: StoreError) -> None:
         if not self._pause_ms:
--- a/tests/test_gateway_follower.py
+++ b/tests/test_gateway_follower.py
@@ -10,7 +10,9 @@
 from lentilwell.gateway._follower import (
     ALONE_WAIT_MS,
     CHECK_INTERVAL_MS,
+    GATHER_MS,
     LONGEST_WAIT_MS,
+    NEWS_SPREAD_MS,
     Follower,
     TableNews,
     find_wait_ms,
@@ -26,6 +28,11 @@
         self.dead = False
         self.away = False
         self.waits = []
+        self.changed = asyncio.Event()
+
+    def wake(self, version):
+        self.version = version
+        self.changed.set()
 
     async def read_all(self):
         return Listing((Entry("k", "v"),), self.version)
@@ -35,7 +42,8 @@
         if self.away:
             raise StoreAway("refused")
         if wait_ms and (self.dead or self.version == after):
-            await asyncio.Event().wait()
+            self.changed.clear()
+            await self.changed.wait()
         rows = (Entry("k", "new"),) if self.version > after else ()
         return Listing(rows, self.version)
 
@@ -63,6 +71,7 @@
     follower = Follower("t", table, listener, clock)
     task = asyncio.get_running_loop().create_task(follower.run())
     await asyncio.sleep(0.01)
+    clock.advance(NEWS_SPREAD_MS)
     yield follower, listener, clock
     task.cancel()
 
@@ -128,6 +137,31 @@
         assert table.waits.count(0) == 2
 
 
+@in_loop
+async def test_changes_that_come_one_after_another_are_read_together(monkeypatch):
+    table = Table()
+    async with following(table, monkeypatch) as (_, listener, _):
+        table.wake(4)
+        await asyncio.sleep(0.01)
+        for version in range(5, 40):
+            table.wake(version)
+            await asyncio.sleep(0)
+        assert listener.told == [3, 4]
+        await asyncio.sleep(1.2 * GATHER_MS / 1_000)
+        assert listener.told == [3, 4, 39]
+        assert len(table.waits) == 2
+
+
+@in_loop
+async def test_poll_that_has_only_begun_is_not_broken_off(monkeypatch):
+    table = Table()
+    async with following(table, monkeypatch) as (follower, _, clock):
+        follower._asked_at = clock.now()
+        follower.hear(TableNews(away=True))
+        await asyncio.sleep(0.01)
+        assert len(table.waits) == 1
+
+
 @in_loop
 async def test_end_of_the_follower_is_no_check(monkeypatch):
     async with following(Table(), monkeypatch) as (follower, _, _):
