--- a/src/lentilwell/gateway/_books.py
+++ b/src/lentilwell/gateway/_books.py
@@ -1,6 +1,8 @@
 """The work in hand at each upstream: what this instance sent there and what its peers tell.
 
-``Books`` is plain bookkeeping without I/O. ``on_change`` is called when the own jobs change.
+``Books`` is plain bookkeeping without I/O. ``on_change`` is called when the own jobs change, with
+whether others would choose wrongly until they know it: work that is added is told soon, work that is
+over may wait for the next telling.
 """
 
 from __future__ import annotations
@@ -68,7 +70,7 @@
     """Jobs by upstream, the own ones by name and those of each peer as it last told them."""
 
     def __init__(self) -> None:
-        self.on_change: Callable[[], None] = lambda: None
+        self.on_change: Callable[[bool], None] = lambda urgent: None
         self._own: dict[str, dict[str, Job]] = {}
         # By upstream, then by peer: a choice looks at many upstreams, each with few peers' jobs.
         self._told: dict[str, dict[str, tuple[Job, ...]]] = {}
@@ -77,7 +79,7 @@
     def add(self, job: Job) -> None:
         """Note a job that is being sent."""
         self._own.setdefault(job.upstream, {})[job.name] = job
-        self.on_change()
+        self.on_change(True)
 
     def note_read(self, name: str, upstreams: Iterable[str]) -> None:
         """The first event came: the reading is over everywhere."""
@@ -85,7 +87,7 @@
             job = self._own.get(upstream, {}).get(name)
             if job is None or not job.reading:
                 continue
-            self.on_change()
+            self.on_change(False)
             if job.writes or job.memory_tokens:
                 self._own[upstream][name] = replace(job, reading=False)
             else:
@@ -96,7 +98,7 @@
         for upstream in upstreams:
             jobs = self._own.get(upstream, {})
             if jobs.pop(name, None) is not None:
-                self.on_change()
+                self.on_change(False)
             if not jobs:
                 self._own.pop(upstream, None)
 
--- a/src/lentilwell/gateway/_peers.py
+++ b/src/lentilwell/gateway/_peers.py
@@ -37,8 +37,13 @@
 
 # Several changes of one event go out together.
 COALESCE_MS = 4
+# What is not urgent waits this long for each peer that hears it, so that datagrams stay few.
+LAZY_MS_PER_PEER = 8
 REPEAT_MS = 400
-SILENT_MS = 1_500
+REPEAT_MS_PER_PEER = 20
+LONGEST_REPEAT_MS = 800
+# Three repeats in a row were lost.
+SILENT_MS = 2_500
 ANNOUNCE_RETRY_MS = 500
 LIST_AGAIN_MS = 15_000
 # An instance that nobody listed yet was heard: at a start of many, most come within this time.
@@ -92,6 +97,7 @@
         self._heard: dict[str, PeerState] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._pending: asyncio.TimerHandle | None = None
+        self._pending_until = 0
         self._sent_at = 0
         self._listed = False
         self._newcomer = asyncio.Event()
@@ -151,16 +157,30 @@
     def error_received(self, exc: Exception) -> None:
         """A datagram could not be delivered; the next one repeats all."""
 
-    def note_change(self) -> None:
-        """The own work changed, or a peer does not know it yet: tell all peers shortly."""
-        if self._pending is None and self._transport is not None:
-            loop = asyncio.get_running_loop()
-            self._pending = loop.call_later(COALESCE_MS / 1_000, self._send)
+    def note_change(self, urgent: bool = True) -> None:
+        """The own work changed, or a peer does not know it yet: tell all, at once if urgent."""
+        if self._transport is None:
+            return
+        delay_ms = COALESCE_MS
+        if not urgent:
+            delay_ms = max(COALESCE_MS, min(self._repeat_ms, LAZY_MS_PER_PEER * len(self._heard)))
+        due_at = self._clock.now() + delay_ms
+        if self._pending is not None:
+            if self._pending_until <= due_at:
+                return
+            self._pending.cancel()
+        self._pending_until = due_at
+        loop = asyncio.get_running_loop()
+        self._pending = loop.call_later(delay_ms / 1_000, self._send)
+
+    @property
+    def _repeat_ms(self) -> int:
+        return min(LONGEST_REPEAT_MS, REPEAT_MS + REPEAT_MS_PER_PEER * len(self._heard))
 
     def keep_house(self) -> None:
         """Repeat the digest where nothing was sent of late, and forget silent peers."""
         now = self._clock.now()
-        if now - self._sent_at >= REPEAT_MS and self._pending is None:
+        if now - self._sent_at >= self._repeat_ms and self._pending is None:
             self._send()
         for name, state in list(self._heard.items()):
             if now - state.heard_at > SILENT_MS:
--- a/src/lentilwell/gateway/_shards.py
+++ b/src/lentilwell/gateway/_shards.py
@@ -18,7 +18,7 @@
 
 from lentilwell.gateway._upstreams import Upstream
 
-UPSTREAMS_PER_SHARD = 40
+UPSTREAMS_PER_SHARD = 28
 # Fewer could not even out what the balancer sends to each.
 LEAST_INSTANCES_PER_SHARD = 4
 # A service with fewer for each shard is used whole by all.
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -10,7 +10,7 @@
 
 from lentilwell._clock import ManualClock
 from lentilwell.gateway._books import Books, Job
-from lentilwell.gateway._peers import COALESCE_MS, SILENT_MS, Member, Peers
+from lentilwell.gateway._peers import COALESCE_MS, LAZY_MS_PER_PEER, SILENT_MS, Member, Peers
 from lentilwell.gateway._shards import ShardView
 from lentilwell.gateway._work_digest import (
     UnreadableDigest,
@@ -151,6 +151,48 @@
     asyncio.run(run())
 
 
+def test_work_that_is_added_is_told_at_once_and_work_that_is_over_with_the_next(monkeypatch):
+    monkeypatch.setattr("lentilwell.gateway._peers.LAZY_MS_PER_PEER", 10 * COALESCE_MS)
+
+    async def run():
+        peers = make_peers()
+        send(peers)
+        wire = Wire()
+        peers.connection_made(wire)
+        peers.note_change(urgent=False)
+        await asyncio.sleep(5 * COALESCE_MS / 1_000)
+        assert not wire.sent
+        peers.note_change()
+        await asyncio.sleep(5 * COALESCE_MS / 1_000)
+        assert len(wire.sent) == 1
+        await asyncio.sleep(10 * COALESCE_MS / 1_000)
+        assert len(wire.sent) == 1
+
+    asyncio.run(run())
+
+
+def test_what_is_not_urgent_is_told_in_time_without_anything_urgent():
+    async def run():
+        peers = make_peers()
+        send(peers)
+        wire = Wire()
+        peers.connection_made(wire)
+        peers.note_change(urgent=False)
+        await asyncio.sleep(5 * LAZY_MS_PER_PEER / 1_000)
+        assert len(wire.sent) == 1
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("others", [0, 3, 34, 80])
+def test_silence_is_longer_than_three_repeats(others):
+    peers = make_peers()
+    for number in range(others):
+        digest = WorkDigest(f"other-{number}", "l", "127.0.0.1:2", 1, ())
+        peers.datagram_received(encode_digest(digest, 5_000), ("127.0.0.1", 2))
+    assert 3 * peers._repeat_ms < SILENT_MS
+
+
 def test_started_instance_makes_itself_known_as_soon_as_it_knows_the_others():
     async def run():
         peers = make_peers()
