--- a/src/lentilwell/gateway/_books.py
+++ b/src/lentilwell/gateway/_books.py
@@ -1,8 +1,8 @@
 """The work in hand at each upstream: what this instance sent there and what its peers tell.
 
 ``Books`` is plain bookkeeping without I/O. ``on_change`` is called when the own jobs change, with
-whether others would choose wrongly until they know it: work that is added is told soon, work that is
-over may wait for the next telling.
+whether that is urgent: others choose wrongly until they know of work that was added, while work
+that is over may be told later.
 """
 
 from __future__ import annotations
