Answer only instances of the own shard and newcomers; read the list again for those heard meanwhile

Cause, found by reading: an instance tells all others at its start, before it knows how many shards there are, and whoever is heard was answered, so that all went on telling all for good; and a newcomer heard while the list was being waited on was passed over for 15 s. Ruled out: nothing yet, the profile of 275 digests a second fits both a shard of 39 and this. Change: nobody is told before the upstreams are known; listed instances of other shards get no answer; the mark for newcomers is cleared before the list is read. Tests in test_gateway_peers.py and test_gateway_shards.py, which fail without it.

--- a/src/lentilwell/gateway/_fleet.py
+++ b/src/lentilwell/gateway/_fleet.py
@@ -135,7 +135,8 @@
 
     def deal_shards(self) -> None:
         """Follow the lists of instances and upstreams with the own shard."""
-        self.shards.take_upstreams(self.directory.listed)
+        if self.listed:
+            self.shards.take_upstreams(self.directory.listed)
         if self.shards.shards != self.shards_logged:
             self.shards_logged = self.shards.shards
             own = sum(map(self.shards.covers, self.directory.listed.values()))
--- a/src/lentilwell/gateway/_peers.py
+++ b/src/lentilwell/gateway/_peers.py
@@ -100,6 +100,7 @@
         self._pending_until = 0
         self._sent_at = 0
         self._listed = False
+        self._members: frozenset[str] = frozenset()
         self._newcomer = asyncio.Event()
         self.stopping = False
         self.find_news: Callable[[], StoreNews] = StoreNews
@@ -146,7 +147,7 @@
             write_line(PeerHeard(digest.instance, digest.address))
         newcomer = known is None or known.life != digest.life
         self._heard[digest.instance] = PeerState(digest.life, digest.sequence, now, digest.stopping)
-        if digest.instance not in self._addresses:
+        if digest.instance not in self._members:
             self._newcomer.set()
         self._addresses[digest.instance] = digest.address
         self._books.take_peer(digest.instance, digest.jobs)
@@ -197,6 +198,7 @@
                 if not announced:
                     await membership.announce(self._instance, self._own)
                     announced = True
+                self._newcomer.clear()
                 found = await membership.list_members()
             except StoreError as error:
                 write_line(InstancesNotListed(str(error)))
@@ -208,6 +210,7 @@
     def _take_members(self, found: dict[str, Member]) -> None:
         found.pop(self._instance, None)
         self._addresses.update((name, member.address) for name, member in found.items())
+        self._members = frozenset(found)
         self._shards.take_members({name: member.data_centre for name, member in found.items()})
         if not self._listed:
             self.note_change()
@@ -215,7 +218,6 @@
 
     async def _wait_to_list_again(self) -> None:
         await asyncio.sleep(NEWCOMER_LIST_MS / 1_000)
-        self._newcomer.clear()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(LIST_AGAIN_MS / 1_000):
                 await self._newcomer.wait()
@@ -245,7 +247,9 @@
             return
         if self._transport is None:
             return
-        for name in self._shards.peers | self._heard.keys():
+        # An instance that is listed in another shard needs no answer.
+        newcomers = self._heard.keys() - self._members
+        for name in self._shards.peers | newcomers:
             address = self._addresses.get(name)
             if address is not None and address != self._own.address:
                 self._transport.sendto(data, split_address(address))
--- a/src/lentilwell/gateway/_shards.py
+++ b/src/lentilwell/gateway/_shards.py
@@ -78,7 +78,7 @@
     def __init__(self, instance: str, data_centre: str) -> None:
         self._instance = instance
         self._members: Mapping[str, str] = {instance: data_centre}
-        self._listed: Mapping[str, Upstream] = {}
+        self._listed: Mapping[str, Upstream] | None = None
         self._own: dict[str, frozenset[str]] = {}
         self.shards = 1
         self.peers: frozenset[str] = frozenset()
@@ -101,6 +101,8 @@
         return own is None or upstream.name in own
 
     def _deal(self) -> None:
+        if self._listed is None:
+            return  # how many shards there are is not known yet
         services: dict[str, dict[str, str]] = {}
         for upstream in self._listed.values():
             services.setdefault(upstream.service, {})[upstream.name] = upstream.data_centre
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -38,7 +38,9 @@
 def make_peers(clock=None):
     own = Member("127.0.0.1:1", "a")
     clock = clock or ManualClock(5_000)
-    return Peers("own", "life", own, clock, Books(), ShardView("own", "a"))
+    shards = ShardView("own", "a")
+    shards.take_upstreams({})
+    return Peers("own", "life", own, clock, Books(), shards)
 
 
 def send(peers, sequence=1, life="l1", stopping=False, jobs=1, now=5_000):
@@ -193,6 +195,33 @@
     assert 3 * peers._repeat_ms < SILENT_MS
 
 
+def test_listed_instance_of_another_shard_is_heard_but_not_answered():
+    async def run():
+        peers = make_peers()
+        wire = Wire()
+        peers.connection_made(wire)
+        peers._take_members({"other": Member("127.0.0.1:2", "a")})
+        peers._shards.peers = frozenset()
+        send(peers)
+        await asyncio.sleep(5 * COALESCE_MS / 1_000)
+        assert peers.heard == 2 and not wire.sent
+
+    asyncio.run(run())
+
+
+def test_newcomer_that_is_not_listed_yet_is_answered_and_looked_up():
+    async def run():
+        peers = make_peers()
+        wire = Wire()
+        peers.connection_made(wire)
+        peers._take_members({})
+        send(peers)
+        await asyncio.sleep(5 * COALESCE_MS / 1_000)
+        assert peers._newcomer.is_set() and len(wire.sent) == 1
+
+    asyncio.run(run())
+
+
 def test_started_instance_makes_itself_known_as_soon_as_it_knows_the_others():
     async def run():
         peers = make_peers()
--- a/tests/test_gateway_shards.py
+++ b/tests/test_gateway_shards.py
@@ -102,6 +102,12 @@
     assert all(view.covers(one) for one in listed.values() if one.service == "desk")
 
 
+def test_nobody_is_told_before_the_upstreams_are_known():
+    view = ShardView("front-0", "a")
+    view.take_members(make_instances(300))
+    assert not view.peers
+
+
 def test_instance_that_is_not_listed_yet_has_a_shard():
     view = ShardView("new", "a")
     view.take_upstreams(make_upstreams(430))
