Number of shards by the listed instances, which stay, not by the engines, which crash

Ruled out: hysteresis, since an instance that restarts would come to another number than those that ran on, and stay with it. Test: a quarter of the upstreams lost leaves the number as it is, failing before.

--- a/src/lentilwell/gateway/_shards.py
+++ b/src/lentilwell/gateway/_shards.py
@@ -18,16 +18,24 @@
 
 from lentilwell.gateway._upstreams import Upstream
 
-UPSTREAMS_PER_SHARD = 28
+# What an instance hears grows with the one, what a choice costs with the other.
+INSTANCES_PER_SHARD = 22
+MOST_UPSTREAMS_PER_SHARD = 120
 # Fewer could not even out what the balancer sends to each.
 LEAST_INSTANCES_PER_SHARD = 4
-# A service with fewer for each shard is used whole by all.
-LEAST_UPSTREAMS_PER_SHARD = 8
+# Fewer could not read a long prompt together beside others.
+LEAST_UPSTREAMS_PER_SHARD = 14
 
 
 def count_shards(upstreams: int, instances: int) -> int:
-    """Return how many shards a fleet of this size is dealt to."""
-    return max(1, min(upstreams // UPSTREAMS_PER_SHARD, instances // LEAST_INSTANCES_PER_SHARD))
+    """Return how many shards a fleet of this size is dealt to.
+
+    It follows the instances, which stay listed through crashes, rather than the upstreams, which do
+    not: a number that changed with each crash would deal all anew when it is least wanted.
+    """
+    wanted = max(instances // INSTANCES_PER_SHARD, upstreams // MOST_UPSTREAMS_PER_SHARD)
+    most = min(instances // LEAST_INSTANCES_PER_SHARD, upstreams // LEAST_UPSTREAMS_PER_SHARD)
+    return max(1, min(wanted, most))
 
 
 def deal(members: Mapping[str, str], shards: int) -> dict[str, int]:
