--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -222,6 +222,29 @@
     asyncio.run(run())
 
 
+def test_newcomer_heard_just_after_the_list_was_read_has_it_read_again_soon(monkeypatch):
+    monkeypatch.setattr("lentilwell.gateway._peers.NEWCOMER_LIST_MS", 20)
+    readings = []
+
+    class Counted(Listed):
+        async def list_members(self):
+            readings.append(1)
+            return {}
+
+    async def run():
+        peers = make_peers()
+        listing = asyncio.get_running_loop().create_task(peers.keep_listed(Counted()))
+        await asyncio.sleep(0.005)
+        assert len(readings) == 1
+        send(peers)
+        async with asyncio.timeout(2):
+            while len(readings) < 2:
+                await asyncio.sleep(0.005)
+        listing.cancel()
+
+    asyncio.run(run())
+
+
 def test_started_instance_makes_itself_known_as_soon_as_it_knows_the_others():
     async def run():
         peers = make_peers()
