--- a/src/lentilwell/_log_lines.py
+++ b/src/lentilwell/_log_lines.py
@@ -187,6 +187,48 @@
     reason: str
 
 
+@line("upstream leaving")
+@dataclass(frozen=True)
+class UpstreamLeaving(Line):
+    """An upstream said in an answer that it leaves; it gets nothing new in this life."""
+
+    upstream: str
+    born_ms: int
+    status: int
+    listing: int
+
+
+@line("upstream closed")
+@dataclass(frozen=True)
+class UpstreamClosed(Line):
+    """An upstream turned work away and wants nothing for ``for_ms``."""
+
+    upstream: str
+    status: int
+    for_ms: int
+
+
+@line("retry-after ignored")
+@dataclass(frozen=True)
+class RetryAfterIgnored(Line):
+    """An upstream named a time to come back that is no number of seconds."""
+
+    upstream: str
+    status: int
+    text: str
+
+
+@line("request waits")
+@dataclass(frozen=True)
+class RequestWaits(Line):
+    """No upstream wants work now: the request waits for the first that will."""
+
+    request: str
+    service: str
+    opens_in_ms: int
+    wait_ms: int
+
+
 @line("upstream ejected")
 @dataclass(frozen=True)
 class UpstreamEjected(Line):
--- a/src/lentilwell/_wire/ttypes.py
+++ b/src/lentilwell/_wire/ttypes.py
@@ -1689,11 +1689,198 @@
         return not (self == other)
 
 
+class UpstreamLife(object):
+    """
+    One start of an upstream; ``born_ms`` is its Unix time, 0 where it is not told.
+
+    Attributes:
+     - upstream
+     - born_ms
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'born_ms',
+    )
+
+
+    def __init__(self, upstream=None, born_ms=None,):
+        self.upstream = upstream
+        self.born_ms = born_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UpstreamLife')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 2)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.upstream is None:
+            raise TProtocolException(message='Required field upstream is unset!')
+        if self.born_ms is None:
+            raise TProtocolException(message='Required field born_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RefusalTally(object):
+    """
+    How many requests an upstream turned away and answered, weighed by age at the sending.
+
+    Attributes:
+     - upstream
+     - refused
+     - answered
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'refused',
+        'answered',
+    )
+
+
+    def __init__(self, upstream=None, refused=None, answered=None,):
+        self.upstream = upstream
+        self.refused = refused
+        self.answered = answered
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.refused = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.answered = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RefusalTally')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.refused is not None:
+            oprot.writeFieldBegin('refused', TType.DOUBLE, 2)
+            oprot.writeDouble(self.refused)
+            oprot.writeFieldEnd()
+        if self.answered is not None:
+            oprot.writeFieldBegin('answered', TType.DOUBLE, 3)
+            oprot.writeDouble(self.answered)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.upstream is None:
+            raise TProtocolException(message='Required field upstream is unset!')
+        if self.refused is None:
+            raise TProtocolException(message='Required field refused is unset!')
+        if self.answered is None:
+            raise TProtocolException(message='Required field answered is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class WorkDigest(object):
     """
     All the work that a gateway has in hand; ``life`` differs on each start of an instance.
     ``configuration`` is the version in force, ``listing`` the store's version of the last change
     of the upstreams that it took; ``store_away`` tells that the store does not answer it.
+    ``leaving`` are upstreams that said so in their answers, ``refusals`` those that turn work away.
 
     Attributes:
      - instance
@@ -1705,6 +1892,8 @@
      - configuration
      - listing
      - store_away
+     - leaving
+     - refusals
 
     """
 
@@ -1718,10 +1907,12 @@
         'configuration',
         'listing',
         'store_away',
+        'leaving',
+        'refusals',
     )
 
 
-    def __init__(self, instance=None, life=None, address=None, sequence=None, items=None, stopping=False, configuration=0, listing=0, store_away=False,):
+    def __init__(self, instance=None, life=None, address=None, sequence=None, items=None, stopping=False, configuration=0, listing=0, store_away=False, leaving=None, refusals=None,):
         self.instance = instance
         self.life = life
         self.address = address
@@ -1731,6 +1922,8 @@
         self.configuration = configuration
         self.listing = listing
         self.store_away = store_away
+        self.leaving = leaving
+        self.refusals = refusals
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1792,6 +1985,28 @@
                     self.store_away = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.leaving = []
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = UpstreamLife()
+                        _elem25.read(iprot)
+                        self.leaving.append(_elem25)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.refusals = []
+                    (_etype29, _size26) = iprot.readListBegin()
+                    for _i30 in range(_size26):
+                        _elem31 = RefusalTally()
+                        _elem31.read(iprot)
+                        self.refusals.append(_elem31)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1821,8 +2036,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter20 in self.items:
-                iter20.write(oprot)
+            for iter32 in self.items:
+                iter32.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stopping is not None:
@@ -1841,6 +2056,20 @@
             oprot.writeFieldBegin('store_away', TType.BOOL, 9)
             oprot.writeBool(self.store_away)
             oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.leaving))
+            for iter33 in self.leaving:
+                iter33.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.refusals is not None:
+            oprot.writeFieldBegin('refusals', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRUCT, len(self.refusals))
+            for iter34 in self.refusals:
+                iter34.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1990,6 +2219,19 @@
     (9, TType.DOUBLE, 'weight', None, None, ),  # 9
     (10, TType.BOOL, 'spread', None, None, ),  # 10
 )
+all_structs.append(UpstreamLife)
+UpstreamLife.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born_ms', None, None, ),  # 2
+)
+all_structs.append(RefusalTally)
+RefusalTally.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'refused', None, None, ),  # 2
+    (3, TType.DOUBLE, 'answered', None, None, ),  # 3
+)
 all_structs.append(WorkDigest)
 WorkDigest.thrift_spec = (
     None,  # 0
@@ -2002,6 +2244,8 @@
     (7, TType.I64, 'configuration', None, 0, ),  # 7
     (8, TType.I64, 'listing', None, 0, ),  # 8
     (9, TType.BOOL, 'store_away', None, False, ),  # 9
+    (10, TType.LIST, 'leaving', (TType.STRUCT, [UpstreamLife, None], False), None, ),  # 10
+    (11, TType.LIST, 'refusals', (TType.STRUCT, [RefusalTally, None], False), None, ),  # 11
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/lentilwell/gateway/_accounting.py
+++ b/src/lentilwell/gateway/_accounting.py
@@ -62,6 +62,16 @@
         """The upstream answered well."""
         self._fleet.ejection.note_success(choice.upstream.name)
 
+    def note_refusal(self, upstream: Upstream) -> None:
+        """The upstream turned the request away, or is the cause that another one did."""
+        self._fleet.refusals.note(upstream.name, refused=True, now=self._clock.now())
+
+    def note_accepted(self, choice: Choice) -> None:
+        """The upstream took the request, whatever it answers."""
+        now = self._clock.now()
+        for name in choice.names:
+            self._fleet.refusals.note(name, refused=False, now=now)
+
     def note_failure(self, choice: Choice, reason: str) -> None:
         """The upstream answered badly or broke off."""
         if self._fleet.ejection.note_failure(choice.upstream.name, self._clock.now()):
--- a/src/lentilwell/gateway/_choice.py
+++ b/src/lentilwell/gateway/_choice.py
@@ -16,16 +16,24 @@
 
 # The share of a far upstream's slots that count as taken.
 OTHER_DATA_CENTRE_SHARE = 0.35
+# What a request that is turned away costs, in full upstreams: it is placed again, or lost.
+PLACED_AGAIN_COST = 1.0
+LOST_COST = 4.0
 
 
 @dataclass(frozen=True)
 class Candidate:
-    """An upstream that may take the request; ``pace`` is how slow it is, 1 as specified."""
+    """An upstream that may take the request.
+
+    ``pace`` is how slow it is, 1 as specified, ``refusing`` the share of requests that it turns
+    away.
+    """
 
     upstream: Upstream
     load: Load
     near: bool
     pace: float = 1.0
+    refusing: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -33,7 +41,7 @@
     """What is to be placed; ``engine`` is None for a plain service.
 
     ``waited_ms`` is the time since the request arrived, ``now`` the moment of the choice, ``point``
-    a random number from 0 up to 1.
+    a random number from 0 up to 1. ``last_send`` tells that a request which is turned away is lost.
     """
 
     prompt: Prompt | None
@@ -43,6 +51,7 @@
     waited_ms: int
     now: int
     point: float
+    last_send: bool = False
 
 
 @dataclass(frozen=True)
@@ -122,11 +131,13 @@
         return None
     start = int(wish.point * len(candidates))
     turned = [*candidates[start:], *candidates[:start]]
-    best = min(turned, key=_count_jobs)
+    best = min(turned, key=lambda candidate: _cost(wish, candidate))
     return Choice(best.upstream)
 
 
-def _count_jobs(candidate: Candidate) -> float:
+def _cost(wish: Wish, candidate: Candidate) -> float:
+    """Return what a candidate costs, in full upstreams."""
     busy = len(candidate.load.jobs) / max(1, candidate.upstream.slots)
     far = 0.0 if candidate.near else OTHER_DATA_CENTRE_SHARE
-    return busy * candidate.pace + far
+    refused = candidate.refusing * (LOST_COST if wish.last_send else PLACED_AGAIN_COST)
+    return busy * candidate.pace + far + refused
--- a/src/lentilwell/gateway/_ejection.py
+++ b/src/lentilwell/gateway/_ejection.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Container, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from lentilwell.gateway._upstreams import Upstream
 
@@ -40,9 +40,15 @@
         self.on_doubt: Callable[[], None] = lambda: None
 
     def note_success(self, upstream: str) -> None:
-        """An answer or a probe came through: forget all failures."""
+        """A request was answered: forget all failures."""
         self._standings.pop(upstream, None)
 
+    def note_reached(self, upstream: str) -> None:
+        """A connection came about: that says nothing of the answers on it, so failures stay."""
+        standing = self.find_standing(upstream)
+        if standing.unreachable_at is not None:
+            self._standings[upstream] = replace(standing, unreachable_at=None)
+
     def note_failure(self, upstream: str, now: int) -> bool:
         """Count a failed answer and return whether the upstream is ejected by it."""
         standing = self.find_standing(upstream)
@@ -59,9 +65,7 @@
         standing = self.find_standing(upstream)
         if standing.unreachable_at is None:
             self.on_doubt()
-        self._standings[upstream] = Standing(
-            standing.failures, standing.ejections, standing.ejected_until, now
-        )
+        self._standings[upstream] = replace(standing, unreachable_at=now)
 
     def find_standing(self, upstream: str) -> Standing:
         """Return how an upstream has done of late."""
--- a/src/lentilwell/gateway/_exchange.py
+++ b/src/lentilwell/gateway/_exchange.py
@@ -32,6 +32,7 @@
     advance,
 )
 from lentilwell.gateway._event_stream import BrokenStream, EventSequence, EventSplitter
+from lentilwell.gateway._evidence import Evidence
 from lentilwell.gateway._failures import LinkBroken, LinkError, LinkSilent, Unreachable
 from lentilwell.gateway._fleet import Fleet
 from lentilwell.gateway._holding import find_hold_ms
@@ -42,6 +43,7 @@
 from lentilwell.gateway._metrics import Metrics
 from lentilwell.gateway._ports import Dialect
 from lentilwell.gateway._record import Record
+from lentilwell.gateway._reopening import find_return_ms, find_wait_ms, may_wait
 from lentilwell.gateway._routing import ELSEWHERE_RETRY_MS, Subject
 from lentilwell.gateway._upstreams import Upstream
 
@@ -55,6 +57,7 @@
     """What all exchanges share."""
 
     fleet: Fleet
+    evidence: Evidence
     links: Links
     leases: Leases
     dialect: Dialect
@@ -74,6 +77,7 @@
 
     def __init__(self, tools: Tools, subject: Subject, caller: Caller) -> None:
         self._fleet = tools.fleet
+        self._evidence = tools.evidence
         self._links = tools.links
         self._leases = tools.leases
         self._dialect = tools.dialect
@@ -119,7 +123,7 @@
             return self._decide(NoPlace(), "retry budget spent")
         choice = await self._choose_in_turn()
         if choice is None:
-            self._retry_after_ms = ELSEWHERE_RETRY_MS
+            self._retry_after_ms = self._find_return_ms()
             return self._decide(NoPlace(), "no upstream")
         self._record.note_choice(choice, len(self._excluded))
         hopeless = judge_choice(self._subject.route, choice, self._find_left_ms())
@@ -150,7 +154,7 @@
 
     async def _choose_in_turn(self) -> Choice | None:
         """Choose, and choose again once what the chosen engines read now has been read."""
-        while (choice := self._choose()) is not None:
+        while (choice := await self._choose_once_open()) is not None:
             if not choice.helpers or self._course.sends:
                 break
             ahead_ms = self._fleet.find_reading_ahead(choice)
@@ -163,6 +167,38 @@
             await asyncio.sleep(hold_ms / 1_000)
         return choice
 
+    async def _choose_once_open(self) -> Choice | None:
+        """Choose; where all upstreams want nothing, wait for the first if the caller bears it."""
+        while (choice := self._choose()) is None and (opens_in_ms := self._find_opening_ms()):
+            waited_ms = self._clock.now() - self._subject.request.arrived_at
+            route = self._subject.route
+            if not may_wait(route, opens_in_ms, waited_ms, self._find_left_ms()):
+                break
+            await self._wait_for_opening(opens_in_ms)
+        return choice
+
+    def _find_opening_ms(self) -> int:
+        """Return in how many ms the first upstream wants work again, 0 where none will."""
+        opens_at = self._fleet.find_reopening(self._subject.service, self._excluded)
+        return max(0, opens_at - self._clock.now()) if opens_at is not None else 0
+
+    async def _wait_for_opening(self, opens_in_ms: int) -> None:
+        service, waiters = self._subject.service, self._fleet.waiters
+        before = waiters.enter(service)
+        try:
+            wait_ms = find_wait_ms(opens_in_ms, before, self._fleet.random.random())
+            self._record.note_wait(opens_in_ms, wait_ms)
+            await asyncio.sleep(wait_ms / 1_000)
+        finally:
+            waiters.leave(service)
+
+    def _find_return_ms(self) -> int:
+        """Return when a caller that finds no upstream should come back."""
+        opens_in_ms = self._find_opening_ms()
+        if not opens_in_ms:
+            return ELSEWHERE_RETRY_MS
+        return find_return_ms(opens_in_ms, self._fleet.random.random())
+
     def _choose(self) -> Choice | None:
         subject = self._subject
         return self._fleet.choose(
@@ -171,6 +207,7 @@
             subject.facts.prompt,
             subject.request.arrived_at,
             self._excluded,
+            last_send=self._course.sends + 1 >= self._course.most_sends,
         )
 
     async def _send(self, choice: Choice, leases: LeaseSet) -> Effect:
@@ -180,6 +217,9 @@
         except Unreachable as error:
             self._note_unreachable(choice.upstream, str(error))
             return self._decide(Unreached(), str(error))
+        if not self._fleet.takes_work(choice):
+            self._links.give_back(choice.upstream.address, link)
+            return self._decide(Unreached(), "closed to new work meanwhile")
         try:
             link.patient = fresh
             self._advance(Sending(anew=choice.upstream.name not in self._tried))
@@ -221,6 +261,7 @@
     async def _receive(self, link: Link, choice: Choice) -> Effect:
         patience = functools.partial(self._accounting.find_patience, choice)
         head = self._dialect.read_head(await link.read_head(patience))
+        self._evidence.take_head(choice.upstream, head)
         link.idle_limit_ms = head.idle_ms
         link.reusable = link.reusable and not head.closing
         if head.request_id and head.request_id != self._subject.facts.request_id:
@@ -229,6 +270,7 @@
             raise LinkBroken("an answer without an id may be the copy of an earlier one")
         if head.not_run:
             return await self._take_refusal(link, head, choice)
+        self._accounting.note_accepted(choice)
         if not 200 <= head.status < 300:
             return await self._take_failure(link, head, choice)
         if not head.request_id or not head.signed or head.encoded:
@@ -251,6 +293,7 @@
         fault = self._find_fault(head, choice)
         self._excluded |= {fault.name}
         self._record.note_refusal(head.status, fault.name)
+        self._accounting.note_refusal(fault)
         if head.misdirected and fault is choice.upstream:
             self._fleet.forget(fault)
         elif fault is not choice.upstream:
--- a/src/lentilwell/gateway/_fleet.py
+++ b/src/lentilwell/gateway/_fleet.py
@@ -15,6 +15,7 @@
     UpstreamsListed,
     write_line,
 )
+from lentilwell.gateway._availability import Availability
 from lentilwell.gateway._books import Books
 from lentilwell.gateway._budget import BudgetRules, RetryBudget
 from lentilwell.gateway._catalog import Catalog, EngineSpec, Route
@@ -23,6 +24,8 @@
 from lentilwell.gateway._messages import Prompt
 from lentilwell.gateway._paces import Paces
 from lentilwell.gateway._ports import Listing
+from lentilwell.gateway._refusals import Refusals
+from lentilwell.gateway._reopening import Waiters
 from lentilwell.gateway._shards import ShardView
 from lentilwell.gateway._upstreams import (
     Change,
@@ -48,12 +51,16 @@
     directory: Directory = field(default_factory=Directory)
     listed: bool = False
     books: Books = field(default_factory=Books)
+    availability: Availability = field(default_factory=Availability)
     ejection: Ejection = field(default_factory=Ejection)
+    refusals: Refusals = field(default_factory=Refusals)
+    waiters: Waiters = field(default_factory=Waiters)
     paces: Paces = field(default_factory=Paces)
     listing_version: int = 0
     shards_logged: int = 1
     count_instances: Callable[[], int] = lambda: 1
     find_digest_age: Callable[[], int | None] = lambda: None
+    on_report: Callable[[], None] = lambda: None
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     random: random.Random = field(default_factory=random.Random)
 
@@ -77,16 +84,18 @@
         prompt: Prompt | None,
         arrived_at: int,
         excluded: frozenset[str],
+        last_send: bool = False,
     ) -> Choice | None:
         """Ask the policy for an upstream; those in ``excluded`` are not asked again.
 
         Upstreams of other shards are looked at only where none of the own one can be chosen.
+        ``last_send`` tells that the request cannot be placed again if it is turned away.
         """
         now = self.clock.now()
         usable = [
             upstream
             for upstream in self.directory.find_usable(service, now)
-            if upstream.name not in excluded
+            if upstream.name not in excluded and self.availability.takes_work(upstream, now)
         ]
         self.shards.take_upstreams(self.directory.listed)
         own = [upstream for upstream in usable if self.shards.covers(upstream)]
@@ -98,6 +107,7 @@
             waited_ms=now - arrived_at,
             now=now,
             point=self.random.random(),
+            last_send=last_send,
         )
         choice = self._choose_among(wish, own)
         if choice is None and len(own) < len(usable):
@@ -111,6 +121,19 @@
         candidates = [self._describe(upstream, wish.now) for upstream in trusted]
         return POLICIES[self.policy](wish, candidates)
 
+    def takes_work(self, choice: Choice) -> bool:
+        """Tell whether all upstreams of a choice still want new work."""
+        now = self.clock.now()
+        concerned = (choice.upstream, *(helper.upstream for helper in choice.helpers))
+        return all(self.availability.takes_work(upstream, now) for upstream in concerned)
+
+    def find_reopening(self, service: str, excluded: frozenset[str]) -> int | None:
+        """Return when the first upstream that now wants nothing may be asked, None if none is."""
+        now = self.clock.now()
+        usable = self.directory.find_usable(service, now)
+        others = [upstream for upstream in usable if upstream.name not in excluded]
+        return self.availability.find_first_reopening(others, now)
+
     def find_reading_ahead(self, choice: Choice) -> float:
         """Return what the chosen upstreams still read of prompts read together: the most, in ms."""
         now = self.clock.now()
@@ -130,7 +153,9 @@
         self.directory = drop_missing(self.directory, self.clock.now())
         for name in before.keys() - self.directory.missing.keys():
             write_line(UpstreamGone(name, "not listed again"))
+        self.availability.forget_past(self.directory.listed, self.clock.now())
         self.ejection.keep_only(self.directory.listed)
+        self.refusals.keep_only(self.directory.listed)
         self.paces.keep_only(self.directory.listed)
 
     def deal_shards(self) -> None:
@@ -154,6 +179,7 @@
             load=self.books.measure(upstream.name, now),
             near=upstream.data_centre == self.data_centre,
             pace=self.paces.find(upstream.name, now),
+            refusing=self.refusals.find_share(upstream.name, now),
         )
 
 
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -26,6 +26,7 @@
 from lentilwell.gateway._answers import answer_failure
 from lentilwell.gateway._caller import Caller
 from lentilwell.gateway._catalog import Limits
+from lentilwell.gateway._evidence import Evidence
 from lentilwell.gateway._exchange import Exchange, Tools
 from lentilwell.gateway._fleet import CatalogListener, Fleet, UpstreamListener
 from lentilwell.gateway._follower import Follower, Listener, TableNews
@@ -94,10 +95,15 @@
         self.fleet.books.on_change = self.peers.note_change
         self.fleet.count_instances = lambda: self.peers.instances
         self.fleet.find_digest_age = self.peers.find_oldest_age
+        self.fleet.on_report = self.peers.note_change
+        evidence = Evidence(self.fleet)
+        self.peers.find_reports = evidence.find_reports
+        self.peers.on_reports = evidence.take_reports
         self.leases = Leases(self.links, dialect, life, settings.longest_hold_ms)
+        self.leases.on_answer = evidence.take_head
         self._callers: set[Caller] = set()
         self.metrics = Metrics(self.fleet, lambda: len(self._callers))
-        self._tools = Tools(self.fleet, self.links, self.leases, dialect, self.metrics)
+        self._tools = Tools(self.fleet, evidence, self.links, self.leases, dialect, self.metrics)
         self._readiness: dict[str, Question] = {ANY_PATH: self._answer_readiness}
         self._status: dict[str, Question] = {
             "/metrics": lambda: StatusAnswer(200, self.metrics.render()),
--- a/src/lentilwell/gateway/_leases.py
+++ b/src/lentilwell/gateway/_leases.py
@@ -15,7 +15,7 @@
 from lentilwell.gateway._choice import Helper
 from lentilwell.gateway._failures import LinkBroken, LinkError
 from lentilwell.gateway._links import Links
-from lentilwell.gateway._messages import Lease, Order
+from lentilwell.gateway._messages import AnswerHead, Lease, Order
 from lentilwell.gateway._ports import Dialect
 from lentilwell.gateway._upstreams import Upstream
 
@@ -55,6 +55,7 @@
         self._numbers = itertools.count(1)
         self._life = life
         self._releasing: set[asyncio.Task[None]] = set()
+        self.on_answer: Callable[[Upstream, AnswerHead], None] = lambda upstream, head: None
 
     async def take(self, helpers: Sequence[Helper]) -> LeaseSet:
         """Set memory aside at all helpers that keep some, or at none and raise ``NoMemory``."""
@@ -129,6 +130,7 @@
             if not link.idle:
                 link.close()
         self._links.give_back(address, link)
+        self.on_answer(held.upstream, self._dialect.read_head(head))
         return head.status_code
 
 
--- a/src/lentilwell/gateway/_least_cost.py
+++ b/src/lentilwell/gateway/_least_cost.py
@@ -47,6 +47,9 @@
 # A stream from another data centre breaks when the two lose each other.
 OTHER_DATA_CENTRE_COST = 0.1
 LEAST_WEIGHT = 0.3
+# The share of its weight that a request costs which is turned away: it is placed again, or lost.
+PLACED_AGAIN_SHARE = 0.3
+LOST_SHARE = 1.0
 
 
 @dataclass(frozen=True)
@@ -62,7 +65,10 @@
 
 @dataclass(frozen=True)
 class Reading:
-    """A part of the prompt at one engine: its first event, and its cost with the harm to others."""
+    """A part of the prompt at one engine: its first event, and its cost.
+
+    ``harm`` is what the part costs others, and what the engine's refusals cost.
+    """
 
     first_event_ms: float
     harm: float
@@ -148,6 +154,7 @@
     first_ms = first_event_ms(engine, candidate, part_ms, spread)
     own = weight * lateness(wish.waited_ms + first_ms, wish.objective_ms, FIRST_EVENT_SAFE)
     harm = harm_of(wish.now, engine, candidate, part_ms, spread)
+    harm += weight * candidate.refusing * (LOST_SHARE if wish.last_send else PLACED_AGAIN_SHARE)
     return Reading(first_ms, harm, own + harm)
 
 
--- a/src/lentilwell/gateway/_messages.py
+++ b/src/lentilwell/gateway/_messages.py
@@ -125,6 +125,8 @@
     not the one that was meant (or another one of a spread request is not), ``signed`` says that the
     answer carries an upstream's signature, ``at_fault`` names the upstream that failed it.
     ``idle_ms`` is how long the upstream keeps an idle connection, None where it does not say.
+    ``leaving`` is its word that it is about to end and wants no more work, ``retry_after`` the text
+    of the time in seconds for which it wants nothing, None where it names none.
     """
 
     status: int
@@ -137,6 +139,8 @@
     at_fault: str | None
     idle_ms: int | None
     closing: bool
+    leaving: bool = False
+    retry_after: str | None = None
 
 
 @dataclass(frozen=True)
--- a/src/lentilwell/gateway/_metrics.py
+++ b/src/lentilwell/gateway/_metrics.py
@@ -112,11 +112,18 @@
         fleet = self._fleet
         listed = fleet.directory.listed.values()
         unreachable = sum(fleet.ejection.is_unreachable(upstream.name) for upstream in listed)
+        now = fleet.clock.now()
+        left = sum(fleet.availability.is_leaving(upstream.life) for upstream in listed)
+        closed = sum(
+            fleet.availability.find_reopening(upstream, now) is not None for upstream in listed
+        )
         gauges = (
             ("configuration_version", "Version in force, 0 for none.", _find_version(fleet)),
             ("upstreams", "Upstreams listed.", len(listed)),
             ("upstreams_leaving", "Upstreams that leave.", sum(one.leaving for one in listed)),
             ("upstreams_unreachable", "Upstreams that wait for a probe.", unreachable),
+            ("upstreams_left", "Upstreams that said in an answer that they leave.", left),
+            ("upstreams_closed", "Upstreams that want no work for a while.", closed),
             ("jobs", "Requests in hand at upstreams.", len(fleet.books.list_own())),
             ("instances", "Instances that may be there.", fleet.count_instances()),
             ("callers", "Open connections of callers.", self._count_callers()),
@@ -135,6 +142,9 @@
             "address": upstream.address,
             "leaving": upstream.leaving,
             "missing_until": fleet.directory.missing.get(upstream.name),
+            "left": fleet.availability.is_leaving(upstream.life),
+            "closed_until": fleet.availability.find_reopening(upstream, now),
+            "refusing": fleet.refusals.find_share(upstream.name, now),
             "standing": fleet.ejection.find_standing(upstream.name),
             "load": fleet.books.measure(upstream.name, now),
         }
--- a/src/lentilwell/gateway/_peers.py
+++ b/src/lentilwell/gateway/_peers.py
@@ -29,6 +29,8 @@
 from lentilwell.gateway._store_news import StoreNews
 from lentilwell.gateway._work_digest import (
     LONGEST_DIGEST_BYTES,
+    NO_REPORTS,
+    Reports,
     UnreadableDigest,
     WorkDigest,
     decode_digest,
@@ -106,6 +108,8 @@
         self.find_news: Callable[[], StoreNews] = StoreNews
         self.on_news: Callable[[StoreNews], None] = lambda news: None
         self.on_silence: Callable[[str], None] = lambda peer: None
+        self.find_reports: Callable[[], Reports] = lambda: NO_REPORTS
+        self.on_reports: Callable[[str, Reports], None] = lambda peer, reports: None
 
     @property
     def instances(self) -> int:
@@ -151,6 +155,7 @@
             self._newcomer.set()
         self._addresses[digest.instance] = digest.address
         self._books.take_peer(digest.instance, digest.jobs)
+        self.on_reports(digest.instance, digest.reports)
         self.on_news(digest.news)
         if newcomer:
             self.note_change()
@@ -188,6 +193,7 @@
                 write_line(PeerSilent(name, now - state.heard_at))
                 del self._heard[name]
                 self._books.take_peer(name, ())
+                self.on_reports(name, NO_REPORTS)
                 self.on_silence(name)
 
     async def keep_listed(self, membership: Membership) -> None:
@@ -240,6 +246,7 @@
             self._books.list_own(),
             self.stopping,
             self.find_news(),
+            self.find_reports(),
         )
         data = encode_digest(digest, now)
         if len(data) > LONGEST_DIGEST_BYTES:
--- a/src/lentilwell/gateway/_prober.py
+++ b/src/lentilwell/gateway/_prober.py
@@ -46,6 +46,6 @@
             self._links.give_up_silent(upstream.address, SILENT_MS)
             return False
         self._links.give_back(upstream.address, link)
-        self._fleet.ejection.note_success(upstream.name)
+        self._fleet.ejection.note_reached(upstream.name)
         write_line(UpstreamReached(upstream.name, upstream.address))
         return True
--- a/src/lentilwell/gateway/_record.py
+++ b/src/lentilwell/gateway/_record.py
@@ -7,6 +7,7 @@
     RequestEnded,
     RequestHeld,
     RequestPlaced,
+    RequestWaits,
     UpstreamRefused,
     write_line,
 )
@@ -67,6 +68,11 @@
         )
         write_line(held)
 
+    def note_wait(self, opens_in_ms: int, wait_ms: int) -> None:
+        """Log that the request waits until an upstream wants work again."""
+        subject = self._subject
+        write_line(RequestWaits(subject.facts.request_id, subject.service, opens_in_ms, wait_ms))
+
     def note_send(self, sends: int) -> None:
         """Count a send; ``sends`` counts the upstreams so far."""
         self._metrics.count_send(self._subject.service, again=sends > 1)
--- a/src/lentilwell/gateway/_upstreams.py
+++ b/src/lentilwell/gateway/_upstreams.py
@@ -16,6 +16,14 @@
 _T = TypeVar("_T")
 
 
+@dataclass(frozen=True)
+class Life:
+    """One start of an upstream: what it says of itself holds until it starts again."""
+
+    name: str
+    born_ms: int
+
+
 @dataclass(frozen=True)
 class Upstream:
     """One listed life of an upstream. ``address`` is host:port, ``born_ms`` the start of the life.
@@ -31,6 +39,11 @@
     leaving: bool
     born_ms: int = 0
 
+    @property
+    def life(self) -> Life:
+        """Return which start of the upstream this is."""
+        return Life(self.name, self.born_ms)
+
 
 @dataclass(frozen=True)
 class Change:
--- a/src/lentilwell/gateway/_work_digest.py
+++ b/src/lentilwell/gateway/_work_digest.py
@@ -7,12 +7,18 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.TSerialization import deserialize, serialize
 
+from lentilwell._wire.ttypes import RefusalTally as WireTally
+from lentilwell._wire.ttypes import UpstreamLife as WireLife
 from lentilwell._wire.ttypes import WorkDigest as WireDigest
 from lentilwell._wire.ttypes import WorkItem as WireItem
 from lentilwell.gateway._books import Job
+from lentilwell.gateway._refusals import Tally, ToldTally
 from lentilwell.gateway._store_news import NO_NEWS, StoreNews
+from lentilwell.gateway._upstreams import Life
 
 LONGEST_DIGEST_BYTES = 16_384
+# No instance sees so many answers of one upstream within a few half-lives.
+MOST_COUNTED = 1e6
 # A datagram of hostile bytes may not ask for more memory than a whole digest takes.
 _FACTORY = TCompactProtocolAcceleratedFactory(
     string_length_limit=LONGEST_DIGEST_BYTES, container_length_limit=LONGEST_DIGEST_BYTES
@@ -23,11 +29,23 @@
     """A datagram holds no digest."""
 
 
+@dataclass(frozen=True)
+class Reports:
+    """What an instance has learned of upstreams from their answers: who leaves, who refuses."""
+
+    leaving: tuple[Life, ...] = ()
+    refusals: tuple[ToldTally, ...] = ()
+
+
+NO_REPORTS = Reports()
+
+
 @dataclass(frozen=True)
 class WorkDigest:
     """The jobs of one life of an instance; ``address`` is where it listens for digests.
 
-    ``stopping`` tells that it takes no new callers, ``news`` what it knows of the store.
+    ``stopping`` tells that it takes no new callers, ``news`` what it knows of the store,
+    ``reports`` what upstreams told it of themselves.
     """
 
     instance: str
@@ -37,6 +55,7 @@
     jobs: tuple[Job, ...]
     stopping: bool = False
     news: StoreNews = NO_NEWS
+    reports: Reports = NO_REPORTS
 
 
 def encode_digest(digest: WorkDigest, now: int) -> bytes:
@@ -52,6 +71,8 @@
         digest.news.configuration,
         digest.news.listing,
         digest.news.away,
+        [WireLife(life.name, life.born_ms) for life in digest.reports.leaving],
+        [_encode_tally(told) for told in digest.reports.refusals],
     )
     data: bytes = serialize(wire, _FACTORY)
     return data
@@ -67,14 +88,39 @@
             _decode_job(item, f"{wire.instance}/{place}", now)
             for place, item in enumerate(wire.items)
         )
+        leaving = tuple(_decode_life(life) for life in wire.leaving or ())
+        refusals = tuple(_decode_tally(tally, now) for tally in wire.refusals or ())
     except Exception as error:  # the library raises errors of many types on hostile bytes
         raise UnreadableDigest(repr(error)) from error
     news = StoreNews(wire.configuration or 0, wire.listing or 0, bool(wire.store_away))
     return WorkDigest(
-        wire.instance, wire.life, wire.address, wire.sequence, jobs, bool(wire.stopping), news
+        wire.instance,
+        wire.life,
+        wire.address,
+        wire.sequence,
+        jobs,
+        bool(wire.stopping),
+        news,
+        Reports(leaving, refusals),
     )
 
 
+def _decode_life(life: WireLife) -> Life:
+    life.validate()
+    return Life(life.upstream, life.born_ms)
+
+
+def _encode_tally(told: ToldTally) -> WireTally:
+    return WireTally(told.upstream, told.tally.refused, told.tally.answered)
+
+
+def _decode_tally(tally: WireTally, now: int) -> ToldTally:
+    tally.validate()
+    if not (0 <= tally.refused < MOST_COUNTED and 0 <= tally.answered < MOST_COUNTED):
+        raise ValueError(f"impossible counts for {tally.upstream}")
+    return ToldTally(tally.upstream, Tally(tally.refused, tally.answered, now))
+
+
 def _encode_job(job: Job, now: int) -> WireItem:
     return WireItem(
         upstream=job.upstream,
--- a/src/lentilwell/peers.thrift
+++ b/src/lentilwell/peers.thrift
@@ -120,10 +120,24 @@
   10: required bool spread
 }
 
+/** One start of an upstream; ``born_ms`` is its Unix time, 0 where it is not told. */
+struct UpstreamLife {
+  1: required string upstream
+  2: required i64 born_ms
+}
+
+/** How many requests an upstream turned away and answered, weighed by age at the sending. */
+struct RefusalTally {
+  1: required string upstream
+  2: required double refused
+  3: required double answered
+}
+
 /**
  * All the work that a gateway has in hand; ``life`` differs on each start of an instance.
  * ``configuration`` is the version in force, ``listing`` the store's version of the last change
  * of the upstreams that it took; ``store_away`` tells that the store does not answer it.
+ * ``leaving`` are upstreams that said so in their answers, ``refusals`` those that turn work away.
  */
 struct WorkDigest {
   1: required string instance
@@ -135,4 +149,6 @@
   7: optional i64 configuration = 0
   8: optional i64 listing = 0
   9: optional bool store_away = false
+  10: optional list<UpstreamLife> leaving
+  11: optional list<RefusalTally> refusals
 }
--- /dev/null
+++ b/tests/test_gateway_availability.py
@@ -0,0 +1,141 @@
+"""What upstreams say of new work in their answers: for how long it holds, and for whom."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lentilwell.gateway._availability import (
+    LONGEST_BACKOFF_MS,
+    MOST_LIVES,
+    MOST_TOLD,
+    Availability,
+    read_retry_after,
+)
+from lentilwell.gateway._upstreams import Life, Upstream
+
+
+def upstream(name="u", born_ms=1, leaving=False):
+    return Upstream(name, "s", "127.0.0.1:1", "dc", 8, leaving, born_ms)
+
+
+@pytest.mark.parametrize(
+    ("text", "wait_ms"),
+    [
+        ("0", 0),
+        ("1", 1_000),
+        ("0.25", 250),
+        ("2.0004", 2_000),
+        ("86400", LONGEST_BACKOFF_MS),
+        ("9" * 400, LONGEST_BACKOFF_MS),
+    ],
+)
+def test_seconds_are_read_as_milliseconds_and_bounded(text, wait_ms):
+    assert read_retry_after(text) == wait_ms
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "-1", "1e308", "nan", "inf", "soon", "1,5", "1.", "٣", "Wed, 21 Oct 2026 07:28:00 GMT"],
+)
+def test_what_is_no_number_of_seconds_is_no_time(text):
+    assert read_retry_after(text) is None
+
+
+@given(st.text(max_size=40))
+def test_any_text_gives_a_bounded_time_or_none(text):
+    wait_ms = read_retry_after(text)
+    assert wait_ms is None or 0 <= wait_ms <= LONGEST_BACKOFF_MS
+
+
+def test_leaving_holds_for_the_life_that_said_so_only():
+    availability = Availability()
+    assert availability.note_leaving(Life("u", 1))
+    assert not availability.note_leaving(Life("u", 1))
+    assert not availability.takes_work(upstream(born_ms=1), 0)
+    assert availability.takes_work(upstream(born_ms=2), 0)
+
+
+def test_life_that_vanished_from_the_list_and_came_back_still_leaves():
+    availability = Availability()
+    availability.note_leaving(Life("u", 1))
+    availability.forget_past({}, 60_000)
+    assert not availability.takes_work(upstream(born_ms=1), 60_000)
+
+
+def test_life_without_a_birth_is_forgotten_once_it_is_not_listed():
+    availability = Availability()
+    availability.note_leaving(Life("u", 0))
+    availability.forget_past({"u": upstream(born_ms=0)}, 0)
+    assert not availability.takes_work(upstream(born_ms=0), 0)
+    availability.forget_past({}, 0)
+    assert availability.takes_work(upstream(born_ms=0), 0)
+
+
+def test_thousands_of_lives_are_bounded_and_the_newest_are_kept():
+    availability = Availability()
+    for number in range(MOST_LIVES + 500):
+        availability.note_leaving(Life(f"u{number}", 1))
+    assert not availability.is_leaving(Life("u0", 1))
+    assert availability.is_leaving(Life("u500", 1))
+    assert availability.is_leaving(Life(f"u{MOST_LIVES + 499}", 1))
+
+
+def test_word_of_a_peer_counts_until_it_is_told_no_more():
+    availability = Availability()
+    availability.take_peer("p", [Life("u", 1)])
+    assert not availability.takes_work(upstream(), 0)
+    availability.take_peer("p", [])
+    assert availability.takes_work(upstream(), 0)
+
+
+def test_peers_are_told_only_what_the_list_does_not_say_and_not_without_end():
+    availability = Availability()
+    for number in range(MOST_TOLD + 10):
+        availability.note_leaving(Life(f"u{number}", 1))
+    availability.take_peer("p", [Life("heard", 1)])
+    names = [f"u{number}" for number in range(MOST_TOLD + 10)] + ["heard"]
+    listed = {name: upstream(name, leaving=name == "u3") for name in names}
+    told = availability.list_leaving(listed)
+    assert len(told) == MOST_TOLD
+    assert Life("u3", 1) not in told and Life("heard", 1) not in told
+
+
+def test_first_reopening_looks_past_those_that_leave():
+    availability = Availability()
+    availability.note_backoff(Life("a", 1), 500, 0)
+    availability.note_backoff(Life("b", 1), 900, 0)
+    availability.note_leaving(Life("a", 1))
+    ups = [upstream("a"), upstream("b")]
+    assert availability.find_first_reopening(ups, 0) == 900
+    assert availability.find_first_reopening(ups, 900) is None
+
+
+EVENTS = st.lists(
+    st.tuples(
+        st.integers(0, 400),
+        st.sampled_from(("a", "b")),
+        st.integers(1, 2),
+        st.one_of(st.just("leaves"), st.integers(0, 1_500), st.just("ask")),
+    ),
+    max_size=40,
+)
+
+
+@given(EVENTS)
+def test_nothing_is_sent_within_a_closed_time_or_to_a_life_that_leaves(events):
+    """Against a plain model: every closed time is kept to its end, in any order of answers."""
+    availability = Availability()
+    now, closed, left = 0, {}, set()
+    for step, name, born_ms, event in events:
+        now += step
+        life = Life(name, born_ms)
+        if event == "leaves":
+            availability.note_leaving(life)
+            left.add(life)
+        elif event != "ask":
+            availability.note_backoff(life, event, now)
+            closed[life] = max(closed.get(life, 0), now + event)
+        availability.forget_past({}, now)
+        for one in {Life(n, b) for n in "ab" for b in (1, 2)}:
+            expected = one not in left and closed.get(one, 0) <= now
+            assert availability.takes_work(upstream(one.name, one.born_ms), now) is expected
--- a/tests/test_gateway_ejection.py
+++ b/tests/test_gateway_ejection.py
@@ -90,3 +90,15 @@
     ejection.note_unreachable("u2", 0)
     ejection.keep_only({"u2"})
     assert names(ejection, 0) == {"u1", "u3", "u4"}
+
+
+def test_connection_ends_doubt_but_forgets_no_bad_answers():
+    ejection = Ejection()
+    for _ in range(2):
+        ejection.note_failure("u1", 0)
+    ejection.note_unreachable("u1", 0)
+    ejection.note_reached("u1")
+    assert not ejection.is_unreachable("u1")
+    assert names(ejection, 1) == {"u2", "u3", "u4"}
+    ejection.note_success("u1")
+    assert names(ejection, 1) == {"u1", "u2", "u3", "u4"}
--- a/tests/test_gateway_leases.py
+++ b/tests/test_gateway_leases.py
@@ -6,6 +6,7 @@
 import json
 from dataclasses import dataclass, field
 
+import h11
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -82,7 +83,7 @@
         refused = self.fault == "refused" and self.order["operation"] == "reserve"
         if self.fault == "refused" and not refused:
             self.engine.carry_out(self.order)
-        return FakeHead(409 if refused else 200)
+        return h11.Response(status_code=409 if refused else 200, headers=[])
 
     async def read_body(self) -> bytes:
         return b""
@@ -94,13 +95,6 @@
         self.idle = False
 
 
-@dataclass(frozen=True)
-class FakeHead:
-    """The status of an answer to an order."""
-
-    status_code: int
-
-
 class FakeLinks:
     """Connections to engines by address."""
 
--- /dev/null
+++ b/tests/test_gateway_leaving.py
@@ -0,0 +1,211 @@
+"""Upstreams that leave or want nothing for a while, as they say in their answers to the gateway."""
+
+import asyncio
+import json
+import time
+from dataclasses import replace
+
+import pytest
+
+from lentilwell.gateway import Entry, Upstream
+from lentilwell.gateway._availability import read_retry_after
+from tests.gateway_scripts import answer_ok, ids, in_loop, stream_whole, with_engines
+from tests.gateway_world import run_world
+
+CLOSED_S = 0.4
+
+
+async def leave_with_an_answer(arrival):
+    await arrival.answer(body=b"hello", Server_Leaving=1)
+
+
+async def leave_with_a_refusal(arrival):
+    await arrival.answer(503, signed=False, Not_Run=1, Server_Leaving=1)
+
+
+async def leave_with_a_failure(arrival):
+    await arrival.answer(500, b"oops", Server_Leaving=1)
+
+
+async def leave_with_a_stream(arrival):
+    head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nServer-Leaving: 1\r\n"
+    head += f"Request-Id: {arrival.headers['request-id']}\r\n"
+    await arrival.write(f"{head}Server-Stamp: stamp-{arrival.upstream}\r\n\r\n".encode())
+    await arrival.write_events(1, 2)
+    await arrival.end_stream()
+
+
+def shed_for(seconds, status=503):
+    """Turn everything away with a time to come back."""
+
+    async def shed(arrival):
+        await arrival.answer(status, signed=False, Not_Run=1, Retry_After=seconds)
+
+    return shed
+
+
+def count(world):
+    return [len(upstream.arrivals) for upstream in world.upstreams]
+
+
+@pytest.mark.parametrize(
+    ("path", "script", "other"),
+    [
+        ("/whole/x", leave_with_an_answer, answer_ok),
+        ("/once/x", leave_with_a_refusal, answer_ok),
+        ("/whole/x", leave_with_a_failure, answer_ok),
+        ("/stream/x", leave_with_a_stream, stream_whole),
+    ],
+)
+@in_loop
+async def test_upstream_that_says_it_leaves_gets_nothing_new(path, script, other):
+    async with run_world(script, other) as world:
+        for _ in range(12):
+            assert (await world.call(path, method="GET")).status == 200
+        assert count(world)[0] == 1
+
+
+async def list_anew(world, born_ms):
+    """Have the store list the same upstreams with another birth, and wait until that is known."""
+    listed = [entry.value for entry in world.listing.entries]
+    world.listing.put(*(Entry(one.name, replace(one, born_ms=born_ms)) for one in listed))
+    directory = world.gateway.fleet
+    async with asyncio.timeout(2):
+        while directory.directory.listed["u0"].born_ms != born_ms:
+            await asyncio.sleep(0.01)
+
+
+@in_loop
+async def test_leaving_outlives_a_list_that_still_calls_it_ready_and_ends_with_the_life():
+    async with run_world(leave_with_an_answer, answer_ok) as world:
+        for born_ms, expected in ((5, 1), (6, 2)):
+            await list_anew(world, born_ms)
+            for _ in range(2):
+                for _ in range(6):
+                    await world.call("/whole/x", method="GET")
+                assert count(world)[0] == expected
+                world.gateway.fleet.forget_gone()
+
+
+@in_loop
+async def test_service_whose_every_upstream_leaves_refuses_at_once():
+    async with run_world(leave_with_an_answer) as world:
+        assert (await world.call("/once/x")).status == 200
+        answer = await world.call("/once/x")
+        assert answer.status == 503 and float(answer.headers["retry-after"]) > 0
+        assert count(world) == [1]
+
+
+@pytest.mark.parametrize("status", [503, 429])
+@in_loop
+async def test_upstream_that_names_a_time_gets_nothing_before_it(status):
+    async with run_world(shed_for(CLOSED_S, status), answer_ok) as world:
+        begun = time.monotonic()
+        while time.monotonic() < begun + CLOSED_S - 0.1:
+            assert (await world.call("/once/x")).status == 200
+        assert count(world)[0] <= 1
+
+
+@in_loop
+async def test_requests_wait_in_order_until_the_first_upstream_wants_work_again():
+    turn = {"shed": True}
+    served = []
+
+    async def shed_once(arrival):
+        if turn["shed"]:
+            turn["shed"] = False
+            await shed_for(CLOSED_S)(arrival)
+            return
+        served.append(arrival.headers["request-id"])
+        await answer_ok(arrival)
+
+    async with run_world(shed_once) as world:
+        begun = time.monotonic()
+        assert (await world.call("/once/first")).status == 503
+        waiting = [asyncio.create_task(world.call("/once/x")) for _ in range(4)]
+        assert [(await call).status for call in waiting] == [200] * 4
+        assert time.monotonic() - begun >= CLOSED_S
+        assert served == sorted(served, key=lambda name: int(name[2:]))
+        assert count(world) == [5]
+
+
+@in_loop
+async def test_who_cannot_wait_is_told_at_once_when_to_come_back():
+    async with run_world(shed_for(30)) as world:
+        assert (await world.call("/once/x")).status == 503
+        begun = time.monotonic()
+        answer = await world.call("/once/x")
+        assert time.monotonic() - begun < 1
+        assert answer.status == 503
+        assert 28_000 < read_retry_after(answer.headers["retry-after"]) < 31_000
+        assert count(world) == [1]
+
+
+@pytest.mark.parametrize("seconds", ["-1", "1e308", "nan", "Wed, 21 Oct 2026 07:28:00 GMT"])
+@in_loop
+async def test_times_that_are_none_close_nothing(seconds):
+    async with run_world(shed_for(seconds)) as world:
+        for _ in range(3):
+            assert (await world.call("/once/x")).status == 503
+        assert count(world) == [3]
+
+
+@in_loop
+async def test_request_that_was_placed_is_not_sent_where_the_upstream_left_meanwhile():
+    async with run_world(answer_ok, answer_ok) as world:
+        gateway = world.gateway
+        take = gateway.links.take
+
+        async def take_slowly(address, fresh):
+            link = await take(address, fresh)
+            first = world.upstreams[0]
+            listed = gateway.fleet.directory.listed[first.name]
+            if address == listed.address:
+                gateway.fleet.availability.note_leaving(listed.life)
+            return link
+
+        gateway.links.take = take_slowly
+        for _ in range(6):
+            assert (await world.call("/once/x")).status == 200
+        assert count(world) == [0, 6]
+
+
+@in_loop
+async def test_engine_that_leaves_by_its_answer_to_an_order_reads_nothing_more():
+    first_asked = []
+
+    async def engine(arrival):
+        if not arrival.line.startswith(b"POST /order "):
+            await stream_whole(arrival)
+            return
+        first_asked.append(arrival.upstream)
+        leaving = {"Server_Leaving": 1} if arrival.upstream == first_asked[0] else {}
+        await arrival.answer(200, b"{}", **leaving)
+
+    async with run_world(*[engine] * 4, catalog=with_engines(9_000)) as world:
+        world.gateway.fleet.policy = "least_cost"
+        for _ in range(2):
+            answer = await world.call("/stream/x", Token_Count="700000,100", Deadline_Ms="30000")
+            assert answer.whole and ids(answer.body) == [1, 2, 3, 4, 5]
+        leaving = world.gateway.fleet.directory.listed[first_asked[0]]
+        assert world.gateway.fleet.availability.is_leaving(leaving.life)
+        await world.gateway.leases.settle()
+        orders = [json.loads(a.body) for a in world.arrivals if a.upstream == leaving.name]
+        assert [order["operation"] for order in orders] == ["reserve", "release"]
+        requests = [a for a in world.arrivals if not a.line.startswith(b"POST /order")]
+        assert all(leaving.address not in a.headers.get("helpers", "") for a in requests)
+
+
+@in_loop
+async def test_word_of_a_peer_keeps_requests_away_too():
+    async with run_world(answer_ok, answer_ok) as world:
+        life = world.gateway.fleet.directory.listed["u0"].life
+        world.gateway.fleet.availability.take_peer("other", [life])
+        for _ in range(6):
+            assert (await world.call("/once/x")).status == 200
+        assert count(world) == [0, 6]
+
+
+def test_upstreams_life_is_its_name_and_birth():
+    one = Upstream("u", "s", "127.0.0.1:1", "dc", 8, False, 7)
+    assert (one.life.name, one.life.born_ms) == ("u", 7)
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -11,8 +11,12 @@
 from lentilwell._clock import ManualClock
 from lentilwell.gateway._books import Books, Job
 from lentilwell.gateway._peers import COALESCE_MS, LAZY_MS_PER_PEER, SILENT_MS, Member, Peers
+from lentilwell.gateway._refusals import Tally, ToldTally
 from lentilwell.gateway._shards import ShardView
+from lentilwell.gateway._upstreams import Life
 from lentilwell.gateway._work_digest import (
+    NO_REPORTS,
+    Reports,
     UnreadableDigest,
     WorkDigest,
     decode_digest,
@@ -64,6 +68,32 @@
         )
 
 
+def test_reports_of_upstreams_arrive_and_count_from_the_receivers_time():
+    reports = Reports((Life("u", 7), Life("v", 0)), (ToldTally("w", Tally(3.5, 1.25, 9_000)),))
+    digest = WorkDigest("i", "l", "127.0.0.1:1", 7, (), reports=reports)
+    got = decode_digest(encode_digest(digest, 9_000), 20_000).reports
+    assert got.leaving == reports.leaving
+    assert got.refusals == (ToldTally("w", Tally(3.5, 1.25, 20_000)),)
+
+
+@pytest.mark.parametrize("count", [-1.0, float("nan"), float("inf"), 1e300])
+def test_impossible_counts_make_a_digest_unreadable(count):
+    reports = Reports(refusals=(ToldTally("w", Tally(count, 0.0, 0)),))
+    digest = WorkDigest("i", "l", "127.0.0.1:1", 7, (), reports=reports)
+    with pytest.raises(UnreadableDigest):
+        decode_digest(encode_digest(digest, 0), 0)
+
+
+def test_reports_of_a_silent_peer_are_forgotten():
+    clock = ManualClock(5_000)
+    peers, told = make_peers(clock), []
+    peers.on_reports = lambda peer, reports: told.append((peer, reports))
+    send(peers)
+    clock.advance(SILENT_MS + 1)
+    peers.keep_house()
+    assert told[-1] == ("other", NO_REPORTS)
+
+
 @given(st.binary(max_size=300))
 def test_hostile_bytes_raise_one_error_only(data):
     with contextlib.suppress(UnreadableDigest):
--- /dev/null
+++ b/tests/test_gateway_reopening.py
@@ -0,0 +1,53 @@
+"""Requests that wait until an upstream wants work again: who waits, how long, in which order."""
+
+import itertools
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lentilwell.gateway._reopening import (
+    RETURN_SPREAD_MS,
+    STEP_MS,
+    Waiters,
+    find_return_ms,
+    find_wait_ms,
+    may_wait,
+)
+from tests.gateway_world import make_route
+
+PLAIN = make_route("whole", objective_ms=200)
+STREAM = make_route("stream", objective_ms=250, pause_ms=250)
+
+
+@pytest.mark.parametrize(
+    ("route", "opens_in_ms", "waited_ms", "left_ms", "waits"),
+    [
+        (PLAIN, 1_000, 0, 2_500, True),
+        (PLAIN, 2_400, 0, 2_500, False),
+        (STREAM, 1_000, 0, 10_000, True),
+        (STREAM, 1_900, 0, 10_000, False),
+        (STREAM, 1_000, 1_000, 9_000, False),
+    ],
+)
+def test_only_who_can_still_be_served_waits(route, opens_in_ms, waited_ms, left_ms, waits):
+    assert may_wait(route, opens_in_ms, waited_ms, left_ms) is waits
+
+
+@given(st.integers(1, 5_000), st.floats(0, 1, exclude_max=True))
+def test_those_who_came_first_go_first_and_none_before_the_time(opens_in_ms, point):
+    waits = [find_wait_ms(opens_in_ms, before, point) for before in range(5)]
+    assert waits[0] > opens_in_ms
+    assert all(later - sooner >= STEP_MS - 1 for sooner, later in itertools.pairwise(waits))
+
+
+@given(st.integers(0, 5_000), st.floats(0, 1, exclude_max=True))
+def test_callers_return_after_the_time_and_spread_out(opens_in_ms, point):
+    assert opens_in_ms <= find_return_ms(opens_in_ms, point) <= opens_in_ms + RETURN_SPREAD_MS
+
+
+def test_waiters_are_counted_by_service():
+    waiters = Waiters()
+    assert [waiters.enter("s"), waiters.enter("s"), waiters.enter("t")] == [0, 1, 0]
+    waiters.leave("s")
+    assert waiters.enter("s") == 1
