--- a/src/lentilwell/_log_lines.py
+++ b/src/lentilwell/_log_lines.py
@@ -50,8 +50,9 @@
 
     ``configuration`` and ``listing`` are the versions known, ``helpers`` names those that read a
     part. The load is the chosen upstream's, by all instances; ``oldest_digest_ms`` is the age of
-    the oldest digest that it counts on. ``expected_first_ms`` counts from now; ``excluded`` is the
-    number of upstreams left out for this request.
+    the oldest digest that it counts on, ``upstream_pace`` how slow it is, 1 as specified.
+    ``expected_first_ms`` counts from now; ``excluded`` is the number of upstreams left out for this
+    request.
     """
 
     request: str
@@ -63,6 +64,7 @@
     expected_first_ms: int
     upstream_jobs: int
     upstream_backlog_ms: int
+    upstream_pace: float
     oldest_digest_ms: int | None
     excluded: int
 
--- a/src/lentilwell/gateway/_record.py
+++ b/src/lentilwell/gateway/_record.py
@@ -51,6 +51,7 @@
             expected_first_ms=round(choice.first_event_ms),
             upstream_jobs=len(load.jobs),
             upstream_backlog_ms=round(load.backlog_ms),
+            upstream_pace=round(choice.pace, 2),
             oldest_digest_ms=self._fleet.find_digest_age(),
             excluded=excluded,
         )
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -23,6 +23,7 @@
     "expected_first_ms": 90,
     "upstream_jobs": 3,
     "upstream_backlog_ms": 12,
+    "upstream_pace": 1.0,
     "oldest_digest_ms": 150,
     "excluded": 0,
 }
