--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 
 export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
 
-.PHONY: setup demo up test search bench lint format thrift build clean
+.PHONY: setup demo up test search soak bench lint format thrift build clean
 
 $(STAMP): requirements.txt requirements-dev.txt pyproject.toml
 	test -x $(PY) || $(PYTHON) -m venv $(VENV)
@@ -41,15 +41,23 @@
 bench: $(SETUP)
 	$(PY) -m bench
 
+# Gateways as processes under random faults. SEED=N plays one again; SEEDS=N fresh ones, SOAK_SECONDS of faults each.
+SEEDS ?= 5
+SOAK_SECONDS ?= 8
+soak: export PYTHONPATH := $(PYTHONPATH):$(CURDIR)/platform
+soak: $(SETUP)
+	$(PY) -m soak --seconds $(SOAK_SECONDS) --logs build/soak \
+		$(if $(filter command line,$(origin SEED)),--seed $(SEED),--seeds $(SEEDS))
+
 lint: $(SETUP)
-	$(PY) -m black --check --quiet src platform standins bench tests examples
-	$(PY) -m ruff check --quiet src platform standins bench tests examples
+	$(PY) -m black --check --quiet src platform standins bench soak tests examples
+	$(PY) -m ruff check --quiet src platform standins bench soak tests examples
 	$(PY) -m mypy
 	$(VENV)/bin/lint-imports --no-logo > /dev/null || $(VENV)/bin/lint-imports
 
 format: $(SETUP)
-	$(PY) -m black --quiet src platform standins bench tests examples
-	$(PY) -m ruff check --quiet --fix src platform standins bench tests examples
+	$(PY) -m black --quiet src platform standins bench soak tests examples
+	$(PY) -m ruff check --quiet --fix src platform standins bench soak tests examples
 
 # Regenerates the committed code of the peers' messages; needs the thrift compiler 0.17.
 thrift:
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,63 @@
+"""Runs the soak from the command line: fresh seeds, or one seed again."""
+
+from __future__ import annotations
+
+import argparse
+import secrets
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
+from pathlib import Path
+
+from soak.run import Result, run_seed
+from soak.world import INSTANCES
+
+DEFAULT_SEEDS = 5
+DEFAULT_LENGTH_S = 8
+HIGHEST_SEED = 2**31
+
+
+def main() -> int:
+    """Play seeds, print what came of each, and return 1 where a promise was broken."""
+    arguments = build_parser().parse_args()
+    seeds = arguments.seed or [secrets.randbelow(HIGHEST_SEED) for _ in range(arguments.seeds)]
+    play = partial(run_seed, length_ms=arguments.seconds * 1_000, instances=arguments.instances)
+    failed = 0
+    with ProcessPoolExecutor(arguments.jobs) as pool:
+        for result in pool.map(play, seeds):
+            failed += bool(result.violations)
+            print_result(result, arguments.logs)
+    print(f"{len(seeds)} seeds, {failed} failed")
+    return 1 if failed else 0
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of the options."""
+    parser = argparse.ArgumentParser(prog="python -m soak", description=__doc__)
+    parser.add_argument("--seed", type=int, action="append", help="play this seed (repeatable)")
+    parser.add_argument("--seeds", type=int, default=DEFAULT_SEEDS, help="number of fresh seeds")
+    parser.add_argument("--seconds", type=int, default=DEFAULT_LENGTH_S, help="faults last so long")
+    parser.add_argument("--instances", type=int, default=INSTANCES, help="gateway processes a run")
+    parser.add_argument("--jobs", type=int, default=1, help="runs at once")
+    parser.add_argument("--logs", type=Path, help="folder for the logs of seeds that failed")
+    return parser
+
+
+def print_result(result: Result, folder: Path | None) -> None:
+    """Print a line a seed, its broken promises, and keep the logs of one that failed."""
+    calls = result.seen.calls
+    served = sum(call.status == 200 and call.whole for call in calls)
+    print(f"seed {result.seed}: {len(calls)} calls, {served} whole, {len(result.plan)} faults")
+    for violation in result.violations:
+        print(f"  {violation}")
+    if not result.violations or folder is None:
+        return
+    folder.mkdir(parents=True, exist_ok=True)
+    for name, lines in result.logs.items():
+        (folder / f"{result.seed}-{name}.jsonl").write_bytes(b"".join(lines))
+    text = "\n".join(map(str, (*result.plan, *result.seen.troubles, *calls, *result.seen.arrivals)))
+    (folder / f"{result.seed}.txt").write_text(text + "\n")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/observations.py
@@ -0,0 +1,112 @@
+"""What callers and upstreams saw while the soak ran, as frozen data; times in ms of one clock."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class Kind(Enum):
+    """What a call asks for."""
+
+    LOOKUP = "lookup"
+    BOOKING = "booking"
+    STREAM = "stream"
+    LONG = "long"
+
+
+@dataclass(frozen=True)
+class Call:
+    """One call as its caller saw it; ``status`` is None where no answer began.
+
+    ``missing`` names what a whole answer lacked or had too much.
+    """
+
+    request: str
+    kind: Kind
+    instance: str
+    sent_at: int
+    ended_at: int
+    deadline_ms: int
+    status: int | None
+    whole: bool
+    retry_after: str | None = None
+    missing: str = ""
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """A request as it reached a plain upstream, and whether that ran it."""
+
+    request: str
+    upstream: str
+    life: int
+    instance: str
+    at: int
+    ran: bool
+
+
+@dataclass(frozen=True)
+class Said:
+    """An upstream told an instance that it leaves, or wants nothing until ``until``."""
+
+    upstream: str
+    life: int
+    instance: str
+    at: int
+    leaving: bool
+    until: int = 0
+
+
+@dataclass(frozen=True)
+class Look:
+    """A call to the route that version ``version`` of the configuration has added."""
+
+    version: int
+    instance: str
+    life: int
+    sent_at: int
+    status: int
+
+
+@dataclass(frozen=True)
+class Trouble:
+    """A time in which an instance, by name, or all, could not be held to its promises."""
+
+    instance: str | None
+    begin: int
+    end: int
+
+
+@dataclass
+class Observations:
+    """All that was seen."""
+
+    calls: list[Call] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
+    said: list[Said] = field(default_factory=list)
+    looks: list[Look] = field(default_factory=list)
+    troubles: list[Trouble] = field(default_factory=list)
+    versions: dict[int, int] = field(default_factory=dict)
+    held_tickets: tuple[str, ...] = ()
+    calm_since: int = 0
+
+    def in_trouble(self, instance: str, begin: int, end: int) -> bool:
+        """Tell whether an instance was in trouble at any moment of a time."""
+        return any(
+            trouble.instance in (None, instance) and trouble.begin <= end and begin <= trouble.end
+            for trouble in self.troubles
+        )
+
+    @contextmanager
+    def trouble(
+        self, instance: str | None, now: Callable[[], int], after_ms: int
+    ) -> Iterator[None]:
+        """Note a trouble that lasts as long as the block, and ``after_ms`` longer."""
+        begin = now()
+        try:
+            yield
+        finally:
+            self.troubles.append(Trouble(instance, begin, now() + after_ms))
--- /dev/null
+++ b/standins/gateway_process.py
@@ -0,0 +1,189 @@
+"""What a gateway needs to run as a process: its settings, a configuration and servers' entries."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import json
+import os
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+
+from wire_settings import METRICS_PORT
+
+from standins.caller import Answer, read_answer
+
+ROOT = Path(__file__).parent.parent
+KEY = "k-1"
+HOST = "h.example"
+WAIT_S = 15
+ENGINE = {
+    "slots": 8,
+    "kv_capacity": 315_000,
+    "step_ms": 0.85,
+    "per_seq_ms": 0.0085,
+    "context_per_k": 0.00285,
+    "read_per_s": 177_000.0,
+    "pairs_per_m": 0.184,
+    "chunk": 2_048,
+    "stride": 51,
+    "usual": {"prompt": 11_108, "answer": 1_622},
+}
+
+
+def configuration(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Return the operator's configuration: two kinds of streams and two of plain calls."""
+    route: dict[str, Any] = {
+        "host": HOST,
+        "timeout_ms": 10_000,
+        "target_latency_ms": 300,
+        "target_gap_ms": 250,
+        "priority": 1,
+        "max_attempts": 2,
+        "public": False,
+    }
+    routes = [
+        {
+            **route,
+            "name": "s",
+            "prefix": "/s/",
+            "kind": "streaming",
+            "service": "engines",
+            "resumable": True,
+        },
+        {
+            **route,
+            "name": "l",
+            "prefix": "/l/",
+            "kind": "streaming",
+            "service": "engines",
+            "resumable": True,
+            "target_latency_ms": 3_000,
+            "target_gap_ms": 1_000,
+            "timeout_ms": 20_000,
+        },
+        {**route, "name": "w", "prefix": "/w/", "kind": "idempotent", "service": "desk"},
+        {**route, "name": "o", "prefix": "/o/", "kind": "non_idempotent", "service": "desk"},
+    ]
+    found: dict[str, Any] = {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "engines", "health_path": "/health", "max_connections": 99, "engine": ENGINE},
+            {"name": "desk", "health_path": "/health", "max_connections": 99},
+        ],
+        "limits": {},
+        "tenants": [{"name": "blue", "api_keys": [KEY], "priority": 0}],
+    }
+    return {**found, **changes}
+
+
+def entry(address: str, service: str, **changes: Any) -> dict[str, Any]:
+    """Return the entry by which a server lists itself."""
+    found = {
+        "service": service,
+        "address": address,
+        "zone": "z1",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "cold_remaining_ms": 0,
+        "sequence": 1,
+        "born": 1,
+    }
+    return {**found, **changes}
+
+
+def find_free_ports(count: int) -> list[int]:
+    """Return ports of loopback that nobody listens on now."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for one in sockets:
+            one.bind(("127.0.0.1", 0))
+        return [one.getsockname()[1] for one in sockets]
+
+
+_IPS = itertools.count(2)
+
+
+def find_free_ip() -> str:
+    """Return a loopback address that no other test process uses: every instance has its own."""
+    pid = os.getpid()
+    return f"127.{20 + pid % 200}.{pid // 200 % 250}.{next(_IPS)}"
+
+
+class Instance:
+    """One process of the gateway."""
+
+    def __init__(self, folder: Path, name: str, store_address: str, grace_s: float = 6) -> None:
+        self.ip = find_free_ip()
+        front, ready, peers = find_free_ports(3)
+        self.name, self.front, self.ready = name, front, ready
+        self.path = folder / f"{name}.json"
+        settings = {
+            "node_name": name,
+            "ip": self.ip,
+            "zone": "z1",
+            "listen": {"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}"},
+            "internal_ports": [peers, peers],
+            "bounds": {"grace_s": grace_s, "retry_budget_ratio": 0.2, "extra_retries": 100},
+            "platform": {"address": store_address},
+            "unknown": {"fields": ["are", "ignored"]},
+        }
+        self.path.write_text(json.dumps(settings))
+        self.process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        """Start the program; its log is read through a pipe."""
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(ROOT / "platform/start.py"),
+            env={**os.environ, "LENTILWELL_CONFIG": str(self.path)},
+            stdout=asyncio.subprocess.PIPE,
+        )
+
+    async def ask_ready(self) -> int | None:
+        """Return the status of the readiness question, None where nobody listens."""
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.ready)
+        except OSError:
+            return None
+        writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        answer = await read_answer(reader)
+        writer.close()
+        return answer.status
+
+    async def ask(self, path: str) -> Answer:
+        """Ask for metrics or state."""
+        reader, writer = await asyncio.open_connection(self.ip, METRICS_PORT)
+        writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        answer = await read_answer(reader)
+        writer.close()
+        return answer
+
+    async def wait_ready(self) -> None:
+        """Wait until the instance takes callers."""
+        async with asyncio.timeout(WAIT_S):
+            while await self.ask_ready() != 200:
+                await asyncio.sleep(0.02)
+
+    async def call(self, path: str, request_id: str, body: bytes = b"", **headers: str) -> Answer:
+        """Make one call on a connection of its own."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.front)
+        known = {"Host": HOST, "Request-Id": request_id, "Credential": KEY, "Deadline-Ms": "10000"}
+        known.update({name.replace("_", "-"): value for name, value in headers.items()})
+        known["Content-Length"] = str(len(body))
+        rows = "".join(f"{name}: {value}\r\n" for name, value in known.items())
+        writer.write(f"POST {path} HTTP/1.1\r\n{rows}\r\n".encode() + body)
+        answer = await asyncio.wait_for(read_answer(reader), WAIT_S)
+        writer.close()
+        return answer
+
+    async def read_log(self) -> list[dict[str, Any]]:
+        """Return the lines of the log, once the process has ended."""
+        assert self.process is not None and self.process.stdout is not None
+        data = await self.process.stdout.read()
+        return [json.loads(line) for line in data.splitlines()]
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -24,6 +24,7 @@
     Team,
     Upstream,
 )
+from standins.caller import read_answer
 
 HOST = "a.example"
 KEY = "key-1"
@@ -235,35 +236,6 @@
         return f"{method} {path} HTTP/1.1\r\n{rows}\r\n".encode() + body
 
 
-@dataclass(frozen=True)
-class Answer:
-    """An answer as a caller sees it; ``whole`` tells whether it reached its end."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-    whole: bool
-
-
-async def read_answer(reader) -> Answer:
-    """Read one answer, framed by length or in chunks, or cut off."""
-    head = (await reader.readuntil(b"\r\n\r\n")).decode()
-    line, *rows = head[:-4].split("\r\n")
-    headers = {n.lower(): v.strip() for n, _, v in (row.partition(":") for row in rows)}
-    status = int(line.split(" ")[1])
-    body, whole = b"", True
-    try:
-        if headers.get("transfer-encoding") == "chunked":
-            while size := int(await reader.readline(), 16):
-                body += (await reader.readexactly(size + 2))[:-2]
-            await reader.readline()
-        else:
-            body = await reader.readexactly(int(headers.get("content-length", 0)))
-    except (asyncio.IncompleteReadError, ConnectionError, ValueError):
-        whole = False
-    return Answer(status, headers, body, whole)
-
-
 @asynccontextmanager
 async def run_world(*scripts: Script, catalog: Catalog | None = CATALOG):
     """Run a gateway before an upstream for each script; ``None`` stands for one that refuses."""
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -131,7 +131,14 @@
     assert tell_line(logged.line)
 
 
-_SAMPLES = {"str": "x", "int": 4, "float": 1.5, "int | None": None, "str | None": None, "bool": True}
+_SAMPLES = {
+    "str": "x",
+    "int": 4,
+    "float": 1.5,
+    "int | None": None,
+    "str | None": None,
+    "bool": True,
+}
 
 
 def test_every_outcome_has_a_meaning():
--- a/tests/test_gateway_callers.py
+++ b/tests/test_gateway_callers.py
@@ -6,8 +6,9 @@
 import pytest
 
 from lentilwell.gateway import Limits
+from standins.caller import read_answer
 from tests.gateway_scripts import answer_ok, in_loop, stay_silent
-from tests.gateway_world import CATALOG, KEY, Arrival, read_answer, run_world
+from tests.gateway_world import CATALOG, KEY, Arrival, run_world
 
 
 @pytest.mark.parametrize(
--- a/tests/test_gateway_hostile_upstreams.py
+++ b/tests/test_gateway_hostile_upstreams.py
@@ -7,6 +7,7 @@
 import pytest
 
 from lentilwell.gateway import Repeat
+from standins.caller import read_answer
 from tests.gateway_scripts import (
     answer_ok,
     ids,
@@ -14,7 +15,7 @@
     say_not_run,
     stream_whole,
 )
-from tests.gateway_world import read_answer, run_world, with_route
+from tests.gateway_world import run_world, with_route
 
 TRICKLE_S = 0.05
 # Far above what an answer takes, far below what the process may use.
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -2,184 +2,18 @@
 
 import asyncio
 import contextlib
-import itertools
 import json
-import os
 import signal
-import socket
 import sys
 import time
-from pathlib import Path
 
 import pytest
 from wire_settings import METRICS_PORT
 
 from standins.batch_server import BatchServer
+from standins.gateway_process import WAIT_S, Instance, configuration, entry
 from standins.rows import RowServer, RowStore
 from tests.gateway_scripts import in_loop
-from tests.gateway_world import read_answer
-
-ROOT = Path(__file__).parent.parent
-KEY = "k-1"
-HOST = "h.example"
-WAIT_S = 15
-ENGINE = {
-    "slots": 8,
-    "kv_capacity": 315_000,
-    "step_ms": 0.85,
-    "per_seq_ms": 0.0085,
-    "context_per_k": 0.00285,
-    "read_per_s": 177_000.0,
-    "pairs_per_m": 0.184,
-    "chunk": 2_048,
-    "stride": 51,
-    "usual": {"prompt": 11_108, "answer": 1_622},
-}
-
-
-def configuration(version=1, **changes):
-    route = {
-        "host": HOST,
-        "timeout_ms": 10_000,
-        "target_latency_ms": 300,
-        "target_gap_ms": 250,
-        "priority": 1,
-        "max_attempts": 2,
-        "public": False,
-    }
-    routes = [
-        {
-            **route,
-            "name": "s",
-            "prefix": "/s/",
-            "kind": "streaming",
-            "service": "engines",
-            "resumable": True,
-        },
-        {
-            **route,
-            "name": "l",
-            "prefix": "/l/",
-            "kind": "streaming",
-            "service": "engines",
-            "resumable": True,
-            "target_latency_ms": 3_000,
-            "target_gap_ms": 1_000,
-            "timeout_ms": 20_000,
-        },
-        {**route, "name": "w", "prefix": "/w/", "kind": "idempotent", "service": "desk"},
-        {**route, "name": "o", "prefix": "/o/", "kind": "non_idempotent", "service": "desk"},
-    ]
-    found = {
-        "version": version,
-        "routes": routes,
-        "services": [
-            {"name": "engines", "health_path": "/health", "max_connections": 99, "engine": ENGINE},
-            {"name": "desk", "health_path": "/health", "max_connections": 99},
-        ],
-        "limits": {},
-        "tenants": [{"name": "blue", "api_keys": [KEY], "priority": 0}],
-    }
-    return {**found, **changes}
-
-
-def entry(server, service, **changes):
-    found = {
-        "service": service,
-        "address": server.address,
-        "zone": "z1",
-        "version": "v1",
-        "slots": 8,
-        "state": "ready",
-        "cold_remaining_ms": 0,
-        "sequence": 1,
-        "born": 1,
-    }
-    return {**found, **changes}
-
-
-def find_free_ports(count):
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for one in sockets:
-            one.bind(("127.0.0.1", 0))
-        return [one.getsockname()[1] for one in sockets]
-
-
-_IPS = itertools.count(2)
-
-
-def find_free_ip():
-    """Return a loopback address that no other test process uses: every instance has its own."""
-    pid = os.getpid()
-    return f"127.{20 + pid % 200}.{pid // 200 % 250}.{next(_IPS)}"
-
-
-class Instance:
-    """One process of the gateway."""
-
-    def __init__(self, folder, name, store_address):
-        self.ip = find_free_ip()
-        front, ready, peers = find_free_ports(3)
-        self.name, self.front, self.ready = name, front, ready
-        self.path = folder / f"{name}.json"
-        settings = {
-            "node_name": name,
-            "ip": self.ip,
-            "zone": "z1",
-            "listen": {"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}"},
-            "internal_ports": [peers, peers],
-            "bounds": {"grace_s": 6, "retry_budget_ratio": 0.2, "extra_retries": 100},
-            "platform": {"address": store_address},
-            "unknown": {"fields": ["are", "ignored"]},
-        }
-        self.path.write_text(json.dumps(settings))
-        self.process = None
-
-    async def start(self):
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            str(ROOT / "platform/start.py"),
-            env={**os.environ, "LENTILWELL_CONFIG": str(self.path)},
-            stdout=asyncio.subprocess.PIPE,
-        )
-
-    async def ask_ready(self):
-        try:
-            reader, writer = await asyncio.open_connection("127.0.0.1", self.ready)
-        except OSError:
-            return None
-        writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
-        answer = await read_answer(reader)
-        writer.close()
-        return answer.status
-
-    async def ask(self, path):
-        reader, writer = await asyncio.open_connection(self.ip, METRICS_PORT)
-        writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
-        answer = await read_answer(reader)
-        writer.close()
-        return answer
-
-    async def wait_ready(self):
-        async with asyncio.timeout(WAIT_S):
-            while await self.ask_ready() != 200:
-                await asyncio.sleep(0.02)
-
-    async def call(self, path, request_id, body=b"", **headers):
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.front)
-        known = {"Host": HOST, "Request-Id": request_id, "Credential": KEY, "Deadline-Ms": "10000"}
-        known.update({name.replace("_", "-"): value for name, value in headers.items()})
-        known["Content-Length"] = str(len(body))
-        rows = "".join(f"{name}: {value}\r\n" for name, value in known.items())
-        writer.write(f"POST {path} HTTP/1.1\r\n{rows}\r\n".encode() + body)
-        answer = await asyncio.wait_for(read_answer(reader), WAIT_S)
-        writer.close()
-        return answer
-
-    async def read_log(self):
-        data = await self.process.stdout.read()
-        return [json.loads(line) for line in data.splitlines()]
 
 
 class Site:
@@ -202,7 +36,7 @@
         for kind, servers in (("engines", self.engines), ("desk", self.services)):
             for server in servers:
                 await server.start()
-                await self.store.put("servers", server.name, entry(server, kind))
+                await self.store.put("servers", server.name, entry(server.address, kind))
         for number in range(instances):
             self.instances.append(Instance(self.folder, f"n{number}", address))
         for instance in self.instances:
@@ -260,7 +94,9 @@
     async with run_site(tmp_path) as site:
         routes = configuration()["routes"][:3]
         await site.store.put("op", "config", configuration(version=7, routes=routes))
-        await site.store.put("servers", "d0", entry(site.services[0], "desk", state="draining"))
+        await site.store.put(
+            "servers", "d0", entry(site.services[0].address, "desk", state="draining")
+        )
         await site.store.put("servers", "broken", b"\xff{")
         await site.store.drop("servers", "e0")
         await asyncio.sleep(0.5)
