A gateway listens before it is loaded, so that callers wait instead of being refused

A start takes 0.24 to 0.36 s of which the load of the program is nearly all; whoever connects meanwhile is refused and has one try left. Ruled out: waiting for the store (15 ms), the empty picture of loads after it.

Change: the callers' address is listened at first; they are taken once configuration and list are read.

--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import socket
 import uuid
 from collections.abc import Callable, Coroutine
 from typing import Any
@@ -11,6 +12,7 @@
 from result import Err
 
 from lentilwell._clock import BootClock, Clock
+from lentilwell._listening import listen_at
 from lentilwell._log_lines import (
     CallbackFailed,
     ExchangeFailed,
@@ -45,7 +47,9 @@
 from lentilwell.gateway._stopping import can_finish
 from lentilwell.gateway._store_news import StoreNews
 
-BACKLOG = 1_024
+# Callers wait for the first reading of the store, a few ms where it answers.
+LONGEST_START_MS = 500
+START_LOOK_MS = 2
 LIFE_LENGTH = 8
 HOUSEKEEPING_MS = 250
 # The balancer asks once a second and takes an instance out after two refusals.
@@ -68,8 +72,15 @@
 class Gateway:
     """One process between callers and upstreams. ``run`` serves until a planned stop is over."""
 
-    def __init__(self, settings: GatewaySettings, dialect: Dialect, feeds: Feeds) -> None:
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        dialect: Dialect,
+        feeds: Feeds,
+        listener: socket.socket | None = None,
+    ) -> None:
         self.settings = settings
+        self._listener = listener
         self.clock: Clock = BootClock()
         shards = ShardView(settings.instance, settings.data_centre)
         self.fleet = Fleet(
@@ -217,7 +228,8 @@
     @property
     def callers_port(self) -> int:
         """Return the port on which callers are served, once started."""
-        port: int = self._servers[-1].sockets[0].getsockname()[1]
+        assert self._listener is not None
+        port: int = self._listener.getsockname()[1]
         return port
 
     async def start(self) -> None:
@@ -229,7 +241,7 @@
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self._listen(self.settings.ready_address, lambda: StatusProtocol(self._readiness))
         await self._listen_for_operators()
-        await self._listen(self.settings.callers_address, lambda: Caller(self.clock, self))
+        self._listener = self._listener or listen_at(self.settings.callers_address)
         host, port = split_address(self.settings.peers_address)
         await loop.create_datagram_endpoint(lambda: self.peers, (host, port))
         runs = {
@@ -239,6 +251,7 @@
             "probes": Prober(self.fleet, self.links).run,
         }
         self._tasks = [loop.create_task(_run_for_good(name, run)) for name, run in runs.items()]
+        self._tasks.append(loop.create_task(self._accept_once_ready(self._listener)))
         write_line(Started(self.settings.callers_address))
 
     def _follow(
@@ -263,10 +276,19 @@
         for follower in (self._catalog_follower, self._upstreams_follower):
             follower.check(f"{silent_peer} has fallen silent")
 
+    async def _accept_once_ready(self, listener: socket.socket) -> None:
+        """Take callers once they can be served; after a while all the same, to tell them so."""
+        loop = asyncio.get_running_loop()
+        until = self.clock.now() + LONGEST_START_MS
+        while not self.ready and not self.stopping and self.clock.now() < until:
+            await asyncio.sleep(START_LOOK_MS / 1_000)
+        server = await loop.create_server(lambda: Caller(self.clock, self), sock=listener)
+        self._servers.append(server)
+
     async def _listen(self, address: str, make: Callable[[], asyncio.BaseProtocol]) -> None:
         host, port = split_address(address)
         loop = asyncio.get_running_loop()
-        self._servers.append(await loop.create_server(make, host, port, backlog=BACKLOG))
+        self._servers.append(await loop.create_server(make, host, port))
 
     async def _listen_for_operators(self) -> None:
         """Serve metrics and state; callers are served without them too."""
--- a/standins/gateway_process.py
+++ b/standins/gateway_process.py
@@ -158,10 +158,10 @@
         """Return the status of the readiness question, None where nobody listens."""
         try:
             reader, writer = await asyncio.open_connection("127.0.0.1", self.ready)
-        except OSError:
+            writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            answer = await read_answer(reader)
+        except (OSError, asyncio.IncompleteReadError):
             return None
-        writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
-        answer = await read_answer(reader)
         writer.close()
         return answer.status
 
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -89,6 +89,27 @@
     return True
 
 
+@in_loop
+async def test_caller_that_connects_while_the_program_is_loaded_is_served(tmp_path):
+    async with run_site(tmp_path, instances=1) as site:
+        [instance] = site.instances
+        instance.process.kill()
+        await instance.process.wait()
+        await instance.start()
+        async with asyncio.timeout(WAIT_S):
+            while not (writer := await connect(instance)):
+                await asyncio.sleep(0.005)
+        assert await instance.ask_ready() is None
+        writer.close()
+        assert (await instance.call("/w/x", "early")).status == 200
+
+
+async def connect(instance):
+    with contextlib.suppress(ConnectionRefusedError):
+        _, writer = await asyncio.open_connection("127.0.0.1", instance.front)
+        return writer
+
+
 @in_loop
 async def test_configuration_and_listing_are_followed_in_every_instance(tmp_path):
     async with run_site(tmp_path) as site:
