An upstream that takes connections and then hangs is ejected, instead of coming back with each probe

Cause: silence led to a probe, and a probe that connects let the upstream back at once; with two servers hanging each request waited out its patience there. Ruled out: patience (0.25 to 1 s is what callers bear).

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -103,6 +103,7 @@
             and (said.leaving or one.at < said.until)
             and sent_at.get(one.request, 0) > said.at + SAID_SLACK_MS
             and not seen.in_trouble(said.instance, said.at, one.at)
+            and not seen.in_trouble(said.upstream, said.at, one.at)
         ]
         if len(after) > (0 if said.leaving else MOST_CROSSING):
             yield f"{said.upstream} told {said.instance} at {said.at} and then got {after[:5]}"
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -73,9 +73,12 @@
 
 @dataclass(frozen=True)
 class Trouble:
-    """A time in which an instance, by name, or all, could not be held to its promises."""
+    """A time in which an instance, or all, could not be held to its promises.
 
-    instance: str | None
+    An upstream's name stands for its connections: what it said may not have arrived.
+    """
+
+    name: str | None
     begin: int
     end: int
 
@@ -93,20 +96,18 @@
     held_tickets: tuple[str, ...] = ()
     calm_since: int = 0
 
-    def in_trouble(self, instance: str, begin: int, end: int) -> bool:
-        """Tell whether an instance was in trouble at any moment of a time."""
+    def in_trouble(self, name: str, begin: int, end: int) -> bool:
+        """Tell whether an instance or an upstream was in trouble at any moment of a time."""
         return any(
-            trouble.instance in (None, instance) and trouble.begin <= end and begin <= trouble.end
+            trouble.name in (None, name) and trouble.begin <= end and begin <= trouble.end
             for trouble in self.troubles
         )
 
     @contextmanager
-    def trouble(
-        self, instance: str | None, now: Callable[[], int], after_ms: int
-    ) -> Iterator[None]:
+    def trouble(self, name: str | None, now: Callable[[], int], after_ms: int) -> Iterator[None]:
         """Note a trouble that lasts as long as the block, and ``after_ms`` longer."""
         begin = now()
         try:
             yield
         finally:
-            self.troubles.append(Trouble(instance, begin, now() + after_ms))
+            self.troubles.append(Trouble(name, begin, now() + after_ms))
--- a/src/lentilwell/gateway/_accounting.py
+++ b/src/lentilwell/gateway/_accounting.py
@@ -7,7 +7,7 @@
 from lentilwell._log_lines import UpstreamEjected, UpstreamUnreachable, write_line
 from lentilwell.gateway._choice import Choice, list_jobs
 from lentilwell.gateway._fleet import Fleet
-from lentilwell.gateway._patience import find_patience
+from lentilwell.gateway._patience import explains_silence, find_patience
 from lentilwell.gateway._routing import Subject
 from lentilwell.gateway._upstreams import Upstream
 
@@ -77,12 +77,26 @@
         if self._fleet.ejection.note_failure(choice.upstream.name, self._clock.now()):
             write_line(UpstreamEjected(choice.upstream.name, reason))
 
+    def note_silence(self, choice: Choice, reason: str) -> None:
+        """The upstream took the request and said nothing; its known work may be why."""
+        name = choice.upstream.name
+        engine = self._fleet.find_engine(self._subject.service)
+        load = self._fleet.books.measure(name, self._clock.now())
+        if explains_silence(engine, load):
+            self.note_unreachable(choice.upstream, reason)
+            return
+        self._log_unreachable(name, reason)
+        self._fleet.ejection.note_silence(name, self._clock.now())
+
     def note_unreachable(self, upstream: Upstream, reason: str) -> None:
         """The upstream takes no connection, is silent, or was named at fault."""
-        if not self._fleet.ejection.is_unreachable(upstream.name):
-            write_line(UpstreamUnreachable(upstream.name, reason))
+        self._log_unreachable(upstream.name, reason)
         self._fleet.ejection.note_unreachable(upstream.name, self._clock.now())
 
+    def _log_unreachable(self, name: str, reason: str) -> None:
+        if not self._fleet.ejection.is_unreachable(name):
+            write_line(UpstreamUnreachable(name, reason))
+
     def find_patience(self, choice: Choice) -> int | None:
         """Return how long the chosen upstream may be silent, by what is known now; in ms."""
         now = self._clock.now()
--- a/src/lentilwell/gateway/_ejection.py
+++ b/src/lentilwell/gateway/_ejection.py
@@ -24,12 +24,17 @@
 
 @dataclass(frozen=True)
 class Standing:
-    """How an upstream has done of late. ``unreachable_at`` is set until a probe succeeds."""
+    """How an upstream has done of late.
+
+    ``unreachable_at`` is set until a probe succeeds, ``silent`` while it has left a request without
+    an answer and no probe has failed since.
+    """
 
     failures: int = 0
     ejections: int = 0
     ejected_until: int = 0
     unreachable_at: int | None = None
+    silent: bool = False
 
 
 class Ejection:
@@ -43,11 +48,17 @@
         """A request was answered: forget all failures."""
         self._standings.pop(upstream, None)
 
-    def note_reached(self, upstream: str) -> None:
-        """A connection came about: that says nothing of the answers on it, so failures stay."""
+    def note_reached(self, upstream: str, now: int) -> bool:
+        """A connection came about; return whether the upstream is ejected all the same.
+
+        That says nothing of the answers on it, so failures stay. One that takes connections while
+        it leaves requests without an answer has failed them.
+        """
         standing = self.find_standing(upstream)
-        if standing.unreachable_at is not None:
-            self._standings[upstream] = replace(standing, unreachable_at=None)
+        if standing.unreachable_at is None:
+            return False
+        self._standings[upstream] = replace(standing, unreachable_at=None, silent=False)
+        return standing.silent and self.note_failure(upstream, now)
 
     def note_failure(self, upstream: str, now: int) -> bool:
         """Count a failed answer and return whether the upstream is ejected by it."""
@@ -62,10 +73,17 @@
 
     def note_unreachable(self, upstream: str, now: int) -> None:
         """The upstream takes no connection or is silent: a probe has to show that it is there."""
+        self._doubt(upstream, now, silent=False)
+
+    def note_silence(self, upstream: str, now: int) -> None:
+        """The upstream took a request and left it without an answer; nothing known explains it."""
+        self._doubt(upstream, now, silent=True)
+
+    def _doubt(self, upstream: str, now: int, silent: bool) -> None:
         standing = self.find_standing(upstream)
         if standing.unreachable_at is None:
             self.on_doubt()
-        self._standings[upstream] = replace(standing, unreachable_at=now)
+        self._standings[upstream] = replace(standing, unreachable_at=now, silent=silent)
 
     def find_standing(self, upstream: str) -> Standing:
         """Return how an upstream has done of late."""
--- a/src/lentilwell/gateway/_exchange.py
+++ b/src/lentilwell/gateway/_exchange.py
@@ -237,7 +237,8 @@
             self._links.give_back(choice.upstream.address, link)
             return effect
         except LinkSilent as error:
-            self._note_unreachable(choice.upstream, str(error))
+            self._excluded |= {choice.upstream.name}
+            self._accounting.note_silence(choice, str(error))
             return self._decide(Broken(), str(error))
         except (LinkBroken, BrokenStream) as error:
             self._excluded |= {choice.upstream.name}
--- a/src/lentilwell/gateway/_patience.py
+++ b/src/lentilwell/gateway/_patience.py
@@ -17,6 +17,9 @@
 # A stream taken elsewhere needs this long to its first event there.
 RESCUE_MS = 800
 PLAIN_OBJECTIVES = 2
+# With less than this still to be read, an engine could have answered.
+EXPLAINING_BACKLOG_MS = 200
+EXPLAINING_MEMORY_SHARE = 0.9
 LEAST_PLAIN_MS = 250
 
 
@@ -45,3 +48,17 @@
     generous_ms = ESTIMATE_FACTOR * expected_ms + STREAM_SLACK_MS
     rescue_ms = find_leaving_ms(route) - RESCUE_MS
     return round(max(min(generous_ms, rescue_ms), expected_ms + STREAM_SLACK_MS))
+
+
+def explains_silence(engine: EngineSpec | None, load: Load) -> bool:
+    """Tell whether the work known at an upstream may be why it said nothing for so long.
+
+    An engine that reads, or whose slots or memory are taken, lets others wait without a word.
+    """
+    if engine is None:
+        return False
+    return (
+        load.backlog_ms > EXPLAINING_BACKLOG_MS
+        or load.occupants > engine.slots
+        or load.memory_tokens > EXPLAINING_MEMORY_SHARE * engine.memory_tokens
+    )
--- a/src/lentilwell/gateway/_prober.py
+++ b/src/lentilwell/gateway/_prober.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from lentilwell._log_lines import UpstreamReached, write_line
+from lentilwell._log_lines import UpstreamEjected, UpstreamReached, write_line
 from lentilwell.gateway._failures import Unreachable
 from lentilwell.gateway._fleet import Fleet
 from lentilwell.gateway._links import Links
@@ -46,6 +46,7 @@
             self._links.give_up_silent(upstream.address, SILENT_MS)
             return False
         self._links.give_back(upstream.address, link)
-        self._fleet.ejection.note_reached(upstream.name)
         write_line(UpstreamReached(upstream.name, upstream.address))
+        if self._fleet.ejection.note_reached(upstream.name, self._fleet.clock.now()):
+            write_line(UpstreamEjected(upstream.name, "takes connections but does not answer"))
         return True
--- a/tests/test_gateway_patience.py
+++ b/tests/test_gateway_patience.py
@@ -5,7 +5,7 @@
 import pytest
 
 from lentilwell.gateway._books import Job, Load
-from lentilwell.gateway._patience import find_patience
+from lentilwell.gateway._patience import explains_silence, find_patience
 from standins.batch import ENGINE
 from tests.gateway_world import make_route
 
@@ -54,3 +54,21 @@
     queue = Load(jobs=tuple(Job(f"j{n}", "u", 0, 0.0, 5_000) for n in range(11)))
     written = find_patience(make_route("stream"), ENGINE, queue, None)
     assert written == find_patience(make_route("stream"), ENGINE, Load(), None)
+
+
+@pytest.mark.parametrize(
+    ("load", "explained"),
+    [
+        (Load(), False),
+        (Load(backlog_ms=150.0), False),
+        (Load(backlog_ms=900.0), True),
+        (Load(memory_tokens=ENGINE.memory_tokens), True),
+        (Load(jobs=tuple(Job(f"j{n}", "u", 0, 0.0, 1) for n in range(ENGINE.slots + 1))), True),
+    ],
+)
+def test_engine_is_silent_for_a_reason_where_it_reads_or_is_full(load, explained):
+    assert explains_silence(ENGINE, load) is explained
+
+
+def test_nothing_explains_the_silence_of_a_plain_service():
+    assert not explains_silence(None, Load(backlog_ms=900.0))
--- a/tests/test_gateway_recovery.py
+++ b/tests/test_gateway_recovery.py
@@ -163,3 +163,13 @@
             assert answer.status == 503 and float(answer.headers["retry-after"]) <= 0.1
             assert asyncio.get_running_loop().time() - begin < 0.1
         assert world.gateway.links.opened <= 2 + 2 * 2
+
+
+@in_loop
+async def test_upstream_that_takes_connections_and_then_hangs_is_left_alone():
+    """A probe can connect to it at once; before, each one brought it back for the next request."""
+    catalog = with_route("whole", objective_ms=100)
+    async with run_world(stay_silent, answer_ok, catalog=catalog) as world:
+        for _ in range(24):
+            assert (await world.call("/whole/x", method="GET")).status == 200
+        assert len(world.upstreams[0].arrivals) == 2
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -84,6 +84,18 @@
     assert find_violations(sound(calls=[cut], troubles=[Trouble("n0", 0, 900)]))
 
 
+def test_word_that_a_cut_held_back_binds_nobody():
+    """Soak seed 62067747: the refusal with its time stood in a connection cut one way."""
+    told = {
+        "calls": [call(sent_at=2_000)],
+        "arrivals": [arrival(at=2_001)],
+        "said": [Said("d0", 1, "n0", 1_000, leaving=True)],
+    }
+    assert find_violations(sound(**told))
+    assert not find_violations(sound(**told, troubles=[Trouble("d0", 900, 2_500)]))
+    assert find_violations(sound(**told, troubles=[Trouble("d1", 900, 2_500)]))
+
+
 def test_plan_depends_on_its_seed_alone_and_every_kind_can_be_played():
     assert draw_plan(7, 8_000) == draw_plan(7, 8_000) != draw_plan(8, 8_000)
     assert set(WEIGHTS) == set(FAULTS)
