--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -149,8 +149,11 @@
     async def run(self) -> None:
         """Start, serve until a planned stop is over, and stop."""
         await self.start()
+        loop = asyncio.get_running_loop()
         while not self._may_end():
-            await asyncio.sleep(HOUSEKEEPING_MS / 1_000)
+            due_s = loop.time() + HOUSEKEEPING_MS / 1_000
+            await asyncio.sleep(due_s - loop.time())
+            self.metrics.note_lag(loop.time() - due_s)
             self._keep_house()
         await self.run_to_end()
 
--- a/src/lentilwell/gateway/_metrics.py
+++ b/src/lentilwell/gateway/_metrics.py
@@ -18,6 +18,7 @@
 
 FIRST_EVENT_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5, 3.0, 6.0, 15.0)
 REQUEST_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0)
+LAG_BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0)
 PAUSE_BUCKETS_S = (0.05, 0.1, 0.25, 0.6, 1.0, 2.0, 5.0)
 LENGTH_BOUNDS = (1_000, 10_000, 50_000, 100_000, 300_000)
 
@@ -76,6 +77,12 @@
             buckets=REQUEST_BUCKETS_S,
             registry=self.registry,
         )
+        self._lag = Histogram(
+            "lentilwell_gateway_loop_lag_seconds",
+            "How late the process came to its housekeeping: what a stream may have waited for it.",
+            buckets=LAG_BUCKETS_S,
+            registry=self.registry,
+        )
         self.registry.register(_FleetCollector(fleet, count_callers))
 
     def count_end(self, service: str, outcome: str, total_ms: int) -> None:
@@ -93,6 +100,10 @@
         """Count a request that is sent to an upstream."""
         self._sends.labels(service, "yes" if again else "no").inc()
 
+    def note_lag(self, lag_s: float) -> None:
+        """Take a sample of how late the event loop is, in seconds."""
+        self._lag.observe(max(0.0, lag_s))
+
     def count_rejection(self, status: int) -> None:
         """Count a request that was answered without being forwarded."""
         self._rejections.labels(str(status)).inc()
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -208,6 +208,7 @@
         ended = 'lentilwell_gateway_requests_total{outcome="whole",service="engines"} 1.0'
         assert ended in metrics
         assert 'lentilwell_gateway_rejections_total{status="404"} 1.0' in metrics
+        assert "lentilwell_gateway_loop_lag_seconds_count" in metrics
         assert (
             'lentilwell_gateway_first_event_seconds_bucket{le="+Inf",length="lt_10000"}' in metrics
         )
