--- a/tests/test_gateway_shards.py
+++ b/tests/test_gateway_shards.py
@@ -4,8 +4,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lentilwell._clock import ManualClock
+from lentilwell.gateway import BudgetRules
+from lentilwell.gateway._fleet import Fleet
 from lentilwell.gateway._shards import INSTANCES_PER_SHARD, ShardView, count_shards, deal
-from lentilwell.gateway._upstreams import Upstream
+from lentilwell.gateway._upstreams import Upstream, take_listing
+from tests.gateway_world import make_route
 
 CENTRES = ("a", "b", "c", "d", "e")
 FLEETS = st.dictionaries(st.text(min_size=1, max_size=8), st.sampled_from(CENTRES), max_size=60)
@@ -120,3 +124,26 @@
     view.take_upstreams(make_upstreams(430))
     view.take_members(make_instances(300))
     assert view.shards == 13 and view.peers
+
+
+def test_choice_looks_beyond_its_shard_only_where_none_of_its_own_can_be_chosen():
+    """Found missing: with the look beyond made impossible, no test failed."""
+    clock = ManualClock(1_000)
+    fleet = Fleet(
+        clock, "a", BudgetRules(0.2, 100, 10_000), "least_outstanding", ShardView("front-0", "a")
+    )
+    upstreams = make_upstreams(112)
+    fleet.shards.take_members({n: c for n, c in make_instances(78).items() if n != "front-0"})
+    fleet.directory = take_listing(fleet.directory, upstreams.values(), clock.now())
+    fleet.deal_shards()
+    fleet.listed = True
+    fleet.shards.take_upstreams(upstreams)
+    own = frozenset(name for name, one in upstreams.items() if fleet.shards.covers(one))
+    assert 0 < len(own) < len(upstreams)
+    route = make_route("whole")
+    for _ in range(20):
+        assert fleet.choose("engines", route, None, 0, frozenset()).upstream.name in own
+    assert fleet.choose("engines", route, None, 0, own).upstream.name not in own
+    for name in own:
+        fleet.availability.note_leaving(upstreams[name].life)
+    assert fleet.choose("engines", route, None, 0, frozenset()).upstream.name not in own
