--- a/src/lentilwell/gateway/_exchange.py
+++ b/src/lentilwell/gateway/_exchange.py
@@ -35,16 +35,15 @@
 from lentilwell.gateway._evidence import Evidence
 from lentilwell.gateway._failures import LinkBroken, LinkError, LinkSilent, Unreachable
 from lentilwell.gateway._fleet import Fleet
-from lentilwell.gateway._holding import find_hold_ms
 from lentilwell.gateway._leases import Leases, LeaseSet, NoMemory
 from lentilwell.gateway._link import Link
 from lentilwell.gateway._links import Links
 from lentilwell.gateway._messages import AnswerHead, Envelope, Reader
 from lentilwell.gateway._metrics import Metrics
+from lentilwell.gateway._placing import Placing
 from lentilwell.gateway._ports import Dialect
 from lentilwell.gateway._record import Record
-from lentilwell.gateway._reopening import find_return_ms, find_wait_ms, may_wait
-from lentilwell.gateway._routing import ELSEWHERE_RETRY_MS, Subject
+from lentilwell.gateway._routing import Subject
 from lentilwell.gateway._upstreams import Upstream
 
 RETRY_AFTER_MS = 300
@@ -86,13 +85,13 @@
         self._caller = caller
         self._accounting = Accounting(tools.fleet, subject)
         self._record = Record(tools.fleet, tools.metrics, subject)
+        self._placing = Placing(tools.fleet, subject, self._record)
         self._course = Course(subject.route.repeat, subject.route.most_upstreams)
         self._excluded: frozenset[str] = frozenset()
         self._tried: frozenset[str] = frozenset()
         self._sequence = EventSequence(subject.facts.last_event)
         self._upstream_failure: UpstreamFailure | None = None
         self._retry_after_ms = RETRY_AFTER_MS
-        self._held_ms = 0
         self._limit: asyncio.Timeout | None = None
 
     async def run(self) -> None:
@@ -127,9 +126,10 @@
         budget = self._fleet.find_budget(self._subject.service)
         if place.again and not budget.take(self._clock.now(), self._fleet.count_instances()):
             return self._decide(NoPlace(), "retry budget spent")
-        choice = await self._choose_in_turn()
+        last_send = self._course.sends + 1 >= self._course.most_sends
+        choice = await self._placing.choose(self._excluded, self._course.sends > 0, last_send)
         if choice is None:
-            self._retry_after_ms = self._find_return_ms()
+            self._retry_after_ms = self._placing.find_return_ms(self._excluded)
             return self._decide(NoPlace(), "no upstream")
         self._record.note_choice(choice, len(self._excluded))
         hopeless = judge_choice(self._subject.route, choice, self._find_left_ms())
@@ -158,64 +158,6 @@
     def _find_left_ms(self) -> int:
         return self._subject.deadline_at - self._clock.now()
 
-    async def _choose_in_turn(self) -> Choice | None:
-        """Choose, and choose again once what the chosen engines read now has been read."""
-        while (choice := await self._choose_once_open()) is not None:
-            if not choice.helpers or self._course.sends:
-                break
-            ahead_ms = self._fleet.find_reading_ahead(choice)
-            objective_ms = self._subject.route.objective_ms
-            hold_ms = find_hold_ms(choice, objective_ms, ahead_ms, self._held_ms)
-            if not hold_ms:
-                break
-            self._record.note_hold(choice, ahead_ms, hold_ms)
-            self._held_ms += hold_ms
-            await asyncio.sleep(hold_ms / 1_000)
-        return choice
-
-    async def _choose_once_open(self) -> Choice | None:
-        """Choose; where all upstreams want nothing, wait for the first if the caller bears it."""
-        while (choice := self._choose()) is None and (opens_in_ms := self._find_opening_ms()):
-            waited_ms = self._clock.now() - self._subject.request.arrived_at
-            route = self._subject.route
-            if not may_wait(route, opens_in_ms, waited_ms, self._find_left_ms()):
-                break
-            await self._wait_for_opening(opens_in_ms)
-        return choice
-
-    def _find_opening_ms(self) -> int:
-        """Return in how many ms the first upstream wants work again, 0 where none will."""
-        opens_at = self._fleet.find_reopening(self._subject.service, self._excluded)
-        return max(0, opens_at - self._clock.now()) if opens_at is not None else 0
-
-    async def _wait_for_opening(self, opens_in_ms: int) -> None:
-        service, waiters = self._subject.service, self._fleet.waiters
-        before = waiters.enter(service)
-        try:
-            wait_ms = find_wait_ms(opens_in_ms, before, self._fleet.random.random())
-            self._record.note_wait(opens_in_ms, wait_ms)
-            await asyncio.sleep(wait_ms / 1_000)
-        finally:
-            waiters.leave(service)
-
-    def _find_return_ms(self) -> int:
-        """Return when a caller that finds no upstream should come back."""
-        opens_in_ms = self._find_opening_ms()
-        if not opens_in_ms:
-            return ELSEWHERE_RETRY_MS
-        return find_return_ms(opens_in_ms, self._fleet.random.random())
-
-    def _choose(self) -> Choice | None:
-        subject = self._subject
-        return self._fleet.choose(
-            subject.service,
-            subject.route,
-            subject.facts.prompt,
-            subject.request.arrived_at,
-            self._excluded,
-            last_send=self._course.sends + 1 >= self._course.most_sends,
-        )
-
     async def _send(self, choice: Choice, leases: LeaseSet) -> Effect:
         fresh = self._subject.route.repeat is Repeat.NEVER
         try:
