--- a/soak/world.py
+++ b/soak/world.py
@@ -175,11 +175,11 @@
 FAULTS: dict[str, Apply] = {}
 
 
-def fault_kind(name: str) -> Callable[[Apply], Apply]:
-    """Register what does a kind of fault."""
+def fault_kind(*names: str) -> Callable[[Apply], Apply]:
+    """Register what does the faults of these kinds."""
 
     def register(function: Apply) -> Apply:
-        FAULTS[name] = function
+        FAULTS.update(dict.fromkeys(names, function))
         return function
 
     return register
@@ -227,6 +227,7 @@
         instance.process.send_signal(signal.SIGCONT)
 
 
+@fault_kind("shed", "closed", "twice", "torn", "mute", "failing")
 async def misbehave(world: World, fault: Fault) -> None:
     """Have a plain server answer in another way for a while."""
     desk = world.pick_desk(fault)
@@ -235,10 +236,6 @@
     desk.mode = "sound"
 
 
-for _name in ("shed", "closed", "twice", "torn", "mute", "failing"):
-    FAULTS[_name] = misbehave
-
-
 @fault_kind("leave")
 async def leave(world: World, fault: Fault) -> None:
     """Have a plain server leave: only its answers tell, then a new life starts under its name."""
