--- a/soak/world.py
+++ b/soak/world.py
@@ -91,6 +91,12 @@
         self._readers.add(reading)
         reading.add_done_callback(self._readers.discard)
 
+    async def restart_instance(self, instance: Instance) -> None:
+        """Start a process again; until it has loaded, those who connect wait for it."""
+        with self.seen.trouble(instance.name, self.clock.now, 0):
+            await self.start_instance(instance)
+            await instance.wait_ready()
+
     async def list_server(self, name: str, service: str, **changes: Any) -> None:
         """Write a server's entry to the store."""
         listed = entry(self.links[name].address, service, **changes)
@@ -201,7 +207,7 @@
         if instance.process.returncode is None:
             instance.process.kill()
             await instance.process.wait()
-        await world.start_instance(instance)
+        await world.restart_instance(instance)
 
 
 @fault_kind("kill")
@@ -213,7 +219,7 @@
         instance.process.kill()
         await instance.process.wait()
         await _sleep(fault)
-        await world.start_instance(instance)
+        await world.restart_instance(instance)
 
 
 @fault_kind("pause")
