What is told of refusals is chosen before it is aged

Digests are sent at every change; each built two objects for every upstream ever answered, and looked at every listed one for a leaving life. Counts only shrink with age, so that those below the bound need not be aged, and without a life that leaves there is none to look for. What is told is the same.

--- a/src/lentilwell/gateway/_availability.py
+++ b/src/lentilwell/gateway/_availability.py
@@ -88,6 +88,8 @@
 
     def list_leaving(self, listed: Mapping[str, Upstream]) -> tuple[Life, ...]:
         """Return the lives that left by their answers but are listed as ready: news for peers."""
+        if not self._leaving:
+            return ()
         unknown = [
             upstream.life
             for upstream in listed.values()
--- a/src/lentilwell/gateway/_refusals.py
+++ b/src/lentilwell/gateway/_refusals.py
@@ -77,7 +77,12 @@
 
     def list_own(self, now: int) -> tuple[ToldTally, ...]:
         """Return the own counts that matter to peers, those with the most refusals first."""
-        aged = [ToldTally(name, tally.age(now)) for name, tally in self._own.items()]
+        # Age only takes away: most upstreams need no look at all, and digests are sent often.
+        aged = [
+            ToldTally(name, tally.age(now))
+            for name, tally in self._own.items()
+            if tally.refused >= LEAST_REFUSED
+        ]
         worth_telling = [one for one in aged if one.tally.refused >= LEAST_REFUSED]
         worth_telling.sort(key=_count_refused, reverse=True)
         return tuple(worth_telling[:MOST_TOLD])
