--- a/soak/desk.py
+++ b/soak/desk.py
@@ -7,6 +7,7 @@
 
 from lentilwell._clock import BootClock
 from soak.observations import Arrival, Observations, Said
+from standins.loopback import listen
 
 WORK_S = 0.01
 # Longer than any deadline.
@@ -42,9 +43,7 @@
 
     async def start(self) -> str:
         """Listen and return the address."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()[:2]
-        self.address = f"{host}:{port}"
+        self._server, self.address = await listen(self._serve)
         return self.address
 
     def close(self) -> None:
@@ -77,7 +76,7 @@
     def format(self, headers: dict[str, str], status: int, body: bytes, **more: str) -> bytes:
         """Return the bytes of an answer."""
         rows = {"Request-Id": headers["request-id"], "Content-Length": str(len(body)), **more}
-        if status < 500 or status == 500:
+        if status <= 500:
             rows["Server-Stamp"] = f"s-{self.name}"
         if self.leaving:
             rows["Server-Leaving"] = "1"
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -5,6 +5,8 @@
 import asyncio
 import contextlib
 
+from standins.loopback import listen
+
 CHUNK_BYTES = 65_536
 
 
@@ -23,9 +25,7 @@
 
     async def start(self) -> str:
         """Listen and return the address."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()[:2]
-        self.address = f"{host}:{port}"
+        self._server, self.address = await listen(self._serve)
         return self.address
 
     def close(self) -> None:
@@ -38,6 +38,10 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def delay(self, delay_ms: int) -> None:
+        """Delay bytes both ways until ``heal``."""
+        self.delay_ms = delay_ms
+
     def silence(self, up: bool = True, down: bool = True) -> None:
         """Hold back bytes to the target, from it, or both, until ``heal``."""
         self._sound.clear()
--- a/soak/world.py
+++ b/soak/world.py
@@ -6,8 +6,8 @@
 import contextlib
 import json
 import signal
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Awaitable, Callable
+from contextlib import AbstractContextManager
 from pathlib import Path
 from typing import Any
 
@@ -142,17 +142,13 @@
         names = sorted(self.links)
         return names[int(fault.point * len(names))]
 
-    @asynccontextmanager
-    async def disturb(self, name: str | None) -> AsyncIterator[None]:
+    def disturb(self, name: str | None) -> AbstractContextManager[None]:
         """Excuse an instance, an upstream's connections, or all, for a fault and a while after."""
-        with self.seen.trouble(name, self.clock.now, AFTERMATH_MS):
-            yield
+        return self.seen.trouble(name, self.clock.now, AFTERMATH_MS)
 
-    @asynccontextmanager
-    async def hold(self, instance: Instance) -> AsyncIterator[None]:
+    def hold(self, instance: Instance) -> asyncio.Lock:
         """Keep other faults of the same process waiting."""
-        async with self._busy[instance.name]:
-            yield
+        return self._busy[instance.name]
 
     async def put_configuration(self) -> None:
         """Write a version that adds a route of its own."""
@@ -214,23 +210,25 @@
 async def kill_instance(world: World, fault: Fault) -> None:
     """Kill a process and start it again after a while."""
     instance = world.pick_instance(fault)
-    async with world.hold(instance), world.disturb(instance.name):
-        assert instance.process is not None
-        instance.process.kill()
-        await instance.process.wait()
-        await _sleep(fault)
-        await world.restart_instance(instance)
+    async with world.hold(instance):
+        with world.disturb(instance.name):
+            assert instance.process is not None
+            instance.process.kill()
+            await instance.process.wait()
+            await _sleep(fault)
+            await world.restart_instance(instance)
 
 
 @fault_kind("pause")
 async def pause_instance(world: World, fault: Fault) -> None:
     """Stand a process still."""
     instance = world.pick_instance(fault)
-    async with world.hold(instance), world.disturb(instance.name):
-        assert instance.process is not None
-        instance.process.send_signal(signal.SIGSTOP)
-        await _sleep(fault)
-        instance.process.send_signal(signal.SIGCONT)
+    async with world.hold(instance):
+        with world.disturb(instance.name):
+            assert instance.process is not None
+            instance.process.send_signal(signal.SIGSTOP)
+            await _sleep(fault)
+            instance.process.send_signal(signal.SIGCONT)
 
 
 @fault_kind("shed", "closed", "twice", "torn", "mute", "failing")
@@ -261,32 +259,19 @@
     await world.list_server(desk.name, "desk", born=desk.life)
 
 
-@fault_kind("delay")
-async def delay_link(world: World, fault: Fault) -> None:
-    """Delay all bytes to and from an upstream."""
-    name = world.pick_link(fault)
-    async with world.disturb(name):
-        world.links[name].delay_ms = DELAY_MS
-        await _sleep(fault)
-        world.links[name].heal()
-
-
-@fault_kind("silence")
-async def silence_link(world: World, fault: Fault) -> None:
-    """Hold back all bytes to and from an upstream."""
-    name = world.pick_link(fault)
-    async with world.disturb(name):
-        world.links[name].silence()
-        await _sleep(fault)
-        world.links[name].heal()
+LINK_CHANGES: dict[str, Callable[[Proxy], None]] = {
+    "delay": lambda link: link.delay(DELAY_MS),
+    "silence": lambda link: link.silence(),
+    "one way": lambda link: link.silence(up=False),
+}
 
 
-@fault_kind("one way")
-async def cut_one_way(world: World, fault: Fault) -> None:
-    """Hold back an upstream's answers."""
+@fault_kind(*LINK_CHANGES)
+async def change_link(world: World, fault: Fault) -> None:
+    """Delay or hold back bytes to and from an upstream, or its answers alone."""
     name = world.pick_link(fault)
-    async with world.disturb(name):
-        world.links[name].silence(up=False)
+    with world.disturb(name):
+        LINK_CHANGES[fault.kind](world.links[name])
         await _sleep(fault)
         world.links[name].heal()
 
@@ -300,7 +285,7 @@
 @fault_kind("store away")
 async def refuse_at_store(world: World, fault: Fault) -> None:
     """Have the store turn all calls away."""
-    async with world.disturb(None):
+    with world.disturb(None):
         world.store.status = 503
         await _sleep(fault)
         world.store.status = None
@@ -309,7 +294,7 @@
 @fault_kind("store silent")
 async def silence_store(world: World, fault: Fault) -> None:
     """Have the store answer nothing; calls that came meanwhile are never answered."""
-    async with world.disturb(None):
+    with world.disturb(None):
         world.store.silent = True
         await _sleep(fault)
         world.store.silent = False
@@ -320,7 +305,7 @@
     """Cut one instance off from the store."""
     instance = world.pick_instance(fault)
     link = world.store_links[world.instances.index(instance)]
-    async with world.disturb(instance.name):
+    with world.disturb(instance.name):
         link.silence()
         await _sleep(fault)
         link.heal()
--- a/standins/batch_server.py
+++ b/standins/batch_server.py
@@ -11,6 +11,7 @@
 
 from lentilwell.gateway import EngineSpec
 from standins.batch import ENGINE, Batch, BatchJob
+from standins.loopback import listen
 
 EVENT_BYTES = 20
 WATCH_S = 0.02
@@ -43,10 +44,8 @@
         self.read: dict[str, asyncio.Event] = {}
         self.events: dict[str, asyncio.Queue[None]] = {}
         self._wake = asyncio.Event()
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self._server, self.address = await listen(self._serve)
         self._passes = asyncio.get_running_loop().create_task(self._run_passes())
-        host, port = self._server.sockets[0].getsockname()[:2]
-        self.address = f"{host}:{port}"
         self.fleet[self.address] = self
         return self.address
 
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -13,6 +13,8 @@
 
 import h11
 
+from standins.loopback import listen
+
 PAGE_ROWS = 500
 
 
@@ -91,9 +93,8 @@
 
     async def start(self, port: int = 0) -> str:
         """Listen on loopback and return the address."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
-        host, bound = self._server.sockets[0].getsockname()[:2]
-        return f"{host}:{bound}"
+        self._server, address = await listen(self._serve, port)
+        return address
 
     def close(self) -> None:
         """Stop listening."""
