Each failed try to read a table is logged; age and failures of each table are metrics and in the state

After dependency lost nothing told whether a follower tried again, how long the try under way may last, or how old what it knows is: a long wait that the store swallowed and a task that hangs looked alike. Adds the line 'dependency still lost', two gauges a table, and 'tables' in the state. No behaviour changes. The new tests of both fail without it (no such names).

--- a/src/lentilwell/_log_lines.py
+++ b/src/lentilwell/_log_lines.py
@@ -350,6 +350,17 @@
     reason: str
 
 
+@line("dependency still lost", "WARNING")
+@dataclass(frozen=True)
+class DependencyStillLost(Line):
+    """A further try failed, the number ``failures`` in a row, ``took_ms`` after it was begun."""
+
+    table: str
+    reason: str
+    failures: int
+    took_ms: int
+
+
 @line("dependency regained")
 @dataclass(frozen=True)
 class DependencyRegained(Line):
--- a/src/lentilwell/gateway/_follower.py
+++ b/src/lentilwell/gateway/_follower.py
@@ -17,6 +17,7 @@
 from lentilwell._log_lines import (
     DependencyLost,
     DependencyRegained,
+    DependencyStillLost,
     TableChecked,
     TableHistoryGone,
     write_line,
@@ -49,6 +50,23 @@
     away: bool = False
 
 
+@dataclass(frozen=True)
+class TableStatus:
+    """How following a table goes; times in ms of the clock.
+
+    ``version`` is the store's as known, None before the first reading. ``answered_at`` is when the
+    store last answered, ``asked_at`` when the call under way began, and ``wait_ms`` for how long it
+    asked the store to wait for a change. ``failures`` counts the tries since that answer.
+    """
+
+    name: str
+    version: int | None
+    answered_at: int | None
+    asked_at: int
+    wait_ms: int
+    failures: int
+
+
 class Listener(Protocol[ValueT]):
     """What is told of a table."""
 
@@ -92,6 +110,9 @@
         self._pause_ms = 0
         self._reading: asyncio.Timeout | None = None
         self._asked_at = clock.now()
+        self._answered_at: int | None = None
+        self._wait_ms = 0
+        self._failures = 0
         self._checked_at = clock.now() - CHECK_INTERVAL_MS
         self._checking = False
 
@@ -100,6 +121,18 @@
         """Return what this instance can tell others of the table."""
         return TableNews(self._changed_version, bool(self._pause_ms))
 
+    @property
+    def status(self) -> TableStatus:
+        """Return how following the table goes."""
+        return TableStatus(
+            self._name,
+            self._version,
+            self._answered_at,
+            self._asked_at,
+            self._wait_ms,
+            self._failures,
+        )
+
     async def run(self) -> None:
         """Follow the table for good."""
         while True:
@@ -157,14 +190,21 @@
 
     async def _read(self) -> Listing[ValueT]:
         self._asked_at = self._clock.now()
+        self._wait_ms = self._choose_wait_ms()
+        self._checking = False
         if self._version is None:
             return await self._feed.read_all()
-        wait_ms = 0 if self._checking else find_wait_ms(self._count_instances(), random.random())
-        self._checking = False
-        return await self._feed.read_changes(self._version, wait_ms)
+        return await self._feed.read_changes(self._version, self._wait_ms)
+
+    def _choose_wait_ms(self) -> int:
+        if self._checking or self._version is None:
+            return 0
+        return find_wait_ms(self._count_instances(), random.random())
 
     async def _take(self, listing: Listing[ValueT]) -> None:
         followed = self._version is not None
+        self._answered_at = self._clock.now()
+        self._failures = 0
         if self._pause_ms:
             write_line(DependencyRegained(self._name, listing.version))
             self._pause_ms = 0
@@ -180,7 +220,14 @@
             await asyncio.sleep(GATHER_MS / MS_PER_SECOND)
 
     async def _back_off(self, error: StoreError) -> None:
-        if not self._pause_ms:
-            write_line(DependencyLost(self._name, str(error)))
+        self._failures += 1
+        self._log_failure(str(error))
         self._pause_ms = min(LONGEST_PAUSE_MS, max(FIRST_PAUSE_MS, 2 * self._pause_ms))
         await asyncio.sleep(self._pause_ms * (0.5 + random.random() / 2) / MS_PER_SECOND)
+
+    def _log_failure(self, reason: str) -> None:
+        if self._failures == 1:
+            write_line(DependencyLost(self._name, reason))
+            return
+        took_ms = self._clock.now() - self._asked_at
+        write_line(DependencyStillLost(self._name, reason, self._failures, took_ms))
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -31,7 +31,7 @@
 from lentilwell.gateway._evidence import Evidence
 from lentilwell.gateway._exchange import Exchange, Tools
 from lentilwell.gateway._fleet import CatalogListener, Fleet, UpstreamListener
-from lentilwell.gateway._follower import Follower, Listener, TableNews
+from lentilwell.gateway._follower import Follower, Listener, TableNews, TableStatus
 from lentilwell.gateway._leases import Leases
 from lentilwell.gateway._link import split_address
 from lentilwell.gateway._links import Links
@@ -116,12 +116,12 @@
         self.leases.on_answer = evidence.take_head
         self._callers: set[Caller] = set()
         self._exchanges: set[Exchange] = set()
-        self.metrics = Metrics(self.fleet, lambda: len(self._callers))
+        self.metrics = Metrics(self.fleet, lambda: len(self._callers), self._list_tables)
         self._tools = Tools(self.fleet, evidence, self.links, self.leases, dialect, self.metrics)
         self._readiness: dict[str, Question] = {ANY_PATH: self._answer_readiness}
         self._status: dict[str, Question] = {
             "/metrics": lambda: StatusAnswer(200, self.metrics.render()),
-            "/state": lambda: StatusAnswer(200, dump_fleet(self.fleet), b"application/json"),
+            "/state": self._answer_state,
         }
         self._dialect = dialect
         self._feeds = feeds
@@ -301,6 +301,12 @@
         except OSError as error:
             write_line(MetricsNotServed(address, str(error)))
 
+    def _list_tables(self) -> tuple[TableStatus, ...]:
+        return self._catalog_follower.status, self._upstreams_follower.status
+
+    def _answer_state(self) -> StatusAnswer:
+        return StatusAnswer(200, dump_fleet(self.fleet, self._list_tables()), b"application/json")
+
     def _answer_readiness(self) -> StatusAnswer:
         return StatusAnswer(200 if self.ready else 503)
 
--- a/src/lentilwell/gateway/_metrics.py
+++ b/src/lentilwell/gateway/_metrics.py
@@ -5,15 +5,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 import msgspec
 from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
 from prometheus_client.core import GaugeMetricFamily, Metric
 from prometheus_client.registry import Collector
 
-from lentilwell._clock import MS_PER_SECOND
+from lentilwell._clock import MS_PER_SECOND, Clock
 from lentilwell.gateway._fleet import Fleet
+from lentilwell.gateway._follower import TableStatus
 from lentilwell.gateway._messages import Prompt
 
 FIRST_EVENT_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5, 3.0, 6.0, 15.0)
@@ -36,7 +37,12 @@
 class Metrics:
     """Counts what ends, and reads the fleet when asked."""
 
-    def __init__(self, fleet: Fleet, count_callers: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        count_callers: Callable[[], int],
+        list_tables: Callable[[], Sequence[TableStatus]],
+    ) -> None:
         self.registry = CollectorRegistry()
         self._requests = Counter(
             "lentilwell_gateway_requests",
@@ -84,6 +90,7 @@
             registry=self.registry,
         )
         self.registry.register(_FleetCollector(fleet, count_callers))
+        self.registry.register(_TableCollector(fleet.clock, list_tables))
 
     def count_end(self, service: str, outcome: str, total_ms: int) -> None:
         """Count a request that ended, ``total_ms`` after its arrival."""
@@ -143,7 +150,33 @@
             yield GaugeMetricFamily(f"lentilwell_gateway_{name}", text, value=value)
 
 
-def dump_fleet(fleet: Fleet) -> bytes:
+class _TableCollector(Collector):
+    def __init__(self, clock: Clock, list_tables: Callable[[], Sequence[TableStatus]]) -> None:
+        self._clock = clock
+        self._list_tables = list_tables
+
+    def collect(self) -> Iterable[Metric]:
+        """Yield how old what is known of each table is, and how its reading goes."""
+        age = GaugeMetricFamily(
+            "lentilwell_gateway_table_age_seconds",
+            "Time since the store last answered for a table.",
+            labels=("table",),
+        )
+        failures = GaugeMetricFamily(
+            "lentilwell_gateway_table_failures",
+            "Tries to read a table that failed since the store last answered.",
+            labels=("table",),
+        )
+        for table in self._list_tables():
+            failures.add_metric((table.name,), table.failures)
+            if table.answered_at is not None:
+                age_ms = self._clock.now() - table.answered_at
+                age.add_metric((table.name,), age_ms / MS_PER_SECOND)
+        yield age
+        yield failures
+
+
+def dump_fleet(fleet: Fleet, tables: Sequence[TableStatus]) -> bytes:
     """Return what the instance believes, as JSON."""
     now = fleet.clock.now()
     upstreams = [
@@ -165,6 +198,7 @@
         {
             "now": now,
             "configuration": _find_version(fleet),
+            "tables": tables,
             "instances": fleet.count_instances(),
             "upstreams": upstreams,
         }
--- a/tests/test_gateway_follower.py
+++ b/tests/test_gateway_follower.py
@@ -1,12 +1,15 @@
 """Following a table: long waits, and what ends them where another instance knows more."""
 
 import asyncio
+import json
 from contextlib import asynccontextmanager
 
 import pytest
 
 from lentilwell._clock import ManualClock
 from lentilwell.gateway import Entry, Listing, StoreAway
+from lentilwell.gateway._budget import BudgetRules
+from lentilwell.gateway._fleet import Fleet
 from lentilwell.gateway._follower import (
     ALONE_WAIT_MS,
     CHECK_INTERVAL_MS,
@@ -15,8 +18,11 @@
     NEWS_SPREAD_MS,
     Follower,
     TableNews,
+    TableStatus,
     find_wait_ms,
 )
+from lentilwell.gateway._metrics import Metrics, dump_fleet
+from lentilwell.gateway._shards import ShardView
 from tests.gateway_scripts import in_loop
 
 
@@ -168,3 +174,43 @@
         pass
     await asyncio.sleep(0.01)
     follower.check("nobody follows any more")
+
+
+@in_loop
+async def test_each_failed_try_is_told_and_counted_until_the_store_answers(monkeypatch):
+    written = []
+    monkeypatch.setattr("lentilwell.gateway._follower.write_line", written.append)
+    table = Table()
+    async with following(table, monkeypatch) as (follower, _, _):
+        table.away = True
+        follower.check("a test")
+        async with asyncio.timeout(3):
+            while follower.status.failures < 3:
+                await asyncio.sleep(0.01)
+        assert [line.event for line in written] == [
+            "table checked",
+            "dependency lost",
+            "dependency still lost",
+            "dependency still lost",
+        ]
+        assert written[-1].failures == 3
+        table.away, table.version = False, 9
+        async with asyncio.timeout(3):
+            while follower.status.failures:
+                await asyncio.sleep(0.01)
+    assert written[-1].event == "dependency regained"
+
+
+def test_age_and_failures_of_each_table_are_metrics_and_in_the_state():
+    clock = ManualClock(5_000)
+    fleet = Fleet(clock, "z1", BudgetRules(0.2, 100, 10_000), "least_cost", ShardView("i", "z1"))
+    tables = (
+        TableStatus("configuration", 31, 1_500, 3_000, 9_000, 2),
+        TableStatus("upstreams", None, None, 4_000, 0, 0),
+    )
+    text = Metrics(fleet, lambda: 0, lambda: tables).render().decode()
+    assert 'lentilwell_gateway_table_age_seconds{table="configuration"} 3.5' in text
+    assert 'lentilwell_gateway_table_failures{table="configuration"} 2.0' in text
+    assert 'lentilwell_gateway_table_age_seconds{table="upstreams"}' not in text
+    state = json.loads(dump_fleet(fleet, tables))
+    assert state["tables"][0]["wait_ms"] == 9_000
