--- a/tests/test_gateway_leases.py
+++ b/tests/test_gateway_leases.py
@@ -16,6 +16,7 @@
 from lentilwell.gateway._failures import Unreachable
 from lentilwell.gateway._leases import Leases, NoMemory
 from lentilwell.gateway._upstreams import Upstream
+from tests.simulated_time import run_warped
 
 # What the users allow for memory to come free after its request.
 FREE_MS = 4_000
@@ -24,22 +25,6 @@
 ENGINES = 3
 
 
-class WarpedLoop(asyncio.SelectorEventLoop):
-    """An event loop whose clock jumps to the next timer, for tests without I/O."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.now = 0.0
-
-    def time(self) -> float:
-        return self.now
-
-    def _run_once(self) -> None:
-        if not self._ready and self._scheduled:
-            self.now = max(self.now, self._scheduled[0]._when)
-        super()._run_once()
-
-
 @dataclass
 class Engine:
     """Tickets with the moment at which they lapse, in ms; ``faults`` befall orders in turn."""
@@ -115,15 +100,6 @@
 FAULTS = ("", "lost", "answer lost", "late", "refused", "unreachable")
 
 
-def run_warped(main):
-    """Run a coroutine on a loop of simulated time."""
-    loop = WarpedLoop()
-    try:
-        return loop.run_until_complete(main)
-    finally:
-        loop.close()
-
-
 def make_fleet(faults):
     engines = {f"e{at}:1": Engine(list(listed)) for at, listed in enumerate(faults)}
     helpers = [
