After a failed try the store is asked without a wait: an outage no longer swallows a try of 13 s

Cause: the try that follows a failed one was a long wait for changes like any other, up to 12 s and the time-out of 1.2 s. Begun within the outage it got no answer, and while a follower counts the store as lost it ignores what other instances tell it (Follower.check), so nothing broke it off. It also told everybody that the store is away, which had 25 sound instances ask twice a second.

Ruled out: the task's end ('task failed' in no log); a lost time-out (the test shows the same with sound time-outs).

Change: a store that has not answered the last call is asked for what changed by now, which ends within 1.2 s.

--- a/src/lentilwell/gateway/_follower.py
+++ b/src/lentilwell/gateway/_follower.py
@@ -197,7 +197,8 @@
         return await self._feed.read_changes(self._version, self._wait_ms)
 
     def _choose_wait_ms(self) -> int:
-        if self._checking or self._version is None:
+        # Only a store that has answered the last call is trusted with a long wait.
+        if self._checking or self._failures or self._version is None:
             return 0
         return find_wait_ms(self._count_instances(), random.random())
 
