--- a/soak/callers.py
+++ b/soak/callers.py
@@ -45,10 +45,15 @@
     """One caller of one instance; it keeps its connection as long as the instance does."""
 
     def __init__(
-        self, instance: str, port: int, find_life: Callable[[], int], seen: Observations, seed: int
+        self,
+        instance: str,
+        address: tuple[str, int],
+        find_life: Callable[[], int],
+        seen: Observations,
+        seed: int,
     ) -> None:
         self._instance = instance
-        self._port = port
+        self._address = address
         self._find_life = find_life
         self._seen = seen
         self._random = random.Random(seed)
@@ -109,7 +114,7 @@
         self._drop()
         try:
             async with asyncio.timeout(CONNECT_S):
-                self._connection = await asyncio.open_connection("127.0.0.1", self._port)
+                self._connection = await asyncio.open_connection(*self._address)
         except (OSError, TimeoutError):
             return False
         return True
--- a/src/lentilwell/_log_lines.py
+++ b/src/lentilwell/_log_lines.py
@@ -157,6 +157,7 @@
     version: int
     previous: int | None
     store_version: int
+    store_era: int
     routes: int
     teams: int
 
@@ -168,6 +169,7 @@
 
     count: int
     store_version: int
+    store_era: int
 
 
 @line("upstream changed")
@@ -370,6 +372,66 @@
     version: int
 
 
+@line("store restore seen", "WARNING")
+@dataclass(frozen=True)
+class StoreRestoreSeen(Line):
+    """An answer to ``call`` told that the store came back from an older copy, as ``era``."""
+
+    era: int
+    previous: int
+    call: str
+
+
+@line("era unreadable", "WARNING")
+@dataclass(frozen=True)
+class EraUnreadable(Line):
+    """An answer of the store told an era that is no number; the era known is assumed."""
+
+    text: str
+
+
+@line("configuration kept", "WARNING")
+@dataclass(frozen=True)
+class ConfigurationKept(Line):
+    """Version ``found``, read in a later era than that of ``version``, is not taken.
+
+    ``until_ms`` tells for how long, from now; None where it never is in this era.
+    """
+
+    version: int
+    found: int
+    era: int
+    reason: str
+    until_ms: int | None
+
+
+@line("configuration confirmed")
+@dataclass(frozen=True)
+class ConfigurationConfirmed(Line):
+    """The configuration in force stands in the store again, in a later era."""
+
+    version: int
+    era: int
+
+
+@line("upstream kept", "WARNING")
+@dataclass(frozen=True)
+class UpstreamKept(Line):
+    """What is known of an upstream is kept for ``until_ms`` from now against the restored list."""
+
+    upstream: str
+    reason: str
+    until_ms: int | None
+
+
+@line("instance listed again")
+@dataclass(frozen=True)
+class InstanceListedAgain(Line):
+    """This instance wrote its own entry after a restore of the store."""
+
+    address: str
+
+
 @line("table checked")
 @dataclass(frozen=True)
 class TableChecked(Line):
--- a/src/lentilwell/_wire/ttypes.py
+++ b/src/lentilwell/_wire/ttypes.py
@@ -1878,8 +1878,8 @@
 class WorkDigest(object):
     """
     All the work that a gateway has in hand; ``life`` differs on each start of an instance.
-    ``configuration`` is the version in force, ``listing`` the store's version of the last change
-    of the upstreams that it took; ``store_away`` tells that the store does not answer it.
+    ``configuration`` and ``listing`` are the store's versions at the last change of each that it took,
+    each of an era of the store; ``store_away`` tells that the store does not answer it.
     ``leaving`` are upstreams that said so in their answers, ``refusals`` those that turn work away.
 
     Attributes:
@@ -1894,6 +1894,8 @@
      - store_away
      - leaving
      - refusals
+     - configuration_era
+     - listing_era
 
     """
 
@@ -1909,10 +1911,12 @@
         'store_away',
         'leaving',
         'refusals',
+        'configuration_era',
+        'listing_era',
     )
 
 
-    def __init__(self, instance=None, life=None, address=None, sequence=None, items=None, stopping=False, configuration=0, listing=0, store_away=False, leaving=None, refusals=None,):
+    def __init__(self, instance=None, life=None, address=None, sequence=None, items=None, stopping=False, configuration=0, listing=0, store_away=False, leaving=None, refusals=None, configuration_era=0, listing_era=0,):
         self.instance = instance
         self.life = life
         self.address = address
@@ -1924,6 +1928,8 @@
         self.store_away = store_away
         self.leaving = leaving
         self.refusals = refusals
+        self.configuration_era = configuration_era
+        self.listing_era = listing_era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2007,6 +2013,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.configuration_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I64:
+                    self.listing_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2070,6 +2086,14 @@
                 iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.configuration_era is not None:
+            oprot.writeFieldBegin('configuration_era', TType.I64, 12)
+            oprot.writeI64(self.configuration_era)
+            oprot.writeFieldEnd()
+        if self.listing_era is not None:
+            oprot.writeFieldBegin('listing_era', TType.I64, 13)
+            oprot.writeI64(self.listing_era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2246,6 +2270,8 @@
     (9, TType.BOOL, 'store_away', None, False, ),  # 9
     (10, TType.LIST, 'leaving', (TType.STRUCT, [UpstreamLife, None], False), None, ),  # 10
     (11, TType.LIST, 'refusals', (TType.STRUCT, [RefusalTally, None], False), None, ),  # 11
+    (12, TType.I64, 'configuration_era', None, 0, ),  # 12
+    (13, TType.I64, 'listing_era', None, 0, ),  # 13
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/lentilwell/gateway/__init__.py
+++ b/src/lentilwell/gateway/__init__.py
@@ -12,11 +12,13 @@
     Share,
     Team,
 )
+from lentilwell.gateway._eras import Eras
 from lentilwell.gateway._failures import (
     HistoryGone,
     LinkError,
     StoreAway,
     StoreError,
+    StoreRestored,
     UnreadableRow,
 )
 from lentilwell.gateway._gateway import Gateway
@@ -47,6 +49,7 @@
     "EngineSpec",
     "Entry",
     "Envelope",
+    "Eras",
     "Facts",
     "Feed",
     "Feeds",
@@ -71,6 +74,7 @@
     "Share",
     "StoreAway",
     "StoreError",
+    "StoreRestored",
     "Team",
     "UnreadableRow",
     "Upstream",
--- a/src/lentilwell/gateway/_catalog.py
+++ b/src/lentilwell/gateway/_catalog.py
@@ -110,6 +110,12 @@
     teams: tuple[Team, ...] = ()
     limits: Limits = field(default_factory=Limits)
 
+    @cached_property
+    def content(self) -> int:
+        """Return a hash of all but the version; it differs from process to process."""
+        services = tuple(sorted(self.services.items(), key=lambda item: item[0]))
+        return hash((self.routes, services, self.teams, self.limits))
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of this host with the longest prefix that begins ``path``."""
         prefixes = self._by_host.get(host.lower(), {})
--- a/src/lentilwell/gateway/_evidence.py
+++ b/src/lentilwell/gateway/_evidence.py
@@ -28,7 +28,7 @@
     def take_head(self, upstream: Upstream, head: AnswerHead) -> None:
         """Learn whether the upstream leaves, or wants nothing for a while."""
         if head.leaving and self._availability.note_leaving(upstream.life):
-            listing = self._fleet.listing_version
+            listing = self._fleet.listing_at.version
             write_line(UpstreamLeaving(upstream.name, upstream.born_ms, head.status, listing))
             self._fleet.on_report()
         if head.status in TURNED_AWAY and head.retry_after is not None:
--- a/src/lentilwell/gateway/_failures.py
+++ b/src/lentilwell/gateway/_failures.py
@@ -31,5 +31,9 @@
     """The changes asked for are no longer kept; read the whole table again."""
 
 
+class StoreRestored(StoreError):
+    """The store came back from an older copy: what was read before may not fit together."""
+
+
 class UnreadableRow(StoreError):
     """A row does not hold what it should."""
--- a/src/lentilwell/gateway/_fleet.py
+++ b/src/lentilwell/gateway/_fleet.py
@@ -7,34 +7,26 @@
 from dataclasses import dataclass, field
 
 from lentilwell._clock import Clock
-from lentilwell._log_lines import (
-    ConfigurationInForce,
-    ShardsDealt,
-    UpstreamChanged,
-    UpstreamGone,
-    UpstreamsListed,
-    write_line,
-)
+from lentilwell._log_lines import ShardsDealt, UpstreamGone, write_line
 from lentilwell.gateway._availability import Availability
 from lentilwell.gateway._books import Books
 from lentilwell.gateway._budget import BudgetRules, RetryBudget
 from lentilwell.gateway._catalog import Catalog, EngineSpec, Route
 from lentilwell.gateway._choice import POLICIES, Candidate, Choice, Wish
+from lentilwell.gateway._configuration_choice import ConfigurationChoice
 from lentilwell.gateway._ejection import Ejection
 from lentilwell.gateway._messages import Prompt
 from lentilwell.gateway._paces import Paces
-from lentilwell.gateway._ports import Listing
 from lentilwell.gateway._refusals import Refusals
 from lentilwell.gateway._reopening import Waiters
 from lentilwell.gateway._shards import ShardView
+from lentilwell.gateway._store_point import StorePoint
 from lentilwell.gateway._upstreams import (
     Change,
     Directory,
     Upstream,
     drop_missing,
-    note_regained,
     take_changes,
-    take_listing,
 )
 
 
@@ -47,7 +39,7 @@
     budget_rules: BudgetRules
     policy: str
     shards: ShardView
-    catalog: Catalog | None = None
+    configurations: ConfigurationChoice = field(default_factory=ConfigurationChoice)
     directory: Directory = field(default_factory=Directory)
     listed: bool = False
     books: Books = field(default_factory=Books)
@@ -56,7 +48,7 @@
     refusals: Refusals = field(default_factory=Refusals)
     waiters: Waiters = field(default_factory=Waiters)
     paces: Paces = field(default_factory=Paces)
-    listing_version: int = 0
+    listing_at: StorePoint = field(default_factory=StorePoint)
     shards_logged: int = 1
     count_instances: Callable[[], int] = lambda: 1
     find_digest_age: Callable[[], int | None] = lambda: None
@@ -64,6 +56,11 @@
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     random: random.Random = field(default_factory=random.Random)
 
+    @property
+    def catalog(self) -> Catalog | None:
+        """Return the configuration in force."""
+        return self.configurations.in_force
+
     def find_budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
         budget = self.budgets.get(service)
@@ -181,74 +178,3 @@
             pace=self.paces.find(upstream.name, now),
             refusing=self.refusals.find_share(upstream.name, now),
         )
-
-
-class CatalogListener:
-    """Takes newer configurations into force; an older one never is."""
-
-    def __init__(self, fleet: Fleet) -> None:
-        self._fleet = fleet
-
-    def take_all(self, listing: Listing[Catalog]) -> None:
-        """Take the configuration of a whole reading."""
-        self.take_changes(listing)
-
-    def take_changes(self, listing: Listing[Catalog]) -> None:
-        """Take a changed configuration."""
-        for entry in listing.entries:
-            if entry.value is not None:
-                self._take(entry.value, listing.version)
-
-    def note_regained(self) -> None:
-        """Nothing lapses from a configuration."""
-
-    def _take(self, catalog: Catalog, seen_at_version: int) -> None:
-        known = self._fleet.catalog
-        if known is not None and catalog.version <= known.version:
-            return
-        self._fleet.catalog = catalog
-        in_force = ConfigurationInForce(
-            version=catalog.version,
-            previous=known.version if known is not None else None,
-            store_version=seen_at_version,
-            routes=len(catalog.routes),
-            teams=len(catalog.teams),
-        )
-        write_line(in_force)
-
-
-class UpstreamListener:
-    """Keeps the directory of upstreams."""
-
-    def __init__(self, fleet: Fleet) -> None:
-        self._fleet = fleet
-
-    def take_all(self, listing: Listing[Upstream]) -> None:
-        """Take a whole listing."""
-        now = self._fleet.clock.now()
-        found = [entry.value for entry in listing.entries if entry.value is not None]
-        self._fleet.directory = take_listing(self._fleet.directory, found, now)
-        self._fleet.listed = True
-        self._fleet.listing_version = listing.version
-        write_line(UpstreamsListed(len(found), listing.version))
-
-    def take_changes(self, listing: Listing[Upstream]) -> None:
-        """Take changed entries."""
-        now = self._fleet.clock.now()
-        changes = [Change(entry.key, entry.value, entry.removed) for entry in listing.entries]
-        self._fleet.directory = take_changes(self._fleet.directory, changes, now)
-        self._fleet.listing_version = listing.version
-        for change in changes:
-            _log_change(change, listing.version)
-
-    def note_regained(self) -> None:
-        """Entries may have lapsed while the store was away."""
-        now = self._fleet.clock.now()
-        self._fleet.directory = note_regained(self._fleet.directory, now)
-
-
-def _log_change(change: Change, store_version: int) -> None:
-    state = "removed" if change.removed else "unreadable"
-    if change.upstream is not None:
-        state = "leaving" if change.upstream.leaving else "listed"
-    write_line(UpstreamChanged(change.name, state, store_version))
--- a/src/lentilwell/gateway/_follower.py
+++ b/src/lentilwell/gateway/_follower.py
@@ -10,7 +10,7 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Generic, Protocol
 
 from lentilwell._clock import MS_PER_SECOND, Clock
@@ -22,8 +22,9 @@
     TableHistoryGone,
     write_line,
 )
-from lentilwell.gateway._failures import HistoryGone, StoreError
+from lentilwell.gateway._failures import HistoryGone, StoreError, StoreRestored
 from lentilwell.gateway._ports import Feed, Listing, ValueT
+from lentilwell.gateway._store_point import StorePoint
 from lentilwell.gateway._store_waits import Place, find_first_wait_ms, find_wait_ms
 
 FIRST_PAUSE_MS = 50
@@ -37,12 +38,12 @@
 
 @dataclass(frozen=True)
 class TableNews:
-    """What an instance knows of a table; ``changed_version`` is the store's at its last change.
+    """What an instance knows of a table: where the store stood at its last change.
 
     ``away`` tells that the store does not answer it.
     """
 
-    changed_version: int = 0
+    changed: StorePoint = field(default_factory=StorePoint)
     away: bool = False
 
 
@@ -50,13 +51,13 @@
 class TableStatus:
     """How following a table goes; times in ms of the clock.
 
-    ``version`` is the store's as known, None before the first reading. ``answered_at`` is when the
-    store last answered, ``asked_at`` when the call under way began, and ``wait_ms`` for how long it
-    asked the store to wait for a change. ``failures`` counts the tries since that answer.
+    ``at`` is where the store stood as known, None before a whole reading. ``answered_at`` is when
+    the store last answered, ``asked_at`` when the call under way began, and ``wait_ms`` for how long
+    it asked the store to wait for a change. ``failures`` counts the tries since that answer.
     """
 
     name: str
-    version: int | None
+    at: StorePoint | None
     answered_at: int | None
     asked_at: int
     wait_ms: int
@@ -92,8 +93,8 @@
         self._listener = listener
         self._clock = clock
         self._find_place = find_place
-        self._version: int | None = None
-        self._changed_version = 0
+        self._at: StorePoint | None = None
+        self._changed = StorePoint()
         self._pause_ms = 0
         self._reading: asyncio.Timeout | None = None
         self._asked_at = clock.now()
@@ -108,14 +109,14 @@
     @property
     def news(self) -> TableNews:
         """Return what this instance can tell others of the table."""
-        return TableNews(self._changed_version, bool(self._pause_ms))
+        return TableNews(self._changed, bool(self._pause_ms))
 
     @property
     def status(self) -> TableStatus:
         """Return how following the table goes."""
         return TableStatus(
             self._name,
-            self._version,
+            self._at,
             self._answered_at,
             self._asked_at,
             self._wait_ms,
@@ -130,8 +131,10 @@
             except TimeoutError:
                 continue  # a check was asked for
             except HistoryGone:
-                write_line(TableHistoryGone(self._name, self._version))
-                self._version = None
+                write_line(TableHistoryGone(self._name, self._known_version))
+                self._at = None
+            except StoreRestored:
+                self._at = None
             except StoreError as error:
                 await self._back_off(error)
             else:
@@ -141,33 +144,49 @@
         """Take what another instance knows: look anew if it knows more, or finds the store away."""
         if news.away:
             self.check("another instance finds the store away")
-        elif self._is_behind(news.changed_version):
+        elif self._is_behind(news.changed):
             loop = asyncio.get_running_loop()
-            loop.call_later(
-                NEWS_SPREAD_MS / MS_PER_SECOND, self._check_if_behind, news.changed_version
-            )
+            loop.call_later(NEWS_SPREAD_MS / MS_PER_SECOND, self._check_if_behind, news.changed)
+
+    def restore(self, era: int) -> None:
+        """The store has begun an era: a wait for changes of an older one is of no use."""
+        if self._at is None or self._at.era >= era:
+            return
+        self._at = None
+        if self._waiting:
+            self._break_off()
 
     def check(self, reason: str) -> None:
         """Break off a wait for changes and ask the store at once, over a new connection."""
         now = self._clock.now()
-        waiting = self._reading is not None and self._reading.when() is None
         just_asked = now - self._asked_at < NEWS_SPREAD_MS
-        if self._pause_ms or not waiting or just_asked:
+        if self._pause_ms or not self._waiting or just_asked:
             return
         if now - self._checked_at < CHECK_INTERVAL_MS:
             return
-        assert self._reading is not None
         self._checked_at = now
+        write_line(TableChecked(self._name, reason, self._known_version))
+        self._break_off()
+
+    @property
+    def _waiting(self) -> bool:
+        return self._reading is not None and self._reading.when() is None
+
+    @property
+    def _known_version(self) -> int | None:
+        return None if self._at is None else self._at.version
+
+    def _break_off(self) -> None:
+        assert self._reading is not None
         self._checking = True
-        write_line(TableChecked(self._name, reason, self._version))
         self._reading.reschedule(asyncio.get_running_loop().time())
 
-    def _check_if_behind(self, changed_version: int) -> None:
-        if self._is_behind(changed_version):
-            self.check(f"another instance has seen version {changed_version}")
+    def _check_if_behind(self, changed: StorePoint) -> None:
+        if self._is_behind(changed):
+            self.check(f"another instance has seen version {changed.version} of era {changed.era}")
 
-    def _is_behind(self, changed_version: int) -> bool:
-        return self._version is not None and self._version < changed_version
+    def _is_behind(self, changed: StorePoint) -> bool:
+        return self._at is not None and self._at < changed
 
     async def _read_until_check(self) -> Listing[ValueT]:
         """Read; raise ``TimeoutError`` where a check is asked for meanwhile."""
@@ -181,13 +200,17 @@
         self._asked_at = self._clock.now()
         self._wait_ms = self._choose_wait_ms()
         self._checking = False
-        if self._version is None:
+        after = self._at
+        if after is None:
             return await self._feed.read_all()
-        return await self._feed.read_changes(self._version, self._wait_ms)
+        listing = await self._feed.read_changes(after.version, self._wait_ms)
+        if listing.era != after.era:
+            raise StoreRestored(f"changes of era {listing.era} after a point of era {after.era}")
+        return listing
 
     def _choose_wait_ms(self) -> int:
         # Only a store that has answered the last call is trusted with a long wait.
-        if self._checking or self._failures or self._version is None:
+        if self._checking or self._failures or self._at is None:
             return 0
         place = self._find_place()
         if self._in_step:
@@ -195,7 +218,7 @@
         return find_wait_ms(place.of, random.random())
 
     async def _take(self, listing: Listing[ValueT]) -> None:
-        followed = self._version is not None
+        followed = self._at is not None
         self._answered_at = self._clock.now()
         self._failures = 0
         self._in_step = bool(listing.entries) or not self._wait_ms
@@ -207,9 +230,9 @@
             self._listener.take_changes(listing)
         else:
             self._listener.take_all(listing)
-        self._version = listing.version
+        self._at = listing.at
         if listing.entries:
-            self._changed_version = listing.version
+            self._changed = listing.at
         if listing.entries and followed:
             await asyncio.sleep(GATHER_MS / MS_PER_SECOND)
 
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -30,7 +30,7 @@
 from lentilwell.gateway._catalog import Limits
 from lentilwell.gateway._evidence import Evidence
 from lentilwell.gateway._exchange import Exchange, Tools
-from lentilwell.gateway._fleet import CatalogListener, Fleet, UpstreamListener
+from lentilwell.gateway._fleet import Fleet
 from lentilwell.gateway._follower import Follower, Listener, TableNews, TableStatus
 from lentilwell.gateway._leases import Leases
 from lentilwell.gateway._link import split_address
@@ -46,6 +46,7 @@
 from lentilwell.gateway._status import ANY_PATH, Question, StatusAnswer, StatusProtocol
 from lentilwell.gateway._stopping import can_finish
 from lentilwell.gateway._store_news import StoreNews
+from lentilwell.gateway._table_listeners import CatalogListener, UpstreamListener
 
 # Callers wait for the first reading of the store, a few ms where it answers.
 LONGEST_START_MS = 500
@@ -96,12 +97,14 @@
             self.fleet.books,
             shards,
         )
+        self._catalog_listener = CatalogListener(self.fleet.configurations, self.clock)
         self._catalog_follower = self._follow(
-            "configuration", feeds.catalog, CatalogListener(self.fleet)
+            "configuration", feeds.catalog, self._catalog_listener
         )
         self._upstreams_follower = self._follow(
             "upstreams", feeds.upstreams, UpstreamListener(self.fleet)
         )
+        feeds.eras.on_rise = self._note_restore
         self.peers.find_news = self._tell_news
         self.peers.on_news = self._hear_news
         self.peers.on_silence = self._check_store
@@ -265,8 +268,8 @@
     def _tell_news(self) -> StoreNews:
         configuration, listing = self._catalog_follower.news, self._upstreams_follower.news
         return StoreNews(
-            configuration.changed_version,
-            listing.changed_version,
+            configuration.changed,
+            listing.changed,
             configuration.away or listing.away,
         )
 
@@ -274,6 +277,14 @@
         self._catalog_follower.hear(TableNews(news.configuration, news.away))
         self._upstreams_follower.hear(TableNews(news.listing, news.away))
 
+    def _note_restore(self, era: int) -> None:
+        """The store came back from an older copy: read it anew, and write what it may have lost."""
+        self.metrics.count_restore()
+        self._catalog_follower.restore(era)
+        self._upstreams_follower.restore(era)
+        self.peers.announce_again()
+        self.peers.note_change()
+
     def _check_store(self, silent_peer: str) -> None:
         """A peer has fallen silent: what cut it off may have cut off the store."""
         for follower in (self._catalog_follower, self._upstreams_follower):
@@ -325,6 +336,7 @@
     def _keep_house(self) -> None:
         self.reload()
         self.peers.keep_house()
+        self._catalog_listener.settle()
         self.fleet.forget_gone()
         self.fleet.deal_shards()
         self.links.keep_only(upstream.address for upstream in self.fleet.directory.listed.values())
--- a/src/lentilwell/gateway/_metrics.py
+++ b/src/lentilwell/gateway/_metrics.py
@@ -89,6 +89,11 @@
             buckets=LAG_BUCKETS_S,
             registry=self.registry,
         )
+        self._restores = Counter(
+            "lentilwell_gateway_store_restores",
+            "Times that the store was seen to come back from an older copy.",
+            registry=self.registry,
+        )
         self.registry.register(_FleetCollector(fleet, count_callers))
         self.registry.register(_TableCollector(fleet.clock, list_tables))
 
@@ -107,6 +112,10 @@
         """Count a request that is sent to an upstream."""
         self._sends.labels(service, "yes" if again else "no").inc()
 
+    def count_restore(self) -> None:
+        """Count a restore of the store."""
+        self._restores.inc()
+
     def note_lag(self, lag_s: float) -> None:
         """Take a sample of how late the event loop is, in seconds."""
         self._lag.observe(max(0.0, lag_s))
@@ -135,12 +144,14 @@
         closed = sum(
             fleet.availability.find_reopening(upstream, now) is not None for upstream in listed
         )
+        doubted = sum(until > now for until in fleet.directory.doubted.values())
         gauges = (
             ("configuration_version", "Version in force, 0 for none.", _find_version(fleet)),
             ("upstreams", "Upstreams listed.", len(listed)),
             ("upstreams_leaving", "Upstreams that leave.", sum(one.leaving for one in listed)),
             ("upstreams_unreachable", "Upstreams that wait for a probe.", unreachable),
             ("upstreams_left", "Upstreams that said in an answer that they leave.", left),
+            ("upstreams_doubted", "Upstreams that a restored list holds again.", doubted),
             ("upstreams_closed", "Upstreams that want no work for a while.", closed),
             ("jobs", "Requests in hand at upstreams.", len(fleet.books.list_own())),
             ("instances", "Instances that may be there.", fleet.count_instances()),
@@ -167,13 +178,21 @@
             "Tries to read a table that failed since the store last answered.",
             labels=("table",),
         )
+        era = GaugeMetricFamily(
+            "lentilwell_gateway_table_era",
+            "The store's era of what is known of a table.",
+            labels=("table",),
+        )
         for table in self._list_tables():
+            if table.at is not None:
+                era.add_metric((table.name,), table.at.era)
             failures.add_metric((table.name,), table.failures)
             if table.answered_at is not None:
                 age_ms = self._clock.now() - table.answered_at
                 age.add_metric((table.name,), age_ms / MS_PER_SECOND)
         yield age
         yield failures
+        yield era
 
 
 def dump_fleet(fleet: Fleet, tables: Sequence[TableStatus]) -> bytes:
@@ -186,6 +205,7 @@
             "address": upstream.address,
             "leaving": upstream.leaving,
             "missing_until": fleet.directory.missing.get(upstream.name),
+            "doubted_until": fleet.directory.doubted.get(upstream.name),
             "left": fleet.availability.is_leaving(upstream.life),
             "closed_until": fleet.availability.find_reopening(upstream, now),
             "refusing": fleet.refusals.find_share(upstream.name, now),
--- a/src/lentilwell/gateway/_peers.py
+++ b/src/lentilwell/gateway/_peers.py
@@ -9,14 +9,16 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+import random
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Protocol, cast
+from typing import Protocol, TypeVar, cast
 
 from lentilwell._clock import Clock
 from lentilwell._log_lines import (
     DigestTooLong,
     DigestUnreadable,
+    InstanceListedAgain,
     InstancesNotListed,
     PeerHeard,
     PeerSilent,
@@ -48,12 +50,16 @@
 # Three repeats in a row were lost.
 SILENT_MS = 2_500
 ANNOUNCE_RETRY_MS = 500
+# After a restore of the store each instance adds this much to the time in which all write again.
+ANNOUNCE_SPREAD_MS = 4
 LIST_AGAIN_MS = 15_000
 # An instance that nobody listed yet was heard: at a start of many, most come within this time.
 NEWCOMER_LIST_MS = 2_000
 # Until the list was read once: more than there are on the smallest sites.
 ASSUMED_INSTANCES = 8
 
+_T = TypeVar("_T")
+
 
 @dataclass(frozen=True)
 class Member:
@@ -105,6 +111,7 @@
         self._listed = False
         self._members: frozenset[str] = frozenset()
         self._newcomer = asyncio.Event()
+        self._restored = asyncio.Event()
         self.stopping = False
         self.find_news: Callable[[], StoreNews] = StoreNews
         self.on_news: Callable[[StoreNews], None] = lambda news: None
@@ -200,20 +207,37 @@
 
     async def keep_listed(self, membership: Membership) -> None:
         """Announce this instance, and look for others now and then, for good."""
-        announced = False
+        await self._retry(lambda: membership.announce(self._instance, self._own))
+        while True:
+            self._newcomer.clear()
+            self._take_members(await self._retry(membership.list_members))
+            await self._wait_to_list_again()
+            while self._restored.is_set():
+                await self._list_again(membership)
+
+    def announce_again(self) -> None:
+        """The store may have lost the entry of this instance, and those of others."""
+        self._restored.set()
+        self._newcomer.set()
+
+    async def _list_again(self, membership: Membership) -> None:
+        """Announce this instance anew, not all at the same moment, and let the others do so."""
+        self._restored.clear()
+        spread_ms = self.instances * ANNOUNCE_SPREAD_MS
+        await asyncio.sleep(random.random() * spread_ms / 1_000)
+        await self._retry(lambda: membership.announce(self._instance, self._own))
+        write_line(InstanceListedAgain(self._own.address))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout((spread_ms + NEWCOMER_LIST_MS) / 1_000):
+                await self._restored.wait()
+
+    async def _retry(self, call: Callable[[], Awaitable[_T]]) -> _T:
         while True:
             try:
-                if not announced:
-                    await membership.announce(self._instance, self._own)
-                    announced = True
-                self._newcomer.clear()
-                found = await membership.list_members()
+                return await call()
             except StoreError as error:
                 write_line(InstancesNotListed(str(error)))
                 await asyncio.sleep(ANNOUNCE_RETRY_MS / 1_000)
-                continue
-            self._take_members(found)
-            await self._wait_to_list_again()
 
     def _take_members(self, found: dict[str, Member]) -> None:
         found.pop(self._instance, None)
@@ -225,7 +249,9 @@
         self._listed = True
 
     async def _wait_to_list_again(self) -> None:
-        await asyncio.sleep(NEWCOMER_LIST_MS / 1_000)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(NEWCOMER_LIST_MS / 1_000):
+                await self._restored.wait()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(LIST_AGAIN_MS / 1_000):
                 await self._newcomer.wait()
--- a/src/lentilwell/gateway/_ports.py
+++ b/src/lentilwell/gateway/_ports.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Generic, Protocol, TypeVar
 
 import h11
 
 from lentilwell.gateway._catalog import Catalog
+from lentilwell.gateway._eras import Eras
 from lentilwell.gateway._messages import (
     AnswerHead,
     Envelope,
@@ -18,6 +19,7 @@
     Order,
 )
 from lentilwell.gateway._peers import Membership
+from lentilwell.gateway._store_point import StorePoint
 from lentilwell.gateway._upstreams import Upstream
 
 ValueT = TypeVar("ValueT")
@@ -34,10 +36,19 @@
 
 @dataclass(frozen=True)
 class Listing(Generic[ValueT]):
-    """Rows of a table as of one moment; ``version`` is where the changes after it begin."""
+    """Rows of a table as of one moment; ``version`` is where the changes after it begin.
+
+    ``era`` counts the times that the store came back from an older copy.
+    """
 
     entries: tuple[Entry[ValueT], ...]
     version: int
+    era: int = 0
+
+    @property
+    def at(self) -> StorePoint:
+        """Return the moment of the store."""
+        return StorePoint(self.era, self.version)
 
 
 class Feed(Protocol[ValueT]):
@@ -71,8 +82,12 @@
 
 @dataclass(frozen=True)
 class Feeds:
-    """The tables that the gateway follows, and the list of its instances."""
+    """The tables that the gateway follows, and the list of its instances.
+
+    ``eras`` tells of the store's restores, whichever of them meets one.
+    """
 
     catalog: Feed[Catalog]
     upstreams: Feed[Upstream]
     membership: Membership
+    eras: Eras = field(default_factory=Eras)
--- a/src/lentilwell/gateway/_record.py
+++ b/src/lentilwell/gateway/_record.py
@@ -45,7 +45,7 @@
             request=self._subject.facts.request_id,
             service=self._subject.service,
             configuration=self._subject.catalog_version,
-            listing=self._fleet.listing_version,
+            listing=self._fleet.listing_at.version,
             upstream=choice.upstream.name,
             helpers=" ".join(choice.names[1:]),
             expected_first_ms=round(choice.first_event_ms),
--- a/src/lentilwell/gateway/_store_news.py
+++ b/src/lentilwell/gateway/_store_news.py
@@ -2,18 +2,20 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from lentilwell.gateway._store_point import StorePoint
 
 
 @dataclass(frozen=True)
 class StoreNews:
-    """The store's versions at the last change of each followed table, 0 for none.
+    """Where the store stood at the last change of each followed table.
 
     ``away`` tells that the store does not answer the instance for one of them.
     """
 
-    configuration: int = 0
-    listing: int = 0
+    configuration: StorePoint = field(default_factory=StorePoint)
+    listing: StorePoint = field(default_factory=StorePoint)
     away: bool = False
 
 
--- a/src/lentilwell/gateway/_work_digest.py
+++ b/src/lentilwell/gateway/_work_digest.py
@@ -14,6 +14,7 @@
 from lentilwell.gateway._books import Job
 from lentilwell.gateway._refusals import Tally, ToldTally
 from lentilwell.gateway._store_news import NO_NEWS, StoreNews
+from lentilwell.gateway._store_point import StorePoint
 from lentilwell.gateway._upstreams import Life
 
 LONGEST_DIGEST_BYTES = 16_384
@@ -68,11 +69,13 @@
         digest.sequence,
         items,
         digest.stopping,
-        digest.news.configuration,
-        digest.news.listing,
+        digest.news.configuration.version,
+        digest.news.listing.version,
         digest.news.away,
         [WireLife(life.name, life.born_ms) for life in digest.reports.leaving],
         [_encode_tally(told) for told in digest.reports.refusals],
+        digest.news.configuration.era,
+        digest.news.listing.era,
     )
     data: bytes = serialize(wire, _FACTORY)
     return data
@@ -92,7 +95,11 @@
         refusals = tuple(_decode_tally(tally, now) for tally in wire.refusals or ())
     except Exception as error:  # the library raises errors of many types on hostile bytes
         raise UnreadableDigest(repr(error)) from error
-    news = StoreNews(wire.configuration or 0, wire.listing or 0, bool(wire.store_away))
+    news = StoreNews(
+        StorePoint(wire.configuration_era or 0, wire.configuration or 0),
+        StorePoint(wire.listing_era or 0, wire.listing or 0),
+        bool(wire.store_away),
+    )
     return WorkDigest(
         wire.instance,
         wire.life,
--- a/src/lentilwell/peers.thrift
+++ b/src/lentilwell/peers.thrift
@@ -135,8 +135,8 @@
 
 /**
  * All the work that a gateway has in hand; ``life`` differs on each start of an instance.
- * ``configuration`` is the version in force, ``listing`` the store's version of the last change
- * of the upstreams that it took; ``store_away`` tells that the store does not answer it.
+ * ``configuration`` and ``listing`` are the store's versions at the last change of each that it took,
+ * each of an era of the store; ``store_away`` tells that the store does not answer it.
  * ``leaving`` are upstreams that said so in their answers, ``refusals`` those that turn work away.
  */
 struct WorkDigest {
@@ -151,4 +151,6 @@
   9: optional bool store_away = false
   10: optional list<UpstreamLife> leaving
   11: optional list<RefusalTally> refusals
+  12: optional i64 configuration_era = 0
+  13: optional i64 listing_era = 0
 }
--- a/standins/gateway_process.py
+++ b/standins/gateway_process.py
@@ -136,7 +136,7 @@
             "node_name": name,
             "ip": self.ip,
             "zone": "z1",
-            "listen": {"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}"},
+            "listen": {"front": f"{self.ip}:{front}", "ready": f"{self.ip}:{ready}"},
             "internal_ports": [peers, peers],
             "bounds": {"grace_s": grace_s, "retry_budget_ratio": 0.2, "extra_retries": 100},
             "platform": {"address": store_address},
@@ -157,7 +157,7 @@
     async def ask_ready(self) -> int | None:
         """Return the status of the readiness question, None where nobody listens."""
         try:
-            reader, writer = await asyncio.open_connection("127.0.0.1", self.ready)
+            reader, writer = await asyncio.open_connection(self.ip, self.ready)
             writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
             answer = await read_answer(reader)
         except (OSError, asyncio.IncompleteReadError):
@@ -181,7 +181,7 @@
 
     async def call(self, path: str, request_id: str, body: bytes = b"", **headers: str) -> Answer:
         """Make one call on a connection of its own."""
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.front)
+        reader, writer = await asyncio.open_connection(self.ip, self.front)
         known = {"Host": HOST, "Request-Id": request_id, "Credential": KEY, "Deadline-Ms": "10000"}
         known.update({name.replace("_", "-"): value for name, value in headers.items()})
         known["Content-Length"] = str(len(body))
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -29,13 +29,25 @@
     removed: bool = False
 
 
+@dataclass(frozen=True)
+class Backup:
+    """A copy of the rows, from which a store can come back."""
+
+    rows: Mapping[tuple[str, str], Row]
+    version: int
+
+
 @dataclass
 class RowStore:
-    """The rows and the faults. ``status`` answers every call with it, ``silent`` with nothing."""
+    """The rows and the faults. ``status`` answers every call with it, ``silent`` with nothing.
+
+    ``era`` counts the restores and is told in every answer, unless it is 0.
+    """
 
     rows: dict[tuple[str, str], Row] = field(default_factory=dict)
     version: int = 0
     oldest: int = 0
+    era: int = 1
     status: int | None = None
     silent: bool = False
     lose_answers: bool = False
@@ -55,6 +67,17 @@
         """Keep the rows, but no changes before now."""
         self.oldest = self.version
 
+    def back_up(self) -> Backup:
+        """Return a copy to come back from."""
+        return Backup(dict(self.rows), self.version)
+
+    async def restore(self, backup: Backup) -> None:
+        """Come back from a copy: versions go back, and open waits go on with what it holds."""
+        async with self.changed:
+            self.rows, self.version = dict(backup.rows), backup.version
+            self.era += 1
+            self.changed.notify_all()
+
     async def _change(self, row: Row) -> None:
         async with self.changed:
             self.version += 1
@@ -134,10 +157,10 @@
         if self.store.lose_answers and target.path == "/rows-tx":
             raise ConnectionError("the answer is lost")
         data = json.dumps(answer).encode()
-        response = h11.Response(
-            status_code=status,
-            headers=[("Content-Type", "application/json"), ("Content-Length", str(len(data)))],
-        )
+        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(data)))]
+        if self.store.era:
+            headers.append(("Store-Era", str(self.store.era)))
+        response = h11.Response(status_code=status, headers=headers)
         parts = [connection.send(response), connection.send(h11.Data(data=data))]
         parts.append(connection.send(h11.EndOfMessage()))
         writer.write(b"".join(part or b"" for part in parts))
@@ -153,7 +176,7 @@
             return 200, {**_describe(store, rows), "has_more": more}
         if path == "/rows-feed":
             after = int(query["after"])
-            if after < store.oldest:
+            if not store.oldest <= after <= store.version:
                 return 410, {}
             wait_s = int(query["wait_ms"]) / 1_000
             return 200, _describe(store, await store.wait_changes(query["table"], after, wait_s))
--- a/tests/simulated_time.py
+++ b/tests/simulated_time.py
@@ -4,6 +4,9 @@
 
 from lentilwell._clock import MS_PER_SECOND, Clock
 
+# Cancelled tasks that wait for a lock end one a round.
+ROUNDS_TO_END = 2_000
+
 
 class WarpedLoop(asyncio.SelectorEventLoop):
     """An event loop whose clock jumps to the next timer."""
@@ -39,5 +42,8 @@
     finally:
         for task in asyncio.all_tasks(loop):
             task.cancel()
-        loop.run_until_complete(asyncio.sleep(0))
+        for _ in range(ROUNDS_TO_END):
+            if not asyncio.all_tasks(loop):
+                break
+            loop.run_until_complete(asyncio.sleep(0))
         loop.close()
--- /dev/null
+++ b/tests/test_gateway_configuration.py
@@ -0,0 +1,193 @@
+"""Which configuration is in force through restores of the store from an older copy."""
+
+from dataclasses import dataclass, field, replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lentilwell._clock import ManualClock
+from lentilwell.gateway import Catalog, Entry, Listing
+from lentilwell.gateway._configuration_choice import (
+    DOUBT_MS,
+    SETTLE_MS,
+    ConfigurationChoice,
+)
+from lentilwell.gateway._table_listeners import CatalogListener
+from tests.gateway_world import CATALOG
+
+
+def make_version(number, content=None):
+    """Return a version whose content differs from that of every other number, or is named."""
+    mark = number if content is None else content
+    limits = replace(CATALOG.limits, body_bytes=1_000_000 + mark)
+    return replace(CATALOG, version=number, limits=limits)
+
+
+class Reader:
+    """A process that reads the configuration, as its follower would hand it on."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.choice = ConfigurationChoice()
+        self.listener = CatalogListener(self.choice, self.clock)
+
+    def read_whole(self, catalog, era):
+        self.listener.take_all(Listing((Entry("config", catalog),), 1, era))
+        return self
+
+    def read_change(self, catalog, era):
+        self.listener.take_changes(Listing((Entry("config", catalog),), 1, era))
+        return self
+
+    def wait(self, ms):
+        self.clock.advance(ms)
+        self.listener.settle()
+        return self
+
+    @property
+    def number(self):
+        return self.choice.in_force.version
+
+
+def start_reader(*numbers):
+    reader = Reader().read_whole(make_version(numbers[0]), 1)
+    for number in numbers[1:]:
+        reader.read_change(make_version(number), 1)
+    return reader
+
+
+def test_older_copy_does_not_replace_what_was_in_force():
+    reader = start_reader(26, 28, 31)
+    assert reader.read_whole(make_version(26), 2).wait(10 * DOUBT_MS).number == 31
+
+
+def test_rewriting_in_steps_never_goes_back_and_ends_at_the_last_version():
+    reader = start_reader(26, 28, 31).read_whole(make_version(26), 2)
+    for number in (28, 31):
+        assert reader.read_change(make_version(number), 2).wait(5 * SETTLE_MS).number == 31
+    assert reader.read_change(make_version(34), 2).number == 34
+
+
+def test_change_made_after_the_return_is_in_force_at_once():
+    reader = start_reader(26, 31).read_whole(make_version(26), 2)
+    assert reader.read_change(make_version(33), 2).number == 33
+
+
+def test_number_given_out_again_for_another_content_is_taken_once_it_stands():
+    reader = start_reader(26, 28, 31).read_whole(make_version(26), 2)
+    again = make_version(28, content=99)
+    assert reader.read_change(again, 2).wait(SETTLE_MS - 1).number == 31
+    assert reader.wait(1).choice.in_force is again
+    assert reader.read_change(make_version(30), 2).number == 30
+
+
+def test_step_of_a_rewriting_that_was_never_read_is_passed_over():
+    reader = start_reader(26, 31).read_whole(make_version(26), 2)
+    reader.read_change(make_version(28), 2).wait(SETTLE_MS - 1)
+    assert reader.read_change(make_version(31), 2).wait(10 * DOUBT_MS).number == 31
+
+
+def test_content_that_comes_back_under_another_number_is_no_way_back():
+    """26 and 31 have one content: the copy's 26 must not make the step to 28 look new."""
+    reader = Reader().read_whole(make_version(26, content=1), 1)
+    reader.read_change(make_version(28), 1).read_change(make_version(31, content=1), 1)
+    reader.read_whole(make_version(26, content=1), 2)
+    assert reader.read_change(make_version(28), 2).wait(10 * DOUBT_MS).number == 31
+
+
+def test_confirmed_version_binds_in_the_new_era():
+    reader = start_reader(26, 31).read_whole(make_version(31), 2)
+    assert reader.read_change(make_version(28, content=5), 2).wait(10 * DOUBT_MS).number == 31
+
+
+def test_process_that_started_with_the_copy_goes_forward_with_the_rewriting():
+    reader = Reader().read_whole(make_version(26), 2)
+    assert [reader.read_change(make_version(n), 2).number for n in (28, 31)] == [28, 31]
+
+
+def test_unknown_content_of_the_copy_is_doubted_for_a_time_that_ends():
+    reader = start_reader(31).read_whole(make_version(26), 2)
+    assert reader.wait(DOUBT_MS - 1).number == 31
+    assert reader.wait(1).number == 26
+
+
+def test_instance_that_was_cut_off_through_the_restore_takes_the_newest():
+    assert start_reader(26).read_whole(make_version(34), 3).number == 34
+
+
+@pytest.mark.parametrize("era", [1, 2])
+def test_late_reading_of_an_older_number_is_not_taken(era):
+    reader = start_reader(26, 31).read_whole(make_version(31), 2)
+    assert reader.read_change(make_version(26), era).wait(10 * DOUBT_MS).number == 31
+
+
+@dataclass
+class Operator:
+    """The operator and a store that loses its words: what was written, where the rewriting is."""
+
+    written: list[Catalog] = field(default_factory=lambda: [make_version(1)])
+    stored: int = 0
+    era: int = 1
+
+    def write(self):
+        number = self.written[-1].version + 3
+        # Every other change puts back the content of an earlier one.
+        content = None if len(self.written) % 2 else self.written[-1].limits.body_bytes - 1_000_000
+        self.written.append(make_version(number, content))
+        self.stored = len(self.written) - 1
+
+    def lose(self, steps):
+        self.stored = max(0, self.stored - steps)
+        self.era += 1
+
+    def rewrite(self):
+        self.stored = min(self.stored + 1, len(self.written) - 1)
+
+
+STEPS = st.one_of(
+    st.tuples(st.just("write"), st.none()),
+    st.tuples(st.just("lose"), st.integers(0, 3)),
+    st.tuples(st.just("rewrite"), st.none()),
+    st.tuples(st.just("read"), st.integers(0, 2)),
+    st.tuples(st.just("restart"), st.integers(0, 2)),
+    st.tuples(st.just("wait"), st.integers(1, 2 * SETTLE_MS)),
+)
+
+
+@settings(max_examples=500)
+@given(st.lists(STEPS, max_size=40))
+def test_any_order_of_writes_restores_and_readings_never_goes_back(steps):
+    """Three processes that read and start at any moment: no reading takes one of them back."""
+    operator, readers = Operator(), [start_reader(1) for _ in range(3)]
+    eras = [1] * 3
+    for what, value in steps:
+        if what in ("write", "rewrite"):
+            getattr(operator, what)()
+        elif what == "lose":
+            operator.lose(value)
+        elif what == "restart":
+            readers[value] = Reader().read_whole(operator.written[operator.stored], operator.era)
+            eras[value] = operator.era
+        elif what == "wait":
+            for reader in readers:
+                # The doubt about a copy that no process knew ends in a test of its own.
+                reader.wait(value)
+        else:
+            _read(readers, eras, value, operator)
+    for place in range(3):
+        while operator.stored < len(operator.written) - 1:
+            operator.rewrite()
+        _read(readers, eras, place, operator)
+        assert readers[place].number == operator.written[-1].version
+
+
+def _read(readers, eras, place, operator):
+    reader, catalog = readers[place], operator.written[operator.stored]
+    before = reader.number
+    if eras[place] < operator.era:
+        reader.read_whole(catalog, operator.era)
+        eras[place] = operator.era
+    else:
+        reader.read_change(catalog, operator.era)
+    assert reader.number >= before
--- a/tests/test_gateway_follower.py
+++ b/tests/test_gateway_follower.py
@@ -21,6 +21,7 @@
 )
 from lentilwell.gateway._metrics import Metrics, dump_fleet
 from lentilwell.gateway._shards import ShardView
+from lentilwell.gateway._store_point import StorePoint
 from lentilwell.gateway._store_waits import (
     ALONE_WAIT_MS,
     LONGEST_WAIT_MS,
@@ -110,7 +111,7 @@
     table = Table()
     async with following(table, monkeypatch) as (follower, listener, _):
         table.dead, table.version = True, 9
-        follower.hear(TableNews(changed_version=9))
+        follower.hear(TableNews(StorePoint(0, 9)))
         await asyncio.sleep(0.03)
         assert listener.told == [3, 9]
         assert table.waits[1] == 0
@@ -120,7 +121,7 @@
 async def test_news_that_is_known_already_ends_no_wait(monkeypatch):
     table = Table()
     async with following(table, monkeypatch) as (follower, _, _):
-        follower.hear(TableNews(changed_version=3))
+        follower.hear(TableNews(StorePoint(0, 3)))
         await asyncio.sleep(0.03)
         assert len(table.waits) == 1
 
@@ -139,7 +140,7 @@
             while follower.news.away:
                 await asyncio.sleep(0.01)
         assert listener.told[-2:] == ["regained", 12]
-        assert follower.news.changed_version == 12
+        assert follower.news.changed == StorePoint(0, 12)
 
 
 @in_loop
@@ -219,7 +220,7 @@
     clock = ManualClock(5_000)
     fleet = Fleet(clock, "z1", BudgetRules(0.2, 100, 10_000), "least_cost", ShardView("i", "z1"))
     tables = (
-        TableStatus("configuration", 31, 1_500, 3_000, 9_000, 2),
+        TableStatus("configuration", StorePoint(0, 31), 1_500, 3_000, 9_000, 2),
         TableStatus("upstreams", None, None, 4_000, 0, 0),
     )
     text = Metrics(fleet, lambda: 0, lambda: tables).render().decode()
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -286,3 +286,34 @@
         assert [address for _, address in wire.sent] == [("127.0.0.1", 8)]
 
     asyncio.run(run())
+
+
+def test_own_entry_is_written_again_once_after_a_restore_and_others_get_time_for_theirs(
+    monkeypatch,
+):
+    monkeypatch.setattr("lentilwell.gateway._peers.NEWCOMER_LIST_MS", 30)
+    monkeypatch.setattr("lentilwell.gateway._peers.ANNOUNCE_SPREAD_MS", 1)
+    calls = []
+
+    class Kept(Listed):
+        async def announce(self, instance, member):
+            calls.append(instance)
+
+        async def list_members(self):
+            calls.append("list")
+            return {}
+
+    async def run():
+        peers = make_peers()
+        listing = asyncio.get_running_loop().create_task(peers.keep_listed(Kept()))
+        await asyncio.sleep(0.005)
+        peers.announce_again()
+        await asyncio.sleep(0.025)
+        assert calls == ["own", "list", "own"]
+        async with asyncio.timeout(2):
+            while calls[-1] != "list":
+                await asyncio.sleep(0.005)
+        listing.cancel()
+        assert calls == ["own", "list", "own", "list"]
+
+    asyncio.run(run())
--- a/tests/test_gateway_upstreams.py
+++ b/tests/test_gateway_upstreams.py
@@ -6,11 +6,15 @@
 from hypothesis import strategies as st
 
 from lentilwell.gateway._upstreams import (
+    MOST_DEPARTURES,
     RELIST_MS,
+    RETURN_DOUBT_MS,
     Change,
     Directory,
     Upstream,
+    begin_era,
     drop_missing,
+    list_still_leaving,
     note_regained,
     take_changes,
     take_listing,
@@ -81,6 +85,76 @@
     assert names(directory, 10_002) == ["two"]
 
 
+BORN = replace(ONE, born_ms=7)
+
+
+def restore(directory, found, now, era=2):
+    return take_listing(note_regained(begin_era(directory, era), now), found, now)
+
+
+def test_upstream_missing_from_a_restored_list_has_time_to_list_itself_again():
+    directory = take_listing(begin_era(Directory(), 1), [BORN, TWO], now=0)
+    directory = restore(directory, [TWO], now=10_000)
+    assert names(directory, 10_000 + RELIST_MS - 1) == ["one", "two"]
+    assert names(directory, 10_000 + RELIST_MS) == ["two"]
+    back = take_changes(directory, [Change("one", BORN)], now=11_000)
+    assert names(back, 30_000) == ["one", "two"]
+
+
+def test_upstream_that_was_leaving_stays_so_whatever_the_restored_list_says():
+    directory = take_listing(begin_era(Directory(), 1), [BORN, TWO], now=0)
+    directory = take_changes(directory, [Change("one", replace(BORN, leaving=True))], now=1)
+    directory = restore(directory, [BORN, TWO], now=10_000)
+    assert names(directory, 60_000) == ["two"] and list_still_leaving(directory) == ["one"]
+    again = take_changes(directory, [Change("one", BORN)], now=11_000)
+    assert names(again, 60_000) == ["two"]
+
+
+def test_new_life_of_an_upstream_that_left_is_used():
+    directory = take_listing(begin_era(Directory(), 1), [BORN], now=0)
+    directory = take_changes(directory, [Change("one", replace(BORN, leaving=True)), GONE], now=1)
+    directory = restore(directory, [BORN], now=10_000)
+    directory = take_changes(directory, [Change("one", replace(BORN, born_ms=8))], now=10_500)
+    assert names(directory, 10_500) == ["one"]
+
+
+def test_removed_upstream_is_used_again_once_its_entry_changed_or_has_stood():
+    directory = take_changes(take_listing(begin_era(Directory(), 1), [BORN], 0), [GONE], now=1)
+    directory = restore(directory, [BORN], now=10_000)
+    assert names(directory, 10_000 + RETURN_DOUBT_MS - 1) == []
+    assert names(directory, 10_000 + RETURN_DOUBT_MS) == ["one"]
+    assert names(take_changes(directory, [Change("one", BORN)], 10_100), 10_100) == ["one"]
+    assert names(take_changes(directory, [GONE], 10_000 + RELIST_MS), 60_000) == []
+
+
+def test_second_reading_of_a_restored_list_ends_no_doubt():
+    directory = take_changes(take_listing(begin_era(Directory(), 1), [BORN], 0), [GONE], now=1)
+    directory = take_listing(restore(directory, [BORN], now=10_000), [BORN], now=10_100)
+    assert names(directory, 10_000 + RETURN_DOUBT_MS - 1) == []
+
+
+def test_upstream_that_came_back_before_the_restore_is_not_doubted():
+    directory = take_changes(take_listing(begin_era(Directory(), 1), [BORN], 0), [GONE], now=1)
+    directory = take_changes(directory, [Change("one", BORN)], now=2)
+    assert names(restore(directory, [BORN], now=10_000), 10_000) == ["one"]
+
+
+def test_address_used_by_another_life_belongs_to_the_newer_one():
+    directory = take_changes(take_listing(begin_era(Directory(), 1), [BORN], 0), [GONE], now=1)
+    taker = replace(TWO, address=ONE.address, born_ms=9)
+    directory = take_changes(directory, [Change("two", taker)], now=2)
+    assert names(restore(directory, [BORN], now=10_000), 10_100) == ["two"]
+
+
+def test_departures_that_are_remembered_are_bounded():
+    directory = begin_era(Directory(), 1)
+    for number in range(MOST_DEPARTURES + 50):
+        upstream = replace(ONE, name=f"u{number}", born_ms=1)
+        gone = Change(upstream.name, None, removed=True)
+        directory = take_changes(directory, [Change(upstream.name, upstream), gone], now=number)
+    assert len(directory.departed) == MOST_DEPARTURES and not directory.listed
+
+
 NAMES = st.sampled_from(["a", "b", "c"])
 STEPS = st.one_of(
     st.tuples(st.just("list"), st.frozensets(NAMES)),
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -106,7 +106,7 @@
 
 async def connect(instance):
     with contextlib.suppress(ConnectionRefusedError):
-        _, writer = await asyncio.open_connection("127.0.0.1", instance.front)
+        _, writer = await asyncio.open_connection(instance.ip, instance.front)
         return writer
 
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -9,7 +9,15 @@
 from wire_store import StoreClient, TableFeed
 
 from lentilwell._clock import BootClock
-from lentilwell.gateway import Entry, HistoryGone, StoreAway, UnreadableRow
+from lentilwell.gateway import (
+    Entry,
+    Eras,
+    HistoryGone,
+    StoreAway,
+    StoreRestored,
+    UnreadableRow,
+)
+from lentilwell.gateway._store_point import StorePoint
 from standins.rows import Row, RowStore
 from tests.gateway_scripts import in_loop
 
@@ -57,10 +65,13 @@
             return
         if behaviour == "late":
             await asyncio.sleep(2 * TIMEOUT_MS / 1_000)
-        body = b"nonsense" if behaviour == "garbage" else json.dumps(ROWS).encode()
-        status = behaviour if behaviour.isdigit() else "200"
-        writer.write(b"HTTP/1.1 %s X\r\nContent-Length: %d\r\n\r\n" % (status.encode(), len(body)))
-        writer.write(body)
+        kind, _, era = behaviour.partition(" era ")
+        rows = {**ROWS, "has_more": kind == "more"}
+        body = b"nonsense" if kind == "garbage" else json.dumps(rows).encode()
+        told = b"Store-Era: %s\r\n" % era.encode() if era else b""
+        status = kind if kind.isdigit() else "200"
+        head = b"HTTP/1.1 %s X\r\n%sContent-Length: %d\r\n\r\n"
+        writer.write(head % (status.encode(), told, len(body)) + body)
 
 
 @pytest.fixture(autouse=True)
@@ -118,6 +129,39 @@
             await follow(store).read_changes(3, WAIT_MS)
 
 
+@in_loop
+async def test_pages_of_two_eras_are_no_reading():
+    async with Store("more era 1", "200 era 2", "200 era 2") as store:
+        feed = follow(store)
+        with pytest.raises(StoreRestored):
+            await feed.read_all()
+        assert (await feed.read_all()).at == StorePoint(2, 7)
+
+
+@in_loop
+async def test_era_is_learned_by_all_clients_from_any_answer():
+    async with Store("200 era 1", "503 era 2", "200 era 1", "200 era 2") as store:
+        eras, risen = Eras(), []
+        eras.on_rise = risen.append
+        first, second = (StoreClient(lambda: store.address, BootClock(), eras) for _ in range(2))
+        feed = TableFeed(first, "t", decode)
+        assert (await feed.read_changes(3, WAIT_MS)).at == StorePoint(1, 7)
+        with pytest.raises(StoreAway):
+            await second.put_row("t", "a", b"x")
+        assert risen == [2]
+        with pytest.raises(StoreRestored):
+            await feed.read_changes(3, WAIT_MS)
+        assert (await feed.read_changes(3, WAIT_MS)).era == 2
+
+
+@pytest.mark.parametrize("era", ["-1", "x", "9" * 5_000, "1.5"])
+@in_loop
+async def test_era_that_is_no_number_leaves_the_one_known(era):
+    async with Store("200 era 3", f"200 era {era}", "200") as store:
+        feed = follow(store)
+        assert [(await feed.read_changes(3, WAIT_MS)).era for _ in range(3)] == [3, 3, 3]
+
+
 @pytest.mark.parametrize("behaviour", ["silent", "reset", "412", "503"])
 @in_loop
 async def test_write_that_is_not_certain_is_a_failure(behaviour):
