--- a/src/lentilwell/gateway/_follower.py
+++ b/src/lentilwell/gateway/_follower.py
@@ -52,8 +52,8 @@
     """How following a table goes; times in ms of the clock.
 
     ``at`` is where the store stood as known, None before a whole reading. ``answered_at`` is when
-    the store last answered, ``asked_at`` when the call under way began, and ``wait_ms`` for how long
-    it asked the store to wait for a change. ``failures`` counts the tries since that answer.
+    the store last answered, ``asked_at`` when the call under way began, and ``wait_ms`` for how
+    long it asked the store to wait for a change. ``failures`` counts the tries since that answer.
     """
 
     name: str
