Soak: the store comes back from an older copy, operator and servers write again what was lost

A fault of the soak: the store is copied, goes on for the length of the fault, turns all away for 300 ms and comes back from the copy; the lost rows of operator and servers are written again in any order with pauses of up to 400 ms, unless newer ones were written. Versions lost are due anew from when they are written again; none that a process has served by may be given up, at any time.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -13,11 +13,13 @@
 DESK_FAULTS = ("shed", "closed", "twice", "torn", "mute", "failing", "leave", "gone")
 LINK_FAULTS = ("delay", "silence", "one way", "reset")
 STORE_FAULTS = ("store away", "store silent", "store link", "answers lost", "history lost")
+RESTORE_FAULTS = ("restore",)
 WEIGHTS = {
     **dict.fromkeys(INSTANCE_FAULTS, 2),
     **dict.fromkeys(DESK_FAULTS, 2),
     **dict.fromkeys(LINK_FAULTS, 2),
     **dict.fromkeys(STORE_FAULTS, 1),
+    **dict.fromkeys(RESTORE_FAULTS, 2),
     "configuration": 3,
 }
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import random
 import signal
 from collections.abc import Awaitable, Callable
 from contextlib import AbstractContextManager
@@ -30,6 +31,9 @@
 # After a trouble: until silence is noticed, connections are back and a process has started.
 AFTERMATH_MS = 3_000
 DELAY_MS = 120
+RESTORE_AWAY_MS = 300
+# Between two rows that are written again after a restore of the store, at most.
+REWRITE_PAUSE_MS = 400
 
 
 class World:
@@ -46,6 +50,8 @@
         self.links: dict[str, Proxy] = {}
         self.store_links: list[Proxy] = []
         self.logs: dict[str, list[bytes]] = {}
+        # Two restores do not overlap: the second would bring back what the first has lost.
+        self.restoring = asyncio.Lock()
         self._folder = folder
         self._count = instances
         self._fleet: dict[str, BatchServer] = {}
@@ -156,6 +162,12 @@
         await self.store.put("op", "config", make_configuration(self._version))
         self.seen.versions[self._version] = self.clock.now()
 
+    def note_written_again(self, copied_at: int) -> None:
+        """The versions written since a copy was taken are acknowledged only now."""
+        now = self.clock.now()
+        for version, at in self.seen.versions.items():
+            self.seen.versions[version] = now if at >= copied_at else at
+
     async def _read_log(self, instance: Instance) -> None:
         assert instance.process is not None and instance.process.stdout is not None
         kept = self.logs.setdefault(instance.name, [])
@@ -325,6 +337,30 @@
     world.store.forget_history()
 
 
+@fault_kind("restore")
+async def restore_store(world: World, fault: Fault) -> None:
+    """Bring the store back from a copy that is as old as the fault is long.
+
+    What the operator and the servers wrote since is written again, in any order and pace.
+    """
+    async with world.restoring:
+        backup, copied_at = world.store.back_up(), world.clock.now()
+        await _sleep(fault)
+        with world.disturb(None):
+            world.store.status = 503
+            await asyncio.sleep(RESTORE_AWAY_MS / 1_000)
+            lost = world.store.list_lost(backup)
+            await world.store.restore(backup)
+            world.store.status = None
+        chance = random.Random(fault.point)
+        chance.shuffle(lost)
+        for row in lost:
+            await asyncio.sleep(chance.random() * REWRITE_PAUSE_MS / 1_000)
+            await world.store.write_again(row, backup)
+            if row.table == "op":
+                world.note_written_again(copied_at)
+
+
 @fault_kind("configuration")
 async def change_configuration(world: World, fault: Fault) -> None:
     """Write a new version of the configuration."""
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -7,7 +7,7 @@
 import contextlib
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 from urllib.parse import parse_qsl, urlsplit
 
@@ -16,6 +16,8 @@
 from standins.loopback import listen
 
 PAGE_ROWS = 500
+# The tables of others, who write again what a restore has lost.
+WRITTEN_AGAIN = ("op", "servers")
 
 
 @dataclass
@@ -78,6 +80,20 @@
             self.era += 1
             self.changed.notify_all()
 
+    def list_lost(self, backup: Backup) -> list[Row]:
+        """Return the operator's and the servers' rows that a restore from a copy would lose."""
+        return [
+            row
+            for key, row in self.rows.items()
+            if row.table in WRITTEN_AGAIN and backup.rows.get(key) != row
+        ]
+
+    async def write_again(self, row: Row, backup: Backup) -> None:
+        """Write a lost row again, unless its writer has written another one since the restore."""
+        known = self.rows.get((row.table, row.key))
+        if known is None or known.version <= backup.version:
+            await self._change(replace(row, version=self.version + 1))
+
     async def _change(self, row: Row) -> None:
         async with self.changed:
             self.version += 1
