--- a/src/lentilwell/gateway/_peers.py
+++ b/src/lentilwell/gateway/_peers.py
@@ -51,7 +51,7 @@
 SILENT_MS = 2_500
 ANNOUNCE_RETRY_MS = 500
 # After a restore of the store each instance adds this much to the time in which all write again.
-ANNOUNCE_SPREAD_MS = 4
+ANNOUNCE_SPREAD_MS = 5
 LIST_AGAIN_MS = 15_000
 # An instance that nobody listed yet was heard: at a start of many, most come within this time.
 NEWCOMER_LIST_MS = 2_000
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -22,6 +22,7 @@
     decode_digest,
     encode_digest,
 )
+from tests.simulated_time import LoopClock, run_warped
 
 JOBS = st.builds(
     Job,
@@ -317,3 +318,31 @@
         assert calls == ["own", "list", "own", "list"]
 
     asyncio.run(run())
+
+
+def test_entries_that_are_written_again_are_spread_over_time(monkeypatch):
+    written = []
+
+    class Kept(Listed):
+        async def announce(self, instance, member):
+            written.append(LoopClock().now())
+
+        async def list_members(self):
+            return {f"other-{number}": Member("127.0.0.1:2", "a") for number in range(299)}
+
+    async def run():
+        instances = [make_peers() for _ in range(300)]
+        loop = asyncio.get_running_loop()
+        tasks = [loop.create_task(peers.keep_listed(Kept())) for peers in instances]
+        await asyncio.sleep(1)
+        written.clear()
+        for peers in instances:
+            peers.announce_again()
+        await asyncio.sleep(2)
+        for task in tasks:
+            task.cancel()
+
+    run_warped(run())
+    # The smallest stores take 400 writes a second of all instances together.
+    busiest = max(sum(at <= other < at + 100 for other in written) for at in written)
+    assert len(written) == 300 and busiest <= 40
