--- a/tests/test_engine_memory.py
+++ b/tests/test_engine_memory.py
@@ -13,6 +13,8 @@
 PLAN = DeploymentPlan(instances=3, engines=9, services=1, balancer_lag_ms=100, speed=10.0)
 LONG = 300_000
 SPAN = 1_000_000
+# Tokens of answers that last some 10 s, so that all stand on the engines together.
+LASTING = 2_400
 WAIT_S = 60
 
 
@@ -70,8 +72,8 @@
 
 
 def test_killed_engines_cost_no_caller_a_token(deployment):
-    readers = [Reader(deployment, entry, LONG, 800) for entry in deployment.entries]
-    readers.append(Reader(deployment, deployment.entries[0], SPAN, 800))
+    readers = [Reader(deployment, entry, LONG, LASTING) for entry in deployment.entries]
+    readers.append(Reader(deployment, deployment.entries[0], SPAN, LASTING))
     wait_until(lambda: sum(count_streams(deployment).values()) >= 6)
     used = [name for name, streams in count_streams(deployment).items() if streams]
     for engine in deployment.engines:
