A content that is waited for may be read again; lines about what is kept tell of restores only

From a read of the change. A whole reading that showed the awaited content again took it for one known from before, so that the operator's word was lost until the next; a new life in a second reading of a restored list inherited the old one's doubt; 'configuration kept' was written for each whole reading within an era. The three tests failed before.

--- a/src/lentilwell/gateway/_catalog.py
+++ b/src/lentilwell/gateway/_catalog.py
@@ -116,6 +116,10 @@
         services = tuple(sorted(self.services.items(), key=lambda item: item[0]))
         return hash((self.routes, services, self.teams, self.limits))
 
+    def is_same(self, other: Catalog) -> bool:
+        """Tell whether both have one version and one content."""
+        return self.version == other.version and self.content == other.content
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of this host with the longest prefix that begins ``path``."""
         prefixes = self._by_host.get(host.lower(), {})
--- a/src/lentilwell/gateway/_configuration_choice.py
+++ b/src/lentilwell/gateway/_configuration_choice.py
@@ -45,7 +45,10 @@
 
 @dataclass(frozen=True)
 class Judgement:
-    """A verdict with its reason; ``wait_ms`` is how long what was read has to stand first."""
+    """A verdict with its reason; ``wait_ms`` is how long what was read has to stand first.
+
+    Within one era nothing is kept that is worth a reason.
+    """
 
     verdict: Verdict
     reason: str = ""
@@ -66,11 +69,11 @@
         if known is None or catalog.version > known.version:
             return Judgement(Verdict.TAKE)
         if found.at.era <= self._era:
-            return Judgement(Verdict.KEEP, "not newer than the one in force")
-        if catalog.version == known.version and catalog.content == known.content:
+            return Judgement(Verdict.KEEP)
+        if catalog.is_same(known):
             return Judgement(Verdict.CONFIRM)
         if (catalog.version, catalog.content) in self._seen:
-            return Judgement(Verdict.KEEP, "was in force before")
+            return Judgement(Verdict.KEEP, "was read before the restore")
         if found.restored:
             return Judgement(Verdict.WAIT, "may be the copy's own", DOUBT_MS)
         return Judgement(Verdict.WAIT, "may be a step of a rewriting", SETTLE_MS)
--- a/src/lentilwell/gateway/_table_listeners.py
+++ b/src/lentilwell/gateway/_table_listeners.py
@@ -68,8 +68,11 @@
                 self._take_found(Found(entry.value, listing.at, restored))
 
     def _take_found(self, found: Found) -> None:
-        self._drop_waiting(found)
         judgement = self._choice.judge(found)
+        if self._waiting is not None and self._waiting.catalog.is_same(found.catalog):
+            self._due_at = min(self._due_at, self._clock.now() + judgement.wait_ms)
+            return
+        self._drop_waiting()
         if judgement.verdict is Verdict.TAKE:
             self._put_into_force(found)
         elif judgement.verdict is Verdict.CONFIRM:
@@ -80,7 +83,7 @@
         else:
             self._keep(found, judgement)
 
-    def _drop_waiting(self, newer: Found) -> None:
+    def _drop_waiting(self) -> None:
         if self._waiting is not None:
             self._choice.note_seen(self._waiting.catalog)
             self._waiting = None
@@ -92,7 +95,8 @@
 
     def _keep(self, found: Found, judgement: Judgement) -> None:
         self._choice.note_seen(found.catalog)
-        self._log_kept(found, judgement, None)
+        if judgement.reason:
+            self._log_kept(found, judgement, None)
 
     def _log_kept(self, found: Found, judgement: Judgement, until_ms: int | None) -> None:
         known = self._choice.in_force
--- a/src/lentilwell/gateway/_upstreams.py
+++ b/src/lentilwell/gateway/_upstreams.py
@@ -118,7 +118,7 @@
     doubted = {
         name: directory.doubted.get(name, now + RETURN_DOUBT_MS)
         for name, upstream in listed.items()
-        if name in directory.doubted or _is_doubtful(directory, upstream)
+        if _is_doubtful(directory, upstream)
     }
     here = [Change(name, upstream) for name, upstream in listed.items()]
     changed = take_changes(directory, [*here, *gone], now)
@@ -181,9 +181,12 @@
 
 
 def _is_doubtful(directory: Directory, upstream: Upstream) -> bool:
-    return _find_departure(directory, upstream) is not None and not _was_leaving(
-        directory, upstream
-    )
+    """Tell whether a whole list names a life that had been removed, and nothing of it since."""
+    known = directory.listed.get(upstream.name)
+    if upstream.name in directory.doubted:
+        return known is not None and known.life == upstream.life
+    departed = _find_departure(directory, upstream) is not None
+    return departed and not _was_leaving(directory, upstream)
 
 
 def _find_departure(directory: Directory, upstream: Upstream) -> Departure | None:
--- a/tests/test_gateway_configuration.py
+++ b/tests/test_gateway_configuration.py
@@ -82,6 +82,23 @@
     assert reader.read_change(make_version(30), 2).number == 30
 
 
+def test_reading_the_same_again_ends_no_wait_for_it_and_a_writing_shortens_the_doubt():
+    again = make_version(28, content=99)
+    reader = start_reader(26, 31).read_whole(again, 2).wait(100)
+    reader.read_change(again, 2).wait(SETTLE_MS - 1)
+    assert reader.read_change(again, 2).number == 31
+    assert reader.wait(1).choice.in_force is again
+
+
+def test_only_what_a_restore_brings_back_is_logged_as_kept(monkeypatch):
+    written = []
+    monkeypatch.setattr("lentilwell.gateway._table_listeners.write_line", written.append)
+    reader = start_reader(26, 31).read_whole(make_version(31), 1)
+    assert {line.event for line in written} == {"configuration in force"}
+    reader.read_whole(make_version(26), 2)
+    assert (written[-1].event, written[-1].found) == ("configuration kept", 26)
+
+
 def test_step_of_a_rewriting_that_was_never_read_is_passed_over():
     reader = start_reader(26, 31).read_whole(make_version(26), 2)
     reader.read_change(make_version(28), 2).wait(SETTLE_MS - 1)
--- a/tests/test_gateway_upstreams.py
+++ b/tests/test_gateway_upstreams.py
@@ -133,6 +133,13 @@
     assert names(directory, 10_000 + RETURN_DOUBT_MS - 1) == []
 
 
+def test_new_life_in_a_second_reading_is_not_doubted():
+    directory = take_changes(take_listing(begin_era(Directory(), 1), [BORN], 0), [GONE], now=1)
+    directory = restore(directory, [BORN], now=10_000)
+    directory = take_listing(directory, [replace(BORN, born_ms=8)], now=10_100)
+    assert names(directory, 10_100) == ["one"]
+
+
 def test_upstream_that_came_back_before_the_restore_is_not_doubted():
     directory = take_changes(take_listing(begin_era(Directory(), 1), [BORN], 0), [GONE], now=1)
     directory = take_changes(directory, [Change("one", BORN)], now=2)
