--- a/tests/test_gateway_upstreams.py
+++ b/tests/test_gateway_upstreams.py
@@ -5,6 +5,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from lentilwell._clock import ManualClock
+from lentilwell.gateway import BudgetRules, Entry, Listing
+from lentilwell.gateway._fleet import Fleet
+from lentilwell.gateway._shards import ShardView
+from lentilwell.gateway._table_listeners import UpstreamListener
 from lentilwell.gateway._upstreams import (
     MOST_DEPARTURES,
     RELIST_MS,
@@ -101,6 +106,20 @@
     assert names(back, 30_000) == ["one", "two"]
 
 
+def test_restored_list_that_no_outage_announced_spares_what_it_lacks():
+    clock = ManualClock(5_000)
+    shards = ShardView("i", "dc")
+    fleet = Fleet(clock, "dc", BudgetRules(0.2, 100, 10_000), "least_cost", shards)
+    listener = UpstreamListener(fleet)
+    both = tuple(Entry(upstream.name, upstream) for upstream in (BORN, TWO))
+    listener.take_all(Listing(both, 9, era=1))
+    listener.take_all(Listing(both[1:], 4, era=2))
+    assert names(fleet.directory, clock.now()) == ["one", "two"]
+    clock.advance(RELIST_MS)
+    fleet.forget_gone()
+    assert names(fleet.directory, clock.now()) == ["two"]
+
+
 def test_upstream_that_was_leaving_stays_so_whatever_the_restored_list_says():
     directory = take_listing(begin_era(Directory(), 1), [BORN, TWO], now=0)
     directory = take_changes(directory, [Change("one", replace(BORN, leaving=True))], now=1)
