--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -27,7 +27,7 @@
 
     async def start(self, engines=3, services=2, instances=2):
         self.rows = RowServer(self.store)
-        address = await self.rows.start()
+        self.address = address = await self.rows.start()
         await self.store.put("op", "config", configuration())
         for number in range(engines):
             self.engines.append(BatchServer(f"e{number}", self.fleet, speed=8.0))
@@ -244,3 +244,27 @@
         await instance.start()
         await instance.wait_ready()
         assert (await instance.call("/w/x", "again")).status == 200
+
+
+@in_loop
+async def test_ports_of_an_instance_that_is_down_cannot_be_taken_by_another(tmp_path):
+    """Seen once: readiness was answered by another test's instance at the same port."""
+    async with run_site(tmp_path, instances=1) as site:
+        [instance] = site.instances
+        other = Instance(tmp_path, "other", site.address)
+        settings = json.loads(other.path.read_text())
+        settings["listen"] = {
+            "front": f"{other.ip}:{instance.front}",
+            "ready": f"{other.ip}:{instance.ready}",
+        }
+        other.path.write_text(json.dumps(settings))
+        other.front, other.ready = instance.front, instance.ready
+        instance.process.kill()
+        await instance.process.wait()
+        site.instances.append(other)
+        await other.start()
+        await other.wait_ready()
+        assert await instance.ask_ready() is None
+        await instance.start()
+        await instance.wait_ready()
+        assert (await instance.call("/w/x", "own")).status == 200
