--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -20,6 +20,7 @@
 from typing import TypeVar
 
 from lentilwell import Identity, State, reduce
+from lentilwell._clock import MS_PER_SECOND, SystemClock
 from lentilwell.adapters import DIALECTS
 from lentilwell.configuration import ConfigurationEditor, Document, PlatformSettings, parse_document
 from lentilwell.configuration._documents import Section
@@ -36,6 +37,7 @@
 CHANGES = 50
 CHANGE_PAUSE_S = 0.3
 SETTLE_S = 60
+CLOCK = SystemClock()
 PLATFORM_RETRY_S = 0.5
 FLAP_PERIOD_S = 2.0
 SLOW_MS = 400
@@ -113,7 +115,7 @@
             assert loaded.configuration is not None
             document = change_weight(loaded.configuration.document, 2 + len(accepted))
             version = editor.put(document, loaded.version, f"bench-{len(accepted)}-{failures}")
-            accepted[version] = time.time()
+            accepted[version] = CLOCK.wall() / MS_PER_SECOND
         except Exception as error:
             failures += 1
             sys.stderr.write(f"put failed: {type(error).__name__}\n")
