--- a/src/lentilwell/cli/_story.py
+++ b/src/lentilwell/cli/_story.py
@@ -103,11 +103,13 @@
 
 _EVER_CONCERN = (
     lines.ConfigurationInForce,
+    lines.ConfigurationKept,
     lines.DependencyLost,
     lines.DependencyRegained,
     lines.PeerSilent,
     lines.Started,
     lines.StopBegun,
+    lines.StoreRestoreSeen,
     lines.TaskFailed,
 )
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -100,6 +100,23 @@
     assert "upstream=u9" not in told and "upstream=u3" not in told and " b " not in told
 
 
+def test_restore_of_the_store_is_told_with_what_was_kept(logs, capsys):
+    restored = {"event": "store restore seen", "era": 2, "previous": 1, "call": "/rows-feed"}
+    kept = {
+        "event": "configuration kept",
+        "version": 31,
+        "found": 26,
+        "era": 2,
+        "reason": "was read before the restore",
+        "until_ms": None,
+    }
+    with logs[0].open("a") as log:
+        log.write(write(11.2, restored) + write(11.3, kept))
+    main(["explain", "r1", *map(str, logs)])
+    told = capsys.readouterr().out
+    assert "era=2 previous=1" in told and "found=26" in told
+
+
 def test_lines_after_a_collectors_prefix_are_read(logs, capsys):
     assert main(["explain", "r2", *map(str, logs)]) == 0
     assert "placed at u1" in capsys.readouterr().out
