--- a/tests/test_gateway_restores.py
+++ b/tests/test_gateway_restores.py
@@ -160,6 +160,33 @@
     assert calls / count <= 9
 
 
+def test_instance_that_was_cut_off_through_the_restore_meets_it_with_its_first_answer():
+    async def run():
+        store = RowStore()
+        await store.put("op", "config", 1)
+        instances, tasks = await start(store, 4)
+        await asyncio.sleep(10)
+        one, *others = instances
+        one.feed.cut = True
+        backup = store.back_up()
+        await store.put("op", "config", 2)
+        await asyncio.sleep(1)
+        await drill(store, backup)
+        await store.put("op", "config", 3)
+        await asyncio.sleep(3)
+        assert all(other.taken.told[-1][0] == 3 for other in others)
+        assert [number for number, _, _ in one.taken.told] == [1]
+        healed_at = LoopClock().now()
+        one.feed.cut = False
+        await asyncio.sleep(5)
+        for task in tasks:
+            task.cancel()
+        assert one.taken.told[-1][0] == 3 and one.follower.status.at.era == 2
+        assert one.taken.told[-1][1] <= healed_at + APPLY_MS
+
+    run_warped(run())
+
+
 def test_versions_that_were_given_out_again_before_the_next_reading_are_read_whole():
     async def run():
         store = RowStore()
