--- a/tests/test_gateway_restores.py
+++ b/tests/test_gateway_restores.py
@@ -43,16 +43,20 @@
 
     async def answer(self, call):
         self.calls += 1
-        if self.cut or self.store.silent:
-            await asyncio.sleep(CALL_TIMEOUT_MS / 1_000)
-            raise StoreAway("no answer")
+        await self.fail_if_away()
         rows = await call()
+        await self.fail_if_away()
         era, version = self.store.era, self.store.version
         await asyncio.sleep(ANSWER_MS / 1_000)
         self.eras.note(era, "feed")
         entries = tuple(Entry(row.key, json.loads(row.value)) for row in rows)
         return Listing(entries, version, era)
 
+    async def fail_if_away(self):
+        if self.cut or self.store.silent:
+            await asyncio.sleep(CALL_TIMEOUT_MS / 1_000)
+            raise StoreAway("no answer")
+
     async def list_all(self):
         return self.store.list_rows("op", "", 500)[0]
 
