--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 search`` asks for other and more examples, see ``searching``.
 """
 
+import gc
 from pathlib import Path
 
 import pytest
@@ -22,6 +23,13 @@
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 
+@pytest.fixture(autouse=True, scope="module")
+def no_collection_of_what_earlier_modules_left():
+    """Full collections of the whole run's heap took 150 to 1,000 ms; many waits are shorter."""
+    gc.collect()
+    gc.freeze()
+
+
 def list_known_red():
     """Return the ids of the tests in ``KNOWN-RED.txt``: the lines that are not indented."""
     if not KNOWN_RED.exists():
