--- a/src/lentilwell/cli/_explain.py
+++ b/src/lentilwell/cli/_explain.py
@@ -15,14 +15,19 @@
 DEFAULT_ROWS = 20
 
 
-def add_logs(parser: argparse.ArgumentParser) -> None:
-    """Arrange the request's id and the files of logs."""
-    parser.add_argument("request", help="the id that the caller sent with the request")
+def add_files(parser: argparse.ArgumentParser) -> None:
+    """Arrange the files of logs."""
     parser.add_argument(
         "files", nargs="*", type=Path, help="logs of instances; standard input without any"
     )
 
 
+def add_logs(parser: argparse.ArgumentParser) -> None:
+    """Arrange the request's id and the files of logs."""
+    parser.add_argument("request", help="the id that the caller sent with the request")
+    add_files(parser)
+
+
 @command(
     "explain",
     "tell what happened to a request, from the logs of all instances",
@@ -46,9 +51,7 @@
     """Arrange what to add up by, how much to print, and the files of logs."""
     parser.add_argument("--by", choices=sorted(KEYS), default="cause", help="what to add up by")
     parser.add_argument("--most", type=int, default=DEFAULT_ROWS, help="rows to print")
-    parser.add_argument(
-        "files", nargs="*", type=Path, help="logs of instances; standard input without any"
-    )
+    add_files(parser)
 
 
 @command(
--- a/src/lentilwell/gateway/_upstreams.py
+++ b/src/lentilwell/gateway/_upstreams.py
@@ -12,7 +12,6 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
-from typing import TypeVar
 
 # Upstreams that live list themselves again within about this time of the store's return.
 RELIST_MS = 2_000
@@ -21,8 +20,6 @@
 # Beyond them the departures that were seen first are forgotten.
 MOST_DEPARTURES = 4_096
 
-_T = TypeVar("_T")
-
 
 @dataclass(frozen=True)
 class Life:
@@ -197,8 +194,3 @@
 
 def _may_return(directory: Directory, now: int) -> bool:
     return directory.regained_at is not None and now < directory.regained_at + RELIST_MS
-
-
-def _without(entries: Mapping[str, _T], names: Iterable[str]) -> dict[str, _T]:
-    dropped = set(names)
-    return {name: entry for name, entry in entries.items() if name not in dropped}
