--- a/src/lentilwell/_log_lines/_upstreams.py
+++ b/src/lentilwell/_log_lines/_upstreams.py
@@ -83,6 +83,31 @@
     text: str
 
 
+@line("upstream limit")
+@dataclass(frozen=True)
+class UpstreamLimitChanged(Line):
+    """The rate limit of an upstream was named, changed or ended, as ``change`` says.
+
+    ``rate`` is in requests per second from all instances together, None after the end of the limit.
+    ``source`` is ``answer``, or the peer that reported it.
+    """
+
+    upstream: str
+    born_ms: int
+    change: str
+    rate: float | None
+    source: str
+
+
+@line("upstream limit ignored")
+@dataclass(frozen=True)
+class UpstreamLimitIgnored(Line):
+    """The rate limit that an upstream names is not a number of requests per second."""
+
+    upstream: str
+    text: str
+
+
 @line("upstream ejected")
 @dataclass(frozen=True)
 class UpstreamEjected(Line):
--- a/src/lentilwell/_wire/ttypes.py
+++ b/src/lentilwell/_wire/ttypes.py
@@ -1875,12 +1875,126 @@
         return not (self == other)
 
 
+class UpstreamLimit(object):
+    """
+    The requests a second that an upstream accepts from all gateways together, as an answer told
+    ``age_ms`` before the sending; no ``rate`` where the limit has ended.
+
+    Attributes:
+     - upstream
+     - born_ms
+     - age_ms
+     - rate
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'born_ms',
+        'age_ms',
+        'rate',
+    )
+
+
+    def __init__(self, upstream=None, born_ms=None, age_ms=None, rate=None,):
+        self.upstream = upstream
+        self.born_ms = born_ms
+        self.age_ms = age_ms
+        self.rate = rate
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.rate = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UpstreamLimit')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 2)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 3)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.rate is not None:
+            oprot.writeFieldBegin('rate', TType.DOUBLE, 4)
+            oprot.writeDouble(self.rate)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.upstream is None:
+            raise TProtocolException(message='Required field upstream is unset!')
+        if self.born_ms is None:
+            raise TProtocolException(message='Required field born_ms is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class WorkDigest(object):
     """
     All the work that a gateway has in hand; ``life`` differs on each start of an instance.
     ``configuration`` and ``listing`` are the store's versions at the last change of each that it took,
     each of an era of the store; ``store_away`` tells that the store does not answer it.
-    ``leaving`` are upstreams that said so in their answers, ``refusals`` those that turn work away.
+    ``leaving`` are upstreams that said so in their answers, ``refusals`` those that turn work away,
+    ``limits`` the rates that upstreams name.
 
     Attributes:
      - instance
@@ -1896,6 +2010,7 @@
      - refusals
      - configuration_era
      - listing_era
+     - limits
 
     """
 
@@ -1913,10 +2028,11 @@
         'refusals',
         'configuration_era',
         'listing_era',
+        'limits',
     )
 
 
-    def __init__(self, instance=None, life=None, address=None, sequence=None, items=None, stopping=False, configuration=0, listing=0, store_away=False, leaving=None, refusals=None, configuration_era=0, listing_era=0,):
+    def __init__(self, instance=None, life=None, address=None, sequence=None, items=None, stopping=False, configuration=0, listing=0, store_away=False, leaving=None, refusals=None, configuration_era=0, listing_era=0, limits=None,):
         self.instance = instance
         self.life = life
         self.address = address
@@ -1930,6 +2046,7 @@
         self.refusals = refusals
         self.configuration_era = configuration_era
         self.listing_era = listing_era
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2023,6 +2140,17 @@
                     self.listing_era = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype35, _size32) = iprot.readListBegin()
+                    for _i36 in range(_size32):
+                        _elem37 = UpstreamLimit()
+                        _elem37.read(iprot)
+                        self.limits.append(_elem37)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2052,8 +2180,8 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter32 in self.items:
-                iter32.write(oprot)
+            for iter38 in self.items:
+                iter38.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stopping is not None:
@@ -2075,15 +2203,15 @@
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving))
-            for iter33 in self.leaving:
-                iter33.write(oprot)
+            for iter39 in self.leaving:
+                iter39.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refusals is not None:
             oprot.writeFieldBegin('refusals', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.refusals))
-            for iter34 in self.refusals:
-                iter34.write(oprot)
+            for iter40 in self.refusals:
+                iter40.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.configuration_era is not None:
@@ -2094,6 +2222,13 @@
             oprot.writeFieldBegin('listing_era', TType.I64, 13)
             oprot.writeI64(self.listing_era)
             oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter41 in self.limits:
+                iter41.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2256,6 +2391,14 @@
     (2, TType.DOUBLE, 'refused', None, None, ),  # 2
     (3, TType.DOUBLE, 'answered', None, None, ),  # 3
 )
+all_structs.append(UpstreamLimit)
+UpstreamLimit.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born_ms', None, None, ),  # 2
+    (3, TType.I64, 'age_ms', None, None, ),  # 3
+    (4, TType.DOUBLE, 'rate', None, None, ),  # 4
+)
 all_structs.append(WorkDigest)
 WorkDigest.thrift_spec = (
     None,  # 0
@@ -2272,6 +2415,7 @@
     (11, TType.LIST, 'refusals', (TType.STRUCT, [RefusalTally, None], False), None, ),  # 11
     (12, TType.I64, 'configuration_era', None, 0, ),  # 12
     (13, TType.I64, 'listing_era', None, 0, ),  # 13
+    (14, TType.LIST, 'limits', (TType.STRUCT, [UpstreamLimit, None], False), None, ),  # 14
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/lentilwell/gateway/__init__.py
+++ b/src/lentilwell/gateway/__init__.py
@@ -35,6 +35,7 @@
     RequestFacts,
     drop_headers,
     find_header,
+    find_headers,
 )
 from lentilwell.gateway._peers import Member, Membership
 from lentilwell.gateway._ports import Dialect, Entry, Feed, Feeds, Listing
@@ -80,6 +81,7 @@
     "Upstream",
     "drop_headers",
     "find_header",
+    "find_headers",
     "open_http_connection",
 ]
 
--- a/src/lentilwell/gateway/_accounting.py
+++ b/src/lentilwell/gateway/_accounting.py
@@ -13,13 +13,16 @@
 
 
 class Accounting:
-    """Updates the fleet for one request, one choice of upstreams at a time."""
+    """Updates the fleet for one request, one choice of upstreams at a time.
+
+    ``sent_at`` is when the request was last sent to an upstream, in ms.
+    """
 
     def __init__(self, fleet: Fleet, routed: RoutedRequest) -> None:
         self._fleet = fleet
         self._clock = fleet.clock
         self._routed = routed
-        self._sent_at = 0
+        self.sent_at = 0
         self._awaits_event = False
 
     def add_jobs(self, choice: Choice) -> None:
@@ -42,7 +45,7 @@
 
     def record_sent(self) -> None:
         """Record that the request is sent to an upstream now."""
-        self._sent_at = self._clock.now()
+        self.sent_at = self._clock.now()
         self._awaits_event = True
 
     def record_event(self, choice: Choice) -> None:
@@ -57,7 +60,7 @@
             return  # with helpers, it is unknown which upstream was slow
         now = self._clock.now()
         expected_ms = choice.first_event_ms / choice.latency_factor
-        actual_ms = float(now - self._sent_at)
+        actual_ms = float(now - self.sent_at)
         self._fleet.latency_factors.record_sample(choice.upstream.name, expected_ms, actual_ms, now)
 
     def record_success(self, choice: Choice) -> None:
--- a/src/lentilwell/gateway/_answer_observer.py
+++ b/src/lentilwell/gateway/_answer_observer.py
@@ -6,14 +6,20 @@
     RetryAfterIgnored,
     UpstreamBackoffStarted,
     UpstreamLeaving,
+    UpstreamLimitChanged,
+    UpstreamLimitIgnored,
     write_line,
 )
 from lentilwell.gateway._availability import read_retry_after
 from lentilwell.gateway._fleet import Fleet
 from lentilwell.gateway._messages import AnswerHead
+from lentilwell.gateway._rate_limits import LimitChange, LimitReport, read_rate
 from lentilwell.gateway._upstreams import Upstream
 from lentilwell.gateway._work_digest import UpstreamReports
 
+# The source of a change that this instance learned from an answer itself.
+OWN_ANSWER = "answer"
+MAX_LOGGED_TEXT = 80
 # Statuses of a refusal, which may carry a Retry-After header.
 REFUSAL_STATUSES = frozenset((429, 503))
 
@@ -24,15 +30,49 @@
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
         self._availability = fleet.availability
+        self._ignored_limits: dict[str, str] = {}
 
     def handle_head(self, upstream: Upstream, head: AnswerHead) -> None:
-        """Record whether the upstream is draining or asks for a backoff."""
+        """Record whether the upstream is draining, asks for a backoff or names a rate limit."""
         if head.leaving and self._availability.record_leaving(upstream.incarnation):
             listing = self._fleet.listing_point.version
             write_line(UpstreamLeaving(upstream.name, upstream.born_ms, head.status, listing))
             self._fleet.on_new_report()
         if head.status in REFUSAL_STATUSES and head.retry_after is not None:
             self._handle_retry_after(upstream, head.status, head.retry_after)
+        if head.rate_limit is not None and not head.misdirected:
+            self._handle_rate_limit(upstream, head.rate_limit)
+
+    def handle_answer(self, upstream: Upstream, head: AnswerHead, sent_at: int) -> None:
+        """Record the end of a rate limit, from the answer to a request sent at ``sent_at``."""
+        if head.rate_limit is not None or head.misdirected:
+            return
+        now = self._fleet.clock.now()
+        change = self._fleet.rate_limits.record_unnamed(upstream.incarnation, sent_at, now)
+        if change is not None:
+            self._log_limit(LimitReport(upstream.incarnation, None, now), change, OWN_ANSWER)
+            self._fleet.on_new_report()
+
+    def _handle_rate_limit(self, upstream: Upstream, text: str) -> None:
+        rate = read_rate(text)
+        if rate is None:
+            if self._ignored_limits.get(upstream.name) != text:
+                self._ignored_limits[upstream.name] = text
+                write_line(UpstreamLimitIgnored(upstream.name, text[:MAX_LOGGED_TEXT]))
+            return
+        now = self._fleet.clock.now()
+        change = self._fleet.rate_limits.record_named(upstream.incarnation, rate, now)
+        if change is not None:
+            self._log_limit(LimitReport(upstream.incarnation, rate, now), change, OWN_ANSWER)
+            self._fleet.on_new_report()
+
+    def _log_limit(self, report: LimitReport, change: LimitChange, source: str) -> None:
+        incarnation = report.incarnation
+        write_line(
+            UpstreamLimitChanged(
+                incarnation.name, incarnation.born_ms, change.value, report.rate, source
+            )
+        )
 
     def _handle_retry_after(self, upstream: Upstream, status: int, text: str) -> None:
         wait_ms = read_retry_after(text)
@@ -47,9 +87,12 @@
         return UpstreamReports(
             self._availability.list_reportable(self._fleet.directory.listed),
             self._fleet.refusals.list_reportable(self._fleet.clock.now()),
+            self._fleet.rate_limits.list_reportable(self._fleet.clock.now()),
         )
 
     def update_reports(self, peer: str, reports: UpstreamReports) -> None:
         """Replace the earlier reports of a peer."""
         self._availability.update_peer(peer, reports.leaving)
         self._fleet.refusals.update_peer(peer, reports.refusals)
+        for report, change in self._fleet.rate_limits.update_all(reports.limits):
+            self._log_limit(report, change, peer)
--- a/src/lentilwell/gateway/_exchange.py
+++ b/src/lentilwell/gateway/_exchange.py
@@ -185,7 +185,8 @@
             self._advance(SendStarted(new_upstream=choice.upstream.name not in self._sent_to))
             self._sent_to |= {choice.upstream.name}
             self._accounting.record_sent()
-            self._recorder.record_send(self._request_state.sends)
+            limit = self._fleet.rate_limits.find(choice.upstream.incarnation)
+            self._recorder.record_send(self._request_state.sends, limit is not None)
             self._send_request(connection, choice, leases)
             effect = await self._handle_answer(connection, choice)
             self._connections.release(choice.upstream.address, connection)
@@ -233,6 +234,7 @@
             raise ConnectionBroken(
                 "an answer without a request id may be a copy of an earlier answer"
             )
+        self._answer_observer.handle_answer(choice.upstream, head, self._accounting.sent_at)
         if head.not_run:
             return await self._handle_refusal(connection, head, choice)
         self._accounting.record_accepted(choice)
--- a/src/lentilwell/gateway/_fleet.py
+++ b/src/lentilwell/gateway/_fleet.py
@@ -18,6 +18,7 @@
 from lentilwell.gateway._load_tracker import LoadTracker
 from lentilwell.gateway._messages import Prompt
 from lentilwell.gateway._placement_policies import POLICIES, Candidate, Choice, PlacementRequest
+from lentilwell.gateway._rate_limits import RateLimits
 from lentilwell.gateway._refusals import Refusals
 from lentilwell.gateway._shards import ShardView
 from lentilwell.gateway._store_point import StorePoint
@@ -46,6 +47,7 @@
     availability: Availability = field(default_factory=Availability)
     ejection: Ejection = field(default_factory=Ejection)
     refusals: Refusals = field(default_factory=Refusals)
+    rate_limits: RateLimits = field(default_factory=RateLimits)
     backoff_queue: BackoffQueue = field(default_factory=BackoffQueue)
     latency_factors: LatencyFactors = field(default_factory=LatencyFactors)
     listing_point: StorePoint = field(default_factory=StorePoint)
@@ -150,7 +152,8 @@
     def remove_unlisted(self) -> None:
         """Remove upstreams that expired in a store outage and did not register again in time.
 
-        The health, refusals and latency factors of upstreams that are not listed are removed too.
+        The health, refusals, latency factors and rate limits of upstreams that are not listed are
+        removed too.
         """
         before = self.directory.missing
         self.directory = drop_missing(self.directory, self.clock.now())
@@ -160,6 +163,9 @@
         self.ejection.keep_only(self.directory.listed)
         self.refusals.keep_only(self.directory.listed)
         self.latency_factors.keep_only(self.directory.listed)
+        self.rate_limits.keep_only(
+            {upstream.incarnation for upstream in self.directory.listed.values()}
+        )
 
     def update_shards(self) -> None:
         """Update the shard of this instance to the current lists of instances and upstreams."""
--- a/src/lentilwell/gateway/_messages.py
+++ b/src/lentilwell/gateway/_messages.py
@@ -38,6 +38,11 @@
     return None
 
 
+def find_headers(headers: Headers, name: bytes) -> list[bytes]:
+    """Return all values of a header, in order; ``name`` is in lower case."""
+    return [value for known, value in headers if known.lower() == name]
+
+
 def drop_headers(headers: Headers, names: frozenset[bytes]) -> Headers:
     """Return the headers to forward.
 
@@ -138,7 +143,8 @@
     ``idle_ms`` is how long the upstream keeps an idle connection, None if it does not say.
     ``closing`` is true if it closes the connection after this answer. ``leaving`` is true if it is
     about to stop and accepts no new work. ``retry_after`` is the text of the time in seconds for
-    which it wants no new work, None if it gives none.
+    which it wants no new work, None if it gives none. ``rate_limit`` is the text of the requests a
+    second that it accepts from all instances together, None if it names no limit.
     """
 
     status: int
@@ -153,6 +159,7 @@
     closing: bool
     leaving: bool = False
     retry_after: str | None = None
+    rate_limit: str | None = None
 
 
 @dataclass(frozen=True)
--- a/src/lentilwell/gateway/_metrics.py
+++ b/src/lentilwell/gateway/_metrics.py
@@ -63,6 +63,12 @@
             ("service", "again"),
             registry=self.registry,
         )
+        self._limited_sends = Counter(
+            "lentilwell_gateway_limited_sends",
+            "Requests sent to upstreams that name a rate limit, by service.",
+            ("service",),
+            registry=self.registry,
+        )
         self._first_event = Histogram(
             "lentilwell_gateway_first_event_seconds",
             "Time from a request's arrival to the first event of its stream.",
@@ -113,6 +119,10 @@
         """Count a send to an upstream; ``again`` is true for a retry."""
         self._sends.labels(service, "yes" if again else "no").inc()
 
+    def count_limited_send(self, service: str) -> None:
+        """Count a send to an upstream that names a rate limit."""
+        self._limited_sends.labels(service).inc()
+
     def count_restore(self) -> None:
         """Count a restore of the store from an older copy."""
         self._restores.inc()
@@ -144,6 +154,7 @@
         announced_leaving = sum(
             fleet.availability.is_leaving(upstream.incarnation) for upstream in listed
         )
+        limited = sum(fleet.rate_limits.find(one.incarnation) is not None for one in listed)
         backing_off = sum(
             fleet.availability.find_backoff_end(upstream, now) is not None for upstream in listed
         )
@@ -160,6 +171,7 @@
             ),
             ("upstreams_doubted", "Upstreams that a restored list holds again.", quarantined),
             ("upstreams_closed", "Upstreams that want no work for a while.", backing_off),
+            ("upstreams_limited", "Upstreams that name a rate limit.", limited),
             ("jobs", "Requests in hand at upstreams.", len(fleet.load_tracker.list_own_jobs())),
             ("instances", "Instances that may be there.", fleet.count_instances()),
             ("callers", "Open connections of callers.", self._count_callers()),
@@ -215,6 +227,7 @@
             "doubted_until": fleet.directory.quarantined.get(upstream.name),
             "left": fleet.availability.is_leaving(upstream.incarnation),
             "closed_until": fleet.availability.find_backoff_end(upstream, now),
+            "rate_limit": fleet.rate_limits.find(upstream.incarnation),
             "refusing": fleet.refusals.estimate_share(upstream.name, now),
             "standing": fleet.ejection.get_health(upstream.name),
             "load": fleet.load_tracker.measure_load(upstream.name, now),
--- a/src/lentilwell/gateway/_request_recorder.py
+++ b/src/lentilwell/gateway/_request_recorder.py
@@ -77,9 +77,14 @@
         routed = self._routed
         write_line(RequestWaiting(routed.facts.request_id, routed.service, backoff_ms, wait_ms))
 
-    def record_send(self, sends: int) -> None:
-        """Count a send; ``sends`` is the number of upstreams tried so far, this one included."""
+    def record_send(self, sends: int, limited: bool) -> None:
+        """Count a send; ``sends`` is the number of upstreams tried so far, this one included.
+
+        ``limited`` is true if the upstream names a rate limit.
+        """
         self._metrics.count_send(self._routed.service, again=sends > 1)
+        if limited:
+            self._metrics.count_limited_send(self._routed.service)
 
     def record_event(self) -> None:
         """Measure an event that is forwarded: time to the first event, or pause since the last."""
--- a/src/lentilwell/gateway/_work_digest.py
+++ b/src/lentilwell/gateway/_work_digest.py
@@ -9,9 +9,11 @@
 
 from lentilwell._wire.ttypes import RefusalTally as WireTally
 from lentilwell._wire.ttypes import UpstreamLife as WireIncarnation
+from lentilwell._wire.ttypes import UpstreamLimit as WireLimit
 from lentilwell._wire.ttypes import WorkDigest as WireDigest
 from lentilwell._wire.ttypes import WorkItem as WireItem
 from lentilwell.gateway._load_tracker import Job
+from lentilwell.gateway._rate_limits import MAX_AGE_MS, MAX_RATE, LimitReport
 from lentilwell.gateway._refusals import ReportedTally, Tally
 from lentilwell.gateway._store_point import StorePoint
 from lentilwell.gateway._store_report import NO_STORE_REPORT, StoreReport
@@ -33,10 +35,14 @@
 
 @dataclass(frozen=True)
 class UpstreamReports:
-    """What an instance observed in the answers of upstreams: which drain, which refuse requests."""
+    """What an instance observed in the answers of upstreams.
+
+    It is which ones drain, which refuse requests and which name a rate limit.
+    """
 
     leaving: tuple[Incarnation, ...] = ()
     refusals: tuple[ReportedTally, ...] = ()
+    limits: tuple[LimitReport, ...] = ()
 
 
 NO_UPSTREAM_REPORTS = UpstreamReports()
@@ -77,6 +83,7 @@
         [_encode_tally(reported) for reported in digest.reports.refusals],
         digest.store_report.configuration.era,
         digest.store_report.listing.era,
+        [encode_limit(report, now) for report in digest.reports.limits],
     )
     data: bytes = serialize(wire, _FACTORY)
     return data
@@ -94,6 +101,7 @@
         )
         leaving = tuple(_decode_incarnation(one) for one in wire.leaving or ())
         refusals = tuple(_decode_tally(tally, now) for tally in wire.refusals or ())
+        limits = tuple(decode_limit(limit, now) for limit in wire.limits or ())
     except Exception as error:  # the library raises many types of errors for malformed bytes
         raise UnreadableDigest(repr(error)) from error
     store_report = StoreReport(
@@ -109,10 +117,30 @@
         jobs,
         bool(wire.stopping),
         store_report,
-        UpstreamReports(leaving, refusals),
+        UpstreamReports(leaving, refusals, limits),
     )
 
 
+def encode_limit(report: LimitReport, now: int) -> WireLimit:
+    """Return the wire form of a limit report, with its time as an age in ms."""
+    incarnation = report.incarnation
+    age_ms = min(max(0, now - report.heard_at), MAX_AGE_MS)
+    return WireLimit(incarnation.name, incarnation.born_ms, age_ms, report.rate)
+
+
+def decode_limit(wire: WireLimit, now: int) -> LimitReport:
+    """Return a limit report with its time by this instance's clock.
+
+    Raise ``ValueError`` or an error of the library for a malformed one.
+    """
+    wire.validate()
+    if not 0 <= wire.age_ms <= MAX_AGE_MS:
+        raise ValueError(f"age of a limit out of range for {wire.upstream}")
+    if wire.rate is not None and not 0 <= wire.rate <= MAX_RATE:
+        raise ValueError(f"limit out of range for {wire.upstream}")
+    return LimitReport(Incarnation(wire.upstream, wire.born_ms), wire.rate, now - wire.age_ms)
+
+
 def _decode_incarnation(wire: WireIncarnation) -> Incarnation:
     wire.validate()
     return Incarnation(wire.upstream, wire.born_ms)
--- a/src/lentilwell/peers.thrift
+++ b/src/lentilwell/peers.thrift
@@ -133,11 +133,23 @@
   3: required double answered
 }
 
+/**
+ * The requests a second that an upstream accepts from all gateways together, as an answer told
+ * ``age_ms`` before the sending; no ``rate`` where the limit has ended.
+ */
+struct UpstreamLimit {
+  1: required string upstream
+  2: required i64 born_ms
+  3: required i64 age_ms
+  4: optional double rate
+}
+
 /**
  * All the work that a gateway has in hand; ``life`` differs on each start of an instance.
  * ``configuration`` and ``listing`` are the store's versions at the last change of each that it took,
  * each of an era of the store; ``store_away`` tells that the store does not answer it.
- * ``leaving`` are upstreams that said so in their answers, ``refusals`` those that turn work away.
+ * ``leaving`` are upstreams that said so in their answers, ``refusals`` those that turn work away,
+ * ``limits`` the rates that upstreams name.
  */
 struct WorkDigest {
   1: required string instance
@@ -153,4 +165,5 @@
   11: optional list<RefusalTally> refusals
   12: optional i64 configuration_era = 0
   13: optional i64 listing_era = 0
+  14: optional list<UpstreamLimit> limits
 }
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -158,6 +158,7 @@
     "str": "x",
     "int": 4,
     "float": 1.5,
+    "float | None": 2.5,
     "int | None": None,
     "str | None": None,
     "bool": True,
