--- /dev/null
+++ b/tests/limited_upstreams.py
@@ -0,0 +1,189 @@
+"""Gateways that know each other by datagrams, before upstreams that name a rate limit.
+
+All of them run in the test process. ``check_windows`` counts the requests that a limited upstream
+gets as the users' rule does (LIMIT, named rates).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Sequence
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field, replace
+
+from wire_headers import PlatformDialect
+
+from lentilwell._clock import SystemClock
+from lentilwell.gateway import Entry, Feeds, Gateway, Member, Upstream
+from standins.answer_reader import read_answer
+from tests.gateway_harness import (
+    ANSWER_TIMEOUT_S,
+    CATALOG,
+    HOST,
+    KEY,
+    SETTINGS,
+    Arrival,
+    FakeFeed,
+    ScriptedUpstream,
+)
+
+WINDOW_MS = 4_000
+# An instance is bound by a limit this long after it passed on an answer that names it.
+GRACE_MS = 500
+CLOCK = SystemClock()
+
+
+def find_allowed(rate: float) -> float:
+    """Return how many requests the users allow in a window."""
+    return 1.5 * rate * WINDOW_MS / 1_000 + 5
+
+
+@dataclass
+class LimitedUpstream:
+    """Answers every request, names ``rate`` while it is set, and records who sent what when."""
+
+    rate: float | None
+    sends: list[tuple[int, str]] = field(default_factory=list)
+    told_at: dict[str, int] = field(default_factory=dict)
+
+    async def __call__(self, arrival: Arrival) -> None:
+        """Answer a request; the ``Via-Instance`` header says which instance forwarded it."""
+        instance = arrival.headers.get("via-instance", "")
+        self.sends.append((CLOCK.now(), instance))
+        if self.rate is None:
+            await arrival.answer(body=b"hello")
+            return
+        await arrival.answer(body=b"hello", Server_Limit=self.rate)
+        self.told_at.setdefault(instance, CLOCK.now())
+
+    @property
+    def bound_sends(self) -> list[int]:
+        """Return the times of the requests from instances that had been told before."""
+        return [
+            at for at, instance in self.sends if at >= self.told_at.get(instance, at) + GRACE_MS
+        ]
+
+    def count_worst_window(self) -> int:
+        """Return the largest number of such requests in any window."""
+        times = self.bound_sends
+        return max(
+            (sum(begin <= at < begin + WINDOW_MS for at in times) for begin in times), default=0
+        )
+
+
+@dataclass
+class Served:
+    """What a caller got, and how long it took in ms."""
+
+    status: int
+    retry_after: str | None
+    took_ms: int
+
+
+class KnownMembers:
+    """A list of instances that never changes."""
+
+    def __init__(self, members: dict[str, Member]) -> None:
+        self.members = members
+
+    async def announce(self, instance, member):
+        """Do nothing, since every instance is listed already."""
+
+    async def list_members(self):
+        """Return all instances."""
+        return dict(self.members)
+
+
+@dataclass
+class GatewayGroup:
+    """Gateways by name, before the same upstreams."""
+
+    gateways: dict[str, Gateway]
+    served: list[Served] = field(default_factory=list)
+
+    async def call(self, instance: str, path: str = "/whole/x", deadline_ms: int = 3_000) -> Served:
+        """Send one request through an instance, and record and return what came back."""
+        began = CLOCK.now()
+        gateway = self.gateways[instance]
+        reader, writer = await asyncio.open_connection("127.0.0.1", gateway.callers_port)
+        headers = {
+            "Host": HOST,
+            "Request-Id": f"{instance}-{len(self.served)}-{began}",
+            "Credential": KEY,
+            "Deadline-Ms": str(deadline_ms),
+            "Via-Instance": instance,
+        }
+        rows = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        writer.write(f"GET {path} HTTP/1.1\r\n{rows}\r\n".encode())
+        answer = await asyncio.wait_for(read_answer(reader), ANSWER_TIMEOUT_S)
+        writer.close()
+        served = Served(answer.status, answer.headers.get("retry-after"), CLOCK.now() - began)
+        self.served.append(served)
+        return served
+
+    async def press(self, seconds: float, calls_per_s: float, deadline_ms: int = 3_000) -> None:
+        """Send requests at an even pace, to the instances in turn, and wait for all answers."""
+        loop = asyncio.get_running_loop()
+        names = list(self.gateways)
+        began_s, tasks = loop.time(), []
+        for number in range(round(seconds * calls_per_s)):
+            await asyncio.sleep(max(0.0, began_s + number / calls_per_s - loop.time()))
+            name = names[number % len(names)]
+            tasks.append(loop.create_task(self.call(name, deadline_ms=deadline_ms)))
+        await asyncio.gather(*tasks)
+
+
+@asynccontextmanager
+async def run_gateways(count: int, scripts: Sequence, catalog=CATALOG):
+    """Run ``count`` gateways before one upstream for each script, all listed from the start."""
+    upstreams = [ScriptedUpstream(f"u{index}", script) for index, script in enumerate(scripts)]
+    entries = [
+        Entry(one.name, Upstream(one.name, "s", await one.start(), "dc", 8, False, born_ms=1))
+        for one in upstreams
+    ]
+    members = {
+        f"i{number}": Member(f"127.0.7.{number + 1}:{_find_free_port()}", "dc")
+        for number in range(count)
+    }
+    async with AsyncExitStack() as stack:
+        gateways = {
+            name: await stack.enter_async_context(_run_one(name, members, entries, catalog))
+            for name in members
+        }
+        while not all(_is_settled(gateway, count) for gateway in gateways.values()):
+            await asyncio.sleep(0.01)
+        yield GatewayGroup(gateways)
+    for upstream in upstreams:
+        upstream.server.close()
+
+
+def _is_settled(gateway: Gateway, count: int) -> bool:
+    return gateway.ready and gateway.peers.instances == count
+
+
+@asynccontextmanager
+async def _run_one(name, members, entries, catalog):
+    settings = replace(SETTINGS, instance=name, peers_address=members[name].address)
+    feeds = Feeds(FakeFeed(Entry("config", catalog)), FakeFeed(*entries), KnownMembers(members))
+    gateway = Gateway(settings, PlatformDialect(), feeds)
+    await gateway.start()
+    maintenance = asyncio.create_task(_run_maintenance(gateway))
+    try:
+        yield gateway
+    finally:
+        maintenance.cancel()
+        await gateway.stop()
+
+
+async def _run_maintenance(gateway: Gateway) -> None:
+    while True:
+        await asyncio.sleep(0.25)
+        gateway.peers.run_maintenance()
+        gateway.fleet.remove_unlisted()
+
+
+def _find_free_port() -> int:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
