--- a/src/lentilwell/_log_lines/__init__.py
+++ b/src/lentilwell/_log_lines/__init__.py
@@ -10,6 +10,8 @@
     InstanceRelisted,
     PeerHeard,
     PeerSilent,
+    PermitMessageUnreadable,
+    PermitOwnerSilent,
     ShardsAssigned,
 )
 from lentilwell._log_lines._line import (
@@ -90,6 +92,8 @@
     "MetricsNotServed",
     "PeerHeard",
     "PeerSilent",
+    "PermitMessageUnreadable",
+    "PermitOwnerSilent",
     "RefusalBodyDropped",
     "RequestDeferred",
     "RequestEnded",
--- a/src/lentilwell/_log_lines/_instances.py
+++ b/src/lentilwell/_log_lines/_instances.py
@@ -65,6 +65,24 @@
     reason: str
 
 
+@line("permit message unreadable", "WARNING")
+@dataclass(frozen=True)
+class PermitMessageUnreadable(Line):
+    """A received datagram did not contain a valid message about permits."""
+
+    sender: str
+    reason: str
+
+
+@line("permit owner silent")
+@dataclass(frozen=True)
+class PermitOwnerSilent(Line):
+    """The instance that issues an upstream's permits did not answer within ``timeout_ms``."""
+
+    owner: str
+    timeout_ms: int
+
+
 @line("digest too long", "WARNING")
 @dataclass(frozen=True)
 class DigestTooLong(Line):
--- a/src/lentilwell/_wire/ttypes.py
+++ b/src/lentilwell/_wire/ttypes.py
@@ -2262,6 +2262,336 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class PermitAsk(object):
+    """
+    Asks an owner for permits of an upstream that names a limit, or only tells it what was heard:
+    ``patience_ms`` is how long the asker can wait for its permit, -1 where it wants none. ``role`` is
+    1 for the primary owner and 2 for the stand-in. ``unpermitted`` counts requests already sent.
+
+    Attributes:
+     - number
+     - limit
+     - role
+     - patience_ms
+     - unpermitted
+
+    """
+
+    __slots__ = (
+        'number',
+        'limit',
+        'role',
+        'patience_ms',
+        'unpermitted',
+    )
+
+
+    def __init__(self, number=None, limit=None, role=None, patience_ms=None, unpermitted=None,):
+        self.number = number
+        self.limit = limit
+        self.role = role
+        self.patience_ms = patience_ms
+        self.unpermitted = unpermitted
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.limit = UpstreamLimit()
+                    self.limit.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.role = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.patience_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.unpermitted = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PermitAsk')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.limit is not None:
+            oprot.writeFieldBegin('limit', TType.STRUCT, 2)
+            self.limit.write(oprot)
+            oprot.writeFieldEnd()
+        if self.role is not None:
+            oprot.writeFieldBegin('role', TType.I32, 3)
+            oprot.writeI32(self.role)
+            oprot.writeFieldEnd()
+        if self.patience_ms is not None:
+            oprot.writeFieldBegin('patience_ms', TType.I32, 4)
+            oprot.writeI32(self.patience_ms)
+            oprot.writeFieldEnd()
+        if self.unpermitted is not None:
+            oprot.writeFieldBegin('unpermitted', TType.I32, 5)
+            oprot.writeI32(self.unpermitted)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.number is None:
+            raise TProtocolException(message='Required field number is unset!')
+        if self.limit is None:
+            raise TProtocolException(message='Required field limit is unset!')
+        if self.role is None:
+            raise TProtocolException(message='Required field role is unset!')
+        if self.patience_ms is None:
+            raise TProtocolException(message='Required field patience_ms is unset!')
+        if self.unpermitted is None:
+            raise TProtocolException(message='Required field unpermitted is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PermitAnswer(object):
+    """
+    Answers the ask with the same number. ``verdict`` is 1 for a permit that holds in ``wait_ms``, 2
+    where the next one would take that long, 3 where the receiver is no owner of this upstream.
+    ``limit`` is what the owner knows of the limit.
+
+    Attributes:
+     - number
+     - verdict
+     - wait_ms
+     - limit
+
+    """
+
+    __slots__ = (
+        'number',
+        'verdict',
+        'wait_ms',
+        'limit',
+    )
+
+
+    def __init__(self, number=None, verdict=None, wait_ms=None, limit=None,):
+        self.number = number
+        self.verdict = verdict
+        self.wait_ms = wait_ms
+        self.limit = limit
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.verdict = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.limit = UpstreamLimit()
+                    self.limit.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PermitAnswer')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.verdict is not None:
+            oprot.writeFieldBegin('verdict', TType.I32, 2)
+            oprot.writeI32(self.verdict)
+            oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 3)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
+        if self.limit is not None:
+            oprot.writeFieldBegin('limit', TType.STRUCT, 4)
+            self.limit.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.number is None:
+            raise TProtocolException(message='Required field number is unset!')
+        if self.verdict is None:
+            raise TProtocolException(message='Required field verdict is unset!')
+        if self.wait_ms is None:
+            raise TProtocolException(message='Required field wait_ms is unset!')
+        if self.limit is None:
+            raise TProtocolException(message='Required field limit is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PermitMessage(object):
+    """
+    Attributes:
+     - ask
+     - answer
+
+    """
+
+    __slots__ = (
+        'ask',
+        'answer',
+    )
+
+
+    def __init__(self, ask=None, answer=None,):
+        self.ask = ask
+        self.answer = answer
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.ask = PermitAsk()
+                    self.ask.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.answer = PermitAnswer()
+                    self.answer.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PermitMessage')
+        if self.ask is not None:
+            oprot.writeFieldBegin('ask', TType.STRUCT, 1)
+            self.ask.write(oprot)
+            oprot.writeFieldEnd()
+        if self.answer is not None:
+            oprot.writeFieldBegin('answer', TType.STRUCT, 2)
+            self.answer.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Identity)
 Identity.thrift_spec = (
     None,  # 0
@@ -2417,5 +2747,28 @@
     (13, TType.I64, 'listing_era', None, 0, ),  # 13
     (14, TType.LIST, 'limits', (TType.STRUCT, [UpstreamLimit, None], False), None, ),  # 14
 )
+all_structs.append(PermitAsk)
+PermitAsk.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.STRUCT, 'limit', [UpstreamLimit, None], None, ),  # 2
+    (3, TType.I32, 'role', None, None, ),  # 3
+    (4, TType.I32, 'patience_ms', None, None, ),  # 4
+    (5, TType.I32, 'unpermitted', None, None, ),  # 5
+)
+all_structs.append(PermitAnswer)
+PermitAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.I32, 'verdict', None, None, ),  # 2
+    (3, TType.I32, 'wait_ms', None, None, ),  # 3
+    (4, TType.STRUCT, 'limit', [UpstreamLimit, None], None, ),  # 4
+)
+all_structs.append(PermitMessage)
+PermitMessage.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'ask', [PermitAsk, None], None, ),  # 1
+    (2, TType.STRUCT, 'answer', [PermitAnswer, None], None, ),  # 2
+)
 fix_spec(all_structs)
 del all_structs
--- a/src/lentilwell/gateway/_answer_observer.py
+++ b/src/lentilwell/gateway/_answer_observer.py
@@ -50,8 +50,7 @@
         now = self._fleet.clock.now()
         change = self._fleet.rate_limits.record_unnamed(upstream.incarnation, sent_at, now)
         if change is not None:
-            self._log_limit(LimitReport(upstream.incarnation, None, now), change, OWN_ANSWER)
-            self._fleet.on_new_report()
+            self._handle_change(upstream, LimitReport(upstream.incarnation, None, now), change)
 
     def _handle_rate_limit(self, upstream: Upstream, text: str) -> None:
         rate = read_rate(text)
@@ -63,8 +62,12 @@
         now = self._fleet.clock.now()
         change = self._fleet.rate_limits.record_named(upstream.incarnation, rate, now)
         if change is not None:
-            self._log_limit(LimitReport(upstream.incarnation, rate, now), change, OWN_ANSWER)
-            self._fleet.on_new_report()
+            self._handle_change(upstream, LimitReport(upstream.incarnation, rate, now), change)
+
+    def _handle_change(self, upstream: Upstream, report: LimitReport, change: LimitChange) -> None:
+        self._log_limit(report, change, OWN_ANSWER)
+        self._fleet.on_new_report()
+        self._fleet.on_limit_change(upstream)
 
     def _log_limit(self, report: LimitReport, change: LimitChange, source: str) -> None:
         incarnation = report.incarnation
@@ -82,6 +85,12 @@
         self._availability.record_backoff(upstream.incarnation, wait_ms, self._fleet.clock.now())
         write_line(UpstreamBackoffStarted(upstream.name, status, wait_ms))
 
+    def update_limit(self, report: LimitReport, source: str) -> None:
+        """Take over what another instance knows of a limit, unless something newer is known."""
+        change = self._fleet.rate_limits.update(report)
+        if change is not None:
+            self._log_limit(report, change, source)
+
     def collect_reports(self) -> UpstreamReports:
         """Return the observations of this instance that are reported to peers."""
         return UpstreamReports(
@@ -94,5 +103,5 @@
         """Replace the earlier reports of a peer."""
         self._availability.update_peer(peer, reports.leaving)
         self._fleet.refusals.update_peer(peer, reports.refusals)
-        for report, change in self._fleet.rate_limits.update_all(reports.limits):
-            self._log_limit(report, change, peer)
+        for report in reports.limits:
+            self.update_limit(report, peer)
--- a/src/lentilwell/gateway/_exchange.py
+++ b/src/lentilwell/gateway/_exchange.py
@@ -26,8 +26,9 @@
 from lentilwell.gateway._leases import LeaseManager, LeaseSet, ReservationFailed
 from lentilwell.gateway._messages import AnswerHead, Envelope, PrefillHelper
 from lentilwell.gateway._metrics import Metrics
+from lentilwell.gateway._permits import Permits
 from lentilwell.gateway._placement_policies import Choice
-from lentilwell.gateway._placer import Placer
+from lentilwell.gateway._placer import Placement, Placer
 from lentilwell.gateway._ports import Dialect
 from lentilwell.gateway._request_recorder import RequestRecorder
 from lentilwell.gateway._request_state import (
@@ -63,6 +64,7 @@
 
     fleet: Fleet
     answer_observer: AnswerObserver
+    permits: Permits
     connections: ConnectionPool
     leases: LeaseManager
     dialect: Dialect
@@ -85,6 +87,7 @@
     ) -> None:
         self._fleet = context.fleet
         self._answer_observer = context.answer_observer
+        self._permits = context.permits
         self._connections = context.connections
         self._leases = context.leases
         self._dialect = context.dialect
@@ -93,7 +96,7 @@
         self._caller = caller
         self._accounting = Accounting(context.fleet, routed)
         self._recorder = RequestRecorder(context.fleet, context.metrics, routed)
-        self._placer = Placer(context.fleet, routed, self._recorder)
+        self._placer = Placer(context.fleet, context.permits, routed, self._recorder)
         self._request_state = RequestState(routed.route.repeat, routed.route.max_upstreams)
         self._excluded: frozenset[str] = frozenset()
         self._sent_to: frozenset[str] = frozenset()
@@ -139,10 +142,12 @@
         ):
             return self._end_attempt(NoUpstream(), "retry budget spent")
         last_send = self._request_state.sends + 1 >= self._request_state.max_sends
-        choice = await self._placer.choose(self._excluded, self._request_state.sends > 0, last_send)
-        if choice is None:
+        sent_before = self._request_state.sends > 0
+        placement = await self._placer.place(self._excluded, sent_before, last_send)
+        if placement is None:
             self._retry_after_ms = self._placer.find_retry_after_ms(self._excluded)
-            return self._end_attempt(NoUpstream(), "no upstream")
+            return self._end_attempt(NoUpstream(), self._placer.explain_none(self._excluded))
+        choice = placement.choice
         self._recorder.record_choice(choice, len(self._excluded))
         too_late = check_admission(self._routed.route, choice, self._get_remaining_ms())
         if too_late is not None and not self._request_state.delivered:
@@ -151,33 +156,34 @@
             return self._end_attempt(NoUpstream(), expected)
         self._accounting.add_jobs(choice)
         try:
-            return await self._reserve_and_send(choice)
+            return await self._reserve_and_send(placement)
         finally:
             self._accounting.remove_jobs(choice)
 
-    async def _reserve_and_send(self, choice: Choice) -> Effect:
+    async def _reserve_and_send(self, placement: Placement) -> Effect:
         """Reserve memory at the helpers that need it, then send the request."""
         try:
-            leases = await self._leases.reserve(choice.helpers)
+            leases = await self._leases.reserve(placement.choice.helpers)
         except ReservationFailed as error:
             self._excluded |= {error.upstream}
             return self._end_attempt(ConnectionFailed(), str(error))
         try:
-            return await self._send(choice, leases)
+            return await self._send(placement, leases)
         finally:
             leases.release()
 
     def _get_remaining_ms(self) -> int:
         return self._routed.deadline_at - self._clock.now()
 
-    async def _send(self, choice: Choice, leases: LeaseSet) -> Effect:
+    async def _send(self, placement: Placement, leases: LeaseSet) -> Effect:
+        choice = placement.choice
         send_once = self._routed.route.repeat is Repeat.NEVER
         try:
             connection = await self._connections.acquire(choice.upstream.address, send_once)
         except Unreachable as error:
             self._record_unreachable(choice.upstream, str(error))
             return self._end_attempt(ConnectionFailed(), str(error))
-        if not self._fleet.accepts_work(choice):
+        if not self._may_send(placement):
             self._connections.release(choice.upstream.address, connection)
             return self._end_attempt(ConnectionFailed(), "the upstream stopped accepting new work")
         try:
@@ -203,6 +209,13 @@
             if not connection.idle:
                 connection.close()
 
+    def _may_send(self, placement: Placement) -> bool:
+        """Tell whether the upstreams of a placement still accept the request."""
+        choice = placement.choice
+        return self._fleet.accepts_work(choice) and self._permits.covers(
+            choice.upstream, placement.permit
+        )
+
     def _send_request(self, connection: HttpConnection, choice: Choice, leases: LeaseSet) -> None:
         routed = self._routed
         envelope = Envelope(
--- a/src/lentilwell/gateway/_fleet.py
+++ b/src/lentilwell/gateway/_fleet.py
@@ -24,12 +24,16 @@
 from lentilwell.gateway._store_point import StorePoint
 from lentilwell.gateway._upstreams import (
     Directory,
+    Incarnation,
     ListingChange,
     Upstream,
     apply_changes,
     drop_missing,
 )
 
+# Waits for permits that differ by less than this count as equal.
+SAME_WAIT_MS = 50
+
 
 @dataclass
 class Fleet:
@@ -53,8 +57,10 @@
     listing_point: StorePoint = field(default_factory=StorePoint)
     logged_shards: int = 1
     count_instances: Callable[[], int] = lambda: 1
+    find_permit_wait_ms: Callable[[Upstream], int] = lambda upstream: 0
     find_digest_age: Callable[[], int | None] = lambda: None
     on_new_report: Callable[[], None] = lambda: None
+    on_limit_change: Callable[[Upstream], None] = lambda upstream: None
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     random: random.Random = field(default_factory=random.Random)
 
@@ -87,31 +93,88 @@
     ) -> Choice | None:
         """Let the policy choose an upstream that is not in ``excluded``.
 
+        Left out are those that drain, have a backoff in effect, or are known to have no permit now.
         Upstreams of other shards are considered only if none of this instance's shard can be
         chosen. ``last_send`` means that the request cannot be placed again if it is refused.
         """
         now = self.clock.now()
         usable = [
             upstream
-            for upstream in self.directory.find_usable(service, now)
-            if upstream.name not in excluded and self.availability.accepts_work(upstream, now)
+            for upstream in self._list_accepting(service, excluded, now)
+            if not self.find_permit_wait_ms(upstream)
         ]
         self.shards.update_upstreams(self.directory.listed)
         own = [upstream for upstream in usable if self.shards.covers(upstream)]
-        request = PlacementRequest(
+        request = self._make_request(service, route, prompt, now - arrived_at, last_send)
+        choice = self._choose_among(request, own)
+        if choice is None and len(own) < len(usable):
+            choice = self._choose_among(request, usable)
+        return choice
+
+    def choose_limited(
+        self,
+        service: str,
+        route: Route,
+        prompt: Prompt | None,
+        arrived_at: int,
+        excluded: frozenset[str],
+        find_patience_ms: Callable[[Upstream], int],
+    ) -> Choice | None:
+        """Let the policy choose a rate-limited upstream whose permit the request can wait for.
+
+        ``find_patience_ms`` returns for an upstream how long that is.
+        """
+        now = self.clock.now()
+        waits = {
+            upstream: self.find_permit_wait_ms(upstream)
+            for upstream in self._list_accepting(service, excluded, now)
+        }
+        in_time = {
+            upstream: wait_ms
+            for upstream, wait_ms in waits.items()
+            if 0 < wait_ms <= find_patience_ms(upstream)
+        }
+        if not in_time:
+            return None
+        latest_ms = min(in_time.values()) + SAME_WAIT_MS
+        soonest = [upstream for upstream, wait_ms in in_time.items() if wait_ms <= latest_ms]
+        request = self._make_request(service, route, prompt, now - arrived_at, False)
+        return self._choose_among(request, soonest)
+
+    def has_unlimited(self, service: str, excluded: frozenset[str]) -> bool:
+        """Tell whether an upstream of a service takes requests without permits."""
+        return any(
+            not self.rate_limits.is_limited(upstream.incarnation)
+            for upstream in self._list_accepting(service, excluded, self.clock.now())
+        )
+
+    def find_least_permit_wait_ms(self, service: str, excluded: frozenset[str]) -> int | None:
+        """Return how long the first permit for a service takes, None if no limit delays it."""
+        waits = map(
+            self.find_permit_wait_ms, self._list_accepting(service, excluded, self.clock.now())
+        )
+        return min((wait_ms for wait_ms in waits if wait_ms), default=None)
+
+    def _list_accepting(self, service: str, excluded: frozenset[str], now: int) -> list[Upstream]:
+        return [
+            upstream
+            for upstream in self.directory.find_usable(service, now)
+            if upstream.name not in excluded and self.availability.accepts_work(upstream, now)
+        ]
+
+    def _make_request(
+        self, service: str, route: Route, prompt: Prompt | None, waited_ms: int, last_send: bool
+    ) -> PlacementRequest:
+        return PlacementRequest(
             prompt=prompt,
             engine=self.find_engine(service),
             objective_ms=route.objective_ms,
             pause_ms=route.pause_ms,
-            waited_ms=now - arrived_at,
-            now=now,
+            waited_ms=waited_ms,
+            now=self.clock.now(),
             random_point=self.random.random(),
             last_send=last_send,
         )
-        choice = self._choose_among(request, own)
-        if choice is None and len(own) < len(usable):
-            choice = self._choose_among(request, usable)
-        return choice
 
     def _choose_among(self, request: PlacementRequest, usable: Sequence[Upstream]) -> Choice | None:
         admitted = self.ejection.admit(usable, request.now)
@@ -163,9 +226,11 @@
         self.ejection.keep_only(self.directory.listed)
         self.refusals.keep_only(self.directory.listed)
         self.latency_factors.keep_only(self.directory.listed)
-        self.rate_limits.keep_only(
-            {upstream.incarnation for upstream in self.directory.listed.values()}
-        )
+        self.rate_limits.keep_only(self.list_incarnations())
+
+    def list_incarnations(self) -> frozenset[Incarnation]:
+        """Return the incarnations of all listed upstreams."""
+        return frozenset(upstream.incarnation for upstream in self.directory.listed.values())
 
     def update_shards(self) -> None:
         """Update the shard of this instance to the current lists of instances and upstreams."""
@@ -189,4 +254,5 @@
             is_local=upstream.data_centre == self.data_centre,
             latency_factor=self.latency_factors.find(upstream.name, now),
             refusal_share=self.refusals.estimate_share(upstream.name, now),
+            limited=self.rate_limits.is_limited(upstream.incarnation),
         )
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -38,6 +38,8 @@
 from lentilwell.gateway._messages import InboundRequest
 from lentilwell.gateway._metrics import Metrics, dump_fleet
 from lentilwell.gateway._peers import Member, Peers
+from lentilwell.gateway._permit_owners import OwnerTable
+from lentilwell.gateway._permits import Permits
 from lentilwell.gateway._ports import Dialect, Feed, Feeds, ValueT
 from lentilwell.gateway._prober import Prober
 from lentilwell.gateway._routing import (
@@ -102,6 +104,7 @@
             self.clock, settings.data_centre, settings.budget, settings.policy, shards
         )
         self.connections = ConnectionPool(self.clock)
+        self.permit_owners = OwnerTable(settings.instance)
         incarnation = uuid.uuid4().hex[:INCARNATION_LENGTH]
         self.peers = Peers(
             settings.instance,
@@ -110,6 +113,14 @@
             self.clock,
             self.fleet.load_tracker,
             shards,
+            self.permit_owners,
+        )
+        self.permits = Permits(
+            settings.instance,
+            self.clock,
+            self.fleet.rate_limits,
+            self.permit_owners,
+            lambda name: self.fleet.directory.listed.get(name),
         )
         self._catalog_listener = CatalogListener(self.fleet.configuration_choice, self.clock)
         self._catalog_follower = self._make_follower(
@@ -129,13 +140,22 @@
         answer_observer = AnswerObserver(self.fleet)
         self.peers.collect_reports = answer_observer.collect_reports
         self.peers.on_reports = answer_observer.update_reports
+        self._connect_permits(answer_observer)
         self.leases = LeaseManager(self.connections, dialect, incarnation, settings.max_lease_ms)
+        self.leases.on_send = self.permits.record_unpermitted
         self.leases.on_answer = answer_observer.handle_head
         self._callers: set[CallerConnection] = set()
         self._exchanges: set[Exchange] = set()
         self.metrics = Metrics(self.fleet, lambda: len(self._callers), self._list_tables)
+        self.permits.on_verdict = self.metrics.count_permit
         self._exchange_context = ExchangeContext(
-            self.fleet, answer_observer, self.connections, self.leases, dialect, self.metrics
+            self.fleet,
+            answer_observer,
+            self.permits,
+            self.connections,
+            self.leases,
+            dialect,
+            self.metrics,
         )
         self._readiness_handlers: dict[str, StatusHandler] = {ANY_PATH: self._answer_readiness}
         self._operator_handlers: dict[str, StatusHandler] = {
@@ -280,6 +300,15 @@
         self._tasks.append(loop.create_task(self._accept_when_ready(self._listener)))
         write_line(Started(self.settings.callers_address))
 
+    def _connect_permits(self, answer_observer: AnswerObserver) -> None:
+        """Let the permits use the datagrams of the peers and the knowledge of the fleet."""
+        self.permits.send = self.peers.send_to
+        self.permits.reply = self.peers.reply_to
+        self.permits.on_report = answer_observer.update_limit
+        self.peers.on_permit_message = self.permits.handle_datagram
+        self.fleet.find_permit_wait_ms = self.permits.estimate_wait_ms
+        self.fleet.on_limit_change = self.permits.tell_owners
+
     def _make_follower(
         self, name: str, feed: Feed[ValueT], listener: Listener[ValueT]
     ) -> Follower[ValueT]:
@@ -367,6 +396,7 @@
         self.peers.run_maintenance()
         self._catalog_listener.apply_pending()
         self.fleet.remove_unlisted()
+        self.permits.keep_only(self.fleet.list_incarnations())
         self.fleet.update_shards()
         self.connections.prune(
             upstream.address for upstream in self.fleet.directory.listed.values()
--- a/src/lentilwell/gateway/_leases.py
+++ b/src/lentilwell/gateway/_leases.py
@@ -57,6 +57,7 @@
         self._ticket_numbers = itertools.count(1)
         self._incarnation = incarnation
         self._releasing: set[asyncio.Task[None]] = set()
+        self.on_send: Callable[[Upstream], None] = lambda upstream: None
         self.on_answer: Callable[[Upstream, AnswerHead], None] = lambda upstream, head: None
 
     async def reserve(self, helpers: Sequence[Helper]) -> LeaseSet:
@@ -140,6 +141,7 @@
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_MS / 1_000):
                 connection.send(order.method, order.target, order.headers, order.body)
+                self.on_send(reservation.upstream)
                 head = await connection.read_head()
                 await connection.read_body()
                 connection.finish()
--- a/src/lentilwell/gateway/_least_cost.py
+++ b/src/lentilwell/gateway/_least_cost.py
@@ -138,7 +138,9 @@
     primary_costs: Sequence[float],
     engine_count: int,
 ) -> Option | None:
-    """Return the best option with this number of engines, or None if their memory is too small.
+    """Return the best option with this number of engines, or None if there is none.
+
+    There is none if their memory is too small, or if too few of them may help.
 
     ``primary_costs`` holds for each candidate the cost of being the primary engine, without the
     cost of its prefill.
@@ -151,7 +153,11 @@
     ]
     ranked = sorted(range(len(candidates)), key=lambda index: estimates[index].cost)
     primary = min(ranked, key=lambda index: estimates[index].cost + primary_costs[index])
-    others = [index for index in ranked if index != primary][: engine_count - 1]
+    others = [index for index in ranked if index != primary and not candidates[index].limited][
+        : engine_count - 1
+    ]
+    if len(others) < engine_count - 1:
+        return None
     helpers = plan_reservations(
         engine,
         request.prompt.memory_tokens,
--- a/src/lentilwell/gateway/_metrics.py
+++ b/src/lentilwell/gateway/_metrics.py
@@ -69,6 +69,12 @@
             ("service",),
             registry=self.registry,
         )
+        self._permits = Counter(
+            "lentilwell_gateway_permits",
+            "Asks for permits of upstreams that name a rate limit, by the answer.",
+            ("verdict",),
+            registry=self.registry,
+        )
         self._first_event = Histogram(
             "lentilwell_gateway_first_event_seconds",
             "Time from a request's arrival to the first event of its stream.",
@@ -123,6 +129,10 @@
         """Count a send to an upstream that names a rate limit."""
         self._limited_sends.labels(service).inc()
 
+    def count_permit(self, verdict: str) -> None:
+        """Count an ask for a permit: ``granted``, ``denied`` or ``no_owner``."""
+        self._permits.labels(verdict).inc()
+
     def count_restore(self) -> None:
         """Count a restore of the store from an older copy."""
         self._restores.inc()
--- a/src/lentilwell/gateway/_peers.py
+++ b/src/lentilwell/gateway/_peers.py
@@ -28,6 +28,8 @@
 from lentilwell.gateway._connection import split_address
 from lentilwell.gateway._failures import StoreError
 from lentilwell.gateway._load_tracker import LoadTracker
+from lentilwell.gateway._permit_messages import is_permit_message
+from lentilwell.gateway._permit_owners import OwnerTable
 from lentilwell.gateway._shards import ShardView
 from lentilwell.gateway._store_report import StoreReport
 from lentilwell.gateway._store_waits import InstanceRank
@@ -56,6 +58,8 @@
 # per instance.
 ANNOUNCE_SPREAD_MS = 5
 MEMBERS_REFRESH_MS = 15_000
+# Added to the time within which other instances read a changed list, for slow reads.
+SETTLE_MARGIN_MS = 1_000
 # Minimum time between two reads of the list, also after a digest from an unlisted instance. When
 # many instances start together, most of them register within this time.
 NEWCOMER_REFRESH_MS = 2_000
@@ -104,6 +108,7 @@
         clock: Clock,
         load_tracker: LoadTracker,
         shards: ShardView,
+        permit_owners: OwnerTable,
     ) -> None:
         self._instance = instance
         self._incarnation = incarnation
@@ -111,6 +116,7 @@
         self._clock = clock
         self._load_tracker = load_tracker
         self._shards = shards
+        self._permit_owners = permit_owners
         self._sequence = 0
         self._addresses: dict[str, str] = {}
         self._states: dict[str, PeerState] = {}
@@ -128,6 +134,7 @@
         self.on_silence: Callable[[str], None] = lambda peer: None
         self.collect_reports: Callable[[], UpstreamReports] = lambda: NO_UPSTREAM_REPORTS
         self.on_reports: Callable[[str, UpstreamReports], None] = lambda peer, reports: None
+        self.on_permit_message: Callable[[bytes, tuple[str, int]], None] = lambda data, addr: None
 
     @property
     def instances(self) -> int:
@@ -156,7 +163,10 @@
         self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Handle a peer's digest, unless a newer one was received before."""
+        """Handle a message about permits, or a digest unless a newer one was received before."""
+        if is_permit_message(data):
+            self.on_permit_message(data, addr)
+            return
         now = self._clock.now()
         try:
             digest = decode_digest(data, now)
@@ -188,6 +198,19 @@
     def error_received(self, exc: Exception) -> None:
         """Do nothing: the next datagram makes up for one that could not be delivered."""
 
+    def send_to(self, instance: str, data: bytes) -> bool:
+        """Send a datagram to one instance; return False if its address is not known."""
+        address = self._addresses.get(instance)
+        if address is None or self._transport is None:
+            return False
+        self._transport.sendto(data, split_address(address))
+        return True
+
+    def reply_to(self, address: tuple[str, int], data: bytes) -> None:
+        """Send a datagram to the address from which one was received."""
+        if self._transport is not None:
+            self._transport.sendto(data, address)
+
     def schedule_send(self, urgent: bool = True) -> None:
         """Send the jobs to all peers, almost at once if ``urgent``, else with a short delay."""
         if self._transport is None:
@@ -259,7 +282,12 @@
         found.pop(self._instance, None)
         self._addresses.update((name, member.address) for name, member in found.items())
         self._members = frozenset(found)
-        self._shards.update_members({name: member.data_centre for name, member in found.items()})
+        centres = {name: member.data_centre for name, member in found.items()}
+        self._shards.update_members(centres)
+        centres[self._instance] = self._own.data_centre
+        refresh_ms = MEMBERS_REFRESH_MS if self._shards.shards > 1 else NEWCOMER_REFRESH_MS
+        settle_ms = refresh_ms + SETTLE_MARGIN_MS
+        self._permit_owners.update_members(centres, self._clock.now(), settle_ms)
         if not self._members_known:
             self.schedule_send()
         self._members_known = True
--- a/src/lentilwell/gateway/_placement_policies.py
+++ b/src/lentilwell/gateway/_placement_policies.py
@@ -28,7 +28,7 @@
 
     ``is_local`` is true for an upstream in the data centre of this instance. ``latency_factor`` is
     the ratio of actual to specified latency, ``refusal_share`` the share of requests that the
-    upstream refuses.
+    upstream refuses. A ``limited`` one names a rate limit, so it gets no parts of other prompts.
     """
 
     upstream: Upstream
@@ -36,6 +36,7 @@
     is_local: bool
     latency_factor: float = 1.0
     refusal_share: float = 0.0
+    limited: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/lentilwell/gateway/_placer.py
+++ b/src/lentilwell/gateway/_placer.py
@@ -1,36 +1,96 @@
-"""Chooses upstreams for one request, at once or after a deferral or a backoff."""
+"""Chooses upstreams for one request, at once or after a deferral, a backoff or a permit's wait."""
 
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 
 from lentilwell.gateway._backoff_waits import find_retry_after_ms, find_wait_ms, may_wait
 from lentilwell.gateway._deferral import find_deferral_ms
 from lentilwell.gateway._fleet import Fleet
+from lentilwell.gateway._permit_patience import find_permit_patience_ms
+from lentilwell.gateway._permits import Permit, Permits
 from lentilwell.gateway._placement_policies import Choice
 from lentilwell.gateway._request_recorder import RequestRecorder
 from lentilwell.gateway._routing import OTHER_INSTANCE_RETRY_MS, RoutedRequest
+from lentilwell.gateway._upstreams import Upstream
+
+
+@dataclass(frozen=True)
+class Placement:
+    """The choice for a request, with the permit that it needs if the upstream is rate-limited."""
+
+    choice: Choice
+    permit: Permit | None
 
 
 class Placer:
-    """Chooses upstreams for one request, and delays the request for a deferral or a backoff."""
+    """Chooses upstreams for one request, and delays it for a deferral, a backoff or a permit."""
 
-    def __init__(self, fleet: Fleet, routed: RoutedRequest, recorder: RequestRecorder) -> None:
+    def __init__(
+        self, fleet: Fleet, permits: Permits, routed: RoutedRequest, recorder: RequestRecorder
+    ) -> None:
         self._fleet = fleet
+        self._permits = permits
         self._clock = fleet.clock
         self._routed = routed
         self._recorder = recorder
         self._deferred_ms = 0
 
-    async def choose(
+    async def place(
         self, excluded: frozenset[str], sent_before: bool, last_send: bool
-    ) -> Choice | None:
-        """Return a choice, after deferring the request while its engines read other prompts.
+    ) -> Placement | None:
+        """Return a choice whose upstream may be sent the request now, or None if there is none.
 
-        Returns None if no upstream outside ``excluded`` can take the request in time. A request
-        that was ``sent_before`` is not deferred. ``last_send`` is true if the request is lost when
-        the upstream refuses it.
+        A request that was ``sent_before`` is not deferred. ``last_send`` is true if the request is
+        lost when the upstream refuses it.
         """
+        while (choice := await self._choose(excluded, sent_before, last_send)) is not None:
+            if not self._fleet.rate_limits.is_limited(choice.upstream.incarnation):
+                return Placement(choice, None)
+            permit = await self._wait_for_permit(choice.upstream, excluded)
+            if permit is not None:
+                return Placement(choice, permit)
+        return None
+
+    def find_retry_after_ms(self, excluded: frozenset[str]) -> int:
+        """Return when a caller should retry if no upstream can take its request, in ms."""
+        service = self._routed.service
+        backoff_ms = self._find_backoff_ms(excluded)
+        permit_ms = self._fleet.find_least_permit_wait_ms(service, excluded)
+        waits = [wait_ms for wait_ms in (backoff_ms, permit_ms) if wait_ms]
+        if not waits:
+            return OTHER_INSTANCE_RETRY_MS
+        return find_retry_after_ms(min(waits), self._fleet.random.random())
+
+    def explain_none(self, excluded: frozenset[str]) -> str:
+        """Return why no upstream can take the request, for the log."""
+        if self._fleet.find_least_permit_wait_ms(self._routed.service, excluded) is not None:
+            return "no upstream within its rate limit"
+        return "no upstream"
+
+    async def _wait_for_permit(self, upstream: Upstream, excluded: frozenset[str]) -> Permit | None:
+        """Return a permit once it holds, or None if none is to be had in time."""
+        has_alternative = self._fleet.has_unlimited(self._routed.service, excluded)
+        patience_ms = 0 if has_alternative else self._find_permit_patience_ms(upstream)
+        permit = await self._permits.acquire(upstream, patience_ms, has_alternative)
+        if permit is None:
+            return None
+        wait_ms = permit.holds_at - self._clock.now()
+        if wait_ms > 0:
+            self._recorder.record_wait(wait_ms, wait_ms)
+            await asyncio.sleep(wait_ms / 1_000)
+        return permit if self._permits.covers(upstream, permit) else None
+
+    def _find_permit_patience_ms(self, upstream: Upstream) -> int:
+        rate = self._fleet.rate_limits.find(upstream.incarnation)
+        waited_ms, remaining_ms = self._measure_time()
+        return find_permit_patience_ms(self._routed.route, rate or 0.0, waited_ms, remaining_ms)
+
+    async def _choose(
+        self, excluded: frozenset[str], sent_before: bool, last_send: bool
+    ) -> Choice | None:
+        """Return a choice, after deferring the request while its engines read other prompts."""
         while (choice := await self._choose_after_backoff(excluded, last_send)) is not None:
             if not choice.helpers or sent_before:
                 break
@@ -46,13 +106,6 @@
             await asyncio.sleep(deferral_ms / 1_000)
         return choice
 
-    def find_retry_after_ms(self, excluded: frozenset[str]) -> int:
-        """Return when a caller should retry if no upstream can take its request, in ms."""
-        backoff_ms = self._find_backoff_ms(excluded)
-        if not backoff_ms:
-            return OTHER_INSTANCE_RETRY_MS
-        return find_retry_after_ms(backoff_ms, self._fleet.random.random())
-
     async def _choose_after_backoff(
         self, excluded: frozenset[str], last_send: bool
     ) -> Choice | None:
@@ -61,22 +114,29 @@
         If all upstreams have a backoff in effect, wait until the first one ends, unless that is
         too late for the caller.
         """
-        while (choice := self._choose(excluded, last_send)) is None:
+        while (choice := self._choose_now(excluded, last_send)) is None:
             backoff_ms = self._find_backoff_ms(excluded)
             if not backoff_ms or not self._may_wait(backoff_ms):
                 break
             await self._wait_for_backoff(backoff_ms)
         return choice
 
-    def _choose(self, excluded: frozenset[str], last_send: bool) -> Choice | None:
+    def _choose_now(self, excluded: frozenset[str], last_send: bool) -> Choice | None:
+        """Choose an upstream that takes the request now, else one whose permit it can wait for."""
         routed = self._routed
-        return self._fleet.choose(
+        prompt, arrived_at = routed.facts.prompt, routed.request.arrived_at
+        choice = self._fleet.choose(
+            routed.service, routed.route, prompt, arrived_at, excluded, last_send
+        )
+        if choice is not None:
+            return choice
+        return self._fleet.choose_limited(
             routed.service,
             routed.route,
-            routed.facts.prompt,
-            routed.request.arrived_at,
+            prompt,
+            arrived_at,
             excluded,
-            last_send,
+            self._find_permit_patience_ms,
         )
 
     def _find_backoff_ms(self, excluded: frozenset[str]) -> int:
@@ -84,10 +144,13 @@
         opens_at = self._fleet.find_backoff_end(self._routed.service, excluded)
         return max(0, opens_at - self._clock.now()) if opens_at is not None else 0
 
-    def _may_wait(self, backoff_ms: int) -> bool:
+    def _measure_time(self) -> tuple[int, int]:
+        """Return the time since the request's arrival and that until its deadline, in ms."""
         now = self._clock.now()
-        waited_ms = now - self._routed.request.arrived_at
-        remaining_ms = self._routed.deadline_at - now
+        return now - self._routed.request.arrived_at, self._routed.deadline_at - now
+
+    def _may_wait(self, backoff_ms: int) -> bool:
+        waited_ms, remaining_ms = self._measure_time()
         return may_wait(self._routed.route, backoff_ms, waited_ms, remaining_ms)
 
     async def _wait_for_backoff(self, backoff_ms: int) -> None:
--- a/src/lentilwell/gateway/_rate_limits.py
+++ b/src/lentilwell/gateway/_rate_limits.py
@@ -8,7 +8,7 @@
 
 import math
 import re
-from collections.abc import Container, Iterable
+from collections.abc import Container
 from dataclasses import dataclass
 from enum import Enum
 
@@ -75,6 +75,11 @@
         report = self._reports.get(incarnation)
         return report.rate if report is not None else None
 
+    def is_limited(self, incarnation: Incarnation) -> bool:
+        """Tell whether an incarnation names a limit that can have an effect."""
+        rate = self.find(incarnation)
+        return rate is not None and rate < MAX_RATE
+
     def get_report(self, incarnation: Incarnation) -> LimitReport | None:
         """Return the newest knowledge of an incarnation's limit, None if it never named one."""
         return self._reports.get(incarnation)
@@ -101,8 +106,6 @@
         known = self._reports.get(report.incarnation)
         if known is not None and known.heard_at >= report.heard_at:
             return None
-        if known is None and report.rate is None:
-            return None
         self._reports.pop(report.incarnation, None)
         self._reports[report.incarnation] = report
         if len(self._reports) > MAX_INCARNATIONS:
@@ -118,11 +121,6 @@
         ]
         return tuple(reportable[:MAX_REPORTED])
 
-    def update_all(self, reports: Iterable[LimitReport]) -> list[tuple[LimitReport, LimitChange]]:
-        """Take over the reports of a peer; return those that changed a limit."""
-        changes = [(report, self.update(report)) for report in reports]
-        return [(report, change) for report, change in changes if change is not None]
-
     def keep_only(self, listed: Container[Incarnation]) -> None:
         """Remove the limits of incarnations that are not listed."""
         for incarnation in [one for one in self._reports if one not in listed]:
--- a/src/lentilwell/peers.thrift
+++ b/src/lentilwell/peers.thrift
@@ -167,3 +167,33 @@
   13: optional i64 listing_era = 0
   14: optional list<UpstreamLimit> limits
 }
+
+/**
+ * Asks an owner for permits of an upstream that names a limit, or only tells it what was heard:
+ * ``patience_ms`` is how long the asker can wait for its permit, -1 where it wants none. ``role`` is
+ * 1 for the primary owner and 2 for the stand-in. ``unpermitted`` counts requests already sent.
+ */
+struct PermitAsk {
+  1: required i64 number
+  2: required UpstreamLimit limit
+  3: required i32 role
+  4: required i32 patience_ms
+  5: required i32 unpermitted
+}
+
+/**
+ * Answers the ask with the same number. ``verdict`` is 1 for a permit that holds in ``wait_ms``, 2
+ * where the next one would take that long, 3 where the receiver is no owner of this upstream.
+ * ``limit`` is what the owner knows of the limit.
+ */
+struct PermitAnswer {
+  1: required i64 number
+  2: required i32 verdict
+  3: required i32 wait_ms
+  4: required UpstreamLimit limit
+}
+
+union PermitMessage {
+  1: PermitAsk ask
+  2: PermitAnswer answer
+}
--- a/tests/limited_upstreams.py
+++ b/tests/limited_upstreams.py
@@ -64,6 +64,11 @@
             at for at, instance in self.sends if at >= self.told_at.get(instance, at) + GRACE_MS
         ]
 
+    def count_since(self, seconds: float) -> int:
+        """Return the number of requests in the last ``seconds`` before the last one."""
+        last_at = self.sends[-1][0] if self.sends else 0
+        return sum(at > last_at - seconds * 1_000 for at, _ in self.sends)
+
     def count_worst_window(self) -> int:
         """Return the largest number of such requests in any window."""
         times = self.bound_sends
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -11,6 +11,7 @@
 from lentilwell._clock import ManualClock
 from lentilwell.gateway._load_tracker import Job, LoadTracker
 from lentilwell.gateway._peers import COALESCE_MS, DEFER_MS_PER_PEER, PEER_TIMEOUT_MS, Member, Peers
+from lentilwell.gateway._permit_owners import OwnerTable
 from lentilwell.gateway._refusals import ReportedTally, Tally
 from lentilwell.gateway._shards import ShardView
 from lentilwell.gateway._upstreams import Incarnation
@@ -45,7 +46,7 @@
     clock = clock or ManualClock(5_000)
     shards = ShardView("own", "a")
     shards.update_upstreams({})
-    return Peers("own", "life", own, clock, LoadTracker(), shards)
+    return Peers("own", "life", own, clock, LoadTracker(), shards, OwnerTable("own"))
 
 
 def send(peers, sequence=1, incarnation="l1", stopping=False, jobs=1, now=5_000):
--- /dev/null
+++ b/tests/test_gateway_permits.py
@@ -0,0 +1,218 @@
+"""Permits of rate-limited upstreams: who issues them, how many, and what messages carry."""
+
+import contextlib
+import math
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lentilwell.gateway._permit_issuer import (
+    MAX_DEBT_MS,
+    MAX_INCARNATIONS,
+    MIN_RATE,
+    PermitIssuer,
+    find_interval_ms,
+)
+from lentilwell.gateway._permit_messages import (
+    MAX_MESSAGE_BYTES,
+    NO_PERMIT,
+    PermitAnswer,
+    PermitAsk,
+    UnreadablePermitMessage,
+    Verdict,
+    decode_permit_message,
+    encode_permit_message,
+    is_permit_message,
+)
+from lentilwell.gateway._permit_owners import (
+    PRIMARY_SHARE,
+    SETTLING_SHARE,
+    STAND_IN_SHARE,
+    OwnerRole,
+    OwnerTable,
+    rank_owners,
+)
+from lentilwell.gateway._permit_patience import MAX_PATIENCE_MS, find_permit_patience_ms
+from lentilwell.gateway._rate_limits import LimitReport
+from lentilwell.gateway._upstreams import Incarnation, Upstream
+from lentilwell.gateway._work_digest import WorkDigest, encode_digest
+from tests.gateway_harness import make_route
+
+WINDOW_MS = 4_000
+U = Incarnation("u", 7)
+UPSTREAM = Upstream("u", "s", "10.0.0.1:1", "a", 8, False, 7)
+RATES = st.sampled_from([0.0, 0.05, 0.25, 1.0, 5.0, 40.0, 3_000.0])
+MEMBERS = st.dictionaries(
+    st.text(min_size=1, max_size=6), st.sampled_from(["a", "b", "c"]), max_size=30
+)
+
+
+def count_worst_window(times):
+    return max((sum(begin <= at < begin + WINDOW_MS for at in times) for begin in times), default=0)
+
+
+@given(RATES, st.lists(st.tuples(st.integers(0, 1_500), st.integers(0, 2_000)), max_size=120))
+def test_permits_of_an_owner_are_an_interval_apart(rate, asks):
+    issuer, now, times = PermitIssuer(), 100, []
+    interval_ms = find_interval_ms(rate, 1.0)
+    for after_ms, patience_ms in asks:
+        now += after_ms
+        decision = issuer.issue(U, interval_ms, patience_ms, now)
+        assert decision.granted == (decision.wait_ms <= patience_ms)
+        if decision.granted:
+            times.append(now + decision.wait_ms)
+    assert times == sorted(times)
+    allowed = math.floor(max(rate, MIN_RATE) * WINDOW_MS / 1_000) + 1
+    assert count_worst_window(times) <= allowed + 1  # a wait is rounded to whole milliseconds
+
+
+@pytest.mark.parametrize("rate", [0.0, 0.05, 0.25, 1.0, 5.0, 40.0, 3_000.0])
+def test_owners_that_do_not_know_of_each_other_stay_within_the_limit_together(rate):
+    shares = (PRIMARY_SHARE, STAND_IN_SHARE, SETTLING_SHARE, SETTLING_SHARE)
+    issued = sum(
+        math.floor(max(rate, MIN_RATE) * share * WINDOW_MS / 1_000) + 1 for share in shares
+    )
+    assert issued <= 1.5 * rate * WINDOW_MS / 1_000 + 5
+
+
+def test_denied_ask_takes_no_permit_from_others():
+    issuer = PermitIssuer()
+    assert issuer.issue(U, 1_000.0, 0, 100).granted
+    for _ in range(5):
+        assert not issuer.issue(U, 1_000.0, 500, 200).granted
+    assert issuer.issue(U, 1_000.0, 0, 1_100).granted
+
+
+def test_requests_without_a_permit_delay_the_next_permits_up_to_a_bound():
+    issuer = PermitIssuer()
+    issuer.record_unpermitted(U, 1_000.0, 2, 10_000)
+    assert issuer.issue(U, 1_000.0, NO_PERMIT, 10_000).wait_ms == 2_000
+    issuer.record_unpermitted(U, 1_000.0, 1_000, 10_000)
+    assert issuer.issue(U, 1_000.0, NO_PERMIT, 10_000).wait_ms == MAX_DEBT_MS + 1_000
+
+
+def test_issuer_remembers_a_bounded_number_of_upstreams():
+    issuer = PermitIssuer()
+    for number in range(MAX_INCARNATIONS + 10):
+        issuer.issue(Incarnation(f"u{number}", 0), 1_000.0, 0, 100)
+    assert len(issuer._last_at) == MAX_INCARNATIONS
+
+
+@given(MEMBERS, st.randoms())
+def test_instances_with_the_same_list_agree_on_the_owners(members, order):
+    names = list(members)
+    order.shuffle(names)
+    owners = rank_owners(UPSTREAM, members)
+    assert owners == rank_owners(UPSTREAM, {name: members[name] for name in names})
+    assert owners.primary != owners.stand_in or owners.primary is None
+    near = [name for name in members if members[name] == UPSTREAM.data_centre]
+    if near:
+        assert owners.primary in near
+    if len(near) > 1:
+        assert owners.stand_in in near
+
+
+def test_permits_are_spread_over_the_instances():
+    members = {f"i{number}": "a" for number in range(10)}
+    owners = [
+        rank_owners(Upstream(f"u{n}", "s", "x", "a", 1, False, 1), members).primary
+        for n in range(500)
+    ]
+    assert max(owners.count(name) for name in members) < 90
+
+
+def make_table(*steps):
+    """Return the owner table of ``own`` after lists of instances at given times."""
+    table = OwnerTable("own")
+    for at, names in steps:
+        table.update_members(dict.fromkeys(names, "a"), at, 3_000)
+    return table
+
+
+def find_own_upstream(names):
+    """Return an upstream whose primary owner among these instances is ``own``."""
+    for number in range(1_000):
+        upstream = Upstream(f"u{number}", "s", "x", "a", 1, False, 1)
+        if rank_owners(upstream, dict.fromkeys(names, "a")).primary == "own":
+            return upstream
+    raise AssertionError("no upstream found")
+
+
+def test_new_owner_settles_until_the_others_have_read_the_list():
+    names = ["own", "p1", "p2"]
+    upstream = find_own_upstream(names)
+    table = make_table((1_000, names))
+    assert table.find_share(upstream, OwnerRole.PRIMARY, 3_999) == SETTLING_SHARE
+    assert table.find_share(upstream, OwnerRole.PRIMARY, 4_000) == PRIMARY_SHARE
+
+
+def test_owner_that_stays_one_when_the_list_changes_does_not_settle():
+    names = ["own", "p1", "p2", "p3"]
+    upstream = find_own_upstream(names)
+    table = make_table((1_000, names[:3]), (9_000, names))
+    assert table.find_share(upstream, OwnerRole.PRIMARY, 9_001) == PRIMARY_SHARE
+
+
+def test_single_instance_issues_the_whole_limit_at_once():
+    table = make_table((1_000, ["own"]))
+    assert table.find_share(UPSTREAM, OwnerRole.PRIMARY, 1_000) == PRIMARY_SHARE
+
+
+LIMITS = st.builds(
+    LimitReport,
+    st.builds(Incarnation, st.text(max_size=20), st.integers(0, 2**40)),
+    st.none() | st.floats(0, 1_000),
+    st.integers(0, 10_000),
+)
+MESSAGES = st.builds(
+    PermitAsk,
+    st.integers(0, 2**62),
+    LIMITS,
+    st.sampled_from(OwnerRole),
+    st.integers(-1, 60_000),
+    st.integers(0, 100),
+) | st.builds(
+    PermitAnswer, st.integers(0, 2**62), st.sampled_from(Verdict), st.integers(0, 60_000), LIMITS
+)
+
+
+@given(MESSAGES)
+def test_messages_arrive_unchanged(message):
+    data = encode_permit_message(message, 10_000)
+    assert is_permit_message(data)
+    assert decode_permit_message(data, 10_000) == message
+
+
+@given(st.binary(max_size=200))
+def test_malformed_messages_raise_only_their_error(data):
+    with contextlib.suppress(UnreadablePermitMessage):
+        decode_permit_message(b"\x00" + data, 0)
+
+
+def test_digest_is_no_permit_message():
+    assert not is_permit_message(encode_digest(WorkDigest("i", "l", "127.0.0.1:1", 7, ()), 0))
+
+
+def test_oversized_message_is_rejected():
+    with pytest.raises(UnreadablePermitMessage):
+        decode_permit_message(b"\x00" * (MAX_MESSAGE_BYTES + 1), 0)
+
+
+@pytest.mark.parametrize(
+    ("rate", "waited_ms", "remaining_ms", "expected"),
+    [
+        (100.0, 0, 3_000, 150),
+        (100.0, 200, 2_800, 0),
+        (1.0, 0, 3_000, 1_000),
+        (0.0, 0, 9_000, 2_000),
+        (1.0, 0, 800, 500),
+        (1.0, 0, 200, 0),
+    ],
+)
+def test_request_waits_while_it_can_be_on_time_or_for_one_interval(
+    rate, waited_ms, remaining_ms, expected
+):
+    route = make_route("whole")
+    assert find_permit_patience_ms(route, rate, waited_ms, remaining_ms) == expected
+    assert expected <= MAX_PATIENCE_MS
--- a/tests/test_gateway_rate_limits.py
+++ b/tests/test_gateway_rate_limits.py
@@ -93,7 +93,8 @@
     shuffled = list(reports)
     order.shuffle(shuffled)
     limits = RateLimits()
-    limits.update_all(shuffled)
+    for report in shuffled:
+        limits.update(report)
     assert limits.find(U) == newest.rate
 
 
