--- a/src/lentilwell/gateway/_peers.py
+++ b/src/lentilwell/gateway/_peers.py
@@ -301,9 +301,12 @@
                 await self._newcomer_seen.wait()
 
     def close(self) -> None:
-        """Close the socket."""
+        """Close the socket; a digest that was scheduled is not sent."""
+        if self._pending_send is not None:
+            self._pending_send.cancel()
         if self._transport is not None:
             self._transport.close()
+            self._transport = None
 
     def _send(self) -> None:
         self._pending_send = None
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -10,7 +10,14 @@
 
 from lentilwell._clock import ManualClock
 from lentilwell.gateway._load_tracker import Job, LoadTracker
-from lentilwell.gateway._peers import COALESCE_MS, DEFER_MS_PER_PEER, PEER_TIMEOUT_MS, Member, Peers
+from lentilwell.gateway._peers import (
+    COALESCE_MS,
+    DEFER_MS_PER_PEER,
+    PEER_TIMEOUT_MS,
+    Member,
+    Peers,
+    PeerState,
+)
 from lentilwell.gateway._permit_owners import OwnerTable
 from lentilwell.gateway._refusals import ReportedTally, Tally
 from lentilwell.gateway._shards import ShardView
@@ -355,3 +362,20 @@
     # The smallest stores accept 400 writes per second from all instances together.
     busiest = max(sum(at <= other < at + 100 for other in written) for at in written)
     assert len(written) == 300 and busiest <= 40
+
+
+def test_digest_that_was_scheduled_before_the_close_is_not_sent():
+    async def close_with_a_digest_due():
+        errors = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: errors.append(context))
+        peers = make_peers(LoopClock())
+        peers._addresses["other"] = "127.0.0.1:9"
+        peers._states["other"] = PeerState("l1", 1, peers._clock.now(), False)
+        await loop.create_datagram_endpoint(lambda: peers, ("127.0.0.1", 0))
+        peers.schedule_send()
+        peers.close()
+        await asyncio.sleep(0.1)
+        return errors
+
+    assert asyncio.run(close_with_a_digest_due()) == []
