--- a/src/lentilwell/gateway/_answer_observer.py
+++ b/src/lentilwell/gateway/_answer_observer.py
@@ -20,6 +20,8 @@
 # The source of a change that this instance learned from an answer itself.
 OWN_ANSWER = "answer"
 MAX_LOGGED_TEXT = 80
+# Bound on the upstreams whose last invalid limit is remembered, so that it is logged once.
+MAX_IGNORED_LIMITS = 1_024
 # Statuses of a refusal, which may carry a Retry-After header.
 REFUSAL_STATUSES = frozenset((429, 503))
 
@@ -55,15 +57,22 @@
     def _handle_rate_limit(self, upstream: Upstream, text: str) -> None:
         rate = read_rate(text)
         if rate is None:
-            if self._ignored_limits.get(upstream.name) != text:
-                self._ignored_limits[upstream.name] = text
-                write_line(UpstreamLimitIgnored(upstream.name, text[:MAX_LOGGED_TEXT]))
+            self._ignore_limit(upstream, text[:MAX_LOGGED_TEXT])
             return
         now = self._fleet.clock.now()
         change = self._fleet.rate_limits.record_named(upstream.incarnation, rate, now)
         if change is not None:
             self._handle_change(upstream, LimitReport(upstream.incarnation, rate, now), change)
 
+    def _ignore_limit(self, upstream: Upstream, text: str) -> None:
+        """Log an invalid limit, but not each time that the upstream repeats it."""
+        if self._ignored_limits.get(upstream.name) == text:
+            return
+        if len(self._ignored_limits) >= MAX_IGNORED_LIMITS:
+            self._ignored_limits.clear()
+        self._ignored_limits[upstream.name] = text
+        write_line(UpstreamLimitIgnored(upstream.name, text))
+
     def _handle_change(self, upstream: Upstream, report: LimitReport, change: LimitChange) -> None:
         self._log_limit(report, change, OWN_ANSWER)
         self._fleet.on_new_report()
--- a/src/lentilwell/gateway/_placer.py
+++ b/src/lentilwell/gateway/_placer.py
@@ -48,8 +48,10 @@
         while (choice := await self._choose(excluded, sent_before, last_send)) is not None:
             if not self._fleet.rate_limits.is_limited(choice.upstream.incarnation):
                 return Placement(choice, None)
-            permit = await self._wait_for_permit(choice.upstream, excluded)
-            if permit is not None:
+            permit = await self._acquire_permit(choice.upstream, excluded)
+            if permit is None:
+                excluded |= {choice.upstream.name}
+            elif await self._wait_for_permit(choice.upstream, permit):
                 return Placement(choice, permit)
         return None
 
@@ -69,18 +71,19 @@
             return "no upstream within its rate limit"
         return "no upstream"
 
-    async def _wait_for_permit(self, upstream: Upstream, excluded: frozenset[str]) -> Permit | None:
-        """Return a permit once it holds, or None if none is to be had in time."""
+    async def _acquire_permit(self, upstream: Upstream, excluded: frozenset[str]) -> Permit | None:
+        """Return a permit in time, or None; beside other upstreams, only one that holds at once."""
         has_alternative = self._fleet.has_unlimited(self._routed.service, excluded)
         patience_ms = 0 if has_alternative else self._find_permit_patience_ms(upstream)
-        permit = await self._permits.acquire(upstream, patience_ms, has_alternative)
-        if permit is None:
-            return None
+        return await self._permits.acquire(upstream, patience_ms, has_alternative)
+
+    async def _wait_for_permit(self, upstream: Upstream, permit: Permit) -> bool:
+        """Wait until a permit holds; return False if the limit has changed meanwhile."""
         wait_ms = permit.holds_at - self._clock.now()
         if wait_ms > 0:
             self._recorder.record_wait(wait_ms, wait_ms)
             await asyncio.sleep(wait_ms / 1_000)
-        return permit if self._permits.covers(upstream, permit) else None
+        return self._permits.covers(upstream, permit)
 
     def _find_permit_patience_ms(self, upstream: Upstream) -> int:
         rate = self._fleet.rate_limits.find(upstream.incarnation)
--- a/tests/test_gateway_leases.py
+++ b/tests/test_gateway_leases.py
@@ -16,7 +16,7 @@
 from lentilwell.gateway._leases import LeaseManager, ReservationFailed
 from lentilwell.gateway._placement_policies import Helper
 from lentilwell.gateway._upstreams import Upstream
-from tests.simulated_time import run_in_simulated_time
+from standins.simulated_time import run_in_simulated_time
 
 # Memory must be free again this long after the end of its request.
 MAX_RELEASE_MS = 4_000
--- a/tests/test_gateway_outages.py
+++ b/tests/test_gateway_outages.py
@@ -15,7 +15,7 @@
 from lentilwell.gateway import Entry, Listing, StoreUnavailable
 from lentilwell.gateway._follower import Follower
 from lentilwell.gateway._store_waits import InstanceRank
-from tests.simulated_time import LoopClock, run_in_simulated_time
+from standins.simulated_time import LoopClock, run_in_simulated_time
 
 APPLY_MS = 2_000
 CONTACT_MS = 3_000
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -30,7 +30,7 @@
     decode_digest,
     encode_digest,
 )
-from tests.simulated_time import LoopClock, run_in_simulated_time
+from standins.simulated_time import LoopClock, run_in_simulated_time
 
 JOBS = st.builds(
     Job,
--- a/tests/test_gateway_permits.py
+++ b/tests/test_gateway_permits.py
@@ -1,5 +1,6 @@
 """Permits of rate-limited upstreams: who issues them, how many, and what messages carry."""
 
+import asyncio
 import contextlib
 import math
 
@@ -7,6 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lentilwell._clock import ManualClock
 from lentilwell.gateway._permit_issuer import (
     MAX_DEBT_MS,
     MAX_INCARNATIONS,
@@ -34,7 +36,13 @@
     rank_owners,
 )
 from lentilwell.gateway._permit_patience import MAX_PATIENCE_MS, find_permit_patience_ms
-from lentilwell.gateway._rate_limits import LimitReport
+from lentilwell.gateway._permits import (
+    ASK_SPREAD_MS,
+    NO_OWNER_RETRY_MS,
+    PERMIT_VALID_MS,
+    Permits,
+)
+from lentilwell.gateway._rate_limits import LimitReport, RateLimits
 from lentilwell.gateway._upstreams import Incarnation, Upstream
 from lentilwell.gateway._work_digest import WorkDigest, encode_digest
 from tests.gateway_harness import make_route
@@ -216,3 +224,73 @@
     route = make_route("whole")
     assert find_permit_patience_ms(route, rate, waited_ms, remaining_ms) == expected
     assert expected <= MAX_PATIENCE_MS
+
+
+def make_permits(rate=1.0, members=("own",)):
+    """Return the permits of ``own`` before a limited upstream, and their clock and limits."""
+    clock, limits, owners = ManualClock(100_000), RateLimits(), OwnerTable("own")
+    owners.update_members(dict.fromkeys(members, "a"), 0, 3_000)
+    limits.record_named(U, rate, clock.now())
+    return Permits("own", clock, limits, owners, lambda name: UPSTREAM), clock, limits
+
+
+def acquire(permits, patience_ms=0, has_alternative=False):
+    return asyncio.run(permits.acquire(UPSTREAM, patience_ms, has_alternative))
+
+
+def test_lease_orders_count_as_requests():
+    permits, clock, _ = make_permits()
+    for _ in range(3):
+        permits.record_unpermitted(UPSTREAM)
+    assert acquire(permits) is None
+    clock.advance(2_000)
+    assert acquire(permits) is None
+    clock.advance(1_000)
+    assert acquire(permits) is not None
+
+
+def test_permit_is_void_once_the_limit_has_changed_or_time_has_passed():
+    permits, clock, limits = make_permits()
+    permit = acquire(permits)
+    assert permits.covers(UPSTREAM, permit)
+    assert not permits.covers(UPSTREAM, None)
+    clock.advance(PERMIT_VALID_MS)
+    assert permits.covers(UPSTREAM, permit)
+    clock.advance(1)
+    assert not permits.covers(UPSTREAM, permit)
+    clock.advance(2_000)
+    permit = acquire(permits)
+    limits.record_named(U, 0.5, clock.now())
+    assert not permits.covers(UPSTREAM, permit)
+    limits.record_unnamed(U, clock.now() + 1, clock.now() + 2)
+    assert permits.covers(UPSTREAM, None)
+
+
+def test_denied_instance_asks_again_when_the_next_permit_is_due():
+    permits, clock, _ = make_permits()
+    acquire(permits)
+    assert permits.estimate_wait_ms(UPSTREAM) == 0
+    assert acquire(permits, patience_ms=200) is None
+    assert permits.estimate_wait_ms(UPSTREAM) == 1_000
+    clock.advance(1_000 + ASK_SPREAD_MS + 2)
+    assert permits.estimate_wait_ms(UPSTREAM) == 0
+
+
+def test_without_an_owner_in_reach_nothing_is_sent():
+    permits, clock, _ = make_permits(members=("p1", "p2"))
+    verdicts = []
+    permits.on_verdict = verdicts.append
+    assert acquire(permits, patience_ms=1_000) is None
+    assert verdicts == ["no_owner"]
+    assert permits.estimate_wait_ms(UPSTREAM) == NO_OWNER_RETRY_MS
+
+
+def test_ask_about_another_incarnation_gets_no_permit():
+    permits, clock, _ = make_permits()
+    replies = []
+    permits.reply = lambda address, data: replies.append(decode_permit_message(data, clock.now()))
+    for born_ms, verdict in ((7, Verdict.GRANTED), (8, Verdict.NOT_OWNER)):
+        limit = LimitReport(Incarnation("u", born_ms), 1.0, clock.now())
+        ask = PermitAsk(born_ms, limit, OwnerRole.PRIMARY, 0)
+        permits.handle_datagram(encode_permit_message(ask, clock.now()), ("10.0.0.9", 7))
+        assert replies[-1].verdict is verdict
--- a/tests/test_gateway_restores.py
+++ b/tests/test_gateway_restores.py
@@ -20,7 +20,7 @@
 from lentilwell.gateway._store_point import StorePoint
 from lentilwell.gateway._store_waits import InstanceRank
 from standins.rows import RowStore
-from tests.simulated_time import LoopClock, run_in_simulated_time
+from standins.simulated_time import LoopClock, run_in_simulated_time
 
 APPLY_MS = 2_000
 ANSWER_MS = 4
