--- a/tests/limited_upstreams.py
+++ b/tests/limited_upstreams.py
@@ -41,9 +41,13 @@
 
 @dataclass
 class LimitedUpstream:
-    """Answers every request, names ``rate`` while it is set, and records who sent what when."""
+    """Answers every request, names ``rate`` while it is set, and records who sent what when.
+
+    With a ``status`` of an error, its answers make the gateway try another upstream.
+    """
 
     rate: float | None
+    status: int = 200
     sends: list[tuple[int, str]] = field(default_factory=list)
     told_at: dict[str, int] = field(default_factory=dict)
 
@@ -52,9 +56,9 @@
         instance = arrival.headers.get("via-instance", "")
         self.sends.append((CLOCK.now(), instance))
         if self.rate is None:
-            await arrival.answer(body=b"hello")
+            await arrival.answer(self.status, body=b"hello")
             return
-        await arrival.answer(body=b"hello", Server_Limit=self.rate)
+        await arrival.answer(self.status, body=b"hello", Server_Limit=self.rate)
         self.told_at.setdefault(instance, CLOCK.now())
 
     @property
--- a/tests/test_gateway_limited_upstreams.py
+++ b/tests/test_gateway_limited_upstreams.py
@@ -1,10 +1,13 @@
 """Upstreams that name a rate limit get no more from all instances than they named."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
 from lentilwell.gateway._peers import NEWCOMER_REFRESH_MS, SETTLE_MARGIN_MS
+from lentilwell.gateway._placement_policies import Helper
+from lentilwell.gateway._upstreams import ListingChange, apply_changes
 from tests.gateway_scripts import answer_ok, in_loop
 from tests.limited_upstreams import LimitedUpstream, find_allowed, run_gateways
 
@@ -85,3 +88,47 @@
         assert len(limited.sends) > before + 2
         assert limited.count_worst_window() <= find_allowed(10.0)
         assert [one.status for one in group.served] == [200] * len(group.served)
+
+
+@in_loop
+async def test_repeats_count_like_first_sends():
+    failing = [LimitedUpstream(2.0, status=500), LimitedUpstream(2.0, status=500)]
+    async with run_gateways(3, failing) as group:
+        await asyncio.sleep(SETTLED_S)
+        await group.press(PRESS_S, 40.0)
+        for upstream in failing:
+            assert 0 < upstream.count_worst_window() <= find_allowed(2.0)
+
+
+@in_loop
+async def test_lease_orders_to_a_limited_upstream_count_as_requests():
+    orders = []
+
+    async def take_order(arrival):
+        orders.append(arrival)
+        await arrival.answer(body=b"{}")
+
+    async with run_gateways(1, [take_order]) as group:
+        gateway = group.gateways["i0"]
+        upstream = gateway.fleet.directory.listed["u0"]
+        gateway.fleet.rate_limits.record_named(upstream.incarnation, 1.0, gateway.clock.now())
+        leases = await gateway.leases.reserve([Helper(upstream, 10)])
+        assert orders
+        assert await gateway.permits.acquire(upstream, 500, has_alternative=False) is None
+        leases.release()
+
+
+@in_loop
+async def test_new_incarnation_is_not_bound_by_the_limit_of_the_one_before():
+    limited = LimitedUpstream(1.0)
+    async with run_gateways(2, [limited]) as group:
+        await group.press(0.5, 40.0)
+        limited.rate = None
+        for gateway in group.gateways.values():
+            listed = gateway.fleet.directory.listed["u0"]
+            change = ListingChange("u0", replace(listed, born_ms=2))
+            now = gateway.clock.now()
+            gateway.fleet.directory = apply_changes(gateway.fleet.directory, [change], now)
+        group.served.clear()
+        await group.press(0.5, 40.0)
+        assert [one.status for one in group.served] == [200] * 20
