Soak: upstreams, engines included, name rate limits; windows are counted as the rule does

A fault 'limit' (0, 1, 3 or 15 requests a second, up to 10 s) and an eleventh check, which counts windows of 4 s of requests from instances that were told. The stand-in engine names limits in streams, refusals and answers to orders. Orders to engines are not counted by the check, since they do not say which instance sent them.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -8,7 +8,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 
-from soak.observations import Call, Kind, Observations
+from soak.observations import Call, Kind, LimitPeriod, Observations
 
 Check = Callable[[Observations], Iterator[str]]
 CHECKS: dict[str, Check] = {}
@@ -26,6 +26,12 @@
 EXTRA_RETRIES = 100
 RETRY_BUDGET_WINDOW_MS = 10_000
 
+RATE_WINDOW_MS = 4_000
+RATE_FACTOR = 1.5
+EXTRA_LIMITED_REQUESTS = 5
+# A limit that follows another one at once binds the instances from this time on.
+LIMIT_CHANGE_MS = 3_000
+
 
 def check(name: str) -> Callable[[Check], Check]:
     """Register a check under ``name``, which prefixes its violations."""
@@ -120,6 +126,50 @@
             )
 
 
+@check("rate limit")
+def check_rate_limits(observations: Observations) -> Iterator[str]:
+    """Check that upstreams get no more than the rates that they named to the instances."""
+    for period in observations.limit_periods:
+        times = sorted(_list_bound_arrivals(observations, period))
+        allowed = RATE_FACTOR * period.rate * RATE_WINDOW_MS / 1_000 + EXTRA_LIMITED_REQUESTS
+        for begin in times:
+            count = sum(begin <= at < begin + RATE_WINDOW_MS for at in times)
+            if count > allowed:
+                yield (
+                    f"{period.upstream} named {period.rate} a second at {period.begin} and got"
+                    f" {count} requests from {begin} on, allowed {allowed:g}"
+                )
+                break
+
+
+def _list_bound_arrivals(observations: Observations, period: LimitPeriod) -> Iterator[int]:
+    """Yield the times of requests from instances that had been told of the limit before."""
+    first_at = period.begin
+    if any(
+        other is not period
+        and other.upstream == period.upstream
+        and other.begin <= period.begin <= other.end
+        for other in observations.limit_periods
+    ):
+        first_at += LIMIT_CHANGE_MS
+    told_at: dict[str, int] = {}
+    for naming in observations.namings:
+        if (naming.upstream, naming.incarnation) == (period.upstream, period.incarnation) and (
+            period.begin <= naming.at <= period.end
+        ):
+            told_at.setdefault(naming.instance, naming.at)
+    for arrival in observations.arrivals:
+        told = told_at.get(arrival.instance)
+        if (
+            told is not None
+            and (arrival.upstream, arrival.life) == (period.upstream, period.incarnation)
+            and max(first_at, told + ANNOUNCEMENT_SLACK_MS) <= arrival.at <= period.end
+            and not observations.was_hit(arrival.instance, told, arrival.at)
+            and not observations.was_hit(period.upstream, told, arrival.at)
+        ):
+            yield arrival.at
+
+
 @check("configuration")
 def check_configuration(observations: Observations) -> Iterator[str]:
     """Check that new configuration versions are applied in time and never reverted by a process."""
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -13,8 +13,8 @@
 from typing import Any
 
 from lentilwell._clock import BootClock
-from soak.faulty_server import FaultyServer
-from soak.observations import Observations
+from soak.faulty_server import INSTANCE_HEADER, FaultyServer
+from soak.observations import Arrival, LimitNaming, LimitPeriod, Observations
 from soak.plan import Fault
 from soak.proxy import Proxy
 from standins.batch_server import BatchServer
@@ -37,6 +37,10 @@
 RECOVERY_MS = 3_000
 LINK_DELAY_MS = 120
 RESTORE_OUTAGE_MS = 300
+# The rates that a limited upstream names, in requests per second, and how much longer than other
+# faults a limit lasts: the check looks at windows of 4 s.
+LIMIT_RATES = (0.0, 1.0, 3.0, 15.0)
+LIMIT_LENGTH_FACTOR = 4
 # Maximum pause before each row that is rewritten after a restore of the store.
 MAX_REWRITE_PAUSE_MS = 400
 
@@ -79,6 +83,8 @@
             BatchServer(f"e{n}", self._engines_by_address, speed=ENGINE_SPEED)
             for n in range(ENGINES)
         ]
+        for engine in self.engines:
+            self._record_requests(engine)
         for upstream in self._upstreams:
             await upstream.start()
             link = self.links[upstream.name] = Proxy(upstream.address)
@@ -103,6 +109,20 @@
     def _upstreams(self) -> tuple[FaultyServer | BatchServer, ...]:
         return (*self.faulty_servers, *self.engines)
 
+    def _record_requests(self, engine: BatchServer) -> None:
+        """Record the requests that an engine gets, and its answers that name a rate limit."""
+
+        def record_arrival(headers: dict[str, str]) -> None:
+            instance, now = headers.get(INSTANCE_HEADER, ""), self.clock.now()
+            arrival = Arrival(headers["request-id"], engine.name, 1, instance, now, ran=True)
+            self.observations.arrivals.append(arrival)
+
+        def record_naming(headers: dict[str, str]) -> None:
+            instance, now = headers.get(INSTANCE_HEADER, ""), self.clock.now()
+            self.observations.namings.append(LimitNaming(engine.name, 1, instance, now))
+
+        engine.on_request, engine.on_naming = record_arrival, record_naming
+
     async def start_instance(self, instance: Instance) -> None:
         """Start the process of an instance and a task that reads its log."""
         self.incarnations[instance.name] = self.incarnations.get(instance.name, 0) + 1
@@ -160,6 +180,10 @@
         """Return the faulty server that a fault targets."""
         return self.faulty_servers[int(fault.point * len(self.faulty_servers))]
 
+    def pick_upstream(self, fault: Fault) -> FaultyServer | BatchServer:
+        """Return the faulty server or engine that a fault targets."""
+        return self._upstreams[int(fault.point * len(self._upstreams))]
+
     def pick_link(self, fault: Fault) -> str:
         """Return the name of the upstream whose link a fault targets."""
         names = sorted(self.links)
@@ -279,6 +303,21 @@
     faulty_server.mode = "sound"
 
 
+@fault_action("limit")
+async def name_rate_limit(deployment: Deployment, fault: Fault) -> None:
+    """Let an upstream name a rate limit in its answers for some seconds."""
+    upstream = deployment.pick_upstream(fault)
+    rate = LIMIT_RATES[fault.for_ms % len(LIMIT_RATES)]
+    incarnation = upstream.incarnation if isinstance(upstream, FaultyServer) else 1
+    begin = deployment.clock.now()
+    upstream.rate_limit = rate
+    await asyncio.sleep(fault.for_ms * LIMIT_LENGTH_FACTOR / 1_000)
+    if upstream.rate_limit == rate:
+        upstream.rate_limit = None
+    period = LimitPeriod(upstream.name, incarnation, begin, deployment.clock.now(), rate)
+    deployment.observations.limit_periods.append(period)
+
+
 @fault_action("leave")
 async def announce_leaving(deployment: Deployment, fault: Fault) -> None:
     """Announce the leave of a server in its answers only, then restart it with the same name."""
--- a/soak/faulty_server.py
+++ b/soak/faulty_server.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable
 
 from lentilwell._clock import BootClock
-from soak.observations import Announcement, Arrival, Observations
+from soak.observations import Announcement, Arrival, LimitNaming, Observations
 from standins.loopback import listen
 
 SERVICE_TIME_S = 0.01
@@ -32,7 +32,8 @@
 class FaultyServer:
     """One upstream of a plain service; the current mode decides how it answers.
 
-    ``incarnation`` counts its starts. While ``leaving`` is set, every answer announces it.
+    ``incarnation`` counts its starts. While ``leaving`` is set, every answer announces it, and
+    while ``rate_limit`` is set, every answer names it.
     """
 
     def __init__(self, name: str, observations: Observations) -> None:
@@ -40,6 +41,7 @@
         self.mode = "sound"
         self.incarnation = 1
         self.leaving = False
+        self.rate_limit: float | None = None
         self.address = ""
         self._observations = observations
         self._clock = BootClock()
@@ -57,6 +59,7 @@
         """Simulate a restart: a new incarnation with the same name and address."""
         self.incarnation += 1
         self.leaving = False
+        self.rate_limit = None
         self.mode = "sound"
 
     def record_arrival(self, headers: dict[str, str], ran: bool) -> None:
@@ -91,11 +94,19 @@
             answer_headers["Server-Stamp"] = f"s-{self.name}"
         if self.leaving:
             answer_headers["Server-Leaving"] = "1"
+        if self.rate_limit is not None:
+            answer_headers["Server-Limit"] = str(self.rate_limit)
+            self._record_naming(headers)
         header_lines = "".join(
             f"{name.replace('_', '-')}: {value}\r\n" for name, value in answer_headers.items()
         )
         return f"HTTP/1.1 {status} X\r\n{header_lines}\r\n".encode() + body
 
+    def _record_naming(self, headers: dict[str, str]) -> None:
+        instance = headers.get(INSTANCE_HEADER, "")
+        naming = LimitNaming(self.name, self.incarnation, instance, self._clock.now())
+        self._observations.namings.append(naming)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             while True:
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -64,6 +64,27 @@
     until: int = 0
 
 
+@dataclass(frozen=True)
+class LimitNaming:
+    """An upstream's answer to an instance that names a rate limit."""
+
+    upstream: str
+    incarnation: int
+    instance: str
+    at: int
+
+
+@dataclass(frozen=True)
+class LimitPeriod:
+    """A period in which an upstream names one rate limit, in requests per second."""
+
+    upstream: str
+    incarnation: int
+    begin: int
+    end: int
+    rate: float
+
+
 @dataclass(frozen=True)
 class RouteProbe:
     """The status of a call to the route that configuration version ``version`` added."""
@@ -100,6 +121,8 @@
     calls: list[Call] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
     announcements: list[Announcement] = field(default_factory=list)
+    namings: list[LimitNaming] = field(default_factory=list)
+    limit_periods: list[LimitPeriod] = field(default_factory=list)
     probes: list[RouteProbe] = field(default_factory=list)
     troubles: list[Trouble] = field(default_factory=list)
     version_times: dict[int, int] = field(default_factory=dict)
@@ -115,6 +138,13 @@
             for trouble in self.troubles
         )
 
+    def was_hit(self, name: str, begin: int, end: int) -> bool:
+        """Return whether a fault of this instance or upstream itself overlaps with a period."""
+        return any(
+            trouble.name == name and trouble.begin <= end and begin <= trouble.end
+            for trouble in self.troubles
+        )
+
     @contextmanager
     def record_trouble(
         self, name: str | None, now: Callable[[], int], after_ms: int
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -11,12 +11,14 @@
 
 INSTANCE_FAULTS = ("stop", "kill", "pause")
 SERVER_FAULTS = ("shed", "closed", "twice", "torn", "mute", "failing", "leave", "gone")
+LIMIT_FAULTS = ("limit",)
 LINK_FAULTS = ("delay", "silence", "one way", "reset")
 STORE_FAULTS = ("store away", "store silent", "store link", "answers lost", "history lost")
 RESTORE_FAULTS = ("restore",)
 FAULT_WEIGHTS = {
     **dict.fromkeys(INSTANCE_FAULTS, 2),
     **dict.fromkeys(SERVER_FAULTS, 2),
+    **dict.fromkeys(LIMIT_FAULTS, 4),
     **dict.fromkeys(LINK_FAULTS, 2),
     **dict.fromkeys(STORE_FAULTS, 1),
     **dict.fromkeys(RESTORE_FAULTS, 2),
--- a/standins/batch_server.py
+++ b/standins/batch_server.py
@@ -9,7 +9,7 @@
 import itertools
 import json
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from lentilwell.gateway import EngineSpec
@@ -33,7 +33,9 @@
     """One engine.
 
     ``engines_by_address`` holds all engines, so that an engine can add prefill jobs to the others.
-    Passes run ``speed`` times faster than in the batch model.
+    Passes run ``speed`` times faster than in the batch model. While ``rate_limit`` is set, every
+    answer names it. ``on_request`` is called with the headers of each request for a stream, and
+    ``on_naming`` with those of each one whose answer names the limit.
     """
 
     name: str
@@ -44,6 +46,9 @@
     served_request_ids: list[str] = field(default_factory=list)
     stream_numbers: Iterator[int] = field(default_factory=itertools.count)
     leases: dict[str, Lease] = field(default_factory=dict)
+    rate_limit: float | None = None
+    on_request: Callable[[dict[str, str]], None] = lambda headers: None
+    on_naming: Callable[[dict[str, str]], None] = lambda headers: None
 
     async def start(self) -> str:
         """Listen on loopback and return the address."""
@@ -123,8 +128,9 @@
         if headers.get("expect-instance", self.name) != self.name:
             _write_response(writer, 421, b"", {"Instance-Id": self.name})
         elif path == "/order":
-            _write_response(writer, *self._handle_order(json.loads(body)), {})
+            _write_response(writer, *self._handle_order(json.loads(body)), self._name_limit())
         elif "token-count" in headers:
+            self.on_request(headers)
             name = f"{self.name}.{next(self.stream_numbers)}"
             work = asyncio.ensure_future(self._serve_stream(name, headers, writer))
             disconnect = asyncio.ensure_future(_wait_for_disconnect(reader))
@@ -138,9 +144,14 @@
         else:
             self.served_request_ids.append(headers["request-id"])
             answer = {"Request-Id": headers["request-id"], "Server-Stamp": f"s-{self.name}"}
+            answer.update(self._name_limit())
             _write_response(writer, 200, body or b"looked up", answer)
         await writer.drain()
 
+    def _name_limit(self) -> dict[str, str]:
+        """Return the header that names the rate limit, if there is one."""
+        return {} if self.rate_limit is None else {"Server-Limit": str(self.rate_limit)}
+
     def _handle_order(self, order: dict[str, object]) -> tuple[int, bytes]:
         lease_id = str(order["id"])
         if order["operation"] == "release":
@@ -167,7 +178,8 @@
         helpers = [entry.split("/") for entry in headers.get("helpers", "").split(",") if entry]
         refusal = self._find_refusal(prompt, helpers)
         if refusal is not None:
-            _write_response(writer, 503, b"", {"Not-Run": "1", "Request-Id": request_id, **refusal})
+            refusal |= {"Not-Run": "1", "Request-Id": request_id, **self._name_limit()}
+            _write_response(writer, 503, b"", refusal)
             return
         parts = len(helpers) + 1
         prefill_events = [
@@ -185,7 +197,10 @@
         self._work_added.set()
         self.served_request_ids.append(request_id)
         head = f"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nRequest-Id: {request_id}\r\n"
-        writer.write(f"{head}Server-Stamp: s-{self.name}\r\n\r\n".encode())
+        limit = "".join(f"{name}: {value}\r\n" for name, value in self._name_limit().items())
+        if limit:
+            self.on_naming(headers)
+        writer.write(f"{head}{limit}Server-Stamp: s-{self.name}\r\n\r\n".encode())
         await self._write_events(name, int(headers.get("last-event-id", 0)), events, writer)
         self._remove_from_all(name)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,7 +4,17 @@
 
 from soak.checks import ANNOUNCEMENT_SLACK_MS, CHECKS, find_violations
 from soak.deployment import FAULT_ACTIONS
-from soak.observations import Announcement, Arrival, Call, Kind, Observations, RouteProbe, Trouble
+from soak.observations import (
+    Announcement,
+    Arrival,
+    Call,
+    Kind,
+    LimitNaming,
+    LimitPeriod,
+    Observations,
+    RouteProbe,
+    Trouble,
+)
 from soak.plan import FAULT_WEIGHTS, draw_plan
 from soak.run import run_seed
 
@@ -117,10 +127,33 @@
     assert find_violations(make_observations(**changes, troubles=[Trouble("d1", 900, 2_500)]))
 
 
+def make_limited_run(count, period=LimitPeriod("d0", 1, 1_000, 9_000, 1.0), **changes):
+    """Return a run in which a limited upstream gets ``count`` requests in 2 s from one instance."""
+    return make_observations(
+        arrivals=[make_arrival(f"r{n}", at=3_000 + n * 2_000 // count) for n in range(count)],
+        namings=[LimitNaming("d0", 1, "n0", 2_000)],
+        limit_periods=[period],
+        **changes,
+    )
+
+
+def test_rate_limit_is_checked_in_windows_of_instances_that_were_told():
+    assert not find_violations(make_limited_run(11))
+    assert find_violations(make_limited_run(12))
+    for trouble in ("n0", "d0"):
+        assert not find_violations(make_limited_run(12, troubles=[Trouble(trouble, 0, 6_000)]))
+    assert find_violations(make_limited_run(12, troubles=[Trouble(None, 0, 6_000)]))
+    untold = make_limited_run(12)
+    untold.namings.clear()
+    assert not find_violations(untold)
+    of_another_incarnation = LimitPeriod("d0", 2, 1_000, 9_000, 1.0)
+    assert not find_violations(make_limited_run(12, of_another_incarnation))
+
+
 def test_plan_depends_on_its_seed_alone_and_every_fault_kind_has_an_action():
     assert draw_plan(7, 8_000) == draw_plan(7, 8_000) != draw_plan(8, 8_000)
     assert set(FAULT_WEIGHTS) == set(FAULT_ACTIONS)
-    assert len(CHECKS) == 10
+    assert len(CHECKS) == 11
 
 
 @pytest.mark.timeout(120)
