--- a/tests/test_gateway_limited_upstreams.py
+++ b/tests/test_gateway_limited_upstreams.py
@@ -8,6 +8,7 @@
 from lentilwell.gateway._peers import NEWCOMER_REFRESH_MS, SETTLE_MARGIN_MS
 from lentilwell.gateway._placement_policies import Helper
 from lentilwell.gateway._upstreams import ListingChange, apply_changes
+from tests.gateway_harness import with_route
 from tests.gateway_scripts import answer_ok, in_loop
 from tests.limited_upstreams import LimitedUpstream, find_allowed, run_gateways
 
@@ -92,12 +93,13 @@
 
 @in_loop
 async def test_repeats_count_like_first_sends():
-    failing = [LimitedUpstream(2.0, status=500), LimitedUpstream(2.0, status=500)]
-    async with run_gateways(3, failing) as group:
+    failing = [LimitedUpstream(1.0, status=500) for _ in range(4)]
+    catalog = with_route("whole", max_upstreams=4)
+    async with run_gateways(3, failing, catalog) as group:
         await asyncio.sleep(SETTLED_S)
         await group.press(PRESS_S, 40.0)
         for upstream in failing:
-            assert 0 < upstream.count_worst_window() <= find_allowed(2.0)
+            assert 0 < upstream.count_worst_window() <= find_allowed(1.0)
 
 
 @in_loop
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -127,12 +127,12 @@
     assert find_violations(make_observations(**changes, troubles=[Trouble("d1", 900, 2_500)]))
 
 
-def make_limited_run(count, period=LimitPeriod("d0", 1, 1_000, 9_000, 1.0), **changes):
+def make_limited_run(count, incarnation=1, **changes):
     """Return a run in which a limited upstream gets ``count`` requests in 2 s from one instance."""
     return make_observations(
         arrivals=[make_arrival(f"r{n}", at=3_000 + n * 2_000 // count) for n in range(count)],
         namings=[LimitNaming("d0", 1, "n0", 2_000)],
-        limit_periods=[period],
+        limit_periods=[LimitPeriod("d0", incarnation, 1_000, 9_000, 1.0)],
         **changes,
     )
 
@@ -146,8 +146,7 @@
     untold = make_limited_run(12)
     untold.namings.clear()
     assert not find_violations(untold)
-    of_another_incarnation = LimitPeriod("d0", 2, 1_000, 9_000, 1.0)
-    assert not find_violations(make_limited_run(12, of_another_incarnation))
+    assert not find_violations(make_limited_run(12, incarnation=2))
 
 
 def test_plan_depends_on_its_seed_alone_and_every_fault_kind_has_an_action():
