--- a/bench/limited_processes.py
+++ b/bench/limited_processes.py
@@ -197,7 +197,7 @@
     sent_at = clock.now()
     headers = {"Deadline_Ms": str(DEADLINE_MS), INSTANCE_HEADER.replace("-", "_"): instance.name}
     try:
-        answer = await instance.call("/w/x", request, **headers)
+        answer = await instance.call("/w/x", request, b"", **headers)
     except (OSError, asyncio.IncompleteReadError, TimeoutError):
         return Ended(None, None, clock.now() - sent_at, sent_at)
     retry_after = answer.headers.get("retry-after")
