Tell the second of two equal first inventories of the conflict

Cause: version 1 was stored as the bare text, so equal first edits had one digest, by which an editor recognises its own edit after a lost answer. Later versions are deltas, which name their edit.

--- a/src/lentilwell/configuration/_versions.py
+++ b/src/lentilwell/configuration/_versions.py
@@ -1,10 +1,11 @@
 """Versions of the configuration: the head, the chain of delta records, and snapshots.
 
 The head is a single row that refers to the newest record by the SHA-256 digest of its bytes. A
-record is either a full inventory in INI form, or a delta: the sections that one edit changed, and
-the digest of the previous record. A head may also refer to a snapshot, the full text at one record
-of the chain. A new snapshot is stored every MAX_CHAIN_LENGTH versions, which bounds the number of
-deltas to read. The functions here do no I/O of their own; callers pass in a function that reads.
+record is a delta: the sections that one edit changed, its id, and the digest of the previous
+record; older builds stored the first version as a full inventory in INI form. A head may also refer
+to a snapshot, the full text at one record of the chain. A new snapshot is stored every
+MAX_CHAIN_LENGTH versions, which bounds the number of deltas to read. The functions here do no I/O
+of their own; callers pass in a function that reads.
 """
 
 from __future__ import annotations
@@ -53,7 +54,7 @@
 class Delta(msgspec.Struct, frozen=True):
     """The changes of one edit: new or changed sections in full, and the titles of removed ones.
 
-    ``base`` is the digest of the previous record.
+    ``base`` is the digest of the previous record, empty for the first version.
     """
 
     version: int
@@ -261,14 +262,16 @@
 ) -> PreparedEdit:
     """Return the writes that make the document the next version.
 
-    The first version is stored as a full text, each later one as a delta.
+    Every version is stored as a delta, which names its edit: two edits never have the same digest,
+    not even first ones with the same content. The first version has a snapshot too.
     """
     text = render_document(document).encode()
     if current is None:
-        digest = compute_digest(text)
-        return PreparedEdit(
-            Head(1, digest, edit_id, digest, digest, 1), row_version, ((digest, text),)
-        )
+        sections = {title: dict(section.items) for title, section in document.items()}
+        record = msgspec.json.encode(Delta(1, "", edit_id, sections, []))
+        digest, snapshot = compute_digest(record), compute_digest(text)
+        head = Head(1, digest, edit_id, snapshot, digest, 1)
+        return PreparedEdit(head, row_version, ((digest, record), (snapshot, text)))
     old, version = current.head, current.head.version + 1
     changed = {
         title: dict(section.items)
@@ -310,7 +313,8 @@
 def list_deltas(head: Head, since_version: int, read: ReadRecord) -> tuple[Delta, ...]:
     """Return the deltas after a version, the newest first, at most ``MAX_CHAIN_LENGTH``.
 
-    The list ends before a record that cannot be read or is a full text.
+    The list ends before a record that cannot be read or is a full text, as older builds stored the
+    first version.
     """
     deltas: list[Delta] = []
     digest = head.digest
