Let a restarted owner of permits issue its whole share at once

Asks now say whether the asker's list of instances has been unchanged for the time in which others read it; such an ask shows that the owner is no new one.

--- a/src/lentilwell/_wire/ttypes.py
+++ b/src/lentilwell/_wire/ttypes.py
@@ -2269,6 +2269,7 @@
     Asks an owner for permits of an upstream that names a limit, or only tells it what was heard:
     ``patience_ms`` is how long the asker can wait for its permit, -1 where it wants none. ``role`` is
     1 for the primary owner and 2 for the stand-in. ``unpermitted`` counts requests already sent.
+    ``settled`` tells that the asker's list of instances has not changed lately.
 
     Attributes:
      - number
@@ -2276,6 +2277,7 @@
      - role
      - patience_ms
      - unpermitted
+     - settled
 
     """
 
@@ -2285,15 +2287,17 @@
         'role',
         'patience_ms',
         'unpermitted',
+        'settled',
     )
 
 
-    def __init__(self, number=None, limit=None, role=None, patience_ms=None, unpermitted=None,):
+    def __init__(self, number=None, limit=None, role=None, patience_ms=None, unpermitted=None, settled=None,):
         self.number = number
         self.limit = limit
         self.role = role
         self.patience_ms = patience_ms
         self.unpermitted = unpermitted
+        self.settled = settled
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2330,6 +2334,11 @@
                     self.unpermitted = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.settled = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2360,6 +2369,10 @@
             oprot.writeFieldBegin('unpermitted', TType.I32, 5)
             oprot.writeI32(self.unpermitted)
             oprot.writeFieldEnd()
+        if self.settled is not None:
+            oprot.writeFieldBegin('settled', TType.BOOL, 6)
+            oprot.writeBool(self.settled)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2374,6 +2387,8 @@
             raise TProtocolException(message='Required field patience_ms is unset!')
         if self.unpermitted is None:
             raise TProtocolException(message='Required field unpermitted is unset!')
+        if self.settled is None:
+            raise TProtocolException(message='Required field settled is unset!')
         return
 
     def __repr__(self):
@@ -2755,6 +2770,7 @@
     (3, TType.I32, 'role', None, None, ),  # 3
     (4, TType.I32, 'patience_ms', None, None, ),  # 4
     (5, TType.I32, 'unpermitted', None, None, ),  # 5
+    (6, TType.BOOL, 'settled', None, None, ),  # 6
 )
 all_structs.append(PermitAnswer)
 PermitAnswer.thrift_spec = (
--- a/src/lentilwell/gateway/_permit_messages.py
+++ b/src/lentilwell/gateway/_permit_messages.py
@@ -45,7 +45,8 @@
     """Asks for a permit that holds within ``patience_ms``, or none if it is ``NO_PERMIT``.
 
     ``limit`` is what the asker knows of the upstream's limit. ``unpermitted`` counts the requests
-    that it sent without a permit.
+    that it sent without a permit. ``settled`` is true if the asker's list of instances has not
+    changed lately.
     """
 
     number: int
@@ -53,6 +54,7 @@
     role: OwnerRole
     patience_ms: int
     unpermitted: int = 0
+    settled: bool = False
 
 
 @dataclass(frozen=True)
@@ -82,7 +84,12 @@
     limit = encode_limit(message.limit, now)
     if isinstance(message, PermitAsk):
         ask = WireAsk(
-            message.number, limit, message.role.value, message.patience_ms, message.unpermitted
+            message.number,
+            limit,
+            message.role.value,
+            message.patience_ms,
+            message.unpermitted,
+            message.settled,
         )
         wire = WireMessage(ask=ask)
     else:
@@ -116,7 +123,9 @@
     if not 0 <= wire.unpermitted <= MAX_UNPERMITTED:
         raise ValueError(f"{wire.unpermitted} requests without a permit out of range")
     limit = decode_limit(wire.limit, now)
-    return PermitAsk(wire.number, limit, OwnerRole(wire.role), wire.patience_ms, wire.unpermitted)
+    return PermitAsk(
+        wire.number, limit, OwnerRole(wire.role), wire.patience_ms, wire.unpermitted, wire.settled
+    )
 
 
 def _decode_answer(wire: WireAnswer, now: int) -> PermitAnswer:
--- a/src/lentilwell/gateway/_permit_owners.py
+++ b/src/lentilwell/gateway/_permit_owners.py
@@ -67,7 +67,9 @@
     """The owners of upstreams' permits, by the list of instances that this instance read last.
 
     An instance that becomes an owner by a change of the list settles for some time, until the
-    others have read the list too. Until then they may ask the owner by the earlier list.
+    others have read the list too. Until then they may ask the owner by the earlier list. An ask
+    from an instance whose list has not changed for that time shows that the others have read it:
+    so a restarted owner serves at once.
     """
 
     def __init__(self, instance: str) -> None:
@@ -90,7 +92,7 @@
         """
         if members == self._members:
             return
-        if now - self._changed_at >= self._settle_ms:
+        if self.is_settled(now):
             self._settled_members = self._members
         self._members = dict(members)
         self._owners.clear()
@@ -106,13 +108,22 @@
                 del self._owners[next(iter(self._owners))]
         return owners
 
-    def find_share(self, upstream: Upstream, role: OwnerRole, now: int) -> float:
-        """Return the share of a limit that this instance issues now as an owner with this role."""
-        if self._is_settling(upstream, role, now):
+    def is_settled(self, now: int) -> bool:
+        """Tell whether the list has not changed for as long as the others take to read it."""
+        return now - self._changed_at >= self._settle_ms
+
+    def find_share(
+        self, upstream: Upstream, role: OwnerRole, asker_settled: bool, now: int
+    ) -> float:
+        """Return the share of a limit that this instance issues now as an owner with this role.
+
+        ``asker_settled`` is true if the list of the instance that asks is settled.
+        """
+        if not asker_settled and self._is_settling(upstream, role, now):
             return SETTLING_SHARE
         return PRIMARY_SHARE if role is OwnerRole.PRIMARY else STAND_IN_SHARE
 
     def _is_settling(self, upstream: Upstream, role: OwnerRole, now: int) -> bool:
-        if now - self._changed_at >= self._settle_ms or len(self._members) == 1:
+        if self.is_settled(now) or len(self._members) == 1:
             return False
         return rank_owners(upstream, self._settled_members).find(role) != self._instance
--- a/src/lentilwell/gateway/_permits.py
+++ b/src/lentilwell/gateway/_permits.py
@@ -175,7 +175,8 @@
     ) -> PermitAsk:
         self._number += 1
         limit = self._get_limit(upstream.incarnation)
-        return PermitAsk(self._number, limit, role, patience_ms, unpermitted)
+        settled = self._owners.is_settled(self._clock.now())
+        return PermitAsk(self._number, limit, role, patience_ms, unpermitted, settled)
 
     def _get_limit(self, incarnation: Incarnation) -> LimitReport:
         known = self._rate_limits.get_report(incarnation)
@@ -245,7 +246,7 @@
         rate = self._rate_limits.find(incarnation)
         if rate is None or not self._rate_limits.is_limited(incarnation):
             return PermitDecision(True, 0)
-        share = self._owners.find_share(upstream, ask.role, now)
+        share = self._owners.find_share(upstream, ask.role, ask.settled, now)
         interval_ms = find_interval_ms(rate, share)
         if ask.unpermitted:
             self._issuer.record_unpermitted(incarnation, interval_ms, ask.unpermitted, now)
--- a/src/lentilwell/peers.thrift
+++ b/src/lentilwell/peers.thrift
@@ -172,6 +172,7 @@
  * Asks an owner for permits of an upstream that names a limit, or only tells it what was heard:
  * ``patience_ms`` is how long the asker can wait for its permit, -1 where it wants none. ``role`` is
  * 1 for the primary owner and 2 for the stand-in. ``unpermitted`` counts requests already sent.
+ * ``settled`` tells that the asker's list of instances has not changed lately.
  */
 struct PermitAsk {
   1: required i64 number
@@ -179,6 +180,7 @@
   3: required i32 role
   4: required i32 patience_ms
   5: required i32 unpermitted
+  6: required bool settled
 }
 
 /**
--- a/tests/test_gateway_permits.py
+++ b/tests/test_gateway_permits.py
@@ -151,20 +151,28 @@
     names = ["own", "p1", "p2"]
     upstream = find_own_upstream(names)
     table = make_table((1_000, names))
-    assert table.find_share(upstream, OwnerRole.PRIMARY, 3_999) == SETTLING_SHARE
-    assert table.find_share(upstream, OwnerRole.PRIMARY, 4_000) == PRIMARY_SHARE
+    assert table.find_share(upstream, OwnerRole.PRIMARY, False, 3_999) == SETTLING_SHARE
+    assert table.find_share(upstream, OwnerRole.PRIMARY, False, 4_000) == PRIMARY_SHARE
+
+
+def test_restarted_owner_serves_askers_whose_list_has_not_changed_at_once():
+    names = ["own", "p1", "p2"]
+    upstream = find_own_upstream(names)
+    table = make_table((1_000, names))
+    assert table.find_share(upstream, OwnerRole.PRIMARY, True, 1_001) == PRIMARY_SHARE
+    assert table.find_share(upstream, OwnerRole.STAND_IN, True, 1_001) == STAND_IN_SHARE
 
 
 def test_owner_that_stays_one_when_the_list_changes_does_not_settle():
     names = ["own", "p1", "p2", "p3"]
     upstream = find_own_upstream(names)
     table = make_table((1_000, names[:3]), (9_000, names))
-    assert table.find_share(upstream, OwnerRole.PRIMARY, 9_001) == PRIMARY_SHARE
+    assert table.find_share(upstream, OwnerRole.PRIMARY, False, 9_001) == PRIMARY_SHARE
 
 
 def test_single_instance_issues_the_whole_limit_at_once():
     table = make_table((1_000, ["own"]))
-    assert table.find_share(UPSTREAM, OwnerRole.PRIMARY, 1_000) == PRIMARY_SHARE
+    assert table.find_share(UPSTREAM, OwnerRole.PRIMARY, False, 1_000) == PRIMARY_SHARE
 
 
 LIMITS = st.builds(
@@ -180,6 +188,7 @@
     st.sampled_from(OwnerRole),
     st.integers(-1, 60_000),
     st.integers(0, 100),
+    st.booleans(),
 ) | st.builds(
     PermitAnswer, st.integers(0, 2**62), st.sampled_from(Verdict), st.integers(0, 60_000), LIMITS
 )
