--- a/src/lentilwell/_log_lines/__init__.py
+++ b/src/lentilwell/_log_lines/__init__.py
@@ -21,6 +21,7 @@
 )
 from lentilwell._log_lines._process import (
     CallbackFailed,
+    EventLoopPaused,
     ExchangeFailed,
     MetricsNotServed,
     SettingsReloaded,
@@ -83,6 +84,7 @@
     "DigestTooLong",
     "DigestUnreadable",
     "EraUnreadable",
+    "EventLoopPaused",
     "ExchangeFailed",
     "InstanceListFailed",
     "InstanceRelisted",
--- a/src/lentilwell/_log_lines/_process.py
+++ b/src/lentilwell/_log_lines/_process.py
@@ -64,6 +64,17 @@
     target: str
 
 
+@line("event loop paused", "WARNING")
+@dataclass(frozen=True)
+class EventLoopPaused(Line):
+    """The event loop ran the periodic maintenance ``late_ms`` late; every request waited meanwhile.
+
+    The process was busy, or it was not given the processor.
+    """
+
+    late_ms: int
+
+
 @line("task failed", "ERROR")
 @dataclass(frozen=True)
 class TaskFailed(Line):
--- a/src/lentilwell/gateway/_connection.py
+++ b/src/lentilwell/gateway/_connection.py
@@ -9,6 +9,7 @@
 import h11
 
 from lentilwell._clock import Clock
+from lentilwell._timeouts import allow_ms
 from lentilwell.gateway._failures import ConnectionBroken, SilenceTimeout, Unreachable
 from lentilwell.gateway._messages import Headers
 
@@ -290,7 +291,7 @@
     host, port = split_address(address)
     loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1_000):
+        async with allow_ms(CONNECT_TIMEOUT_MS):
             _, connection = await loop.create_connection(lambda: HttpConnection(clock), host, port)
     except (OSError, TimeoutError) as error:
         raise Unreachable(f"{address} does not accept connections: {error!r}") from error
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -11,10 +11,11 @@
 
 from result import Err
 
-from lentilwell._clock import BootClock, Clock
+from lentilwell._clock import MS_PER_SECOND, BootClock, Clock
 from lentilwell._listening import listen_at
 from lentilwell._log_lines import (
     CallbackFailed,
+    EventLoopPaused,
     ExchangeFailed,
     MetricsNotServed,
     RequestRejected,
@@ -61,6 +62,9 @@
 STARTUP_POLL_MS = 2
 INCARNATION_LENGTH = 8
 MAINTENANCE_INTERVAL_MS = 250
+# A lag of the event loop is logged from here on. Upstreams and peers become suspect by a longer
+# silence.
+LOGGED_LAG_MS = 200
 # The load balancer checks readiness once a second and removes an instance after two failed checks;
 # until then it still sends requests to an instance that is stopping.
 MIN_STOP_MS = 3_200
@@ -192,10 +196,17 @@
         while not self._is_stop_complete():
             due_s = loop.time() + MAINTENANCE_INTERVAL_MS / 1_000
             await asyncio.sleep(due_s - loop.time())
-            self.metrics.record_lag(loop.time() - due_s)
+            self._handle_lag(round((loop.time() - due_s) * MS_PER_SECOND))
             self._run_maintenance()
         await self.finish_stop()
 
+    def _handle_lag(self, late_ms: int) -> None:
+        """Record how late the maintenance runs; a pause of this process is no silence of peers."""
+        self.metrics.record_lag(late_ms / MS_PER_SECOND)
+        if late_ms >= LOGGED_LAG_MS:
+            write_line(EventLoopPaused(late_ms))
+            self.peers.handle_pause(late_ms)
+
     async def finish_stop(self) -> None:
         """Answer the requests that arrived just before the end of a planned stop, and stop."""
         # Closing a listener resets the connections in its accept queue, so accept those first.
--- a/src/lentilwell/gateway/_leases.py
+++ b/src/lentilwell/gateway/_leases.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 from lentilwell._log_lines import LeaseNotReleased, LeaseNotRenewed, write_line
+from lentilwell._timeouts import allow_ms
 from lentilwell.gateway._connection_pool import ConnectionPool
 from lentilwell.gateway._failures import ConnectionBroken, HttpConnectionError
 from lentilwell.gateway._messages import AnswerHead, Lease, MemoryOrder
@@ -139,7 +140,7 @@
         address = reservation.upstream.address
         connection = await self._connections.acquire(address, fresh=False)
         try:
-            async with asyncio.timeout(ORDER_TIMEOUT_MS / 1_000):
+            async with allow_ms(ORDER_TIMEOUT_MS):
                 connection.send(order.method, order.target, order.headers, order.body)
                 self.on_send(reservation.upstream)
                 head = await connection.read_head()
--- a/src/lentilwell/gateway/_peers.py
+++ b/src/lentilwell/gateway/_peers.py
@@ -12,7 +12,7 @@
 import contextlib
 import random
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol, TypeVar, cast
 
 from lentilwell._clock import Clock
@@ -244,6 +244,12 @@
                 self.on_reports(name, NO_UPSTREAM_REPORTS)
                 self.on_silence(name)
 
+    def handle_pause(self, pause_ms: int) -> None:
+        """Count a pause of this process as no silence of peers: their digests are still unread."""
+        for name, state in self._states.items():
+            received_at = min(self._clock.now(), state.received_at + pause_ms)
+            self._states[name] = replace(state, received_at=received_at)
+
     async def run_membership(self, membership: Membership) -> None:
         """Announce this instance and read the list of instances regularly, until cancelled."""
         await self._retry(lambda: membership.announce(self._instance, self._own))
--- a/src/lentilwell/gateway/_permits.py
+++ b/src/lentilwell/gateway/_permits.py
@@ -14,6 +14,7 @@
 
 from lentilwell._clock import Clock
 from lentilwell._log_lines import PermitMessageUnreadable, PermitOwnerSilent, write_line
+from lentilwell._timeouts import allow_ms
 from lentilwell.gateway._permit_issuer import PermitDecision, PermitIssuer, find_interval_ms
 from lentilwell.gateway._permit_messages import (
     NO_PERMIT,
@@ -196,7 +197,7 @@
         try:
             if not self._transmit(owner, ask):
                 return None
-            async with asyncio.timeout(timeout_ms / 1_000):
+            async with allow_ms(timeout_ms):
                 return await future
         except TimeoutError:
             self._record_silence(owner, timeout_ms)
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -364,6 +364,20 @@
     assert len(written) == 300 and busiest <= 40
 
 
+def test_pause_of_the_own_process_is_no_silence_of_peers():
+    clock = ManualClock(5_000)
+    peers, silent = make_peers(clock), []
+    peers.on_silence = silent.append
+    send(peers)
+    clock.advance(PEER_TIMEOUT_MS + 500)
+    peers.handle_pause(PEER_TIMEOUT_MS)
+    peers.run_maintenance()
+    assert silent == []
+    clock.advance(PEER_TIMEOUT_MS)
+    peers.run_maintenance()
+    assert silent == ["other"]
+
+
 def test_digest_that_was_scheduled_before_the_close_is_not_sent():
     async def close_with_a_digest_due():
         errors = []
