--- a/tests/test_gateway_limited_upstreams.py
+++ b/tests/test_gateway_limited_upstreams.py
@@ -8,8 +8,9 @@
 from lentilwell.gateway._peers import NEWCOMER_REFRESH_MS, SETTLE_MARGIN_MS
 from lentilwell.gateway._placement_policies import Helper
 from lentilwell.gateway._upstreams import ListingChange, apply_changes
-from tests.gateway_harness import with_route
-from tests.gateway_scripts import answer_ok, in_loop
+from lentilwell.gateway._work_digest import NO_UPSTREAM_REPORTS
+from tests.gateway_harness import run_gateway, with_route
+from tests.gateway_scripts import answer_ok, in_loop, stream_whole, with_engines
 from tests.limited_upstreams import LimitedUpstream, find_allowed, run_gateways
 
 PRESS_S = 5.5
@@ -150,3 +151,32 @@
         served = await group.call("i0")
         assert served.status == 200 or float(served.retry_after) > 0
         assert verdicts.count("no_owner") <= 2
+
+
+@in_loop
+async def test_owners_pass_on_the_end_of_a_limit_to_instances_that_get_no_digest():
+    limited = LimitedUpstream(1.0)
+    async with run_gateways(8, [limited]) as group:
+        for gateway in group.gateways.values():
+            gateway.peers.collect_reports = lambda: NO_UPSTREAM_REPORTS
+        await asyncio.sleep(SETTLED_S)
+        await group.press(2.0, 80.0)
+        limited.rate = None
+        await group.press(LEARNED_S, 80.0)
+        group.served.clear()
+        await group.press(0.5, 80.0)
+        assert [one.status for one in group.served] == [200] * 40
+
+
+@in_loop
+async def test_limited_engine_reads_no_part_of_a_prompt_for_another():
+    async with run_gateway(*[stream_whole] * 4, catalog=with_engines()) as harness:
+        fleet = harness.gateway.fleet
+        fleet.policy = "least_cost"
+        limited = fleet.directory.listed["u1"]
+        fleet.rate_limits.record_named(limited.incarnation, 5.0, fleet.clock.now())
+        answer = await harness.call("/stream/x", Token_Count="200000,100")
+        assert answer.complete
+        [sent] = harness.arrivals
+        assert "helpers" in sent.headers
+        assert limited.address not in sent.headers["helpers"]
