--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,8 @@
 """Configuration for all tests: Hypothesis profiles, and tests that are known to fail.
 
-Hypothesis uses the same examples in every run, so results are repeatable. ``make search`` runs more
-and different examples, see ``searching``.
+Hypothesis uses the same examples in every run, from the seed in ``pyproject.toml``: its own way to
+repeat examples makes them depend on the names and the text of a test. ``make search`` runs more and
+different examples, see ``searching``.
 """
 
 import gc
@@ -13,7 +14,7 @@
 from tests.searching import SEARCH_EXAMPLES
 
 if SEARCH_EXAMPLES is None:
-    settings.register_profile("chosen", derandomize=True, deadline=None)
+    settings.register_profile("chosen", database=None, deadline=None)
 else:
     settings.register_profile("chosen", max_examples=SEARCH_EXAMPLES, database=None, deadline=None)
 settings.load_profile("chosen")
--- a/tests/searching.py
+++ b/tests/searching.py
@@ -19,7 +19,6 @@
     ``suppressed_checks`` are the health checks that the state machine cannot pass.
     """
     return settings(
-        derandomize=SEARCH_EXAMPLES is None,
         database=None,
         deadline=None,
         max_examples=SEARCH_EXAMPLES or max_examples,
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -148,7 +148,7 @@
 TEXTS = st.text(st.characters(codec="utf-8", exclude_characters="\r\x0b\x0c"), max_size=30)
 
 
-@settings(derandomize=True, deadline=None)
+@settings(database=None, deadline=None)
 @given(st.lists(st.tuples(NAMES, st.integers(1, 1 << 40), st.booleans()), min_size=1), st.data())
 def test_rendering_what_was_parsed_is_stable(engines, data):
     lines = ["[data_centre dc]", "[model m]", "context_tokens = 9"]
@@ -162,7 +162,7 @@
     assert (again, same, render_document(again)) == (document, inventory, text)
 
 
-@settings(derandomize=True, deadline=None, max_examples=300)
+@settings(database=None, deadline=None, max_examples=300)
 @given(st.lists(st.one_of(st.sampled_from(VALID_TEXT.split("\n")), TEXTS), max_size=40))
 def test_any_text_is_read_or_refused_with_typed_problems(lines):
     text = "\n".join(lines)
@@ -204,7 +204,7 @@
 )
 
 
-@settings(derandomize=True, deadline=None)
+@settings(database=None, deadline=None)
 @given(st.lists(CHANGES, max_size=12))
 def test_incremental_changes_and_a_full_build_give_the_same_inventory(rounds):
     sections, inventory = {}, Inventory(0)
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -86,7 +86,7 @@
 
 
 @given(st.lists(st.tuples(st.floats(0, 100), st.text(max_size=2)), max_size=40))
-@settings(derandomize=True, deadline=None)
+@settings(database=None, deadline=None)
 def test_heap_returns_its_entries_in_order(entries):
     heap = Heap()
     for key, item in entries:
@@ -101,7 +101,7 @@
 
 
 @given(st.lists(st.sampled_from(["append", "prepend", "pop"]), max_size=60))
-@settings(derandomize=True, deadline=None)
+@settings(database=None, deadline=None)
 def test_fifo_behaves_as_a_list(steps):
     fifo, names = make_fifo(["x", "y"]), ["x", "y"]
     for number, step in enumerate(steps):
@@ -193,7 +193,7 @@
     st.integers(1, 2),
     st.sampled_from([2, 64]),
 )
-@settings(derandomize=True, deadline=None, max_examples=16)
+@settings(database=None, deadline=None, max_examples=16)
 def test_no_stream_of_short_requests_starves_a_long_one(tokens, shorts, arrivals_per_end, slots):
     """Short requests always arrive faster than they are served, and the long one still starts.
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -351,7 +351,7 @@
         client.greet(ttypes.Hello())
 
 
-@settings(derandomize=True, deadline=None)
+@settings(database=None, deadline=None)
 @given(st.binary(max_size=200))
 def test_any_bytes_decode_or_raise_message_error(data):
     with contextlib.suppress(MessageError):
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -113,7 +113,7 @@
     assert [e.stored for e in engine.cache.list_events_after(0)] == [True] * 4 + [False] * 4
 
 
-@settings(derandomize=True, deadline=None, max_examples=50)
+@settings(database=None, deadline=None, max_examples=50)
 @given(st.lists(st.tuples(st.integers(1, 12), st.integers(0, 3), st.booleans()), max_size=30))
 def test_memory_stays_within_its_limit_and_events_reproduce_the_cache(steps):
     engine = make_engine(memory_tokens=20 * BLOCK_TOKENS, prefill_rate=1e7)
