Test that every send to a limited upstream has a permit, repeats included

The earlier test counted windows and passed with repeats sent without permits: placement leaves out upstreams known to have none, so only some requests slip through.

--- a/tests/limited_upstreams.py
+++ b/tests/limited_upstreams.py
@@ -44,11 +44,11 @@
 class LimitedUpstream:
     """Answers every request, names ``rate`` while it is set, and records who sent what when.
 
-    With a ``status`` of an error, its answers make the gateway try another upstream.
+    One that ``refuses`` makes the gateway try another upstream.
     """
 
     rate: float | None
-    status: int = 200
+    refuses: bool = False
     sends: list[tuple[int, str]] = field(default_factory=list)
     told_at: dict[str, int] = field(default_factory=dict)
 
@@ -56,10 +56,13 @@
         """Answer a request; the ``Via-Instance`` header says which instance forwarded it."""
         instance = arrival.headers.get("via-instance", "")
         self.sends.append((CLOCK.now(), instance))
+        limit = {} if self.rate is None else {"Server_Limit": self.rate}
+        if self.refuses:
+            await arrival.answer(503, signed=False, Not_Run=1, **limit)
+        else:
+            await arrival.answer(body=b"hello", **limit)
         if self.rate is None:
-            await arrival.answer(self.status, body=b"hello")
             return
-        await arrival.answer(self.status, body=b"hello", Server_Limit=self.rate)
         self.told_at.setdefault(instance, CLOCK.now())
 
     @property
--- a/tests/test_gateway_limited_upstreams.py
+++ b/tests/test_gateway_limited_upstreams.py
@@ -94,14 +94,18 @@
 
 
 @in_loop
-async def test_repeats_count_like_first_sends():
-    failing = [LimitedUpstream(1.0, status=500) for _ in range(4)]
-    catalog = with_route("whole", max_upstreams=4)
-    async with run_gateways(3, failing, catalog) as group:
-        await asyncio.sleep(SETTLED_S)
-        await group.press(PRESS_S, 40.0)
-        for upstream in failing:
-            assert 0 < upstream.count_worst_window() <= find_allowed(1.0)
+async def test_repeats_need_permits_like_first_sends():
+    refusing = [LimitedUpstream(1.0, refuses=True) for _ in range(4)]
+    async with run_gateways(1, refusing, with_route("whole", max_upstreams=4)) as group:
+        gateway = group.gateways["i0"]
+        for upstream in gateway.fleet.directory.listed.values():
+            now = gateway.clock.now()
+            gateway.fleet.rate_limits.record_named(upstream.incarnation, 1.0, now)
+        verdicts = []
+        gateway.permits.on_verdict = verdicts.append
+        assert (await group.call("i0")).status == 503
+        assert [len(upstream.sends) for upstream in refusing] == [1, 1, 1, 1]
+        assert verdicts.count("granted") == 4
 
 
 @in_loop
