--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -23,10 +23,16 @@
 from bench.results import read_commit, write_line
 from bench.runner import read_resident_bytes
 from lentilwell import Identity, State, reduce
+from lentilwell._clock import SystemClock
 from lentilwell._messages import Digest, EngineUse
 from lentilwell._wire import ttypes
 from lentilwell.adapters import HttpEngineControl
 from lentilwell.configuration._documents import parse_inventory
+from lentilwell.gateway._permit_messages import PermitAsk, encode_permit_message
+from lentilwell.gateway._permit_owners import OwnerRole, OwnerTable
+from lentilwell.gateway._permits import Permits
+from lentilwell.gateway._rate_limits import LimitReport, RateLimits
+from lentilwell.gateway._upstreams import Upstream
 from lentilwell.peers._auth import Handshake, open_channels
 from lentilwell.peers._codec import decode, decode_digest, encode, encode_digest
 from lentilwell.reducer import FirstTokenSeen, InventoryAccepted, ProgressSeen
@@ -40,6 +46,8 @@
 REDUCER_ENGINES = (435, 10_000)
 REDUCER_TEAMS = 4_900
 REDUCER_ROUNDS = 60
+# A limit that the measured owner issues permits for, in requests per second.
+OWNER_RATE = 40.0
 
 Group = Callable[[], dict[str, tuple[float, str]]]
 GROUPS: dict[str, Group] = {}
@@ -114,6 +122,26 @@
     }
 
 
+@register_group("permits")
+def measure_permits() -> dict[str, tuple[float, str]]:
+    """Measure the size of an ask and its answer, and the time that an owner takes to answer."""
+    upstream = Upstream("i-57bb6029c4", "chat", "10.2.64.39:8022", "caerdydd-2", 8, False, 7)
+    limits, owners, clock = RateLimits(), OwnerTable("entry-cymru-17"), SystemClock()
+    owners.update_members({"entry-cymru-17": "caerdydd-2"}, 0, 0)
+    limits.record_named(upstream.incarnation, OWNER_RATE, clock.now())
+    permits = Permits("entry-cymru-17", clock, limits, owners, lambda name: upstream)
+    answers: list[bytes] = []
+    permits.reply = lambda address, data: answers.append(data)
+    report = LimitReport(upstream.incarnation, OWNER_RATE, clock.now())
+    ask = PermitAsk(2**40, report, OwnerRole.PRIMARY, 200, settled=True)
+    data = encode_permit_message(ask, clock.now())
+    answer_us = measure_cpu_us(lambda: permits.handle_datagram(data, ("10.2.0.24", 7260)), 500)
+    return {
+        "permit bytes, ask and answer": (len(data) + len(answers[0]), "bytes"),
+        "answer an ask for a permit": (answer_us, "us"),
+    }
+
+
 def make_document(engines: int, teams: int) -> str:
     """Return an inventory document with these numbers of engines and teams."""
     lines = ["[data_centre dc]", "", "[model m]", "context_tokens = 1100000", ""]
