--- a/bench/limited_processes.py
+++ b/bench/limited_processes.py
@@ -13,7 +13,9 @@
 import secrets
 import sys
 import tempfile
-from collections.abc import Sequence
+from collections import Counter
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -32,6 +34,7 @@
 MIN_CALLS_PER_S = 30.0
 DEADLINE_MS = 3_000
 RESTART_S = 1.0
+TICK_S = 0.005
 SIZES = (3, 6, 12, 24)
 RATES = (1.0, 5.0, 20.0)
 MAX_RUN_SEED = 2**31
@@ -70,6 +73,18 @@
     sent_at: int
 
 
+@dataclass(frozen=True)
+class MachineLoad:
+    """How busy the machine was: the share of its processors in use, and how late callers ran.
+
+    ``longest_pause_ms`` is the longest time for which the process of the callers and upstreams
+    stood still.
+    """
+
+    busy_share: float
+    longest_pause_ms: float
+
+
 @dataclass
 class Outcome:
     """What a run showed; ``used`` holds the share of the rate used at each limited upstream."""
@@ -77,6 +92,7 @@
     broken: list[str]
     used: list[float]
     calls: list[Ended] = field(default_factory=list)
+    load: MachineLoad = field(default_factory=lambda: MachineLoad(0.0, 0.0))
 
     def count(self, status: int | None) -> int:
         """Return the number of calls that ended with a status."""
@@ -112,7 +128,8 @@
         begin = clock.now()
         for server in servers[: draw.limited]:
             server.rate_limit = draw.rate
-        calls = await press(draw, instances, observations, clock)
+        async with measure_load() as measured:
+            calls = await press(draw, instances, observations, clock)
         end = clock.now()
     finally:
         for instance in instances:
@@ -125,7 +142,33 @@
     limited = [server.name for server in servers[: draw.limited]]
     observations.limit_periods += [LimitPeriod(name, 1, begin, end, draw.rate) for name in limited]
     used = [find_used_share(observations, name, end, draw.rate) for name in limited]
-    return Outcome(list(check_rate_limits(observations)), used, calls)
+    return Outcome(list(check_rate_limits(observations)), used, calls, measured[0])
+
+
+@asynccontextmanager
+async def measure_load() -> AsyncIterator[list[MachineLoad]]:
+    """Measure the load of the machine during a ``with`` block; the list then holds it."""
+    loop, pauses, found = asyncio.get_running_loop(), [0.0], list[MachineLoad]()
+
+    async def watch() -> None:
+        while True:
+            due_s = loop.time() + TICK_S
+            await asyncio.sleep(TICK_S)
+            pauses.append((loop.time() - due_s) * MS_PER_SECOND)
+
+    watching = loop.create_task(watch())
+    idle_before, all_before = read_processor_ticks()
+    yield found
+    watching.cancel()
+    idle, total = read_processor_ticks()
+    busy_share = 1 - (idle - idle_before) / max(1, total - all_before)
+    found.append(MachineLoad(busy_share, max(pauses)))
+
+
+def read_processor_ticks() -> tuple[int, int]:
+    """Return the ticks in which the processors were idle, and all ticks."""
+    ticks = [int(text) for text in Path("/proc/stat").read_text().split("\n", 1)[0].split()[1:]]
+    return ticks[3] + ticks[4], sum(ticks[:8])
 
 
 def drain_log(instance: Instance) -> None:
@@ -210,8 +253,9 @@
     total, served = len(outcome.calls), outcome.count(200)
     refused = [one for one in outcome.calls if one.status == 503]
     slowest_ms = max((one.took_ms for one in refused), default=0)
-    if total - served - len(refused):
-        misses.append(f"{total - served - len(refused)} calls ended otherwise")
+    others = Counter(one.status for one in outcome.calls if one.status not in (200, 503))
+    if others:
+        misses.append(f"calls ended otherwise: {dict(others)}")
     if any(one.retry_after is None for one in refused):
         misses.append("a refusal without Retry-After")
     if slowest_ms > SLOW_REFUSAL_MS:
@@ -247,7 +291,9 @@
             f" {draw.rate:g}/s{', one killed' if draw.kill else ''}: {len(outcome.calls)} calls,"
             f" {outcome.count(200)} served, {outcome.count(503)} refused (slowest {slowest_ms} ms),"
             f" used {' '.join(f'{one:.2f}' for one in outcome.used)},"
-            f" served in {waits[len(waits) // 2]} / {waits[int(len(waits) * 0.99)]} ms",
+            f" served in {waits[len(waits) // 2]} / {waits[int(len(waits) * 0.99)]} ms,"
+            f" machine {outcome.load.busy_share:.0%} busy,"
+            f" longest pause {outcome.load.longest_pause_ms:.0f} ms",
             flush=True,
         )
         for miss in misses:
--- a/standins/gateway_process.py
+++ b/standins/gateway_process.py
@@ -20,6 +20,8 @@
 API_KEY = "k-1"
 HOST = "h.example"
 TIMEOUT_S = 15
+# Addresses that one process gives out in one network before it takes the next one.
+HOSTS_PER_OCTET = 250
 ENGINE: dict[str, Any] = {
     "slots": 8,
     "kv_capacity": 315_000,
@@ -118,13 +120,14 @@
         return [bound_socket.getsockname()[1] for bound_socket in sockets]
 
 
-_IP_NUMBERS = itertools.count(2)
+_IP_NUMBERS = itertools.count()
 
 
 def find_free_ip() -> str:
     """Return a loopback address of its own for an instance, different in every test process."""
-    pid = os.getpid()
-    return f"127.{20 + pid % 200}.{pid // 200 % 250}.{next(_IP_NUMBERS)}"
+    pid, number = os.getpid(), next(_IP_NUMBERS)
+    third = (pid // 200 + number // HOSTS_PER_OCTET) % 250
+    return f"127.{20 + pid % 200}.{third}.{2 + number % HOSTS_PER_OCTET}"
 
 
 class Instance:
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -4,6 +4,7 @@
 import json
 import threading
 import time
+from ipaddress import ip_address
 from urllib.parse import urlsplit
 
 import pytest
@@ -13,6 +14,7 @@
 from standins.answers import answer_text
 from standins.cache import BLOCK_TOKENS, PrefixCache, hash_blocks
 from standins.deployment import call, launch, stop_processes
+from standins.gateway_process import find_free_ip
 from standins.model import EngineModel
 from standins.stream import EngineOptions, Stream
 
@@ -220,3 +222,9 @@
     _, lines = read(process, "s", answer_tokens=20)
     assert lines[-1]["end"] == "length"
     assert read(process, "t")[0] == 503
+
+
+def test_instances_get_valid_addresses_of_their_own_however_many_a_process_starts():
+    addresses = [find_free_ip() for _ in range(600)]
+    assert len(set(addresses)) == 600
+    assert all(ip_address(address).is_loopback for address in addresses)
