--- a/tests/schedule.py
+++ b/tests/schedule.py
@@ -36,6 +36,7 @@
 
     def __init__(self, hold_ups: str = "") -> None:
         self.rounds: deque[SlowRound] = deque(maxlen=MAX_RECORDED)
+        self._installed = False
         self._slowest = (0.0, "")
         self._share, self._max_ms = 0.0, 0.0
         self._random = random.Random()
@@ -45,7 +46,13 @@
             self._share, self._max_ms = float(share), float(max_ms)
 
     def install(self) -> None:
-        """Measure every round and callback from now on."""
+        """Measure every round and callback from now on; a second call has no effect.
+
+        The configuration of the tests is imported twice where a test module imports it too.
+        """
+        if self._installed:
+            return
+        self._installed = True
         run_handle, run_once = events.Handle._run, base_events.BaseEventLoop._run_once
 
         def measured_run(handle):
