--- a/src/lentilwell/cli/_timeline.py
+++ b/src/lentilwell/cli/_timeline.py
@@ -176,6 +176,21 @@
     )
 
 
+@describer(lines.RequestWaiting)
+def describe_waiting(line: lines.RequestWaiting) -> str:
+    """Describe a request that waits for an upstream to accept work, or for its permit."""
+    return f"waits for {line.wait_ms} ms: no upstream of {line.service} accepts work before"
+
+
+@describer(lines.UpstreamLimitChanged)
+def describe_limit(line: lines.UpstreamLimitChanged) -> str:
+    """Describe what an upstream says of its rate limit, and who told of it."""
+    told = "by an answer of its own" if line.source == "answer" else f"as {line.source} told"
+    if line.rate is None:
+        return f"{line.upstream} names no rate limit any more, {told}"
+    return f"{line.upstream} accepts {line.rate:g} requests a second from all instances, {told}"
+
+
 @describer(lines.UpstreamRefused)
 def describe_refused(line: lines.UpstreamRefused) -> str:
     """Describe the refusal of a request by an upstream."""
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -173,3 +173,19 @@
     timeline = build_timeline("r1", [parse_line(format_line(11.7, ENDED))])
     assert timeline.arrived_at == datetime.fromisoformat("2026-12-04T07:00:11+00:00")
     assert len(render_timeline(timeline)) == 2
+
+
+def test_rate_limit_of_an_upstream_is_told_with_its_source(tmp_path, capsys):
+    limit = {"event": "upstream limit", "upstream": "u1", "born_ms": 7, "change": "named"}
+    ended = {**limit, "change": "ended", "rate": None, "source": "b"}
+    log = tmp_path / "a.log"
+    log.write_text(
+        format_line(10.5, {**limit, "rate": 2.5, "source": "answer"})
+        + format_line(11.0, PLACED)
+        + format_line(11.5, ended)
+        + format_line(11.7, ENDED)
+    )
+    assert main(["explain", "r1", str(log)]) == 0
+    output = capsys.readouterr().out
+    assert "u1 accepts 2.5 requests a second from all instances, by an answer of its own" in output
+    assert "u1 names no rate limit any more, as b told" in output
