Check remembered rate limits against the list without building a set of it

Maintenance built the set of all listed incarnations twice each 250 ms, to look up the few that name a limit; at 10,000 upstreams that is most of its work. Each remembered incarnation is looked up by its name instead. Behaviour is the same.

--- a/src/lentilwell/gateway/_fleet.py
+++ b/src/lentilwell/gateway/_fleet.py
@@ -234,11 +234,12 @@
         self.ejection.keep_only(self.directory.listed)
         self.refusals.keep_only(self.directory.listed)
         self.latency_factors.keep_only(self.directory.listed)
-        self.rate_limits.keep_only(self.list_incarnations())
+        self.rate_limits.keep_only(self.is_listed)
 
-    def list_incarnations(self) -> frozenset[Incarnation]:
-        """Return the incarnations of all listed upstreams."""
-        return frozenset(upstream.incarnation for upstream in self.directory.listed.values())
+    def is_listed(self, incarnation: Incarnation) -> bool:
+        """Tell whether this incarnation of an upstream is listed."""
+        upstream = self.directory.listed.get(incarnation.name)
+        return upstream is not None and upstream.incarnation == incarnation
 
     def update_shards(self) -> None:
         """Update the shard of this instance to the current lists of instances and upstreams."""
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -407,7 +407,7 @@
         self.peers.run_maintenance()
         self._catalog_listener.apply_pending()
         self.fleet.remove_unlisted()
-        self.permits.keep_only(self.fleet.list_incarnations())
+        self.permits.keep_only(self.fleet.is_listed)
         self.fleet.update_shards()
         self.connections.prune(
             upstream.address for upstream in self.fleet.directory.listed.values()
--- a/src/lentilwell/gateway/_permits.py
+++ b/src/lentilwell/gateway/_permits.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Container
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from lentilwell._clock import Clock
@@ -166,9 +166,9 @@
         if message.patience_ms != NO_PERMIT:
             self.reply(address, encode_permit_message(answer, now))
 
-    def keep_only(self, listed: Container[Incarnation]) -> None:
+    def keep_only(self, is_listed: Callable[[Incarnation], bool]) -> None:
         """Remove what is known of incarnations that are not listed."""
-        for incarnation in [one for one in self._denials if one not in listed]:
+        for incarnation in [one for one in self._denials if not is_listed(one)]:
             del self._denials[incarnation]
 
     def _make_ask(
--- a/src/lentilwell/gateway/_rate_limits.py
+++ b/src/lentilwell/gateway/_rate_limits.py
@@ -8,7 +8,7 @@
 
 import math
 import re
-from collections.abc import Container
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -121,9 +121,9 @@
         ]
         return tuple(reportable[:MAX_REPORTED])
 
-    def keep_only(self, listed: Container[Incarnation]) -> None:
+    def keep_only(self, is_listed: Callable[[Incarnation], bool]) -> None:
         """Remove the limits of incarnations that are not listed."""
-        for incarnation in [one for one in self._reports if one not in listed]:
+        for incarnation in [one for one in self._reports if not is_listed(one)]:
             del self._reports[incarnation]
 
 
--- a/tests/test_gateway_rate_limits.py
+++ b/tests/test_gateway_rate_limits.py
@@ -79,7 +79,7 @@
     limits = RateLimits()
     limits.record_named(U, 5.0, 100)
     assert limits.find(Incarnation("u", 8)) is None
-    limits.keep_only({Incarnation("u", 8)})
+    limits.keep_only({Incarnation("u", 8)}.__contains__)
     assert limits.get_report(U) is None
 
 
