--- a/bench/rate_limits.py
+++ b/bench/rate_limits.py
@@ -13,12 +13,12 @@
 
 from loguru import logger
 
+from standins.limit_rule import find_allowed
 from standins.simulated_limits import (
     OWNER_PERMITS,
     WAYS,
     LimitLoad,
     LimitResult,
-    find_allowed,
     play_limits,
 )
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterator
 
 from soak.observations import Call, Kind, LimitPeriod, Observations
+from standins.limit_rule import GRACE_MS, count_worst_window, find_allowed
 
 Check = Callable[[Observations], Iterator[str]]
 CHECKS: dict[str, Check] = {}
@@ -26,9 +27,6 @@
 EXTRA_RETRIES = 100
 RETRY_BUDGET_WINDOW_MS = 10_000
 
-RATE_WINDOW_MS = 4_000
-RATE_FACTOR = 1.5
-EXTRA_LIMITED_REQUESTS = 5
 # A limit that follows another one at once binds the instances from this time on.
 LIMIT_CHANGE_MS = 3_000
 
@@ -130,16 +128,13 @@
 def check_rate_limits(observations: Observations) -> Iterator[str]:
     """Check that upstreams get no more than the rates that they named to the instances."""
     for period in observations.limit_periods:
-        times = sorted(_list_bound_arrivals(observations, period))
-        allowed = RATE_FACTOR * period.rate * RATE_WINDOW_MS / 1_000 + EXTRA_LIMITED_REQUESTS
-        for begin in times:
-            count = sum(begin <= at < begin + RATE_WINDOW_MS for at in times)
-            if count > allowed:
-                yield (
-                    f"{period.upstream} named {period.rate} a second at {period.begin} and got"
-                    f" {count} requests from {begin} on, allowed {allowed:g}"
-                )
-                break
+        count = count_worst_window(_list_bound_arrivals(observations, period))
+        allowed = find_allowed(period.rate)
+        if count > allowed:
+            yield (
+                f"{period.upstream} named {period.rate} a second at {period.begin} and got"
+                f" {count} requests in a window, allowed {allowed:g}"
+            )
 
 
 def _list_bound_arrivals(observations: Observations, period: LimitPeriod) -> Iterator[int]:
@@ -163,7 +158,7 @@
         if (
             told is not None
             and (arrival.upstream, arrival.life) == (period.upstream, period.incarnation)
-            and max(first_at, told + ANNOUNCEMENT_SLACK_MS) <= arrival.at <= period.end
+            and max(first_at, told + GRACE_MS) <= arrival.at <= period.end
             and not observations.was_hit(arrival.instance, told, arrival.at)
             and not observations.was_hit(period.upstream, told, arrival.at)
         ):
--- a/standins/simulated_limits.py
+++ b/standins/simulated_limits.py
@@ -20,11 +20,9 @@
 from lentilwell.gateway._permits import Permits
 from lentilwell.gateway._rate_limits import LimitReport, RateLimits
 from lentilwell.gateway._upstreams import Upstream
+from standins.limit_rule import GRACE_MS, count_worst_window
 from standins.simulated_time import LoopClock, run_in_simulated_time
 
-WINDOW_MS = 4_000
-# An instance is bound by a limit this long after an answer told it.
-GRACE_MS = 500
 SERVICE_MS = 20
 DEADLINE_MS = 3_000
 DATA_CENTRES = ("a", "b", "c")
@@ -91,11 +89,6 @@
     still_limited: int = 0
 
 
-def find_allowed(rate: float) -> float:
-    """Return how many requests the users allow in a window."""
-    return 1.5 * rate * WINDOW_MS / MS_PER_SECOND + 5
-
-
 class Way(Protocol):
     """One instance's part in a way to share a limit."""
 
@@ -434,16 +427,6 @@
         )
 
 
-def count_worst_window(times: list[int]) -> int:
-    """Return the largest number of these times within one window."""
-    ordered, worst, first = sorted(times), 0, 0
-    for index, at in enumerate(ordered):
-        while at - ordered[first] >= WINDOW_MS:
-            first += 1
-        worst = max(worst, index - first + 1)
-    return worst
-
-
 def play_limits(load: LimitLoad, way_name: str = OWNER_PERMITS) -> LimitResult:
     """Play a load in simulated time and return what it showed."""
 
--- a/tests/limited_upstreams.py
+++ b/tests/limited_upstreams.py
@@ -17,6 +17,7 @@
 from lentilwell._clock import SystemClock
 from lentilwell.gateway import Entry, Feeds, Gateway, Member, Upstream
 from standins.answer_reader import read_answer
+from standins.limit_rule import GRACE_MS, count_worst_window
 from tests.gateway_harness import (
     ANSWER_TIMEOUT_S,
     CATALOG,
@@ -28,18 +29,10 @@
     ScriptedUpstream,
 )
 
-WINDOW_MS = 4_000
-# An instance is bound by a limit this long after it passed on an answer that names it.
-GRACE_MS = 500
 PAUSE_TICK_S = 0.005
 CLOCK = SystemClock()
 
 
-def find_allowed(rate: float) -> float:
-    """Return how many requests the users allow in a window."""
-    return 1.5 * rate * WINDOW_MS / 1_000 + 5
-
-
 @dataclass
 class LimitedUpstream:
     """Answers every request, names ``rate`` while it is set, and records who sent what when.
@@ -74,10 +67,7 @@
 
     def count_worst_window(self) -> int:
         """Return the largest number of such requests in any window."""
-        times = self.bound_sends
-        return max(
-            (sum(begin <= at < begin + WINDOW_MS for at in times) for begin in times), default=0
-        )
+        return count_worst_window(self.bound_sends)
 
 
 @dataclass
--- a/tests/test_gateway_limited_upstreams.py
+++ b/tests/test_gateway_limited_upstreams.py
@@ -9,9 +9,10 @@
 from lentilwell.gateway._placement_policies import Helper
 from lentilwell.gateway._upstreams import ListingChange, apply_changes
 from lentilwell.gateway._work_digest import NO_UPSTREAM_REPORTS
+from standins.limit_rule import find_allowed
 from tests.gateway_harness import run_gateway, with_route
 from tests.gateway_scripts import answer_ok, in_loop, stream_whole, with_engines
-from tests.limited_upstreams import LimitedUpstream, find_allowed, run_gateways
+from tests.limited_upstreams import LimitedUpstream, run_gateways
 
 PRESS_S = 5.5
 # New owners of permits issue less until all instances have read the list of instances.
--- a/tests/test_gateway_permits.py
+++ b/tests/test_gateway_permits.py
@@ -45,9 +45,9 @@
 from lentilwell.gateway._rate_limits import LimitReport, RateLimits
 from lentilwell.gateway._upstreams import Incarnation, Upstream
 from lentilwell.gateway._work_digest import WorkDigest, encode_digest
+from standins.limit_rule import WINDOW_MS, count_worst_window, find_allowed
 from tests.gateway_harness import make_route
 
-WINDOW_MS = 4_000
 U = Incarnation("u", 7)
 UPSTREAM = Upstream("u", "s", "10.0.0.1:1", "a", 8, False, 7)
 RATES = st.sampled_from([0.0, 0.05, 0.25, 1.0, 5.0, 40.0, 3_000.0])
@@ -56,10 +56,6 @@
 )
 
 
-def count_worst_window(times):
-    return max((sum(begin <= at < begin + WINDOW_MS for at in times) for begin in times), default=0)
-
-
 @given(RATES, st.lists(st.tuples(st.integers(0, 1_500), st.integers(0, 2_000)), max_size=120))
 def test_permits_of_an_owner_are_an_interval_apart(rate, asks):
     issuer, now, times = PermitIssuer(), 100, []
@@ -81,7 +77,7 @@
     issued = sum(
         math.floor(max(rate, MIN_RATE) * share * WINDOW_MS / 1_000) + 1 for share in shares
     )
-    assert issued <= 1.5 * rate * WINDOW_MS / 1_000 + 5
+    assert issued <= find_allowed(rate)
 
 
 def test_denied_ask_takes_no_permit_from_others():
--- a/tests/test_simulated_limits.py
+++ b/tests/test_simulated_limits.py
@@ -4,7 +4,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from standins.simulated_limits import Fault, LimitLoad, find_allowed, play_limits
+from standins.limit_rule import find_allowed
+from standins.simulated_limits import Fault, LimitLoad, play_limits
 
 SIZES = (3, 12, 24, 78, 340)
 # The share of the named rate that is to be used when more is asked for.
