--- a/bench/limited_processes.py
+++ b/bench/limited_processes.py
@@ -19,6 +19,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from bench.runner import read_processor_ticks
 from lentilwell._clock import MS_PER_SECOND, BootClock
 from soak.checks import check_rate_limits
 from soak.faulty_server import INSTANCE_HEADER, FaultyServer
@@ -157,20 +158,14 @@
             pauses.append((loop.time() - due_s) * MS_PER_SECOND)
 
     watching = loop.create_task(watch())
-    idle_before, all_before = read_processor_ticks()
+    busy_before, all_before = read_processor_ticks()
     yield found
     watching.cancel()
-    idle, total = read_processor_ticks()
-    busy_share = 1 - (idle - idle_before) / max(1, total - all_before)
+    busy, total = read_processor_ticks()
+    busy_share = (busy - busy_before) / max(1, total - all_before)
     found.append(MachineLoad(busy_share, max(pauses)))
 
 
-def read_processor_ticks() -> tuple[int, int]:
-    """Return the ticks in which the processors were idle, and all ticks."""
-    ticks = [int(text) for text in Path("/proc/stat").read_text().split("\n", 1)[0].split()[1:]]
-    return ticks[3] + ticks[4], sum(ticks[:8])
-
-
 def drain_log(instance: Instance) -> None:
     """Read and drop the log of an instance, so that its pipe does not fill."""
     assert instance.process is not None and instance.process.stdout is not None
--- a/bench/runner.py
+++ b/bench/runner.py
@@ -146,11 +146,16 @@
 
 def read_cpu_usage(deployment: Deployment) -> CpuUsage:
     """Return the processor time used up to now."""
-    fields = [int(field) for field in Path("/proc/stat").read_text().split("\n")[0].split()[1:9]]
+    busy, total = read_processor_ticks()
     entries = tuple(read_cpu_seconds(entry.popen.pid) for entry in deployment.entries)
-    idle = fields[IDLE_FIELD] + fields[IDLE_FIELD + 1]
+    return CpuUsage(time.monotonic(), entries, busy / CLOCK_TICKS, total / CLOCK_TICKS)
+
+
+def read_processor_ticks() -> tuple[int, int]:
+    """Return the ticks in which the machine's processors were busy, and all ticks."""
+    fields = [int(field) for field in Path("/proc/stat").read_text().split("\n")[0].split()[1:9]]
     total = sum(fields)
-    return CpuUsage(time.monotonic(), entries, (total - idle) / CLOCK_TICKS, total / CLOCK_TICKS)
+    return total - fields[IDLE_FIELD] - fields[IDLE_FIELD + 1], total
 
 
 def start_loaders(
