--- /dev/null
+++ b/tests/test_gateway_silent_upstreams.py
@@ -0,0 +1,147 @@
+"""Upstreams that are silent for more than a second, and then go on."""
+
+import asyncio
+
+import pytest
+
+from lentilwell.gateway import BudgetRules
+from tests.gateway_harness import run_gateway, with_route
+from tests.gateway_scripts import (
+    answer_misdirected,
+    answer_not_run,
+    answer_with_error,
+    in_loop,
+    list_event_ids,
+    reset_connection,
+    stay_silent,
+    stream_whole,
+)
+
+PAUSE_S = 1.4
+WHOLE = [1, 2, 3, 4, 5]
+
+
+async def pause_before_answer(arrival):
+    await asyncio.sleep(PAUSE_S)
+    await arrival.answer(body=b"hello")
+
+
+async def pause_in_answer(arrival):
+    await arrival.answer(framing="none", body=b"he", Content_Length=5)
+    await asyncio.sleep(PAUSE_S)
+    await arrival.write(b"llo")
+
+
+async def pause_before_stream(arrival):
+    await asyncio.sleep(PAUSE_S)
+    await stream_whole(arrival)
+
+
+async def pause_in_stream(arrival):
+    """Pause after two events of what is left of the stream."""
+    begin = int(arrival.headers.get("last-event-id", 0))
+    await arrival.begin_stream()
+    await arrival.write_events(*range(begin + 1, min(begin + 3, 6)))
+    await asyncio.sleep(PAUSE_S)
+    await arrival.write_events(*range(begin + 3, 6))
+    await arrival.end_stream()
+
+
+@pytest.mark.parametrize("first", [pause_before_answer, pause_in_answer])
+@pytest.mark.parametrize(
+    "second",
+    [
+        pause_before_answer,
+        answer_not_run,
+        answer_misdirected,
+        answer_with_error,
+        reset_connection,
+        stay_silent,
+        None,
+    ],
+)
+@in_loop
+async def test_lookup_is_not_failed_while_an_upstream_that_paused_may_answer(first, second):
+    async with run_gateway(first, second) as harness:
+        harness.gateway.fleet.ejection.record_unreachable("u1", harness.gateway.clock.now())
+        answers = [await harness.call("/whole/x", method="GET") for _ in range(2)]
+        assert [(answer.status, answer.body) for answer in answers] == [(200, b"hello")] * 2
+
+
+@pytest.mark.parametrize("first", [pause_before_stream, pause_in_stream])
+@pytest.mark.parametrize(
+    "second",
+    [
+        pause_before_stream,
+        pause_in_stream,
+        answer_not_run,
+        answer_with_error,
+        reset_connection,
+        stay_silent,
+        None,
+    ],
+)
+@in_loop
+async def test_stream_is_not_cut_off_while_an_upstream_that_paused_may_go_on(first, second):
+    catalog = with_route("stream", timeout_ms=10_000)
+    async with run_gateway(first, second, catalog=catalog) as harness:
+        answer = await harness.call("/stream/x", Deadline_Ms="10000")
+        assert answer.complete and list_event_ids(answer.body) == WHOLE
+
+
+@pytest.mark.parametrize(
+    ("path", "script"), [("/whole/x", pause_before_answer), ("/stream/x", pause_in_stream)]
+)
+@in_loop
+async def test_silence_does_not_end_an_answer_where_the_retry_budget_is_spent(path, script):
+    async with run_gateway(script, script) as harness:
+        harness.gateway.fleet.change_budget(BudgetRules(0.0, 0, 10_000))
+        answer = await harness.call(path)
+        assert answer.complete and answer.status == 200
+        assert len(harness.arrivals) == 1
+
+
+@in_loop
+async def test_silence_does_not_end_an_answer_where_one_upstream_is_allowed():
+    catalog = with_route("stream", max_upstreams=1)
+    async with run_gateway(pause_in_stream, stream_whole, catalog=catalog) as harness:
+        for _ in range(3):
+            answer = await harness.call("/stream/x")
+            assert answer.complete and list_event_ids(answer.body) == WHOLE
+        assert len(harness.arrivals) == 3
+
+
+@in_loop
+async def test_attempt_beside_a_silent_one_is_cancelled_when_that_one_goes_on():
+    async with run_gateway(pause_in_stream, stay_silent) as harness:
+        harness.gateway.fleet.ejection.record_unreachable("u1", harness.gateway.clock.now())
+        answer = await harness.call("/stream/x", Deadline_Ms="10000")
+        assert answer.complete and list_event_ids(answer.body) == WHOLE
+        assert len(harness.upstreams[1].arrivals) == 1
+        for arrival in harness.upstreams[1].arrivals:
+            await asyncio.wait_for(arrival.disconnected.wait(), 1)
+        await asyncio.sleep(0.05)
+        assert not harness.gateway.fleet.load_tracker.list_own_jobs()
+
+
+@in_loop
+async def test_silent_attempt_is_cancelled_when_another_one_answers():
+    async with run_gateway(stay_silent, stream_whole) as harness:
+        for _ in range(2):
+            answer = await asyncio.wait_for(harness.call("/stream/x"), 2)
+            assert answer.complete and list_event_ids(answer.body) == WHOLE
+        for arrival in harness.upstreams[0].arrivals:
+            await asyncio.wait_for(arrival.disconnected.wait(), 1)
+        assert not harness.gateway.fleet.load_tracker.list_own_jobs()
+
+
+@in_loop
+async def test_all_attempts_are_cancelled_when_the_caller_leaves():
+    async with run_gateway(stay_silent, stay_silent) as harness:
+        _, writer = await harness.connect()
+        writer.write(harness.format("/stream/x", Deadline_Ms="10000"))
+        while len(harness.arrivals) < 2:
+            await asyncio.sleep(0.02)
+        writer.close()
+        for arrival in harness.arrivals:
+            await asyncio.wait_for(arrival.disconnected.wait(), 1)
