Do not end an answer because its upstream is silent

Cause: the silence timeout closed the attempt first and looked for another upstream afterwards. Where that came to nothing (no upstream accepted the request, the retry budget was spent, all upstreams allowed were used, the next one refused, failed, broke off or paused too), the answer that was still on its way had been thrown away. Ruled out: a change of the configuration as its cause.

Change: silence ends nothing. An attempt runs in a task of its own; when its upstream is silent it stays open, and the request is also sent to another upstream where that is allowed. The first attempt that has something for the caller answers, and the others are cancelled. While a send is open only the deadline or the caller ends the request (_request_state). A connection that is dead ends by TCP's own timeouts, and hung upstreams are left as early as before, by the second attempt. New log lines: attempt silent, attempt cancelled.

--- a/src/lentilwell/_log_lines/__init__.py
+++ b/src/lentilwell/_log_lines/__init__.py
@@ -32,7 +32,9 @@
     TaskFailed,
 )
 from lentilwell._log_lines._requests import (
+    AttemptCancelled,
     AttemptEnded,
+    AttemptSilent,
     LeaseNotReleased,
     LeaseNotRenewed,
     RefusalBodyDropped,
@@ -73,7 +75,9 @@
 
 __all__ = [
     "LINE_TYPES",
+    "AttemptCancelled",
     "AttemptEnded",
+    "AttemptSilent",
     "CallbackFailed",
     "ConfigurationConfirmed",
     "ConfigurationInForce",
--- a/src/lentilwell/_log_lines/_requests.py
+++ b/src/lentilwell/_log_lines/_requests.py
@@ -86,7 +86,11 @@
 @line("attempt ended")
 @dataclass(frozen=True)
 class AttemptEnded(Line):
-    """An attempt failed. ``next`` is ``place`` if another one follows, else the outcome."""
+    """An attempt failed.
+
+    ``next`` is ``place`` if another one follows, ``wait`` if an open one is waited for, else the
+    outcome.
+    """
 
     request: str
     upstream: str
@@ -95,6 +99,34 @@
     next: str
 
 
+@line("attempt silent")
+@dataclass(frozen=True)
+class AttemptSilent(Line):
+    """An upstream has made no progress for ``silent_ms``; its attempt stays open.
+
+    ``next`` is ``place`` if another upstream is tried beside it, else ``wait``.
+    """
+
+    request: str
+    upstream: str
+    silent_ms: int
+    sends: int
+    next: str
+
+
+@line("attempt cancelled")
+@dataclass(frozen=True)
+class AttemptCancelled(Line):
+    """An attempt was cancelled, because the upstream ``answering`` serves the request.
+
+    ``upstream`` is empty if none had been chosen yet.
+    """
+
+    request: str
+    upstream: str
+    answering: str
+
+
 @line("request ended")
 @dataclass(frozen=True)
 class RequestEnded(Line):
--- a/src/lentilwell/cli/_losses.py
+++ b/src/lentilwell/cli/_losses.py
@@ -100,6 +100,8 @@
         return f"refused with {line.status}"
     if isinstance(line, lines.AttemptEnded):
         return generalize(line.reason, line.upstream)
+    if isinstance(line, lines.AttemptSilent):
+        return "no progress for N ms"
     if isinstance(line, lines.RequestWaiting):
         return "no upstream wanted work"
     if isinstance(line, lines.RequestDeferred):
--- a/src/lentilwell/cli/_timeline.py
+++ b/src/lentilwell/cli/_timeline.py
@@ -198,16 +198,37 @@
     return f"{line.upstream} refused with status {line.status}{fault}; it has not run there"
 
 
+NEXT_STEPS = {
+    "place": "another upstream is looked for",
+    "wait": "the silent upstream is waited for",
+}
+
+
 @describer(lines.AttemptEnded)
 def describe_attempt(line: lines.AttemptEnded) -> str:
     """Describe a failed attempt and the next step."""
     where = f" at {line.upstream}" if line.upstream else ""
-    following = "another upstream is looked for"
-    if line.next != "place":
-        following = f"the request ends as {line.next}"
+    following = NEXT_STEPS.get(line.next, f"the request ends as {line.next}")
     return f"attempt{where} came to nothing after {line.sends} sends: {line.reason}; {following}"
 
 
+@describer(lines.AttemptSilent)
+def describe_silence(line: lines.AttemptSilent) -> str:
+    """Describe an upstream that is silent, and the next step."""
+    following = NEXT_STEPS.get(line.next, line.next)
+    return (
+        f"{line.upstream} is silent for {line.silent_ms} ms after {line.sends} sends and is waited "
+        f"for; {following}"
+    )
+
+
+@describer(lines.AttemptCancelled)
+def describe_cancelled(line: lines.AttemptCancelled) -> str:
+    """Describe an attempt that was cancelled because another upstream answers."""
+    what = f"attempt at {line.upstream}" if line.upstream else "search for another upstream"
+    return f"{what} cancelled: {line.answering} answers"
+
+
 @describer(lines.RequestRejected)
 def describe_rejected(line: lines.RequestRejected) -> str:
     """Describe a request that was answered without being forwarded."""
--- a/src/lentilwell/gateway/_accounting.py
+++ b/src/lentilwell/gateway/_accounting.py
@@ -13,15 +13,17 @@
 
 
 class Accounting:
-    """Updates the fleet for one request, one choice of upstreams at a time.
+    """Updates the fleet for one attempt of a request, the ``number``th from 0 on.
 
-    ``sent_at`` is when the request was last sent to an upstream, in ms.
+    ``sent_at`` is when the request was sent to the upstream, in ms.
     """
 
-    def __init__(self, fleet: Fleet, routed: RoutedRequest) -> None:
+    def __init__(self, fleet: Fleet, routed: RoutedRequest, number: int = 0) -> None:
         self._fleet = fleet
         self._clock = fleet.clock
         self._routed = routed
+        # Attempts beside each other may use the same helpers.
+        self._job_name = f"{routed.facts.request_id}/{number}"
         self.sent_at = 0
         self._awaits_event = False
 
@@ -30,7 +32,7 @@
         facts, route = self._routed.facts, self._routed.route
         jobs = build_jobs(
             choice,
-            facts.request_id,
+            self._job_name,
             facts.prompt.memory_tokens if facts.prompt is not None else 0,
             now=self._clock.now(),
             due_at=self._routed.request.arrived_at + route.objective_ms,
@@ -41,7 +43,7 @@
 
     def remove_jobs(self, choice: Choice) -> None:
         """Remove the request's work from the load of its upstreams."""
-        self._fleet.load_tracker.remove(self._routed.facts.request_id, choice.upstream_names)
+        self._fleet.load_tracker.remove(self._job_name, choice.upstream_names)
 
     def record_sent(self) -> None:
         """Record that the request is sent to an upstream now."""
@@ -53,9 +55,7 @@
         if not self._awaits_event:
             return
         self._awaits_event = False
-        self._fleet.load_tracker.record_first_event(
-            self._routed.facts.request_id, choice.upstream_names
-        )
+        self._fleet.load_tracker.record_first_event(self._job_name, choice.upstream_names)
         if choice.helpers or not choice.first_event_ms:
             return  # with helpers, it is unknown which upstream was slow
         now = self._clock.now()
--- /dev/null
+++ b/src/lentilwell/gateway/_attempt.py
@@ -0,0 +1,356 @@
+"""One attempt to serve a request: chooses an upstream, sends the request and relays its answer."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import Protocol
+
+from lentilwell._log_lines import RefusalBodyDropped, write_line
+from lentilwell.gateway._accounting import Accounting
+from lentilwell.gateway._admission import check_admission
+from lentilwell.gateway._answer_observer import AnswerObserver
+from lentilwell.gateway._catalog import Repeat
+from lentilwell.gateway._connection import HttpConnection
+from lentilwell.gateway._connection_pool import ConnectionPool
+from lentilwell.gateway._delivery import Delivery, UpstreamFailure
+from lentilwell.gateway._event_stream import BrokenStream, EventSplitter, StreamEvent
+from lentilwell.gateway._failures import ConnectionBroken, HttpConnectionError, Unreachable
+from lentilwell.gateway._fleet import Fleet
+from lentilwell.gateway._leases import LeaseManager, LeaseSet, ReservationFailed
+from lentilwell.gateway._messages import AnswerHead, Envelope, PrefillHelper
+from lentilwell.gateway._metrics import Metrics
+from lentilwell.gateway._permits import Permits
+from lentilwell.gateway._placement_policies import Choice
+from lentilwell.gateway._placer import Placement, Placer
+from lentilwell.gateway._ports import Dialect
+from lentilwell.gateway._request_recorder import RequestRecorder
+from lentilwell.gateway._request_state import (
+    AnswerCompleted,
+    AnswerStarted,
+    ConnectionFailed,
+    Event,
+    ExchangeBroken,
+    NoUpstream,
+    ReportedNotRun,
+    RequestState,
+    SendStarted,
+)
+from lentilwell.gateway._routing import RoutedRequest
+from lentilwell.gateway._upstreams import Upstream
+
+# Only the status and the headers of a refusal are used. The body is read so that the connection can
+# be reused; if that takes longer than this, the connection is closed instead.
+REFUSAL_BODY_TIMEOUT_MS = 100
+
+
+@dataclass(frozen=True)
+class ExchangeContext:
+    """The objects that all exchanges of a gateway share."""
+
+    fleet: Fleet
+    answer_observer: AnswerObserver
+    permits: Permits
+    connections: ConnectionPool
+    leases: LeaseManager
+    dialect: Dialect
+    metrics: Metrics
+
+
+@dataclass(frozen=True)
+class AttemptEnd:
+    """The event with which an attempt ended, and why; ``reason`` is empty for an answer."""
+
+    event: Event
+    reason: str = ""
+
+
+class AttemptOwner(Protocol):
+    """The exchange that an attempt belongs to, which may have other attempts open.
+
+    ``excluded`` names the upstreams that the request must not be sent to again, ``sent_to`` those
+    that it was sent to.
+    """
+
+    routed: RoutedRequest
+    delivery: Delivery
+    recorder: RequestRecorder
+    placer: Placer
+    state: RequestState
+    excluded: frozenset[str]
+    sent_to: frozenset[str]
+
+    def advance(self, event: Event) -> object:
+        """Apply an event to the state of the request."""
+
+    def handle_silence(self, attempt: Attempt, silent_ms: int) -> None:
+        """Send the request to another upstream, if that is allowed, beside this attempt."""
+
+    def claim_answer(self, attempt: Attempt) -> None:
+        """Cancel all other attempts: this one answers the caller."""
+
+
+class Attempt:
+    """Sends a request to one upstream; other attempts of the request may be open beside it.
+
+    Until ``claim_answer`` was called, nothing of the attempt reaches the caller. ``silent`` is true
+    while the upstream exceeds the silence timeout.
+    """
+
+    def __init__(self, context: ExchangeContext, owner: AttemptOwner, number: int) -> None:
+        self._fleet = context.fleet
+        self._answer_observer = context.answer_observer
+        self._permits = context.permits
+        self._connections = context.connections
+        self._leases = context.leases
+        self._dialect = context.dialect
+        self._clock = context.fleet.clock
+        self._owner = owner
+        self._routed = owner.routed
+        self._accounting = Accounting(context.fleet, owner.routed, number)
+        self._choice: Choice | None = None
+        self.silent = False
+
+    @property
+    def choice(self) -> Choice:
+        """Return the chosen upstreams; valid once the request is about to be sent."""
+        assert self._choice is not None
+        return self._choice
+
+    @property
+    def upstream(self) -> str:
+        """Return the name of the chosen upstream, empty before the choice."""
+        return self._choice.upstream.name if self._choice is not None else ""
+
+    async def run(self, is_retry: bool) -> AttemptEnd:
+        """Choose an upstream, send the request there and relay its answer to the caller."""
+        budget = self._fleet.find_budget(self._routed.service)
+        if is_retry and not budget.try_spend(self._clock.now(), self._fleet.count_instances()):
+            return AttemptEnd(NoUpstream(), "retry budget spent")
+        owner = self._owner
+        last_send = owner.state.sends + 1 >= owner.state.max_sends
+        placement = await owner.placer.place(owner.excluded, owner.state.sends > 0, last_send)
+        if placement is None:
+            owner.delivery.retry_after_ms = owner.placer.find_retry_after_ms(owner.excluded)
+            return AttemptEnd(NoUpstream(), owner.placer.explain_none(owner.excluded))
+        choice = self._choice = placement.choice
+        owner.recorder.record_choice(choice, len(owner.excluded))
+        too_late = check_admission(self._routed.route, choice, self._get_remaining_ms())
+        if too_late is not None and not owner.state.delivered:
+            owner.delivery.retry_after_ms = too_late.retry_after_ms
+            expected = f"first event expected in {choice.first_event_ms:.0f} ms"
+            return AttemptEnd(NoUpstream(), expected)
+        self._accounting.add_jobs(choice)
+        try:
+            return await self._reserve_and_send(placement)
+        finally:
+            self._accounting.remove_jobs(choice)
+
+    def find_silence_timeout_ms(self) -> int | None:
+        """Return how long the upstream may be silent for now, in ms; None for no limit."""
+        return self._accounting.find_silence_timeout_ms(self.choice)
+
+    def handle_silence(self, silent_ms: int) -> None:
+        """Let the exchange try another upstream; this attempt goes on waiting."""
+        self.silent = True
+        self._exclude(self.choice.upstream)
+        self._accounting.record_silence(self.choice, f"no progress for {silent_ms} ms")
+        self._owner.handle_silence(self, silent_ms)
+
+    async def _reserve_and_send(self, placement: Placement) -> AttemptEnd:
+        """Reserve memory at the helpers that need it, then send the request."""
+        try:
+            leases = await self._leases.reserve(placement.choice.helpers)
+        except ReservationFailed as error:
+            self._owner.excluded |= {error.upstream}
+            return AttemptEnd(ConnectionFailed(), str(error))
+        try:
+            return await self._send(placement, leases)
+        finally:
+            leases.release()
+
+    def _get_remaining_ms(self) -> int:
+        return self._routed.deadline_at - self._clock.now()
+
+    async def _send(self, placement: Placement, leases: LeaseSet) -> AttemptEnd:
+        upstream = placement.choice.upstream
+        send_once = self._routed.route.repeat is Repeat.NEVER
+        try:
+            connection = await self._connections.acquire(upstream.address, send_once)
+        except Unreachable as error:
+            self._record_unreachable(upstream, str(error))
+            return AttemptEnd(ConnectionFailed(), str(error))
+        if not self._may_send(placement):
+            self._connections.release(upstream.address, connection)
+            return AttemptEnd(ConnectionFailed(), "the upstream stopped accepting new work")
+        try:
+            self._record_send(upstream)
+            connection.silence_watch = None if send_once else self
+            self._send_request(connection, leases)
+            ended = await self._handle_answer(connection)
+            self._connections.release(upstream.address, connection)
+            return ended
+        except (ConnectionBroken, BrokenStream) as error:
+            self._exclude(upstream)
+            self._accounting.record_failure(self.choice, str(error))
+            return AttemptEnd(ExchangeBroken(), str(error))
+        finally:
+            if not connection.idle:
+                connection.close()
+
+    def _may_send(self, placement: Placement) -> bool:
+        """Tell whether the upstreams of a placement still accept the request."""
+        choice = placement.choice
+        return self._fleet.accepts_work(choice) and self._permits.covers(
+            choice.upstream, placement.permit
+        )
+
+    def _record_send(self, upstream: Upstream) -> None:
+        owner = self._owner
+        owner.advance(SendStarted(new_upstream=upstream.name not in owner.sent_to))
+        owner.sent_to |= {upstream.name}
+        self._accounting.record_sent()
+        limit = self._fleet.rate_limits.find(upstream.incarnation)
+        owner.recorder.record_send(owner.state.sends, limit is not None)
+
+    def _send_request(self, connection: HttpConnection, leases: LeaseSet) -> None:
+        routed = self._routed
+        envelope = Envelope(
+            upstream=self.upstream,
+            remaining_ms=max(1, self._get_remaining_ms()),
+            team=routed.team.name if routed.team is not None else None,
+            rank=routed.rank,
+            resume_after=self._owner.delivery.last_event_id,
+            prefill_helpers=tuple(
+                PrefillHelper(helper.upstream.address, leases.find_ticket(helper.upstream.name))
+                for helper in self.choice.helpers
+            ),
+        )
+        headers = self._dialect.write_headers(routed.request, envelope)
+        request = routed.request
+        connection.send(request.method, request.target, headers, request.body)
+
+    async def _handle_answer(self, connection: HttpConnection) -> AttemptEnd:
+        upstream = self.choice.upstream
+        head = self._dialect.read_head(await connection.read_head())
+        self._answer_observer.handle_head(upstream, head)
+        connection.idle_limit_ms = head.idle_ms
+        connection.reusable = connection.reusable and not head.closing
+        if head.request_id and head.request_id != self._routed.facts.request_id:
+            raise ConnectionBroken(f"the answer belongs to request {head.request_id}")
+        if not head.request_id and connection.used_before:
+            raise ConnectionBroken(
+                "an answer without a request id may be a copy of an earlier answer"
+            )
+        self._answer_observer.handle_answer(upstream, head, self._accounting.sent_at)
+        if head.not_run:
+            return await self._handle_refusal(connection, head)
+        self._accounting.record_accepted(self.choice)
+        if not 200 <= head.status < 300:
+            return await self._handle_failure(connection, head)
+        if not head.request_id or not head.signed or head.encoded:
+            raise ConnectionBroken("the answer has no request id or signature, or is encoded")
+        if self._routed.route.streams:
+            return await self._relay_stream(connection, head)
+        body = await connection.read_body()
+        connection.finish()
+        self._accounting.record_success(self.choice)
+        return self._forward_answer(head, body)
+
+    def _forward_answer(self, head: AnswerHead, body: bytes) -> AttemptEnd:
+        """Forward a complete, buffered upstream answer to the caller."""
+        self._claim_answer()
+        self._owner.advance(AnswerStarted())
+        self._owner.delivery.forward(head, body)
+        return self._complete()
+
+    def _claim_answer(self) -> None:
+        self.silent = False
+        self._owner.claim_answer(self)
+
+    def _complete(self) -> AttemptEnd:
+        """Record the end of the answer at once, before anything else can end the request."""
+        self._owner.advance(AnswerCompleted())
+        return AttemptEnd(AnswerCompleted())
+
+    async def _handle_refusal(self, connection: HttpConnection, head: AnswerHead) -> AttemptEnd:
+        await self._discard_body(connection)
+        upstream = self.choice.upstream
+        at_fault = self._find_upstream_at_fault(head)
+        self._exclude(at_fault)
+        self._owner.recorder.record_refusal(self.upstream, head.status, at_fault.name)
+        self._accounting.record_refusal(at_fault)
+        if head.misdirected and at_fault is upstream:
+            self._fleet.remove_upstream(at_fault)
+        elif at_fault is not upstream:
+            self._record_unreachable(at_fault, f"reported at fault with status {head.status}")
+        reason = f"upstream answered {head.status} without running it"
+        return AttemptEnd(ReportedNotRun(helper_at_fault=at_fault is not upstream), reason)
+
+    async def _discard_body(self, connection: HttpConnection) -> None:
+        try:
+            async with asyncio.timeout(REFUSAL_BODY_TIMEOUT_MS / 1_000):
+                await connection.read_body()
+            connection.finish()
+        except (TimeoutError, HttpConnectionError) as error:
+            write_line(RefusalBodyDropped(self._routed.facts.request_id, repr(error)))
+            connection.close()
+
+    def _find_upstream_at_fault(self, head: AnswerHead) -> Upstream:
+        """Return the upstream that caused a refusal: the chosen one or one of its helpers."""
+        for helper in self.choice.helpers:
+            if helper.upstream.address == head.at_fault:
+                return helper.upstream
+        return self.choice.upstream
+
+    async def _handle_failure(self, connection: HttpConnection, head: AnswerHead) -> AttemptEnd:
+        """Handle an error answer to a request that ran: retry the request or forward the answer."""
+        body = await connection.read_body()
+        connection.finish()
+        self._exclude(self.choice.upstream)
+        if head.status < 500:
+            self._accounting.record_success(self.choice)
+        else:
+            self._accounting.record_failure(self.choice, f"status {head.status}")
+        final = self._routed.route.repeat is Repeat.NEVER or head.status < 500
+        if final and not self._owner.state.delivered:
+            return self._forward_answer(head, body)
+        self._owner.delivery.upstream_failure = UpstreamFailure(head, body)
+        return AttemptEnd(ExchangeBroken(), f"upstream answered {head.status}")
+
+    async def _relay_stream(self, connection: HttpConnection, head: AnswerHead) -> AttemptEnd:
+        """Forward the events of a stream as they arrive, each exactly once and complete."""
+        splitter = EventSplitter()
+        while (data := await connection.read_data()) is not None:
+            for event in splitter.feed(data):
+                if self._owner.delivery.accept(event):
+                    await self._relay_event(event, head)
+                    connection.record_progress()
+        if splitter.incomplete:
+            raise ConnectionBroken("the stream ended in the middle of an event")
+        self._claim_answer()
+        self._start_stream(head)
+        connection.finish()
+        self._accounting.record_success(self.choice)
+        self._owner.delivery.finish_stream()
+        return self._complete()
+
+    async def _relay_event(self, event: StreamEvent, head: AnswerHead) -> None:
+        self._claim_answer()
+        self._start_stream(head)
+        self._owner.recorder.record_event()
+        self._accounting.record_event(self.choice)
+        await self._owner.delivery.write_event(event)
+
+    def _start_stream(self, head: AnswerHead) -> None:
+        """Forward the head of a stream, unless the caller has one already."""
+        if not self._owner.state.delivered:
+            self._owner.advance(AnswerStarted())
+            self._owner.delivery.start_stream(head)
+
+    def _exclude(self, upstream: Upstream) -> None:
+        self._owner.excluded |= {upstream.name}
+
+    def _record_unreachable(self, upstream: Upstream, reason: str) -> None:
+        self._exclude(upstream)
+        self._accounting.record_unreachable(upstream, reason)
--- a/src/lentilwell/gateway/_connection.py
+++ b/src/lentilwell/gateway/_connection.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import socket
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
+from typing import Protocol
 
 import h11
 
 from lentilwell._clock import Clock
 from lentilwell._timeouts import allow_ms
-from lentilwell.gateway._failures import ConnectionBroken, SilenceTimeout, Unreachable
+from lentilwell.gateway._failures import ConnectionBroken, Unreachable
 from lentilwell.gateway._messages import Headers
 
 # Many round trips, but less than the one second after which TCP sends a lost SYN again.
@@ -27,23 +28,25 @@
 # 1xx responses that are skipped while waiting for the final response.
 MAX_INFORMATIONAL_RESPONSES = 16
 
-FindSilenceTimeoutMs = Callable[[], int | None]
 
+class SilenceWatch(Protocol):
+    """Is told when an upstream leaves the request in flight without progress for too long."""
 
-def never_time_out() -> int | None:
-    """Return None: the upstream may be silent without limit."""
-    return None
+    def find_silence_timeout_ms(self) -> int | None:
+        """Return how long the upstream may be silent, in ms; None for no limit."""
+
+    def handle_silence(self, silent_ms: int) -> None:
+        """Handle a silence; the connection goes on waiting for the answer."""
 
 
 class HttpConnection(asyncio.Protocol):
     """A connection to an upstream that carries one request at a time.
 
     ``reusable`` becomes false, and stays so, once the connection must not carry another request.
-    ``until_deadline`` is true while the request in flight has no silence timeout, so that only its
-    deadline ends the wait for the upstream. ``used_before`` is true once a request has been
-    answered on the connection. The silence timeout restarts when a response head arrives and when
-    ``record_progress`` is called. Other bytes do not restart it, so an upstream that sends single
-    bytes without end still times out.
+    ``used_before`` is true once a request has been answered on the connection. ``silence_watch`` is
+    told of a silence of the upstream while a request is in flight, None if nobody is. The silence
+    is measured from the last response head or call of ``record_progress``. Other bytes do not end
+    it, so an upstream that sends single bytes without end counts as silent.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -55,10 +58,10 @@
         self._in_use = False
         self._received_at = clock.now()
         self._progress_at = clock.now()
-        self._timed_out = False
+        self._silence_reported = False
         self.reusable = True
         self.used_before = False
-        self.until_deadline = False
+        self.silence_watch: SilenceWatch | None = None
         self.idle_since = clock.now()
         self.idle_limit_ms: int | None = None
 
@@ -117,19 +120,17 @@
         self._transport.write(b"".join(part for part in parts if part))
 
     def record_progress(self) -> None:
-        """Restart the silence timeout: the upstream sent something useful."""
+        """Record that the upstream sent something useful, which ends a silence."""
         self._progress_at = self._clock.now()
+        self._silence_reported = False
 
-    async def read_head(
-        self, find_silence_timeout_ms: FindSilenceTimeoutMs = never_time_out
-    ) -> h11.Response:
+    async def read_head(self) -> h11.Response:
         """Return the status line and the headers of the answer.
 
-        Raise ``SilenceTimeout`` if they do not arrive in time, and ``ConnectionBroken`` if the
-        connection ends or the bytes are not a valid response.
+        Raise ``ConnectionBroken`` if the connection ends or the bytes are not a valid response.
         """
         for _ in range(MAX_INFORMATIONAL_RESPONSES):
-            event = await self._next_event(find_silence_timeout_ms)
+            event = await self._next_event()
             if isinstance(event, h11.Response):
                 self.record_progress()
                 return event
@@ -139,29 +140,23 @@
             f"{MAX_INFORMATIONAL_RESPONSES} informational responses without a final one"
         )
 
-    async def read_data(
-        self, find_silence_timeout_ms: FindSilenceTimeoutMs = never_time_out
-    ) -> bytes | None:
+    async def read_data(self) -> bytes | None:
         """Return the next bytes of the body, or None at its end; raise like ``read_head``."""
-        event = await self._next_event(find_silence_timeout_ms)
+        event = await self._next_event()
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             return None
         raise ConnectionBroken("the upstream closed the connection")
 
-    async def read_body(
-        self,
-        find_silence_timeout_ms: FindSilenceTimeoutMs = never_time_out,
-        max_bytes: int = MAX_BODY_BYTES,
-    ) -> bytes:
+    async def read_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
         """Return the whole body; raise ``ConnectionBroken`` if it exceeds ``max_bytes``.
 
         Other failures raise like ``read_head``.
         """
         parts: list[bytes] = []
         size = 0
-        while (data := await self.read_data(find_silence_timeout_ms)) is not None:
+        while (data := await self.read_data()) is not None:
             parts.append(data)
             size += len(data)
             if size > max_bytes:
@@ -175,6 +170,7 @@
         """
         assert self._transport is not None
         self._in_use = False
+        self.silence_watch = None
         unsent = self._transport.get_write_buffer_size() > 0
         both_done = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
         if not self.reusable or unsent or not both_done or self._http.trailing_data[0]:
@@ -184,15 +180,14 @@
         self.used_before = True
         self.idle_since = self._clock.now()
 
-    def time_out_silent(self, silent_ms: int) -> None:
-        """End the wait for an answer if the upstream has sent nothing for ``silent_ms``.
+    def report_silence(self, min_silent_ms: int) -> None:
+        """Report a silence now if the upstream has sent nothing for ``min_silent_ms``.
 
-        Used when a probe finds the upstream unreachable; requests without a silence timeout go on.
+        Used when a probe finds the upstream unreachable.
         """
-        silent = self._clock.now() - self._received_at >= silent_ms
-        if self._in_use and not self.until_deadline and silent:
-            self._timed_out = True
-            self._notify(False)
+        silent = self._clock.now() - self._received_at >= min_silent_ms
+        if self._in_use and silent and not self._silence_reported:
+            self._report_silence()
 
     def close(self) -> None:
         """Abort the connection, which lets the upstream cancel the request in flight."""
@@ -208,9 +203,7 @@
             self._error = error
         self._notify()
 
-    async def _next_event(
-        self, find_silence_timeout_ms: FindSilenceTimeoutMs
-    ) -> h11.Event | type[h11.PAUSED]:
+    async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
         while True:
             try:
                 event = self._http.next_event()
@@ -222,36 +215,41 @@
                 raise ConnectionBroken(str(self._error)) from self._error
             if self._transport is not None and self.reusable:
                 self._transport.resume_reading()
-            await self._wait_with_silence_timeout(find_silence_timeout_ms)
+            await self._wait_for_bytes()
 
-    async def _wait_with_silence_timeout(
-        self, find_silence_timeout_ms: FindSilenceTimeoutMs
-    ) -> None:
-        """Wait for bytes or raise ``SilenceTimeout``.
+    async def _wait_for_bytes(self) -> None:
+        """Wait for bytes or the end of the connection, and report a silence meanwhile.
 
-        The timeout is computed again each time it expires, because it may have grown meanwhile.
-        """
-        while True:
-            silence_timeout_ms = find_silence_timeout_ms()
-            silent_ms = self._clock.now() - self._progress_at
-            if self._timed_out or (
-                silence_timeout_ms is not None and silent_ms >= silence_timeout_ms
-            ):
-                raise SilenceTimeout(f"no progress for {silent_ms} ms")
-            remaining_ms = None if silence_timeout_ms is None else silence_timeout_ms - silent_ms
-            if await self._wait_for_bytes(remaining_ms):
-                return
-
-    async def _wait_for_bytes(self, timeout_ms: int | None) -> bool:
-        """Wait for bytes or the end of the connection; return False on a timeout.
-
-        If the process was paused, bytes that arrived meanwhile take precedence over the timeout.
+        The timeout is computed again each time it expires, because it may have grown meanwhile. If
+        the process was paused, bytes that arrived meanwhile take precedence over the timeout.
         """
+        while not await self._wait(self._find_remaining_ms()):
+            remaining_ms = self._find_remaining_ms()
+            if remaining_ms is not None and remaining_ms <= 0:
+                self._report_silence()
+
+    def _find_remaining_ms(self) -> int | None:
+        """Return the time until the silence must be reported, None if it must not be."""
+        if self.silence_watch is None or self._silence_reported:
+            return None
+        timeout_ms = self.silence_watch.find_silence_timeout_ms()
+        return None if timeout_ms is None else timeout_ms - self._measure_silence_ms()
+
+    def _measure_silence_ms(self) -> int:
+        return self._clock.now() - self._progress_at
+
+    def _report_silence(self) -> None:
+        self._silence_reported = True
+        if self.silence_watch is not None:
+            self.silence_watch.handle_silence(self._measure_silence_ms())
+
+    async def _wait(self, timeout_ms: int | None) -> bool:
+        """Wait for bytes or the end of the connection; return False on a timeout."""
         loop = asyncio.get_running_loop()
         self._waiter = loop.create_future()
         timer = None
         if timeout_ms is not None:
-            timer = loop.call_later(timeout_ms / 1_000, self._notify, False)
+            timer = loop.call_later(max(0, timeout_ms) / 1_000, self._notify, False)
         try:
             return await self._waiter
         finally:
--- a/src/lentilwell/gateway/_connection_pool.py
+++ b/src/lentilwell/gateway/_connection_pool.py
@@ -42,10 +42,10 @@
         self._connections.setdefault(address, weakref.WeakSet()).add(connection)
         return connection
 
-    def time_out_silent(self, address: str, silent_ms: int) -> None:
-        """End the waits for an unreachable upstream that has sent nothing for ``silent_ms``."""
+    def report_silence(self, address: str, min_silent_ms: int) -> None:
+        """Report the silence of an unreachable upstream that has sent nothing for that long."""
         for connection in list(self._connections.get(address, ())):
-            connection.time_out_silent(silent_ms)
+            connection.report_silence(min_silent_ms)
 
     def release(self, address: str, connection: HttpConnection) -> None:
         """Put a connection back into the pool, or drop it if it cannot be reused."""
--- a/src/lentilwell/gateway/_failures.py
+++ b/src/lentilwell/gateway/_failures.py
@@ -15,10 +15,6 @@
     """The connection ended, or its bytes are not a valid answer to the request."""
 
 
-class SilenceTimeout(ConnectionBroken):
-    """The upstream made no progress within the silence timeout."""
-
-
 class StoreError(Exception):
     """Base class of the failures of the store."""
 
--- a/src/lentilwell/gateway/_prober.py
+++ b/src/lentilwell/gateway/_prober.py
@@ -11,8 +11,8 @@
 from lentilwell.gateway._upstreams import Upstream
 
 PROBE_INTERVAL_MS = 500
-# When a probe of an upstream fails, the requests there stop waiting if nothing was received for
-# this long.
+# When a probe of an upstream fails, the requests there are also sent to other upstreams if nothing
+# was received for this long.
 UNREACHABLE_SILENCE_MS = 350
 
 
@@ -47,7 +47,7 @@
             connection = await self._connections.acquire(upstream.address, fresh=True)
         except Unreachable:
             self._fleet.ejection.record_unreachable(upstream.name, self._fleet.clock.now())
-            self._connections.time_out_silent(upstream.address, UNREACHABLE_SILENCE_MS)
+            self._connections.report_silence(upstream.address, UNREACHABLE_SILENCE_MS)
             return False
         self._connections.release(upstream.address, connection)
         write_line(UpstreamReached(upstream.name, upstream.address))
--- a/src/lentilwell/gateway/_request_recorder.py
+++ b/src/lentilwell/gateway/_request_recorder.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from lentilwell._log_lines import (
+    AttemptCancelled,
     AttemptEnded,
+    AttemptSilent,
     RequestDeferred,
     RequestEnded,
     RequestPlaced,
@@ -40,8 +42,7 @@
         """Log the chosen upstream, the load it was chosen by, and the age of that information."""
         now = self._clock.now()
         load = self._fleet.load_tracker.measure_load(choice.upstream.name, now)
-        self._upstream = choice.upstream.name
-        self._helpers = len(choice.helpers)
+        self.record_answering(choice)
         waited_ms = now - self._routed.request.arrived_at
         self._expected_ms = round(waited_ms + choice.first_event_ms)
         placed = RequestPlaced(
@@ -60,6 +61,11 @@
         )
         write_line(placed)
 
+    def record_answering(self, choice: Choice) -> None:
+        """Record that these upstreams are the last to be tried, or answer the caller."""
+        self._upstream = choice.upstream.name
+        self._helpers = len(choice.helpers)
+
     def record_deferral(self, choice: Choice, prefill_ahead_ms: float, deferral_ms: int) -> None:
         """Log that the request is deferred until its upstreams have read prompts ahead of it."""
         deferred = RequestDeferred(
@@ -95,26 +101,24 @@
             self._longest_pause_ms = max(self._longest_pause_ms, now - self._last_event_at)
         self._last_event_at = now
 
-    def record_refusal(self, status: int, at_fault: str) -> None:
+    def record_refusal(self, upstream: str, status: int, at_fault: str) -> None:
         """Log that an upstream refused the request without running it."""
-        refused = UpstreamRefused(
-            request=self._routed.facts.request_id,
-            upstream=self._upstream,
-            status=status,
-            at_fault=at_fault,
-        )
-        write_line(refused)
+        request = self._routed.facts.request_id
+        write_line(UpstreamRefused(request, upstream, status, at_fault))
 
-    def record_attempt(self, reason: str, sends: int, following: str) -> None:
+    def record_attempt(self, upstream: str, reason: str, sends: int, following: str) -> None:
         """Log how an attempt ended; ``following`` is the next step or the outcome."""
-        ended = AttemptEnded(
-            request=self._routed.facts.request_id,
-            upstream=self._upstream,
-            reason=reason,
-            sends=sends,
-            next=following,
-        )
-        write_line(ended)
+        request = self._routed.facts.request_id
+        write_line(AttemptEnded(request, upstream, reason, sends, following))
+
+    def record_silence(self, upstream: str, silent_ms: int, sends: int, following: str) -> None:
+        """Log that an upstream is silent, while its attempt stays open."""
+        request = self._routed.facts.request_id
+        write_line(AttemptSilent(request, upstream, silent_ms, sends, following))
+
+    def record_cancelled(self, upstream: str, answering: str) -> None:
+        """Log that an attempt was cancelled because another upstream answers."""
+        write_line(AttemptCancelled(self._routed.facts.request_id, upstream, answering))
 
     def record_end(self, outcome: Outcome, sends: int) -> None:
         """Log the outcome of the request and count it."""
--- a/src/lentilwell/gateway/_request_state.py
+++ b/src/lentilwell/gateway/_request_state.py
@@ -1,8 +1,11 @@
 """State machine of one request: the state of its sends, and the effect of each event. Pure.
 
 ``advance`` is the only place that decides whether a request may be sent again and what the caller
-is told. Both depend on ``may_have_run``. It is set before the first byte of the request is written
-to an upstream, and cleared only when that upstream reports that it did not run the request.
+is told. Both depend on whether an upstream may have run the request: from before the first byte is
+written to it, unless it reports that it did not run the request.
+
+A send whose upstream is silent stays open while the request is sent to another upstream. As long as
+a send is open, nothing but the deadline and the caller ends the request.
 """
 
 from __future__ import annotations
@@ -22,33 +25,35 @@
     ENDED = "ended"
 
 
+class Outcome(Enum):
+    """The final result of a request, which decides what the caller is told."""
+
+    WHOLE = "whole"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    TIMED_OUT = "timed_out"
+    CUT_OFF = "cut_off"
+    CALLER_GONE = "caller_gone"
+
+
 @dataclass(frozen=True)
 class RequestState:
     """The state of one request.
 
     ``sends`` counts the upstreams that it was sent to, of which ``max_sends`` are allowed.
-    ``delivered`` is true once the caller has the head of an answer. ``ran_before`` is true if an
-    earlier upstream may have run the request, ``may_have_run`` if the current one may have.
+    ``open_sends`` counts the sends whose answer is still awaited. ``delivered`` is true once the
+    caller has the head of an answer. ``ran_before`` is true if an upstream whose answer is no
+    longer awaited may have run the request. ``outcome`` is set when the request has ended.
     """
 
     repeat: Repeat
     max_sends: int
     sends: int = 0
+    open_sends: int = 0
     phase: Phase = Phase.PLACING
-    may_have_run: bool = False
     ran_before: bool = False
     delivered: bool = False
-
-
-class Outcome(Enum):
-    """The final result of a request, which decides what the caller is told."""
-
-    WHOLE = "whole"
-    NOT_RUN = "not_run"
-    UNKNOWN = "unknown"
-    TIMED_OUT = "timed_out"
-    CUT_OFF = "cut_off"
-    CALLER_GONE = "caller_gone"
+    outcome: Outcome | None = None
 
 
 @dataclass(frozen=True)
@@ -76,9 +81,19 @@
     helper_at_fault: bool = False
 
 
+@dataclass(frozen=True)
+class UpstreamSilent:
+    """An upstream has made no progress within the silence timeout; its send stays open."""
+
+
+@dataclass(frozen=True)
+class OtherSendsCancelled:
+    """One upstream answers the caller; all other sends and placements were cancelled."""
+
+
 @dataclass(frozen=True)
 class ExchangeBroken:
-    """The connection broke or went silent, or the answer was invalid or a failure."""
+    """The connection broke, or the answer was invalid or a failure."""
 
 
 @dataclass(frozen=True)
@@ -106,16 +121,24 @@
     """The caller closed its connection."""
 
 
+@dataclass(frozen=True)
+class RequestFailed:
+    """An unexpected error in the gateway itself ended the request."""
+
+
 Event = (
     SendStarted
     | ConnectionFailed
     | ReportedNotRun
+    | UpstreamSilent
+    | OtherSendsCancelled
     | ExchangeBroken
     | AnswerStarted
     | AnswerCompleted
     | NoUpstream
     | DeadlinePassed
     | CallerDisconnected
+    | RequestFailed
 )
 
 
@@ -137,11 +160,17 @@
 
 
 def advance(state: RequestState, event: Event) -> tuple[RequestState, Effect | None]:
-    """Apply one event; return the next state and the effect, or None if the send goes on."""
+    """Apply one event; return the next state and the effect, None to wait for the open sends.
+
+    After the end of the request, every event has the effect of its outcome.
+    """
+    if state.outcome is not None:
+        return state, Finish(state.outcome)
     match event:
         case SendStarted(new_upstream):
             sends = state.sends + int(new_upstream)
-            return replace(state, phase=Phase.SENT, may_have_run=True, sends=sends), None
+            open_sends = state.open_sends + 1
+            return replace(state, phase=Phase.SENT, sends=sends, open_sends=open_sends), None
         case AnswerStarted():
             return replace(state, phase=Phase.ANSWERING, delivered=True), None
         case AnswerCompleted():
@@ -150,32 +179,49 @@
             return _finish(state, Outcome.CALLER_GONE)
         case DeadlinePassed():
             return _give_up(state, Outcome.TIMED_OUT)
-        case NoUpstream():
+        case RequestFailed():
             return _give_up(state, Outcome.UNKNOWN)
+        case NoUpstream():
+            return _wait_or_give_up(replace(state, phase=Phase.SENT))
         case ConnectionFailed():
             return replace(state, phase=Phase.PLACING), ChooseUpstream(is_retry=state.sends > 0)
+        case UpstreamSilent():
+            return _retry(state) if _may_repeat(state) else (state, None)
+        case OtherSendsCancelled():
+            ran_before = state.ran_before or state.open_sends > 1
+            return replace(state, phase=Phase.SENT, open_sends=1, ran_before=ran_before), None
         case ReportedNotRun(helper_at_fault):
-            return _retry(replace(state, may_have_run=False), helper_at_fault)
+            return _retry(replace(state, open_sends=state.open_sends - 1), helper_at_fault)
         case ExchangeBroken():
-            return _recover(state)
+            return _recover(replace(state, open_sends=state.open_sends - 1, ran_before=True))
 
 
-def _recover(state: RequestState) -> tuple[RequestState, Effect]:
-    """Retry a request that may have run, if the route allows it."""
+def _may_repeat(state: RequestState) -> bool:
+    """Tell whether a request that may have run may be sent again."""
     if state.repeat is Repeat.NEVER:
-        return _give_up(state, Outcome.UNKNOWN)
-    if state.delivered and state.repeat is not Repeat.RESUME:
-        return _give_up(state, Outcome.UNKNOWN)
-    return _retry(replace(state, ran_before=True, may_have_run=False))
+        return False
+    return not state.delivered or state.repeat is Repeat.RESUME
 
 
-def _retry(state: RequestState, same_upstream: bool = False) -> tuple[RequestState, Effect]:
-    """Choose an upstream again, if the limit on upstreams allows it."""
+def _recover(state: RequestState) -> tuple[RequestState, Effect | None]:
+    """Retry a request that may have run, if the route allows it."""
+    return _retry(state) if _may_repeat(state) else _wait_or_give_up(state)
+
+
+def _retry(state: RequestState, same_upstream: bool = False) -> tuple[RequestState, Effect | None]:
+    """Choose an upstream, unless one is being chosen or the limit on upstreams is reached."""
+    if state.phase is Phase.PLACING:
+        return state, None
     if state.sends >= state.max_sends and not same_upstream:
-        return _give_up(state, Outcome.UNKNOWN)
+        return _wait_or_give_up(state)
     return replace(state, phase=Phase.PLACING), ChooseUpstream(is_retry=True)
 
 
+def _wait_or_give_up(state: RequestState) -> tuple[RequestState, Effect | None]:
+    """Wait for the open sends; without one, finish the request."""
+    return (state, None) if state.open_sends else _give_up(state, Outcome.UNKNOWN)
+
+
 def _give_up(state: RequestState, outcome: Outcome) -> tuple[RequestState, Effect]:
     """Finish a request that failed.
 
@@ -183,10 +229,10 @@
     """
     if state.delivered:
         return _finish(state, Outcome.CUT_OFF)
-    if not state.may_have_run and not state.ran_before:
+    if not state.open_sends and not state.ran_before:
         return _finish(state, Outcome.NOT_RUN)
     return _finish(state, outcome)
 
 
 def _finish(state: RequestState, outcome: Outcome) -> tuple[RequestState, Effect]:
-    return replace(state, phase=Phase.ENDED), Finish(outcome)
+    return replace(state, phase=Phase.ENDED, outcome=outcome), Finish(outcome)
--- a/src/lentilwell/gateway/_silence_timeout.py
+++ b/src/lentilwell/gateway/_silence_timeout.py
@@ -1,8 +1,9 @@
-"""How long an upstream may be silent before its request is sent to another upstream. Pure.
+"""How long an upstream may be silent before its request is also sent to another one. Pure.
 
 An upstream can fail silently while it serves streams. Callers abandon a silent stream after some
 seconds, so the gateway resumes the stream at another upstream before that. A busy upstream is given
-more time: the timeout grows with the estimate of its work.
+more time: the timeout grows with the estimate of its work. A sound upstream may be silent for a
+second and go on, so the timeout does not end the wait for it.
 """
 
 from __future__ import annotations
@@ -31,12 +32,12 @@
     first_event_ms: float | None,
     latency_factor: float = 1.0,
 ) -> int | None:
-    """Return the longest silence to wait for in ms; None where only the deadline ends the wait.
+    """Return the silence in ms after which another upstream is tried; None for never.
 
     ``first_event_ms`` is the estimated time to the first event, None after that event.
-    ``latency_factor`` is the ratio of actual to specified latency of the upstream. A stream moves
-    to another upstream while that can still serve its caller in time, even if the upstream may
-    only be slow. The timeout is never shorter than the work that is known to wait at the upstream.
+    ``latency_factor`` is the ratio of actual to specified latency of the upstream. A stream is
+    tried at another upstream while that can still serve its caller in time, even if the upstream
+    may only be slow. The timeout is never shorter than the work known to wait at the upstream.
     """
     if route.repeat is Repeat.NEVER:
         return None
--- a/tests/test_gateway_request_state.py
+++ b/tests/test_gateway_request_state.py
@@ -15,11 +15,14 @@
     ExchangeBroken,
     Finish,
     NoUpstream,
+    OtherSendsCancelled,
     Outcome,
     Phase,
     ReportedNotRun,
+    RequestFailed,
     RequestState,
     SendStarted,
+    UpstreamSilent,
     advance,
 )
 
@@ -131,3 +134,81 @@
             assert state.delivered
         if effect.outcome in (Outcome.UNKNOWN, Outcome.TIMED_OUT):
             assert not state.delivered
+
+
+@pytest.mark.parametrize(
+    ("repeat", "max_sends", "events", "expected"),
+    [
+        (Repeat.NEVER, 2, [SendStarted(), UpstreamSilent()], None),
+        (Repeat.WHOLE, 1, [SendStarted(), UpstreamSilent()], None),
+        (Repeat.WHOLE, 2, [SendStarted(), UpstreamSilent()], ChooseUpstream(is_retry=True)),
+        (Repeat.WHOLE, 2, [SendStarted(), UpstreamSilent(), NoUpstream()], None),
+        (
+            Repeat.WHOLE,
+            2,
+            [SendStarted(), UpstreamSilent(), SendStarted(), ReportedNotRun()],
+            None,
+        ),
+        (
+            Repeat.WHOLE,
+            2,
+            [SendStarted(), UpstreamSilent(), SendStarted(), ExchangeBroken(), ExchangeBroken()],
+            Finish(Outcome.UNKNOWN),
+        ),
+        (Repeat.WHOLE, 3, [SendStarted(), UpstreamSilent(), UpstreamSilent()], None),
+        (
+            Repeat.RESUME,
+            2,
+            [SendStarted(), AnswerStarted(), UpstreamSilent(), NoUpstream(), ExchangeBroken()],
+            ChooseUpstream(is_retry=True),
+        ),
+        (
+            Repeat.RESUME,
+            2,
+            [SendStarted(), UpstreamSilent(), SendStarted(), OtherSendsCancelled()],
+            None,
+        ),
+        (
+            Repeat.WHOLE,
+            2,
+            [SendStarted(), UpstreamSilent(), NoUpstream(), RequestFailed()],
+            Finish(Outcome.UNKNOWN),
+        ),
+    ],
+)
+def test_effect_of_events_beside_a_silent_upstream(repeat, max_sends, events, expected):
+    assert run(RequestState(repeat, max_sends), *events)[1] == expected
+
+
+def test_outcome_does_not_change_after_the_end():
+    state, _ = run(
+        RequestState(Repeat.RESUME, 2), SendStarted(), AnswerStarted(), AnswerCompleted()
+    )
+    assert advance(state, DeadlinePassed())[1] == Finish(Outcome.WHOLE)
+
+
+@given(st.sampled_from(list(Repeat)), st.integers(1, 4), st.lists(st.integers(0, 5), max_size=20))
+def test_only_deadline_or_caller_ends_a_request_with_open_sends(repeat, max_sends, choices):
+    """Run attempts beside each other, in any order; ``placing`` is the one that is not sent yet."""
+    state, placing, open_sends, sends = RequestState(repeat, max_sends), True, 0, 0
+    effect = None
+    for choice in choices:
+        if placing:
+            event = [SendStarted(), NoUpstream(), SendStarted(), ConnectionFailed()][choice % 4]
+            placing = isinstance(event, ConnectionFailed)
+            open_sends += isinstance(event, SendStarted)
+            sends += isinstance(event, SendStarted)
+        elif open_sends:
+            event = [UpstreamSilent(), ExchangeBroken(), ReportedNotRun()][choice % 3]
+            open_sends -= not isinstance(event, UpstreamSilent)
+        state, effect = advance(state, event)
+        if isinstance(effect, ChooseUpstream):
+            assert not placing or isinstance(event, ConnectionFailed)
+            assert repeat is not Repeat.NEVER or not open_sends
+            placing = True
+        if isinstance(effect, Finish):
+            assert not open_sends and not placing
+            break
+        assert placing or open_sends
+    assert sends <= max_sends
+    assert state.open_sends == open_sends
