Silence timeouts and planned stops go by the engines of the configuration that routed the request

Cause: the engine specification was looked up in the configuration in force at the moment, not in the one by which the request was routed. Change: it is part of the routed request.

Measured: test_service_that_leaves_the_configuration_shortens_no_silence_timeout_in_progress failed before (2 sends, 1 expected).

--- a/src/lentilwell/gateway/_accounting.py
+++ b/src/lentilwell/gateway/_accounting.py
@@ -89,9 +89,8 @@
         silence is not counted as a failure of it.
         """
         name = choice.upstream.name
-        engine = self._fleet.find_engine(self._routed.service)
         load = self._fleet.load_tracker.measure_load(name, self._clock.now())
-        if explains_silence(engine, load):
+        if explains_silence(self._routed.engine, load):
             self.record_unreachable(choice.upstream, reason)
             return
         self._log_unreachable(name, reason)
@@ -113,7 +112,7 @@
         backlog_ms = max(load.backlog_ms for load in loads)
         return find_silence_timeout_ms(
             self._routed.route,
-            self._fleet.find_engine(self._routed.service),
+            self._routed.engine,
             replace(loads[0], backlog_ms=backlog_ms),
             choice.first_event_ms if self._awaits_event else None,
             self._fleet.latency_factors.find(choice.upstream.name, now),
--- a/src/lentilwell/gateway/_catalog.py
+++ b/src/lentilwell/gateway/_catalog.py
@@ -140,6 +140,11 @@
         """Return the team that ``key`` belongs to."""
         return self._teams_by_key.get(key)
 
+    def find_engine(self, service: str) -> EngineSpec | None:
+        """Return the engine specification of a service, None for a plain or unknown service."""
+        spec = self.services.get(service)
+        return spec.engine if spec is not None else None
+
     @cached_property
     def _routes_by_host(self) -> dict[str, dict[str, Route]]:
         routes: dict[str, dict[str, Route]] = {}
--- a/src/lentilwell/gateway/_fleet.py
+++ b/src/lentilwell/gateway/_fleet.py
@@ -217,8 +217,7 @@
 
     def find_engine(self, service: str) -> EngineSpec | None:
         """Return the engine specification of a service, None for a plain service."""
-        spec = self.catalog.services.get(service) if self.catalog is not None else None
-        return spec.engine if spec is not None else None
+        return self.catalog.find_engine(service) if self.catalog is not None else None
 
     def remove_unlisted(self) -> None:
         """Remove upstreams that expired in a store outage and did not register again in time.
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -427,7 +427,7 @@
 
     def _can_finish(self, routed: RoutedRequest) -> bool:
         remaining_ms = self._max_drain_ms - self._get_stopping_ms()
-        return can_finish(routed, self.fleet.find_engine(routed.service), remaining_ms)
+        return can_finish(routed, remaining_ms)
 
     @property
     def _max_drain_ms(self) -> int:
--- a/src/lentilwell/gateway/_routing.py
+++ b/src/lentilwell/gateway/_routing.py
@@ -7,7 +7,7 @@
 import xxhash
 from result import Err, Ok, Result
 
-from lentilwell.gateway._catalog import Catalog, Route, Team, choose_share
+from lentilwell.gateway._catalog import Catalog, EngineSpec, Route, Team, choose_share
 from lentilwell.gateway._messages import InboundRequest, RequestFacts
 
 NOT_READY_RETRY_MS = 500
@@ -27,13 +27,17 @@
 
 @dataclass(frozen=True)
 class RoutedRequest:
-    """A request with its route, team and service in the configuration at its arrival."""
+    """A request with its route, team and service in the configuration at its arrival.
+
+    ``engine`` is the specification of the service's engines, None for a plain service.
+    """
 
     request: InboundRequest
     facts: RequestFacts
     route: Route
     team: Team | None
     service: str
+    engine: EngineSpec | None
     catalog_version: int
     deadline_at: int
 
@@ -66,12 +70,14 @@
     if facts.timeout_ms is not None:
         timeout_ms = min(timeout_ms, facts.timeout_ms)
     position = xxhash.xxh32_intdigest(facts.request_id.encode()) / _HASH_RANGE
+    service = choose_share(route.shares, position)
     routed = RoutedRequest(
         request=request,
         facts=facts,
         route=route,
         team=team,
-        service=choose_share(route.shares, position),
+        service=service,
+        engine=catalog.find_engine(service),
         catalog_version=catalog.version,
         deadline_at=request.arrived_at + timeout_ms,
     )
--- a/src/lentilwell/gateway/_stopping.py
+++ b/src/lentilwell/gateway/_stopping.py
@@ -14,9 +14,9 @@
 PLAIN_SERVICE_OBJECTIVES = 2
 
 
-def can_finish(routed: RoutedRequest, engine: EngineSpec | None, remaining_ms: int) -> bool:
+def can_finish(routed: RoutedRequest, remaining_ms: int) -> bool:
     """Return whether a request is expected to end within ``remaining_ms``."""
-    prompt = routed.facts.prompt
+    prompt, engine = routed.facts.prompt, routed.engine
     if engine is None or prompt is None:
         timeout_ms = routed.deadline_at - routed.request.arrived_at
         return (
--- a/tests/test_gateway_silent_upstreams.py
+++ b/tests/test_gateway_silent_upstreams.py
@@ -1,10 +1,12 @@
 """Upstreams that are silent for more than a second, and then go on."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
-from lentilwell.gateway import BudgetRules
+from lentilwell.gateway import BudgetRules, Entry
+from lentilwell.gateway._load_tracker import Job
 from tests.gateway_harness import run_gateway, with_route
 from tests.gateway_scripts import (
     answer_misdirected,
@@ -15,6 +17,7 @@
     reset_connection,
     stay_silent,
     stream_whole,
+    with_engines,
 )
 
 PAUSE_S = 1.4
@@ -145,3 +148,22 @@
         writer.close()
         for arrival in harness.arrivals:
             await asyncio.wait_for(arrival.disconnected.wait(), 1)
+
+
+@in_loop
+async def test_service_that_leaves_the_configuration_shortens_no_silence_timeout_in_progress():
+    """The timeout of a stream at a busy engine must not fall to that of a plain call."""
+    engines = with_engines(objective_ms=300)
+    without = replace(engines, version=2, services={}, routes=())
+
+    async def read_for_long(arrival):
+        now = harness.gateway.clock.now()
+        harness.gateway.fleet.load_tracker.add(Job("long", arrival.upstream, now, 2_000.0, 100_000))
+        harness.catalog.put(Entry("config", without))
+        await asyncio.sleep(PAUSE_S)
+        await stream_whole(arrival)
+
+    async with run_gateway(read_for_long, read_for_long, catalog=engines) as harness:
+        answer = await harness.call("/stream/x", Token_Count="1000,100", Deadline_Ms="10000")
+        assert answer.complete and list_event_ids(answer.body) == WHOLE
+        assert len(harness.arrivals) == 1
