--- a/soak/callers.py
+++ b/soak/callers.py
@@ -40,6 +40,8 @@
 TOKENS_PER_EVENT = 51
 request_numbers = itertools.count(1)
 
+Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
 
 class Caller:
     """Sends calls to one instance, one at a time, over a connection reused until it is closed.
@@ -61,7 +63,7 @@
         self._observations = observations
         self._random = random.Random(seed)
         self._clock = BootClock()
-        self._connection: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+        self._connection: Connection | None = None
 
     async def run(self, stop: asyncio.Event) -> None:
         """Send calls until ``stop`` is set; every ``CALLS_PER_PROBE``-th call is a route probe."""
@@ -128,26 +130,8 @@
     async def _send(self, path: str, request: str, template: CallTemplate) -> Answer | None:
         """Send one call; return None if the connection fails or times out before an answer head."""
         assert self._connection is not None
-        reader, writer = self._connection
-        headers = {
-            "Host": HOST,
-            "Request-Id": request,
-            "Credential": API_KEY,
-            "Deadline-Ms": str(template.deadline_ms),
-            INSTANCE_HEADER: self._instance,
-            "Content-Length": "0",
-        }
-        if template.tokens is not None:
-            headers["Token-Count"] = f"{template.tokens[0]},{template.tokens[1]}"
-        header_lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-        try:
-            writer.write(f"POST {path} HTTP/1.1\r\n{header_lines}\r\n".encode())
-            async with asyncio.timeout(template.deadline_ms / 1_000 * 2):
-                answer = await read_answer(reader)
-        except (ConnectionError, asyncio.IncompleteReadError, TimeoutError):
-            self._close_connection()
-            return None
-        if answer.headers.get("connection") == "close" or not answer.complete:
+        answer = await send_call(self._connection, self._instance, path, request, template)
+        if answer is None or closes_connection(answer):
             self._close_connection()
         return answer
 
@@ -157,6 +141,35 @@
             self._connection = None
 
 
+async def send_call(
+    connection: Connection, instance: str, path: str, request: str, template: CallTemplate
+) -> Answer | None:
+    """Send one call; return None if the connection fails or times out before an answer head."""
+    reader, writer = connection
+    headers = {
+        "Host": HOST,
+        "Request-Id": request,
+        "Credential": API_KEY,
+        "Deadline-Ms": str(template.deadline_ms),
+        INSTANCE_HEADER: instance,
+        "Content-Length": "0",
+    }
+    if template.tokens is not None:
+        headers["Token-Count"] = f"{template.tokens[0]},{template.tokens[1]}"
+    header_lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    try:
+        writer.write(f"POST {path} HTTP/1.1\r\n{header_lines}\r\n".encode())
+        async with asyncio.timeout(template.deadline_ms / 1_000 * 2):
+            return await read_answer(reader)
+    except (ConnectionError, asyncio.IncompleteReadError, TimeoutError):
+        return None
+
+
+def closes_connection(answer: Answer) -> bool:
+    """Tell whether an answer is the last one on its connection."""
+    return answer.headers.get("connection") == "close" or not answer.complete
+
+
 def describe_mismatch(request: str, template: CallTemplate, answer: Answer) -> str:
     """Return what is wrong with the body or request id of a success, or an empty string."""
     if answer.status != 200:
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -13,8 +13,9 @@
 from typing import Any
 
 from lentilwell._clock import BootClock
-from soak.faulty_server import INSTANCE_HEADER, FaultyServer
-from soak.observations import Arrival, LimitNaming, LimitPeriod, Observations
+from soak.engine_recorder import record_engine
+from soak.faulty_server import FaultyServer
+from soak.observations import LimitPeriod, Observations
 from soak.plan import Fault
 from soak.proxy import Proxy
 from standins.batch_server import BatchServer
@@ -84,7 +85,7 @@
             for n in range(ENGINES)
         ]
         for engine in self.engines:
-            self._record_requests(engine)
+            record_engine(engine, self.observations, self.clock)
         for upstream in self._upstreams:
             await upstream.start()
             link = self.links[upstream.name] = Proxy(upstream.address)
@@ -109,20 +110,6 @@
     def _upstreams(self) -> tuple[FaultyServer | BatchServer, ...]:
         return (*self.faulty_servers, *self.engines)
 
-    def _record_requests(self, engine: BatchServer) -> None:
-        """Record the requests that an engine gets, and its answers that name a rate limit."""
-
-        def record_arrival(headers: dict[str, str]) -> None:
-            instance, now = headers.get(INSTANCE_HEADER, ""), self.clock.now()
-            arrival = Arrival(headers["request-id"], engine.name, 1, instance, now, ran=True)
-            self.observations.arrivals.append(arrival)
-
-        def record_naming(headers: dict[str, str]) -> None:
-            instance, now = headers.get(INSTANCE_HEADER, ""), self.clock.now()
-            self.observations.namings.append(LimitNaming(engine.name, 1, instance, now))
-
-        engine.on_request, engine.on_naming = record_arrival, record_naming
-
     async def start_instance(self, instance: Instance) -> None:
         """Start the process of an instance and a task that reads its log."""
         self.incarnations[instance.name] = self.incarnations.get(instance.name, 0) + 1
--- a/soak/faulty_server.py
+++ b/soak/faulty_server.py
@@ -6,8 +6,9 @@
 from collections.abc import Awaitable, Callable
 
 from lentilwell._clock import BootClock
-from soak.observations import Announcement, Arrival, LimitNaming, Observations
+from soak.observations import Announcement, Arrival, LimitNaming, Observations, PausedAnswer
 from standins.loopback import listen
+from standins.pauses import NO_PAUSE, Pause, PausePoint
 
 SERVICE_TIME_S = 0.01
 # Longer than the deadline of any call.
@@ -33,7 +34,8 @@
     """One upstream of a plain service; the current mode decides how it answers.
 
     ``incarnation`` counts its starts. While ``leaving`` is set, every answer announces it, and
-    while ``rate_limit`` is set, every answer names it.
+    while ``rate_limit`` is set, every answer names it. ``draw_pause`` returns the pause of
+    each answer in the mode "pausing".
     """
 
     def __init__(self, name: str, observations: Observations) -> None:
@@ -42,6 +44,7 @@
         self.incarnation = 1
         self.leaving = False
         self.rate_limit: float | None = None
+        self.draw_pause: Callable[[], Pause] = lambda: NO_PAUSE
         self.address = ""
         self._observations = observations
         self._clock = BootClock()
@@ -81,6 +84,12 @@
             )
             self._observations.announcements.append(announcement)
 
+    def record_pause(self, request: str, pause: Pause) -> None:
+        """Record that the answer to a request pauses from now on."""
+        now = self._clock.now()
+        paused = PausedAnswer(request, self.name, now, now + pause.duration_ms)
+        self._observations.pauses.append(paused)
+
     def format_answer(
         self, headers: dict[str, str], status: int, body: bytes, **extra_headers: str
     ) -> bytes:
@@ -141,6 +150,30 @@
     writer.write(server.format_answer(headers, 200, build_answer_body(headers["request-id"])))
 
 
+@mode("pausing")
+async def answer_with_pause(
+    server: FaultyServer, headers: dict[str, str], writer: asyncio.StreamWriter
+) -> None:
+    """Run the request and answer it correctly, with a pause within the answer if one is drawn."""
+    pause = server.draw_pause()
+    request = headers["request-id"]
+    server.record_arrival(headers, ran=True)
+    await asyncio.sleep(SERVICE_TIME_S)
+    if pause.duration_ms:
+        server.record_pause(request, pause)
+    await pause.hold(PausePoint.BEFORE_HEAD)
+    server.record_announcement(headers)
+    body = build_answer_body(request)
+    answer = server.format_answer(headers, 200, body)
+    body_begin = len(answer) - len(body)
+    body_middle = body_begin + len(body) // 2
+    writer.write(answer[:body_begin])
+    await pause.hold(PausePoint.AFTER_HEAD)
+    writer.write(answer[body_begin:body_middle])
+    await pause.hold(PausePoint.INSIDE_BODY)
+    writer.write(answer[body_middle:])
+
+
 @mode("shed")
 async def shed(server: FaultyServer, headers: dict[str, str], writer: asyncio.StreamWriter) -> None:
     """Refuse the request without running it."""
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -52,6 +52,16 @@
     ran: bool
 
 
+@dataclass(frozen=True)
+class PausedAnswer:
+    """An answer in which a sound upstream is silent from ``begin`` and goes on at ``until``."""
+
+    request: str
+    upstream: str
+    begin: int
+    until: int
+
+
 @dataclass(frozen=True)
 class Announcement:
     """An upstream's answer to an instance that announces a leave or a pause up to ``until``."""
@@ -120,6 +130,7 @@
 
     calls: list[Call] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
+    pauses: list[PausedAnswer] = field(default_factory=list)
     announcements: list[Announcement] = field(default_factory=list)
     namings: list[LimitNaming] = field(default_factory=list)
     limit_periods: list[LimitPeriod] = field(default_factory=list)
--- a/standins/batch_server.py
+++ b/standins/batch_server.py
@@ -15,6 +15,7 @@
 from lentilwell.gateway import EngineSpec
 from standins.batch import ENGINE, Batch, BatchJob
 from standins.loopback import listen
+from standins.pauses import NO_PAUSE, Pause, PausePoint
 
 EVENT_BYTES = 20
 DISCONNECT_POLL_S = 0.02
@@ -35,7 +36,8 @@
     ``engines_by_address`` holds all engines, so that an engine can add prefill jobs to the others.
     Passes run ``speed`` times faster than in the batch model. While ``rate_limit`` is set, every
     answer names it. ``on_request`` is called with the headers of each request for a stream, and
-    ``on_naming`` with those of each one whose answer names the limit.
+    ``on_naming`` with those of each one whose answer names the limit. ``draw_pause`` returns the
+    pause of each stream, and ``on_pause`` is called with the headers as it begins.
     """
 
     name: str
@@ -49,6 +51,8 @@
     rate_limit: float | None = None
     on_request: Callable[[dict[str, str]], None] = lambda headers: None
     on_naming: Callable[[dict[str, str]], None] = lambda headers: None
+    draw_pause: Callable[[], Pause] = lambda: NO_PAUSE
+    on_pause: Callable[[dict[str, str], Pause], None] = lambda headers, pause: None
 
     async def start(self) -> str:
         """Listen on loopback and return the address."""
@@ -200,10 +204,24 @@
         limit = "".join(f"{name}: {value}\r\n" for name, value in self._name_limit().items())
         if limit:
             self.on_naming(headers)
+        pause = self.draw_pause()
+        await self._hold(PausePoint.BEFORE_HEAD, pause, headers)
         writer.write(f"{head}{limit}Server-Stamp: s-{self.name}\r\n\r\n".encode())
-        await self._write_events(name, int(headers.get("last-event-id", 0)), events, writer)
+        await self._hold(PausePoint.AFTER_HEAD, pause, headers)
+        first = int(headers.get("last-event-id", 0)) + 1
+        for number in range(first, events + 1):
+            if number == (first + events + 1) // 2:
+                await self._hold(PausePoint.INSIDE_BODY, pause, headers)
+            await self._write_event(name, number, writer)
+        writer.write(b"0\r\n\r\n")
         self._remove_from_all(name)
 
+    async def _hold(self, point: PausePoint, pause: Pause, headers: dict[str, str]) -> None:
+        """Pause a stream if it has a pause at this point; its engine goes on with the batch."""
+        if pause.begins_at(point):
+            self.on_pause(headers, pause)
+            await pause.hold(point)
+
     def _find_refusal(self, prompt: int, helpers: list[list[str]]) -> dict[str, str] | None:
         leased_tokens = 0
         for address, *lease in helpers:
@@ -213,15 +231,11 @@
             leased_tokens += other.leases[lease[0]].tokens if lease else 0
         return {} if prompt - leased_tokens > self.spec.memory_tokens else None
 
-    async def _write_events(
-        self, name: str, last: int, events: int, writer: asyncio.StreamWriter
-    ) -> None:
-        for number in range(last + 1, events + 1):
-            await self.event_queues[name].get()
-            data = b"id: %d\ndata: %s\n\n" % (number, b"x" * EVENT_BYTES)
-            writer.write(b"%x\r\n%s\r\n" % (len(data), data))
-            await writer.drain()
-        writer.write(b"0\r\n\r\n")
+    async def _write_event(self, name: str, number: int, writer: asyncio.StreamWriter) -> None:
+        await self.event_queues[name].get()
+        data = b"id: %d\ndata: %s\n\n" % (number, b"x" * EVENT_BYTES)
+        writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+        await writer.drain()
 
     def _remove_from_all(self, name: str) -> None:
         for engine in self.engines_by_address.values():
