Callers' connections: timeouts follow the limits in force when they end

Cause: the idle, head and body timeouts of a caller's connection were computed from the limits in force when they began. After a configuration that raises idle_timeout_ms, callers reuse connections for up to four fifths of the new limit, while the gateway still closed them at the old one, and answered requests that were being read with 408. Evidence: three tests failed before the change: the raised idle limit with IncompleteReadError (the connection was closed), the raised limits for a head and for a body being read with "assert 408 == 200". Change: a timeout keeps when it began and which limit it follows. When it ends, the limit is looked up again, and the rest of a raised one is waited for. Why it works: nothing ends before the limit in force. After a lowered limit the timeout that was begun still runs, so a connection is not closed on a caller that sends within the old limit; two tests hold this and that raised timeouts end in the end. Result: tests/test_gateway_kept_connections.py, test_gateway_callers.py and test_gateway_pauses.py pass (24).

--- a/src/lentilwell/gateway/_caller_connection.py
+++ b/src/lentilwell/gateway/_caller_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Protocol
 
@@ -18,6 +19,8 @@
 # ": " and CRLF, which each header line has besides its name and its value.
 HEADER_SEPARATOR_BYTES = 4
 
+FindTimeoutMs = Callable[[Limits], int]
+
 
 class CallerContext(Protocol):
     """What a caller's connection needs from the gateway."""
@@ -58,6 +61,8 @@
         self._body_bytes = 0
         self._exchange: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._timer_started_at = clock.now()
+        self._find_timeout_ms: FindTimeoutMs = _find_idle_timeout_ms
         self._writable = asyncio.Event()
         self._writable.set()
         self._first_byte_at: int | None = None
@@ -77,13 +82,13 @@
         self._transport = transport
         set_dead_peer_timeouts(transport.get_extra_info("socket"))
         self._context.register(self)
-        self._set_timer(self._context.limits.idle_timeout_ms)
+        self._set_timer(_find_idle_timeout_ms)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, or buffer them while a request is being answered."""
         if self._first_byte_at is None and self._exchange is None:
             self._first_byte_at = self._clock.now()
-            self._set_timer(self._context.limits.header_timeout_ms)
+            self._set_timer(_find_header_timeout_ms)
         self._http.receive_data(data)
         if self._exchange is not None:
             if (
@@ -176,7 +181,7 @@
         arrived_at = self._first_byte_at if self._first_byte_at is not None else self._clock.now()
         self._request = InboundRequest(event.method, event.target, headers, arrived_at)
         self._body, self._body_bytes = [], 0
-        self._set_timer(self._context.limits.idle_timeout_ms)
+        self._set_timer(_find_idle_timeout_ms)
         if self._http.they_are_waiting_for_100_continue:
             self._write(h11.InformationalResponse(status_code=100, headers=[]))
         return True
@@ -216,7 +221,7 @@
     def _start_next_request(self, transport: asyncio.Transport) -> None:
         self._http.start_next_cycle()
         transport.resume_reading()
-        self._set_timer(self._context.limits.idle_timeout_ms)
+        self._set_timer(_find_idle_timeout_ms)
         if self._http.trailing_data[0]:
             self._first_byte_at = self._clock.now()
             self._process_events()
@@ -236,10 +241,16 @@
         if data:
             self._transport.write(data)
 
-    def _set_timer(self, timeout_ms: int) -> None:
+    def _set_timer(self, find_timeout_ms: FindTimeoutMs) -> None:
+        """Start a timeout, whose length is looked up again in the limits in force when it ends."""
+        self._find_timeout_ms = find_timeout_ms
+        self._timer_started_at = self._clock.now()
+        self._schedule_timeout(find_timeout_ms(self._context.limits))
+
+    def _schedule_timeout(self, remaining_ms: int) -> None:
         self._clear_timer()
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(timeout_ms / 1_000, self._handle_timeout)
+        self._timer = loop.call_later(remaining_ms / 1_000, self._handle_timeout)
 
     def _clear_timer(self) -> None:
         if self._timer is not None:
@@ -249,12 +260,24 @@
     def _handle_timeout(self) -> None:
         if self._exchange is not None:
             return
-        if self._reading:
+        ends_at = self._timer_started_at + self._find_timeout_ms(self._context.limits)
+        remaining_ms = ends_at - self._clock.now()
+        if remaining_ms > 0:
+            self._schedule_timeout(remaining_ms)
+        elif self._reading:
             self._reject(408, "the request was not received in time")
         elif self._transport is not None:
             self._transport.close()
 
 
+def _find_idle_timeout_ms(limits: Limits) -> int:
+    return limits.idle_timeout_ms
+
+
+def _find_header_timeout_ms(limits: Limits) -> int:
+    return limits.header_timeout_ms
+
+
 def _count_bytes(target: bytes, headers: Headers) -> int:
     return len(target) + sum(
         len(name) + len(value) + HEADER_SEPARATOR_BYTES for name, value in headers
--- /dev/null
+++ b/tests/test_gateway_kept_connections.py
@@ -0,0 +1,78 @@
+"""Kept connections of callers while the limits change."""
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+
+from lentilwell.gateway import Limits
+from standins.answer_reader import read_answer
+from tests.gateway_harness import CATALOG, Entry, run_gateway
+from tests.gateway_scripts import answer_ok, in_loop
+
+
+async def put_limits(harness, **limits):
+    """Put a new version of the configuration in force, which has these limits."""
+    catalog = harness.gateway.fleet.catalog
+    changed = replace(catalog, version=catalog.version + 1, limits=Limits(**limits))
+    harness.catalog.put(Entry("config", changed))
+    while harness.gateway.limits != changed.limits:
+        await asyncio.sleep(0.005)
+
+
+def with_limits(**limits):
+    return replace(CATALOG, limits=Limits(**limits))
+
+
+async def read_status(reader):
+    return (await asyncio.wait_for(read_answer(reader), 3)).status
+
+
+@in_loop
+async def test_raised_idle_limit_holds_for_connections_that_were_idle_before():
+    async with run_gateway(answer_ok, catalog=with_limits(idle_timeout_ms=300)) as harness:
+        connection = await harness.connect()
+        assert (await harness.call("/once/x", connection=connection)).status == 200
+        await put_limits(harness, idle_timeout_ms=3_000)
+        await asyncio.sleep(0.6)
+        assert (await harness.call("/once/x", connection=connection)).status == 200
+        connection[1].close()
+
+
+@in_loop
+async def test_raised_idle_limit_ends_idle_connections_in_the_end():
+    async with run_gateway(answer_ok, catalog=with_limits(idle_timeout_ms=200)) as harness:
+        reader, writer = connection = await harness.connect()
+        assert (await harness.call("/once/x", connection=connection)).status == 200
+        await put_limits(harness, idle_timeout_ms=500)
+        assert await asyncio.wait_for(reader.read(), 3) == b""
+        writer.close()
+
+
+@in_loop
+async def test_lowered_idle_limit_leaves_time_to_connections_that_were_idle_before():
+    async with run_gateway(answer_ok, catalog=with_limits(idle_timeout_ms=1_500)) as harness:
+        connection = await harness.connect()
+        assert (await harness.call("/once/x", connection=connection)).status == 200
+        await asyncio.sleep(0.5)
+        await put_limits(harness, idle_timeout_ms=200)
+        assert (await harness.call("/once/x", connection=connection)).status == 200
+        assert await asyncio.wait_for(connection[0].read(), 1) == b""
+        connection[1].close()
+
+
+@pytest.mark.parametrize("part", ["head", "body"])
+@in_loop
+async def test_raised_time_limit_holds_for_a_request_that_is_being_read(part):
+    limits = {"header_timeout_ms": 200, "idle_timeout_ms": 200}
+    async with run_gateway(answer_ok, catalog=with_limits(**limits)) as harness:
+        reader, writer = await harness.connect()
+        request = harness.format("/once/x", body=b"hello")
+        first = 20 if part == "head" else len(request) - 2
+        writer.write(request[:first])
+        await asyncio.sleep(0.05)
+        await put_limits(harness, header_timeout_ms=3_000, idle_timeout_ms=3_000)
+        await asyncio.sleep(0.4)
+        writer.write(request[first:])
+        assert await read_status(reader) == 200
+        writer.close()
