Callers' connections: the limit on headers in force holds for open connections

Cause: the parser got header_bytes when the connection was opened. After a configuration that raises the limit, a proper request in several segments on a kept connection was answered 431, which callers do not repeat; after one that lowers it, a head that was too long was read on until it timed out. Evidence: both tests failed before the change: "assert 431 == 200", and a TimeoutError for the 431 that did not come. Change: the parser has no limit of its own, and what is buffered of a head (or of a chunk's size line) without an end is compared with the limit in force. Why it works: complete heads were already compared with the limit in force, and the parser's own check was the same comparison with an old value.

--- a/src/lentilwell/gateway/_caller_connection.py
+++ b/src/lentilwell/gateway/_caller_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Protocol
@@ -19,6 +20,8 @@
 # ": " and CRLF, which each header line has besides its name and its value.
 HEADER_SEPARATOR_BYTES = 4
 
+TOO_LONG = "the request line and the headers are too long"
+
 FindTimeoutMs = Callable[[Limits], int]
 
 
@@ -52,9 +55,8 @@
     def __init__(self, clock: Clock, context: CallerContext) -> None:
         self._clock = clock
         self._context = context
-        self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=context.limits.header_bytes
-        )
+        # The limit may change meanwhile, so that ``_check_incomplete_event`` applies it instead.
+        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
         self._transport: asyncio.Transport | None = None
         self._request: InboundRequest | None = None
         self._body: list[bytes] = []
@@ -168,12 +170,19 @@
             return self._handle_data(bytes(event.data))
         if isinstance(event, h11.EndOfMessage):
             self._start_exchange()
+        if event is h11.NEED_DATA:
+            self._check_incomplete_event()
         return False
 
+    def _check_incomplete_event(self) -> None:
+        """Reject a head, or the size line of a chunk, that is too long before it has ended."""
+        if len(self._http.trailing_data[0]) > self._context.limits.header_bytes:
+            self._reject(431, TOO_LONG)
+
     def _handle_head(self, event: h11.Request) -> bool:
         headers = tuple(event.headers.raw_items())
         if _count_bytes(event.target, headers) > self._context.limits.header_bytes:
-            self._reject(431, "the request line and the headers are too long")
+            self._reject(431, TOO_LONG)
             return False
         if _has_ambiguous_framing(headers):
             self._reject(400, "Content-Length and Transfer-Encoding must not be combined")
--- a/tests/test_gateway_kept_connections.py
+++ b/tests/test_gateway_kept_connections.py
@@ -10,6 +10,8 @@
 from tests.gateway_harness import CATALOG, Entry, run_gateway
 from tests.gateway_scripts import answer_ok, in_loop
 
+LONG_HEADER = "x" * 1_500
+
 
 async def put_limits(harness, **limits):
     """Put a new version of the configuration in force, which has these limits."""
@@ -76,3 +78,28 @@
         writer.write(request[first:])
         assert await read_status(reader) == 200
         writer.close()
+
+
+@in_loop
+async def test_raised_header_limit_holds_for_open_connections():
+    async with run_gateway(answer_ok, catalog=with_limits(header_bytes=1_000)) as harness:
+        reader, writer = connection = await harness.connect()
+        assert (await harness.call("/once/x", connection=connection)).status == 200
+        await put_limits(harness, header_bytes=16_384)
+        request = harness.format("/once/x", X_Long=LONG_HEADER)
+        writer.write(request[:1_400])
+        await asyncio.sleep(0.05)
+        writer.write(request[1_400:])
+        assert await read_status(reader) == 200
+        writer.close()
+
+
+@in_loop
+async def test_lowered_header_limit_holds_for_open_connections():
+    async with run_gateway(answer_ok) as harness:
+        reader, writer = connection = await harness.connect()
+        assert (await harness.call("/once/x", connection=connection)).status == 200
+        await put_limits(harness, header_bytes=1_000)
+        writer.write(harness.format("/once/x", X_Long=LONG_HEADER)[:1_400])
+        assert await read_status(reader) == 431
+        writer.close()
