Callers' connections: an idle close does not cut a request that has just arrived

Cause: the idle timer closed the connection without looking whether bytes had arrived. In a round of the event loop that reads sockets before a long callback and runs the timer after it, a whole request could lie unread in the socket; closing it then resets the connection. The close of idle connections in a planned stop had the same gap. Evidence: the test with a request that arrives in the round of the close failed before the change with "ConnectionResetError: [Errno 104] Connection reset by peer". The test with a request that arrived before that round passed already. Change: an idle connection with unread bytes is not closed; the timer runs again in the next round, which reads them first. Why it works: what is left is the time between the look and the close, without other work between.

--- a/src/lentilwell/gateway/_caller_connection.py
+++ b/src/lentilwell/gateway/_caller_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import sys
 from collections.abc import Callable
 from dataclasses import replace
@@ -150,8 +151,8 @@
             self._transport.abort()
 
     def close_idle(self) -> None:
-        """Close the connection if no request is being read or answered on it."""
-        if not self.busy and self._transport is not None:
+        """Close the connection if no request is being read or answered on it, or has arrived."""
+        if not self.busy and self._transport is not None and not self._has_unread_bytes():
             self._transport.close()
 
     def _process_events(self) -> None:
@@ -275,9 +276,19 @@
             self._schedule_timeout(remaining_ms)
         elif self._reading:
             self._reject(408, "the request was not received in time")
+        elif self._has_unread_bytes():
+            self._schedule_timeout(0)  # the next round of the event loop reads them first
         elif self._transport is not None:
             self._transport.close()
 
+    def _has_unread_bytes(self) -> bool:
+        """Tell whether bytes have arrived that the event loop has not read yet."""
+        if self._transport is None or self._transport.is_closing():
+            return False
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
 
 def _find_idle_timeout_ms(limits: Limits) -> int:
     return limits.idle_timeout_ms
--- a/tests/test_gateway_kept_connections.py
+++ b/tests/test_gateway_kept_connections.py
@@ -1,6 +1,7 @@
-"""Kept connections of callers while the limits change."""
+"""Kept connections of callers while the limits change, and at the moment of their close."""
 
 import asyncio
+import time
 from dataclasses import replace
 
 import pytest
@@ -103,3 +104,28 @@
         writer.write(harness.format("/once/x", X_Long=LONG_HEADER)[:1_400])
         assert await read_status(reader) == 431
         writer.close()
+
+
+@in_loop
+async def test_request_that_arrives_while_the_loop_is_held_up_past_the_idle_limit_is_served():
+    async with run_gateway(answer_ok, catalog=with_limits(idle_timeout_ms=200)) as harness:
+        reader, writer = connection = await harness.connect()
+        assert (await harness.call("/once/x", connection=connection)).status == 200
+        writer.write(harness.format("/once/x"))
+        time.sleep(0.4)
+        assert await read_status(reader) == 200
+        writer.close()
+
+
+@in_loop
+async def test_request_that_arrives_in_the_round_of_the_idle_close_is_served():
+    async with run_gateway(answer_ok, catalog=with_limits(idle_timeout_ms=200)) as harness:
+        reader, writer = connection = await harness.connect()
+        assert (await harness.call("/once/x", connection=connection)).status == 200
+        loop = asyncio.get_running_loop()
+        # Due before the idle timer, and run in the same round of the loop because of the hold-up.
+        loop.call_later(0.12, writer.write, harness.format("/once/x"))
+        await asyncio.sleep(0.05)
+        time.sleep(0.4)
+        assert await read_status(reader) == 200
+        writer.close()
