--- a/src/lentilwell/gateway/_caller_connection.py
+++ b/src/lentilwell/gateway/_caller_connection.py
@@ -14,12 +14,11 @@
 from lentilwell._clock import Clock
 from lentilwell.gateway._catalog import Limits
 from lentilwell.gateway._connection import set_dead_peer_timeouts
+from lentilwell.gateway._framing import count_head_bytes, has_ambiguous_framing
 from lentilwell.gateway._messages import JSON_TYPE, Headers, InboundRequest, encode_error
 
 # Bytes of further requests that are buffered while one request is being answered.
 MAX_PIPELINED_BYTES = 65_536
-# ": " and CRLF, which each header line has besides its name and its value.
-HEADER_SEPARATOR_BYTES = 4
 
 TOO_LONG = "the request line and the headers are too long"
 
@@ -182,10 +181,10 @@
 
     def _handle_head(self, event: h11.Request) -> bool:
         headers = tuple(event.headers.raw_items())
-        if _count_bytes(event.target, headers) > self._context.limits.header_bytes:
+        if count_head_bytes(event.target, headers) > self._context.limits.header_bytes:
             self._reject(431, TOO_LONG)
             return False
-        if _has_ambiguous_framing(headers):
+        if has_ambiguous_framing(headers):
             self._reject(400, "Content-Length and Transfer-Encoding must not be combined")
             return False
         arrived_at = self._first_byte_at if self._first_byte_at is not None else self._clock.now()
@@ -296,17 +295,3 @@
 
 def _find_header_timeout_ms(limits: Limits) -> int:
     return limits.header_timeout_ms
-
-
-def _count_bytes(target: bytes, headers: Headers) -> int:
-    return len(target) + sum(
-        len(name) + len(value) + HEADER_SEPARATOR_BYTES for name, value in headers
-    )
-
-
-def _has_ambiguous_framing(headers: Headers) -> bool:
-    """Tell whether a request has both ``Content-Length`` and ``Transfer-Encoding``.
-
-    Two HTTP parsers could disagree on where such a request ends, which allows request smuggling.
-    """
-    return {b"content-length", b"transfer-encoding"} <= {name.lower() for name, _ in headers}
