Soak: sound upstreams that pause within an answer, and a check that they are waited for

The check "pauses are waited for" reports each own 502, 503 or 504 and each cut stream of a call whose paused answer would have ended before the deadline, unless the instance or the upstream's connections were in trouble, the instance was stopping, or the upstream was reset or misbehaved meanwhile.

--- a/bench/pausing_report.py
+++ b/bench/pausing_report.py
@@ -8,14 +8,12 @@
 
 from bench.changing_configuration import find_change
 from bench.pausing_callers import SentCall
+from soak.checks import ANSWER_REST_MS, OWN_FAILURES
 from soak.observations import Call, Observations
 from standins.instance_log import InstanceLog
 
-OWN_FAILURES = (502, 503, 504)
 # The fields of a log line that are printed.
 SHOWN_FIELDS = ("service", "configuration", "upstream", "reason", "next", "outcome", "total_ms")
-# Time for an answer to go on to its end after the pause.
-REST_MS = 500
 
 
 @dataclass(frozen=True)
@@ -53,7 +51,7 @@
         """Tell whether a sound upstream would have answered before the deadline."""
         call = self.sent.call
         deadline_at = call.sent_at + call.deadline_ms
-        return self.sound_at is not None and self.sound_at + REST_MS <= deadline_at
+        return self.sound_at is not None and self.sound_at + ANSWER_REST_MS <= deadline_at
 
     @property
     def counts(self) -> bool:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -8,7 +8,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 
-from soak.observations import Call, Kind, LimitPeriod, Observations
+from soak.observations import Call, Kind, LimitPeriod, Observations, PausedAnswer
 from standins.limit_rule import GRACE_MS, count_worst_window, find_allowed
 
 Check = Callable[[Observations], Iterator[str]]
@@ -18,6 +18,10 @@
 # Time for an announcement to reach the instance before new requests count as violations.
 ANNOUNCEMENT_SLACK_MS = 500
 DEADLINE_SLACK_MS = 1_000
+# Statuses that stand-in upstreams do not send, except 503 with the word that nothing has run.
+OWN_FAILURES = (502, 503, 504)
+# Time for an answer to go on to its end after a pause.
+ANSWER_REST_MS = 500
 MAX_CONFIGURATION_DELAY_MS = 2_000
 # Requests to an upstream that asked for a pause may be in flight when its answer arrives.
 MAX_REQUESTS_IN_FLIGHT = 2
@@ -97,6 +101,38 @@
             yield f"{call.request} at {call.instance} got no answer"
 
 
+@check("pauses are waited for")
+def check_pauses(observations: Observations) -> Iterator[str]:
+    """Check that no call fails, and no stream is cut, because a sound upstream pauses.
+
+    A pause counts if the answer would have ended before the call's deadline, and neither the
+    instance nor the connections of the upstream were in trouble meanwhile.
+    """
+    pauses: dict[str, list[PausedAnswer]] = {}
+    for pause in observations.pauses:
+        pauses.setdefault(pause.request, []).append(pause)
+    for call in observations.calls:
+        cut = call.status == 200 and not call.whole
+        if not cut and call.status not in OWN_FAILURES:
+            continue
+        for pause in pauses.get(call.request, ()):
+            if _was_answerable(observations, call, pause):
+                yield (
+                    f"{call.request} at {call.instance} {'was cut' if cut else call.status} after"
+                    f" {call.ended_at - call.sent_at} ms, {pause.upstream} was silent from"
+                    f" {pause.begin - call.sent_at} to {pause.until - call.sent_at} ms"
+                )
+
+
+def _was_answerable(observations: Observations, call: Call, pause: PausedAnswer) -> bool:
+    """Return whether a paused answer would have reached its caller in time."""
+    ends_at = pause.until + ANSWER_REST_MS
+    return ends_at <= call.sent_at + call.deadline_ms and not any(
+        observations.may_break(name, call.sent_at, ends_at)
+        for name in (call.instance, pause.upstream)
+    )
+
+
 @check("nothing new after its word")
 def check_announcements(observations: Observations) -> Iterator[str]:
     """Check that an instance sends no new requests to an upstream that is leaving or paused.
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -7,15 +7,15 @@
 import json
 import random
 import signal
-from collections.abc import Awaitable, Callable
-from contextlib import AbstractContextManager
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AbstractContextManager, asynccontextmanager
 from pathlib import Path
 from typing import Any
 
 from lentilwell._clock import BootClock
 from soak.engine_recorder import record_engine
 from soak.faulty_server import FaultyServer
-from soak.observations import LimitPeriod, Observations
+from soak.observations import LimitPeriod, Observations, Trouble
 from soak.plan import Fault
 from soak.proxy import Proxy
 from standins.batch_server import BatchServer
@@ -25,6 +25,7 @@
     build_server_entry,
     scale_engine_speed,
 )
+from standins.pauses import NO_PAUSE, PauseSource
 from standins.rows import RowServer, RowStore
 
 INSTANCES = 3
@@ -38,6 +39,9 @@
 RECOVERY_MS = 3_000
 LINK_DELAY_MS = 120
 RESTORE_OUTAGE_MS = 300
+PAUSING_SHARE = 0.5
+# A fault may break a connection this long after its end; "twice" repeats an answer after 50 ms.
+BREAK_MS = 500
 # The rates that a limited upstream names, in requests per second, and how much longer than other
 # faults a limit lasts: the check looks at windows of 4 s.
 LIMIT_RATES = (0.0, 1.0, 3.0, 15.0)
@@ -183,6 +187,19 @@
         """
         return self.observations.record_trouble(name, self.clock.now, RECOVERY_MS)
 
+    @asynccontextmanager
+    async def allow_breaks(self, name: str) -> AsyncIterator[None]:
+        """Excuse during the block, and shortly after, that pauses of an upstream are not awaited.
+
+        ``name`` is an upstream whose connections may break, or an instance that stops.
+        """
+        begin = self.clock.now()
+        try:
+            yield
+        finally:
+            breakage = Trouble(name, begin, self.clock.now() + BREAK_MS)
+            self.observations.breakages.append(breakage)
+
     def get_lock(self, instance: Instance) -> asyncio.Lock:
         """Return the lock that serializes faults of the same process."""
         return self._instance_locks[instance.name]
@@ -243,9 +260,12 @@
 
 @fault_action("stop")
 async def stop_instance(deployment: Deployment, fault: Fault) -> None:
-    """Stop a process with SIGTERM and start it again; the stop itself excuses no violations."""
+    """Stop a process with SIGTERM and start it again.
+
+    The stop excuses only that a pausing upstream is not waited for: it may end before the pause.
+    """
     instance = deployment.pick_instance(fault)
-    async with deployment.get_lock(instance):
+    async with deployment.get_lock(instance), deployment.allow_breaks(instance.name):
         assert instance.process is not None
         instance.process.send_signal(signal.SIGTERM)
         with contextlib.suppress(TimeoutError):
@@ -285,9 +305,23 @@
 async def change_answer_mode(deployment: Deployment, fault: Fault) -> None:
     """Switch a faulty server to the mode named like the fault."""
     faulty_server = deployment.pick_faulty_server(fault)
-    faulty_server.mode = fault.kind
+    async with deployment.allow_breaks(faulty_server.name):
+        faulty_server.mode = fault.kind
+        await _sleep_for(fault)
+        faulty_server.mode = "sound"
+
+
+@fault_action("pausing")
+async def let_answers_pause(deployment: Deployment, fault: Fault) -> None:
+    """Let a sound upstream fall silent in the middle of answers and go on."""
+    upstream = deployment.pick_upstream(fault)
+    upstream.draw_pause = PauseSource(fault.at_ms, PAUSING_SHARE).draw
+    if isinstance(upstream, FaultyServer):
+        upstream.mode = "pausing"
     await _sleep_for(fault)
-    faulty_server.mode = "sound"
+    upstream.draw_pause = lambda: NO_PAUSE
+    if isinstance(upstream, FaultyServer):
+        upstream.mode = "sound"
 
 
 @fault_action("limit")
@@ -344,7 +378,9 @@
 @fault_action("reset")
 async def reset_link(deployment: Deployment, fault: Fault) -> None:
     """Reset all connections to an upstream."""
-    deployment.links[deployment.pick_link(fault)].reset()
+    name = deployment.pick_link(fault)
+    async with deployment.allow_breaks(name):
+        deployment.links[name].reset()
 
 
 @fault_action("store away")
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -136,6 +136,8 @@
     limit_periods: list[LimitPeriod] = field(default_factory=list)
     probes: list[RouteProbe] = field(default_factory=list)
     troubles: list[Trouble] = field(default_factory=list)
+    # Periods in which connections of an upstream, or requests of an instance, may break by design.
+    breakages: list[Trouble] = field(default_factory=list)
     version_times: dict[int, int] = field(default_factory=dict)
     unreleased_tickets: tuple[str, ...] = ()
     # Ids of the requests in the instances' logs, that is, of all requests they have read.
@@ -156,6 +158,13 @@
             for trouble in self.troubles
         )
 
+    def may_break(self, name: str, begin: int, end: int) -> bool:
+        """Return whether an instance or upstream is in trouble itself or may break a connection."""
+        return self.was_hit(name, begin, end) or any(
+            breakage.name == name and breakage.begin <= end and begin <= breakage.end
+            for breakage in self.breakages
+        )
+
     @contextmanager
     def record_trouble(
         self, name: str | None, now: Callable[[], int], after_ms: int
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -11,6 +11,7 @@
 
 INSTANCE_FAULTS = ("stop", "kill", "pause")
 SERVER_FAULTS = ("shed", "closed", "twice", "torn", "mute", "failing", "leave", "gone")
+PAUSE_FAULTS = ("pausing",)
 LIMIT_FAULTS = ("limit",)
 LINK_FAULTS = ("delay", "silence", "one way", "reset")
 STORE_FAULTS = ("store away", "store silent", "store link", "answers lost", "history lost")
@@ -18,6 +19,7 @@
 FAULT_WEIGHTS = {
     **dict.fromkeys(INSTANCE_FAULTS, 2),
     **dict.fromkeys(SERVER_FAULTS, 2),
+    **dict.fromkeys(PAUSE_FAULTS, 4),
     **dict.fromkeys(LIMIT_FAULTS, 4),
     **dict.fromkeys(LINK_FAULTS, 2),
     **dict.fromkeys(STORE_FAULTS, 1),
--- a/standins/batch_server.py
+++ b/standins/batch_server.py
@@ -200,12 +200,12 @@
         job.may_decode = True
         self._work_added.set()
         self.served_request_ids.append(request_id)
+        pause = self.draw_pause()
+        await self._hold(PausePoint.BEFORE_HEAD, pause, headers)
         head = f"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nRequest-Id: {request_id}\r\n"
         limit = "".join(f"{name}: {value}\r\n" for name, value in self._name_limit().items())
         if limit:
             self.on_naming(headers)
-        pause = self.draw_pause()
-        await self._hold(PausePoint.BEFORE_HEAD, pause, headers)
         writer.write(f"{head}{limit}Server-Stamp: s-{self.name}\r\n\r\n".encode())
         await self._hold(PausePoint.AFTER_HEAD, pause, headers)
         first = int(headers.get("last-event-id", 0)) + 1
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,6 +12,7 @@
     LimitNaming,
     LimitPeriod,
     Observations,
+    PausedAnswer,
     RouteProbe,
     Trouble,
 )
@@ -30,6 +31,10 @@
     return Arrival(request, upstream, 1, "n0", at, ran)
 
 
+def make_pause(until=2_000):
+    return PausedAnswer("a", "d0", 1_010, until)
+
+
 def make_observations(**changes):
     """Return the observations of a run without violations, extended by ``changes``."""
     calls = [make_call(f"calm{n}", Kind.LOOKUP, FAULT_FREE_SINCE + n) for n in range(20)]
@@ -55,6 +60,14 @@
         ("whole and own answers", {"calls": [make_call(missing="it belongs to b")]}),
         ("ended in time", {"calls": [make_call(took_ms=3_500)]}),
         ("answered", {"calls": [make_call(status=None, whole=False)]}),
+        (
+            "pauses are waited for",
+            {"calls": [make_call(status=502)], "pauses": [make_pause()]},
+        ),
+        (
+            "pauses are waited for",
+            {"calls": [make_call(kind=Kind.STREAM, whole=False)], "pauses": [make_pause()]},
+        ),
         (
             "nothing new after its word",
             {
@@ -149,10 +162,24 @@
     assert not find_violations(make_limited_run(12, incarnation=2))
 
 
+@pytest.mark.parametrize("field", ["troubles", "breakages"])
+def test_pause_needs_no_wait_past_the_deadline_or_beside_other_faults(field):
+    failed = {"calls": [make_call(status=502)], "pauses": [make_pause()]}
+    assert find_violations(make_observations(**failed))
+    assert find_violations(make_observations(**failed, **{field: [Trouble("d1", 0, 9_000)]}))
+    assert find_violations(make_observations(**failed, **{field: [Trouble("n0", 0, 900)]}))
+    for name in ("n0", "d0"):
+        assert not find_violations(
+            make_observations(**failed, **{field: [Trouble(name, 0, 1_500)]})
+        )
+    late = {"calls": [make_call(status=502)], "pauses": [make_pause(until=2_900)]}
+    assert not find_violations(make_observations(**late))
+
+
 def test_plan_depends_on_its_seed_alone_and_every_fault_kind_has_an_action():
     assert draw_plan(7, 8_000) == draw_plan(7, 8_000) != draw_plan(8, 8_000)
     assert set(FAULT_WEIGHTS) == set(FAULT_ACTIONS)
-    assert len(CHECKS) == 11
+    assert len(CHECKS) == 12
 
 
 @pytest.mark.timeout(120)
