--- a/soak/run.py
+++ b/soak/run.py
@@ -10,6 +10,7 @@
 from soak.callers import Caller
 from soak.checks import find_violations
 from soak.deployment import INSTANCES, RECOVERY_MS, Deployment
+from soak.faults import FAULT_ACTIONS
 from soak.observations import Observations
 from soak.plan import Fault, draw_plan
 
@@ -76,4 +77,4 @@
 
 async def _apply_when_due(deployment: Deployment, fault: Fault) -> None:
     await asyncio.sleep(fault.at_ms / 1_000)
-    await deployment.apply_fault(fault)
+    await FAULT_ACTIONS[fault.kind](deployment, fault)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,7 +3,7 @@
 import pytest
 
 from soak.checks import ANNOUNCEMENT_SLACK_MS, CHECKS, find_violations
-from soak.deployment import FAULT_ACTIONS
+from soak.faults import FAULT_ACTIONS
 from soak.observations import (
     Announcement,
     Arrival,
