Do not abort an answer at the end of a planned stop before it is sent

What callers saw: a connection that was reset in the middle of an answer, after the upstream had served the request in time (users' rule LOST, around a SIGTERM).

Cause: a caller's connection counted as idle as soon as its answer was written to the transport. Bytes that the caller's window had not yet let go wait there, and stop() aborts all connections, which drops them. A far or slow caller of a long answer has many.

Change: a connection with unsent bytes is busy, so the stop waits for it, to its last moment at most. A caller that is dead doesn't delay it by more than the kernel's timeout for unacknowledged bytes.

--- a/src/lentilwell/gateway/_caller_connection.py
+++ b/src/lentilwell/gateway/_caller_connection.py
@@ -71,8 +71,13 @@
 
     @property
     def busy(self) -> bool:
-        """Tell whether a request is being read or answered."""
-        return self._exchange is not None or self._request is not None or self._reading
+        """Tell whether a request is being read or answered, or an answer is not yet sent."""
+        in_progress = self._exchange is not None or self._request is not None or self._reading
+        return in_progress or self._has_unsent_bytes
+
+    @property
+    def _has_unsent_bytes(self) -> bool:
+        return self._transport is not None and self._transport.get_write_buffer_size() > 0
 
     @property
     def _reading(self) -> bool:
