Do not cut an answer because its caller reads nothing for two seconds

What callers saw: a connection that ended in the middle of a complete answer, after they had read nothing for 2 s.

Cause: the kernel's timeout for unacknowledged bytes also runs while a sound peer keeps its window closed. It was 2 s on all connections, upstreams' and callers'.

Evidence: test_answer_is_not_cut_because_its_caller_reads_nothing_for_some_seconds (3.5 s, 1 MB, buffers of 16 KiB) failed before the change: status 200, content-length 1000000, complete=False.

Change: 5 s for callers. Dead callers that owe no acknowledgement are still found by keep-alive within 3 s; those that do hold their request and at most 1 MiB for 3 s longer.

--- a/src/lentilwell/gateway/_caller_connection.py
+++ b/src/lentilwell/gateway/_caller_connection.py
@@ -19,6 +19,8 @@
 
 # Bytes of further requests that are buffered while one request is being answered.
 MAX_PIPELINED_BYTES = 65_536
+# A caller that stops reading for some seconds still gets the rest of its answer.
+UNACKNOWLEDGED_TIMEOUT_MS = 5_000
 
 TOO_LONG = "the request line and the headers are too long"
 
@@ -87,7 +89,7 @@
         """Store the transport and start the idle timeout."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        set_dead_peer_timeouts(transport.get_extra_info("socket"))
+        set_dead_peer_timeouts(transport.get_extra_info("socket"), UNACKNOWLEDGED_TIMEOUT_MS)
         self._context.register(self)
         self._set_timer(_find_idle_timeout_ms)
 
--- a/src/lentilwell/gateway/_connection.py
+++ b/src/lentilwell/gateway/_connection.py
@@ -16,7 +16,8 @@
 
 # Many round trips, but less than the one second after which TCP sends a lost SYN again.
 CONNECT_TIMEOUT_MS = 250
-# The kernel drops a connection whose sent bytes are not acknowledged for this long.
+# The kernel drops a connection whose sent bytes are not acknowledged for this long, or that the
+# peer gives no room to send more for this long.
 UNACKNOWLEDGED_TIMEOUT_MS = 2_000
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
@@ -74,7 +75,7 @@
         """Store the transport and set the socket options."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        set_dead_peer_timeouts(transport.get_extra_info("socket"))
+        set_dead_peer_timeouts(transport.get_extra_info("socket"), UNACKNOWLEDGED_TIMEOUT_MS)
 
     def data_received(self, data: bytes) -> None:
         """Pass bytes to the parser, or close: bytes outside an answer belong to no request."""
@@ -262,16 +263,19 @@
             self._waiter.set_result(received)
 
 
-def set_dead_peer_timeouts(sock: socket.socket) -> None:
-    """Send small writes at once, and let the kernel detect a dead peer within a few seconds."""
+def set_dead_peer_timeouts(sock: socket.socket, unacknowledged_ms: int) -> None:
+    """Send small writes at once, and let the kernel detect a dead peer within a few seconds.
+
+    ``unacknowledged_ms`` is how long a peer may neither acknowledge bytes nor make room for more.
+    """
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_ms)
     for option, value in _KEEPALIVE_OPTIONS:
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
 _KEEPALIVE_OPTIONS: Sequence[tuple[int, int]] = (
-    (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS),
     (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
     (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
     (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
--- a/tests/test_gateway_slow_callers.py
+++ b/tests/test_gateway_slow_callers.py
@@ -9,6 +9,7 @@
 
 LONG_BODY = b"x" * 1_000_000
 BUFFER_BYTES = 16_384
+CALLER_PAUSE_S = 3.5
 
 
 async def answer_long(arrival):
@@ -48,3 +49,14 @@
         writer.close()
         assert answer.complete and answer.body == LONG_BODY
         await asyncio.wait_for(stopped, 2)
+
+
+@in_loop
+async def test_answer_is_not_cut_because_its_caller_reads_nothing_for_some_seconds():
+    async with run_gateway(answer_long) as harness:
+        caller = await call_without_reading(harness)
+        await asyncio.sleep(CALLER_PAUSE_S)
+        reader, writer = await asyncio.open_connection(sock=caller)
+        answer = await asyncio.wait_for(read_answer(reader), 2)
+        writer.close()
+        assert answer.complete and answer.body == LONG_BODY
