Spend the retry budget on sends only

What callers saw: 502, 503 or a stream cut off with "retry budget spent", though fewer retries had been sent than the budget allows.

Cause: a retry was taken from the budget before an upstream was chosen. A placement that found none, or none in time, was counted as a retry though nothing was sent.

Evidence: test_placement_that_finds_no_upstream_spends_no_retry failed before the change: try_spend returned False after a request whose only upstream had refused it.

Change: before the placement the budget is only looked at, and spent once there is a choice, before anything is sent. So all sends beyond the first are still in the budget.

Measured: the tests of budget, silent upstreams, recovery, memory, availability and limited upstreams passed.

--- a/src/lentilwell/gateway/_attempt.py
+++ b/src/lentilwell/gateway/_attempt.py
@@ -42,6 +42,7 @@
 # Only the status and the headers of a refusal are used. The body is read so that the connection can
 # be reused; if that takes longer than this, the connection is closed instead.
 REFUSAL_BODY_TIMEOUT_MS = 100
+BUDGET_SPENT = "retry budget spent"
 
 
 @dataclass(frozen=True)
@@ -125,8 +126,22 @@
     async def run(self, is_retry: bool) -> AttemptEnd:
         """Choose an upstream, send the request there and relay its answer to the caller."""
         budget = self._fleet.find_budget(self._routed.service)
-        if is_retry and not budget.try_spend(self._clock.now(), self._fleet.count_instances()):
-            return AttemptEnd(NoUpstream(), "retry budget spent")
+        instances = self._fleet.count_instances
+        if is_retry and not budget.allows_retry(self._clock.now(), instances()):
+            return AttemptEnd(NoUpstream(), BUDGET_SPENT)
+        placement = await self._place()
+        if isinstance(placement, AttemptEnd):
+            return placement
+        if is_retry and not budget.try_spend(self._clock.now(), instances()):
+            return AttemptEnd(NoUpstream(), BUDGET_SPENT)
+        self._accounting.add_jobs(self.choice)
+        try:
+            return await self._reserve_and_send(placement)
+        finally:
+            self._accounting.remove_jobs(self.choice)
+
+    async def _place(self) -> Placement | AttemptEnd:
+        """Choose an upstream, or end the attempt if none can serve the request in time."""
         owner = self._owner
         last_send = owner.state.sends + 1 >= owner.state.max_sends
         placement = await owner.placer.place(owner.excluded, owner.state.sends > 0, last_send)
@@ -140,11 +155,7 @@
             owner.delivery.retry_after_ms = too_late.retry_after_ms
             expected = f"first event expected in {choice.first_event_ms:.0f} ms"
             return AttemptEnd(NoUpstream(), expected)
-        self._accounting.add_jobs(choice)
-        try:
-            return await self._reserve_and_send(placement)
-        finally:
-            self._accounting.remove_jobs(choice)
+        return placement
 
     def find_silence_timeout_ms(self) -> int | None:
         """Return how long the upstream may be silent for now, in ms; None for no limit."""
--- a/src/lentilwell/gateway/_budget.py
+++ b/src/lentilwell/gateway/_budget.py
@@ -40,12 +40,16 @@
         self._requests.append(now)
         self._drop_expired(now)
 
-    def try_spend(self, now: int, instances: int) -> bool:
-        """Spend one retry, or return False if this instance has none left."""
+    def allows_retry(self, now: int, instances: int) -> bool:
+        """Tell whether this instance has a retry left."""
         self._drop_expired(now)
         extra = self._rules.extra / (2 * max(1, instances))
         allowed = int(self._rules.ratio * len(self._requests) / 2 + extra)
-        if len(self._retries) >= allowed:
+        return len(self._retries) < allowed
+
+    def try_spend(self, now: int, instances: int) -> bool:
+        """Spend one retry, or return False if this instance has none left."""
+        if not self.allows_retry(now, instances):
             return False
         self._retries.append(now)
         return True
--- a/tests/test_gateway_budget.py
+++ b/tests/test_gateway_budget.py
@@ -4,6 +4,8 @@
 from hypothesis import strategies as st
 
 from lentilwell.gateway._budget import BudgetRules, RetryBudget
+from tests.gateway_harness import run_gateway
+from tests.gateway_scripts import answer_not_run, in_loop
 
 RULES = BudgetRules(ratio=0.2, extra=102, window_ms=10_000)
 STEPS = st.lists(
@@ -54,3 +56,12 @@
     assert budget.try_spend(0, instances=1)
     assert not budget.try_spend(999, instances=1)
     assert budget.try_spend(1_001, instances=1)
+
+
+@in_loop
+async def test_placement_that_finds_no_upstream_spends_no_retry():
+    async with run_gateway(answer_not_run) as harness:
+        fleet, now = harness.gateway.fleet, harness.gateway.clock.now()
+        fleet.change_budget(BudgetRules(ratio=0.0, extra=2, window_ms=10_000))
+        assert (await harness.call("/whole/x")).status == 503
+        assert fleet.find_budget("s").try_spend(now, instances=1)
