Look for another upstream again while one stays silent

What callers saw: 504 at the deadline, or a stream that stopped for good, though another upstream could have served the request from soon after the silence on.

Cause: a silence is reported once. If no upstream could be used at that moment, or the retry budget was spent, the request waited for the silent upstream alone until its deadline.

Evidence: test_hung_upstream_is_left_once_another_one_can_be_used, 3 cases, all failed before the change: 504 for a lookup and a stream that had not begun, an incomplete answer for one that had. The second upstream is usable 1.2 s after the request, of a deadline of 3 s.

Change: after a placement that came to nothing beside a silent upstream, the request is placed again every 300 ms. That leaves a lookup with 2 s and a silence timeout of 0.6 s four more tries, and a stream that is left at 1.2 s two before its caller leaves at 2 s. Where the limit on upstreams is reached nothing is placed again, as before. A placement that finds nobody costs no retry.

--- a/src/lentilwell/gateway/_exchange.py
+++ b/src/lentilwell/gateway/_exchange.py
@@ -18,6 +18,7 @@
     Effect,
     Event,
     Finish,
+    NoUpstream,
     OtherSendsCancelled,
     Outcome,
     RequestFailed,
@@ -28,6 +29,9 @@
 from lentilwell.gateway._routing import RoutedRequest
 
 RETRY_AFTER_MS = 300
+# While a request waits only for silent upstreams because no other one can be used, it looks for
+# another one at this interval.
+LOOK_AGAIN_MS = 300
 
 
 @dataclass(frozen=True)
@@ -39,6 +43,11 @@
     silent_ms: int = 0
 
 
+@dataclass(frozen=True)
+class LookAgainDue:
+    """It is time to look for an upstream again, because none could be used before."""
+
+
 class Exchange:
     """Serves one request. ``run`` is cancelled when the caller closes its connection.
 
@@ -60,7 +69,8 @@
         self.sent_to: frozenset[str] = frozenset()
         self._tasks: dict[Attempt, asyncio.Task[None]] = {}
         self._attempts = 0
-        self._reports: asyncio.Queue[AttemptReport] = asyncio.Queue()
+        self._reports: asyncio.Queue[AttemptReport | LookAgainDue] = asyncio.Queue()
+        self._look_again_timer: asyncio.TimerHandle | None = None
         self._timeout: asyncio.Timeout | None = None
 
     async def run(self) -> None:
@@ -126,8 +136,11 @@
             end = error
         self._reports.put_nowait(AttemptReport(attempt, end))
 
-    def _handle_report(self, report: AttemptReport) -> Effect | None:
+    def _handle_report(self, report: AttemptReport | LookAgainDue) -> Effect | None:
         """Return the effect of a report; one of a cancelled attempt has none."""
+        if isinstance(report, LookAgainDue):
+            silent = any(attempt.silent for attempt in self._tasks)
+            return self.advance(UpstreamSilent()) if silent else None
         if report.attempt not in self._tasks:
             return None
         if report.end is None:
@@ -140,8 +153,17 @@
             self.recorder.record_attempt(
                 report.attempt.upstream, report.end.reason, self.state.sends, describe(effect)
             )
+        if effect is None and isinstance(report.end.event, NoUpstream):
+            self._look_again_later()
         return effect
 
+    def _look_again_later(self) -> None:
+        if self._look_again_timer is not None:
+            self._look_again_timer.cancel()
+        self._look_again_timer = asyncio.get_running_loop().call_later(
+            LOOK_AGAIN_MS / 1_000, self._reports.put_nowait, LookAgainDue()
+        )
+
     def _handle_silent_attempt(self, report: AttemptReport) -> Effect | None:
         if not report.attempt.silent:
             return None
--- a/src/lentilwell/gateway/_request_state.py
+++ b/src/lentilwell/gateway/_request_state.py
@@ -83,7 +83,10 @@
 
 @dataclass(frozen=True)
 class UpstreamSilent:
-    """An upstream has made no progress within the silence timeout; its send stays open."""
+    """An upstream has made no progress within the silence timeout; its send stays open.
+
+    Comes again later if the upstream is still silent and no other one could be used.
+    """
 
 
 @dataclass(frozen=True)
--- a/tests/test_gateway_silent_upstreams.py
+++ b/tests/test_gateway_silent_upstreams.py
@@ -11,16 +11,20 @@
 from tests.gateway_scripts import (
     answer_misdirected,
     answer_not_run,
+    answer_ok,
     answer_with_error,
     in_loop,
     list_event_ids,
     reset_connection,
     stay_silent,
+    stream_and_fall_silent,
     stream_whole,
     with_engines,
 )
 
 PAUSE_S = 1.4
+# Longer than the silence timeout of the routes used here, and shorter than their deadline.
+USABLE_AFTER_S = 1.2
 WHOLE = [1, 2, 3, 4, 5]
 
 
@@ -167,3 +171,26 @@
         answer = await harness.call("/stream/x", Token_Count="1000,100", Deadline_Ms="10000")
         assert answer.complete and list_event_ids(answer.body) == WHOLE
         assert len(harness.arrivals) == 1
+
+
+@pytest.mark.parametrize(
+    ("path", "first", "second"),
+    [
+        ("/whole/x", stay_silent, answer_ok),
+        ("/stream/x", stay_silent, stream_whole),
+        ("/stream/x", stream_and_fall_silent, stream_whole),
+    ],
+)
+@in_loop
+async def test_hung_upstream_is_left_once_another_one_can_be_used(path, first, second):
+    async with run_gateway(first, second) as harness:
+        fleet = harness.gateway.fleet
+        fleet.ejection.on_unreachable = lambda: None  # no probe finds u1 until the test says so
+        fleet.ejection.record_unreachable("u1", harness.gateway.clock.now())
+        pending = asyncio.ensure_future(harness.call(path))
+        await asyncio.sleep(USABLE_AFTER_S)
+        assert not harness.upstreams[1].arrivals
+        fleet.ejection.record_connection("u1", harness.gateway.clock.now())
+        answer = await pending
+        assert answer.complete and answer.status == 200
+        assert [len(upstream.arrivals) for upstream in harness.upstreams] == [1, 1]
