Keep the whole margin at the end of a planned stop

What callers could see: a connection that is reset when the process is killed, in place of the 503 or 504 of the end of a planned stop.

Cause: the end of a stop is noticed in the maintenance, every 250 ms, and the margin before the kill is 300 ms. So the last answers were written between 280 and 30 ms before it, too late for a process that is out of its share for the rest of a tenth of a second.

Evidence: test_end_of_a_stop_does_not_wait_for_the_next_maintenance failed before the change (TimeoutError): with an interval of 30 s the end was noticed 30 s later. That a caller lost an answer by it has not been seen; 30 ms is computed, not measured.

Change: the last wait of a stop ends with the stop.

--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -195,12 +195,19 @@
         await self.start()
         loop = asyncio.get_running_loop()
         while not self._is_stop_complete():
-            due_s = loop.time() + MAINTENANCE_INTERVAL_MS / 1_000
+            due_s = loop.time() + self._find_maintenance_wait_ms() / MS_PER_SECOND
             await asyncio.sleep(due_s - loop.time())
             self._handle_lag(round((loop.time() - due_s) * MS_PER_SECOND))
             self._run_maintenance()
         await self.finish_stop()
 
+    def _find_maintenance_wait_ms(self) -> int:
+        """Return the time to the next maintenance, or to the end of a planned stop if less."""
+        if not self.stopping:
+            return MAINTENANCE_INTERVAL_MS
+        remaining_ms = self._max_drain_ms - self._get_stopping_ms()
+        return min(MAINTENANCE_INTERVAL_MS, max(0, remaining_ms))
+
     def _handle_lag(self, late_ms: int) -> None:
         """Record how late the maintenance runs; a pause of this process is no silence of peers."""
         self.metrics.record_lag(late_ms / MS_PER_SECOND)
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -118,3 +118,22 @@
         await harness.gateway.stop()
         answer = await pending
         assert answer.status == 200 and not answer.complete
+
+
+@in_loop
+async def test_end_of_a_stop_does_not_wait_for_the_next_maintenance(monkeypatch):
+    """The answers of the end must be written before the process is killed."""
+    monkeypatch.setattr("lentilwell.gateway._gateway.MAINTENANCE_INTERVAL_MS", 30_000)
+
+    async def start_nothing():
+        """The harness has started the gateway."""
+
+    async with run_gateway(stay_silent) as harness:
+        pending = asyncio.ensure_future(harness.call("/once/x"))
+        while not harness.arrivals:
+            await asyncio.sleep(0.01)
+        harness.gateway.drain()
+        harness.gateway._stopping_since -= harness.gateway.settings.max_stop_ms - 500
+        harness.gateway.start = start_nothing
+        await asyncio.wait_for(harness.gateway.run(), 2)
+        assert (await pending).status == 504
