Release leases whose reservation is cancelled

What upstreams saw: memory set aside for a request that was never sent, until its lease lapsed 2.4 s later.

Cause: leases were released where one of them was refused, but not where the reservation was cancelled. A caller that leaves always could do that; since a silent upstream that goes on cancels the attempt beside it, too.

Evidence: test_memory_is_released_at_once_if_its_reservation_is_cancelled failed before the change: the two engines that had granted a lease still held it after all releases.

--- a/src/lentilwell/gateway/_leases.py
+++ b/src/lentilwell/gateway/_leases.py
@@ -69,6 +69,16 @@
         reservations = [
             self._make_reservation(helper) for helper in helpers if helper.memory_tokens > 0
         ]
+        lease_set = LeaseSet(reservations, self._renew, self._release)
+        try:
+            await self._reserve_all(reservations)
+        except (ReservationFailed, asyncio.CancelledError):
+            lease_set.release()
+            raise
+        lease_set.start_renewing()
+        return lease_set
+
+    async def _reserve_all(self, reservations: Sequence[Reservation]) -> None:
         results = await asyncio.gather(
             *(
                 self._send_with_retries(reservation, self._dialect.write_reserve(reservation.lease))
@@ -76,16 +86,11 @@
             ),
             return_exceptions=True,
         )
-        lease_set = LeaseSet(reservations, self._renew, self._release)
         for reservation, result in zip(reservations, results, strict=True):
             if isinstance(result, BaseException):
-                lease_set.release()
                 raise ReservationFailed(reservation.upstream.name, str(result)) from result
             if result != STATUS_OK:
-                lease_set.release()
                 raise ReservationFailed(reservation.upstream.name, f"status {result}")
-        lease_set.start_renewing()
-        return lease_set
 
     async def wait_for_releases(self) -> None:
         """Wait until the releases in progress have been answered or have failed."""
--- a/tests/test_gateway_leases.py
+++ b/tests/test_gateway_leases.py
@@ -178,6 +178,21 @@
     assert run_in_simulated_time(reserve_with_a_refusal()) == ("u1", [[], [], []])
 
 
+async def cancel_a_reservation():
+    engines, helpers, leases = make_engines([[], ["lost"], []])
+    reservation = asyncio.ensure_future(leases.reserve(helpers))
+    await asyncio.sleep(0.1)
+    granted = [len(engine.list_live()) for engine in engines]
+    reservation.cancel()
+    await asyncio.gather(reservation, return_exceptions=True)
+    await leases.wait_for_releases()
+    return granted, [engine.list_live() for engine in engines]
+
+
+def test_memory_is_released_at_once_if_its_reservation_is_cancelled():
+    assert run_in_simulated_time(cancel_a_reservation()) == ([1, 0, 1], [[], [], []])
+
+
 async def reserve_twice():
     engines, helpers, leases = make_engines([[], [], []])
     first, second = await leases.reserve(helpers), await leases.reserve(helpers)
