Test of urgent digests: in simulated time

test_urgent_change_is_sent_at_once_together_with_deferred_ones failed once beside load (2026-12-05, load 14 on 8 cores). Cause: the test slept for 20 ms of a deferral of 40 ms by the wall clock, so a process that stood still for 20 ms sent the deferred digest before the check. The same checks now run in simulated time, where a pause of the machine moves nothing.

--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -213,7 +213,7 @@
         await asyncio.sleep(10 * COALESCE_MS / 1_000)
         assert len(transport.sent) == 1
 
-    asyncio.run(run())
+    run_in_simulated_time(run())
 
 
 def test_deferred_change_is_sent_without_an_urgent_one():
