--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -190,6 +190,29 @@
         assert ("settings reloaded", 7) in events and ("settings unreadable", None) in events
 
 
+@in_loop
+async def test_hangup_while_the_program_is_loaded_does_not_end_it(tmp_path):
+    async with run_cluster(tmp_path, instances=1) as cluster:
+        [instance] = cluster.instances
+        instance.process.kill()
+        await instance.process.wait()
+        await instance.start()
+        async with asyncio.timeout(TIMEOUT_S):
+            while not (writer := await try_connect(instance)):
+                await asyncio.sleep(0.002)
+        assert await instance.query_readiness() is None
+        instance.process.send_signal(signal.SIGHUP)
+        await asyncio.wait(
+            [
+                asyncio.ensure_future(instance.process.wait()),
+                asyncio.ensure_future(instance.wait_ready()),
+            ],
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        assert instance.process.returncode is None
+        writer.close()
+
+
 @in_loop
 async def test_log_shows_the_cause_of_a_failure_by_request_id(tmp_path):
     async with run_cluster(tmp_path, instances=1, services=1) as cluster:
