Return a broken stream to the upstream whose send was cancelled

What callers saw: a stream that was cut off when its upstream broke off, though another upstream that had already been counted for it was sound: the one whose send had been cancelled because the first one to make progress answers.

Cause: a cancelled send counts as used, and its silent upstream stays excluded. With two upstreams allowed nothing was left.

Evidence: test_stream_returns_to_the_upstream_whose_send_was_cancelled, 2 cases, failed before the change with an incomplete answer: the upstream that paused breaks off after it went on; the second one breaks off after it had been faster.

Change: where the limit on upstreams is reached and no send is open, the request is placed once more, only among upstreams whose sends were cancelled. The number of upstreams of a request stays within its limit, and the retry budget counts the send. Silence alone returns nothing: that would begin the same prompt again and again beside an upstream that pauses often.

--- a/src/lentilwell/gateway/_exchange.py
+++ b/src/lentilwell/gateway/_exchange.py
@@ -67,6 +67,7 @@
         self.state = RequestState(routed.route.repeat, routed.route.max_upstreams)
         self.excluded: frozenset[str] = frozenset()
         self.sent_to: frozenset[str] = frozenset()
+        self._cancelled: frozenset[str] = frozenset()
         self._tasks: dict[Attempt, asyncio.Task[None]] = {}
         self._attempts = 0
         self._reports: asyncio.Queue[AttemptReport | LookAgainDue] = asyncio.Queue()
@@ -111,6 +112,7 @@
             return
         for other in [other for other in self._tasks if other is not attempt]:
             self._tasks.pop(other).cancel()
+            self._cancelled |= {other.upstream} & self.sent_to
             self.recorder.record_cancelled(other.upstream, attempt.upstream)
         self.advance(OtherSendsCancelled())
 
@@ -118,10 +120,18 @@
         effect: Effect | None = ChooseUpstream(is_retry=False)
         while not isinstance(effect, Finish):
             if isinstance(effect, ChooseUpstream):
+                if effect.among_cancelled:
+                    self._exclude_all_but_cancelled()
                 self._start_attempt(effect.is_retry)
             effect = self._handle_report(await self._reports.get())
         return effect.outcome
 
+    def _exclude_all_but_cancelled(self) -> None:
+        """Exclude all upstreams but those whose sends were cancelled, silent ones among them."""
+        self.excluded |= frozenset(self._context.fleet.directory.listed)
+        self.excluded -= self._cancelled
+        self._cancelled = frozenset()
+
     def _start_attempt(self, is_retry: bool) -> None:
         attempt = Attempt(self._context, self, self._attempts)
         self._attempts += 1
--- a/src/lentilwell/gateway/_request_state.py
+++ b/src/lentilwell/gateway/_request_state.py
@@ -41,7 +41,8 @@
     """The state of one request.
 
     ``sends`` counts the upstreams that it was sent to, of which ``max_sends`` are allowed.
-    ``open_sends`` counts the sends whose answer is still awaited. ``delivered`` is true once the
+    ``open_sends`` counts the sends whose answer is still awaited, ``cancelled_sends`` those that
+    were cancelled and may be made again. ``delivered`` is true once the
     caller has the head of an answer. ``ran_before`` is true if an upstream whose answer is no
     longer awaited may have run the request. ``outcome`` is set when the request has ended.
     """
@@ -50,6 +51,7 @@
     max_sends: int
     sends: int = 0
     open_sends: int = 0
+    cancelled_sends: int = 0
     phase: Phase = Phase.PLACING
     ran_before: bool = False
     delivered: bool = False
@@ -147,9 +149,13 @@
 
 @dataclass(frozen=True)
 class ChooseUpstream:
-    """Choose an upstream; ``is_retry`` is true if the retry budget must allow it."""
+    """Choose an upstream; ``is_retry`` is true if the retry budget must allow it.
+
+    ``among_cancelled`` is true if only upstreams whose sends were cancelled may be chosen.
+    """
 
     is_retry: bool
+    among_cancelled: bool = False
 
 
 @dataclass(frozen=True)
@@ -191,8 +197,7 @@
         case UpstreamSilent():
             return _retry(state) if _may_repeat(state) else (state, None)
         case OtherSendsCancelled():
-            ran_before = state.ran_before or state.open_sends > 1
-            return replace(state, phase=Phase.SENT, open_sends=1, ran_before=ran_before), None
+            return _cancel_other_sends(state), None
         case ReportedNotRun(helper_at_fault):
             return _retry(replace(state, open_sends=state.open_sends - 1), helper_at_fault)
         case ExchangeBroken():
@@ -215,9 +220,23 @@
     """Choose an upstream, unless one is being chosen or the limit on upstreams is reached."""
     if state.phase is Phase.PLACING:
         return state, None
-    if state.sends >= state.max_sends and not same_upstream:
-        return _wait_or_give_up(state)
-    return replace(state, phase=Phase.PLACING), ChooseUpstream(is_retry=True)
+    if state.sends < state.max_sends or same_upstream:
+        return replace(state, phase=Phase.PLACING), ChooseUpstream(is_retry=True)
+    if state.cancelled_sends and not state.open_sends:
+        placing = replace(state, phase=Phase.PLACING, cancelled_sends=0)
+        return placing, ChooseUpstream(is_retry=True, among_cancelled=True)
+    return _wait_or_give_up(state)
+
+
+def _cancel_other_sends(state: RequestState) -> RequestState:
+    cancelled = state.open_sends - 1
+    return replace(
+        state,
+        phase=Phase.SENT,
+        open_sends=1,
+        cancelled_sends=state.cancelled_sends + cancelled,
+        ran_before=state.ran_before or cancelled > 0,
+    )
 
 
 def _wait_or_give_up(state: RequestState) -> tuple[RequestState, Effect | None]:
--- a/tests/test_gateway_request_state.py
+++ b/tests/test_gateway_request_state.py
@@ -136,6 +136,15 @@
             assert not state.delivered
 
 
+ANSWER_BESIDE_ANOTHER_SEND = [
+    SendStarted(),
+    UpstreamSilent(),
+    SendStarted(),
+    OtherSendsCancelled(),
+    AnswerStarted(),
+]
+
+
 @pytest.mark.parametrize(
     ("repeat", "max_sends", "events", "expected"),
     [
@@ -168,6 +177,30 @@
             [SendStarted(), UpstreamSilent(), SendStarted(), OtherSendsCancelled()],
             None,
         ),
+        (
+            Repeat.RESUME,
+            2,
+            [*ANSWER_BESIDE_ANOTHER_SEND, UpstreamSilent()],
+            None,
+        ),
+        (
+            Repeat.RESUME,
+            2,
+            [*ANSWER_BESIDE_ANOTHER_SEND, ExchangeBroken()],
+            ChooseUpstream(is_retry=True, among_cancelled=True),
+        ),
+        (
+            Repeat.RESUME,
+            3,
+            [*ANSWER_BESIDE_ANOTHER_SEND, ExchangeBroken()],
+            ChooseUpstream(is_retry=True),
+        ),
+        (
+            Repeat.RESUME,
+            2,
+            [*ANSWER_BESIDE_ANOTHER_SEND, ExchangeBroken(), SendStarted(False), ExchangeBroken()],
+            Finish(Outcome.CUT_OFF),
+        ),
         (
             Repeat.WHOLE,
             2,
--- a/tests/test_gateway_silent_upstreams.py
+++ b/tests/test_gateway_silent_upstreams.py
@@ -17,6 +17,7 @@
     list_event_ids,
     reset_connection,
     stay_silent,
+    stream_and_break,
     stream_and_fall_silent,
     stream_whole,
     with_engines,
@@ -194,3 +195,38 @@
         answer = await pending
         assert answer.complete and answer.status == 200
         assert [len(upstream.arrivals) for upstream in harness.upstreams] == [1, 1]
+
+
+async def pause_and_break(arrival):
+    await arrival.begin_stream()
+    await arrival.write_events(1, 2)
+    await asyncio.sleep(PAUSE_S)
+    await arrival.write_events(3)
+    arrival.reset_connection()
+
+
+def stream_whole_after(script):
+    """Return a script that runs ``script`` for its first arrival and streams after that."""
+    scripts = iter([script])
+
+    async def run(arrival):
+        await next(scripts, stream_whole)(arrival)
+
+    return run
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "arrivals"),
+    [
+        (pause_and_break, stream_whole_after(stay_silent), [1, 2]),
+        (stream_whole_after(pause_before_stream), stream_and_break, [2, 1]),
+    ],
+)
+@in_loop
+async def test_stream_returns_to_the_upstream_whose_send_was_cancelled(first, second, arrivals):
+    catalog = with_route("stream", timeout_ms=10_000)
+    async with run_gateway(first, second, catalog=catalog) as harness:
+        harness.gateway.fleet.ejection.record_unreachable("u1", harness.gateway.clock.now())
+        answer = await harness.call("/stream/x", Deadline_Ms="10000")
+        assert answer.complete and list_event_ids(answer.body) == WHOLE
+        assert [len(upstream.arrivals) for upstream in harness.upstreams] == arrivals
