Log and count the requests that an upstream cuts, with the parts of their prompts

No line named what the requests share under which engines end, so the logs could not tell a part that crashes engines from engines that fail by themselves. Prompt-Prefix is parsed (64 parts of 64 characters, malformed entries ignored, the header passes on unchanged); 'request cut' has the upstream's start, the events so far and the parts; lentilwell_gateway_cut_requests_total counts them by progress. An end by silence or by our own close is no cut.

--- a/src/lentilwell/_log_lines/_requests.py
+++ b/src/lentilwell/_log_lines/_requests.py
@@ -74,6 +74,21 @@
     at_fault: str
 
 
+@line("request cut")
+@dataclass(frozen=True)
+class RequestCut(Line):
+    """An upstream ended the connection of a request after ``events`` events of its answer.
+
+    ``parts`` are the ids of the parts of the prompt that other prompts may have too.
+    """
+
+    request: str
+    upstream: str
+    born_ms: int
+    events: int
+    parts: str
+
+
 @line("refusal body dropped", "DEBUG")
 @dataclass(frozen=True)
 class RefusalBodyDropped(Line):
--- a/src/lentilwell/cli/_timeline.py
+++ b/src/lentilwell/cli/_timeline.py
@@ -198,6 +198,13 @@
     return f"{line.upstream} refused with status {line.status}{fault}; it has not run there"
 
 
+@describer(lines.RequestCut)
+def describe_cut(line: lines.RequestCut) -> str:
+    """Describe how far the answer was when the upstream ended the connection."""
+    parts = f"; its prompt shares {line.parts}" if line.parts else ""
+    return f"{line.upstream} ended the connection after {line.events} events{parts}"
+
+
 NEXT_STEPS = {
     "place": "another upstream is looked for",
     "wait": "the silent upstream is waited for",
--- a/src/lentilwell/gateway/_attempt.py
+++ b/src/lentilwell/gateway/_attempt.py
@@ -204,6 +204,8 @@
         except (ConnectionBroken, BrokenStream) as error:
             self._exclude(upstream)
             self._accounting.record_failure(self.choice, str(error))
+            if connection.ended_by_peer:
+                self._owner.recorder.record_cut(upstream, connection.events_received)
             return AttemptEnd(ExchangeBroken(), str(error))
         finally:
             if not connection.idle:
@@ -334,6 +336,7 @@
         splitter = EventSplitter()
         while (data := await connection.read_data()) is not None:
             for event in splitter.feed(data):
+                connection.events_received += 1
                 if self._owner.delivery.accept(event):
                     await self._relay_event(event, head)
                     connection.record_progress()
--- a/src/lentilwell/gateway/_connection.py
+++ b/src/lentilwell/gateway/_connection.py
@@ -44,7 +44,8 @@
     """A connection to an upstream that carries one request at a time.
 
     ``reusable`` becomes false, and stays so, once the connection must not carry another request.
-    ``used_before`` is true once a request has been answered on the connection. ``silence_watch`` is
+    ``ended_by_peer`` is true once the upstream has closed or reset it. ``events_received`` counts
+    the events of the answer in progress. ``used_before`` is true once a request has been answered on the connection. ``silence_watch`` is
     told of a silence of the upstream while a request is in flight, None if nobody is. The silence
     is measured from the last response head or call of ``record_progress``. Other bytes do not end
     it, so an upstream that sends single bytes without end counts as silent.
@@ -60,6 +61,8 @@
         self._received_at = clock.now()
         self._progress_at = clock.now()
         self._silence_reported = False
+        self.events_received = 0
+        self.ended_by_peer = False
         self.reusable = True
         self.used_before = False
         self.silence_watch: SilenceWatch | None = None
@@ -90,12 +93,14 @@
         """Let the parser see the end of the stream; the connection cannot be reused."""
         self.reusable = False
         if self._in_use:
+            self.ended_by_peer = True
             self._receive(b"")
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Record the error and wake the waiting reader."""
         self.reusable = False
+        self.ended_by_peer = self.ended_by_peer or isinstance(exc, ConnectionError)
         self._error = exc or ConnectionResetError("the upstream closed the connection")
         self._notify()
 
@@ -107,6 +112,7 @@
         """
         assert self._transport is not None
         self._in_use = True
+        self.events_received = 0
         self._received_at = self._clock.now()
         self.record_progress()
         request = h11.Request(method=method, target=target, headers=list(headers))
--- a/src/lentilwell/gateway/_messages.py
+++ b/src/lentilwell/gateway/_messages.py
@@ -100,6 +100,7 @@
 
     ``timeout_ms`` is how long the caller waits for the whole answer, None if it does not say.
     ``last_event_id`` is the last event that the caller has received, None for a new stream.
+    ``shared_parts`` are the ids of the parts of the prompt that other prompts may have too.
     """
 
     request_id: str
@@ -107,6 +108,7 @@
     timeout_ms: int | None
     prompt: Prompt | None
     last_event_id: int | None
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/src/lentilwell/gateway/_metrics.py
+++ b/src/lentilwell/gateway/_metrics.py
@@ -69,6 +69,12 @@
             ("service",),
             registry=self.registry,
         )
+        self._cuts = Counter(
+            "lentilwell_gateway_cut_requests",
+            "Requests whose upstream ended the connection, by how far the answer was.",
+            ("service", "events"),
+            registry=self.registry,
+        )
         self._permits = Counter(
             "lentilwell_gateway_permits",
             "Asks for permits of upstreams that name a rate limit, by the answer.",
@@ -129,6 +135,10 @@
         """Count a send to an upstream that names a rate limit."""
         self._limited_sends.labels(service).inc()
 
+    def count_cut(self, service: str, events: int) -> None:
+        """Count a request that its upstream cut after ``events`` events of the answer."""
+        self._cuts.labels(service, str(events) if events < 2 else "more").inc()
+
     def count_permit(self, verdict: str) -> None:
         """Count an ask for a permit: ``granted``, ``denied`` or ``no_owner``."""
         self._permits.labels(verdict).inc()
--- a/src/lentilwell/gateway/_request_recorder.py
+++ b/src/lentilwell/gateway/_request_recorder.py
@@ -6,6 +6,7 @@
     AttemptCancelled,
     AttemptEnded,
     AttemptSilent,
+    RequestCut,
     RequestDeferred,
     RequestEnded,
     RequestPlaced,
@@ -18,6 +19,7 @@
 from lentilwell.gateway._placement_policies import Choice
 from lentilwell.gateway._request_state import Outcome
 from lentilwell.gateway._routing import RoutedRequest
+from lentilwell.gateway._upstreams import Upstream
 
 
 class RequestRecorder:
@@ -106,6 +108,20 @@
         request = self._routed.facts.request_id
         write_line(UpstreamRefused(request, upstream, status, at_fault))
 
+    def record_cut(self, upstream: Upstream, events: int) -> None:
+        """Log and count that an upstream ended the connection after ``events`` of the answer."""
+        facts = self._routed.facts
+        self._metrics.count_cut(self._routed.service, events)
+        write_line(
+            RequestCut(
+                request=facts.request_id,
+                upstream=upstream.name,
+                born_ms=upstream.born_ms,
+                events=events,
+                parts=" ".join(facts.shared_parts),
+            )
+        )
+
     def record_attempt(self, upstream: str, reason: str, sends: int, following: str) -> None:
         """Log how an attempt ended; ``following`` is the next step or the outcome."""
         request = self._routed.facts.request_id
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -12,7 +12,7 @@
 from wire_servers import decode_upstream
 from wire_settings import read_settings
 
-from lentilwell.gateway import InboundRequest, Prompt, Repeat, UnreadableRow
+from lentilwell.gateway import Envelope, InboundRequest, Prompt, Repeat, UnreadableRow
 
 ENTRY = {
     "service": "s",
@@ -112,6 +112,29 @@
     assert facts.prompt == Prompt(1_460, 80) and facts.last_event_id == 12
 
 
+@pytest.mark.parametrize(
+    ("text", "parts"),
+    [
+        (b"5c1e07A2:800,91bd3f06:410,e4402b7d:250", ("5c1e07a2", "91bd3f06")),
+        (b" aa:1 , bb:2 ,cc:3", ("aa", "bb")),
+        (b"aa:1,aa:1,cc:3", ("aa",)),
+        (b"aa:1", ()),
+        (b"", ()),
+        (b"zz:1,aa:x,bb,:4," + b"f" * 65 + b":1,cc:2,dd:3", ("cc",)),
+        (b",".join(b"%x:1" % number for number in range(90)), tuple(f"{n:x}" for n in range(64))),
+    ],
+)
+def test_shared_parts_are_all_but_the_last_and_malformed_ones_are_ignored(text, parts):
+    facts = DIALECT.read_facts(make_request((b"prompt-prefix", text)))
+    assert facts.shared_parts == parts
+
+
+def test_parts_of_a_prompt_pass_on_unchanged():
+    header = (b"Prompt-Prefix", b"zz:1,AA:x")
+    envelope = Envelope("u", 50, None, None, None)
+    assert header in DIALECT.write_headers(make_request(header), envelope)
+
+
 @pytest.mark.parametrize(
     "header",
     [
