Failing test of the incident: a part of prompts crashes engines one after the other

3 and 12 gateways on loopback before 14 stand-in engines that end when they begin to write on one part and are back after 3 s.

--- a/standins/batch_server.py
+++ b/standins/batch_server.py
@@ -37,7 +37,9 @@
     Passes run ``speed`` times faster than in the batch model. While ``rate_limit`` is set, every
     answer names it. ``on_request`` is called with the headers of each request for a stream, and
     ``on_naming`` with those of each one whose answer names the limit. ``draw_pause`` returns the
-    pause of each stream, and ``on_pause`` is called with the headers as it begins.
+    pause of each stream, and ``on_pause`` is called with the headers as it begins. The engine ends,
+    and calls ``on_crash``, when it begins to write an answer on a prompt that has the part
+    ``crashes_on``.
     """
 
     name: str
@@ -53,6 +55,9 @@
     on_naming: Callable[[dict[str, str]], None] = lambda headers: None
     draw_pause: Callable[[], Pause] = lambda: NO_PAUSE
     on_pause: Callable[[dict[str, str], Pause], None] = lambda headers, pause: None
+    crashes_on: str | None = None
+    on_crash: Callable[[], None] = lambda: None
+    connections: set[asyncio.StreamWriter] = field(default_factory=set)
 
     async def start(self) -> str:
         """Listen on loopback and return the address."""
@@ -70,6 +75,13 @@
         self._server.close()
         self._passes.cancel()
 
+    def crash(self) -> None:
+        """End at once: reset all connections and accept none."""
+        self.close()
+        for writer in list(self.connections):
+            writer.transport.abort()
+        self.on_crash()
+
     def add_job(self, job: BatchJob) -> asyncio.Event:
         """Add a job and return an event that is set once its prefill is done."""
         self.prefill_events[job.name] = asyncio.Event()
@@ -106,6 +118,7 @@
     async def _serve_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self.connections.add(writer)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -119,6 +132,7 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             return
         finally:
+            self.connections.discard(writer)
             writer.close()
 
     async def _answer(
@@ -207,6 +221,10 @@
         if limit:
             self.on_naming(headers)
         writer.write(f"{head}{limit}Server-Stamp: s-{self.name}\r\n\r\n".encode())
+        if self.crashes_on is not None and self.crashes_on in list_parts(headers):
+            await writer.drain()
+            self.crash()
+            raise ConnectionResetError
         await self._hold(PausePoint.AFTER_HEAD, pause, headers)
         first = int(headers.get("last-event-id", 0)) + 1
         for number in range(first, events + 1):
@@ -242,6 +260,11 @@
             engine.remove_job(name)
 
 
+def list_parts(headers: dict[str, str]) -> list[str]:
+    """Return the ids of the parts of a prompt."""
+    return [entry.partition(":")[0] for entry in headers.get("prompt-prefix", "").split(",")]
+
+
 def _write_response(
     writer: asyncio.StreamWriter, status: int, body: bytes, headers: dict[str, str]
 ) -> None:
--- /dev/null
+++ b/tests/crashing_engines.py
@@ -0,0 +1,189 @@
+"""Gateways in the test process before engines that end under prompts with one part.
+
+An engine that has ended leaves the list after ``EXPIRY_S`` and comes back under a new name
+``RESTART_S`` after its end.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Iterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass, field, replace
+
+from lentilwell._clock import SystemClock
+from lentilwell.gateway import Entry, Gateway, ServiceSpec, Upstream
+from standins.answer_reader import read_answer
+from standins.batch import ENGINE
+from standins.batch_server import BatchServer, list_parts
+from tests.gateway_harness import ANSWER_TIMEOUT_S, CATALOG, HOST, KEY, FakeFeed, make_route
+from tests.limited_upstreams import is_settled, make_members, run_member
+
+HARMFUL = "bad0"
+OWN_TOKENS = 4_960
+ANSWER_TOKENS = 400
+EXPIRY_S = 2.0
+RESTART_S = 3.0
+CLOCK = SystemClock()
+ENGINES_CATALOG = replace(
+    CATALOG,
+    routes=(make_route("stream", timeout_ms=10_000),),
+    services={"s": ServiceSpec("s", "/health", 100, ENGINE)},
+)
+
+
+@dataclass
+class EngineFleet:
+    """Engines that end under prompts with the part ``HARMFUL``, and their list.
+
+    ``crashes`` are the times of the ends in ms, ``harmful`` those at which an engine received a
+    request with the part.
+    """
+
+    count: int
+    listing: FakeFeed = field(default_factory=FakeFeed)
+    crashes: list[int] = field(default_factory=list)
+    harmful: list[int] = field(default_factory=list)
+    engines: dict[str, BatchServer] = field(default_factory=dict)
+    by_address: dict[str, BatchServer] = field(default_factory=dict)
+    numbers: Iterator[int] = field(default_factory=itertools.count)
+    tasks: set[asyncio.Task] = field(default_factory=set)
+
+    async def start(self) -> None:
+        """Start all engines and list them."""
+        for _ in range(self.count):
+            await self._start_engine()
+        self._list()
+
+    def close(self) -> None:
+        """End all engines."""
+        for task in self.tasks:
+            task.cancel()
+        for engine in self.engines.values():
+            engine.close()
+
+    def crash(self, name: str) -> None:
+        """End an engine for a reason of its own."""
+        self.engines[name].crash()
+
+    def find_fifth_crash(self) -> int | None:
+        """Return the time of the fifth end of an engine."""
+        return self.crashes[4] if len(self.crashes) >= 5 else None
+
+    def count_late_sends(self, contact_ms: int) -> int:
+        """Count the requests with the part that came later than this after the fifth end."""
+        fifth = self.find_fifth_crash()
+        return 0 if fifth is None else sum(at > fifth + contact_ms for at in self.harmful)
+
+    async def _start_engine(self) -> None:
+        engine = BatchServer(f"e{next(self.numbers)}", self.by_address, crashes_on=HARMFUL)
+        engine.on_request = self._record_request
+        engine.on_crash = lambda: self._replace(engine)
+        await engine.start()
+        self.engines[engine.name] = engine
+
+    def _record_request(self, headers: dict[str, str]) -> None:
+        if HARMFUL in list_parts(headers):
+            self.harmful.append(CLOCK.now())
+
+    def _replace(self, engine: BatchServer) -> None:
+        self.crashes.append(CLOCK.now())
+        self.tasks.add(asyncio.get_running_loop().create_task(self._restart(engine)))
+
+    async def _restart(self, engine: BatchServer) -> None:
+        await asyncio.sleep(EXPIRY_S)
+        del self.engines[engine.name]
+        self._list()
+        await asyncio.sleep(RESTART_S - EXPIRY_S)
+        await self._start_engine()
+        self._list()
+
+    def _list(self) -> None:
+        upstreams = (
+            Upstream(one.name, "s", one.address, "dc", ENGINE.slots, False, born_ms=1)
+            for one in self.engines.values()
+        )
+        self.listing.put(*(Entry(one.name, one) for one in upstreams))
+
+
+@dataclass(frozen=True)
+class Call:
+    """A request that was answered; ``at`` is when it was sent, in ms."""
+
+    at: int
+    parts: tuple[str, ...]
+    status: int
+    complete: bool
+    retry_after: str | None
+
+    @property
+    def served(self) -> bool:
+        """Tell whether the caller got its whole answer."""
+        return self.status == 200 and self.complete
+
+
+@dataclass
+class EngineGroup:
+    """Gateways by name, before a fleet of engines."""
+
+    gateways: dict[str, Gateway]
+    fleet: EngineFleet
+    calls: list[Call] = field(default_factory=list)
+    numbers: Iterator[int] = field(default_factory=itertools.count)
+
+    async def call(self, instance: str, *parts: str) -> Call:
+        """Send a request with these shared parts and one of its own, and record the result."""
+        at, number = CLOCK.now(), next(self.numbers)
+        port = self.gateways[instance].callers_port
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        prompt = [*(f"{part}:40" for part in parts), f"{number:x}ffff:{OWN_TOKENS}"]
+        headers = {
+            "Host": HOST,
+            "Request-Id": f"r{number}",
+            "Credential": KEY,
+            "Deadline-Ms": "8000",
+            "Token-Count": f"{OWN_TOKENS + 40 * len(parts)},{ANSWER_TOKENS}",
+            "Prompt-Prefix": ",".join(prompt),
+        }
+        rows = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        writer.write(f"POST /stream/x HTTP/1.1\r\n{rows}\r\n".encode())
+        answer = await asyncio.wait_for(read_answer(reader), 2 * ANSWER_TIMEOUT_S)
+        writer.close()
+        retry_after = answer.headers.get("retry-after")
+        result = Call(at, parts, answer.status, answer.complete, retry_after)
+        self.calls.append(result)
+        return result
+
+    async def press(self, seconds: float, calls_per_s: float, *parts: str) -> None:
+        """Send requests with these parts at an even pace, to the instances in turn."""
+        loop = asyncio.get_running_loop()
+        names, began_s, tasks = list(self.gateways), loop.time(), []
+        for number in range(round(seconds * calls_per_s)):
+            await asyncio.sleep(max(0.0, began_s + number / calls_per_s - loop.time()))
+            tasks.append(loop.create_task(self.call(names[number % len(names)], *parts)))
+        await asyncio.gather(*tasks)
+
+    def find_served_share(self, begin: int, *parts: str) -> float:
+        """Return the share of requests with just these parts, sent from ``begin`` on, served."""
+        calls = [call for call in self.calls if call.at >= begin and call.parts == parts]
+        assert len(calls) >= 20, "too few requests to tell"
+        return sum(call.served for call in calls) / len(calls)
+
+
+@asynccontextmanager
+async def run_group(instances: int, engines: int = 14):
+    """Run gateways that know each other, before engines that end under one part."""
+    fleet, members = EngineFleet(engines), make_members(instances)
+    await fleet.start()
+    async with AsyncExitStack() as stack:
+        gateways = {
+            name: await stack.enter_async_context(
+                run_member(name, members, fleet.listing, ENGINES_CATALOG, "least_cost")
+            )
+            for name in members
+        }
+        while not all(is_settled(gateway, instances) for gateway in gateways.values()):
+            await asyncio.sleep(0.01)
+        yield EngineGroup(gateways, fleet)
+    fleet.close()
--- a/tests/limited_upstreams.py
+++ b/tests/limited_upstreams.py
@@ -169,17 +169,16 @@
         Entry(one.name, Upstream(one.name, "s", await one.start(), "dc", 8, False, born_ms=1))
         for one in upstreams
     ]
-    members = {
-        f"i{number}": Member(f"127.0.7.{number + 1}:{_find_free_port()}", "dc")
-        for number in range(count + gone)
-    }
+    members = make_members(count + gone)
     running = list(members)[:count]
     async with AsyncExitStack() as stack:
         gateways = {
-            name: await stack.enter_async_context(_run_one(name, members, entries, catalog))
+            name: await stack.enter_async_context(
+                run_member(name, members, FakeFeed(*entries), catalog)
+            )
             for name in running
         }
-        while not all(_is_settled(gateway, count + gone) for gateway in gateways.values()):
+        while not all(is_settled(gateway, count + gone) for gateway in gateways.values()):
             await asyncio.sleep(0.01)
         group = GatewayGroup(gateways)
         measuring = asyncio.create_task(group.measure_pauses())
@@ -189,14 +188,24 @@
         upstream.server.close()
 
 
-def _is_settled(gateway: Gateway, count: int) -> bool:
+def make_members(count: int) -> dict[str, Member]:
+    """Return instances by name, each with a free address for datagrams."""
+    return {
+        f"i{number}": Member(f"127.0.7.{number + 1}:{_find_free_port()}", "dc")
+        for number in range(count)
+    }
+
+
+def is_settled(gateway: Gateway, count: int) -> bool:
+    """Tell whether a gateway is ready and knows ``count`` instances."""
     return gateway.ready and gateway.peers.instances == count
 
 
 @asynccontextmanager
-async def _run_one(name, members, entries, catalog):
-    settings = replace(SETTINGS, instance=name, peers_address=members[name].address)
-    feeds = Feeds(FakeFeed(Entry("config", catalog)), FakeFeed(*entries), KnownMembers(members))
+async def run_member(name, members, listing, catalog, policy=SETTINGS.policy):
+    """Run one gateway of a group; ``members`` are the addresses of all, ``listing`` the feed."""
+    settings = replace(SETTINGS, instance=name, peers_address=members[name].address, policy=policy)
+    feeds = Feeds(FakeFeed(Entry("config", catalog)), listing, KnownMembers(members))
     gateway = Gateway(settings, PlatformDialect(), feeds)
     await gateway.start()
     maintenance = asyncio.create_task(_run_maintenance(gateway))
