--- a/src/lentilwell/_log_lines/__init__.py
+++ b/src/lentilwell/_log_lines/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from lentilwell._log_lines._instances import (
+    CrashNoticeUnreadable,
     DigestTooLong,
     DigestUnreadable,
     InstanceListFailed,
@@ -42,6 +43,7 @@
     RequestDeferred,
     RequestEnded,
     RequestPlaced,
+    RequestRefused,
     RequestRejected,
     RequestWaiting,
     UpstreamRefused,
@@ -60,6 +62,8 @@
     TableRechecked,
 )
 from lentilwell._log_lines._upstreams import (
+    PartsCleared,
+    PartsCondemned,
     RetryAfterIgnored,
     UpstreamBackoffStarted,
     UpstreamChanged,
@@ -68,6 +72,7 @@
     UpstreamLeaving,
     UpstreamLimitChanged,
     UpstreamLimitIgnored,
+    UpstreamNotCrashed,
     UpstreamReached,
     UpstreamRemoved,
     UpstreamsListed,
@@ -83,6 +88,7 @@
     "ConfigurationConfirmed",
     "ConfigurationInForce",
     "ConfigurationKept",
+    "CrashNoticeUnreadable",
     "DependencyLost",
     "DependencyRecovered",
     "DependencyStillLost",
@@ -97,6 +103,8 @@
     "LeaseNotRenewed",
     "Line",
     "MetricsNotServed",
+    "PartsCleared",
+    "PartsCondemned",
     "PeerHeard",
     "PeerSilent",
     "PermitMessageUnreadable",
@@ -106,6 +114,7 @@
     "RequestDeferred",
     "RequestEnded",
     "RequestPlaced",
+    "RequestRefused",
     "RequestRejected",
     "RequestWaiting",
     "RetryAfterIgnored",
@@ -127,6 +136,7 @@
     "UpstreamLeaving",
     "UpstreamLimitChanged",
     "UpstreamLimitIgnored",
+    "UpstreamNotCrashed",
     "UpstreamReached",
     "UpstreamRefused",
     "UpstreamRemoved",
--- a/src/lentilwell/_log_lines/_instances.py
+++ b/src/lentilwell/_log_lines/_instances.py
@@ -74,6 +74,15 @@
     reason: str
 
 
+@line("crash notice unreadable", "WARNING")
+@dataclass(frozen=True)
+class CrashNoticeUnreadable(Line):
+    """A received datagram did not contain a valid notice of crashes."""
+
+    sender: str
+    reason: str
+
+
 @line("permit owner silent")
 @dataclass(frozen=True)
 class PermitOwnerSilent(Line):
--- a/src/lentilwell/_log_lines/_requests.py
+++ b/src/lentilwell/_log_lines/_requests.py
@@ -89,6 +89,16 @@
     parts: str
 
 
+@line("request refused")
+@dataclass(frozen=True)
+class RequestRefused(Line):
+    """A request was not sent because its prompt has ``parts``, which crash upstreams."""
+
+    request: str
+    parts: str
+    retry_after_ms: int
+
+
 @line("refusal body dropped", "DEBUG")
 @dataclass(frozen=True)
 class RefusalBodyDropped(Line):
--- a/src/lentilwell/_log_lines/_upstreams.py
+++ b/src/lentilwell/_log_lines/_upstreams.py
@@ -133,3 +133,33 @@
 
     upstream: str
     address: str
+
+
+@line("upstream not crashed")
+@dataclass(frozen=True)
+class UpstreamNotCrashed(Line):
+    """An upstream answers that was taken to have crashed."""
+
+    upstream: str
+    born_ms: int
+
+
+@line("parts condemned", "WARNING")
+@dataclass(frozen=True)
+class PartsCondemned(Line):
+    """Requests whose prompts have all of these parts are not sent: they crash upstreams.
+
+    ``source`` is ``own`` or the address of the instance whose evidence was decisive.
+    """
+
+    parts: str
+    source: str
+
+
+@line("parts cleared")
+@dataclass(frozen=True)
+class PartsCleared(Line):
+    """Requests whose prompts have all of these parts are sent again."""
+
+    parts: str
+    source: str
--- a/src/lentilwell/_wire/ttypes.py
+++ b/src/lentilwell/_wire/ttypes.py
@@ -2607,6 +2607,667 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class CutPrompt(object):
+    """
+    A request that a crash cut at the beginning of its answer, and the shared parts of its prompt.
+
+    Attributes:
+     - request
+     - parts
+
+    """
+
+    __slots__ = (
+        'request',
+        'parts',
+    )
+
+
+    def __init__(self, request=None, parts=None,):
+        self.request = request
+        self.parts = parts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.parts = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.parts.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CutPrompt')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRING, 1)
+            oprot.writeString(self.request.encode('utf-8') if sys.version_info[0] == 2 else self.request)
+            oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.parts))
+            for iter48 in self.parts:
+                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.request is None:
+            raise TProtocolException(message='Required field request is unset!')
+        if self.parts is None:
+            raise TProtocolException(message='Required field parts is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class UpstreamCrash(object):
+    """
+    The end of one start of an upstream, ``age_ms`` before the sending.
+
+    Attributes:
+     - upstream
+     - born_ms
+     - age_ms
+     - cut
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'born_ms',
+        'age_ms',
+        'cut',
+    )
+
+
+    def __init__(self, upstream=None, born_ms=None, age_ms=None, cut=None,):
+        self.upstream = upstream
+        self.born_ms = born_ms
+        self.age_ms = age_ms
+        self.cut = cut
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.cut = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = CutPrompt()
+                        _elem54.read(iprot)
+                        self.cut.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UpstreamCrash')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 2)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 3)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.cut is not None:
+            oprot.writeFieldBegin('cut', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.cut))
+            for iter55 in self.cut:
+                iter55.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.upstream is None:
+            raise TProtocolException(message='Required field upstream is unset!')
+        if self.born_ms is None:
+            raise TProtocolException(message='Required field born_ms is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        if self.cut is None:
+            raise TProtocolException(message='Required field cut is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SoundPart(object):
+    """
+    A part on which the sender saw an answer beyond its beginning.
+
+    Attributes:
+     - part
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'part',
+        'age_ms',
+    )
+
+
+    def __init__(self, part=None, age_ms=None,):
+        self.part = part
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.part = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SoundPart')
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.STRING, 1)
+            oprot.writeString(self.part.encode('utf-8') if sys.version_info[0] == 2 else self.part)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 2)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.part is None:
+            raise TProtocolException(message='Required field part is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CondemnedParts(object):
+    """
+    Parts that are not sent together, by the ages of the first and the last crash that they explain.
+
+    Attributes:
+     - parts
+     - first_age_ms
+     - last_age_ms
+
+    """
+
+    __slots__ = (
+        'parts',
+        'first_age_ms',
+        'last_age_ms',
+    )
+
+
+    def __init__(self, parts=None, first_age_ms=None, last_age_ms=None,):
+        self.parts = parts
+        self.first_age_ms = first_age_ms
+        self.last_age_ms = last_age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.parts = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.parts.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.first_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.last_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CondemnedParts')
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.parts))
+            for iter62 in self.parts:
+                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.first_age_ms is not None:
+            oprot.writeFieldBegin('first_age_ms', TType.I64, 2)
+            oprot.writeI64(self.first_age_ms)
+            oprot.writeFieldEnd()
+        if self.last_age_ms is not None:
+            oprot.writeFieldBegin('last_age_ms', TType.I64, 3)
+            oprot.writeI64(self.last_age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.parts is None:
+            raise TProtocolException(message='Required field parts is unset!')
+        if self.first_age_ms is None:
+            raise TProtocolException(message='Required field first_age_ms is unset!')
+        if self.last_age_ms is None:
+            raise TProtocolException(message='Required field last_age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AliveUpstream(object):
+    """
+    A start of an upstream that answered the sender after others took it to have ended.
+
+    Attributes:
+     - upstream
+     - born_ms
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'born_ms',
+        'age_ms',
+    )
+
+
+    def __init__(self, upstream=None, born_ms=None, age_ms=None,):
+        self.upstream = upstream
+        self.born_ms = born_ms
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AliveUpstream')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.born_ms is not None:
+            oprot.writeFieldBegin('born_ms', TType.I64, 2)
+            oprot.writeI64(self.born_ms)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 3)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.upstream is None:
+            raise TProtocolException(message='Required field upstream is unset!')
+        if self.born_ms is None:
+            raise TProtocolException(message='Required field born_ms is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CrashNotice(object):
+    """
+    What the sender knows of crashes of upstreams.
+
+    Attributes:
+     - crashes
+     - sound
+     - condemned
+     - alive
+
+    """
+
+    __slots__ = (
+        'crashes',
+        'sound',
+        'condemned',
+        'alive',
+    )
+
+
+    def __init__(self, crashes=None, sound=None, condemned=None, alive=None,):
+        self.crashes = crashes
+        self.sound = sound
+        self.condemned = condemned
+        self.alive = alive
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = UpstreamCrash()
+                        _elem68.read(iprot)
+                        self.crashes.append(_elem68)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.sound = []
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = SoundPart()
+                        _elem74.read(iprot)
+                        self.sound.append(_elem74)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.condemned = []
+                    (_etype78, _size75) = iprot.readListBegin()
+                    for _i79 in range(_size75):
+                        _elem80 = CondemnedParts()
+                        _elem80.read(iprot)
+                        self.condemned.append(_elem80)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.alive = []
+                    (_etype84, _size81) = iprot.readListBegin()
+                    for _i85 in range(_size81):
+                        _elem86 = AliveUpstream()
+                        _elem86.read(iprot)
+                        self.alive.append(_elem86)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashNotice')
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter87 in self.crashes:
+                iter87.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.sound is not None:
+            oprot.writeFieldBegin('sound', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.sound))
+            for iter88 in self.sound:
+                iter88.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.condemned is not None:
+            oprot.writeFieldBegin('condemned', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.condemned))
+            for iter89 in self.condemned:
+                iter89.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.alive is not None:
+            oprot.writeFieldBegin('alive', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.alive))
+            for iter90 in self.alive:
+                iter90.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.crashes is None:
+            raise TProtocolException(message='Required field crashes is unset!')
+        if self.sound is None:
+            raise TProtocolException(message='Required field sound is unset!')
+        if self.condemned is None:
+            raise TProtocolException(message='Required field condemned is unset!')
+        if self.alive is None:
+            raise TProtocolException(message='Required field alive is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Identity)
 Identity.thrift_spec = (
     None,  # 0
@@ -2786,5 +3447,47 @@
     (1, TType.STRUCT, 'ask', [PermitAsk, None], None, ),  # 1
     (2, TType.STRUCT, 'answer', [PermitAnswer, None], None, ),  # 2
 )
+all_structs.append(CutPrompt)
+CutPrompt.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'parts', (TType.STRING, 'UTF8', False), None, ),  # 2
+)
+all_structs.append(UpstreamCrash)
+UpstreamCrash.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born_ms', None, None, ),  # 2
+    (3, TType.I64, 'age_ms', None, None, ),  # 3
+    (4, TType.LIST, 'cut', (TType.STRUCT, [CutPrompt, None], False), None, ),  # 4
+)
+all_structs.append(SoundPart)
+SoundPart.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'part', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'age_ms', None, None, ),  # 2
+)
+all_structs.append(CondemnedParts)
+CondemnedParts.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'parts', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (2, TType.I64, 'first_age_ms', None, None, ),  # 2
+    (3, TType.I64, 'last_age_ms', None, None, ),  # 3
+)
+all_structs.append(AliveUpstream)
+AliveUpstream.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born_ms', None, None, ),  # 2
+    (3, TType.I64, 'age_ms', None, None, ),  # 3
+)
+all_structs.append(CrashNotice)
+CrashNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'crashes', (TType.STRUCT, [UpstreamCrash, None], False), None, ),  # 1
+    (2, TType.LIST, 'sound', (TType.STRUCT, [SoundPart, None], False), None, ),  # 2
+    (3, TType.LIST, 'condemned', (TType.STRUCT, [CondemnedParts, None], False), None, ),  # 3
+    (4, TType.LIST, 'alive', (TType.STRUCT, [AliveUpstream, None], False), None, ),  # 4
+)
 fix_spec(all_structs)
 del all_structs
--- a/src/lentilwell/cli/_timeline.py
+++ b/src/lentilwell/cli/_timeline.py
@@ -111,6 +111,8 @@
     lines.ConfigurationKept,
     lines.DependencyLost,
     lines.DependencyRecovered,
+    lines.PartsCleared,
+    lines.PartsCondemned,
     lines.PeerSilent,
     lines.Started,
     lines.StopBegun,
@@ -205,6 +207,21 @@
     return f"{line.upstream} ended the connection after {line.events} events{parts}"
 
 
+@describer(lines.RequestRefused)
+def describe_refused_parts(line: lines.RequestRefused) -> str:
+    """Describe a request that is not sent because of its prompt."""
+    return (
+        f"not sent: prompts with {line.parts} crash upstreams; refused for {line.retry_after_ms} ms"
+    )
+
+
+@describer(lines.PartsCondemned)
+def describe_condemned(line: lines.PartsCondemned) -> str:
+    """Describe which parts are not sent any more, and by whose evidence."""
+    told = "by evidence of its own" if line.source == "own" else f"as {line.source} told"
+    return f"prompts with {line.parts} crash upstreams and are not sent any more, {told}"
+
+
 NEXT_STEPS = {
     "place": "another upstream is looked for",
     "wait": "the silent upstream is waited for",
--- a/src/lentilwell/gateway/_attempt.py
+++ b/src/lentilwell/gateway/_attempt.py
@@ -13,6 +13,7 @@
 from lentilwell.gateway._catalog import Repeat
 from lentilwell.gateway._connection import HttpConnection
 from lentilwell.gateway._connection_pool import ConnectionPool
+from lentilwell.gateway._crash_watch import CrashWatch
 from lentilwell.gateway._delivery import Delivery, UpstreamFailure
 from lentilwell.gateway._event_stream import BrokenStream, EventSplitter, StreamEvent
 from lentilwell.gateway._failures import ConnectionBroken, HttpConnectionError, Unreachable
@@ -32,6 +33,7 @@
     Event,
     ExchangeBroken,
     NoUpstream,
+    PromptRefused,
     ReportedNotRun,
     RequestState,
     SendStarted,
@@ -43,6 +45,7 @@
 # be reused; if that takes longer than this, the connection is closed instead.
 REFUSAL_BODY_TIMEOUT_MS = 100
 BUDGET_SPENT = "retry budget spent"
+REFUSED_PARTS = "parts of the prompt crash upstreams"
 
 
 @dataclass(frozen=True)
@@ -56,6 +59,7 @@
     leases: LeaseManager
     dialect: Dialect
     metrics: Metrics
+    crash_watch: CrashWatch
 
 
 @dataclass(frozen=True)
@@ -105,6 +109,7 @@
         self._connections = context.connections
         self._leases = context.leases
         self._dialect = context.dialect
+        self._crash_watch = context.crash_watch
         self._clock = context.fleet.clock
         self._owner = owner
         self._routed = owner.routed
@@ -125,6 +130,8 @@
 
     async def run(self, is_retry: bool) -> AttemptEnd:
         """Choose an upstream, send the request there and relay its answer to the caller."""
+        if self._is_refused():
+            return AttemptEnd(PromptRefused(), REFUSED_PARTS)
         budget = self._fleet.find_budget(self._routed.service)
         instances = self._fleet.count_instances
         if is_retry and not budget.allows_retry(self._clock.now(), instances()):
@@ -191,6 +198,9 @@
         except Unreachable as error:
             self._record_unreachable(upstream, str(error))
             return AttemptEnd(ConnectionFailed(), str(error))
+        if self._is_refused():
+            self._connections.release(upstream.address, connection)
+            return AttemptEnd(PromptRefused(), REFUSED_PARTS)
         if not self._may_send(placement):
             self._connections.release(upstream.address, connection)
             return AttemptEnd(ConnectionFailed(), "the upstream stopped accepting new work")
@@ -205,12 +215,21 @@
             self._exclude(upstream)
             self._accounting.record_failure(self.choice, str(error))
             if connection.ended_by_peer:
-                self._owner.recorder.record_cut(upstream, connection.events_received)
+                self._record_cut(upstream, connection.events_received)
             return AttemptEnd(ExchangeBroken(), str(error))
         finally:
             if not connection.idle:
                 connection.close()
 
+    def _is_refused(self) -> bool:
+        """Tell whether the request must not be sent, because its prompt crashes upstreams."""
+        refusal = self._crash_watch.find_refusal(self._routed.facts)
+        if refusal is None:
+            return False
+        self._owner.delivery.retry_after_ms = refusal.retry_after_ms
+        self._owner.recorder.record_refused_parts(refusal)
+        return True
+
     def _may_send(self, placement: Placement) -> bool:
         """Tell whether the upstreams of a placement still accept the request."""
         choice = placement.choice
@@ -247,6 +266,7 @@
         upstream = self.choice.upstream
         head = self._dialect.read_head(await connection.read_head())
         self._answer_observer.handle_head(upstream, head)
+        self._crash_watch.record_alive(upstream)
         connection.idle_limit_ms = head.idle_ms
         connection.reusable = connection.reusable and not head.closing
         if head.request_id and head.request_id != self._routed.facts.request_id:
@@ -268,6 +288,7 @@
         body = await connection.read_body()
         connection.finish()
         self._accounting.record_success(self.choice)
+        self._crash_watch.record_sound(self._routed.facts)
         return self._forward_answer(head, body)
 
     def _forward_answer(self, head: AnswerHead, body: bytes) -> AttemptEnd:
@@ -337,6 +358,9 @@
         while (data := await connection.read_data()) is not None:
             for event in splitter.feed(data):
                 connection.events_received += 1
+                self._crash_watch.record_events(
+                    self.choice.upstream, self._routed.facts, connection.events_received
+                )
                 if self._owner.delivery.accept(event):
                     await self._relay_event(event, head)
                     connection.record_progress()
@@ -346,6 +370,7 @@
         self._start_stream(head)
         connection.finish()
         self._accounting.record_success(self.choice)
+        self._crash_watch.record_sound(self._routed.facts)
         self._owner.delivery.finish_stream()
         return self._complete()
 
@@ -362,6 +387,11 @@
             self._owner.advance(AnswerStarted())
             self._owner.delivery.start_stream(head)
 
+    def _record_cut(self, upstream: Upstream, events: int) -> None:
+        self._owner.recorder.record_cut(upstream, events)
+        if not self._fleet.availability.is_leaving(upstream.incarnation):
+            self._crash_watch.record_cut(upstream, self._routed.facts, events)
+
     def _exclude(self, upstream: Upstream) -> None:
         self._owner.excluded |= {upstream.name}
 
--- /dev/null
+++ b/src/lentilwell/gateway/_crash_messages.py
@@ -0,0 +1,149 @@
+"""Encodes what an instance knows of crashes as a Thrift datagram, and decodes it."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.TSerialization import deserialize, serialize
+
+from lentilwell._wire.ttypes import AliveUpstream as WireAlive
+from lentilwell._wire.ttypes import CondemnedParts as WireCondemned
+from lentilwell._wire.ttypes import CrashNotice as WireNotice
+from lentilwell._wire.ttypes import CutPrompt as WireCut
+from lentilwell._wire.ttypes import SoundPart as WireSound
+from lentilwell._wire.ttypes import UpstreamCrash as WireCrash
+from lentilwell.gateway._crash_evidence import (
+    FORGOTTEN_MS,
+    AliveUpstream,
+    CrashNotice,
+    SoundPart,
+)
+from lentilwell.gateway._crash_hypotheses import Crash, CutRequest, Explanation
+from lentilwell.gateway._upstreams import Incarnation
+
+# Neither a digest nor a message about permits begins with this byte.
+PREFIX = b"\x01"
+MAX_NOTICE_BYTES = 8_192
+# Bounds on what is told; the oldest crashes are left out first.
+MAX_TOLD_CRASH_BYTES = 5_120
+MAX_TOLD_SOUND_PARTS = 64
+MAX_TOLD_ALIVE = 16
+# Bounds on texts in messages, longer than any id that a caller may send.
+MAX_TEXT_LENGTH = 256
+# Bytes of the encoding of a crash, a cut request or a part, beside their texts.
+CRASH_BYTES = 20
+TEXT_BYTES = 3
+_FACTORY = TCompactProtocolAcceleratedFactory(
+    string_length_limit=MAX_TEXT_LENGTH, container_length_limit=MAX_NOTICE_BYTES
+)
+
+
+class UnreadableCrashNotice(ValueError):
+    """A datagram does not contain a valid notice of crashes."""
+
+
+def is_crash_notice(data: bytes) -> bool:
+    """Tell whether a datagram is a notice of crashes."""
+    return data.startswith(PREFIX)
+
+
+def encode_crash_notice(notice: CrashNotice, now: int) -> bytes:
+    """Return the bytes of a notice within ``MAX_NOTICE_BYTES``; times are encoded as ages."""
+    wire = WireNotice(
+        [_encode_crash(crash, now) for crash in _select_crashes(notice.crashes)],
+        [
+            WireSound(one.part, now - one.at)
+            for one in sorted(notice.sound, key=lambda one: -one.at)[:MAX_TOLD_SOUND_PARTS]
+        ],
+        [
+            WireCondemned(sorted(one.parts), now - one.first_at, now - one.last_at)
+            for one in notice.condemned
+        ],
+        [
+            WireAlive(one.upstream.name, one.upstream.born_ms, now - one.at)
+            for one in sorted(notice.alive, key=lambda one: -one.at)[:MAX_TOLD_ALIVE]
+        ],
+    )
+    data: bytes = serialize(wire, _FACTORY)
+    return PREFIX + data
+
+
+def decode_crash_notice(data: bytes, now: int) -> CrashNotice:
+    """Return the notice in a datagram; raise ``UnreadableCrashNotice`` for an invalid one."""
+    if len(data) > 2 * MAX_NOTICE_BYTES:
+        raise UnreadableCrashNotice(f"{len(data)} bytes are too many")
+    wire = WireNotice()
+    try:
+        deserialize(wire, data[len(PREFIX) :], _FACTORY)
+        wire.validate()
+        return CrashNotice(
+            tuple(_decode_crash(crash, now) for crash in wire.crashes),
+            tuple(_decode_sound(sound, now) for sound in wire.sound),
+            tuple(_decode_condemned(condemned, now) for condemned in wire.condemned),
+            tuple(_decode_alive(alive, now) for alive in wire.alive),
+        )
+    except Exception as error:  # the library raises many types of errors for malformed bytes
+        raise UnreadableCrashNotice(repr(error)) from error
+
+
+def _select_crashes(crashes: Sequence[Crash]) -> list[Crash]:
+    """Return as many of the first crashes as fit into a notice."""
+    selected, size = [], 0
+    for crash in crashes:
+        size += CRASH_BYTES + len(crash.upstream.name) + sum(map(_measure_cut, crash.cut))
+        if size > MAX_TOLD_CRASH_BYTES:
+            break
+        selected.append(crash)
+    return selected
+
+
+def _measure_cut(cut: CutRequest) -> int:
+    return sum(TEXT_BYTES + len(text) for text in (cut.request, *cut.parts))
+
+
+def _encode_crash(crash: Crash, now: int) -> WireCrash:
+    cut = sorted(crash.cut, key=lambda one: one.request)
+    return WireCrash(
+        crash.upstream.name,
+        crash.upstream.born_ms,
+        now - crash.at,
+        [WireCut(one.request, list(one.parts)) for one in cut],
+    )
+
+
+def _decode_crash(wire: WireCrash, now: int) -> Crash:
+    wire.validate()
+    cut = frozenset(_decode_cut(one) for one in wire.cut)
+    upstream = Incarnation(wire.upstream, wire.born_ms)
+    return Crash(upstream, now - _check_age(wire.age_ms), cut)
+
+
+def _decode_cut(wire: WireCut) -> CutRequest:
+    wire.validate()
+    return CutRequest(wire.request, tuple(wire.parts))
+
+
+def _decode_sound(wire: WireSound, now: int) -> SoundPart:
+    wire.validate()
+    return SoundPart(wire.part, now - _check_age(wire.age_ms))
+
+
+def _decode_condemned(wire: WireCondemned, now: int) -> Explanation:
+    wire.validate()
+    if not wire.parts:
+        raise ValueError("no parts are condemned")
+    first_at, last_at = now - _check_age(wire.first_age_ms), now - _check_age(wire.last_age_ms)
+    return Explanation(frozenset(wire.parts), first_at, last_at)
+
+
+def _decode_alive(wire: WireAlive, now: int) -> AliveUpstream:
+    wire.validate()
+    upstream = Incarnation(wire.upstream, wire.born_ms)
+    return AliveUpstream(upstream, now - _check_age(wire.age_ms))
+
+
+def _check_age(age_ms: int) -> int:
+    if not 0 <= age_ms <= FORGOTTEN_MS:
+        raise ValueError(f"age of {age_ms} ms out of range")
+    return age_ms
--- /dev/null
+++ b/src/lentilwell/gateway/_crash_watch.py
@@ -0,0 +1,171 @@
+"""Observes crashes of upstreams, exchanges them with other instances and checks requests.
+
+Every new fact goes to all known instances at once. Then it is repeated to a few of them, drawn anew
+each time, so that lost datagrams, cuts and restarted instances are made up for while the traffic
+does not grow with the number of instances.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import random
+from collections.abc import Callable, Sequence
+
+from lentilwell._clock import Clock
+from lentilwell._log_lines import (
+    CrashNoticeUnreadable,
+    PartsCleared,
+    PartsCondemned,
+    UpstreamNotCrashed,
+    write_line,
+)
+from lentilwell.gateway._crash_evidence import CrashEvidence, CrashNotice, Refusal
+from lentilwell.gateway._crash_hypotheses import CutRequest
+from lentilwell.gateway._crash_messages import (
+    UnreadableCrashNotice,
+    decode_crash_notice,
+    encode_crash_notice,
+)
+from lentilwell.gateway._messages import RequestFacts
+from lentilwell.gateway._upstreams import Upstream
+
+# An answer with this many events is beyond its beginning.
+SOUND_EVENTS = 2
+# Facts within this time are sent in one datagram.
+COALESCE_MS = 4
+REPEAT_MS = 500
+# Facts are repeated this often once no crash was seen for ``FRESH_MS``.
+STALE_REPEAT_MS = 5_000
+FRESH_MS = 10_000
+REPEAT_PEERS = 8
+# Longer ids are replaced by a hash, which bounds messages and memory.
+MAX_ID_LENGTH = 16
+OWN_EVIDENCE = "own"
+
+
+class CrashWatch:
+    """Records what one instance sees of crashes, and exchanges it with the others."""
+
+    def __init__(self, clock: Clock, evidence: CrashEvidence) -> None:
+        self._clock = clock
+        self._evidence = evidence
+        self._pending_send: asyncio.TimerHandle | None = None
+        self._sent_at = 0
+        self.find_rank: Callable[[], int] = lambda: 0
+        self.list_peers: Callable[[], Sequence[str]] = lambda: ()
+        self.send: Callable[[str, bytes], bool] = lambda peer, data: False
+
+    def find_refusal(self, facts: RequestFacts) -> Refusal | None:
+        """Return why a request must not be sent now, None if it may be."""
+        if not facts.shared_parts or not self._evidence.condemned:
+            return None
+        parts = _shorten(facts.shared_parts)
+        now, rank = self._clock.now(), self.find_rank()
+        return self._evidence.find_refusal(_hash(facts.request_id), parts, rank, now)
+
+    def record_cut(self, upstream: Upstream, facts: RequestFacts, events: int) -> None:
+        """Record that an upstream ended a connection after ``events`` of the answer.
+
+        An upstream that has announced its end did not crash.
+        """
+        if upstream.leaving or not facts.shared_parts:
+            return
+        cut = None
+        if events < SOUND_EVENTS:
+            cut = CutRequest(_hash(facts.request_id), _shorten(facts.shared_parts))
+        before = self._name_condemned()
+        if self._evidence.record_crash(upstream.incarnation, self._clock.now(), cut):
+            self._log_changes(before, OWN_EVIDENCE)
+            self._schedule_send()
+
+    def record_events(self, upstream: Upstream, facts: RequestFacts, events: int) -> None:
+        """Record that an answer has ``events`` events so far."""
+        self.record_alive(upstream)
+        if events == SOUND_EVENTS:
+            self.record_sound(facts)
+
+    def record_sound(self, facts: RequestFacts) -> None:
+        """Record an answer beyond its beginning, which shows that its parts are sound."""
+        before = self._name_condemned()
+        if self._evidence.record_sound(_shorten(facts.shared_parts), self._clock.now()):
+            self._log_changes(before, OWN_EVIDENCE)
+            self._schedule_send()
+
+    def record_alive(self, upstream: Upstream) -> None:
+        """Record that an upstream sent something, which refutes an earlier crash of it."""
+        before = self._name_condemned()
+        if self._evidence.record_alive(upstream.incarnation, self._clock.now()):
+            write_line(UpstreamNotCrashed(upstream.name, upstream.born_ms))
+            self._log_changes(before, OWN_EVIDENCE)
+            self._schedule_send()
+
+    def handle_datagram(self, data: bytes, address: tuple[str, int]) -> None:
+        """Merge the notice of another instance."""
+        now, before = self._clock.now(), self._name_condemned()
+        try:
+            notice = decode_crash_notice(data, now)
+        except UnreadableCrashNotice as error:
+            write_line(CrashNoticeUnreadable(address[0], str(error)))
+            return
+        self._evidence.merge(notice, now)
+        self._log_changes(before, address[0])
+
+    def greet(self, peer: str) -> None:
+        """Tell an instance that was just heard of for the first time what is known."""
+        notice = self._evidence.collect(self._clock.now())
+        if notice != CrashNotice():
+            self.send(peer, encode_crash_notice(notice, self._clock.now()))
+
+    def run_maintenance(self) -> None:
+        """Forget old evidence and repeat the rest to a few instances."""
+        now = self._clock.now()
+        self._evidence.forget(now)
+        latest = self._evidence.latest_crash_at
+        fresh = latest is not None and now - latest < FRESH_MS
+        if now - self._sent_at >= (REPEAT_MS if fresh else STALE_REPEAT_MS):
+            peers = list(self.list_peers())
+            self._send(random.sample(peers, min(REPEAT_PEERS, len(peers))))
+
+    def close(self) -> None:
+        """Send nothing any more."""
+        if self._pending_send is not None:
+            self._pending_send.cancel()
+        self.send = lambda peer, data: False
+
+    def _schedule_send(self) -> None:
+        if self._pending_send is None:
+            loop = asyncio.get_running_loop()
+            self._pending_send = loop.call_later(COALESCE_MS / 1_000, self._send_to_all)
+
+    def _send_to_all(self) -> None:
+        self._pending_send = None
+        self._send(self.list_peers())
+
+    def _send(self, peers: Sequence[str]) -> None:
+        now = self._clock.now()
+        notice = self._evidence.collect(now)
+        self._sent_at = now
+        if notice == CrashNotice():
+            return
+        data = encode_crash_notice(notice, now)
+        for peer in peers:
+            self.send(peer, data)
+
+    def _name_condemned(self) -> set[str]:
+        return {" ".join(sorted(one.parts)) for one in self._evidence.condemned}
+
+    def _log_changes(self, before: set[str], source: str) -> None:
+        after = self._name_condemned()
+        for parts in sorted(after - before):
+            write_line(PartsCondemned(parts, source))
+        for parts in sorted(before - after):
+            write_line(PartsCleared(parts, source))
+
+
+def _shorten(parts: tuple[str, ...]) -> tuple[str, ...]:
+    return tuple(part if len(part) <= MAX_ID_LENGTH else _hash(part) for part in parts)
+
+
+def _hash(text: str) -> str:
+    return hashlib.blake2b(text.encode(), digest_size=MAX_ID_LENGTH // 2).hexdigest()
--- a/src/lentilwell/gateway/_fleet.py
+++ b/src/lentilwell/gateway/_fleet.py
@@ -13,6 +13,7 @@
 from lentilwell.gateway._budget import BudgetRules, RetryBudget
 from lentilwell.gateway._catalog import Catalog, EngineSpec, Route
 from lentilwell.gateway._configuration_choice import ConfigurationChoice
+from lentilwell.gateway._crash_evidence import CrashEvidence
 from lentilwell.gateway._ejection import Ejection
 from lentilwell.gateway._latency_factors import LatencyFactors
 from lentilwell.gateway._load_tracker import LoadTracker
@@ -52,6 +53,7 @@
     ejection: Ejection = field(default_factory=Ejection)
     refusals: Refusals = field(default_factory=Refusals)
     rate_limits: RateLimits = field(default_factory=RateLimits)
+    crash_evidence: CrashEvidence = field(default_factory=CrashEvidence)
     backoff_queue: BackoffQueue = field(default_factory=BackoffQueue)
     latency_factors: LatencyFactors = field(default_factory=LatencyFactors)
     listing_point: StorePoint = field(default_factory=StorePoint)
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -33,6 +33,7 @@
 from lentilwell.gateway._catalog import Limits
 from lentilwell.gateway._connection import split_address
 from lentilwell.gateway._connection_pool import ConnectionPool
+from lentilwell.gateway._crash_watch import CrashWatch
 from lentilwell.gateway._exchange import Exchange
 from lentilwell.gateway._fleet import Fleet
 from lentilwell.gateway._follower import Follower, Listener, TableReport, TableStatus
@@ -146,6 +147,8 @@
         self.peers.collect_reports = answer_observer.collect_reports
         self.peers.on_reports = answer_observer.update_reports
         self._connect_permits(answer_observer)
+        self.crash_watch = CrashWatch(self.clock, self.fleet.crash_evidence)
+        self._connect_crash_watch()
         self.leases = LeaseManager(self.connections, dialect, incarnation, settings.max_lease_ms)
         self.leases.on_send = self.permits.record_unpermitted
         self.leases.on_answer = answer_observer.handle_head
@@ -161,6 +164,7 @@
             self.leases,
             dialect,
             self.metrics,
+            self.crash_watch,
         )
         self._readiness_handlers: dict[str, StatusHandler] = {ANY_PATH: self._answer_readiness}
         self._operator_handlers: dict[str, StatusHandler] = {
@@ -328,6 +332,14 @@
         self.fleet.find_permit_wait_ms = self.permits.estimate_wait_ms
         self.fleet.on_limit_change = self.permits.tell_owners
 
+    def _connect_crash_watch(self) -> None:
+        """Let the crash watch use the datagrams of the peers."""
+        self.crash_watch.send = self.peers.send_to
+        self.crash_watch.list_peers = self.peers.list_known
+        self.crash_watch.find_rank = lambda: self.peers.rank.rank
+        self.peers.on_crash_notice = self.crash_watch.handle_datagram
+        self.peers.on_new_peer = self.crash_watch.greet
+
     def _make_follower(
         self, name: str, feed: Feed[ValueT], listener: Listener[ValueT]
     ) -> Follower[ValueT]:
@@ -413,6 +425,7 @@
     def _run_maintenance(self) -> None:
         self.reload()
         self.peers.run_maintenance()
+        self.crash_watch.run_maintenance()
         self._catalog_listener.apply_pending()
         self.fleet.remove_unlisted()
         self.permits.keep_only(self.fleet.is_listed)
@@ -460,6 +473,7 @@
             caller.abort()
         await self.leases.wait_for_releases()
         self.connections.close()
+        self.crash_watch.close()
         self.peers.close()
         write_line(Stopped())
 
--- a/src/lentilwell/gateway/_metrics.py
+++ b/src/lentilwell/gateway/_metrics.py
@@ -75,6 +75,12 @@
             ("service", "events"),
             registry=self.registry,
         )
+        self._refused = Counter(
+            "lentilwell_gateway_refused_prompts",
+            "Requests not sent because parts of their prompts crash upstreams, by service.",
+            ("service",),
+            registry=self.registry,
+        )
         self._permits = Counter(
             "lentilwell_gateway_permits",
             "Asks for permits of upstreams that name a rate limit, by the answer.",
@@ -139,6 +145,10 @@
         """Count a request that its upstream cut after ``events`` events of the answer."""
         self._cuts.labels(service, str(events) if events < 2 else "more").inc()
 
+    def count_refused(self, service: str) -> None:
+        """Count a request that was not sent because of a part of its prompt."""
+        self._refused.labels(service).inc()
+
     def count_permit(self, verdict: str) -> None:
         """Count an ask for a permit: ``granted``, ``denied`` or ``no_owner``."""
         self._permits.labels(verdict).inc()
@@ -192,6 +202,16 @@
             ("upstreams_doubted", "Upstreams that a restored list holds again.", quarantined),
             ("upstreams_closed", "Upstreams that want no work for a while.", backing_off),
             ("upstreams_limited", "Upstreams that name a rate limit.", limited),
+            (
+                "prompt_parts_suspected",
+                "Parts of prompts that may crash upstreams.",
+                len(fleet.crash_evidence.suspected),
+            ),
+            (
+                "prompt_parts_condemned",
+                "Parts of prompts that are not sent to upstreams.",
+                len(fleet.crash_evidence.condemned),
+            ),
             ("jobs", "Requests in hand at upstreams.", len(fleet.load_tracker.list_own_jobs())),
             ("instances", "Instances that may be there.", fleet.count_instances()),
             ("callers", "Open connections of callers.", self._count_callers()),
@@ -261,6 +281,8 @@
             "tables": tables,
             "instances": fleet.count_instances(),
             "upstreams": upstreams,
+            "condemned_parts": fleet.crash_evidence.condemned,
+            "suspected_parts": sorted(fleet.crash_evidence.suspected),
         }
     )
 
--- a/src/lentilwell/gateway/_peers.py
+++ b/src/lentilwell/gateway/_peers.py
@@ -26,6 +26,7 @@
     write_line,
 )
 from lentilwell.gateway._connection import split_address
+from lentilwell.gateway._crash_messages import is_crash_notice
 from lentilwell.gateway._failures import StoreError
 from lentilwell.gateway._load_tracker import LoadTracker
 from lentilwell.gateway._permit_messages import is_permit_message
@@ -135,6 +136,8 @@
         self.collect_reports: Callable[[], UpstreamReports] = lambda: NO_UPSTREAM_REPORTS
         self.on_reports: Callable[[str, UpstreamReports], None] = lambda peer, reports: None
         self.on_permit_message: Callable[[bytes, tuple[str, int]], None] = lambda data, addr: None
+        self.on_crash_notice: Callable[[bytes, tuple[str, int]], None] = lambda data, addr: None
+        self.on_new_peer: Callable[[str], None] = lambda peer: None
 
     @property
     def instances(self) -> int:
@@ -163,10 +166,13 @@
         self._transport = cast(asyncio.DatagramTransport, transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Handle a message about permits, or a digest unless a newer one was received before."""
+        """Handle a message, or a digest unless a newer one was received before."""
         if is_permit_message(data):
             self.on_permit_message(data, addr)
             return
+        if is_crash_notice(data):
+            self.on_crash_notice(data, addr)
+            return
         now = self._clock.now()
         try:
             digest = decode_digest(data, now)
@@ -194,10 +200,15 @@
         self.on_store_report(digest.store_report)
         if is_new:
             self.schedule_send()
+            self.on_new_peer(digest.instance)
 
     def error_received(self, exc: Exception) -> None:
         """Do nothing: the next datagram makes up for one that could not be delivered."""
 
+    def list_known(self) -> list[str]:
+        """Return the other instances whose address is known, whatever their shard."""
+        return [name for name, address in self._addresses.items() if address != self._own.address]
+
     def send_to(self, instance: str, data: bytes) -> bool:
         """Send a datagram to one instance; return False if its address is not known."""
         address = self._addresses.get(instance)
--- a/src/lentilwell/gateway/_request_recorder.py
+++ b/src/lentilwell/gateway/_request_recorder.py
@@ -10,10 +10,12 @@
     RequestDeferred,
     RequestEnded,
     RequestPlaced,
+    RequestRefused,
     RequestWaiting,
     UpstreamRefused,
     write_line,
 )
+from lentilwell.gateway._crash_evidence import Refusal
 from lentilwell.gateway._fleet import Fleet
 from lentilwell.gateway._metrics import Metrics
 from lentilwell.gateway._placement_policies import Choice
@@ -122,6 +124,13 @@
             )
         )
 
+    def record_refused_parts(self, refusal: Refusal) -> None:
+        """Log and count that the request is not sent because of parts of its prompt."""
+        self._metrics.count_refused(self._routed.service)
+        parts = " ".join(sorted(refusal.parts))
+        request = self._routed.facts.request_id
+        write_line(RequestRefused(request, parts, refusal.retry_after_ms))
+
     def record_attempt(self, upstream: str, reason: str, sends: int, following: str) -> None:
         """Log how an attempt ended; ``following`` is the next step or the outcome."""
         request = self._routed.facts.request_id
--- a/src/lentilwell/gateway/_request_state.py
+++ b/src/lentilwell/gateway/_request_state.py
@@ -116,6 +116,11 @@
     """No upstream can take the request now, or no retry is allowed."""
 
 
+@dataclass(frozen=True)
+class PromptRefused:
+    """The request must not be sent to any upstream from now on."""
+
+
 @dataclass(frozen=True)
 class DeadlinePassed:
     """The caller's deadline or the route's timeout has passed."""
@@ -141,6 +146,7 @@
     | AnswerStarted
     | AnswerCompleted
     | NoUpstream
+    | PromptRefused
     | DeadlinePassed
     | CallerDisconnected
     | RequestFailed
@@ -190,7 +196,7 @@
             return _give_up(state, Outcome.TIMED_OUT)
         case RequestFailed():
             return _give_up(state, Outcome.UNKNOWN)
-        case NoUpstream():
+        case NoUpstream() | PromptRefused():
             return _wait_or_give_up(replace(state, phase=Phase.SENT))
         case ConnectionFailed():
             return replace(state, phase=Phase.PLACING), ChooseUpstream(is_retry=state.sends > 0)
--- a/src/lentilwell/peers.thrift
+++ b/src/lentilwell/peers.thrift
@@ -199,3 +199,45 @@
   1: PermitAsk ask
   2: PermitAnswer answer
 }
+
+/** A request that a crash cut at the beginning of its answer, and the shared parts of its prompt. */
+struct CutPrompt {
+  1: required string request
+  2: required list<string> parts
+}
+
+/** The end of one start of an upstream, ``age_ms`` before the sending. */
+struct UpstreamCrash {
+  1: required string upstream
+  2: required i64 born_ms
+  3: required i64 age_ms
+  4: required list<CutPrompt> cut
+}
+
+/** A part on which the sender saw an answer beyond its beginning. */
+struct SoundPart {
+  1: required string part
+  2: required i64 age_ms
+}
+
+/** Parts that are not sent together, by the ages of the first and the last crash that they explain. */
+struct CondemnedParts {
+  1: required list<string> parts
+  2: required i64 first_age_ms
+  3: required i64 last_age_ms
+}
+
+/** A start of an upstream that answered the sender after others took it to have ended. */
+struct AliveUpstream {
+  1: required string upstream
+  2: required i64 born_ms
+  3: required i64 age_ms
+}
+
+/** What the sender knows of crashes of upstreams. */
+struct CrashNotice {
+  1: required list<UpstreamCrash> crashes
+  2: required list<SoundPart> sound
+  3: required list<CondemnedParts> condemned
+  4: required list<AliveUpstream> alive
+}
--- a/tests/crashing_engines.py
+++ b/tests/crashing_engines.py
@@ -62,6 +62,8 @@
             task.cancel()
         for engine in self.engines.values():
             engine.close()
+            for writer in list(engine.connections):
+                writer.close()
 
     def crash(self, name: str) -> None:
         """End an engine for a reason of its own."""
