--- a/tests/crashing_engines.py
+++ b/tests/crashing_engines.py
@@ -8,12 +8,12 @@
 
 import asyncio
 import itertools
-from collections.abc import Iterator
+from collections.abc import AsyncIterator, Iterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field, replace
 
 from lentilwell._clock import SystemClock
-from lentilwell.gateway import Entry, Gateway, ServiceSpec, Upstream
+from lentilwell.gateway import Entry, Gateway, Member, ServiceSpec, Upstream
 from standins.answer_reader import read_answer
 from standins.batch import ENGINE
 from standins.batch_server import BatchServer, list_parts
@@ -131,9 +131,21 @@
 
     gateways: dict[str, Gateway]
     fleet: EngineFleet
+    members: dict[str, Member]
     calls: list[Call] = field(default_factory=list)
     numbers: Iterator[int] = field(default_factory=itertools.count)
 
+    @asynccontextmanager
+    async def run_late_instance(self, name: str) -> AsyncIterator[None]:
+        """Run a further gateway, which was listed from the start."""
+        member = run_member(name, self.members, self.fleet.listing, ENGINES_CATALOG, "least_cost")
+        async with member as gateway:
+            self.gateways[name] = gateway
+            while not gateway.ready:
+                await asyncio.sleep(0.01)
+            yield
+            del self.gateways[name]
+
     async def call(self, instance: str, *parts: str) -> Call:
         """Send a request with these shared parts and one of its own, and record the result."""
         at, number = CLOCK.now(), next(self.numbers)
@@ -174,18 +186,21 @@
 
 
 @asynccontextmanager
-async def run_group(instances: int, engines: int = 14):
-    """Run gateways that know each other, before engines that end under one part."""
-    fleet, members = EngineFleet(engines), make_members(instances)
+async def run_group(instances: int, engines: int = 14, late: int = 0):
+    """Run gateways that know each other, before engines that end under one part.
+
+    ``late`` further instances are listed and do not run.
+    """
+    fleet, members = EngineFleet(engines), make_members(instances + late)
     await fleet.start()
     async with AsyncExitStack() as stack:
         gateways = {
             name: await stack.enter_async_context(
                 run_member(name, members, fleet.listing, ENGINES_CATALOG, "least_cost")
             )
-            for name in members
+            for name in list(members)[:instances]
         }
-        while not all(is_settled(gateway, instances) for gateway in gateways.values()):
+        while not all(is_settled(gateway, len(members)) for gateway in gateways.values()):
             await asyncio.sleep(0.01)
-        yield EngineGroup(gateways, fleet)
+        yield EngineGroup(gateways, fleet, members)
     fleet.close()
--- /dev/null
+++ b/tests/test_simulated_crashes.py
@@ -0,0 +1,47 @@
+"""Which parts of prompts are condemned over many simulated crashes, by figures."""
+
+import random
+
+import pytest
+
+from standins.simulated_crashes import HARMFUL, CrashSimulation, Load
+
+SEEDS = 10
+
+
+def play(load, seconds):
+    runs = [CrashSimulation(load, random.Random(seed)) for seed in range(SEEDS)]
+    for run in runs:
+        run.run(seconds)
+    return runs
+
+
+@pytest.mark.parametrize(
+    "load",
+    [
+        Load(engine_crashes=1.0),
+        Load(rack_crashes=0.2),
+        Load(engine_crashes=1.0, documents=2_000),
+        Load(requests=100.0, engine_crashes=0.5, rack_crashes=0.1),
+    ],
+)
+def test_crashes_without_a_harmful_part_condemn_nothing(load):
+    runs = play(load, 30.0)
+    assert sum(run.crashes for run in runs) > 100
+    assert not any(run.condemned for run in runs)
+
+
+@pytest.mark.parametrize("harmful_per_s", [0.3, 1.0, 4.0])
+def test_harmful_part_is_condemned_after_few_crashes_and_others_are_served(harmful_per_s):
+    runs = play(Load(harmful=harmful_per_s), 40.0)
+    before = sorted(run.crashes_before for run in runs)
+    assert before[SEEDS // 2] <= 5 and before[-1] <= 10
+    assert all(HARMFUL in run.condemned for run in runs)
+    assert sum(run.refused_sound for run in runs) <= 1
+
+
+def test_harmful_part_is_found_among_crashes_for_other_reasons():
+    runs = play(Load(harmful=1.0, engine_crashes=0.3, rack_crashes=0.05), 40.0)
+    assert all(HARMFUL in run.condemned for run in runs)
+    served = sum(run.numbers for run in runs)
+    assert sum(run.refused_sound for run in runs) <= served / 1_000
