Soak: a pause hits all upstreams of a service at once

The fault now lets three in ten answers of all plain upstreams, or of all engines, pause for twice the length of other faults. It is no longer a mode of FaultyServer but part of sound answers, so that it overlaps with the modes. tests/test_soak.py and tests/test_pausing_bench.py pass (28).

--- a/bench/pausing_upstreams.py
+++ b/bench/pausing_upstreams.py
@@ -138,7 +138,6 @@
     for number, service in enumerate(PLAIN_SERVICES):
         server = FaultyServer(f"d{number}", observations)
         server.draw_pause = PauseSource(draw.seed + number, PAUSING_SHARE).draw
-        server.mode = "pausing"
         await store.put("servers", server.name, build_server_entry(await server.start(), service))
         stack.callback(server.close)
     for number in range(draw.engines):
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import AbstractContextManager, asynccontextmanager
 from pathlib import Path
 from typing import Any
@@ -156,6 +156,11 @@
         """Return the faulty server or engine that a fault targets."""
         return self._upstreams[int(fault.point * len(self._upstreams))]
 
+    def pick_service(self, fault: Fault) -> Sequence[FaultyServer | BatchServer]:
+        """Return all upstreams of the service that a fault targets."""
+        services = (self.faulty_servers, self.engines)
+        return services[int(fault.point * len(services))]
+
     def pick_link(self, fault: Fault) -> str:
         """Return the name of the upstream whose link a fault targets."""
         names = sorted(self.links)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -19,7 +19,9 @@
 LEAVE_DELAY_MS = 1_500
 LINK_DELAY_MS = 120
 RESTORE_OUTAGE_MS = 300
-PAUSING_SHARE = 0.5
+# The share of answers that pause, and how much longer than other faults they do.
+PAUSING_SHARE = 0.3
+PAUSING_LENGTH_FACTOR = 2
 # The rates that a limited upstream names, in requests per second, and how much longer than other
 # faults a limit lasts: the check looks at windows of 4 s.
 LIMIT_RATES = (0.0, 1.0, 3.0, 15.0)
@@ -100,15 +102,13 @@
 
 @fault_action("pausing")
 async def let_answers_pause(deployment: Deployment, fault: Fault) -> None:
-    """Let a sound upstream fall silent in the middle of answers and go on."""
-    upstream = deployment.pick_upstream(fault)
-    upstream.draw_pause = PauseSource(fault.at_ms, PAUSING_SHARE).draw
-    if isinstance(upstream, FaultyServer):
-        upstream.mode = "pausing"
-    await _sleep_for(fault)
-    upstream.draw_pause = lambda: NO_PAUSE
-    if isinstance(upstream, FaultyServer):
-        upstream.mode = "sound"
+    """Let all upstreams of a service fall silent in the middle of answers and go on."""
+    upstreams = deployment.pick_service(fault)
+    for number, upstream in enumerate(upstreams):
+        upstream.draw_pause = PauseSource(fault.at_ms + number, PAUSING_SHARE).draw
+    await asyncio.sleep(fault.for_ms * PAUSING_LENGTH_FACTOR / 1_000)
+    for upstream in upstreams:
+        upstream.draw_pause = lambda: NO_PAUSE
 
 
 @fault_action("limit")
--- a/soak/faulty_server.py
+++ b/soak/faulty_server.py
@@ -35,7 +35,7 @@
 
     ``incarnation`` counts its starts. While ``leaving`` is set, every answer announces it, and
     while ``rate_limit`` is set, every answer names it. ``draw_pause`` returns the pause of
-    each answer in the mode "pausing".
+    each answer in the mode "sound".
     """
 
     def __init__(self, name: str, observations: Observations) -> None:
@@ -142,17 +142,6 @@
 @mode("sound")
 async def answer_request(
     server: FaultyServer, headers: dict[str, str], writer: asyncio.StreamWriter
-) -> None:
-    """Run the request and answer it correctly."""
-    server.record_arrival(headers, ran=True)
-    await asyncio.sleep(SERVICE_TIME_S)
-    server.record_announcement(headers)
-    writer.write(server.format_answer(headers, 200, build_answer_body(headers["request-id"])))
-
-
-@mode("pausing")
-async def answer_with_pause(
-    server: FaultyServer, headers: dict[str, str], writer: asyncio.StreamWriter
 ) -> None:
     """Run the request and answer it correctly, with a pause within the answer if one is drawn."""
     pause = server.draw_pause()
