--- a/src/lentilwell/gateway/__init__.py
+++ b/src/lentilwell/gateway/__init__.py
@@ -1,6 +1,7 @@
 """Forwards HTTP requests to upstreams that are listed in a store, and balances load over them."""
 
 from lentilwell.gateway import _baselines, _least_cost
+from lentilwell.gateway._addresses import is_ip_and_port
 from lentilwell.gateway._budget import BudgetRules
 from lentilwell.gateway._catalog import (
     Catalog,
@@ -82,6 +83,7 @@
     "drop_headers",
     "find_header",
     "find_headers",
+    "is_ip_and_port",
     "open_http_connection",
 ]
 
--- a/src/lentilwell/gateway/_connection.py
+++ b/src/lentilwell/gateway/_connection.py
@@ -10,6 +10,7 @@
 
 from lentilwell._clock import Clock
 from lentilwell._timeouts import allow_ms
+from lentilwell.gateway._addresses import split_address
 from lentilwell.gateway._failures import ConnectionBroken, SilenceTimeout, Unreachable
 from lentilwell.gateway._messages import Headers
 
@@ -280,12 +281,6 @@
 )
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split ``host:port`` into host and port."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 async def open_http_connection(address: str, clock: Clock) -> HttpConnection:
     """Connect to ``host:port``; raise ``Unreachable`` if that fails."""
     host, port = split_address(address)
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -26,11 +26,11 @@
     TaskFailed,
     write_line,
 )
+from lentilwell.gateway._addresses import split_address
 from lentilwell.gateway._answer_observer import AnswerObserver
 from lentilwell.gateway._answers import answer_failure
 from lentilwell.gateway._caller_connection import CallerConnection
 from lentilwell.gateway._catalog import Limits
-from lentilwell.gateway._connection import split_address
 from lentilwell.gateway._connection_pool import ConnectionPool
 from lentilwell.gateway._exchange import Exchange, ExchangeContext
 from lentilwell.gateway._fleet import Fleet
--- a/src/lentilwell/gateway/_peers.py
+++ b/src/lentilwell/gateway/_peers.py
@@ -25,7 +25,7 @@
     PeerSilent,
     write_line,
 )
-from lentilwell.gateway._connection import split_address
+from lentilwell.gateway._addresses import split_address
 from lentilwell.gateway._failures import StoreError
 from lentilwell.gateway._load_tracker import LoadTracker
 from lentilwell.gateway._permit_messages import is_permit_message
