A row of an instance must name an address that datagrams can be sent to

Callers saw: one row of another writer in the table of instances, with "nowhere", "127.0.0.1:65536" or a null character as its address, ended every process within a second of reading it; connections were refused. Cause: the address was used unchecked. Without a port, split_address raised ValueError in Gateway.run; out of range, sendto() raised OverflowError (a null character: TypeError), upon which asyncio closes the socket for datagrams, and the next sendto() raised AttributeError in Gateway.run.

--- a/tests/test_platform_odd_entries.py
+++ b/tests/test_platform_odd_entries.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from standins.gateway_process import TIMEOUT_S, build_configuration, build_server_entry
+from lentilwell.gateway._peers import PEER_TIMEOUT_MS
+from standins.gateway_process import (
+    TIMEOUT_S,
+    Instance,
+    build_configuration,
+    build_server_entry,
+)
 from tests.gateway_scripts import in_loop
 from tests.test_platform_process import run_cluster
 
@@ -24,6 +30,13 @@
     "a deeply nested configuration": ("op", b'{"more": %s}' % DEEP_LIST),
 }
 
+ODD_INSTANCES = {
+    "no port": {"address": "nowhere", "data_centre": "z1"},
+    "a port out of range": {"address": "127.0.0.1:65536", "data_centre": "z1"},
+    "a host with a null character": {"address": "127.0.0.1\0:80", "data_centre": "z1"},
+    "no fields": {},
+}
+
 
 def find_key(table):
     """Return the key of the odd row in a table."""
@@ -63,6 +76,16 @@
                 await asyncio.sleep(0.05)
 
 
+async def start_instances(cluster, count):
+    """Start instances, and wait until they are ready."""
+    for number in range(count):
+        instance = Instance(cluster.folder, f"n{number}", cluster.address)
+        cluster.instances.append(instance)
+        await instance.start()
+    for instance in cluster.instances:
+        await instance.wait_ready()
+
+
 async def read_logs(cluster):
     """Stop all instances and return the lines of their logs."""
     for instance in cluster.instances:
@@ -105,3 +128,17 @@
         await check_serving(cluster, "started")
         await check_following(cluster, 7)
         check_logs(await read_logs(cluster))
+
+
+@pytest.mark.parametrize("name", ODD_INSTANCES)
+@in_loop
+async def test_odd_row_of_an_instance_neither_ends_nor_isolates_the_others(tmp_path, name):
+    async with run_cluster(tmp_path, engines=1, services=1, instances=0) as cluster:
+        await cluster.store.put("lentilwell_instances", "odd", ODD_INSTANCES[name])
+        await start_instances(cluster, 2)
+        await asyncio.sleep(1.5 * PEER_TIMEOUT_MS / 1_000)
+        await check_serving(cluster, "beside")
+        log = await read_logs(cluster)
+        check_logs(log)
+        events = [line["event"] for line in log]
+        assert events.count("peer heard") == 2 and "peer silent" not in events
--- a/tests/test_platform_odd_rows.py
+++ b/tests/test_platform_odd_rows.py
@@ -39,3 +39,10 @@
             decode(value)
         with pytest.raises(UnreadableRow):
             decode(b'{"ignored": ' + value + b"}")
+
+
+@pytest.mark.parametrize("address", NOT_ADDRESSES)
+def test_row_of_an_instance_with_an_odd_address_is_unreadable(address):
+    """Such an address ended the process, or closed its socket for datagrams, when it was used."""
+    with pytest.raises(UnreadableRow):
+        decode_member("i-1", json.dumps({"address": address, "data_centre": "z"}).encode())
