A digest must name an address that datagrams can be sent to

Evidence before the change, of test_gateway_odd_datagrams: 30 cases "DID NOT RAISE UnreadableDigest"; three cases of ..._neither_closes_the_socket_nor_fails_a_send with "ValueError: invalid literal for int()", "OverflowError: sendto(): port must be 0-65535" and "TypeError: host name must not contain null character".

Change: decode_digest checks the address; such a digest is unreadable, is logged and changes nothing.

After: tests/test_gateway_odd_datagrams.py, test_gateway_peers.py, test_gateway_permits.py and test_gateway_limited_upstreams.py pass.

--- a/src/lentilwell/gateway/_work_digest.py
+++ b/src/lentilwell/gateway/_work_digest.py
@@ -12,6 +12,7 @@
 from lentilwell._wire.ttypes import UpstreamLimit as WireLimit
 from lentilwell._wire.ttypes import WorkDigest as WireDigest
 from lentilwell._wire.ttypes import WorkItem as WireItem
+from lentilwell.gateway._addresses import is_ip_and_port
 from lentilwell.gateway._load_tracker import Job
 from lentilwell.gateway._rate_limits import MAX_AGE_MS, MAX_RATE, LimitReport
 from lentilwell.gateway._refusals import ReportedTally, Tally
@@ -95,6 +96,7 @@
     try:
         deserialize(wire, data, _FACTORY)
         wire.validate()
+        _check_address(wire.address)
         jobs = tuple(
             _decode_job(item, f"{wire.instance}/{index}", now)
             for index, item in enumerate(wire.items)
@@ -141,6 +143,11 @@
     return LimitReport(Incarnation(wire.upstream, wire.born_ms), wire.rate, now - wire.age_ms)
 
 
+def _check_address(address: str) -> None:
+    if not is_ip_and_port(address):
+        raise ValueError("the address is not of the form IP:PORT")
+
+
 def _decode_incarnation(wire: WireIncarnation) -> Incarnation:
     wire.validate()
     return Incarnation(wire.upstream, wire.born_ms)
