Jobs are told to peers within the range of their 32-bit fields

A caller that states Token-Count 9999999999,1 on a plain service made every digest of the instance fail while its request ran: peers heard of none of its jobs, and after 400 ms maintenance sent the digest itself and raised, in the loop of Gateway.run that nothing guards. Cause: memory_tokens, read_ms and the times of a job are 32-bit fields, and the encoder raises OverflowError beyond them.

Evidence before the change: test_request_with_a_huge_token_count_does_not_fail_the_digests failed in run_maintenance with "OverflowError: int out of range", as did the nine cases of test_job_with_values_out_of_range_is_told_with_the_nearest_ones (infinity and NaN: "cannot convert float ...").

Change: _encode_job limits these values to what the fields hold. A prompt of more than 2,000 million tokens is told as one of that many, which is as much beyond any engine.

After: tests/test_gateway_odd_datagrams.py and test_gateway_peers.py pass.

--- a/src/lentilwell/gateway/_work_digest.py
+++ b/src/lentilwell/gateway/_work_digest.py
@@ -24,6 +24,7 @@
 # Bound on decayed counts in a digest: no instance gets as many answers from one upstream within a
 # few half-lives.
 MAX_COUNT = 1e6
+MAX_I32 = 2**31 - 1
 # These limits keep a malformed datagram from allocating more memory than the largest digest.
 _FACTORY = TCompactProtocolAcceleratedFactory(
     string_length_limit=MAX_DIGEST_BYTES, container_length_limit=MAX_DIGEST_BYTES
@@ -167,18 +168,26 @@
 def _encode_job(job: Job, now: int) -> WireItem:
     return WireItem(
         upstream=job.upstream,
-        age_ms=now - job.begun_at,
-        read_ms=round(job.read_ms),
-        memory_tokens=job.memory_tokens,
+        age_ms=_limit_to_i32(now - job.begun_at),
+        read_ms=_limit_to_i32(job.read_ms),
+        memory_tokens=_limit_to_i32(job.memory_tokens),
         reading=job.reading,
         writes=job.writes,
-        due_in_ms=job.due_at - now,
-        pause_ms=job.pause_ms,
+        due_in_ms=_limit_to_i32(job.due_at - now),
+        pause_ms=_limit_to_i32(job.pause_ms),
         weight=job.weight,
         spread=job.spread,
     )
 
 
+def _limit_to_i32(value: float) -> int:
+    """Return the nearest integer that a 32-bit field can hold; callers state numbers of any size.
+
+    NaN becomes the least one.
+    """
+    return round(min(MAX_I32, max(-MAX_I32, value)))
+
+
 def _decode_job(item: WireItem, name: str, now: int) -> Job:
     item.validate()
     return Job(
--- a/tests/test_gateway_odd_datagrams.py
+++ b/tests/test_gateway_odd_datagrams.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from lentilwell.gateway._load_tracker import Job
 from lentilwell.gateway._peers import COALESCE_MS
 from lentilwell.gateway._work_digest import (
     UnreadableDigest,
@@ -12,6 +13,7 @@
     encode_digest,
 )
 from standins.simulated_time import LoopClock
+from tests.gateway_harness import run_gateway
 from tests.gateway_scripts import in_loop
 from tests.test_gateway_addresses import NOT_ADDRESSES
 from tests.test_gateway_peers import make_peers
@@ -40,3 +42,43 @@
     await asyncio.sleep(5 * COALESCE_MS / 1_000)
     assert not failures and not transport.is_closing()
     peers.close()
+
+
+@pytest.mark.parametrize(
+    "values",
+    [
+        {"memory_tokens": 10**10},
+        {"memory_tokens": 10**400},
+        {"memory_tokens": -(10**10)},
+        {"read_ms": 1e12},
+        {"read_ms": float("inf")},
+        {"read_ms": float("nan")},
+        {"begun_at": -(10**12)},
+        {"due_at": 10**12},
+        {"pause_ms": 10**12},
+    ],
+    ids=str,
+)
+def test_job_with_values_out_of_range_is_told_with_the_nearest_ones(values):
+    job = Job(
+        **{"name": "j", "upstream": "u", "begun_at": 0, "read_ms": 0, "memory_tokens": 1, **values}
+    )
+    [received] = decode_digest(
+        encode_digest(WorkDigest("i", "l", "127.0.0.1:1", 7, (job,)), 0), 0
+    ).jobs
+    assert received.upstream == "u"
+
+
+@in_loop
+async def test_request_with_a_huge_token_count_does_not_fail_the_digests():
+    """Maintenance failed when it sent the digest with such a job, which ended the process."""
+
+    async def answer_late(arrival):
+        await asyncio.sleep(0.6)
+        await arrival.answer(body=b"x")
+
+    async with run_gateway(answer_late) as harness:
+        pending = asyncio.ensure_future(harness.call("/once/x", Token_Count="9999999999,1"))
+        await asyncio.sleep(0.5)
+        harness.gateway.peers.run_maintenance()
+        assert (await pending).status == 200
