A fault in one step of maintenance ends neither the process nor the other steps

Callers saw: each of the odd addresses and the token count before this commit ended the process, since Gateway.run runs maintenance every 250 ms and nothing guarded it, while the background tasks begin again after an exception.

Evidence before the change: test_exception_in_maintenance_neither_ends_the_process_nor_stops_the_other_steps failed: the task of Gateway.run was done after a step had raised.

Change: maintenance is a list of named steps; one that raises is logged as a failed task by its name, and the others run.

After: tests/test_gateway_process.py passes.

--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -36,6 +36,7 @@
 from lentilwell.gateway._fleet import Fleet
 from lentilwell.gateway._follower import Follower, Listener, TableReport, TableStatus
 from lentilwell.gateway._leases import LeaseManager
+from lentilwell.gateway._maintenance import run_steps
 from lentilwell.gateway._messages import InboundRequest
 from lentilwell.gateway._metrics import Metrics, dump_fleet
 from lentilwell.gateway._peers import Member, Peers
@@ -403,15 +404,24 @@
         self.fleet.change_budget(settings.budget)
 
     def _run_maintenance(self) -> None:
-        self.reload()
-        self.peers.run_maintenance()
-        self._catalog_listener.apply_pending()
-        self.fleet.remove_unlisted()
-        self.permits.keep_only(self.fleet.is_listed)
-        self.fleet.update_shards()
+        steps: dict[str, Callable[[], None]] = {
+            "settings": self.reload,
+            "peers": self.peers.run_maintenance,
+            "configuration": self._catalog_listener.apply_pending,
+            "upstreams": self.fleet.remove_unlisted,
+            "permits": lambda: self.permits.keep_only(self.fleet.is_listed),
+            "shards": self.fleet.update_shards,
+            "connections": self._prune_connections,
+            "callers": self._close_idle_callers,
+        }
+        run_steps(steps)
+
+    def _prune_connections(self) -> None:
         self.connections.prune(
             upstream.address for upstream in self.fleet.directory.listed.values()
         )
+
+    def _close_idle_callers(self) -> None:
         if self._get_stopping_ms() >= IDLE_CLOSE_AFTER_MS:
             for caller in list(self._callers):
                 caller.close_idle()
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -118,3 +118,28 @@
         await harness.gateway.stop()
         answer = await pending
         assert answer.status == 200 and not answer.complete
+
+
+@in_loop
+async def test_exception_in_maintenance_neither_ends_the_process_nor_stops_the_other_steps():
+    async def do_nothing():
+        pass
+
+    def fail():
+        raise ZeroDivisionError
+
+    async with run_gateway(answer_ok) as harness:
+        gateway, pruned = harness.gateway, asyncio.Event()
+        gateway.start = do_nothing
+        gateway.peers.run_maintenance = fail
+        gateway.connections.prune = lambda addresses: pruned.set()
+        running = asyncio.ensure_future(gateway.run())
+        async with asyncio.timeout(3):
+            for _ in range(2):
+                await asyncio.wait(
+                    (running, asyncio.ensure_future(pruned.wait())), return_when="FIRST_COMPLETED"
+                )
+                pruned.clear()
+        assert not running.done()
+        assert (await harness.call("/once/x")).status == 200
+        running.cancel()
