Server entries with numbers out of range or an empty service name no upstream

Callers saw: an entry whose born is beyond 64 bits counted as an upstream; once it said that it drains or named a rate limit, each digest of the instance that told so failed, so that peers knew nothing of its jobs. Cause: the decoder took integers of any size, and the digest has signed 64-bit fields. An entry with an empty service would have been offered the requests of a route that names no service, which the configuration's decoder fills with the empty text.

--- a/tests/test_platform_odd_rows.py
+++ b/tests/test_platform_odd_rows.py
@@ -1,5 +1,6 @@
 """Rows that another writer left in a table of the store: they are skipped, and the others hold."""
 
+import contextlib
 import json
 
 import pytest
@@ -8,6 +9,12 @@
 from wire_servers import decode_upstream
 
 from lentilwell.gateway import UnreadableRow
+from lentilwell.gateway._work_digest import (
+    UpstreamReports,
+    WorkDigest,
+    decode_digest,
+    encode_digest,
+)
 from tests.test_gateway_addresses import NOT_ADDRESSES
 
 DECODERS = {
@@ -46,3 +53,35 @@
     """Such an address ended the process, or closed its socket for datagrams, when it was used."""
     with pytest.raises(UnreadableRow):
         decode_member("i-1", json.dumps({"address": address, "data_centre": "z"}).encode())
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"slots": 0},
+        {"slots": -1},
+        {"slots": 10**18},
+        {"slots": 10**400},
+        {"slots": True},
+        {"slots": 8.0},
+        {"born": -1},
+        {"born": 2**63},
+        {"born": 10**400},
+        {"born": None},
+        {"service": ""},
+    ],
+    ids=str,
+)
+def test_server_entry_with_values_out_of_range_is_unreadable(changes):
+    with pytest.raises(UnreadableRow):
+        decode_upstream("i-1", encode_entry(**changes))
+
+
+def test_upstream_that_leaves_is_told_whatever_its_entry_says_of_its_start():
+    """A start beyond 64 bits once failed each digest that told of its incarnation."""
+    for born in (0, 1, 2**62, 2**63, 10**30):
+        with contextlib.suppress(UnreadableRow):
+            upstream = decode_upstream("i-1", encode_entry(born=born))
+            reports = UpstreamReports(leaving=(upstream.incarnation,))
+            digest = WorkDigest("i", "l", "127.0.0.1:1", 7, (), reports=reports)
+            assert decode_digest(encode_digest(digest, 0), 0).reports == reports
