Server entries whose name no request header can carry name no upstream

An entry with a line break or another control character in its key, and a sound address, counted as an upstream, although no request that names it can be encoded; a name with spaces at its ends arrives without them, as the name of another server. What callers saw of it was not measured.

Evidence before the change: nine cases of ..._with_a_name_that_no_header_can_carry_is_unreadable failed, "DID NOT RAISE UnreadableRow"; test_name_of_a_decoded_entry_arrives_unchanged_in_the_request_header (Hypothesis) with "LocalProtocolError: Illegal header value b'\r'".

--- a/tests/test_platform_odd_rows.py
+++ b/tests/test_platform_odd_rows.py
@@ -3,12 +3,16 @@
 import contextlib
 import json
 
+import h11
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from wire_configuration import decode_catalog
+from wire_headers import PlatformDialect
 from wire_instances import decode_member
 from wire_servers import decode_upstream
 
-from lentilwell.gateway import UnreadableRow
+from lentilwell.gateway import Envelope, InboundRequest, UnreadableRow
 from lentilwell.gateway._work_digest import (
     UpstreamReports,
     WorkDigest,
@@ -85,3 +89,24 @@
             reports = UpstreamReports(leaving=(upstream.incarnation,))
             digest = WorkDigest("i", "l", "127.0.0.1:1", 7, (), reports=reports)
             assert decode_digest(encode_digest(digest, 0), 0).reports == reports
+
+
+@pytest.mark.parametrize(
+    "name", ["", " i-1", "i-1 ", "i\r\nX-Header: 1", "i\0", "i\t1", "i\x7f", "i\u2028", "i\u00a0"]
+)
+def test_server_entry_with_a_name_that_no_header_can_carry_is_unreadable(name):
+    """Such an upstream was chosen for requests, none of which could be sent to it."""
+    with pytest.raises(UnreadableRow):
+        decode_upstream(name, encode_entry())
+
+
+@given(st.text(max_size=20))
+def test_name_of_a_decoded_entry_arrives_unchanged_in_the_request_header(name):
+    with contextlib.suppress(UnreadableRow):
+        upstream = decode_upstream(name, encode_entry())
+        envelope = Envelope(upstream.name, 1_000, None, None, None)
+        request = InboundRequest(b"GET", b"/", ((b"Host", b"h"),), 0)
+        headers = PlatformDialect().write_headers(request, envelope)
+        connection = h11.Connection(h11.CLIENT)
+        sent = connection.send(h11.Request(method="GET", target="/", headers=list(headers)))
+        assert f"expect-instance: {name}\r\n".encode() in sent.replace(b"Expect-I", b"expect-i")
