--- /dev/null
+++ b/tests/test_platform_odd_answers.py
@@ -0,0 +1,105 @@
+"""Answers of the store with odd rows: each odd row is skipped, and the others are read."""
+
+import asyncio
+import json
+
+import pytest
+from wire_store import StoreClient, TableFeed
+
+from lentilwell._clock import ManualClock
+from lentilwell.gateway import Entry, StoreUnavailable, UnreadableRow
+
+SOUND = {"table": "t", "part": "", "key": "sound", "value": "eA==", "schema_version": 4}
+DEEP = b"[" * 100_000 + b"]" * 100_000
+ODD_ROWS = {
+    "no fields": {},
+    "no key": {"value": "eA=="},
+    "a key that is a number": {"key": 7, "value": "eA=="},
+    "a value that is null": {"key": "odd", "value": None},
+    "a value that is a list": {"key": "odd", "value": []},
+    "a value that is not base64": {"key": "odd", "value": "e"},
+    "a value that is not ASCII": {"key": "odd", "value": "\u00e9A=="},
+    "removed that is not a boolean": {"key": "odd", "removed": "yes"},
+    "not an object": "odd",
+    "null": None,
+}
+
+
+class ScriptedClient(StoreClient):
+    """A client whose calls return the bodies of ``bodies`` in turn, and are kept in ``targets``."""
+
+    def __init__(self, *bodies):
+        super().__init__(lambda: "", ManualClock(0))
+        self.bodies = list(bodies)
+        self.targets = []
+
+    async def _call(self, method, target, timeout_ms, body=b""):
+        self.targets.append(target)
+        return 200, self.bodies.pop(0)
+
+
+def encode_answer(*rows, more=False, version=9):
+    return json.dumps({"rows": rows, "schema_version": version, "has_more": more}).encode()
+
+
+def decode(key, value):
+    if value != b"x":
+        raise UnreadableRow(key)
+    return value.decode()
+
+
+def make_feed(*bodies):
+    return TableFeed(ScriptedClient(*bodies), "t", decode)
+
+
+def list_values(listing):
+    return {entry.key: entry.value for entry in listing.entries if entry.value is not None}
+
+
+@pytest.mark.parametrize("odd", ODD_ROWS.values(), ids=ODD_ROWS)
+def test_odd_row_is_skipped_and_the_others_are_read(odd):
+    """One such row once made the store count as away, or ended the follower, at each reading."""
+    answer = encode_answer(odd, SOUND, odd)
+    for read in (lambda feed: feed.read_all(), lambda feed: feed.read_changes(3, 0)):
+        listing = asyncio.run(read(make_feed(answer)))
+        assert list_values(listing) == {"sound": "x"} and listing.version == 9
+
+
+def test_odd_value_of_a_known_key_is_an_entry_without_a_value():
+    answer = encode_answer({"key": "known", "value": "\u00e9"}, {"key": "other", "value": 1})
+    listing = asyncio.run(make_feed(answer).read_changes(3, 0))
+    assert listing.entries == (Entry("known", None), Entry("other", None))
+
+
+def test_page_that_ends_with_an_odd_row_is_continued_after_the_last_key():
+    pages = (encode_answer(SOUND, {}, more=True), encode_answer({**SOUND, "key": "z"}))
+    feed = make_feed(*pages)
+    listing = asyncio.run(feed.read_all())
+    assert list_values(listing) == {"sound": "x", "z": "x"}
+    assert "from=sound%00" in feed._client.targets[1]
+
+
+def test_page_without_any_key_that_has_more_is_an_unavailable_store():
+    with pytest.raises(StoreUnavailable):
+        asyncio.run(make_feed(encode_answer({}, more=True)).read_all())
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"[]",
+        b'{"rows": [], "schema_version": "9"}',
+        b'{"rows": [], "schema_version": -1}',
+        b'{"rows": [], "schema_version": %d}' % 2**63,
+        b'{"rows": 5, "schema_version": 9}',
+        b'{"schema_version": 9, "more": %s}' % DEEP,
+        b'{"schema_version": 9, "rows": [{"key": "odd", "more": %s}]}' % DEEP,
+        b"\xff",
+    ],
+    ids=lambda body: body[:40],
+)
+def test_answer_that_is_no_list_of_rows_is_an_unavailable_store(body):
+    for read in (lambda feed: feed.read_all(), lambda feed: feed.read_changes(3, 0)):
+        with pytest.raises(StoreUnavailable):
+            asyncio.run(read(make_feed(body)))
