--- a/src/lentilwell/gateway/_addresses.py
+++ b/src/lentilwell/gateway/_addresses.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import re
-from ipaddress import AddressValueError, IPv4Address
 
 MAX_PORT = 65_535
-_PORT = re.compile(r"[1-9][0-9]{0,4}")
+_OCTET = r"(?:25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
+_IP_AND_PORT = re.compile(rf"{_OCTET}(?:\.{_OCTET}){{3}}:([1-9][0-9]{{0,4}})")
 
 
 def is_ip_and_port(text: str) -> bool:
@@ -14,14 +14,8 @@
 
     Host names are not accepted, because a name lookup can block the event loop.
     """
-    host, _, port = text.rpartition(":")
-    if _PORT.fullmatch(port) is None or int(port) > MAX_PORT:
-        return False
-    try:
-        IPv4Address(host)
-    except AddressValueError:
-        return False
-    return True
+    match = _IP_AND_PORT.fullmatch(text)
+    return match is not None and int(match[1]) <= MAX_PORT
 
 
 def split_address(address: str) -> tuple[str, int]:
