A connection to an address that is none is unreachable, not an error of its caller

open_http_connection promised Unreachable and raised ValueError, OverflowError or UnicodeError for a port or a host out of range. Entries of servers can no longer bring such an address, but the settings can (the store's address, also by a change of the file), where it ended the followers' tasks again and again, and any other embedding program's list can, where it would have ended the task of the probes and the request.

Evidence before the change: ten cases of test_connection_to_an_odd_address_is_reported_as_unreachable failed with "ValueError: invalid literal for int()", "OverflowError: connect(): port must be 0-65535" and "UnicodeError: encoding with 'idna' codec failed", among others.

After: tests/test_gateway_addresses.py, test_gateway_forwarding.py, test_gateway_recovery.py and test_platform_store.py pass.

--- a/src/lentilwell/gateway/_connection.py
+++ b/src/lentilwell/gateway/_connection.py
@@ -283,11 +283,12 @@
 
 async def open_http_connection(address: str, clock: Clock) -> HttpConnection:
     """Connect to ``host:port``; raise ``Unreachable`` if that fails."""
-    host, port = split_address(address)
     loop = asyncio.get_running_loop()
     try:
+        host, port = split_address(address)
         async with allow_ms(CONNECT_TIMEOUT_MS):
             _, connection = await loop.create_connection(lambda: HttpConnection(clock), host, port)
-    except (OSError, TimeoutError) as error:
+    except (OSError, TimeoutError, ValueError, OverflowError) as error:
+        # The last two are raised for a host that cannot be encoded and a port out of range.
         raise Unreachable(f"{address} does not accept connections: {error!r}") from error
     return connection
--- a/tests/test_gateway_addresses.py
+++ b/tests/test_gateway_addresses.py
@@ -6,7 +6,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lentilwell._clock import BootClock
+from lentilwell.gateway import open_http_connection
 from lentilwell.gateway._addresses import MAX_PORT, is_ip_and_port, split_address
+from lentilwell.gateway._failures import Unreachable
+from tests.gateway_scripts import in_loop
 
 NOT_ADDRESSES = [
     "",
@@ -57,3 +61,25 @@
     if is_ip_and_port(text):
         host, port = split_address(text)
         assert str(ipaddress.IPv4Address(host)) == host and 0 < port <= MAX_PORT
+
+
+@pytest.mark.parametrize(
+    "address",
+    [
+        "10.0.0.1",
+        "10.0.0.1:-1",
+        "10.0.0.1:65536",
+        "10.0.0.1:" + "9" * 30,
+        "10.0.0.1:" + "1" * 5_000,
+        "10.0.0.1:\u00b2",
+        "10.0.0.1\0:80",
+        "..:80",
+        "a" * 70 + ".example:80",
+        "\ud800:80",
+    ],
+)
+@in_loop
+async def test_connection_to_an_odd_address_is_reported_as_unreachable(address):
+    """Such an address in the settings ended the followers of the store again and again."""
+    with pytest.raises(Unreachable):
+        await open_http_connection(address, BootClock())
