An unreadable row is logged once and in bounded length

An odd row is read again with the table: each 2 to 15 s in the table of instances, and after each restore in the others. Each time it was logged again, with a reason that holds its own text, up to the size of a row.

--- a/tests/test_gateway_addresses.py
+++ b/tests/test_gateway_addresses.py
@@ -80,6 +80,6 @@
 )
 @in_loop
 async def test_connection_to_an_odd_address_is_reported_as_unreachable(address):
-    """Such an address in the settings ended the followers of the store again and again."""
+    """Callers of this function handle no other error."""
     with pytest.raises(Unreachable):
         await open_http_connection(address, BootClock())
--- a/tests/test_platform_odd_answers.py
+++ b/tests/test_platform_odd_answers.py
@@ -4,6 +4,7 @@
 import json
 
 import pytest
+import wire_store
 from wire_store import StoreClient, TableFeed
 
 from lentilwell._clock import ManualClock
@@ -103,3 +104,47 @@
     for read in (lambda feed: feed.read_all(), lambda feed: feed.read_changes(3, 0)):
         with pytest.raises(StoreUnavailable):
             asyncio.run(read(make_feed(body)))
+
+
+@pytest.fixture
+def reasons(monkeypatch):
+    """Return the list to which the keys and reasons of logged unreadable rows are added."""
+    logged = []
+    monkeypatch.setattr(
+        wire_store, "write_line", lambda line: logged.append((line.key, line.reason))
+    )
+    return logged
+
+
+def refuse_at_length(key, value):
+    raise UnreadableRow(value.decode() * 10_000)
+
+
+def test_reason_and_key_of_a_logged_row_are_bounded(reasons):
+    rows = ({**SOUND, "key": "k" * 60_000}, {"key": "k", "x" * 60_000: 1, "value": 1})
+    feed = TableFeed(ScriptedClient(encode_answer(*rows)), "t", refuse_at_length)
+    asyncio.run(feed.read_all())
+    assert len(reasons) == 2
+    assert all(len(key) <= 200 and len(reason) <= 200 for key, reason in reasons)
+
+
+def test_odd_row_is_logged_once_until_it_changes(reasons):
+    odd = {**SOUND, "key": "odd", "value": "eQ=="}
+    other = {**SOUND, "key": "odd", "value": "!"}
+    sound = {**SOUND, "key": "odd"}
+    gone = {"key": "odd", "removed": True}
+    feed = make_feed(
+        *(encode_answer(SOUND, row) for row in (odd, odd, other, sound, odd, gone, odd))
+    )
+    counts = []
+    for _ in range(7):
+        asyncio.run(feed.read_all())
+        counts.append(len(reasons))
+    assert counts == [1, 1, 2, 2, 3, 3, 4]
+
+
+def test_number_of_remembered_odd_rows_is_bounded(reasons):
+    rows = [{"key": f"odd-{number}", "value": 1} for number in range(3_000)]
+    feed = make_feed(encode_answer(*rows))
+    asyncio.run(feed.read_all())
+    assert len(reasons) == 3_000 and len(feed._odd_rows) <= wire_store.MAX_ODD_ROWS
