The logged reason of an unreadable digest has a bounded length

It holds names from the datagram, up to 16 KB a line. test_reason_of_an_unreadable_digest_is_bounded failed before the change with a reason of over 10,000 characters; the reason is cut at 200. tests/test_gateway_odd_datagrams.py and test_gateway_peers.py pass.

--- a/src/lentilwell/gateway/_work_digest.py
+++ b/src/lentilwell/gateway/_work_digest.py
@@ -24,6 +24,8 @@
 # Bound on decayed counts in a digest: no instance gets as many answers from one upstream within a
 # few half-lives.
 MAX_COUNT = 1e6
+# Bound on the characters of the reason why a datagram is unreadable, which is logged.
+MAX_REASON_LENGTH = 200
 MAX_I32 = 2**31 - 1
 # These limits keep a malformed datagram from allocating more memory than the largest digest.
 _FACTORY = TCompactProtocolAcceleratedFactory(
@@ -106,7 +108,7 @@
         refusals = tuple(_decode_tally(tally, now) for tally in wire.refusals or ())
         limits = tuple(decode_limit(limit, now) for limit in wire.limits or ())
     except Exception as error:  # the library raises many types of errors for malformed bytes
-        raise UnreadableDigest(repr(error)) from error
+        raise UnreadableDigest(repr(error)[:MAX_REASON_LENGTH]) from error
     store_report = StoreReport(
         StorePoint(wire.configuration_era or 0, wire.configuration or 0),
         StorePoint(wire.listing_era or 0, wire.listing or 0),
--- a/tests/test_gateway_odd_datagrams.py
+++ b/tests/test_gateway_odd_datagrams.py
@@ -6,8 +6,10 @@
 
 from lentilwell.gateway._load_tracker import Job
 from lentilwell.gateway._peers import COALESCE_MS
+from lentilwell.gateway._refusals import ReportedTally, Tally
 from lentilwell.gateway._work_digest import (
     UnreadableDigest,
+    UpstreamReports,
     WorkDigest,
     decode_digest,
     encode_digest,
@@ -82,3 +84,11 @@
         await asyncio.sleep(0.5)
         harness.gateway.peers.run_maintenance()
         assert (await pending).status == 200
+
+
+def test_reason_of_an_unreadable_digest_is_bounded():
+    reports = UpstreamReports(refusals=(ReportedTally("w" * 10_000, Tally(-1.0, 0.0, 0)),))
+    digest = WorkDigest("i", "l", "127.0.0.1:1", 7, (), reports=reports)
+    with pytest.raises(UnreadableDigest) as raised:
+        decode_digest(encode_digest(digest, 0), 0)
+    assert len(str(raised.value)) <= 200
