--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -1,5 +1,6 @@
 """Decoding of the platform's rows, headers and settings, and rejection of invalid ones."""
 
+import contextlib
 import json
 
 import h11
@@ -12,7 +13,17 @@
 from wire_servers import decode_upstream
 from wire_settings import read_settings
 
-from lentilwell.gateway import InboundRequest, Prompt, Repeat, UnreadableRow
+from lentilwell.gateway import (
+    EngineSpec,
+    InboundRequest,
+    Prompt,
+    Repeat,
+    UnreadableRow,
+    Upstream,
+)
+from lentilwell.gateway._least_cost import choose_least_cost
+from lentilwell.gateway._load_tracker import Load
+from lentilwell.gateway._placement_policies import Candidate, PlacementRequest
 
 ENTRY = {
     "service": "s",
@@ -149,6 +160,32 @@
     assert head.idle_ms == idle_ms
 
 
+ODD_NUMBERS = ["\u00b2", "1" * 5_000, "9" * 400, "-1", "+1", "x", "1e3", "1_0", "\u0663", "0x1"]
+
+
+@pytest.mark.parametrize("number", ODD_NUMBERS)
+def test_odd_idle_timeout_of_an_upstream_neither_fails_nor_overflows(number):
+    """A digit that int() refuses once failed the request whose answer named it."""
+    text = f"timeout={number}".encode("utf-8" if number == "\u0663" else "latin-1")
+    head = DIALECT.read_head(h11.Response(status_code=200, headers=[("Keep-Alive", text)]))
+    assert head.idle_ms is None or 0 <= head.idle_ms <= 86_400_000
+
+
+@given(st.integers(0, 10**1_200), st.integers(0, 10**1_200))
+def test_prompt_of_any_stated_length_can_be_estimated(prompt_tokens, answer_tokens):
+    """Placement once failed with OverflowError for a count that no float can hold."""
+    text = f"{prompt_tokens},{answer_tokens}".encode()
+    prompt = None
+    with contextlib.suppress(ValueError):
+        prompt = DIALECT.read_facts(make_request((b"Token-Count", text))).prompt
+    if prompt is None:
+        return
+    engine = EngineSpec(8, 10**5, 1.0, 0.1, 0.1, 10.0, 0.1, 2_048, 50)
+    upstream = Upstream("u", "s", "10.0.0.1:1", "z", 8, False)
+    request = PlacementRequest(prompt, engine, 300, 250, 0, 0, 0.5)
+    choose_least_cost(request, [Candidate(upstream, Load(), True)])
+
+
 def test_error_names_a_missing_setting(tmp_path):
     path = tmp_path / "local.json"
     path.write_text('{"node_name": "n", "ip": "10.0.0.1", "zone": "z"}')
