Process tests with more odd rows, and with odd rows of a restored store

A port out of range, a host name, numbers out of range, no fields, bytes that cannot be read and an empty row, each as a change and all before the start; and all rows in a store that is restored from an older copy.

--- a/tests/test_platform_odd_entries.py
+++ b/tests/test_platform_odd_entries.py
@@ -25,6 +25,15 @@
         "servers",
         build_server_entry("127.0.0.1:" + "1" * 5_000, "desk"),
     ),
+    "a port out of range": ("servers", build_server_entry("127.0.0.1:65536", "desk")),
+    "a host name": ("servers", build_server_entry("name.invalid:80", "desk")),
+    "numbers out of range": (
+        "servers",
+        build_server_entry("127.0.0.1:80", "desk", slots=10**400, born=-1),
+    ),
+    "no fields": ("servers", {}),
+    "bytes that cannot be read": ("servers", b"\xff{\x00"),
+    "an empty row": ("servers", b""),
     "a deeply nested entry": ("servers", b'{"more": %s}' % DEEP_LIST),
     "a deeply nested instance": ("lentilwell_instances", b'{"more": %s}' % DEEP_LIST),
     "a deeply nested configuration": ("op", b'{"more": %s}' % DEEP_LIST),
@@ -130,6 +139,21 @@
         check_logs(await read_logs(cluster))
 
 
+@in_loop
+async def test_odd_rows_of_a_restored_store_neither_end_a_process_nor_stop_the_following(tmp_path):
+    async with run_cluster(tmp_path, engines=1, services=1) as cluster:
+        for number, (table, value) in enumerate(ODD_ROWS.values()):
+            if table != "op":
+                await cluster.store.put(table, f"a{number}", value)
+        await cluster.store.restore(cluster.store.back_up())
+        await asyncio.sleep(1.0)
+        await check_serving(cluster, "restored")
+        await check_following(cluster, 7)
+        log = await read_logs(cluster)
+        check_logs(log)
+        assert "store restore seen" in [line["event"] for line in log]
+
+
 @pytest.mark.parametrize("name", ODD_INSTANCES)
 @in_loop
 async def test_odd_row_of_an_instance_neither_ends_nor_isolates_the_others(tmp_path, name):
