Entry instance: JSON nested beyond the recursion limit fails as declared

msgspec's RecursionError left every decoder of the entry instance: answers of the platform, reports and streams of engines, the rows of versions and claims, bodies of callers. Each has a declared failure for JSON that cannot be read. What callers saw of it was not measured.

Evidence before the change: all nine cases of tests/test_deep_nesting.py failed with "RecursionError: maximum recursion depth exceeded while deserializing an object".

Change: decode_json raises DecodeError instead, and these call it; the decoder of stream lines catches both.

After: tests/test_deep_nesting.py, test_platform_odd_settings.py, test_platform.py, test_callers.py, test_versions.py, test_claims.py and test_once_only.py pass.

--- a/src/lentilwell/adapters/_engines.py
+++ b/src/lentilwell/adapters/_engines.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from lentilwell._http import HttpAnswer, HttpCall, send
+from lentilwell._json import decode_json
 from lentilwell._messages import LoadReport
 from lentilwell._ports import CacheBatch, EngineControl, EngineUnreadable
 
@@ -63,7 +64,7 @@
         if isinstance(answer, Err):
             return answer
         try:
-            report = msgspec.json.decode(answer.ok_value.body, type=LoadReport)
+            report = decode_json(answer.ok_value.body, LoadReport)
         except msgspec.DecodeError:
             return Err(EngineUnreadable())
         return Ok(report) if report.engine == engine else Err(EngineUnreadable())
@@ -76,7 +77,7 @@
         if isinstance(answer, Err):
             return answer
         try:
-            return Ok(msgspec.json.decode(answer.ok_value.body, type=CacheBatch))
+            return Ok(decode_json(answer.ok_value.body, CacheBatch))
         except msgspec.DecodeError:
             return Err(EngineUnreadable())
 
--- a/src/lentilwell/adapters/_platform.py
+++ b/src/lentilwell/adapters/_platform.py
@@ -11,6 +11,7 @@
 
 from lentilwell._errors import AnswerLost, NotFound, PlatformFailure, Unavailable, VersionConflict
 from lentilwell._http import HttpAnswer, HttpCall, send
+from lentilwell._json import decode_json
 from lentilwell._messages import Member, MemberKind
 from lentilwell._ports import Platform, Row
 from lentilwell.configuration import PlatformSettings
@@ -159,7 +160,7 @@
     if answer.status not in (200, 412):
         return Err(Unavailable())
     try:
-        return Ok(msgspec.json.decode(answer.body, type=body_type))
+        return Ok(decode_json(answer.body, body_type))
     except msgspec.DecodeError:
         return Err(Unavailable())
 
--- a/src/lentilwell/callers/_completions.py
+++ b/src/lentilwell/callers/_completions.py
@@ -29,6 +29,7 @@
     UnknownRoute,
 )
 from lentilwell._inventory import Inventory, Rules, Team
+from lentilwell._json import decode_json
 from lentilwell._messages import BYTES_PER_TOKEN, Request, count_tokens
 from lentilwell.callers._headers import read_deadline_ms
 from lentilwell.callers._responses import make_failure_response
@@ -83,7 +84,7 @@
 def parse_completion(body: bytes) -> Result[PromptRequest, Failure]:
     """Decode the body of ``POST /v1/completions``."""
     try:
-        parsed = msgspec.json.decode(body, type=_CompletionBody)
+        parsed = decode_json(body, _CompletionBody)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return Err(InvalidRequest(f"The body is not a completion request: {error}."))
     tokens = DEFAULT_ANSWER_TOKENS if parsed.max_tokens is None else parsed.max_tokens
@@ -93,7 +94,7 @@
 def parse_chat(body: bytes) -> Result[PromptRequest, Failure]:
     """Decode the body of ``POST /v1/chat/completions`` and join its messages into one prompt."""
     try:
-        parsed = msgspec.json.decode(body, type=_ChatBody)
+        parsed = decode_json(body, _ChatBody)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return Err(InvalidRequest(f"The body is not a chat request: {error}."))
     text = "".join(
--- a/src/lentilwell/configuration/_versions.py
+++ b/src/lentilwell/configuration/_versions.py
@@ -18,6 +18,7 @@
 from pyrsistent import PMap, pmap
 
 from lentilwell._inventory import Inventory
+from lentilwell._json import decode_json
 from lentilwell.configuration._documents import (
     Document,
     Section,
@@ -130,7 +131,7 @@
 def decode_head(data: bytes) -> Head | None:
     """Return the decoded head, or None if the data is not a valid head."""
     try:
-        head = msgspec.json.decode(data, type=Head)
+        head = decode_json(data, Head)
     except msgspec.DecodeError:
         return None
     return head if head.version > 0 else None
@@ -144,7 +145,7 @@
     if not data.startswith(_DELTA_PREFIX):
         return None
     try:
-        return msgspec.json.decode(data, type=Delta)
+        return decode_json(data, Delta)
     except msgspec.DecodeError as error:
         raise ChainError(ChainBroken(compute_digest(data))) from error
 
--- a/src/lentilwell/forwarding/_transfer.py
+++ b/src/lentilwell/forwarding/_transfer.py
@@ -513,7 +513,7 @@
 def _parse_line(raw: bytes) -> StreamLine | None:
     try:
         return _decode_line(raw)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return None
 
 
--- a/src/lentilwell/once_only/_runner.py
+++ b/src/lentilwell/once_only/_runner.py
@@ -24,6 +24,7 @@
 from lentilwell._errors import AnswerLost, PlatformFailure, VersionConflict
 from lentilwell._failures import AnswerUnavailable, AttemptNotRun, Failure
 from lentilwell._http import Guard, HttpAnswer, HttpFailure
+from lentilwell._json import decode_json
 from lentilwell._ports import Platform, Row
 from lentilwell.once_only._claims import step
 from lentilwell.once_only._messages import (
@@ -205,7 +206,7 @@
         if content.is_err():
             return Err(AnswerUnavailable())
         try:
-            return Ok(msgspec.json.decode(content.unwrap(), type=RecordedAnswer))
+            return Ok(decode_json(content.unwrap(), RecordedAnswer))
         except msgspec.DecodeError:
             return Err(AnswerUnavailable())
 
@@ -326,7 +327,7 @@
     if row is None:
         return ClaimRow()
     try:
-        return ClaimRow(row.version, msgspec.json.decode(row.value, type=Claim))
+        return ClaimRow(row.version, decode_json(row.value, Claim))
     except msgspec.DecodeError:
         return None
 
