Entry instance: an invalid member of the platform's list does not hide the others

One member without fields, of an unknown kind or with a name that is no text made the whole list unreadable, so that the instance kept its last list, or none after a start. Evidence before the change: the five cases of test_odd_member_does_not_hide_the_others failed, "Called Result.unwrap() on an Err value: Unavailable()".

Change: members are decoded one by one, and invalid ones are left out.

After: tests/test_odd_documents.py, test_platform.py, test_deep_nesting.py and test_peers.py pass.

--- a/src/lentilwell/adapters/_platform.py
+++ b/src/lentilwell/adapters/_platform.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import contextlib
+from collections.abc import Callable, Iterable, Iterator
 from typing import TypeVar
 from urllib.parse import quote, urlencode
 
@@ -59,7 +60,8 @@
 
 
 class _MembersBody(msgspec.Struct):
-    instances: list[_MemberBody]
+    # Decoded one by one, so that an invalid one does not hide the others.
+    instances: list[msgspec.Raw]
 
 
 @register_dialect("http")
@@ -124,12 +126,12 @@
         return Ok(None) if answer.ok_value.status == 200 else Err(Unavailable())
 
     def list_members(self) -> Result[tuple[Member, ...], PlatformFailure]:
-        """Return the members of the platform's instance list."""
+        """Return the members of the platform's instance list, without those that are invalid."""
         answer = self._call("GET", "/instances")
         if answer.is_err():
             return Err(Unavailable())
         body = _decode(answer.unwrap(), _MembersBody)
-        return body.map(lambda decoded: tuple(_convert_member(m) for m in decoded.instances))
+        return body.map(lambda decoded: tuple(_decode_members(decoded.instances)))
 
     def _send_conditional(
         self, method: str, key: str, value: bytes, expected_version: int
@@ -169,6 +171,12 @@
     return Row(body.key, body.value, body.version)
 
 
+def _decode_members(raw_members: Iterable[msgspec.Raw]) -> Iterator[Member]:
+    for raw in raw_members:
+        with contextlib.suppress(msgspec.DecodeError):
+            yield _convert_member(decode_json(bytes(raw), _MemberBody))
+
+
 def _convert_member(body: _MemberBody) -> Member:
     return Member(
         body.name, body.kind, body.address, body.data_centre, body.incarnation, body.leaving
