--- a/src/lentilwell/gateway/_work_digest.py
+++ b/src/lentilwell/gateway/_work_digest.py
@@ -12,6 +12,7 @@
 from lentilwell._wire.ttypes import UpstreamLimit as WireLimit
 from lentilwell._wire.ttypes import WorkDigest as WireDigest
 from lentilwell._wire.ttypes import WorkItem as WireItem
+from lentilwell.gateway._addresses import is_ip_and_port
 from lentilwell.gateway._load_tracker import Job
 from lentilwell.gateway._rate_limits import MAX_AGE_MS, MAX_RATE, LimitReport
 from lentilwell.gateway._refusals import ReportedTally, Tally
@@ -23,6 +24,9 @@
 # Bound on decayed counts in a digest: no instance gets as many answers from one upstream within a
 # few half-lives.
 MAX_COUNT = 1e6
+# Bound on the characters of the reason why a datagram is unreadable, which is logged.
+MAX_REASON_LENGTH = 200
+MAX_I32 = 2**31 - 1
 # These limits keep a malformed datagram from allocating more memory than the largest digest.
 _FACTORY = TCompactProtocolAcceleratedFactory(
     string_length_limit=MAX_DIGEST_BYTES, container_length_limit=MAX_DIGEST_BYTES
@@ -95,6 +99,7 @@
     try:
         deserialize(wire, data, _FACTORY)
         wire.validate()
+        _check_address(wire.address)
         jobs = tuple(
             _decode_job(item, f"{wire.instance}/{index}", now)
             for index, item in enumerate(wire.items)
@@ -103,7 +108,7 @@
         refusals = tuple(_decode_tally(tally, now) for tally in wire.refusals or ())
         limits = tuple(decode_limit(limit, now) for limit in wire.limits or ())
     except Exception as error:  # the library raises many types of errors for malformed bytes
-        raise UnreadableDigest(repr(error)) from error
+        raise UnreadableDigest(repr(error)[:MAX_REASON_LENGTH]) from error
     store_report = StoreReport(
         StorePoint(wire.configuration_era or 0, wire.configuration or 0),
         StorePoint(wire.listing_era or 0, wire.listing or 0),
@@ -141,6 +146,11 @@
     return LimitReport(Incarnation(wire.upstream, wire.born_ms), wire.rate, now - wire.age_ms)
 
 
+def _check_address(address: str) -> None:
+    if not is_ip_and_port(address):
+        raise ValueError("the address is not of the form IP:PORT")
+
+
 def _decode_incarnation(wire: WireIncarnation) -> Incarnation:
     wire.validate()
     return Incarnation(wire.upstream, wire.born_ms)
@@ -160,18 +170,26 @@
 def _encode_job(job: Job, now: int) -> WireItem:
     return WireItem(
         upstream=job.upstream,
-        age_ms=now - job.begun_at,
-        read_ms=round(job.read_ms),
-        memory_tokens=job.memory_tokens,
+        age_ms=_limit_to_i32(now - job.begun_at),
+        read_ms=_limit_to_i32(job.read_ms),
+        memory_tokens=_limit_to_i32(job.memory_tokens),
         reading=job.reading,
         writes=job.writes,
-        due_in_ms=job.due_at - now,
-        pause_ms=job.pause_ms,
+        due_in_ms=_limit_to_i32(job.due_at - now),
+        pause_ms=_limit_to_i32(job.pause_ms),
         weight=job.weight,
         spread=job.spread,
     )
 
 
+def _limit_to_i32(value: float) -> int:
+    """Return the nearest integer that a 32-bit field can hold; callers state numbers of any size.
+
+    NaN becomes the least one.
+    """
+    return round(min(MAX_I32, max(-MAX_I32, value)))
+
+
 def _decode_job(item: WireItem, name: str, now: int) -> Job:
     item.validate()
     return Job(
