A status that promises "not run" needs the upstream's statement of it

Callers saw 503, 429 or 408 for a request that may run once although its server had run it: an upstream's answer with such a status but without Not-Run was forwarded like any other error of its own.

Such an answer is now an invalid one, for routes of every kind: what may run once ends as 502 without the upstream's signature, everything else is sent elsewhere. The checks of an answer's identity move into `_answer_checks`, a pure module, with this one.

--- /dev/null
+++ b/src/lentilwell/gateway/_answer_checks.py
@@ -0,0 +1,29 @@
+"""Checks whether an answer can be passed on as the answer to a request. Pure.
+
+A faulty upstream may write an earlier answer once more on a kept connection, or answer with a
+status that it did not mean. Callers take some statuses as a promise that their request has not run
+and never will, and send it again.
+"""
+
+from __future__ import annotations
+
+from lentilwell.gateway._messages import AnswerHead
+
+# Statuses that tell a caller that its request has not run. 421 is one too, but from an upstream it
+# is always a refusal.
+NOT_RUN_STATUSES = frozenset((408, 429, 503))
+
+
+def find_answer_problem(head: AnswerHead, request_id: str, used_before: bool) -> str | None:
+    """Return why an answer is not a valid one to a request, or None if it is.
+
+    ``used_before`` tells whether the connection has carried another request. An answer with a
+    problem says nothing about whether the request has run.
+    """
+    if head.request_id and head.request_id != request_id:
+        return f"the answer belongs to request {head.request_id}"
+    if not head.request_id and used_before:
+        return "an answer without a request id may be a copy of an earlier answer"
+    if head.status in NOT_RUN_STATUSES and not head.not_run:
+        return f"status {head.status} without the statement that the request has not run"
+    return None
--- a/src/lentilwell/gateway/_exchange.py
+++ b/src/lentilwell/gateway/_exchange.py
@@ -9,6 +9,7 @@
 from lentilwell._log_lines import ExchangeFailed, RefusalBodyDropped, write_line
 from lentilwell.gateway._accounting import Accounting
 from lentilwell.gateway._admission import check_admission
+from lentilwell.gateway._answer_checks import find_answer_problem
 from lentilwell.gateway._answer_observer import AnswerObserver
 from lentilwell.gateway._answers import answer_failure, drop_connection_headers
 from lentilwell.gateway._caller_connection import CallerConnection
@@ -241,12 +242,9 @@
         self._answer_observer.handle_head(choice.upstream, head)
         connection.idle_limit_ms = head.idle_ms
         connection.reusable = connection.reusable and not head.closing
-        if head.request_id and head.request_id != self._routed.facts.request_id:
-            raise ConnectionBroken(f"the answer belongs to request {head.request_id}")
-        if not head.request_id and connection.used_before:
-            raise ConnectionBroken(
-                "an answer without a request id may be a copy of an earlier answer"
-            )
+        problem = find_answer_problem(head, self._routed.facts.request_id, connection.used_before)
+        if problem is not None:
+            raise ConnectionBroken(problem)
         self._answer_observer.handle_answer(choice.upstream, head, self._accounting.sent_at)
         if head.not_run:
             return await self._handle_refusal(connection, head, choice)
--- a/tests/test_gateway_late_refusals.py
+++ b/tests/test_gateway_late_refusals.py
@@ -1,35 +1,18 @@
 """Refusals that a faulty server writes again on a kept connection, or that name no request."""
 
 import asyncio
-import dataclasses
 
 import pytest
 
 from lentilwell.gateway import Repeat
-from tests.gateway_harness import CATALOG, run_gateway
+from tests.gateway_harness import run_gateway
 from tests.gateway_scripts import in_loop
+from tests.refusal_scripts import NOT_RUN_STATUSES, format_refusal, with_single_streams
 
-# Statuses that tell a caller that its request has not run and never will.
-NOT_RUN_STATUSES = (408, 421, 429, 503)
 OLD_ID = "an-earlier-request"
 PAUSE_S = 0.01
 
 
-def format_refusal(status, request_id, body):
-    """Return the bytes of a refusal; ``request_id`` may be None, ``body`` is a kind of framing."""
-    head = f"HTTP/1.1 {status} X\r\nNot-Run: 1\r\n"
-    if request_id is not None:
-        head += f"Request-Id: {request_id}\r\n"
-    framing = {
-        "empty": b"Content-Length: 0\r\n\r\n",
-        "length": b"Content-Length: 4\r\n\r\nfull",
-        "chunked": b"Transfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n",
-        "too short": b"Content-Length: 40\r\n\r\nfull",
-        "too long": b"Content-Length: 1\r\n\r\nfull",
-    }
-    return head.encode() + framing[body]
-
-
 class RepeatingServer:
     """Runs every request, and writes a copy of an earlier refusal on each used connection.
 
@@ -104,13 +87,6 @@
     assert server.copies >= 2
 
 
-def with_single_streams():
-    """Return the configuration with a route ``/single/`` whose streams may not resume."""
-    stream = CATALOG.routes[2]
-    single = dataclasses.replace(stream, name="single", prefix="/single/", repeat=Repeat.NEVER)
-    return dataclasses.replace(CATALOG, routes=(*CATALOG.routes, single))
-
-
 @pytest.mark.parametrize("place", PLACES)
 @pytest.mark.parametrize("request_id", [OLD_ID, None])
 @pytest.mark.parametrize("status", [503, 429, 421])
