A repeat at the same upstream gets a fresh connection

A caller was told 503 for a stream that an engine was running. A late copy of that refusal has the id of the request and was taken for the answer to the second send. An id can't tell two sends of one request apart, so no connection carries both now. What may run once was not concerned: it always had fresh connections.

test_copied_refusal_of_the_first_send_is_not_taken_for_that_of_a_repeat failed before with "assert (503 == 200)" and passes now; test_gateway_memory passes.

--- a/src/lentilwell/gateway/_exchange.py
+++ b/src/lentilwell/gateway/_exchange.py
@@ -179,8 +179,10 @@
     async def _send(self, placement: Placement, leases: LeaseSet) -> Effect:
         choice = placement.choice
         send_once = self._routed.route.repeat is Repeat.NEVER
+        # An answer to an earlier send of the request has the same id: no connection carries two.
+        fresh = send_once or choice.upstream.name in self._sent_to
         try:
-            connection = await self._connections.acquire(choice.upstream.address, send_once)
+            connection = await self._connections.acquire(choice.upstream.address, fresh)
         except Unreachable as error:
             self._record_unreachable(choice.upstream, str(error))
             return self._end_attempt(ConnectionFailed(), str(error))
--- a/tests/test_gateway_unproven_refusals.py
+++ b/tests/test_gateway_unproven_refusals.py
@@ -6,7 +6,7 @@
 import pytest
 
 from tests.gateway_harness import run_gateway
-from tests.gateway_scripts import in_loop
+from tests.gateway_scripts import in_loop, list_event_ids, stream_whole, with_engines
 from tests.refusal_scripts import NOT_RUN_STATUSES, format_refusal, with_single_streams
 
 SEND_ONCE_PATHS = ("/once/x", "/single/x")
@@ -82,3 +82,30 @@
     async with run_gateway(refuse, refuse) as harness:
         assert (await harness.call("/once/x", Request_Id=None)).status == 503
         assert len(harness.arrivals) == 2
+
+
+@in_loop
+async def test_copied_refusal_of_the_first_send_is_not_taken_for_that_of_a_repeat():
+    """A helper was at fault, so the same upstream gets the same request again, with the same id."""
+
+    async def refuse_then_copy(arrival):
+        connection = (arrival.upstream, arrival.connection)
+        if dead in arrival.headers.get("helpers", "").split(","):
+            refusal = format_refusal(503, arrival.headers["request-id"], "empty")
+            at_fault = b"\r\nAt-Server: %s\r\n\r\n" % dead.encode()
+            refusals[connection] = refusal.replace(b"\r\n\r\n", at_fault)
+            await arrival.write(refusals[connection])
+            return
+        await arrival.write(refusals.get(connection, b""))
+        await stream_whole(arrival)
+
+    refusals = {}
+    catalog = with_engines()
+    async with run_gateway(*[refuse_then_copy] * 4, catalog=catalog) as harness:
+        harness.gateway.fleet.policy = "least_cost"
+        dead = harness.gateway.fleet.directory.listed["u3"].address
+        answer = await harness.call("/stream/x", Token_Count="200000,100")
+        assert answer.status == 200 and answer.complete
+        assert list_event_ids(answer.body) == [1, 2, 3, 4, 5]
+        assert len(harness.arrivals) == 2
+        assert harness.arrivals[0].upstream == harness.arrivals[1].upstream
