An answer with a request id is not the answer to an order about memory

A caller with a prompt larger than one engine was refused, or its request went out with tickets that no engine had granted: orders travel over the connections that requests have used, carry no request id, and took whatever answer came. A late copy of a refusal (503) ended the reservation, a late copy of a 200 granted one that the engine had refused.

An answer that names a request is now a broken one: the order, which is idempotent, is sent again on another connection. Answers of orders have no id themselves, so a late copy of such an answer, or of any without an id, can't be told; the tests show that it leaves no memory reserved and no request marked as not run that ran (not shown to do harm: a ticket that was never granted is refused by the engine).

--- a/src/lentilwell/gateway/_leases.py
+++ b/src/lentilwell/gateway/_leases.py
@@ -136,14 +136,20 @@
         raise AssertionError("the last attempt returns or raises")
 
     async def _send_order(self, reservation: Reservation, order: MemoryOrder) -> int:
-        """Send an order once and return the status of its answer."""
+        """Send an order once and return the status of its answer.
+
+        Orders carry no request id, so an answer with one is a late copy of another answer.
+        """
         address = reservation.upstream.address
         connection = await self._connections.acquire(address, fresh=False)
         try:
             async with allow_ms(ORDER_TIMEOUT_MS):
                 connection.send(order.method, order.target, order.headers, order.body)
                 self.on_send(reservation.upstream)
-                head = await connection.read_head()
+                response = await connection.read_head()
+                head = self._dialect.read_head(response)
+                if head.request_id:
+                    raise ConnectionBroken(f"the answer belongs to request {head.request_id}")
                 await connection.read_body()
                 connection.finish()
         except TimeoutError as error:
@@ -154,8 +160,8 @@
             if not connection.idle:
                 connection.close()
         self._connections.release(address, connection)
-        self.on_answer(reservation.upstream, self._dialect.read_head(head))
-        return head.status_code
+        self.on_answer(reservation.upstream, head)
+        return head.status
 
 
 class LeaseSet:
