An answer continues a broken stream only if it shows that it does

Callers found the text of an error, at times with its head, in the middle of their stream, or a stream that ended as if it were complete. After a stream had broken off, any signed 2xx of the next upstream was taken for its rest: blank lines in it made an "event without an id", which was forwarded, and an answer with no events ended the stream in order. 500, 4xx, 3xx, 503 and 421 were not forwarded, nor unsigned and encoded answers (not shown).

Now a stream continues only with the status and media type that its caller has in its head, and nothing is forwarded before an event whose id is greater than the last one sent. An end without such an event is a broken one: the request goes to another upstream where the route allows it, otherwise the connection is cut without a last chunk. The cost: a stream that broke off just between its last event and its end is cut. A resume that the caller asked for itself is not concerned: the upstream's answer is passed on as it is.

--- a/src/lentilwell/gateway/_answer_checks.py
+++ b/src/lentilwell/gateway/_answer_checks.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from lentilwell.gateway._messages import AnswerHead
+from lentilwell.gateway._messages import AnswerHead, find_header
 
 # Statuses that tell a caller that its request has not run. 421 is one too, but from an upstream it
 # is always a refusal.
@@ -30,3 +30,21 @@
     if head.status in NOT_RUN_STATUSES and not head.not_run:
         return f"status {head.status} without the statement that the request has not run"
     return None
+
+
+def find_resume_problem(first: AnswerHead, head: AnswerHead) -> str | None:
+    """Return why an answer cannot continue a stream that began with ``first``, or None if it can.
+
+    The caller has the head of the first answer, so the rest must be what that head announced.
+    """
+    if head.status != first.status:
+        return f"a stream cannot continue with status {head.status}"
+    if _find_media_type(head) != _find_media_type(first):
+        return f"a stream cannot continue with content of type {_find_media_type(head)!r}"
+    return None
+
+
+def _find_media_type(head: AnswerHead) -> str:
+    """Return the content type in lower case, without its parameters."""
+    value = find_header(head.headers, b"content-type") or b""
+    return value.partition(b";")[0].strip().lower().decode("latin-1")
--- a/src/lentilwell/gateway/_event_stream.py
+++ b/src/lentilwell/gateway/_event_stream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 EVENT_END = b"\n\n"
@@ -10,7 +11,7 @@
 
 
 class BrokenStream(Exception):
-    """An upstream's stream skips an event, or has one longer than ``MAX_EVENT_BYTES``."""
+    """An upstream's stream skips an event, is cut off or does not continue an earlier one."""
 
 
 @dataclass(frozen=True)
@@ -65,6 +66,40 @@
         return True
 
 
+class StreamPart:
+    """The part of a caller's stream that one upstream sends.
+
+    ``resumed`` is true if the caller has events of the stream from another upstream. Then nothing
+    is forwarded before an event whose id shows that it continues those: an error text or another
+    answer would look like an event without an id. An end without such an event is no end of the
+    stream, since nothing tells it from an answer that is cut off or not a stream at all.
+    """
+
+    def __init__(self, sequence: EventSequence, resumed: bool) -> None:
+        self._sequence = sequence
+        self._splitter = EventSplitter()
+        self._unproven = resumed
+
+    def read_events(self, data: bytes) -> Iterator[StreamEvent]:
+        """Add bytes and yield the events to forward; each counts as sent when it is yielded.
+
+        Raise ``BrokenStream`` at the first event that does not belong to the caller's stream.
+        """
+        for event in self._splitter.feed(data):
+            if self._unproven and event.number is None:
+                raise BrokenStream("a resumed stream has an event without an id before a new one")
+            if self._sequence.accept(event):
+                self._unproven = False
+                yield event
+
+    def check_end(self) -> None:
+        """Raise ``BrokenStream`` if the stream cannot be complete here."""
+        if self._splitter.incomplete:
+            raise BrokenStream("the stream ended in the middle of an event")
+        if self._unproven:
+            raise BrokenStream("a resumed stream ended without a new event")
+
+
 def _find_number(event: bytes) -> int | None:
     for line in event.split(b"\n"):
         if line.startswith(ID_FIELD):
--- a/src/lentilwell/gateway/_exchange.py
+++ b/src/lentilwell/gateway/_exchange.py
@@ -9,14 +9,14 @@
 from lentilwell._log_lines import ExchangeFailed, RefusalBodyDropped, write_line
 from lentilwell.gateway._accounting import Accounting
 from lentilwell.gateway._admission import check_admission
-from lentilwell.gateway._answer_checks import find_answer_problem
+from lentilwell.gateway._answer_checks import find_answer_problem, find_resume_problem
 from lentilwell.gateway._answer_observer import AnswerObserver
 from lentilwell.gateway._answers import answer_failure, drop_connection_headers
 from lentilwell.gateway._caller_connection import CallerConnection
 from lentilwell.gateway._catalog import Repeat
 from lentilwell.gateway._connection import HttpConnection
 from lentilwell.gateway._connection_pool import ConnectionPool
-from lentilwell.gateway._event_stream import BrokenStream, EventSequence, EventSplitter
+from lentilwell.gateway._event_stream import BrokenStream, EventSequence, StreamPart
 from lentilwell.gateway._failures import (
     ConnectionBroken,
     HttpConnectionError,
@@ -102,6 +102,7 @@
         self._excluded: frozenset[str] = frozenset()
         self._sent_to: frozenset[str] = frozenset()
         self._events = EventSequence(routed.facts.last_event_id)
+        self._stream_head: AnswerHead | None = None
         self._upstream_failure: UpstreamFailure | None = None
         self._retry_after_ms = RETRY_AFTER_MS
         self._timeout: asyncio.Timeout | None = None
@@ -324,22 +325,19 @@
         self, connection: HttpConnection, head: AnswerHead, choice: Choice
     ) -> Effect:
         """Forward the events of a stream as they arrive, each exactly once and complete."""
-        splitter = EventSplitter()
+        part = self._begin_part(head)
         find_silence_timeout_ms = functools.partial(
             self._accounting.find_silence_timeout_ms, choice
         )
         while (data := await connection.read_data(find_silence_timeout_ms)) is not None:
-            for event in splitter.feed(data):
-                if not self._events.accept(event):
-                    continue
+            for event in part.read_events(data):
                 if not self._request_state.delivered:
                     self._start_stream(head)
                 self._recorder.record_event()
                 self._accounting.record_event(choice)
                 await self._caller.write(event.data)
                 connection.record_progress()
-        if splitter.incomplete:
-            raise ConnectionBroken("the stream ended in the middle of an event")
+        part.check_end()
         if not self._request_state.delivered:
             self._start_stream(head)
         connection.finish()
@@ -347,7 +345,16 @@
         self._caller.finish_answer()
         return self._end_attempt(AnswerCompleted())
 
+    def _begin_part(self, head: AnswerHead) -> StreamPart:
+        """Check that an answer can begin or continue the caller's stream."""
+        if self._stream_head is not None:
+            problem = find_resume_problem(self._stream_head, head)
+            if problem is not None:
+                raise BrokenStream(problem)
+        return StreamPart(self._events, resumed=self._stream_head is not None)
+
     def _start_stream(self, head: AnswerHead) -> None:
+        self._stream_head = head
         self._advance(AnswerStarted())
         self._caller.start_answer(head.status, drop_connection_headers(head.headers))
 
