Reading goes on after a pause though the connection closes after the answer

Callers of a stream waited until its deadline, or lost it, when its upstream had said "Connection: close": reading pauses while more than 256 KiB wait for a slow caller, and was resumed only on connections that would carry another request. It is resumed now unless the transport is closing.

test_large_stream_to_a_slow_caller_does_not_hang: the 6 cases with "Connection: close" failed before ("assert (False)", an incomplete answer; close-delimited, chunked and by length, streams that may resume and that may not), the 6 without it passed; all pass now.

With it, tests of answers without a length that end with their connection, whole and reset on the way, plain and streams: 54 cases, not shown to fail before.

--- a/src/lentilwell/gateway/_connection.py
+++ b/src/lentilwell/gateway/_connection.py
@@ -220,7 +220,7 @@
                 return event  # type: ignore[return-value]
             if self._error is not None:
                 raise ConnectionBroken(str(self._error)) from self._error
-            if self._transport is not None and self.reusable:
+            if self._transport is not None and not self._transport.is_closing():
                 self._transport.resume_reading()
             await self._wait_with_silence_timeout(find_silence_timeout_ms)
 
