An idle connection is read again after a large answer

Reading pauses while more than 256 KiB of an answer wait to be parsed. Where the rest of the answer was in that buffer, the connection went back to the pool paused: neither the upstream's close nor a late copy of an answer was noticed while it was idle, so that the next request was sent on a dead connection and cost a retry, or met the copy. finish() resumes reading.

test_end_of_an_idle_connection_is_noticed_after_a_large_answer failed before for both a close and an answer ("assert not True") and passes now.

--- a/src/lentilwell/gateway/_connection.py
+++ b/src/lentilwell/gateway/_connection.py
@@ -172,6 +172,7 @@
         """Prepare the connection for the next request after a complete answer, or close it.
 
         It is closed if unsent or unread bytes remain, since they could mix with the next request.
+        An idle connection is read, so that its end or a late answer is noticed.
         """
         assert self._transport is not None
         self._in_use = False
@@ -181,6 +182,7 @@
             self.close()
             return
         self._http.start_next_cycle()
+        self._transport.resume_reading()
         self.used_before = True
         self.idle_since = self._clock.now()
 
--- a/tests/test_gateway_unframed_answers.py
+++ b/tests/test_gateway_unframed_answers.py
@@ -6,7 +6,9 @@
 
 import pytest
 
-from lentilwell.gateway import Repeat
+from lentilwell._clock import SystemClock
+from lentilwell.gateway import Repeat, open_http_connection
+from lentilwell.gateway._connection import READ_AHEAD_BYTES
 from standins.answer_reader import read_answer
 from tests.gateway_harness import ANSWER_TIMEOUT_S, run_gateway
 from tests.gateway_scripts import in_loop
@@ -120,3 +122,40 @@
 
 def test_these_tests_cover_all_repeat_kinds():
     assert {route.repeat for route in with_single_streams().routes} == set(Repeat)
+
+
+@pytest.mark.parametrize("then", ["close", "answer"])
+@in_loop
+async def test_end_of_an_idle_connection_is_noticed_after_a_large_answer(then):
+    """Reading from the upstream was paused when the last bytes of the answer were parsed."""
+    size = 4 * READ_AHEAD_BYTES
+
+    async def answer_and_end(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % size + b"x" * size)
+        await idle.wait()
+        if then == "answer":
+            writer.write(b"HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+        else:
+            writer.close()
+        ended.set()
+
+    idle, ended = asyncio.Event(), asyncio.Event()
+    server = await asyncio.start_server(answer_and_end, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    connection = await open_http_connection(address, SystemClock())
+    connection.send(b"GET", b"/x", ((b"Host", b"a"),), b"")
+    read = 0
+    await connection.read_head()
+    while (data := await connection.read_data()) is not None:
+        read += len(data)
+        await asyncio.sleep(0.02)
+    connection.finish()
+    assert read == size and connection.idle
+    idle.set()
+    await ended.wait()
+    await asyncio.sleep(0.05)
+    reusable = connection.reusable
+    connection.close()
+    server.close()
+    assert not reusable
