A cut stream is reset for callers of HTTP/1.0

To a caller of HTTP/1.0 a stream that broke off looked complete: its answer has no chunks and ends with the connection, and aborting a transport closes the socket in order. Such a connection is now reset. Callers of HTTP/1.1 are told by the missing last chunk and still get what was written before.

test_broken_stream_does_not_look_complete_to_a_caller_without_chunks failed before ("assert (True and not True)": the connection ended in order) and passes now.

--- a/src/lentilwell/gateway/_caller_connection.py
+++ b/src/lentilwell/gateway/_caller_connection.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from dataclasses import replace
 from typing import Protocol
 
@@ -17,6 +19,9 @@
 MAX_PIPELINED_BYTES = 65_536
 # ": " and CRLF, which each header line has besides its name and its value.
 HEADER_SEPARATOR_BYTES = 4
+HTTP_1_0 = b"1.0"
+# The arguments of SO_LINGER: on, for 0 s. The kernel then closes a socket with a reset.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class CallerContext(Protocol):
@@ -139,8 +144,12 @@
 
     def abort(self) -> None:
         """Abort the connection, so that the caller does not take a partial answer for complete."""
-        if self._transport is not None:
-            self._transport.abort()
+        if self._transport is None:
+            return
+        if self._http.their_http_version == HTTP_1_0:
+            # The answer has no chunks and ends with its connection: only a reset shows the cut.
+            _reset_on_close(self._transport.get_extra_info("socket"))
+        self._transport.abort()
 
     def close_idle(self) -> None:
         """Close the connection if no request is being read or answered on it."""
@@ -255,6 +264,11 @@
             self._transport.close()
 
 
+def _reset_on_close(sock: socket.socket) -> None:
+    """Let the kernel reset the connection when the socket is closed, and drop unsent bytes."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+
 def _count_bytes(target: bytes, headers: Headers) -> int:
     return len(target) + sum(
         len(name) + len(value) + HEADER_SEPARATOR_BYTES for name, value in headers
