The head of another answer inside a stream is no event

Callers found the whole head of an error in their stream: a faulty upstream that writes a late copy of an answer into a stream which ends with its connection (or into its chunks or length) makes it a part of the body, and the splitter took it for an event without an id, or for the first lines of the next one. No field of an event starts with "HTTP/1.", so an event with such a line breaks the stream, which then goes on elsewhere or is cut.

test_head_of_another_answer_is_not_forwarded_as_an_event failed before in all 6 cases ("assert False", the caller's bytes holding "HTTP/1.1 503 X"); it passes now, and so does an event whose data speak of the protocol (7 tests). A copy in a plain answer that ends with its connection can't be told from its body.

--- a/src/lentilwell/gateway/_event_stream.py
+++ b/src/lentilwell/gateway/_event_stream.py
@@ -7,6 +7,7 @@
 
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
+STATUS_LINE_START = b"HTTP/1."
 MAX_EVENT_BYTES = 1_048_576
 
 
@@ -86,6 +87,8 @@
         Raise ``BrokenStream`` at the first event that does not belong to the caller's stream.
         """
         for event in self._splitter.feed(data):
+            if _has_status_line(event.data):
+                raise BrokenStream("the head of another answer in the stream")
             if self._unproven and event.number is None:
                 raise BrokenStream("a resumed stream has an event without an id before a new one")
             if self._sequence.accept(event):
@@ -100,6 +103,11 @@
             raise BrokenStream("a resumed stream ended without a new event")
 
 
+def _has_status_line(event: bytes) -> bool:
+    """Tell whether a line of an event is the first line of an answer; no field starts so."""
+    return event.startswith(STATUS_LINE_START) or b"\n" + STATUS_LINE_START in event
+
+
 def _find_number(event: bytes) -> int | None:
     for line in event.split(b"\n"):
         if line.startswith(ID_FIELD):
--- a/tests/test_gateway_broken_streams.py
+++ b/tests/test_gateway_broken_streams.py
@@ -145,5 +145,30 @@
         assert answer.body == list_events(1, 3) and not answer.complete
 
 
+ANSWER_WITH_BLANK_LINES = b"HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 6\r\n\r\noops\n\n"
+STREAM_OF_ANOTHER = b"HTTP/1.1 200 X\r\nServer-Stamp: s\r\n\r\nid: 3\ndata: theirs\n\n"
+
+
+@pytest.mark.parametrize("copy", [ANSWER_WITH_BLANK_LINES, STREAM_OF_ANOTHER])
+@pytest.mark.parametrize("framing", ["close", "length", "chunked"])
+@in_loop
+async def test_head_of_another_answer_is_not_forwarded_as_an_event(framing, copy):
+    """A late copy of an answer in a stream that ends with its connection is a part of its body."""
+    first = StreamAnswer(list_events(1, 2) + copy + list_events(3), framing=framing)
+    sequence = Sequence(first, SOUND)
+    async with run_gateway(*[sequence.serve] * 2) as harness:
+        answer = await harness.call("/stream/x")
+        check_stream(answer)
+        assert answer.complete
+
+
+@in_loop
+async def test_event_may_speak_of_a_protocol():
+    body = b"id: 1\ndata: HTTP/1.1 200 OK\n\nid: 2\ndata:\ndata: GET / HTTP/1.1\n\n"
+    async with run_gateway(Sequence(StreamAnswer(body)).serve) as harness:
+        answer = await harness.call("/stream/x")
+        assert answer.complete and answer.body == body
+
+
 def test_behaviours_break_off_before_the_last_event():
     assert LAST_EVENT > 3 and set(SPOILED).isdisjoint(RESUMED)
