--- a/tests/stream_scripts.py
+++ b/tests/stream_scripts.py
@@ -107,6 +107,9 @@
 
     async def serve(self, arrival):
         """Answer one send."""
-        answer = self.answers[min(self.used, len(self.answers) - 1)]
         self.used += 1
-        await answer.write(arrival)
+        await self.get_last().write(arrival)
+
+    def get_last(self):
+        """Return the behaviour that answered the last send."""
+        return self.answers[min(self.used, len(self.answers)) - 1]
