--- a/src/lentilwell/gateway/_attempt.py
+++ b/src/lentilwell/gateway/_attempt.py
@@ -9,13 +9,14 @@
 from lentilwell._log_lines import RefusalBodyDropped, write_line
 from lentilwell.gateway._accounting import Accounting
 from lentilwell.gateway._admission import check_admission
+from lentilwell.gateway._answer_checks import find_answer_problem
 from lentilwell.gateway._answer_observer import AnswerObserver
 from lentilwell.gateway._catalog import Repeat
 from lentilwell.gateway._connection import HttpConnection
 from lentilwell.gateway._connection_pool import ConnectionPool
 from lentilwell.gateway._crash_watch import CrashWatch
 from lentilwell.gateway._delivery import Delivery, UpstreamFailure
-from lentilwell.gateway._event_stream import BrokenStream, EventSplitter, StreamEvent
+from lentilwell.gateway._event_stream import BrokenStream, StreamEvent
 from lentilwell.gateway._failures import ConnectionBroken, HttpConnectionError, Unreachable
 from lentilwell.gateway._fleet import Fleet
 from lentilwell.gateway._leases import LeaseManager, LeaseSet, ReservationFailed
@@ -193,8 +194,10 @@
     async def _send(self, placement: Placement, leases: LeaseSet) -> AttemptEnd:
         upstream = placement.choice.upstream
         send_once = self._routed.route.repeat is Repeat.NEVER
+        # An answer to an earlier send of the request has the same id: no connection carries two.
+        fresh = send_once or upstream.name in self._owner.sent_to
         try:
-            connection = await self._connections.acquire(upstream.address, send_once)
+            connection = await self._connections.acquire(upstream.address, fresh)
         except Unreachable as error:
             self._record_unreachable(upstream, str(error))
             return AttemptEnd(ConnectionFailed(), str(error))
@@ -269,12 +272,9 @@
         self._crash_watch.record_alive(upstream)
         connection.idle_limit_ms = head.idle_ms
         connection.reusable = connection.reusable and not head.closing
-        if head.request_id and head.request_id != self._routed.facts.request_id:
-            raise ConnectionBroken(f"the answer belongs to request {head.request_id}")
-        if not head.request_id and connection.used_before:
-            raise ConnectionBroken(
-                "an answer without a request id may be a copy of an earlier answer"
-            )
+        problem = find_answer_problem(head, self._routed.facts.request_id, connection.used_before)
+        if problem is not None:
+            raise ConnectionBroken(problem)
         self._answer_observer.handle_answer(upstream, head, self._accounting.sent_at)
         if head.not_run:
             return await self._handle_refusal(connection, head)
@@ -354,18 +354,16 @@
 
     async def _relay_stream(self, connection: HttpConnection, head: AnswerHead) -> AttemptEnd:
         """Forward the events of a stream as they arrive, each exactly once and complete."""
-        splitter = EventSplitter()
+        part = self._owner.delivery.begin_part(head)
         while (data := await connection.read_data()) is not None:
-            for event in splitter.feed(data):
+            for event in part.read_events(data):
                 connection.events_received += 1
                 self._crash_watch.record_events(
                     self.choice.upstream, self._routed.facts, connection.events_received
                 )
-                if self._owner.delivery.accept(event):
-                    await self._relay_event(event, head)
-                    connection.record_progress()
-        if splitter.incomplete:
-            raise ConnectionBroken("the stream ended in the middle of an event")
+                await self._relay_event(event, head)
+                connection.record_progress()
+        part.check_end()
         self._claim_answer()
         self._start_stream(head)
         connection.finish()
--- a/src/lentilwell/gateway/_caller_connection.py
+++ b/src/lentilwell/gateway/_caller_connection.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import select
+import socket
+import struct
 import sys
 from collections.abc import Callable
 from dataclasses import replace
@@ -22,6 +24,9 @@
 # A caller that stops reading for some seconds still gets the rest of its answer.
 UNACKNOWLEDGED_TIMEOUT_MS = 5_000
 
+HTTP_1_0 = b"1.0"
+# The arguments of SO_LINGER: on, for 0 s. The kernel then closes a socket with a reset.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 TOO_LONG = "the request line and the headers are too long"
 
 FindTimeoutMs = Callable[[Limits], int]
@@ -153,8 +158,12 @@
 
     def abort(self) -> None:
         """Abort the connection, so that the caller does not take a partial answer for complete."""
-        if self._transport is not None:
-            self._transport.abort()
+        if self._transport is None:
+            return
+        if self._http.their_http_version == HTTP_1_0:
+            # The answer has no chunks and ends with its connection: only a reset shows the cut.
+            _reset_on_close(self._transport.get_extra_info("socket"))
+        self._transport.abort()
 
     def close_idle(self) -> None:
         """Close the connection if no request is being read or answered on it, or has arrived."""
@@ -296,6 +305,11 @@
         return bool(poll.poll(0))
 
 
+def _reset_on_close(sock: socket.socket) -> None:
+    """Let the kernel reset the connection when the socket is closed, and drop unsent bytes."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+
 def _find_idle_timeout_ms(limits: Limits) -> int:
     return limits.idle_timeout_ms
 
--- a/src/lentilwell/gateway/_connection.py
+++ b/src/lentilwell/gateway/_connection.py
@@ -176,6 +176,7 @@
         """Prepare the connection for the next request after a complete answer, or close it.
 
         It is closed if unsent or unread bytes remain, since they could mix with the next request.
+        An idle connection is read, so that its end or a late answer is noticed.
         """
         assert self._transport is not None
         self._in_use = False
@@ -186,6 +187,7 @@
             self.close()
             return
         self._http.start_next_cycle()
+        self._transport.resume_reading()
         self.used_before = True
         self.idle_since = self._clock.now()
 
@@ -222,7 +224,7 @@
                 return event  # type: ignore[return-value]
             if self._error is not None:
                 raise ConnectionBroken(str(self._error)) from self._error
-            if self._transport is not None and self.reusable:
+            if self._transport is not None and not self._transport.is_closing():
                 self._transport.resume_reading()
             await self._wait_for_bytes()
 
--- a/src/lentilwell/gateway/_delivery.py
+++ b/src/lentilwell/gateway/_delivery.py
@@ -4,9 +4,10 @@
 
 from dataclasses import dataclass
 
+from lentilwell.gateway._answer_checks import find_resume_problem
 from lentilwell.gateway._answers import answer_failure, drop_connection_headers
 from lentilwell.gateway._caller_connection import CallerConnection
-from lentilwell.gateway._event_stream import EventSequence, StreamEvent
+from lentilwell.gateway._event_stream import BrokenStream, EventSequence, StreamEvent, StreamPart
 from lentilwell.gateway._messages import AnswerHead
 from lentilwell.gateway._request_state import Outcome
 
@@ -30,6 +31,7 @@
     ) -> None:
         self._caller = caller
         self._events = EventSequence(last_event_id)
+        self._stream_head: AnswerHead | None = None
         self.upstream_failure: UpstreamFailure | None = None
         self.retry_after_ms = retry_after_ms
 
@@ -38,9 +40,16 @@
         """Return the id of the last event that the caller has received, or None."""
         return self._events.last
 
-    def accept(self, event: StreamEvent) -> bool:
-        """Tell whether to write this event; raise ``BrokenStream`` if one before it is missing."""
-        return self._events.accept(event)
+    def begin_part(self, head: AnswerHead) -> StreamPart:
+        """Begin or continue the caller's stream by an answer.
+
+        Raise ``BrokenStream`` if the answer cannot continue what the caller has.
+        """
+        if self._stream_head is not None:
+            problem = find_resume_problem(self._stream_head, head)
+            if problem is not None:
+                raise BrokenStream(problem)
+        return StreamPart(self._events, resumed=self._stream_head is not None)
 
     def forward(self, head: AnswerHead, body: bytes) -> None:
         """Forward a complete, buffered upstream answer."""
@@ -48,6 +57,7 @@
 
     def start_stream(self, head: AnswerHead) -> None:
         """Forward the head of a stream."""
+        self._stream_head = head
         self._caller.start_answer(head.status, drop_connection_headers(head.headers))
 
     async def write_event(self, event: StreamEvent) -> None:
