Stand-ins listen at a loopback address of their own process

Suspected cause: a stand-in that ends (a crashing engine, a closed upstream) frees its port while gateways of another test process still send there; the next stand-in of any process may get the port. An experiment with 6 processes that only open and close listeners showed no stray call in 41,574, so a port is not shared while it is open. With an address for each process no call can reach the stand-ins of another one.

--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -25,6 +25,7 @@
     Upstream,
 )
 from standins.answer_reader import read_answer
+from standins.loopback import listen
 
 HOST = "a.example"
 KEY = "key-1"
@@ -98,9 +99,8 @@
 
     async def start(self) -> str:
         """Start listening on a free port and return the address."""
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self.server.sockets[0].getsockname()[:2]
-        return f"{host}:{port}"
+        self.server, address = await listen(self._serve)
+        return address
 
     async def _serve(self, reader, writer):
         self.connections += 1
--- a/tests/test_gateway_recovery.py
+++ b/tests/test_gateway_recovery.py
@@ -5,6 +5,7 @@
 import pytest
 
 from lentilwell.gateway._load_tracker import Job
+from standins.loopback import listen
 from tests.gateway_harness import run_gateway, with_route
 from tests.gateway_scripts import (
     answer_encoded,
@@ -140,7 +141,7 @@
         await upstream.server.wait_closed()
         assert (await harness.call("/once/x")).status == 503
         assert harness.gateway.fleet.ejection.is_unreachable("u0")
-        upstream.server = await asyncio.start_server(upstream._serve, "127.0.0.1", port)
+        upstream.server, _ = await listen(upstream._serve, port)
         await asyncio.sleep(0.7)
         assert not harness.gateway.fleet.ejection.is_unreachable("u0")
         assert (await harness.call("/once/x")).status == 200
