A digest whose jobs have weights that are no numbers to compare is unreadable

The weight is the one field of a job that is a float, and was taken as NaN, infinite or negative. Evidence before the change: three cases of test_digest_with_an_odd_weight_of_a_job_is_unreadable failed, "DID NOT RAISE UnreadableDigest". What callers would see was not measured. After: tests/test_gateway_odd_datagrams.py and test_gateway_peers.py pass.

--- a/src/lentilwell/gateway/_work_digest.py
+++ b/src/lentilwell/gateway/_work_digest.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
@@ -192,6 +193,8 @@
 
 def _decode_job(item: WireItem, name: str, now: int) -> Job:
     item.validate()
+    if not 0 <= item.weight < math.inf:
+        raise ValueError(f"weight of a job out of range for {item.upstream}")
     return Job(
         name=name,
         upstream=item.upstream,
--- a/tests/test_gateway_odd_datagrams.py
+++ b/tests/test_gateway_odd_datagrams.py
@@ -92,3 +92,11 @@
     with pytest.raises(UnreadableDigest) as raised:
         decode_digest(encode_digest(digest, 0), 0)
     assert len(str(raised.value)) <= 200
+
+
+@pytest.mark.parametrize("weight", [float("nan"), float("inf"), -1.0])
+def test_digest_with_an_odd_weight_of_a_job_is_unreadable(weight):
+    """The cost of each choice that includes such a job would be no number to compare."""
+    job = Job("j", "u", 0, 1.0, 1, weight=weight)
+    with pytest.raises(UnreadableDigest):
+        decode_digest(encode_digest(WorkDigest("i", "l", "127.0.0.1:1", 7, (job,)), 0), 0)
