--- a/tests/test_platform_odd_rows.py
+++ b/tests/test_platform_odd_rows.py
@@ -110,3 +110,22 @@
         connection = h11.Connection(h11.CLIENT)
         sent = connection.send(h11.Request(method="GET", target="/", headers=list(headers)))
         assert f"expect-instance: {name}\r\n".encode() in sent.replace(b"Expect-I", b"expect-i")
+
+
+def find_decodable_depth():
+    """Return the depth at which a nested field still decodes."""
+    depth = 0
+    with contextlib.suppress(UnreadableRow):
+        for depth in range(0, 2_000, 10):
+            value = b"[" * depth + b"]" * depth if depth else b"0"
+            decode_upstream("i-1", encode_entry()[:-1] + b', "more": ' + value + b"}")
+    return depth
+
+
+def test_deeply_nested_rows_use_up_nothing_of_the_recursion_limit():
+    before = find_decodable_depth()
+    for value in (b"[" * 30_000, b'{"a":' * 30_000, b"[" * 500 + b"?"):
+        for _ in range(500):
+            with pytest.raises(UnreadableRow):
+                decode_upstream("i-1", b'{"more": ' + value)
+    assert find_decodable_depth() == before > 100
