Soak: a second copy of an answer is not written into a paused answer

Cause: the stand-in's mode "twice" writes a copy of an answer 50 ms later. Since sound answers may pause after their head, that could be inside the next answer on the connection, where nobody can tell it from the body; a server of the users repeats an answer where the next one is expected. The new test failed before: "ValueError: invalid literal for int() with base 10: 'X'". Change: a copy waits until no answer is written in part. The checks are as before.

--- a/soak/faulty_server.py
+++ b/soak/faulty_server.py
@@ -11,6 +11,7 @@
 from standins.pauses import NO_PAUSE, Pause, PausePoint
 
 SERVICE_TIME_S = 0.01
+DUPLICATE_DELAY_S = 0.05
 # Longer than the deadline of any call.
 MUTE_S = 60
 CLOSED_MS = 1_500
@@ -34,8 +35,9 @@
     """One upstream of a plain service; the current mode decides how it answers.
 
     ``incarnation`` counts its starts. While ``leaving`` is set, every answer announces it, and
-    while ``rate_limit`` is set, every answer names it. ``draw_pause`` returns the pause of
-    each answer in the mode "sound".
+    while ``rate_limit`` is set, every answer names it. ``draw_pause`` returns the pause of each
+    sound answer, and ``inside_answer`` holds the connections on which only a part of one has been
+    written.
     """
 
     def __init__(self, name: str, observations: Observations) -> None:
@@ -44,6 +46,7 @@
         self.incarnation = 1
         self.leaving = False
         self.rate_limit: float | None = None
+        self.inside_answer: set[asyncio.StreamWriter] = set()
         self.draw_pause: Callable[[], Pause] = lambda: NO_PAUSE
         self.address = ""
         self._observations = observations
@@ -90,6 +93,21 @@
         paused = PausedAnswer(request, self.name, now, now + pause.duration_ms)
         self._observations.pauses.append(paused)
 
+    def write_later(self, writer: asyncio.StreamWriter, duplicate: bytes) -> None:
+        """Write a second copy of an answer after ``DUPLICATE_DELAY_S``, not inside another answer.
+
+        A copy inside the body of another answer could not be told from that body.
+        """
+        asyncio.get_running_loop().call_later(
+            DUPLICATE_DELAY_S, self._write_duplicate, writer, duplicate
+        )
+
+    def _write_duplicate(self, writer: asyncio.StreamWriter, duplicate: bytes) -> None:
+        if writer in self.inside_answer:
+            self.write_later(writer, duplicate)
+        elif not writer.is_closing():
+            writer.write(duplicate)
+
     def format_answer(
         self, headers: dict[str, str], status: int, body: bytes, **extra_headers: str
     ) -> bytes:
@@ -131,6 +149,7 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             return
         finally:
+            self.inside_answer.discard(writer)
             writer.close()
 
 
@@ -156,11 +175,13 @@
     answer = server.format_answer(headers, 200, body)
     body_begin = len(answer) - len(body)
     body_middle = body_begin + len(body) // 2
+    server.inside_answer.add(writer)
     writer.write(answer[:body_begin])
     await pause.hold(PausePoint.AFTER_HEAD)
     writer.write(answer[body_begin:body_middle])
     await pause.hold(PausePoint.INSIDE_BODY)
     writer.write(answer[body_middle:])
+    server.inside_answer.discard(writer)
 
 
 @mode("shed")
@@ -189,7 +210,7 @@
     """Run the request, answer it, and later send the same answer again."""
     await answer_request(server, headers, writer)
     duplicate = server.format_answer(headers, 200, build_answer_body(headers["request-id"]))
-    asyncio.get_running_loop().call_later(5 * SERVICE_TIME_S, _write_if_open, writer, duplicate)
+    server.write_later(writer, duplicate)
 
 
 @mode("torn")
@@ -221,8 +242,3 @@
     server.record_arrival(headers, ran=True)
     server.record_announcement(headers)
     writer.write(server.format_answer(headers, 500, b"failed"))
-
-
-def _write_if_open(writer: asyncio.StreamWriter, duplicate: bytes) -> None:
-    if not writer.is_closing():
-        writer.write(duplicate)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,9 +1,12 @@
 """Tests of the soak's fault plan and checks, and a short run of real processes."""
 
+import asyncio
+
 import pytest
 
 from soak.checks import ANNOUNCEMENT_SLACK_MS, CHECKS, find_violations
 from soak.faults import FAULT_ACTIONS
+from soak.faulty_server import FaultyServer
 from soak.observations import (
     Announcement,
     Arrival,
@@ -18,6 +21,8 @@
 )
 from soak.plan import FAULT_WEIGHTS, draw_plan
 from soak.run import run_seed
+from standins.answer_reader import read_answer
+from standins.pauses import NO_PAUSE, Pause, PausePoint
 
 FAULT_FREE_SINCE = 20_000
 
@@ -185,3 +190,24 @@
 @pytest.mark.timeout(120)
 def test_short_run_of_real_processes_has_no_violations():
     assert run_seed(1, 4_000, instances=2).violations == ()
+
+
+def test_second_copy_of_an_answer_is_not_written_into_a_paused_one():
+    """Soak seed 173397622: a copy of an earlier answer became the body of a paused one."""
+
+    async def read_after_a_copy():
+        server = FaultyServer("d0", Observations())
+        pauses = iter([NO_PAUSE, Pause(PausePoint.AFTER_HEAD, 300)])
+        server.mode, server.draw_pause = "twice", lambda: next(pauses)
+        host, port = (await server.start()).split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        for request in ("a", "b"):
+            writer.write(f"GET / HTTP/1.1\r\nRequest-Id: {request}\r\n".encode())
+            writer.write(b"Expect-Instance: d0\r\n\r\n")
+        answers = [await read_answer(reader) for _ in range(4)]
+        writer.close()
+        server.close()
+        return [(answer.headers["request-id"], answer.body) for answer in answers]
+
+    answers = asyncio.run(read_after_a_copy())
+    assert sorted(answers) == 2 * [("a", b"answer to a")] + 2 * [("b", b"answer to b")]
