Probe a silent upstream without waiting for the probe of a dead one

What callers saw: 503 though the upstream was sound and accepted connections: it was silent once and counted as unreachable until its probe, and the probe began only when that of a dead upstream, of any service, had failed after 250 ms.

Cause: all unreachable upstreams were probed in one round, and the next round began when the last probe had ended.

Evidence: test_probe_does_not_wait_for_the_probe_of_a_dead_upstream failed before the change: both upstreams were still unreachable 0.2 s after the silence of the sound one, while the probe of the other one took 1 s.

Change: each unreachable upstream is probed in a task of its own, at the same interval as before. A dead upstream is no longer probed again because another one has become unreachable.

--- a/src/lentilwell/gateway/_prober.py
+++ b/src/lentilwell/gateway/_prober.py
@@ -17,30 +17,44 @@
 
 
 class Prober:
-    """Probes by opening a connection, which goes to the pool for the next request."""
+    """Probes by opening a connection, which goes to the pool for the next request.
+
+    Each upstream is probed in a task of its own: a dead one takes long to fail, and those that were
+    only silent must not wait for it.
+    """
 
     def __init__(self, fleet: Fleet, connections: ConnectionPool) -> None:
         self._fleet = fleet
         self._connections = connections
+        self._probing: set[str] = set()
 
     async def run(self) -> None:
-        """Run forever: probe when an upstream becomes unreachable, then at an interval."""
+        """Run forever: probe each upstream that becomes unreachable, then at an interval."""
         probe_needed = asyncio.Event()
         self._fleet.ejection.on_unreachable = probe_needed.set
-        while True:
-            await probe_needed.wait()
-            probe_needed.clear()
-            if await self._probe_unreachable():
-                asyncio.get_running_loop().call_later(PROBE_INTERVAL_MS / 1_000, probe_needed.set)
-
-    async def _probe_unreachable(self) -> bool:
-        """Probe all unreachable upstreams; return whether any is still unreachable."""
-        listed = self._fleet.directory.listed.values()
-        unreachable = [
-            upstream for upstream in listed if self._fleet.ejection.is_unreachable(upstream.name)
-        ]
-        reached = await asyncio.gather(*(self._probe(upstream) for upstream in unreachable))
-        return not all(reached)
+        self._probing = set()
+        async with asyncio.TaskGroup() as probes:
+            while True:
+                await probe_needed.wait()
+                probe_needed.clear()
+                for name in self._list_unreachable() - self._probing:
+                    self._probing.add(name)
+                    probes.create_task(self._probe_until_reached(name))
+
+    def _list_unreachable(self) -> set[str]:
+        """Return the names of the listed upstreams that are unreachable."""
+        listed = self._fleet.directory.listed
+        return {name for name in listed if self._fleet.ejection.is_unreachable(name)}
+
+    async def _probe_until_reached(self, name: str) -> None:
+        """Probe an upstream at an interval until it is reached, or no longer listed."""
+        while (upstream := self._find_unreachable(name)) and not await self._probe(upstream):
+            await asyncio.sleep(PROBE_INTERVAL_MS / 1_000)
+        self._probing.discard(name)
+
+    def _find_unreachable(self, name: str) -> Upstream | None:
+        unreachable = self._fleet.ejection.is_unreachable(name)
+        return self._fleet.directory.listed.get(name) if unreachable else None
 
     async def _probe(self, upstream: Upstream) -> bool:
         try:
--- a/tests/test_gateway_recovery.py
+++ b/tests/test_gateway_recovery.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from lentilwell.gateway._failures import Unreachable
 from lentilwell.gateway._load_tracker import Job
 from standins.loopback import listen
 from tests.gateway_harness import run_gateway, with_route
@@ -147,6 +148,29 @@
         assert (await harness.call("/once/x")).status == 200
 
 
+@in_loop
+async def test_probe_does_not_wait_for_the_probe_of_a_dead_upstream():
+    async with run_gateway(answer_ok, answer_ok) as harness:
+        ejection, now = harness.gateway.fleet.ejection, harness.gateway.clock.now()
+        connections = harness.gateway.connections
+        dead = harness.gateway.fleet.directory.listed["u1"].address
+        acquire = connections.acquire
+
+        async def acquire_late(address, fresh):
+            if address == dead:
+                await asyncio.sleep(1)
+                raise Unreachable("no answer to the connection request")
+            return await acquire(address, fresh)
+
+        connections.acquire = acquire_late
+        ejection.record_unreachable("u1", now)
+        await asyncio.sleep(0.05)
+        ejection.record_unreachable("u0", now)
+        await asyncio.sleep(0.2)
+        assert [ejection.is_unreachable(name) for name in ("u0", "u1")] == [False, True]
+        assert (await harness.call("/once/x")).status == 200
+
+
 @in_loop
 async def test_upstream_that_becomes_busy_during_a_request_is_not_timed_out():
     """Jobs that are added to an upstream after a request was sent there extend its timeout."""
