Go on probing after an unexpected error in a probe

What callers would see: an upstream that gets no requests for as long as it is listed, after an exception in any probe.

Cause: the task of the probes runs anew after an exception, but waits for the next upstream to become unreachable, and those that are unreachable already never do again.

Evidence: test_exception_in_a_probe_does_not_end_the_probes_of_unreachable_upstreams failed before the change (TimeoutError, both unreachable after 3 s). No such exception has been seen.

Change: the task begins with probes of all that are unreachable.

--- a/src/lentilwell/gateway/_prober.py
+++ b/src/lentilwell/gateway/_prober.py
@@ -31,6 +31,7 @@
     async def run(self) -> None:
         """Run forever: probe each upstream that becomes unreachable, then at an interval."""
         probe_needed = asyncio.Event()
+        probe_needed.set()  # for those that became unreachable before
         self._fleet.ejection.on_unreachable = probe_needed.set
         self._probing = set()
         async with asyncio.TaskGroup() as probes:
--- a/tests/test_gateway_recovery.py
+++ b/tests/test_gateway_recovery.py
@@ -171,6 +171,24 @@
         assert (await harness.call("/once/x")).status == 200
 
 
+@in_loop
+async def test_exception_in_a_probe_does_not_end_the_probes_of_unreachable_upstreams():
+    async with run_gateway(answer_ok, answer_ok) as harness:
+        ejection, connections = harness.gateway.fleet.ejection, harness.gateway.connections
+        acquire = connections.acquire
+
+        async def fail_once(address, fresh):
+            connections.acquire = acquire
+            raise ZeroDivisionError
+
+        connections.acquire = fail_once
+        for name in ("u0", "u1"):
+            ejection.record_unreachable(name, harness.gateway.clock.now())
+        async with asyncio.timeout(3):
+            while any(map(ejection.is_unreachable, ("u0", "u1"))):
+                await asyncio.sleep(0.02)
+
+
 @in_loop
 async def test_upstream_that_becomes_busy_during_a_request_is_not_timed_out():
     """Jobs that are added to an upstream after a request was sent there extend its timeout."""
