Keep an open answer when the attempt beside it fails unexpectedly

What callers would see: 502 or a stream cut off by an exception in the second attempt, while the first upstream, silent for a moment, goes on.

Cause: an exception in any attempt ended the request, also with other attempts open.

Evidence: test_unexpected_error_beside_a_silent_upstream_does_not_end_its_answer, 2 cases, failed before the change: 502, and a stream that ended after two of five events. No such exception has been seen.

Change: beside another attempt an exception is logged as before and ends its own attempt only, as one that may have run if the request was sent. The exception of the last attempt ends the request as before.

--- a/src/lentilwell/gateway/_attempt.py
+++ b/src/lentilwell/gateway/_attempt.py
@@ -100,7 +100,7 @@
     """Sends a request to one upstream; other attempts of the request may be open beside it.
 
     Until ``claim_answer`` was called, nothing of the attempt reaches the caller. ``silent`` is true
-    while the upstream exceeds the silence timeout.
+    while the upstream exceeds the silence timeout, ``sent`` once the request may have reached it.
     """
 
     def __init__(self, context: ExchangeContext, owner: AttemptOwner, number: int) -> None:
@@ -117,6 +117,7 @@
         self._accounting = Accounting(context.fleet, owner.routed, number)
         self._choice: Choice | None = None
         self.silent = False
+        self.sent = False
 
     @property
     def choice(self) -> Choice:
@@ -243,6 +244,7 @@
     def _record_send(self, upstream: Upstream) -> None:
         owner = self._owner
         owner.advance(SendStarted(new_upstream=upstream.name not in owner.sent_to))
+        self.sent = True
         owner.sent_to |= {upstream.name}
         self._accounting.record_sent()
         limit = self._fleet.rate_limits.find(upstream.incarnation)
--- a/src/lentilwell/gateway/_exchange.py
+++ b/src/lentilwell/gateway/_exchange.py
@@ -17,6 +17,7 @@
     DeadlinePassed,
     Effect,
     Event,
+    ExchangeBroken,
     Finish,
     NoUpstream,
     OtherSendsCancelled,
@@ -156,17 +157,26 @@
         if report.end is None:
             return self._handle_silent_attempt(report)
         del self._tasks[report.attempt]
-        if isinstance(report.end, Exception):
-            raise report.end
-        effect = self.advance(report.end.event)
-        if report.end.reason:
+        end = report.end
+        if isinstance(end, Exception):
+            if not self._tasks:
+                raise end
+            end = self._handle_error(report.attempt, end)
+        effect = self.advance(end.event)
+        if end.reason:
             self.recorder.record_attempt(
-                report.attempt.upstream, report.end.reason, self.state.sends, describe(effect)
+                report.attempt.upstream, end.reason, self.state.sends, describe(effect)
             )
-        if effect is None and isinstance(report.end.event, NoUpstream):
+        if effect is None and isinstance(end.event, NoUpstream):
             self._look_again_later()
         return effect
 
+    def _handle_error(self, attempt: Attempt, error: Exception) -> AttemptEnd:
+        """Log an unexpected error of an attempt, which must not end those beside it."""
+        write_line(ExchangeFailed(self.routed.request.target.decode("latin-1")), error)
+        event = ExchangeBroken() if attempt.sent else NoUpstream()
+        return AttemptEnd(event, f"unexpected error: {error!r}")
+
     def _look_again_later(self) -> None:
         if self._look_again_timer is not None:
             self._look_again_timer.cancel()
--- a/tests/test_gateway_silent_upstreams.py
+++ b/tests/test_gateway_silent_upstreams.py
@@ -230,3 +230,24 @@
         answer = await harness.call("/stream/x", Deadline_Ms="10000")
         assert answer.complete and list_event_ids(answer.body) == WHOLE
         assert [len(upstream.arrivals) for upstream in harness.upstreams] == arrivals
+
+
+@pytest.mark.parametrize(
+    ("path", "first"), [("/whole/x", pause_before_answer), ("/stream/x", pause_in_stream)]
+)
+@in_loop
+async def test_unexpected_error_beside_a_silent_upstream_does_not_end_its_answer(path, first):
+    async with run_gateway(first, answer_ok) as harness:
+        harness.gateway.fleet.ejection.record_unreachable("u1", harness.gateway.clock.now())
+        dialect = harness.gateway._dialect
+        read_head = dialect.read_head
+
+        def fail_for_u1(response):
+            if dict(response.headers)[b"server-stamp"] == b"stamp-u1":
+                raise ZeroDivisionError
+            return read_head(response)
+
+        dialect.read_head = fail_for_u1
+        answer = await harness.call(path)
+        assert answer.complete and answer.status == 200
+        assert [len(upstream.arrivals) for upstream in harness.upstreams] == [1, 1]
