--- a/tests/crashing_engines.py
+++ b/tests/crashing_engines.py
@@ -42,6 +42,7 @@
     """
 
     count: int
+    crashes_on: str | None = HARMFUL
     listing: FakeFeed = field(default_factory=FakeFeed)
     crashes: list[int] = field(default_factory=list)
     harmful: list[int] = field(default_factory=list)
@@ -69,6 +70,12 @@
         """End an engine for a reason of its own."""
         self.engines[name].crash()
 
+    def set_harmful(self, harmful: bool) -> None:
+        """Let the engines end under the part from now on, or not."""
+        self.crashes_on = HARMFUL if harmful else None
+        for engine in self.engines.values():
+            engine.crashes_on = self.crashes_on
+
     def find_fifth_crash(self) -> int | None:
         """Return the time of the fifth end of an engine."""
         return self.crashes[4] if len(self.crashes) >= 5 else None
@@ -79,7 +86,8 @@
         return 0 if fifth is None else sum(at > fifth + contact_ms for at in self.harmful)
 
     async def _start_engine(self) -> None:
-        engine = BatchServer(f"e{next(self.numbers)}", self.by_address, crashes_on=HARMFUL)
+        engine = BatchServer(f"e{next(self.numbers)}", self.by_address)
+        engine.crashes_on = self.crashes_on
         engine.on_request = self._record_request
         engine.on_crash = lambda: self._replace(engine)
         await engine.start()
--- a/tests/test_gateway_crash_evidence.py
+++ b/tests/test_gateway_crash_evidence.py
@@ -126,6 +126,15 @@
     assert not observer.refuses("team") and not observer.refuses("team", "other")
 
 
+def test_part_with_answers_before_is_condemned_by_five_crashes():
+    observer = Observer()
+    observer.answer("team", "bad")
+    for number in range(5):
+        assert not observer.refuses("team", "bad")
+        observer.crash((f"r{number}", "team", "bad"), (f"s{number}", "team"))
+    assert observer.refuses("team", "bad") and not observer.refuses("team")
+
+
 def test_parts_that_occur_only_together_are_refused_only_together():
     observer = Observer()
     condemn(observer, "team", "bad")
--- a/tests/test_gateway_crashing_prompts.py
+++ b/tests/test_gateway_crashing_prompts.py
@@ -36,13 +36,19 @@
         await asyncio.sleep(CALM_S)
         await group.press(INCIDENT_S, 4.0, *parts)
         await sound
-        fleet = group.fleet
-        begin = fleet.find_fifth_crash() or fleet.crashes[-1]
-        late = fleet.count_late_sends(CONTACT_MS)
-        served = group.find_served_share(begin + 2 * CONTACT_MS, OTHER_PART)
-        seen = f"{late} late sends, {served:.2f} of the others served, {len(fleet.crashes)} ends"
-        print(seen)
-        assert late <= MAX_LATE_SENDS and served >= MIN_SERVED, seen
+        check(group)
+
+
+@in_loop
+async def test_part_that_was_answered_before_it_became_harmful_reaches_few_more():
+    async with run_group(3) as group:
+        group.fleet.set_harmful(False)
+        sound = asyncio.create_task(group.press(CALM_S + INCIDENT_S, 12.0, OTHER_PART))
+        await group.press(CALM_S, 4.0, *MIDDLE)
+        group.fleet.set_harmful(True)
+        await group.press(INCIDENT_S - CALM_S, 4.0, *MIDDLE)
+        await sound
+        check(group)
 
 
 @in_loop
@@ -127,3 +133,14 @@
 
 def list_condemned(gateway):
     return gateway.fleet.crash_evidence.condemned
+
+
+def check(group):
+    """Check the users' rules about the part and about the requests that share the other one."""
+    fleet = group.fleet
+    begin = fleet.find_fifth_crash() or fleet.crashes[-1]
+    late = fleet.count_late_sends(CONTACT_MS)
+    served = group.find_served_share(begin + 2 * CONTACT_MS, OTHER_PART)
+    seen = f"{late} late sends, {served:.2f} of the others served, {len(fleet.crashes)} ends"
+    print(seen)
+    assert late <= MAX_LATE_SENDS and served >= MIN_SERVED, seen
