--- /dev/null
+++ b/tests/test_gateway_crash_watch.py
@@ -0,0 +1,88 @@
+"""What an instance tells the others about crashes: at once, to all of them, and then to a few."""
+
+import asyncio
+
+from lentilwell._clock import ManualClock
+from lentilwell.gateway import RequestFacts, Upstream
+from lentilwell.gateway._crash_evidence import CrashEvidence
+from lentilwell.gateway._crash_messages import decode_crash_notice
+from lentilwell.gateway._crash_watch import (
+    COALESCE_MS,
+    FRESH_MS,
+    MAX_ID_LENGTH,
+    REPEAT_MS,
+    REPEAT_PEERS,
+    STALE_REPEAT_MS,
+    CrashWatch,
+)
+from tests.gateway_scripts import in_loop
+
+PEERS = tuple(f"i{number}" for number in range(100))
+UPSTREAM = Upstream("u", "s", "127.0.0.1:1", "dc", 8, False, born_ms=1)
+
+
+class WatchHarness:
+    """A watch whose messages are recorded."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.sent = []
+        self.watch = CrashWatch(self.clock, CrashEvidence())
+        self.watch.list_peers = lambda: PEERS
+        self.watch.send = lambda peer, data: self.sent.append((peer, data)) is None
+
+    def advance(self, ms):
+        """Let time pass, then return how many messages the maintenance sends."""
+        self.clock.advance(ms)
+        before = len(self.sent)
+        self.watch.run_maintenance()
+        return len(self.sent) - before
+
+
+def make_facts(*parts, request="r"):
+    return RequestFacts(request, "", None, None, None, parts)
+
+
+@in_loop
+async def test_new_crash_is_told_to_all_instances_in_one_message_each():
+    harness = WatchHarness()
+    for number in range(5):
+        harness.watch.record_cut(UPSTREAM, make_facts("aa", request=f"r{number}"), 0)
+    await asyncio.sleep(10 * COALESCE_MS / 1_000)
+    assert sorted(peer for peer, _ in harness.sent) == sorted(PEERS)
+    [crash] = decode_crash_notice(harness.sent[0][1], harness.clock.now()).crashes
+    assert len(crash.cut) == 5
+    harness.watch.close()
+
+
+@in_loop
+async def test_evidence_is_repeated_to_a_few_instances_and_less_often_later():
+    harness = WatchHarness()
+    assert harness.advance(STALE_REPEAT_MS) == 0
+    harness.watch.record_cut(UPSTREAM, make_facts("aa"), 0)
+    assert harness.advance(REPEAT_MS) == REPEAT_PEERS
+    assert harness.advance(REPEAT_MS - 1) == 0
+    harness.advance(FRESH_MS)
+    assert harness.advance(STALE_REPEAT_MS - 1) == 0
+    assert harness.advance(1) == REPEAT_PEERS
+    harness.watch.close()
+
+
+@in_loop
+async def test_nothing_is_told_by_a_closed_watch():
+    harness = WatchHarness()
+    harness.watch.record_cut(UPSTREAM, make_facts("aa"), 0)
+    harness.watch.close()
+    await asyncio.sleep(10 * COALESCE_MS / 1_000)
+    assert not harness.sent
+
+
+@in_loop
+async def test_long_ids_are_told_as_hashes():
+    harness = WatchHarness()
+    harness.watch.record_cut(UPSTREAM, make_facts("a" * 64, "b" * MAX_ID_LENGTH), 0)
+    await asyncio.sleep(10 * COALESCE_MS / 1_000)
+    [crash] = decode_crash_notice(harness.sent[0][1], harness.clock.now()).crashes
+    [cut] = crash.cut
+    assert len(cut.parts[0]) == MAX_ID_LENGTH and cut.parts[1] == "b" * MAX_ID_LENGTH
+    harness.watch.close()
--- a/tests/test_gateway_peers.py
+++ b/tests/test_gateway_peers.py
@@ -364,6 +364,13 @@
     assert len(written) == 300 and busiest <= 40
 
 
+def test_instances_of_other_shards_are_known_too():
+    peers = make_peers()
+    members = {f"i{number}": Member(f"127.0.0.1:{number + 2}", "a") for number in range(100)}
+    peers._update_members({**members, "own": Member("127.0.0.1:1", "a")})
+    assert sorted(peers.list_known()) == sorted(members)
+
+
 def test_pause_of_the_own_process_is_no_silence_of_peers():
     clock = ManualClock(5_000)
     peers, silent = make_peers(clock), []
