--- a/src/lentilwell/gateway/_crash_evidence.py
+++ b/src/lentilwell/gateway/_crash_evidence.py
@@ -20,6 +20,7 @@
     find_explanations,
     list_suspects,
 )
+from lentilwell.gateway._crash_notice import AliveUpstream, CrashNotice, SoundPart
 from lentilwell.gateway._upstreams import Incarnation
 
 # Parts stay condemned for this long after the last crash that they explain.
@@ -50,32 +51,6 @@
 MAX_REFUTED = 64
 
 
-@dataclass(frozen=True)
-class SoundPart:
-    """A part on which an answer was written beyond its beginning at ``at`` ms."""
-
-    part: str
-    at: int
-
-
-@dataclass(frozen=True)
-class AliveUpstream:
-    """An incarnation that answered at ``at`` ms, after it was taken to have crashed."""
-
-    upstream: Incarnation
-    at: int
-
-
-@dataclass(frozen=True)
-class CrashNotice:
-    """Evidence that one instance tells another, the newest crashes first."""
-
-    crashes: tuple[Crash, ...] = ()
-    sound: tuple[SoundPart, ...] = ()
-    condemned: tuple[Explanation, ...] = ()
-    alive: tuple[AliveUpstream, ...] = ()
-
-
 @dataclass(frozen=True)
 class Refusal:
     """A request is not sent because of these parts; it may come again in ``retry_after_ms``."""
--- a/src/lentilwell/gateway/_crash_messages.py
+++ b/src/lentilwell/gateway/_crash_messages.py
@@ -13,13 +13,9 @@
 from lentilwell._wire.ttypes import CutPrompt as WireCut
 from lentilwell._wire.ttypes import SoundPart as WireSound
 from lentilwell._wire.ttypes import UpstreamCrash as WireCrash
-from lentilwell.gateway._crash_evidence import (
-    FORGOTTEN_MS,
-    AliveUpstream,
-    CrashNotice,
-    SoundPart,
-)
+from lentilwell.gateway._crash_evidence import FORGOTTEN_MS
 from lentilwell.gateway._crash_hypotheses import Crash, CutRequest, Explanation
+from lentilwell.gateway._crash_notice import AliveUpstream, CrashNotice, SoundPart
 from lentilwell.gateway._upstreams import Incarnation
 
 # Neither a digest nor a message about permits begins with this byte.
--- a/src/lentilwell/gateway/_crash_watch.py
+++ b/src/lentilwell/gateway/_crash_watch.py
@@ -20,18 +20,14 @@
     UpstreamNotCrashed,
     write_line,
 )
-from lentilwell.gateway._crash_evidence import (
-    SETTLE_MS,
-    CrashEvidence,
-    CrashNotice,
-    Refusal,
-)
+from lentilwell.gateway._crash_evidence import SETTLE_MS, CrashEvidence, Refusal
 from lentilwell.gateway._crash_hypotheses import CutRequest
 from lentilwell.gateway._crash_messages import (
     UnreadableCrashNotice,
     decode_crash_notice,
     encode_crash_notice,
 )
+from lentilwell.gateway._crash_notice import CrashNotice
 from lentilwell.gateway._messages import RequestFacts
 from lentilwell.gateway._upstreams import Upstream
 
