Log the fingerprint of a request that an upstream cut

The record of BUDGET did not tell whether one request comes again and again, or different ones with one part: each client attempt has a new id. `request cut` now has a fingerprint, a hash of team, method, host, target and body.

--- a/src/lentilwell/_log_lines/_requests.py
+++ b/src/lentilwell/_log_lines/_requests.py
@@ -79,7 +79,8 @@
 class RequestCut(Line):
     """An upstream ended the connection of a request after ``events`` events of its answer.
 
-    ``parts`` are the ids of the parts of the prompt that other prompts may have too.
+    ``parts`` are the ids of the parts of the prompt that other prompts may have too;
+    ``fingerprint`` is the same for the same request sent again under another id.
     """
 
     request: str
@@ -87,6 +88,7 @@
     born_ms: int
     events: int
     parts: str
+    fingerprint: str = ""
 
 
 @line("request refused")
--- a/src/lentilwell/cli/_timeline.py
+++ b/src/lentilwell/cli/_timeline.py
@@ -204,7 +204,8 @@
 def describe_cut(line: lines.RequestCut) -> str:
     """Describe how far the answer was when the upstream ended the connection."""
     parts = f"; its prompt shares {line.parts}" if line.parts else ""
-    return f"{line.upstream} ended the connection after {line.events} events{parts}"
+    same = f"; sent again it has the fingerprint {line.fingerprint}" if line.fingerprint else ""
+    return f"{line.upstream} ended the connection after {line.events} events{parts}{same}"
 
 
 @describer(lines.RequestRefused)
--- a/src/lentilwell/gateway/_request_recorder.py
+++ b/src/lentilwell/gateway/_request_recorder.py
@@ -121,6 +121,7 @@
                 born_ms=upstream.born_ms,
                 events=events,
                 parts=" ".join(facts.shared_parts),
+                fingerprint=self._routed.fingerprint,
             )
         )
 
--- a/src/lentilwell/gateway/_routing.py
+++ b/src/lentilwell/gateway/_routing.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from functools import cached_property
 
 import xxhash
 from result import Err, Ok, Result
 
 from lentilwell.gateway._catalog import Catalog, EngineSpec, Route, Team, choose_share
+from lentilwell.gateway._fingerprints import compute_fingerprint
 from lentilwell.gateway._messages import InboundRequest, RequestFacts
 
 NOT_READY_RETRY_MS = 500
@@ -48,6 +50,11 @@
             return self.team.rank
         return self.route.rank
 
+    @cached_property
+    def fingerprint(self) -> str:
+        """Return what the request has in common with the same request sent again."""
+        return compute_fingerprint(self.request, self.team.name if self.team is not None else "")
+
 
 def route_request(
     catalog: Catalog | None, request: InboundRequest, facts: RequestFacts
