Do not reuse a connection to an upstream whose end has arrived unread

Cause: an idle connection was used again if the event loop had not yet read that the upstream had closed it. A request was sent into a connection known to the kernel as ended: it cost an attempt, and for the evidence of crashes it looked like a request that was sent to a living upstream and crashed it.

The pool asks the kernel before it uses an idle connection.

--- a/src/lentilwell/gateway/_caller_connection.py
+++ b/src/lentilwell/gateway/_caller_connection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import select
 import socket
 import struct
 import sys
@@ -15,7 +14,7 @@
 
 from lentilwell._clock import Clock
 from lentilwell.gateway._catalog import Limits
-from lentilwell.gateway._connection import set_dead_peer_timeouts
+from lentilwell.gateway._connection import has_unread_bytes, set_dead_peer_timeouts
 from lentilwell.gateway._framing import count_head_bytes, has_ambiguous_framing
 from lentilwell.gateway._messages import JSON_TYPE, Headers, InboundRequest, encode_error
 
@@ -298,11 +297,7 @@
 
     def _has_unread_bytes(self) -> bool:
         """Tell whether bytes have arrived that the event loop has not read yet."""
-        if self._transport is None or self._transport.is_closing():
-            return False
-        poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return self._transport is not None and has_unread_bytes(self._transport)
 
 
 def _reset_on_close(sock: socket.socket) -> None:
--- a/src/lentilwell/gateway/_connection.py
+++ b/src/lentilwell/gateway/_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 from collections.abc import Sequence
 from typing import Protocol
@@ -200,6 +201,10 @@
         if self._in_use and silent and not self._silence_reported:
             self._report_silence()
 
+    def has_unread_bytes(self) -> bool:
+        """Tell whether bytes, or the end of the connection, have arrived and are not read yet."""
+        return self._transport is None or has_unread_bytes(self._transport)
+
     def close(self) -> None:
         """Abort the connection, which lets the upstream cancel the request in flight."""
         self.reusable = False
@@ -273,6 +278,15 @@
             self._waiter.set_result(received)
 
 
+def has_unread_bytes(transport: asyncio.Transport) -> bool:
+    """Tell whether bytes, or the end of a connection, wait in the kernel to be read."""
+    if transport.is_closing():
+        return False
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def set_dead_peer_timeouts(sock: socket.socket, unacknowledged_ms: int) -> None:
     """Send small writes at once, and let the kernel detect a dead peer within a few seconds.
 
--- a/src/lentilwell/gateway/_connection_pool.py
+++ b/src/lentilwell/gateway/_connection_pool.py
@@ -29,12 +29,15 @@
     async def acquire(self, address: str, fresh: bool) -> HttpConnection:
         """Return an idle or new connection; with ``fresh``, always a new one.
 
+        One that has ended, or on which bytes have arrived that belong to no request, is not used,
+        even if the event loop has not read them yet.
+
         Raise ``Unreachable`` if no connection can be opened.
         """
         idle = self._idle.get(address, [])
         while idle and not fresh:
             connection = idle.pop()
-            if self._can_reuse(connection):
+            if self._can_reuse(connection) and not connection.has_unread_bytes():
                 return connection
             connection.close()
         self.opened += 1
