--- a/standins/batch_server.py
+++ b/standins/batch_server.py
@@ -16,6 +16,7 @@
 from standins.batch import ENGINE, Batch, BatchJob
 from standins.loopback import listen
 from standins.pauses import NO_PAUSE, Pause, PausePoint
+from standins.received_request import ReceivedRequest, read_request
 
 EVENT_BYTES = 20
 DISCONNECT_POLL_S = 0.02
@@ -35,11 +36,11 @@
 
     ``engines_by_address`` holds all engines, so that an engine can add prefill jobs to the others.
     Passes run ``speed`` times faster than in the batch model. While ``rate_limit`` is set, every
-    answer names it. ``on_request`` is called with the headers of each request for a stream, and
-    ``on_naming`` with those of each one whose answer names the limit. ``draw_pause`` returns the
-    pause of each stream, and ``on_pause`` is called with the headers as it begins. The engine ends,
-    and calls ``on_crash``, when it begins to write an answer on a prompt that has the part
-    ``crashes_on``.
+    answer names it. ``on_request`` is called with each request for a stream, and ``on_naming`` with
+    the headers of each one whose answer names the limit. ``draw_pause`` returns the pause of each
+    stream, and ``on_pause`` is called with the headers as it begins. The engine ends when it has
+    begun to write the answer to a request for which ``is_deadly`` is true, and calls ``on_crash``
+    with that request, or with None if it ended by itself.
     """
 
     name: str
@@ -51,12 +52,12 @@
     stream_numbers: Iterator[int] = field(default_factory=itertools.count)
     leases: dict[str, Lease] = field(default_factory=dict)
     rate_limit: float | None = None
-    on_request: Callable[[dict[str, str]], None] = lambda headers: None
+    on_request: Callable[[ReceivedRequest], None] = lambda request: None
     on_naming: Callable[[dict[str, str]], None] = lambda headers: None
     draw_pause: Callable[[], Pause] = lambda: NO_PAUSE
     on_pause: Callable[[dict[str, str], Pause], None] = lambda headers, pause: None
-    crashes_on: str | None = None
-    on_crash: Callable[[], None] = lambda: None
+    is_deadly: Callable[[ReceivedRequest], bool] = lambda request: False
+    on_crash: Callable[[ReceivedRequest | None], None] = lambda cause: None
     connections: set[asyncio.StreamWriter] = field(default_factory=set)
 
     async def start(self) -> str:
@@ -75,12 +76,12 @@
         self._server.close()
         self._passes.cancel()
 
-    def crash(self) -> None:
+    def crash(self, cause: ReceivedRequest | None = None) -> None:
         """End at once: reset all connections and accept none."""
         self.close()
         for writer in list(self.connections):
             writer.transport.abort()
-        self.on_crash()
+        self.on_crash(cause)
 
     def add_job(self, job: BatchJob) -> asyncio.Event:
         """Add a job and return an event that is set once its prefill is done."""
@@ -121,14 +122,7 @@
         self.connections.add(writer)
         try:
             while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                line, *rows = head[:-4].decode().split("\r\n")
-                headers = {
-                    name.lower(): value.strip()
-                    for name, _, value in (row.partition(":") for row in rows)
-                }
-                body = await reader.readexactly(int(headers.get("content-length", 0)))
-                await self._answer(line.split(" ")[1], headers, body, reader, writer)
+                await self._answer(await read_request(reader), reader, writer)
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             return
         finally:
@@ -137,20 +131,19 @@
 
     async def _answer(
         self,
-        path: str,
-        headers: dict[str, str],
-        body: bytes,
+        request: ReceivedRequest,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
+        headers, body = request.headers, request.body
         if headers.get("expect-instance", self.name) != self.name:
             _write_response(writer, 421, b"", {"Instance-Id": self.name})
-        elif path == "/order":
+        elif request.path == "/order":
             _write_response(writer, *self._handle_order(json.loads(body)), self._name_limit())
         elif "token-count" in headers:
-            self.on_request(headers)
+            self.on_request(request)
             name = f"{self.name}.{next(self.stream_numbers)}"
-            work = asyncio.ensure_future(self._serve_stream(name, headers, writer))
+            work = asyncio.ensure_future(self._serve_stream(name, request, writer))
             disconnect = asyncio.ensure_future(_wait_for_disconnect(reader))
             await asyncio.wait((work, disconnect), return_when=asyncio.FIRST_COMPLETED)
             disconnect.cancel()
@@ -188,9 +181,9 @@
         return 200, b"{}"
 
     async def _serve_stream(
-        self, name: str, headers: dict[str, str], writer: asyncio.StreamWriter
+        self, name: str, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
-        request_id = headers["request-id"]
+        headers, request_id = request.headers, request.request_id
         prompt, answer = (int(part) for part in headers["token-count"].split(","))
         events = max(1, answer // self.spec.steps_per_pass)
         helpers = [entry.split("/") for entry in headers.get("helpers", "").split(",") if entry]
@@ -221,9 +214,9 @@
         if limit:
             self.on_naming(headers)
         writer.write(f"{head}{limit}Server-Stamp: s-{self.name}\r\n\r\n".encode())
-        if self.crashes_on is not None and self.crashes_on in list_parts(headers):
+        if self.is_deadly(request):
             await writer.drain()
-            self.crash()
+            self.crash(request)
             raise ConnectionResetError
         await self._hold(PausePoint.AFTER_HEAD, pause, headers)
         first = int(headers.get("last-event-id", 0)) + 1
--- a/tests/crashing_engines.py
+++ b/tests/crashing_engines.py
@@ -1,14 +1,13 @@
 """Gateways in the test process before engines that end under prompts with one part.
 
-An engine that has ended leaves the list after ``EXPIRY_S`` and comes back under a new name
-``RESTART_S`` after its end.
+An engine that has ended comes back under a new name.
 """
 
 from __future__ import annotations
 
 import asyncio
 import itertools
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Iterator, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field, replace
 
@@ -17,14 +16,14 @@
 from standins.answer_reader import read_answer
 from standins.batch import ENGINE
 from standins.batch_server import BatchServer, list_parts
+from standins.received_request import ReceivedRequest
+from standins.restarting_fleet import ListedServer, RestartingFleet
 from tests.gateway_harness import ANSWER_TIMEOUT_S, CATALOG, HOST, KEY, FakeFeed, make_route
 from tests.limited_upstreams import is_settled, make_members, run_member
 
 HARMFUL = "bad0"
 OWN_TOKENS = 4_960
 ANSWER_TOKENS = 400
-EXPIRY_S = 2.0
-RESTART_S = 3.0
 CLOCK = SystemClock()
 ENGINES_CATALOG = replace(
     CATALOG,
@@ -33,7 +32,6 @@
 )
 
 
-@dataclass
 class EngineFleet:
     """Engines that end under prompts with the part ``HARMFUL``, and their list.
 
@@ -41,30 +39,33 @@
     request with the part.
     """
 
-    count: int
-    crashes_on: str | None = HARMFUL
-    listing: FakeFeed = field(default_factory=FakeFeed)
-    crashes: list[int] = field(default_factory=list)
-    harmful: list[int] = field(default_factory=list)
-    engines: dict[str, BatchServer] = field(default_factory=dict)
-    by_address: dict[str, BatchServer] = field(default_factory=dict)
-    numbers: Iterator[int] = field(default_factory=itertools.count)
-    tasks: set[asyncio.Task] = field(default_factory=set)
+    def __init__(self, count: int) -> None:
+        self.crashes_on_part = True
+        self.listing = FakeFeed()
+        self.crashes: list[int] = []
+        self.harmful: list[int] = []
+        self.by_address: dict[str, BatchServer] = {}
+        self._restarting = RestartingFleet(
+            "e",
+            count,
+            self._build_engine,
+            self._list,
+            is_renamed=lambda end: True,
+            on_end=lambda engine, cause: self.crashes.append(CLOCK.now()),
+        )
+
+    @property
+    def engines(self) -> dict[str, BatchServer]:
+        """Return the listed engines by name."""
+        return {engine.name: engine for engine in self._restarting.servers}
 
     async def start(self) -> None:
         """Start all engines and list them."""
-        for _ in range(self.count):
-            await self._start_engine()
-        self._list()
+        await self._restarting.start()
 
     def close(self) -> None:
         """End all engines."""
-        for task in self.tasks:
-            task.cancel()
-        for engine in self.engines.values():
-            engine.close()
-            for writer in list(engine.connections):
-                writer.close()
+        self._restarting.close()
 
     def crash(self, name: str) -> None:
         """End an engine for a reason of its own."""
@@ -72,9 +73,7 @@
 
     def set_harmful(self, harmful: bool) -> None:
         """Let the engines end under the part from now on, or not."""
-        self.crashes_on = HARMFUL if harmful else None
-        for engine in self.engines.values():
-            engine.crashes_on = self.crashes_on
+        self.crashes_on_part = harmful
 
     def find_fifth_crash(self) -> int | None:
         """Return the time of the fifth end of an engine."""
@@ -85,36 +84,30 @@
         fifth = self.find_fifth_crash()
         return 0 if fifth is None else sum(at > fifth + contact_ms for at in self.harmful)
 
-    async def _start_engine(self) -> None:
-        engine = BatchServer(f"e{next(self.numbers)}", self.by_address)
-        engine.crashes_on = self.crashes_on
+    def _build_engine(self, name: str) -> BatchServer:
+        engine = BatchServer(name, self.by_address)
+        engine.is_deadly = lambda request: self.crashes_on_part and has_harmful_part(request)
         engine.on_request = self._record_request
-        engine.on_crash = lambda: self._replace(engine)
-        await engine.start()
-        self.engines[engine.name] = engine
+        return engine
 
-    def _record_request(self, headers: dict[str, str]) -> None:
-        if HARMFUL in list_parts(headers):
+    def _record_request(self, request: ReceivedRequest) -> None:
+        if has_harmful_part(request):
             self.harmful.append(CLOCK.now())
 
-    def _replace(self, engine: BatchServer) -> None:
-        self.crashes.append(CLOCK.now())
-        self.tasks.add(asyncio.get_running_loop().create_task(self._restart(engine)))
-
-    async def _restart(self, engine: BatchServer) -> None:
-        await asyncio.sleep(EXPIRY_S)
-        del self.engines[engine.name]
-        self._list()
-        await asyncio.sleep(RESTART_S - EXPIRY_S)
-        await self._start_engine()
-        self._list()
-
-    def _list(self) -> None:
-        upstreams = (
-            Upstream(one.name, "s", one.address, "dc", ENGINE.slots, False, born_ms=1)
-            for one in self.engines.values()
-        )
-        self.listing.put(*(Entry(one.name, one) for one in upstreams))
+    async def _list(self, listed: Sequence[ListedServer[BatchServer]]) -> None:
+        self.listing.put(*(make_engine_entry(one.server) for one in listed))
+
+
+def has_harmful_part(request: ReceivedRequest) -> bool:
+    """Tell whether the prompt of a request has the part ``HARMFUL``."""
+    return HARMFUL in list_parts(request.headers)
+
+
+def make_engine_entry(engine: BatchServer) -> Entry:
+    """Return the list entry of an engine."""
+    name = engine.name
+    upstream = Upstream(name, "s", engine.address, "dc", ENGINE.slots, False, born_ms=1)
+    return Entry(name, upstream)
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/tests/test_gateway_deadly_requests.py
@@ -0,0 +1,216 @@
+"""A request that ends every upstream that runs it is kept from them; the others are served."""
+
+import asyncio
+
+import pytest
+
+from standins.crashing_server import CrashPoint
+from standins.deadly_requests import MAX_LATE_ARRIVALS
+from standins.received_request import RequestContent
+from standins.restarting_fleet import RESTART_S
+from tests.deadly_requests import (
+    CALLS_PER_S,
+    DEADLY,
+    FIRST,
+    OTHER_TEAM,
+    SECOND,
+    TEAM,
+    UPSTREAMS,
+    Case,
+    count_running,
+    run_group,
+)
+from tests.gateway_scripts import in_loop
+
+CALM_S = 1.5
+INCIDENT_S = 9.0
+AFTER_S = 1.0
+# Half of the users' time, since the instances of the tests are close to each other.
+CONTACT_MS = 1_500
+MIN_SERVED = 0.9
+# So many tries make three ends of servers certain.
+MAX_REPEATS = 12
+# Times with which three ends of one upstream after the other fit into a test.
+QUICK = {"expiry_s": 0.15, "restart_s": 0.3}
+CASES = {
+    "idempotent": Case("whole"),
+    "not idempotent": Case("once"),
+    "only the body differs": Case("whole", one_path=True),
+    "not idempotent, only the body differs": Case("once", one_path=True),
+    "after the head": Case("whole", CrashPoint.AFTER_HEAD),
+    "late": Case("whole", CrashPoint.LATE),
+    "stream": Case("stream", CrashPoint.AFTER_HEAD),
+}
+
+
+@pytest.mark.parametrize("case", CASES.values(), ids=CASES.keys())
+@pytest.mark.parametrize("instances", [3, 12])
+@in_loop
+async def test_deadly_request_reaches_few_more_servers_and_sound_ones_are_served(instances, case):
+    async with run_group(instances, case) as group:
+        sound = asyncio.create_task(group.press(CALM_S + INCIDENT_S))
+        await asyncio.sleep(CALM_S)
+        await asyncio.gather(*(group.repeat(name, INCIDENT_S) for name in DEADLY))
+        await sound
+        await group.fleet.wait_whole()
+        settled = len(group.calls)
+        await group.press(AFTER_S)
+        check(group, group.calls[settled:])
+        await check_refusals(group)
+
+
+@pytest.mark.parametrize("kind", ["whole", "once"])
+@in_loop
+async def test_request_of_another_team_is_judged_by_its_own_crashes(kind):
+    async with run_group(3, Case(kind)) as group:
+        await asyncio.gather(*(refuse(group, name) for name in DEADLY))
+        deadly = group.case.make_deadly(FIRST)
+        same = RequestContent(deadly.path, OTHER_TEAM, deadly.body)
+        for name in group.gateways:
+            assert (await group.call(name, same)).served
+            assert (await group.call(name, deadly)).is_refused_for_long
+
+
+@in_loop
+async def test_lookup_that_everybody_repeats_is_not_refused_for_the_crashes_that_cut_it():
+    lookup = RequestContent("/whole/lookup", TEAM, b"")
+    async with run_group(3, Case("whole")) as group:
+        began_s, stop = asyncio.get_running_loop().time(), asyncio.Event()
+        tasks = []
+
+        async def look_up():
+            number = 0
+            while not stop.is_set():
+                instance = group.pick_instance(number)
+                tasks.append(asyncio.create_task(group.call(instance, lookup, "GET")))
+                number += 1
+                due_s = began_s + number / CALLS_PER_S
+                await asyncio.sleep(max(0.0, due_s - asyncio.get_running_loop().time()))
+
+        looking_up = asyncio.create_task(look_up())
+        await asyncio.sleep(0.5)
+        await asyncio.gather(*(group.repeat(name, 5.0) for name in DEADLY))
+        await group.fleet.wait_whole()
+        settled = len(group.calls)
+        await asyncio.sleep(AFTER_S)
+        stop.set()
+        await looking_up
+        await asyncio.gather(*tasks)
+        calls = [call for call in group.calls if call.content == lookup]
+        assert not any(call.is_refused_for_long for call in calls)
+        assert all(call.served for call in group.calls[settled:])
+        await check_refusals(group)
+
+
+@pytest.mark.parametrize("kind", ["whole", "once"])
+@in_loop
+async def test_sound_request_that_others_cut_three_times_is_served_once_they_are_known(kind):
+    case = Case(kind, CrashPoint.BEGIN)
+    async with run_group(1, case, upstreams=1, **QUICK, service_s=(0.2, 0.2)) as group:
+        sound = case.make_sound(1)
+        for name in (FIRST, SECOND, FIRST):
+            cut = asyncio.create_task(group.call("i0", sound))
+            await asyncio.sleep(0.1)
+            await group.call("i0", case.make_deadly(name))
+            assert not (await cut).served
+            await group.fleet.wait_whole()
+        assert [crash.cut for crash in group.record.crashes] == [1, 1, 1]
+        for name in DEADLY:
+            await refuse(group, name)
+            await group.fleet.wait_whole()
+        assert (await group.call("i0", sound)).served
+
+
+@pytest.mark.parametrize("kind", ["whole", "once", "stream"])
+@in_loop
+async def test_started_instance_learns_what_the_others_refuse_before_it_sends_any(kind):
+    async with run_group(3, Case(kind), late=1) as group:
+        sound = asyncio.create_task(group.press(CALM_S))
+        await asyncio.sleep(CALM_S / 2)
+        await asyncio.gather(*(refuse(group, name) for name in DEADLY))
+        await sound
+        async with group.run_late_instance("i3"):
+            await asyncio.sleep(0.1)
+            received = group.record.count_arrivals()
+            for name in DEADLY:
+                assert (await group.call("i3", group.case.make_deadly(name))).is_refused_for_long
+            assert group.record.count_arrivals() == received
+
+
+@pytest.mark.parametrize("kind", ["whole", "once", "stream"])
+@in_loop
+async def test_power_loss_of_half_the_upstreams_under_100_requests_refuses_nothing(kind):
+    case = Case(kind)
+    async with run_group(3, case, service_s=(0.5, 0.5)) as group:
+        requests = [case.make_sound(number) for number in range(100)]
+        calls = [group.call(group.pick_instance(n), one) for n, one in enumerate(requests)]
+        running = asyncio.gather(*calls)
+        while sum(map(count_running, group.fleet.servers)) < 100:
+            await asyncio.sleep(0.002)
+        for server in group.fleet.servers[: UPSTREAMS // 2]:
+            server.crash()
+        await running
+        assert sum(crash.cut for crash in group.record.crashes) >= 30
+        await group.fleet.wait_whole()
+        again = [group.call(group.pick_instance(n), one) for n, one in enumerate(requests)]
+        assert all(call.served for call in await asyncio.gather(*again))
+
+
+async def refuse(group, name):
+    """Send a deadly request again and again, until an instance refuses it for long."""
+    for number in range(MAX_REPEATS):
+        if group.fleet.away == group.fleet.count:
+            await group.fleet.wait_whole()
+        call = await group.call(group.pick_instance(number), group.case.make_deadly(name))
+        if call.is_refused_for_long:
+            return
+        await asyncio.sleep(0.15)
+    raise AssertionError(f"{name} was not refused: {describe(group)}")
+
+
+async def check_refusals(group):
+    """Check that every instance refuses both deadly requests, and sends none of them."""
+    received = group.record.count_arrivals()
+    for instance in group.gateways:
+        for name in DEADLY:
+            call = await group.call(instance, group.case.make_deadly(name))
+            assert call.is_refused_for_long, (instance, call)
+    assert group.record.count_arrivals() == received
+
+
+def check(group, settled):
+    """Check the users' rule; ``settled`` are the calls after the last upstream was back."""
+    record, case = group.record, group.case
+    seen = describe(group)
+    print(seen)
+    for name in DEADLY:
+        assert len(record.list_crashes(name)) >= 1, seen
+        assert record.count_late(name, CONTACT_MS) <= MAX_LATE_ARRIVALS, seen
+    sound = group.list_sound(find_begin(record))
+    assert len(sound) >= 20, "too few requests to tell"
+    assert sum(call.served for call in sound) >= MIN_SERVED * len(sound), seen
+    assert all(call.served for call in settled), seen
+    if case.kind == "once":
+        assert max(record.sends.values()) == 1, seen
+
+
+def find_begin(record):
+    """Return from when on sound requests must be served, in ms."""
+    last = [record.find_third_crash(name) or record.list_crashes(name)[-1] for name in DEADLY]
+    return max(last) + CONTACT_MS + round(RESTART_S * 1_000)
+
+
+def describe(group):
+    """Tell how often each deadly request ended a server and came late, and what was served."""
+    record = group.record
+    parts = [
+        f"{name}: {len(record.list_crashes(name))} ends,"
+        f" {record.count_late(name, CONTACT_MS)} late of {len(record.arrivals.get(name, ()))}"
+        for name in DEADLY
+    ]
+    if all(record.list_crashes(name) for name in DEADLY):
+        sound = group.list_sound(find_begin(record))
+        parts.append(f"{sum(call.served for call in sound)} of {len(sound)} sound ones served")
+    cut = [crash.cut for crash in record.crashes]
+    parts.append(f"{sum(cut)} sound ones cut, at most {max(cut, default=0)} at once")
+    return "; ".join(parts)
