Tell the other instances of a start at once

Cause: the instances to exchange digests with follow from the lists of instances and of upstreams, and the second one was taken into account by the maintenance only, up to 250 ms after both were read. The first digest went to nobody, so the others greeted a started instance that late, and until then it sent requests that they refused.

The listing is taken into account when it is read, and a digest follows. The new unit test failed before.

--- a/src/lentilwell/gateway/_table_listeners.py
+++ b/src/lentilwell/gateway/_table_listeners.py
@@ -140,6 +140,9 @@
         self._fleet.listing_known = True
         self._fleet.listing_point = listing.at
         write_line(UpstreamsListed(len(upstreams), listing.version, listing.era))
+        # The instances to exchange news with are known from here on, also at the start.
+        self._fleet.update_shards()
+        self._fleet.on_new_report()
         if restored:
             _log_kept(self._fleet.directory, now)
 
--- a/tests/test_gateway_upstreams.py
+++ b/tests/test_gateway_upstreams.py
@@ -122,6 +122,16 @@
     assert names(fleet.directory, clock.now()) == ["two"]
 
 
+def test_first_listing_lets_the_instance_tell_its_peers_of_its_start_at_once():
+    shards = ShardView("i", "dc")
+    fleet = Fleet(ManualClock(5_000), "dc", BudgetRules(0.2, 100, 10_000), "least_cost", shards)
+    told = []
+    fleet.on_new_report = lambda: told.append(shards.peers)
+    shards.update_members({"i": "dc", "j": "dc"})
+    UpstreamListener(fleet).handle_listing(Listing((Entry("one", STARTED),), 9))
+    assert told == [{"j"}]
+
+
 def test_upstream_that_was_draining_stays_so_in_a_restored_listing():
     directory = apply_listing(begin_era(Directory(), 1), [STARTED, TWO], now=0)
     directory = apply_changes(
