--- a/src/lentilwell/_log_lines/__init__.py
+++ b/src/lentilwell/_log_lines/__init__.py
@@ -64,6 +64,8 @@
 from lentilwell._log_lines._upstreams import (
     PartsCleared,
     PartsCondemned,
+    RequestsCleared,
+    RequestsCondemned,
     RetryAfterIgnored,
     UpstreamBackoffStarted,
     UpstreamChanged,
@@ -117,6 +119,8 @@
     "RequestRefused",
     "RequestRejected",
     "RequestWaiting",
+    "RequestsCleared",
+    "RequestsCondemned",
     "RetryAfterIgnored",
     "RowUnreadable",
     "SettingsReloaded",
--- a/src/lentilwell/_log_lines/_requests.py
+++ b/src/lentilwell/_log_lines/_requests.py
@@ -94,11 +94,15 @@
 @line("request refused")
 @dataclass(frozen=True)
 class RequestRefused(Line):
-    """A request was not sent because its prompt has ``parts``, which crash upstreams."""
+    """A request was not sent because it crashes upstreams.
+
+    Either its prompt has ``parts``, or the same request with its ``fingerprint`` did so before.
+    """
 
     request: str
     parts: str
     retry_after_ms: int
+    fingerprint: str = ""
 
 
 @line("refusal body dropped", "DEBUG")
--- a/src/lentilwell/_log_lines/_upstreams.py
+++ b/src/lentilwell/_log_lines/_upstreams.py
@@ -156,6 +156,27 @@
     source: str
 
 
+@line("requests condemned", "WARNING")
+@dataclass(frozen=True)
+class RequestsCondemned(Line):
+    """Requests with this fingerprint are not sent: they crash upstreams.
+
+    ``source`` is ``own`` or the address of the instance whose evidence was decisive.
+    """
+
+    fingerprint: str
+    source: str
+
+
+@line("requests cleared")
+@dataclass(frozen=True)
+class RequestsCleared(Line):
+    """Requests with this fingerprint are sent again."""
+
+    fingerprint: str
+    source: str
+
+
 @line("parts cleared")
 @dataclass(frozen=True)
 class PartsCleared(Line):
--- a/src/lentilwell/_wire/ttypes.py
+++ b/src/lentilwell/_wire/ttypes.py
@@ -2611,23 +2611,30 @@
 
 class CutPrompt(object):
     """
-    A request that a crash cut at the beginning of its answer, and the shared parts of its prompt.
+    A request that a crash cut at the beginning of its answer, the shared parts of its prompt, its
+    fingerprint, and the marks of ends of upstreams that its sender knew of when it was sent.
 
     Attributes:
      - request
      - parts
+     - fingerprint
+     - known_ends
 
     """
 
     __slots__ = (
         'request',
         'parts',
+        'fingerprint',
+        'known_ends',
     )
 
 
-    def __init__(self, request=None, parts=None,):
+    def __init__(self, request=None, parts=None, fingerprint=None, known_ends=None,):
         self.request = request
         self.parts = parts
+        self.fingerprint = fingerprint
+        self.known_ends = known_ends
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2653,6 +2660,21 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.known_ends = []
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = iprot.readI64()
+                        self.known_ends.append(_elem53)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2670,8 +2692,19 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.parts))
-            for iter48 in self.parts:
-                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
+            for iter54 in self.parts:
+                oprot.writeString(iter54.encode('utf-8') if sys.version_info[0] == 2 else iter54)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 3)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.known_ends is not None:
+            oprot.writeFieldBegin('known_ends', TType.LIST, 4)
+            oprot.writeListBegin(TType.I64, len(self.known_ends))
+            for iter55 in self.known_ends:
+                oprot.writeI64(iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2756,11 +2789,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.cut = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = CutPrompt()
-                        _elem54.read(iprot)
-                        self.cut.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = CutPrompt()
+                        _elem61.read(iprot)
+                        self.cut.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2789,8 +2822,8 @@
         if self.cut is not None:
             oprot.writeFieldBegin('cut', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.cut))
-            for iter55 in self.cut:
-                iter55.write(oprot)
+            for iter62 in self.cut:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2947,10 +2980,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.parts = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.parts.append(_elem61)
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.parts.append(_elem68)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2977,8 +3010,8 @@
         if self.parts is not None:
             oprot.writeFieldBegin('parts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.parts))
-            for iter62 in self.parts:
-                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
+            for iter69 in self.parts:
+                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.first_age_ms is not None:
@@ -3158,44 +3191,44 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = UpstreamCrash()
-                        _elem68.read(iprot)
-                        self.crashes.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = UpstreamCrash()
+                        _elem75.read(iprot)
+                        self.crashes.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.sound = []
-                    (_etype72, _size69) = iprot.readListBegin()
-                    for _i73 in range(_size69):
-                        _elem74 = SoundPart()
-                        _elem74.read(iprot)
-                        self.sound.append(_elem74)
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = SoundPart()
+                        _elem81.read(iprot)
+                        self.sound.append(_elem81)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.condemned = []
-                    (_etype78, _size75) = iprot.readListBegin()
-                    for _i79 in range(_size75):
-                        _elem80 = CondemnedParts()
-                        _elem80.read(iprot)
-                        self.condemned.append(_elem80)
+                    (_etype85, _size82) = iprot.readListBegin()
+                    for _i86 in range(_size82):
+                        _elem87 = CondemnedParts()
+                        _elem87.read(iprot)
+                        self.condemned.append(_elem87)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.alive = []
-                    (_etype84, _size81) = iprot.readListBegin()
-                    for _i85 in range(_size81):
-                        _elem86 = AliveUpstream()
-                        _elem86.read(iprot)
-                        self.alive.append(_elem86)
+                    (_etype91, _size88) = iprot.readListBegin()
+                    for _i92 in range(_size88):
+                        _elem93 = AliveUpstream()
+                        _elem93.read(iprot)
+                        self.alive.append(_elem93)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3212,29 +3245,29 @@
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter87 in self.crashes:
-                iter87.write(oprot)
+            for iter94 in self.crashes:
+                iter94.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sound is not None:
             oprot.writeFieldBegin('sound', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.sound))
-            for iter88 in self.sound:
-                iter88.write(oprot)
+            for iter95 in self.sound:
+                iter95.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.condemned is not None:
             oprot.writeFieldBegin('condemned', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.condemned))
-            for iter89 in self.condemned:
-                iter89.write(oprot)
+            for iter96 in self.condemned:
+                iter96.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.alive is not None:
             oprot.writeFieldBegin('alive', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.alive))
-            for iter90 in self.alive:
-                iter90.write(oprot)
+            for iter97 in self.alive:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3452,6 +3485,8 @@
     None,  # 0
     (1, TType.STRING, 'request', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'parts', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 3
+    (4, TType.LIST, 'known_ends', (TType.I64, None, False), None, ),  # 4
 )
 all_structs.append(UpstreamCrash)
 UpstreamCrash.thrift_spec = (
--- a/src/lentilwell/cli/_timeline.py
+++ b/src/lentilwell/cli/_timeline.py
@@ -114,6 +114,8 @@
     lines.PartsCleared,
     lines.PartsCondemned,
     lines.PeerSilent,
+    lines.RequestsCleared,
+    lines.RequestsCondemned,
     lines.Started,
     lines.StopBegun,
     lines.StoreRestoreSeen,
@@ -210,19 +212,32 @@
 
 @describer(lines.RequestRefused)
 def describe_refused_parts(line: lines.RequestRefused) -> str:
-    """Describe a request that is not sent because of its prompt."""
-    return (
-        f"not sent: prompts with {line.parts} crash upstreams; refused for {line.retry_after_ms} ms"
-    )
+    """Describe a request that is not sent because it crashes upstreams."""
+    blamed = f"prompts with {line.parts} crash upstreams"
+    if line.fingerprint:
+        blamed = f"requests with the fingerprint {line.fingerprint} crash upstreams"
+    return f"not sent: {blamed}; refused for {line.retry_after_ms} ms"
 
 
 @describer(lines.PartsCondemned)
 def describe_condemned(line: lines.PartsCondemned) -> str:
     """Describe which parts are not sent any more, and by whose evidence."""
-    told = "by evidence of its own" if line.source == "own" else f"as {line.source} told"
+    told = _describe_source(line.source)
     return f"prompts with {line.parts} crash upstreams and are not sent any more, {told}"
 
 
+@describer(lines.RequestsCondemned)
+def describe_condemned_requests(line: lines.RequestsCondemned) -> str:
+    """Describe which requests are not sent any more, and by whose evidence."""
+    told = _describe_source(line.source)
+    fingerprint = line.fingerprint
+    return f"requests with the fingerprint {fingerprint} crash upstreams and are refused, {told}"
+
+
+def _describe_source(source: str) -> str:
+    return "by evidence of its own" if source == "own" else f"as {source} told"
+
+
 NEXT_STEPS = {
     "place": "another upstream is looked for",
     "wait": "the silent upstream is waited for",
--- a/src/lentilwell/gateway/_attempt.py
+++ b/src/lentilwell/gateway/_attempt.py
@@ -46,7 +46,8 @@
 # be reused; if that takes longer than this, the connection is closed instead.
 REFUSAL_BODY_TIMEOUT_MS = 100
 BUDGET_SPENT = "retry budget spent"
-REFUSED_PARTS = "parts of the prompt crash upstreams"
+HARMFUL_REQUEST = "the request crashes upstreams"
+HARMFUL_PARTS = "parts of the prompt crash upstreams"
 
 
 @dataclass(frozen=True)
@@ -116,6 +117,7 @@
         self._routed = owner.routed
         self._accounting = Accounting(context.fleet, owner.routed, number)
         self._choice: Choice | None = None
+        self._known_ends: frozenset[int] = frozenset()
         self.silent = False
         self.sent = False
 
@@ -132,8 +134,8 @@
 
     async def run(self, is_retry: bool) -> AttemptEnd:
         """Choose an upstream, send the request there and relay its answer to the caller."""
-        if self._is_refused():
-            return AttemptEnd(PromptRefused(), REFUSED_PARTS)
+        if (refused := self._check_harmful()) is not None:
+            return refused
         budget = self._fleet.find_budget(self._routed.service)
         instances = self._fleet.count_instances
         if is_retry and not budget.allows_retry(self._clock.now(), instances()):
@@ -202,9 +204,9 @@
         except Unreachable as error:
             self._record_unreachable(upstream, str(error))
             return AttemptEnd(ConnectionFailed(), str(error))
-        if self._is_refused():
+        if (refused := self._check_harmful()) is not None:
             self._connections.release(upstream.address, connection)
-            return AttemptEnd(PromptRefused(), REFUSED_PARTS)
+            return refused
         if not self._may_send(placement):
             self._connections.release(upstream.address, connection)
             return AttemptEnd(ConnectionFailed(), "the upstream stopped accepting new work")
@@ -225,14 +227,16 @@
             if not connection.idle:
                 connection.close()
 
-    def _is_refused(self) -> bool:
-        """Tell whether the request must not be sent, because its prompt crashes upstreams."""
-        refusal = self._crash_watch.find_refusal(self._routed.facts)
+    def _check_harmful(self) -> AttemptEnd | None:
+        """End the attempt if the request must not be sent, because it crashes upstreams."""
+        refusal = self._crash_watch.find_refusal(self._routed)
         if refusal is None:
-            return False
+            return None
         self._owner.delivery.retry_after_ms = refusal.retry_after_ms
-        self._owner.recorder.record_refused_parts(refusal)
-        return True
+        self._owner.recorder.record_harmful(refusal)
+        return AttemptEnd(
+            PromptRefused(), HARMFUL_REQUEST if refusal.fingerprint else HARMFUL_PARTS
+        )
 
     def _may_send(self, placement: Placement) -> bool:
         """Tell whether the upstreams of a placement still accept the request."""
@@ -245,6 +249,7 @@
         owner = self._owner
         owner.advance(SendStarted(new_upstream=upstream.name not in owner.sent_to))
         self.sent = True
+        self._known_ends = self._crash_watch.known_ends
         owner.sent_to |= {upstream.name}
         self._accounting.record_sent()
         limit = self._fleet.rate_limits.find(upstream.incarnation)
@@ -290,7 +295,7 @@
         body = await connection.read_body()
         connection.finish()
         self._accounting.record_success(self.choice)
-        self._crash_watch.record_sound(self._routed.facts)
+        self._crash_watch.record_sound(self._routed)
         return self._forward_answer(head, body)
 
     def _forward_answer(self, head: AnswerHead, body: bytes) -> AttemptEnd:
@@ -361,7 +366,7 @@
             for event in part.read_events(data):
                 connection.events_received += 1
                 self._crash_watch.record_events(
-                    self.choice.upstream, self._routed.facts, connection.events_received
+                    self.choice.upstream, self._routed, connection.events_received
                 )
                 await self._relay_event(event, head)
                 connection.record_progress()
@@ -370,7 +375,7 @@
         self._start_stream(head)
         connection.finish()
         self._accounting.record_success(self.choice)
-        self._crash_watch.record_sound(self._routed.facts)
+        self._crash_watch.record_sound(self._routed)
         self._owner.delivery.finish_stream()
         return self._complete()
 
@@ -390,7 +395,7 @@
     def _record_cut(self, upstream: Upstream, events: int) -> None:
         self._owner.recorder.record_cut(upstream, events)
         if not self._fleet.availability.is_leaving(upstream.incarnation):
-            self._crash_watch.record_cut(upstream, self._routed.facts, events)
+            self._crash_watch.record_cut(upstream, self._routed, events, self._known_ends)
 
     def _exclude(self, upstream: Upstream) -> None:
         self._owner.excluded |= {upstream.name}
--- a/src/lentilwell/gateway/_crash_evidence.py
+++ b/src/lentilwell/gateway/_crash_evidence.py
@@ -1,41 +1,33 @@
-"""What an instance knows of crashes of upstreams, and the condemned parts of prompts. Pure.
-
-Evidence of all instances is merged: each crash counts once for an incarnation of an upstream, each
-request once. Parts are not kept apart by team: whether a part crashes an upstream depends on its
-content, which is what its id stands for, and an answer to any team clears it for all. A caller who
-adds other teams' parts to a harmful prompt does not get them refused, since answers to those teams
-show that they are sound.
+"""What an instance knows of crashes of upstreams, and what it condemns for them. Pure.
+
+Subjects are whole requests and parts of prompts. Evidence of all instances is merged: each crash
+counts once for an incarnation of an upstream, each request once. The fingerprint of a request
+depends on its team, so that no team gets another's requests refused. Parts are not kept apart by
+team: whether a part crashes an upstream depends on its content, which is what its id stands for,
+and an answer to any team clears it for all. A caller who adds other teams' parts to a harmful
+prompt does not get them refused, since answers to those teams show that they are sound.
 """
 
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import TypeVar
 
+from lentilwell.gateway._condemned_subjects import CondemnedSubjects, Refusal
 from lentilwell.gateway._crash_hypotheses import (
-    Crash,
-    CutRequest,
-    Explanation,
+    find_covered,
     find_explanations,
+    is_supported,
     list_suspects,
 )
 from lentilwell.gateway._crash_notice import AliveUpstream, CrashNotice, SoundPart
+from lentilwell.gateway._crash_records import Crash, CutRequest, Explanation
+from lentilwell.gateway._fingerprints import is_fingerprint
 from lentilwell.gateway._upstreams import Incarnation
 
-# Parts stay condemned for this long after the last crash that they explain.
-CONDEMNED_MS = 600_000
-# Then the instances try one request each, one instance after the other, until a crash renews the
-# condemnation or an answer ends it.
-PROBE_STAGGER_MS = 1_000
-PROBE_INTERVAL_MS = 60_000
-# After this time without a crash, condemned parts are forgotten.
-FORGOTTEN_MS = 3 * CONDEMNED_MS
 # Crashes and answers are remembered for this long.
 EVIDENCE_MS = 600_000
-# A condemnation that another instance tells of renews a known one only if it is newer by more than
-# a message is late. Otherwise the delays of messages told in turn would renew it without end.
-RENEWAL_MARGIN_MS = 10_000
 # Nothing is condemned for a crash that is more recent: other requests that it cut may be still to
 # come, from this instance and from others.
 SETTLE_MS = 50
@@ -47,31 +39,15 @@
 # Bound on the parts of cut requests in all remembered crashes together. Prompts share few parts.
 MAX_CUT_PARTS = 4_096
 MAX_SOUND_PARTS = 4_096
-MAX_CONDEMNED = 16
 MAX_REFUTED = 64
-
-
-@dataclass(frozen=True)
-class Refusal:
-    """A request is not sent because of these parts; it may come again in ``retry_after_ms``."""
-
-    parts: frozenset[str]
-    retry_after_ms: int
-
-
-@dataclass(frozen=True)
-class Probe:
-    """The one request with condemned parts that is let through, and when it was."""
-
-    request: str
-    at: int
-
+# A cut request tells of so many crashes that were known when it was sent.
+MAX_KNOWN_ENDS = 8
 
 KeyT = TypeVar("KeyT")
 
 
 class CrashEvidence:
-    """Crashes, sound parts and condemned parts.
+    """Crashes, sound subjects and condemned subjects.
 
     ``judge`` must be called ``SETTLE_MS`` after new evidence of crashes.
     """
@@ -82,20 +58,25 @@
         self._own_sound: OrderedDict[str, int] = OrderedDict()
         self._alive: OrderedDict[Incarnation, int] = OrderedDict()
         self._own_alive: OrderedDict[Incarnation, int] = OrderedDict()
-        self._condemned: dict[frozenset[str], Explanation] = {}
-        self._probes: dict[frozenset[str], Probe] = {}
+        self._condemned = CondemnedSubjects()
         self._suspected: frozenset[str] = frozenset()
+        self._known_ends: frozenset[int] = frozenset()
 
     @property
     def condemned(self) -> tuple[Explanation, ...]:
-        """Return the condemned parts."""
-        return tuple(self._condemned.values())
+        """Return the condemned subjects."""
+        return self._condemned.list_all()
 
     @property
     def suspected(self) -> frozenset[str]:
-        """Return the parts of requests cut by crashes that are not refuted or explained."""
+        """Return the subjects of requests cut by crashes that are not refuted or explained."""
         return self._suspected
 
+    @property
+    def known_ends(self) -> frozenset[int]:
+        """Return the marks of all remembered crashes."""
+        return self._known_ends
+
     @property
     def latest_crash_at(self) -> int | None:
         """Return the time of the latest known crash."""
@@ -104,19 +85,25 @@
     def record_crash(self, upstream: Incarnation, at: int, cut: CutRequest | None) -> bool:
         """Record an end of an upstream and a request that it cut; return whether it is news.
 
-        ``cut`` is None for a request beyond the beginning of its answer.
+        ``cut`` is None for a request beyond the beginning of its answer. Of its ``known_ends``
+        those are kept that may count, which are the ones under its own subjects.
         """
+        if cut is not None and cut.known_ends is not None:
+            cut = replace(cut, known_ends=self._select_ends(cut, cut.known_ends))
         crash = Crash(upstream, at, frozenset((cut,) if cut is not None else ()))
         changed = self._add_crash(crash)
         self.judge(at)
         return changed
 
-    def record_sound(self, parts: tuple[str, ...], at: int) -> bool:
-        """Record an answer beyond its beginning; return whether it clears a suspected part."""
-        clears = any(self._is_suspect(part) for part in parts)
-        for part in parts:
-            self._add_sound(part, at)
-            _remember(self._own_sound, part, at, MAX_SOUND_PARTS)
+    def record_sound(self, subjects: tuple[str, ...], at: int) -> bool:
+        """Record an answer beyond its beginning; return whether it clears a suspected subject.
+
+        Fingerprints are recorded only if they are suspected, since most of them occur once.
+        """
+        clears = any(self._is_suspect(subject) for subject in subjects)
+        for subject in subjects:
+            if not is_fingerprint(subject) or self._is_suspect(subject):
+                self._add_own_sound(subject, at)
         if clears:
             self.judge(at)
         return clears
@@ -139,7 +126,7 @@
         for sound in notice.sound:
             self._add_sound(sound.part, sound.at)
         for explanation in notice.condemned:
-            self._add_condemned(explanation)
+            self._condemned.add(explanation)
         for crash in notice.crashes:
             self._add_crash(crash)
         self.judge(now)
@@ -152,72 +139,61 @@
         times would grow with each instance that passes them on.
         """
         crashes = sorted(self._crashes.values(), key=lambda crash: -crash.at)
-        parts = {part for crash in crashes for cut in crash.cut for part in cut.parts}
-        parts.update(part for one in self._condemned for part in one)
+        subjects = {one for crash in crashes for cut in crash.cut for one in cut.subjects}
+        subjects.update(subject for one in self.condemned for subject in one.parts)
         sound = [
-            SoundPart(part, at)
-            for part in sorted(parts)
-            if (at := self._own_sound.get(part)) is not None and now - at <= EVIDENCE_MS
+            SoundPart(subject, at)
+            for subject in sorted(subjects)
+            if (at := self._own_sound.get(subject)) is not None and now - at <= EVIDENCE_MS
         ]
         alive = [AliveUpstream(upstream, at) for upstream, at in self._own_alive.items()]
         return CrashNotice(tuple(crashes), tuple(sound), self.condemned, tuple(alive))
 
     def judge(self, now: int) -> None:
-        """Clear condemned parts that turned out sound, and condemn those that explain crashes."""
+        """Clear condemned subjects that turned out sound; condemn those that explain crashes."""
         for explanation in self.condemned:
             narrowed = self._narrow(explanation, now)
             if narrowed == explanation.parts:
                 continue
-            del self._condemned[explanation.parts]
+            self._condemned.remove(explanation.parts)
             if narrowed:
-                self._add_condemned(replace(explanation, parts=narrowed))
+                self._condemned.add(replace(explanation, parts=narrowed))
         crashes = [crash for crash in self._crashes.values() if now - crash.at <= EVIDENCE_MS]
         settled = [crash for crash in crashes if now - crash.at >= SETTLE_MS]
         found = find_explanations(settled, lambda part: self._find_sound(part, now), self.condemned)
         for explanation in found:
-            self._add_condemned(explanation)
-        self._suspected = self._list_suspected(crashes, now)
+            self._condemned.add(explanation)
+        self._condemned.set_doubted(find_covered(crashes, self.condemned), now)
+        suspects = list_suspects(crashes, lambda one: self._find_sound(one, now), self.condemned)
+        self._suspected = frozenset(suspect.subject for suspect in suspects)
+
+    def may_refuse_requests(self) -> bool:
+        """Tell whether a refusal may depend on the fingerprint of a request."""
+        return any(one.fingerprint for one in self.condemned)
+
+    def needs_answers(self) -> bool:
+        """Tell whether an answer may clear a fingerprint."""
+        return self.may_refuse_requests() or any(map(is_fingerprint, self._suspected))
 
     def find_refusal(
-        self, request: str, parts: tuple[str, ...], rank: int, now: int
+        self, request: str, subjects: tuple[str, ...], rank: int, now: int
     ) -> Refusal | None:
         """Return why a request must not be sent, None if it may be.
 
         ``rank`` is the number of instances that try a request before this one does.
         """
-        for explanation in self.condemned:
-            if explanation.parts.issubset(parts):
-                refusal = self._check_condemned(explanation, request, rank, now)
-                if refusal is not None:
-                    return refusal
-        return None
+        return self._condemned.find_refusal(request, subjects, rank, now)
 
     def forget(self, now: int) -> None:
-        """Remove old evidence, and condemned parts that have caused no crash for long."""
+        """Remove old evidence, and condemned subjects that have caused no crash for long."""
         old = [one for one, crash in self._crashes.items() if now - crash.at > EVIDENCE_MS]
-        gone = [one for one, known in self._condemned.items() if now - known.last_at > FORGOTTEN_MS]
         for upstream in old:
             del self._crashes[upstream]
-        for parts in gone:
-            del self._condemned[parts]
-            self._probes.pop(parts, None)
+        gone = self._condemned.forget(now)
         if old or gone:
+            self._update_known_ends()
             self.judge(now)
 
-    def _check_condemned(
-        self, explanation: Explanation, request: str, rank: int, now: int
-    ) -> Refusal | None:
-        until = explanation.last_at + CONDEMNED_MS + rank * PROBE_STAGGER_MS
-        if now < until:
-            return Refusal(explanation.parts, until - now)
-        probe = self._probes.get(explanation.parts)
-        if probe is None or now - probe.at >= PROBE_INTERVAL_MS:
-            self._probes[explanation.parts] = Probe(request, now)
-            return None
-        if probe.request == request:
-            return None
-        return Refusal(explanation.parts, probe.at + PROBE_INTERVAL_MS - now)
-
     def _add_crash(self, crash: Crash) -> bool:
         if self._alive.get(crash.upstream, crash.at - 1) >= crash.at:
             return False
@@ -227,9 +203,8 @@
             return False
         self._crashes[crash.upstream] = merged
         self._drop_oldest_crashes()
-        for parts, explanation in list(self._condemned.items()):
-            if explanation.explains(merged) and merged.at > explanation.last_at:
-                self._condemned[parts] = replace(explanation, last_at=merged.at)
+        self._update_known_ends()
+        self._condemned.renew(merged)
         return True
 
     def _drop_oldest_crashes(self) -> None:
@@ -241,28 +216,39 @@
             if number and (number >= MAX_CRASHES or parts > MAX_CUT_PARTS):
                 del self._crashes[crash.upstream]
 
-    def _add_sound(self, part: str, at: int) -> None:
-        _remember(self._sound, part, max(at, self._sound.get(part, at)), MAX_SOUND_PARTS)
+    def _update_known_ends(self) -> None:
+        self._known_ends = frozenset(crash.mark for crash in self._crashes.values())
+
+    def _select_ends(self, cut: CutRequest, known: frozenset[int]) -> frozenset[int]:
+        """Return the latest known crashes under the subjects of a request, as marks.
+
+        Those under its fingerprint come first.
+        """
+        subjects = set(cut.subjects)
+        related = [
+            (cut.fingerprint in under, crash.at, crash.mark)
+            for crash in self._crashes.values()
+            if crash.mark in known
+            and (under := {one for other in crash.cut for one in other.subjects}) & subjects
+        ]
+        return frozenset(mark for _, _, mark in sorted(related)[-MAX_KNOWN_ENDS:])
+
+    def _add_sound(self, subject: str, at: int) -> None:
+        _remember(self._sound, subject, max(at, self._sound.get(subject, at)), MAX_SOUND_PARTS)
+
+    def _add_own_sound(self, subject: str, at: int) -> None:
+        self._add_sound(subject, at)
+        _remember(self._own_sound, subject, at, MAX_SOUND_PARTS)
 
     def _refute(self, alive: AliveUpstream) -> None:
         crash = self._crashes.get(alive.upstream)
         if crash is not None and alive.at >= crash.at:
             del self._crashes[alive.upstream]
+            self._update_known_ends()
+            self._release_requests(crash, alive.at)
         latest = max(alive.at, self._alive.get(alive.upstream, alive.at))
         _remember(self._alive, alive.upstream, latest, MAX_REFUTED)
 
-    def _add_condemned(self, explanation: Explanation) -> None:
-        known = self._condemned.get(explanation.parts)
-        if known is not None:
-            newer = explanation.last_at > known.last_at + RENEWAL_MARGIN_MS
-            last_at = explanation.last_at if newer else known.last_at
-            first_at = min(known.first_at, explanation.first_at)
-            explanation = replace(known, first_at=first_at, last_at=last_at)
-        self._condemned[explanation.parts] = explanation
-        if len(self._condemned) > MAX_CONDEMNED:
-            oldest = min(self._condemned.values(), key=lambda one: one.last_at)
-            del self._condemned[oldest.parts]
-
     def _narrow(self, explanation: Explanation, now: int) -> frozenset[str]:
         """Return the parts that may be to blame, preferably those without any known answer."""
         sound = {part: self._find_sound(part, now) for part in explanation.parts}
@@ -270,15 +256,20 @@
         left = (part for part, at in sound.items() if at is None or at <= explanation.first_at)
         return unknown or frozenset(left)
 
-    def _list_suspected(self, crashes: list[Crash], now: int) -> frozenset[str]:
-        open_crashes = [
-            crash for crash in crashes if not any(one.explains(crash) for one in self.condemned)
-        ]
-        suspects = list_suspects(open_crashes, lambda part: self._find_sound(part, now))
-        return frozenset(suspect.part for suspect in suspects)
+    def _release_requests(self, refuted: Crash, at: int) -> None:
+        """Clear the condemned requests that the crashes left do not suffice to condemn.
+
+        They count as answered, so that other instances clear them too.
+        """
+        left, known = list(self._crashes.values()), self.condemned
+        for blamed in known:
+            if blamed.fingerprint not in refuted.fingerprints:
+                continue
+            if not is_supported(blamed, left, lambda one: self._find_sound(one, at), known):
+                self._add_own_sound(blamed.fingerprint, at)
 
-    def _is_suspect(self, part: str) -> bool:
-        return part in self._suspected or any(part in parts for parts in self._condemned)
+    def _is_suspect(self, subject: str) -> bool:
+        return subject in self._suspected or self._condemned.includes(subject)
 
     def _find_sound(self, part: str, now: int) -> int | None:
         at = self._sound.get(part)
--- a/src/lentilwell/gateway/_crash_messages.py
+++ b/src/lentilwell/gateway/_crash_messages.py
@@ -13,9 +13,9 @@
 from lentilwell._wire.ttypes import CutPrompt as WireCut
 from lentilwell._wire.ttypes import SoundPart as WireSound
 from lentilwell._wire.ttypes import UpstreamCrash as WireCrash
-from lentilwell.gateway._crash_evidence import FORGOTTEN_MS
-from lentilwell.gateway._crash_hypotheses import Crash, CutRequest, Explanation
+from lentilwell.gateway._condemned_subjects import FORGOTTEN_MS
 from lentilwell.gateway._crash_notice import AliveUpstream, CrashNotice, SoundPart
+from lentilwell.gateway._crash_records import Crash, CutRequest, Explanation
 from lentilwell.gateway._upstreams import Incarnation
 
 # Neither a digest nor a message about permits begins with this byte.
@@ -30,6 +30,7 @@
 # Bytes of the encoding of a crash, a cut request or a part, beside their texts.
 CRASH_BYTES = 20
 TEXT_BYTES = 3
+KNOWN_END_BYTES = 10
 _FACTORY = TCompactProtocolAcceleratedFactory(
     string_length_limit=MAX_TEXT_LENGTH, container_length_limit=MAX_NOTICE_BYTES
 )
@@ -95,7 +96,8 @@
 
 
 def _measure_cut(cut: CutRequest) -> int:
-    return sum(TEXT_BYTES + len(text) for text in (cut.request, *cut.parts))
+    ends = 0 if cut.known_ends is None else TEXT_BYTES + KNOWN_END_BYTES * len(cut.known_ends)
+    return ends + sum(TEXT_BYTES + len(text) for text in (cut.request, *cut.subjects))
 
 
 def _encode_crash(crash: Crash, now: int) -> WireCrash:
@@ -104,10 +106,15 @@
         crash.upstream.name,
         crash.upstream.born_ms,
         now - crash.at,
-        [WireCut(one.request, list(one.parts)) for one in cut],
+        [_encode_cut(one) for one in cut],
     )
 
 
+def _encode_cut(cut: CutRequest) -> WireCut:
+    known_ends = None if cut.known_ends is None else sorted(cut.known_ends)
+    return WireCut(cut.request, list(cut.parts), cut.fingerprint or None, known_ends)
+
+
 def _decode_crash(wire: WireCrash, now: int) -> Crash:
     wire.validate()
     cut = frozenset(_decode_cut(one) for one in wire.cut)
@@ -117,7 +124,8 @@
 
 def _decode_cut(wire: WireCut) -> CutRequest:
     wire.validate()
-    return CutRequest(wire.request, tuple(wire.parts))
+    known_ends = None if wire.known_ends is None else frozenset(wire.known_ends)
+    return CutRequest(wire.request, tuple(wire.parts), wire.fingerprint or "", known_ends)
 
 
 def _decode_sound(wire: WireSound, now: int) -> SoundPart:
--- a/src/lentilwell/gateway/_crash_notice.py
+++ b/src/lentilwell/gateway/_crash_notice.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from lentilwell.gateway._crash_hypotheses import Crash, Explanation
+from lentilwell.gateway._crash_records import Crash, Explanation
 from lentilwell.gateway._upstreams import Incarnation
 
 
--- a/src/lentilwell/gateway/_crash_watch.py
+++ b/src/lentilwell/gateway/_crash_watch.py
@@ -11,23 +11,28 @@
 import hashlib
 import random
 from collections.abc import Callable, Sequence
+from typing import Protocol
 
 from lentilwell._clock import Clock
 from lentilwell._log_lines import (
     CrashNoticeUnreadable,
     PartsCleared,
     PartsCondemned,
+    RequestsCleared,
+    RequestsCondemned,
     UpstreamNotCrashed,
     write_line,
 )
-from lentilwell.gateway._crash_evidence import SETTLE_MS, CrashEvidence, Refusal
-from lentilwell.gateway._crash_hypotheses import CutRequest
+from lentilwell.gateway._condemned_subjects import Refusal
+from lentilwell.gateway._crash_evidence import SETTLE_MS, CrashEvidence
 from lentilwell.gateway._crash_messages import (
     UnreadableCrashNotice,
     decode_crash_notice,
     encode_crash_notice,
 )
 from lentilwell.gateway._crash_notice import CrashNotice
+from lentilwell.gateway._crash_records import CutRequest
+from lentilwell.gateway._fingerprints import is_fingerprint
 from lentilwell.gateway._messages import RequestFacts
 from lentilwell.gateway._upstreams import Upstream
 
@@ -45,6 +50,18 @@
 OWN_EVIDENCE = "own"
 
 
+class Work(Protocol):
+    """A request, as far as it may be to blame for crashes."""
+
+    @property
+    def facts(self) -> RequestFacts:
+        """Return the contents of the caller's headers."""
+
+    @property
+    def fingerprint(self) -> str:
+        """Return the fingerprint, whose computation takes as long as the body is."""
+
+
 class CrashWatch:
     """Records what one instance sees of crashes, and exchanges it with the others."""
 
@@ -58,40 +75,54 @@
         self.list_peers: Callable[[], Sequence[str]] = lambda: ()
         self.send: Callable[[str, bytes], bool] = lambda peer, data: False
 
-    def find_refusal(self, facts: RequestFacts) -> Refusal | None:
+    @property
+    def known_ends(self) -> frozenset[int]:
+        """Return the marks of the crashes that are known now."""
+        return self._evidence.known_ends
+
+    def find_refusal(self, work: Work) -> Refusal | None:
         """Return why a request must not be sent now, None if it may be."""
-        if not facts.shared_parts or not self._evidence.condemned:
+        if not self._evidence.condemned:
             return None
-        parts = _shorten(facts.shared_parts)
+        subjects = _shorten(work.facts.shared_parts)
+        if self._evidence.may_refuse_requests():
+            subjects = (*subjects, work.fingerprint)
         now, rank = self._clock.now(), self.find_rank()
-        return self._evidence.find_refusal(_hash(facts.request_id), parts, rank, now)
+        return self._evidence.find_refusal(_hash(work.facts.request_id), subjects, rank, now)
 
-    def record_cut(self, upstream: Upstream, facts: RequestFacts, events: int) -> None:
+    def record_cut(
+        self, upstream: Upstream, work: Work, events: int, known_ends: frozenset[int]
+    ) -> None:
         """Record that an upstream ended a connection after ``events`` of the answer.
 
-        An upstream that has announced its end did not crash.
+        ``known_ends`` are the marks of the crashes that were known when the request was sent. An
+        upstream that has announced its end did not crash.
         """
-        if upstream.leaving or not facts.shared_parts:
+        if upstream.leaving:
             return
         cut = None
         if events < SOUND_EVENTS:
-            cut = CutRequest(_hash(facts.request_id), _shorten(facts.shared_parts))
+            parts = _shorten(work.facts.shared_parts)
+            cut = CutRequest(_hash(work.facts.request_id), parts, work.fingerprint, known_ends)
         before = self._name_condemned()
         if self._evidence.record_crash(upstream.incarnation, self._clock.now(), cut):
             self._log_changes(before, OWN_EVIDENCE)
             self._schedule_send()
             self._schedule_judgement()
 
-    def record_events(self, upstream: Upstream, facts: RequestFacts, events: int) -> None:
+    def record_events(self, upstream: Upstream, work: Work, events: int) -> None:
         """Record that an answer has ``events`` events so far."""
         self.record_alive(upstream)
         if events == SOUND_EVENTS:
-            self.record_sound(facts)
+            self.record_sound(work)
 
-    def record_sound(self, facts: RequestFacts) -> None:
-        """Record an answer beyond its beginning, which shows that its parts are sound."""
+    def record_sound(self, work: Work) -> None:
+        """Record an answer beyond its beginning: the request and its parts are sound."""
+        subjects = _shorten(work.facts.shared_parts)
+        if self._evidence.needs_answers():
+            subjects = (*subjects, work.fingerprint)
         before = self._name_condemned()
-        if self._evidence.record_sound(_shorten(facts.shared_parts), self._clock.now()):
+        if self._evidence.record_sound(subjects, self._clock.now()):
             self._log_changes(before, OWN_EVIDENCE)
             self._schedule_send()
 
@@ -176,10 +207,12 @@
 
     def _log_changes(self, before: set[str], source: str) -> None:
         after = self._name_condemned()
-        for parts in sorted(after - before):
-            write_line(PartsCondemned(parts, source))
-        for parts in sorted(before - after):
-            write_line(PartsCleared(parts, source))
+        for subjects in sorted(after - before):
+            condemned = RequestsCondemned if is_fingerprint(subjects) else PartsCondemned
+            write_line(condemned(subjects, source))
+        for subjects in sorted(before - after):
+            cleared = RequestsCleared if is_fingerprint(subjects) else PartsCleared
+            write_line(cleared(subjects, source))
 
 
 def _shorten(parts: tuple[str, ...]) -> tuple[str, ...]:
--- a/src/lentilwell/gateway/_fingerprints.py
+++ b/src/lentilwell/gateway/_fingerprints.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Iterable
 
 from lentilwell.gateway._messages import InboundRequest
 
@@ -29,6 +30,11 @@
     return MARK + digest.digest()[:DIGEST_BYTES].hex()
 
 
+def find_fingerprint(subjects: Iterable[str]) -> str:
+    """Return the first fingerprint among subjects, empty if there is none."""
+    return next(filter(is_fingerprint, subjects), "")
+
+
 def is_fingerprint(text: str) -> bool:
     """Tell whether a text is a fingerprint, and not the id of a part of a prompt."""
     return text.startswith(MARK)
--- a/src/lentilwell/gateway/_metrics.py
+++ b/src/lentilwell/gateway/_metrics.py
@@ -14,6 +14,9 @@
 from prometheus_client.registry import Collector
 
 from lentilwell._clock import MS_PER_SECOND, Clock
+from lentilwell.gateway._crash_evidence import CrashEvidence
+from lentilwell.gateway._crash_records import Explanation
+from lentilwell.gateway._fingerprints import is_fingerprint
 from lentilwell.gateway._fleet import Fleet
 from lentilwell.gateway._follower import TableStatus
 from lentilwell.gateway._messages import Prompt
@@ -77,7 +80,7 @@
         )
         self._refused = Counter(
             "lentilwell_gateway_refused_prompts",
-            "Requests not sent because parts of their prompts crash upstreams, by service.",
+            "Requests not sent because they or parts of their prompts crash upstreams, by service.",
             ("service",),
             registry=self.registry,
         )
@@ -202,16 +205,7 @@
             ("upstreams_doubted", "Upstreams that a restored list holds again.", quarantined),
             ("upstreams_closed", "Upstreams that want no work for a while.", backing_off),
             ("upstreams_limited", "Upstreams that name a rate limit.", limited),
-            (
-                "prompt_parts_suspected",
-                "Parts of prompts that may crash upstreams.",
-                len(fleet.crash_evidence.suspected),
-            ),
-            (
-                "prompt_parts_condemned",
-                "Parts of prompts that are not sent to upstreams.",
-                len(fleet.crash_evidence.condemned),
-            ),
+            *_list_crash_gauges(fleet.crash_evidence),
             ("jobs", "Requests in hand at upstreams.", len(fleet.load_tracker.list_own_jobs())),
             ("instances", "Instances that may be there.", fleet.count_instances()),
             ("callers", "Open connections of callers.", self._count_callers()),
@@ -281,11 +275,42 @@
             "tables": tables,
             "instances": fleet.count_instances(),
             "upstreams": upstreams,
-            "condemned_parts": fleet.crash_evidence.condemned,
-            "suspected_parts": sorted(fleet.crash_evidence.suspected),
+            **_list_by_kind(fleet.crash_evidence),
         }
     )
 
 
+def _list_by_kind(evidence: CrashEvidence) -> dict[str, list[str] | list[Explanation]]:
+    """Return what is condemned and suspected, whole requests apart from parts of prompts."""
+    suspects = sorted(evidence.suspected)
+    return {
+        "condemned_parts": [one for one in evidence.condemned if not one.fingerprint],
+        "condemned_requests": [one for one in evidence.condemned if one.fingerprint],
+        "suspected_parts": [one for one in suspects if not is_fingerprint(one)],
+        "suspected_requests": [one for one in suspects if is_fingerprint(one)],
+    }
+
+
+def _list_crash_gauges(evidence: CrashEvidence) -> Iterable[tuple[str, str, int]]:
+    """Return the name, the text and the value of each gauge about crashes of upstreams."""
+    texts = {
+        "suspected_parts": ("prompt_parts_suspected", "Parts of prompts that may crash upstreams."),
+        "condemned_parts": (
+            "prompt_parts_condemned",
+            "Parts of prompts that are not sent to upstreams.",
+        ),
+        "suspected_requests": (
+            "requests_suspected",
+            "Requests that may crash upstreams, by fingerprint.",
+        ),
+        "condemned_requests": (
+            "requests_condemned",
+            "Requests that are not sent to upstreams, by fingerprint.",
+        ),
+    }
+    found = _list_by_kind(evidence)
+    return [(name, text, len(found[kind])) for kind, (name, text) in texts.items()]
+
+
 def _get_version(fleet: Fleet) -> int:
     return fleet.catalog.version if fleet.catalog is not None else 0
--- a/src/lentilwell/gateway/_request_recorder.py
+++ b/src/lentilwell/gateway/_request_recorder.py
@@ -15,7 +15,7 @@
     UpstreamRefused,
     write_line,
 )
-from lentilwell.gateway._crash_evidence import Refusal
+from lentilwell.gateway._condemned_subjects import Refusal
 from lentilwell.gateway._fleet import Fleet
 from lentilwell.gateway._metrics import Metrics
 from lentilwell.gateway._placement_policies import Choice
@@ -125,12 +125,12 @@
             )
         )
 
-    def record_refused_parts(self, refusal: Refusal) -> None:
-        """Log and count that the request is not sent because of parts of its prompt."""
+    def record_harmful(self, refusal: Refusal) -> None:
+        """Log and count that the request is not sent because it crashes upstreams."""
         self._metrics.count_refused(self._routed.service)
-        parts = " ".join(sorted(refusal.parts))
-        request = self._routed.facts.request_id
-        write_line(RequestRefused(request, parts, refusal.retry_after_ms))
+        request, fingerprint = self._routed.facts.request_id, refusal.fingerprint
+        parts = "" if fingerprint else " ".join(sorted(refusal.subjects))
+        write_line(RequestRefused(request, parts, refusal.retry_after_ms, fingerprint))
 
     def record_attempt(self, upstream: str, reason: str, sends: int, following: str) -> None:
         """Log how an attempt ended; ``following`` is the next step or the outcome."""
--- a/src/lentilwell/peers.thrift
+++ b/src/lentilwell/peers.thrift
@@ -200,10 +200,15 @@
   2: PermitAnswer answer
 }
 
-/** A request that a crash cut at the beginning of its answer, and the shared parts of its prompt. */
+/**
+ * A request that a crash cut at the beginning of its answer, the shared parts of its prompt, its
+ * fingerprint, and the marks of ends of upstreams that its sender knew of when it was sent.
+ */
 struct CutPrompt {
   1: required string request
   2: required list<string> parts
+  3: optional string fingerprint
+  4: optional list<i64> known_ends
 }
 
 /** The end of one start of an upstream, ``age_ms`` before the sending. */
--- a/standins/simulated_crashes.py
+++ b/standins/simulated_crashes.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 
 from lentilwell.gateway._crash_evidence import SETTLE_MS, CrashEvidence
-from lentilwell.gateway._crash_hypotheses import CutRequest
+from lentilwell.gateway._crash_records import CutRequest
 from lentilwell.gateway._upstreams import Incarnation
 
 HARMFUL = "bad"
--- a/tests/crashing_engines.py
+++ b/tests/crashing_engines.py
@@ -148,11 +148,15 @@
             del self.gateways[name]
 
     async def call(self, instance: str, *parts: str) -> Call:
-        """Send a request with these shared parts and one of its own, and record the result."""
+        """Send a request with these shared parts and one of its own, and record the result.
+
+        Its body is its own too, as that of a prompt is.
+        """
         at, number = CLOCK.now(), next(self.numbers)
         port = self.gateways[instance].callers_port
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         prompt = [*(f"{part}:40" for part in parts), f"{number:x}ffff:{OWN_TOKENS}"]
+        body = f"prompt {number}".encode()
         headers = {
             "Host": HOST,
             "Request-Id": f"r{number}",
@@ -160,9 +164,10 @@
             "Deadline-Ms": "8000",
             "Token-Count": f"{OWN_TOKENS + 40 * len(parts)},{ANSWER_TOKENS}",
             "Prompt-Prefix": ",".join(prompt),
+            "Content-Length": str(len(body)),
         }
         rows = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-        writer.write(f"POST /stream/x HTTP/1.1\r\n{rows}\r\n".encode())
+        writer.write(f"POST /stream/x HTTP/1.1\r\n{rows}\r\n".encode() + body)
         answer = await asyncio.wait_for(read_answer(reader), 2 * ANSWER_TIMEOUT_S)
         writer.close()
         retry_after = answer.headers.get("retry-after")
--- a/tests/test_gateway_crash_watch.py
+++ b/tests/test_gateway_crash_watch.py
@@ -1,6 +1,7 @@
 """What an instance tells the others about crashes: at once, to all of them, and then to a few."""
 
 import asyncio
+from dataclasses import dataclass
 
 from lentilwell._clock import ManualClock
 from lentilwell.gateway import RequestFacts, Upstream
@@ -39,15 +40,23 @@
         return len(self.sent) - before
 
 
-def make_facts(*parts, request="r"):
-    return RequestFacts(request, "", None, None, None, parts)
+@dataclass(frozen=True)
+class Work:
+    """A request as the watch sees it."""
+
+    facts: RequestFacts
+    fingerprint: str = "=0"
+
+
+def make_work(*parts, request="r"):
+    return Work(RequestFacts(request, "", None, None, None, parts))
 
 
 @in_loop
 async def test_new_crash_is_told_to_all_instances_in_one_message_each():
     harness = WatchHarness()
     for number in range(5):
-        harness.watch.record_cut(UPSTREAM, make_facts("aa", request=f"r{number}"), 0)
+        harness.watch.record_cut(UPSTREAM, make_work("aa", request=f"r{number}"), 0, frozenset())
     await asyncio.sleep(10 * COALESCE_MS / 1_000)
     assert sorted(peer for peer, _ in harness.sent) == sorted(PEERS)
     [crash] = decode_crash_notice(harness.sent[0][1], harness.clock.now()).crashes
@@ -59,7 +68,7 @@
 async def test_evidence_is_repeated_to_a_few_instances_and_less_often_later():
     harness = WatchHarness()
     assert harness.advance(STALE_REPEAT_MS) == 0
-    harness.watch.record_cut(UPSTREAM, make_facts("aa"), 0)
+    harness.watch.record_cut(UPSTREAM, make_work("aa"), 0, frozenset())
     assert harness.advance(REPEAT_MS) == REPEAT_PEERS
     assert harness.advance(REPEAT_MS - 1) == 0
     harness.advance(FRESH_MS)
@@ -71,7 +80,7 @@
 @in_loop
 async def test_nothing_is_told_by_a_closed_watch():
     harness = WatchHarness()
-    harness.watch.record_cut(UPSTREAM, make_facts("aa"), 0)
+    harness.watch.record_cut(UPSTREAM, make_work("aa"), 0, frozenset())
     harness.watch.close()
     await asyncio.sleep(10 * COALESCE_MS / 1_000)
     assert not harness.sent
@@ -80,7 +89,8 @@
 @in_loop
 async def test_long_ids_are_told_as_hashes():
     harness = WatchHarness()
-    harness.watch.record_cut(UPSTREAM, make_facts("a" * 64, "b" * MAX_ID_LENGTH), 0)
+    work = make_work("a" * 64, "b" * MAX_ID_LENGTH)
+    harness.watch.record_cut(UPSTREAM, work, 0, frozenset())
     await asyncio.sleep(10 * COALESCE_MS / 1_000)
     [crash] = decode_crash_notice(harness.sent[0][1], harness.clock.now()).crashes
     [cut] = crash.cut
--- a/tests/test_gateway_crashed_upstreams.py
+++ b/tests/test_gateway_crashed_upstreams.py
@@ -3,7 +3,9 @@
 import pytest
 
 from lentilwell._log_lines import RequestCut
-from tests.gateway_harness import run_gateway
+from lentilwell.gateway._fingerprints import compute_fingerprint
+from lentilwell.gateway._messages import InboundRequest
+from tests.gateway_harness import HOST, run_gateway
 from tests.gateway_scripts import (
     answer_truncated,
     in_loop,
@@ -43,7 +45,10 @@
 async def test_cut_request_is_logged_with_its_parts_and_events(cuts, script, path, events):
     async with run_gateway(script) as harness:
         await harness.call(path, Prompt_Prefix=PARTS)
-        assert cuts[0] == RequestCut("id1", "u0", 0, events, "aa bb")
+        method, target = b"POST", path.encode()
+        request = InboundRequest(method, target, ((b"Host", HOST.encode()),), 0)
+        fingerprint = compute_fingerprint(request, "blue")
+        assert cuts[0] == RequestCut("id1", "u0", 0, events, "aa bb", fingerprint)
         label = str(events) if events < 2 else "more"
         counted = f'lentilwell_gateway_cut_requests_total{{events="{label}",service="s"}} 1.0'
         assert counted in harness.gateway.metrics.render().decode()
--- a/tests/test_gateway_crashing_prompts.py
+++ b/tests/test_gateway_crashing_prompts.py
@@ -6,15 +6,16 @@
 import pytest
 
 from lentilwell._clock import ManualClock
-from lentilwell.gateway import RequestFacts, Upstream
+from lentilwell.gateway import Upstream
 from lentilwell.gateway._crash_evidence import SETTLE_MS, CrashEvidence
-from lentilwell.gateway._crash_hypotheses import CutRequest
+from lentilwell.gateway._crash_records import CutRequest
 from lentilwell.gateway._crash_watch import CrashWatch
 from lentilwell.gateway._metrics import dump_fleet
 from lentilwell.gateway._upstreams import Incarnation
 from tests.crashing_engines import HARMFUL, run_group
 from tests.gateway_harness import run_gateway
 from tests.gateway_scripts import in_loop
+from tests.test_gateway_crash_watch import make_work
 
 CALM_S = 1.5
 INCIDENT_S = 9.0
@@ -115,19 +116,21 @@
 def test_upstream_that_stops_as_announced_is_no_evidence():
     evidence = CrashEvidence()
     watch = CrashWatch(ManualClock(), evidence)
-    facts = RequestFacts("r", "", None, None, None, (HARMFUL,))
+    work = make_work(HARMFUL)
     upstream = Upstream("u", "s", "127.0.0.1:1", "dc", 8, leaving=True, born_ms=1)
-    watch.record_cut(upstream, facts, 0)
+    watch.record_cut(upstream, work, 0, frozenset())
     assert not evidence.suspected
 
 
-@pytest.mark.parametrize(("events", "suspected"), [(0, {HARMFUL}), (1, {HARMFUL}), (2, set())])
+@pytest.mark.parametrize(
+    ("events", "suspected"), [(0, {HARMFUL, "=0"}), (1, {HARMFUL, "=0"}), (2, set())]
+)
 @in_loop
 async def test_only_requests_at_the_beginning_of_their_answers_are_suspects(events, suspected):
     evidence = CrashEvidence()
     watch = CrashWatch(ManualClock(), evidence)
-    facts = RequestFacts("r", "", None, None, None, (HARMFUL,))
-    watch.record_cut(Upstream("u", "s", "127.0.0.1:1", "dc", 8, False, born_ms=1), facts, events)
+    upstream = Upstream("u", "s", "127.0.0.1:1", "dc", 8, False, born_ms=1)
+    watch.record_cut(upstream, make_work(HARMFUL), events, frozenset())
     assert evidence.suspected == suspected
 
 
