--- a/standins/received_request.py
+++ b/standins/received_request.py
@@ -8,7 +8,7 @@
 TEAM = "tenant"
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, order=True)
 class RequestContent:
     """What stays the same when a caller sends a request again."""
 
--- /dev/null
+++ b/tests/deadly_checks.py
@@ -0,0 +1,73 @@
+"""Checks of the users' rules about requests that end the upstreams that run them."""
+
+from __future__ import annotations
+
+import asyncio
+
+from standins.deadly_requests import MAX_LATE_ARRIVALS, DeadlyRecord
+from standins.restarting_fleet import RESTART_S
+from tests.deadly_requests import DEADLY, DeadlyGroup
+
+# Half of the users' time, since the instances of the tests are close to each other.
+CONTACT_MS = 1_500
+MIN_SERVED = 0.9
+MIN_CALLS = 20
+AFTER_S = 1.0
+
+
+async def check_rule(group: DeadlyGroup) -> None:
+    """Check the rule about the deadly requests, and that the sound ones are served.
+
+    Once all upstreams are back, every sound request is served, those too that were cut before.
+    """
+    record, case = group.record, group.case
+    await group.fleet.wait_whole()
+    seen = describe(group)
+    print(seen)
+    for name in DEADLY:
+        assert record.list_crashes(name), seen
+        assert record.count_late(name, CONTACT_MS) <= MAX_LATE_ARRIVALS, seen
+    sound = group.list_sound(find_begin(record))
+    assert len(sound) >= MIN_CALLS, "too few requests to tell"
+    assert sum(call.served for call in sound) >= MIN_SERVED * len(sound), seen
+    failed = {call.content for call in group.list_sound(0) if not call.served}
+    settled = len(group.calls)
+    await group.press(AFTER_S)
+    await asyncio.gather(
+        *(group.call(group.pick_instance(n), one) for n, one in enumerate(sorted(failed)))
+    )
+    assert all(call.served for call in group.calls[settled:]), seen
+    if case.kind == "once":
+        assert max(record.sends.values()) == 1, seen
+
+
+async def check_refusals(group: DeadlyGroup) -> None:
+    """Check that every instance refuses both deadly requests for long, and sends neither."""
+    received = group.record.count_arrivals()
+    for instance in group.gateways:
+        for name in DEADLY:
+            call = await group.call(instance, group.case.make_deadly(name))
+            assert call.is_refused_for_long, (instance, call)
+    assert group.record.count_arrivals() == received
+
+
+def find_begin(record: DeadlyRecord) -> int:
+    """Return from when on sound requests must be served, in ms."""
+    last = [record.find_third_crash(name) or record.list_crashes(name)[-1] for name in DEADLY]
+    return max(last) + CONTACT_MS + round(RESTART_S * 1_000)
+
+
+def describe(group: DeadlyGroup) -> str:
+    """Tell how often each deadly request ended a server and came late, and what was served."""
+    record = group.record
+    parts = [
+        f"{name}: {len(record.list_crashes(name))} ends,"
+        f" {record.count_late(name, CONTACT_MS)} late of {len(record.arrivals.get(name, ()))}"
+        for name in DEADLY
+    ]
+    if all(record.list_crashes(name) for name in DEADLY):
+        sound = group.list_sound(find_begin(record))
+        parts.append(f"{sum(call.served for call in sound)} of {len(sound)} sound ones served")
+    cut = [crash.cut for crash in record.crashes]
+    parts.append(f"{sum(cut)} sound ones cut, at most {max(cut, default=0)} at once")
+    return "; ".join(parts)
--- a/tests/deadly_requests.py
+++ b/tests/deadly_requests.py
@@ -27,12 +27,25 @@
 
 SEED = 20_261_205
 UPSTREAMS = 12
-SERVICE_S = (0.03, 0.15)
 # Callers come back to a failed request after a time between these, or when they are told to.
 REPEAT_S = (0.3, 0.6)
-CALLS_PER_S = 30.0
-# So many sound requests come at one moment.
-BATCH = 10
+CALM_S = 1.5
+INCIDENT_S = 9.0
+
+
+@dataclass(frozen=True)
+class Pace:
+    """How many sound requests come at one moment, how often, and how long they take."""
+
+    batch: int
+    interval_s: float
+    service_s: tuple[float, float]
+
+
+STEADY = Pace(10, 1 / 3, (0.03, 0.15))
+# With these, every upstream has several sound requests when a deadly one comes.
+CROWDED = Pace(42, 0.5, (0.2, 0.3))
+AFTER_BATCH_S = 0.12
 PROMPT_TOKENS = 4_960
 ANSWER_TOKENS = 200
 FIRST, SECOND = "first", "second"
@@ -55,12 +68,19 @@
 class Case:
     """Requests of one route, and how upstreams end under the deadly ones.
 
-    With ``one_path``, all requests have the same path, so that only their bodies differ.
+    With ``one_path``, all requests have the same path, so that only their bodies differ. If
+    ``crowded``, deadly requests come just after a batch of sound ones.
     """
 
     kind: str
     point: CrashPoint = CrashPoint.BEGIN
     one_path: bool = False
+    crowded: bool = False
+
+    @property
+    def pace(self) -> Pace:
+        """Return the pace of the sound requests."""
+        return CROWDED if self.crowded else STEADY
 
     @property
     def streams(self) -> bool:
@@ -111,6 +131,7 @@
     members: dict[str, Member]
     draw: random.Random
     calls: list[Call] = field(default_factory=list)
+    next_batch_s: float = 0.0
     numbers: Iterator[int] = field(default_factory=itertools.count)
 
     @asynccontextmanager
@@ -151,28 +172,35 @@
         self.calls.append(result)
         return result
 
+    async def run_incident(self) -> None:
+        """Send sound requests all the time, and after a while both deadly ones beside them."""
+        sound = asyncio.create_task(self.press(CALM_S + INCIDENT_S))
+        await asyncio.sleep(CALM_S)
+        await asyncio.gather(*(self.repeat(name, INCIDENT_S) for name in DEADLY))
+        await sound
+
     async def repeat(self, name: str, seconds: float) -> None:
         """Send a deadly request, and again after each failure, for this long."""
         loop = asyncio.get_running_loop()
         until_s, content = loop.time() + seconds, self.case.make_deadly(name)
         for number in itertools.count(self.draw.randrange(len(self.gateways))):
             call = await self.call(self.pick_instance(number), content)
-            wait_s = self.draw.uniform(*REPEAT_S)
-            if call.status == 503 and call.retry_after is not None:
-                wait_s = min(float(call.retry_after), REPEAT_S[1])
+            wait_s = self._find_wait_s(call)
             if loop.time() + wait_s >= until_s:
                 return
             await asyncio.sleep(wait_s)
 
     async def press(self, seconds: float) -> None:
         """Send sound requests, several at one moment, to all instances in turn."""
-        loop = asyncio.get_running_loop()
+        loop, pace = asyncio.get_running_loop(), self.case.pace
         began_s, tasks = loop.time(), []
-        for number in range(round(seconds * CALLS_PER_S)):
-            due_s = began_s + number // BATCH * BATCH / CALLS_PER_S
-            await asyncio.sleep(max(0.0, due_s - loop.time()))
-            content = self.case.make_sound(next(self.numbers))
-            tasks.append(loop.create_task(self.call(self.pick_instance(number), content)))
+        for batch in range(round(seconds / pace.interval_s)):
+            await asyncio.sleep(max(0.0, began_s + batch * pace.interval_s - loop.time()))
+            for _ in range(pace.batch):
+                number = next(self.numbers)
+                content = self.case.make_sound(number)
+                tasks.append(loop.create_task(self.call(self.pick_instance(number), content)))
+            self.next_batch_s = began_s + (batch + 1) * pace.interval_s
         await asyncio.gather(*tasks)
 
     def list_sound(self, begin: int) -> list[Call]:
@@ -180,6 +208,15 @@
         deadly = [self.case.make_deadly(name) for name in DEADLY]
         return [call for call in self.calls if call.at >= begin and call.content not in deadly]
 
+    def _find_wait_s(self, call: Call) -> float:
+        """Return how long the caller of a deadly request waits after a failure."""
+        if self.case.crowded:
+            wait_s = self.next_batch_s + AFTER_BATCH_S - asyncio.get_running_loop().time()
+            return wait_s if wait_s >= REPEAT_S[0] else wait_s + self.case.pace.interval_s
+        if call.status == 503 and call.retry_after is not None:
+            return min(float(call.retry_after), REPEAT_S[1])
+        return self.draw.uniform(*REPEAT_S)
+
     def _format_prompt(self, content: RequestContent) -> str:
         """Return the parts of a prompt: one that many have, and one that follows from the body."""
         name, number = content.body.decode().split()
@@ -202,12 +239,12 @@
     late: int = 0,
     expiry_s: float = EXPIRY_S,
     restart_s: float = RESTART_S,
-    service_s: tuple[float, float] = SERVICE_S,
+    service_s: tuple[float, float] | None = None,
 ):
     """Run gateways that know each other, before upstreams that end under two deadly requests.
 
-    ``late`` further instances are listed and do not run. Sound requests take between the two times
-    ``service_s`` at plain upstreams.
+    ``late`` further instances are listed and do not run. Plain upstreams take between the two times
+    ``service_s`` for a sound request, those of the case's pace by default.
     """
     record = DeadlyRecord(CLOCK, {case.make_deadly(name): name for name in DEADLY})
     draw, listing, members = random.Random(SEED), FakeFeed(), make_members(instances + late)
@@ -222,7 +259,7 @@
             name,
             record.is_deadly,
             case.point,
-            lambda: draw.uniform(*service_s),
+            lambda: draw.uniform(*(service_s or case.pace.service_s)),
             record.record_request,
         )
 
--- /dev/null
+++ b/tests/test_gateway_deadly_crowds.py
@@ -0,0 +1,18 @@
+"""Deadly requests that cut several sound ones at each end of an upstream are told from them."""
+
+import pytest
+
+from tests.deadly_checks import check_refusals, check_rule
+from tests.deadly_requests import Case, run_group
+from tests.gateway_scripts import in_loop
+
+
+@pytest.mark.parametrize("kind", ["whole", "once"])
+@pytest.mark.parametrize("instances", [3, 12])
+@in_loop
+async def test_sound_requests_that_deadly_ones_cut_again_and_again_are_not_refused(instances, kind):
+    async with run_group(instances, Case(kind, one_path=True, crowded=True)) as group:
+        await group.run_incident()
+        await check_rule(group)
+        assert sum(crash.cut for crash in group.record.crashes) >= 6
+        await check_refusals(group)
--- a/tests/test_gateway_deadly_requests.py
+++ b/tests/test_gateway_deadly_requests.py
@@ -5,11 +5,10 @@
 import pytest
 
 from standins.crashing_server import CrashPoint
-from standins.deadly_requests import MAX_LATE_ARRIVALS
 from standins.received_request import RequestContent
-from standins.restarting_fleet import RESTART_S
+from tests.deadly_checks import check_refusals, check_rule, describe
 from tests.deadly_requests import (
-    CALLS_PER_S,
+    CALM_S,
     DEADLY,
     FIRST,
     OTHER_TEAM,
@@ -22,12 +21,8 @@
 )
 from tests.gateway_scripts import in_loop
 
-CALM_S = 1.5
-INCIDENT_S = 9.0
 AFTER_S = 1.0
-# Half of the users' time, since the instances of the tests are close to each other.
-CONTACT_MS = 1_500
-MIN_SERVED = 0.9
+LOOKUPS_PER_S = 30.0
 # So many tries make three ends of servers certain.
 MAX_REPEATS = 12
 # Times with which three ends of one upstream after the other fit into a test.
@@ -48,14 +43,8 @@
 @in_loop
 async def test_deadly_request_reaches_few_more_servers_and_sound_ones_are_served(instances, case):
     async with run_group(instances, case) as group:
-        sound = asyncio.create_task(group.press(CALM_S + INCIDENT_S))
-        await asyncio.sleep(CALM_S)
-        await asyncio.gather(*(group.repeat(name, INCIDENT_S) for name in DEADLY))
-        await sound
-        await group.fleet.wait_whole()
-        settled = len(group.calls)
-        await group.press(AFTER_S)
-        check(group, group.calls[settled:])
+        await group.run_incident()
+        await check_rule(group)
         await check_refusals(group)
 
 
@@ -84,7 +73,7 @@
                 instance = group.pick_instance(number)
                 tasks.append(asyncio.create_task(group.call(instance, lookup, "GET")))
                 number += 1
-                due_s = began_s + number / CALLS_PER_S
+                due_s = began_s + number / LOOKUPS_PER_S
                 await asyncio.sleep(max(0.0, due_s - asyncio.get_running_loop().time()))
 
         looking_up = asyncio.create_task(look_up())
@@ -166,51 +155,3 @@
             return
         await asyncio.sleep(0.15)
     raise AssertionError(f"{name} was not refused: {describe(group)}")
-
-
-async def check_refusals(group):
-    """Check that every instance refuses both deadly requests, and sends none of them."""
-    received = group.record.count_arrivals()
-    for instance in group.gateways:
-        for name in DEADLY:
-            call = await group.call(instance, group.case.make_deadly(name))
-            assert call.is_refused_for_long, (instance, call)
-    assert group.record.count_arrivals() == received
-
-
-def check(group, settled):
-    """Check the users' rule; ``settled`` are the calls after the last upstream was back."""
-    record, case = group.record, group.case
-    seen = describe(group)
-    print(seen)
-    for name in DEADLY:
-        assert len(record.list_crashes(name)) >= 1, seen
-        assert record.count_late(name, CONTACT_MS) <= MAX_LATE_ARRIVALS, seen
-    sound = group.list_sound(find_begin(record))
-    assert len(sound) >= 20, "too few requests to tell"
-    assert sum(call.served for call in sound) >= MIN_SERVED * len(sound), seen
-    assert all(call.served for call in settled), seen
-    if case.kind == "once":
-        assert max(record.sends.values()) == 1, seen
-
-
-def find_begin(record):
-    """Return from when on sound requests must be served, in ms."""
-    last = [record.find_third_crash(name) or record.list_crashes(name)[-1] for name in DEADLY]
-    return max(last) + CONTACT_MS + round(RESTART_S * 1_000)
-
-
-def describe(group):
-    """Tell how often each deadly request ended a server and came late, and what was served."""
-    record = group.record
-    parts = [
-        f"{name}: {len(record.list_crashes(name))} ends,"
-        f" {record.count_late(name, CONTACT_MS)} late of {len(record.arrivals.get(name, ()))}"
-        for name in DEADLY
-    ]
-    if all(record.list_crashes(name) for name in DEADLY):
-        sound = group.list_sound(find_begin(record))
-        parts.append(f"{sum(call.served for call in sound)} of {len(sound)} sound ones served")
-    cut = [crash.cut for crash in record.crashes]
-    parts.append(f"{sum(cut)} sound ones cut, at most {max(cut, default=0)} at once")
-    return "; ".join(parts)
