--- a/tests/test_gateway_deadly_requests.py
+++ b/tests/test_gateway_deadly_requests.py
@@ -124,6 +124,9 @@
             for name in DEADLY:
                 assert (await group.call("i3", group.case.make_deadly(name))).is_refused_for_long
             assert group.record.count_arrivals() == received
+            await group.fleet.wait_whole()
+            for number in range(len(DEADLY)):
+                assert (await group.call("i3", group.case.make_sound(number))).served
 
 
 @pytest.mark.parametrize("kind", ["whole", "once", "stream"])
