Entry instance: an answer whose connection closes inside its head is no answer

Seen by callers: a service that closed its connection after the status line, or after some headers, was answered 200 with an empty body and `Content-Length: 0`. With an idempotency key the empty answer was recorded and replayed. The same reading let a cut 200 confirm an object that may not have been stored, a deleted row, a cancelled stream or an order to an engine; a cut 404 count as "no such row"; and a cut 503 or 429 to a write as "not done".

`send` took the absence of an error for a whole answer.

`ReceivedHead` follows the header lines that curl passes on, and `send` returns an answer only once the empty line after the head of a final status has arrived. It then fails as after any other broken connection, as sent: an idempotent call goes to another instance, any other has an unknown outcome.

--- a/src/lentilwell/_http.py
+++ b/src/lentilwell/_http.py
@@ -14,6 +14,8 @@
 
 MAX_POOLED_IDLE_S = 20
 _CURL_HEADERS = ("Expect", "Content-Type", "Accept", "User-Agent")
+_EMPTY_LINES = (b"\r\n", b"\n")
+_MIN_FINAL_STATUS = 200
 
 Guard = Callable[[], bool]
 
@@ -59,11 +61,35 @@
     max_body_bytes: int = 67_108_864
 
 
+class ReceivedHead:
+    """The head of an answer, as far as curl has passed its lines on.
+
+    ``lines`` also has the heads of 1xx answers before it and the trailers after its body.
+    ``status`` is the status of the last status line, 0 before the first. ``whole`` is true once the
+    empty line that ends the head of a final answer has arrived. curl itself reports success for an
+    answer whose connection is closed after the status line.
+    """
+
+    def __init__(self) -> None:
+        self.lines: list[bytes] = []
+        self.status = 0
+        self.whole = False
+
+    def add_line(self, line: bytes) -> None:
+        """Add a line with its line ending."""
+        self.lines.append(line)
+        if line.startswith(b"HTTP/"):
+            self.status = int(line.split(b" ", 2)[1])
+            self.whole = False
+        elif line in _EMPTY_LINES:
+            self.whole = self.status >= _MIN_FINAL_STATUS
+
+
 class _Receiver:
     """Collects one answer. A body longer than ``max_bytes`` aborts the transfer."""
 
     def __init__(self, max_bytes: int) -> None:
-        self.header_lines: list[bytes] = []
+        self.head = ReceivedHead()
         self.body = BytesIO()
         self._max_bytes = max_bytes
 
@@ -105,16 +131,18 @@
         set_common_options(curl, call)
         curl.setopt(pycurl.TIMEOUT_MS, call.timeout_ms)
         curl.setopt(pycurl.WRITEFUNCTION, receiver.write)
-        curl.setopt(pycurl.HEADERFUNCTION, receiver.header_lines.append)
+        curl.setopt(pycurl.HEADERFUNCTION, receiver.head.add_line)
         curl.setopt(pycurl.PREREQFUNCTION, send_guard.allow_send)
         curl.perform()
-        status = curl.getinfo(pycurl.RESPONSE_CODE)
     except (pycurl.error, ValueError, TypeError):
         return Err(HttpFailure(send_guard.sent, send_guard.refused))
     finally:
         if call.new_connection:
             curl.close()
-    return Ok(HttpAnswer(status, parse_headers(receiver.header_lines), receiver.body.getvalue()))
+    head = receiver.head
+    if not head.whole:
+        return Err(HttpFailure(send_guard.sent, send_guard.refused))
+    return Ok(HttpAnswer(head.status, parse_headers(head.lines), receiver.body.getvalue()))
 
 
 def set_common_options(curl: pycurl.Curl, call: HttpCall) -> None:
