Entry instance: a stream's refusal counts only once its head has arrived whole

Seen: an engine that broke off after `HTTP/1.1 503 ...` counted as having refused the stream and as leaving; one that broke off after a 404, 409 or 429 as having refused it. The request was sent to another engine outside the retry budget, and after a 503 the engine got no further work until its next incarnation, though nobody had said so. Tokens were never lost or doubled.

Cause: the failed transfer was classified by the status alone, which curl knows from the first line, whether the connection was closed or reset after it.

The transfer keeps the `ReceivedHead`; without the empty line at its end the stream is broken, as after any other cut, and is retried within the budget.

A test in test_transfer.py that set the status by hand now passes on the head's lines.

--- a/src/lentilwell/forwarding/_transfer.py
+++ b/src/lentilwell/forwarding/_transfer.py
@@ -21,7 +21,7 @@
 
 from lentilwell._clock import Clock
 from lentilwell._failures import DeadlineExceeded, Failure
-from lentilwell._http import HttpCall, set_common_options
+from lentilwell._http import HttpCall, ReceivedHead, set_common_options
 from lentilwell._messages import Cause
 from lentilwell.adapters import OpenStream, StreamLine
 from lentilwell.forwarding._exchange import MAX_BUFFER_BYTES, Exchange
@@ -75,7 +75,7 @@
     finish_reason: str = ""
     finished: bool = False
     last_data_at: int = 0
-    status: int = 0
+    head: ReceivedHead = field(default_factory=ReceivedHead)
 
 
 @dataclass
@@ -349,7 +349,7 @@
         transfer = _Transfer(attempt, target, is_primary, curl, last_data_at=self._clock.now())
         set_common_options(curl, call)
         curl.setopt(pycurl.FORBID_REUSE, 1)
-        curl.setopt(pycurl.HEADERFUNCTION, lambda line: _record_status(transfer, line))
+        curl.setopt(pycurl.HEADERFUNCTION, transfer.head.add_line)
         curl.setopt(pycurl.WRITEFUNCTION, lambda data: self._handle_data(transfer, data))
         attempt.transfers.append(transfer)
         self._by_curl[curl] = transfer
@@ -379,7 +379,7 @@
             transfer.paused = True
             return int(pycurl.WRITEFUNC_PAUSE)
         transfer.last_data_at = self._clock.now()
-        if transfer.status == 200:
+        if transfer.head.status == 200:
             *lines, transfer.partial_line = (transfer.partial_line + data).split(b"\n")
             self._handle_lines(transfer, [line for line in lines if line])
         if len(transfer.partial_line) > MAX_LINE_BYTES:
@@ -469,11 +469,10 @@
         transfer = self._by_curl.pop(curl, None)
         if transfer is None:
             return
-        status = curl.getinfo(pycurl.RESPONSE_CODE)
         self._multi.remove_handle(curl)
         curl.close()
         if not transfer.finish_reason:
-            self._report_failure(transfer, _classify_failure(status, code))
+            self._report_failure(transfer, _classify_failure(transfer.head, code))
 
     def _check_timeouts(self) -> None:
         now = self._clock.now()
@@ -505,11 +504,6 @@
     return max(timeout_at, exchange.request.deadline_at)
 
 
-def _record_status(transfer: _Transfer, line: bytes) -> None:
-    if line.startswith(b"HTTP/"):
-        transfer.status = int(line.split(b" ", 2)[1])
-
-
 def _parse_line(raw: bytes) -> StreamLine | None:
     try:
         return _decode_line(raw)
@@ -517,11 +511,14 @@
         return None
 
 
-def _classify_failure(status: int, code: int | None) -> Cause:
+def _classify_failure(head: ReceivedHead, code: int | None) -> Cause:
+    """Return the cause of a failed transfer; a refusal counts only if its head arrived whole."""
     if code in (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST):
         return Cause.CONNECT
-    if status == _LEAVING_STATUS:
+    if not head.whole:
+        return Cause.BROKEN
+    if head.status == _LEAVING_STATUS:
         return Cause.LEAVING
-    if status >= _MIN_REFUSED_STATUS or status in _REFUSED_STATUSES:
+    if head.status >= _MIN_REFUSED_STATUS or head.status in _REFUSED_STATUSES:
         return Cause.REFUSED
     return Cause.BROKEN
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -8,13 +8,17 @@
 
 from lentilwell._errors import AnswerLost
 from lentilwell._http import HttpCall, HttpFailure, send
-from lentilwell._messages import LoadReport
+from lentilwell._messages import Cause, LoadReport
 from lentilwell.adapters import DIALECTS, HttpEngineControl
 from lentilwell.configuration import PlatformSettings
+from lentilwell.reducer import AttemptFailed
 from tests.cutting import ENDS, CuttingServer
 from tests.test_services import Gateway
+from tests.test_transfer import COMPLETE, Rig, texts
 
 TIMEOUT_MS = 5_000
+# The streams that are cut one after the other, in one answer to a caller.
+STREAM_CUT_STEP = 8
 HELLO = b"HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Length: 12\r\nX-Last: 1\r\n\r\n"
 CHUNKS = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Last: 1\r\n\r\n"
 EMPTY = b"HTTP/1.1 200 OK\r\nX-Last: 1\r\nContent-Length: 0\r\n\r\n"
@@ -213,3 +217,50 @@
         assert call().is_err(), server.answer[:cut]
     server.cut = None
     assert isinstance(call(), Ok)
+
+
+REFUSED_STREAMS = {404: Cause.REFUSED, 409: Cause.REFUSED, 429: Cause.REFUSED, 503: Cause.LEAVING}
+
+
+@contextlib.contextmanager
+def run_transfer():
+    """Run a transfer thread with one caller."""
+    rig = Rig([])
+    try:
+        yield rig
+    finally:
+        rig.close()
+
+
+@pytest.mark.parametrize("end", ENDS)
+@pytest.mark.parametrize("status", REFUSED_STREAMS)
+def test_refusal_of_a_stream_is_believed_only_with_its_whole_head(status, end):
+    """A request that was refused goes on elsewhere outside the retry budget."""
+    answer = make_answer(status, b"{}")
+    with run_server(answer, end) as server, run_transfer() as rig:
+        for cut in range(answer.index(b"\r\n\r\n") + 4):
+            server.cut = cut
+            rig.open(server.url)
+            assert rig.next_event(AttemptFailed).cause is Cause.BROKEN, answer[:cut]
+            rig.loop.drop_attempt("s")
+        server.cut = len(answer)
+        rig.open(server.url)
+        assert rig.next_event(AttemptFailed).cause is REFUSED_STREAMS[status]
+        assert not rig.exchange.buffer and rig.loop.open_exchanges == 1
+
+
+@pytest.mark.parametrize("end", ENDS)
+def test_stream_cut_anywhere_goes_on_with_each_token_once(end):
+    head = b"HTTP/1.1 200 OK\r\nConnection: close\r\nX-Last: 1\r\n\r\n"
+    answer = head + "".join(COMPLETE).encode()
+    for first in range(0, len(answer) - 1, STREAM_CUT_STEP):
+        with run_server(answer, end) as server, run_transfer() as rig:
+            for cut in range(first, first + STREAM_CUT_STEP):
+                server.cut = min(cut, len(answer) - 1)
+                rig.open(server.url)
+                assert rig.next_event(AttemptFailed).cause is Cause.BROKEN, answer[:cut]
+                rig.loop.drop_attempt("s")
+            server.cut = len(answer)
+            rig.open(server.url)
+            data = rig.read_all()
+            assert texts(data) == ["0 ", "1 ", "2 "] and data.endswith(b"0\r\n\r\n")
--- a/tests/test_transfer.py
+++ b/tests/test_transfer.py
@@ -292,7 +292,9 @@
     rig.open()
     rig.loop._run_once()
     (transfer,) = rig.loop._attempts["s"].transfers
-    transfer.status = 200
+    for head_line in HEAD.splitlines(keepends=True):
+        transfer.head.add_line(head_line)
+    assert transfer.head.whole
     rig.exchange.fail(DeadlineExceeded(), 0)
     ended = bytes(rig.exchange.buffer)
     rig.loop._handle_data(transfer, line(0).encode())
