Entry instance: a request whose connection closes inside its head is not run

Seen: a caller that closed its connection after its key had been read had its call forwarded, with the headers that had arrived and an empty body. A refund cut before `Content-Length` ran without its body, and the right call was then refused with 422 because its idempotency key was taken. `POST /drain` of an operator, cut anywhere after its token, drained the instance.

Cause: `http.client`, which reads the headers, takes the end of the connection for the end of the headers, even inside a line.

The server's reader now raises an error for a line without its end. A caller that closed only its sending side gets 408, as for a body that is cut; the service gets nothing.

--- a/src/lentilwell/callers/_server.py
+++ b/src/lentilwell/callers/_server.py
@@ -76,28 +76,51 @@
             self._connection.settimeout(WRITE_TIMEOUT_MS / MS_PER_SECOND)
 
 
+class _RequestCutOff(ConnectionError):
+    """The caller closed its connection inside its request."""
+
+
+class _RequestReader(BufferedReader):
+    """Reads the lines of a request, each of which must be whole.
+
+    ``http.client`` takes the end of the connection for the end of the headers.
+    """
+
+    def readline(self, size: int | None = -1, /) -> bytes:
+        """Return a line, or its first ``size`` bytes; raise ``_RequestCutOff`` if it is cut off."""
+        line = super().readline(size)
+        if not line.endswith(b"\n") and len(line) != size:
+            raise _RequestCutOff
+        return line
+
+
 class _Handler(WSGIRequestHandler):
     protocol_version = "HTTP/1.1"
     server: PooledServer
+    rfile: _RequestReader
 
     def setup(self) -> None:
         super().setup()
         self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         reader = _DeadlineReader(self.connection, self.server.clock, self.server.read_timeout_ms)
-        self.rfile = BufferedReader(reader, MAX_LINE_BYTES)
+        self.rfile = _RequestReader(reader, MAX_LINE_BYTES)
 
     def handle_one_request(self) -> None:
         self.close_connection = True
         try:
-            self.raw_requestline = self.rfile.readline(MAX_LINE_BYTES + 1)
-            if len(self.raw_requestline) > MAX_LINE_BYTES:
-                self._refuse(HeadersTooLarge())
-            elif self.raw_requestline and self.parse_request():
-                self.run_wsgi()
-        except TimeoutError:
+            if self.rfile.peek(1):  # a caller may close its connection without a request
+                self._handle_request()
+        except (TimeoutError, _RequestCutOff):
             self._refuse(ReadTimeout())
         self.close_connection = True
 
+    def _handle_request(self) -> None:
+        self.raw_requestline = self.rfile.readline(MAX_LINE_BYTES + 1)
+        if len(self.raw_requestline) > MAX_LINE_BYTES:
+            self._refuse(HeadersTooLarge())
+        elif self.parse_request():
+            self.run_wsgi()
+
     def send_error(self, code: int, message: str | None = None, explain: str | None = None) -> None:
         if code in _TOO_LARGE_STATUSES:
             self._refuse(HeadersTooLarge())
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -1,19 +1,23 @@
 """Answers and requests that break off after any of their bytes, at an entry instance."""
 
 import contextlib
+import socket
+import threading
 
 import msgspec
 import pytest
 from result import Err, Ok
 
+from lentilwell import SystemClock
 from lentilwell._errors import AnswerLost
 from lentilwell._http import HttpCall, HttpFailure, send
 from lentilwell._messages import Cause, LoadReport
 from lentilwell.adapters import DIALECTS, HttpEngineControl
+from lentilwell.callers import OperatorsApp, OperatorsContext, PooledServer
 from lentilwell.configuration import PlatformSettings
 from lentilwell.reducer import AttemptFailed
-from tests.cutting import ENDS, CuttingServer
-from tests.test_services import Gateway
+from tests.cutting import ENDS, CuttingServer, end_connection
+from tests.test_services import KEY, Gateway, wait_for
 from tests.test_transfer import COMPLETE, Rig, texts
 
 TIMEOUT_MS = 5_000
@@ -264,3 +268,67 @@
             rig.open(server.url)
             data = rig.read_all()
             assert texts(data) == ["0 ", "1 ", "2 "] and data.endswith(b"0\r\n\r\n")
+
+
+CALL_HEAD = f"POST /services/records/search HTTP/1.1\r\nAuthorization: Bearer {KEY}\r\n".encode()
+CALLS = {
+    "without a body": CALL_HEAD + b"X-Last: 1\r\n\r\n",
+    "by length": CALL_HEAD + b"Content-Length: 12\r\nX-Last: 1\r\n\r\nhello world!",
+    "by chunks": CALL_HEAD + b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+    "with a key": CALL_HEAD.replace(b"search", b"refund")
+    + b"Idempotency-Key: k\r\nContent-Length: 2\r\n\r\n{}",
+}
+
+
+@pytest.mark.parametrize("name", CALLS)
+@pytest.mark.parametrize("end", [*ENDS, "half-close"])
+def test_call_cut_anywhere_is_not_forwarded(end, name):
+    """The end of the connection counted as the end of the call's headers."""
+    payload = CALLS[name]
+    with run_server(SERVED) as server, run_entry(server) as gateway:
+        for cut in range(len(payload)):
+            answer = send_cut(gateway.server.port, payload[:cut], end)
+            assert not server.requests, payload[:cut]
+            if end == "half-close" and cut:
+                status = int(answer.split()[1])
+                assert status in (400, 401, 408), (payload[:cut], answer)
+            else:
+                assert not answer
+        wait_for(lambda: gateway.server._open_connections == 0)
+        assert not server.requests
+        assert send_cut(gateway.server.port, payload, "half-close").endswith(b"done")
+        assert len(server.requests) == 1
+
+
+@pytest.mark.parametrize("end", [*ENDS, "half-close"])
+def test_drain_call_cut_anywhere_drains_nothing(end):
+    drained = []
+    context = OperatorsContext(lambda: True, dict, lambda: drained.append(1), None)
+    server = PooledServer(
+        "127.0.0.1", 0, OperatorsApp("token", context), 4, TIMEOUT_MS, SystemClock()
+    )
+    thread = threading.Thread(target=server.serve_forever, args=(0.02,), daemon=True)
+    thread.start()
+    payload = b"POST /drain HTTP/1.1\r\nAuthorization: Bearer token\r\nX-Last: 1\r\n\r\n"
+    for cut in range(len(payload)):
+        send_cut(server.port, payload[:cut], end)
+        assert not drained, payload[:cut]
+    assert send_cut(server.port, payload, "half-close").endswith(b"draining\n")
+    server.shutdown()
+    server.server_close()
+    thread.join()
+    assert drained == [1]
+
+
+def send_cut(port, payload, end):
+    """Send part of a request and end the connection; return what came back on a half-closed one."""
+    with socket.create_connection(("127.0.0.1", port), timeout=10) as connection:
+        connection.sendall(payload)
+        if end != "half-close":
+            end_connection(connection, end)
+            return b""
+        connection.shutdown(socket.SHUT_WR)
+        answer = b""
+        while received := connection.recv(65_536):
+            answer += received
+        return answer
