Peers: a test of messages and replies that break off after any byte

Peers speak in frames of a stated length with an HMAC, so it cannot. The test cuts both directions of a handshake and a digest after every byte; it passes on the unchanged peers.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -225,6 +225,72 @@
     return any(event.digest.sequence == sequence for event in b.events_of(DigestReceived))
 
 
+class CuttingProxy:
+    """A proxy that passes on so many bytes of one direction, then closes both connections.
+
+    ``passed`` counts the bytes of each direction: "asked" to the server, "answered" to the client.
+    """
+
+    def __init__(self, target, cut_direction="", cut=0):
+        host, _, port = target.rpartition(":")
+        self._target = (host, int(port))
+        self._limits = {cut_direction: cut}
+        self.passed = {"asked": 0, "answered": 0}
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self._server = threading.Thread(target=self._serve)
+        self._server.start()
+
+    def _serve(self):
+        local, _ = self._listener.accept()
+        with local, socket.create_connection(self._target) as remote, self._listener:
+            back = threading.Thread(target=self._pump, args=(remote, local, "answered"))
+            back.start()
+            self._pump(local, remote, "asked")
+            back.join()
+
+    def _pump(self, source, sink, direction):
+        limit = self._limits.get(direction)
+        with contextlib.suppress(OSError):
+            while limit != self.passed[direction] and (data := source.recv(65_536)):
+                data = data if limit is None else data[: limit - self.passed[direction]]
+                sink.sendall(data)
+                self.passed[direction] += len(data)
+        for end in (source, sink):
+            with contextlib.suppress(OSError):
+                end.shutdown(socket.SHUT_RDWR)
+
+    def join(self):
+        """Wait until both connections are closed."""
+        self._server.join()
+
+
+def exchange_digest(proxy):
+    """Send a digest over a new connection and return the reply."""
+    identity = Identity("b", "1", "dc")
+    session = _Session(proxy.address, b"shared", identity, "127.0.0.1:1")
+    try:
+        return session.call(encode_digest(make_digest(identity)))
+    finally:
+        session.close()
+
+
+def test_message_or_reply_cut_anywhere_is_not_taken(nodes):
+    a = nodes("a")
+    whole = CuttingProxy(a.network.address)
+    assert exchange_digest(whole).configuration == 7
+    whole.join()
+    assert len(a.events) == 1
+    for direction, size in whole.passed.items():
+        for cut in range(size):
+            a.events.clear()
+            proxy = CuttingProxy(a.network.address, direction, cut)
+            with pytest.raises(TTransportException):
+                exchange_digest(proxy)
+            proxy.join()
+            assert direction == "answered" or not a.events, (direction, cut)
+
+
 def test_wrong_key_gets_no_message_through(nodes):
     a, intruder = nodes("a"), nodes("thief", key="guessed")
     intruder.network.update_members((a.member(),))
