Entry instance: the transfer thread in five modules, each with one job

- `_transfer`: the thread, its commands and the order of a turn
- `_curl_sockets`: curl's multi interface on the selector
- `_caller_sockets`: buffers to callers, deadlines, callers that are gone
- `_attempt_transfers`: the engine connections of attempts, their failures
- `_stream_lines`: tokens in order and none missing, without I/O

No change of behaviour.

--- a/src/lentilwell/forwarding/_runners.py
+++ b/src/lentilwell/forwarding/_runners.py
@@ -13,8 +13,9 @@
 from lentilwell._messages import Identity
 from lentilwell._ports import EngineControl, EngineUnreadable
 from lentilwell.adapters import OpenStream
+from lentilwell.forwarding._attempt_transfers import StreamTarget
 from lentilwell.forwarding._exchange import Exchange
-from lentilwell.forwarding._transfer import StreamTarget, TransferLoop
+from lentilwell.forwarding._transfer import TransferLoop
 from lentilwell.reducer import (
     CancelAttempt,
     CancelConfirmed,
--- a/tests/test_deep_nesting.py
+++ b/tests/test_deep_nesting.py
@@ -10,7 +10,7 @@
 from lentilwell.adapters._platform import _decode, _MembersBody, _RowBody, _RowsBody
 from lentilwell.callers._completions import parse_chat, parse_completion
 from lentilwell.configuration._versions import ChainError, decode_delta, decode_head
-from lentilwell.forwarding._transfer import _parse_line
+from lentilwell.forwarding._stream_lines import _parse_line
 from lentilwell.once_only._runner import decode_row
 
 DEEP = b'{"more": ' + b"[" * 100_000 + b"]" * 100_000 + b"}"
--- a/tests/test_transfer.py
+++ b/tests/test_transfer.py
@@ -13,8 +13,8 @@
 from lentilwell._messages import Cause
 from lentilwell.adapters import OpenStream
 from lentilwell.forwarding import AnswerFormat, EventStreamEncoder, Exchange, TransferLoop
+from lentilwell.forwarding._attempt_transfers import StreamTarget
 from lentilwell.forwarding._exchange import MAX_BUFFER_BYTES
-from lentilwell.forwarding._transfer import StreamTarget
 from lentilwell.reducer import (
     AttemptFailed,
     AttemptFinished,
@@ -291,13 +291,14 @@
     rig.loop._run_once()
     rig.open()
     rig.loop._run_once()
-    (transfer,) = rig.loop._attempts["s"].transfers
+    attempts = rig.loop._attempts
+    (transfer,) = attempts._attempts["s"].transfers
     for head_line in HEAD.splitlines(keepends=True):
         transfer.head.add_line(head_line)
     assert transfer.head.whole
     rig.exchange.fail(DeadlineExceeded(), 0)
     ended = bytes(rig.exchange.buffer)
-    rig.loop._handle_data(transfer, line(0).encode())
+    attempts._handle_data(transfer, line(0).encode())
     assert bytes(rig.exchange.buffer) == ended and not rig.exchange.texts
     rig.caller.close()
     rig.engine.close()
