A planned stop accepts only requests that are expected to end in it, by what is learned

What callers saw: in a planned stop of 4 s, calls to a plain service whose answers take 0.4 to 1.8 s (deadline 3 s, objective 0.3 s) were accepted until 0.6 s before the end, passed on, and answered 504 at the end, though they had run; streams of a service without an engine specification were cut. Both were accepted if twice the route's objective fitted in what remained, whatever the service really takes. A route without an objective was accepted up to the last moment, and the prefill of its prompts counted as nothing.

Without an objective, and for streams without an estimate, 2 s are assumed. Callers that left and upstreams that failed are left out.

--- a/src/lentilwell/gateway/_fleet.py
+++ b/src/lentilwell/gateway/_fleet.py
@@ -8,6 +8,7 @@
 
 from lentilwell._clock import Clock
 from lentilwell._log_lines import ShardsAssigned, UpstreamRemoved, write_line
+from lentilwell.gateway._answer_times import AnswerTimes
 from lentilwell.gateway._availability import Availability
 from lentilwell.gateway._backoff_waits import BackoffQueue
 from lentilwell.gateway._budget import BudgetRules, RetryBudget
@@ -56,6 +57,7 @@
     crash_evidence: CrashEvidence = field(default_factory=CrashEvidence)
     backoff_queue: BackoffQueue = field(default_factory=BackoffQueue)
     latency_factors: LatencyFactors = field(default_factory=LatencyFactors)
+    answer_times: AnswerTimes = field(default_factory=AnswerTimes)
     listing_point: StorePoint = field(default_factory=StorePoint)
     logged_shards: int = 1
     count_instances: Callable[[], int] = lambda: 1
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -456,8 +456,9 @@
         return stopping_ms >= MIN_STOP_MS and not any(caller.busy for caller in self._callers)
 
     def _can_finish(self, routed: RoutedRequest) -> bool:
-        remaining_ms = self._max_drain_ms - self._get_stopping_ms()
-        return can_finish(routed, remaining_ms)
+        now = self.clock.now()
+        ends_at = now + self._max_drain_ms - self._get_stopping_ms()
+        return can_finish(routed, self.fleet.answer_times, now, ends_at)
 
     @property
     def _max_drain_ms(self) -> int:
--- a/src/lentilwell/gateway/_request_recorder.py
+++ b/src/lentilwell/gateway/_request_recorder.py
@@ -21,6 +21,7 @@
 from lentilwell.gateway._placement_policies import Choice
 from lentilwell.gateway._request_state import Outcome
 from lentilwell.gateway._routing import RoutedRequest
+from lentilwell.gateway._stopping import record_time
 from lentilwell.gateway._upstreams import Upstream
 
 
@@ -38,6 +39,7 @@
         self._upstream = ""
         self._helpers = 0
         self._expected_ms = 0
+        self._first_sent_at: int | None = None
         self._last_event_at = 0
         self._longest_pause_ms = 0
         self.first_ms: int | None = None
@@ -92,6 +94,8 @@
 
         ``limited`` is true if the upstream names a rate limit.
         """
+        if self._first_sent_at is None:
+            self._first_sent_at = self._clock.now()
         self._metrics.count_send(self._routed.service, again=sends > 1)
         if limited:
             self._metrics.count_limited_send(self._routed.service)
@@ -147,6 +151,7 @@
 
     def record_end(self, outcome: Outcome, sends: int) -> None:
         """Log the outcome of the request and count it."""
+        self._record_time(outcome)
         routed, prompt = self._routed, self._routed.facts.prompt
         total_ms = self._clock.now() - routed.request.arrived_at
         self._metrics.count_request(routed.service, outcome.value, total_ms)
@@ -169,3 +174,14 @@
             total_ms=total_ms,
         )
         write_line(ended)
+
+    def _record_time(self, outcome: Outcome) -> None:
+        """Learn how long an answer takes; one that was cut by its deadline takes at least so long.
+
+        Callers that left and upstreams that failed say nothing of it.
+        """
+        now = self._clock.now()
+        if self._first_sent_at is None:
+            return
+        if outcome is Outcome.WHOLE or now >= self._routed.deadline_at:
+            record_time(self._routed, self._fleet.answer_times, now - self._first_sent_at)
--- a/src/lentilwell/gateway/_stopping.py
+++ b/src/lentilwell/gateway/_stopping.py
@@ -1,7 +1,13 @@
-"""Decides whether an instance that is being stopped can still finish a request. Pure."""
+"""Decides whether an instance that is being stopped can still finish a request. Pure.
+
+A request is expected to end within the time that nearly all of the latest requests of its kind took
+from their first send to their end. While little is known of its kind, an answer of a plain service
+is expected within twice the objective, and one of an engine within its estimate.
+"""
 
 from __future__ import annotations
 
+from lentilwell.gateway._answer_times import AnswerTimes, RequestKind
 from lentilwell.gateway._catalog import EngineSpec
 from lentilwell.gateway._engine_timing import estimate_decode_pass_ms, estimate_prefill_ms
 from lentilwell.gateway._messages import Prompt
@@ -10,30 +16,72 @@
 # The number of streams that a busy engine writes beside this one.
 TYPICAL_DECODING_REQUESTS = 4
 ESTIMATE_FACTOR = 1.2
-SLACK_MS = 300
+STREAM_SLACK_MS = 300
+PLAIN_SERVICE_SLACK_MS = 100
 PLAIN_SERVICE_OBJECTIVES = 2
+# Assumed where the objective says nothing of the end of an answer: none is given, or it is one for
+# the first event of a stream.
+UNKNOWN_ANSWER_MS = 2_000
+
+
+def can_finish(routed: RoutedRequest, times: AnswerTimes, sent_at: int, ends_at: int) -> bool:
+    """Return whether a request that is sent at ``sent_at`` is expected to end by ``ends_at``.
+
+    One whose deadline is earlier certainly ends by then.
+    """
+    if routed.deadline_at <= ends_at:
+        return True
+    return sent_at + estimate_bound_ms(routed, times) <= ends_at
+
+
+def estimate_bound_ms(routed: RoutedRequest, times: AnswerTimes) -> float:
+    """Return how long after its first send nearly every request of this kind has ended, in ms."""
+    kind, expected_ms = _find_kind(routed), _estimate_ms(routed)
+    if expected_ms is None:
+        assumed_ms = _assume_ms(routed) - PLAIN_SERVICE_SLACK_MS
+        return times.find_bound(kind, assumed_ms) + PLAIN_SERVICE_SLACK_MS
+    return times.find_bound(kind, ESTIMATE_FACTOR) * expected_ms + STREAM_SLACK_MS
+
+
+def record_time(routed: RoutedRequest, times: AnswerTimes, took_ms: int) -> None:
+    """Record that a request ended ``took_ms`` after its first send."""
+    expected_ms = _estimate_ms(routed)
+    if expected_ms is None:
+        times.record(_find_kind(routed), took_ms)
+    else:
+        times.record(_find_kind(routed), max(0, took_ms - STREAM_SLACK_MS) / expected_ms)
+
+
+def _find_kind(routed: RoutedRequest) -> RequestKind:
+    estimated = routed.engine is not None and routed.facts.prompt is not None
+    return RequestKind(routed.route.name, routed.service, estimated)
+
+
+def _estimate_ms(routed: RoutedRequest) -> float | None:
+    """Return the estimate from the engine's specification, None without one."""
+    if routed.engine is None or routed.facts.prompt is None:
+        return None
+    objective_ms = routed.route.objective_ms
+    return max(1.0, estimate_request_ms(routed.engine, routed.facts.prompt, objective_ms))
 
 
-def can_finish(routed: RoutedRequest, remaining_ms: int) -> bool:
-    """Return whether a request is expected to end within ``remaining_ms``."""
-    prompt, engine = routed.facts.prompt, routed.engine
-    if engine is None or prompt is None:
-        timeout_ms = routed.deadline_at - routed.request.arrived_at
-        return (
-            timeout_ms <= remaining_ms
-            or PLAIN_SERVICE_OBJECTIVES * routed.route.objective_ms <= remaining_ms
-        )
-    expected_ms = estimate_request_ms(engine, prompt, routed.route.objective_ms)
-    return ESTIMATE_FACTOR * expected_ms + SLACK_MS <= remaining_ms
+def _assume_ms(routed: RoutedRequest) -> float:
+    """Return what is assumed of an answer without an estimate while little is known, in ms."""
+    objectives_ms = PLAIN_SERVICE_OBJECTIVES * routed.route.objective_ms
+    if routed.route.streams or not objectives_ms:
+        return max(objectives_ms, UNKNOWN_ANSWER_MS)
+    return objectives_ms
 
 
 def estimate_request_ms(engine: EngineSpec, prompt: Prompt, objective_ms: int) -> float:
     """Return the time for reading a prompt and writing its longest possible answer, in ms.
 
-    The prefill counts for at most the objective: several engines read a prompt that one engine
-    cannot read within it.
+    The prefill counts for at most the objective, if there is one: several engines read a prompt
+    that one engine cannot read within it.
     """
-    prefill_ms = min(estimate_prefill_ms(engine, prompt.prompt_tokens), objective_ms)
+    prefill_ms = estimate_prefill_ms(engine, prompt.prompt_tokens)
+    if objective_ms:
+        prefill_ms = min(prefill_ms, objective_ms)
     passes = prompt.answer_tokens / engine.steps_per_pass + 1
     pass_ms = estimate_decode_pass_ms(
         engine,
