Nothing is first sent so late in a planned stop that it is not expected to end

What callers saw: a request that was accepted in a planned stop, or shortly before it, and then waited for a backoff or a permit or was refused by its first upstream was sent when the wait was over, however little was left, and answered 504 at the end of the stop although it ran.

Cause: what remains of the stop was compared with the time of an answer once, when the request arrived; waits knew only of the deadline.

Now the same estimate is asked again right after an upstream was chosen and right before a request is sent, after the connection is open. A request that no upstream may have run gets 503 with Retry-After instead, which is a promise that it has not run. One that may have run is still sent again where its route allows it, until the end: a refusal would be no promise. Waits for a backoff begin in a stop only if the request is expected to end after them, so the refusal comes at once; waits for permits end before the stop.

Evidence: the five cases of ..._does_not_wait_in_a_stop_for_a_backoff..., ..._that_waited_is_not_sent_... and refused_request_is_not_sent_again_... in test_gateway_planned_stop failed before, with 504 after the upstream ran the request, and pass now. ..._that_ran_is_repeated_until_the_end_of_a_stop holds the other side; it passed before too.

--- a/src/lentilwell/gateway/_attempt.py
+++ b/src/lentilwell/gateway/_attempt.py
@@ -47,6 +47,7 @@
 REFUSAL_BODY_TIMEOUT_MS = 100
 BUDGET_SPENT = "retry budget spent"
 REFUSED_PARTS = "parts of the prompt crash upstreams"
+STOPPING = "not expected to end before this instance stops"
 
 
 @dataclass(frozen=True)
@@ -141,6 +142,8 @@
         placement = await self._place()
         if isinstance(placement, AttemptEnd):
             return placement
+        if self._ends_too_late():
+            return AttemptEnd(NoUpstream(), STOPPING)
         if is_retry and not budget.try_spend(self._clock.now(), instances()):
             return AttemptEnd(NoUpstream(), BUDGET_SPENT)
         self._accounting.add_jobs(self.choice)
@@ -205,6 +208,9 @@
         if self._is_refused():
             self._connections.release(upstream.address, connection)
             return AttemptEnd(PromptRefused(), REFUSED_PARTS)
+        if self._ends_too_late():
+            self._connections.release(upstream.address, connection)
+            return AttemptEnd(NoUpstream(), STOPPING)
         if not self._may_send(placement):
             self._connections.release(upstream.address, connection)
             return AttemptEnd(ConnectionFailed(), "the upstream stopped accepting new work")
@@ -234,6 +240,17 @@
         self._owner.recorder.record_refused_parts(refusal)
         return True
 
+    def _ends_too_late(self) -> bool:
+        """Tell whether a planned stop leaves too little time for a request that has not run.
+
+        One that may have run is sent again all the same: to refuse it would be no promise.
+        """
+        stop = self._fleet.find_stop()
+        if stop is None or self._owner.state.may_have_run or self._fleet.can_finish(self._routed):
+            return False
+        self._owner.delivery.retry_after_ms = stop.retry_after_ms
+        return True
+
     def _may_send(self, placement: Placement) -> bool:
         """Tell whether the upstreams of a placement still accept the request."""
         choice = placement.choice
--- a/src/lentilwell/gateway/_fleet.py
+++ b/src/lentilwell/gateway/_fleet.py
@@ -22,7 +22,9 @@
 from lentilwell.gateway._placement_policies import POLICIES, Candidate, Choice, PlacementRequest
 from lentilwell.gateway._rate_limits import RateLimits
 from lentilwell.gateway._refusals import Refusals
+from lentilwell.gateway._routing import RoutedRequest
 from lentilwell.gateway._shards import ShardView
+from lentilwell.gateway._stopping import PlannedStop, can_finish
 from lentilwell.gateway._store_point import StorePoint
 from lentilwell.gateway._upstreams import (
     Directory,
@@ -62,6 +64,7 @@
     logged_shards: int = 1
     count_instances: Callable[[], int] = lambda: 1
     find_permit_wait_ms: Callable[[Upstream], int] = lambda upstream: 0
+    find_stop: Callable[[], PlannedStop | None] = lambda: None
     find_digest_age: Callable[[], int | None] = lambda: None
     on_new_report: Callable[[], None] = lambda: None
     on_limit_change: Callable[[Upstream], None] = lambda upstream: None
@@ -195,6 +198,16 @@
         candidates = [self._make_candidate(upstream, request.now) for upstream in trusted]
         return POLICIES[self.policy](request, candidates)
 
+    def can_finish(self, routed: RoutedRequest, delay_ms: int = 0) -> bool:
+        """Tell whether a request that is sent after a delay is expected to end in a planned stop.
+
+        Without a planned stop, every request is.
+        """
+        stop = self.find_stop()
+        if stop is None:
+            return True
+        return can_finish(routed, self.answer_times, self.clock.now() + delay_ms, stop.ends_at)
+
     def accepts_work(self, choice: Choice) -> bool:
         """Tell whether no upstream of a choice drains or has a backoff in effect."""
         now = self.clock.now()
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -49,13 +49,12 @@
 from lentilwell.gateway._routing import (
     OTHER_INSTANCE_RETRY_MS,
     Rejection,
-    RoutedRequest,
     route_request,
 )
 from lentilwell.gateway._settings import GatewaySettings
 from lentilwell.gateway._shards import ShardView
 from lentilwell.gateway._status import ANY_PATH, StatusAnswer, StatusHandler, StatusProtocol
-from lentilwell.gateway._stopping import can_finish
+from lentilwell.gateway._stopping import PlannedStop
 from lentilwell.gateway._store_report import StoreReport
 from lentilwell.gateway._table_listeners import CatalogListener, UpstreamListener
 
@@ -142,6 +141,7 @@
         self.peers.on_silence = self._check_store
         self.fleet.load_tracker.on_change = self.peers.schedule_send
         self.fleet.count_instances = lambda: self.peers.instances
+        self.fleet.find_stop = self._find_stop
         self.fleet.find_digest_age = self.peers.find_oldest_digest_age
         self.fleet.on_new_report = self.peers.schedule_send
         answer_observer = AnswerObserver(self.fleet)
@@ -259,9 +259,10 @@
             self._reject(caller, facts.request_id, found.err_value)
             return
         routed = found.ok_value
-        if self.stopping and not self._can_finish(routed):
-            retry_ms = OTHER_INSTANCE_RETRY_MS if self.peers.others_serve else RESTART_RETRY_MS
-            self._reject(caller, facts.request_id, Rejection(503, "stopping", retry_ms))
+        stop = self._find_stop()
+        if stop is not None and not self.fleet.can_finish(routed):
+            rejection = Rejection(503, "stopping", stop.retry_after_ms)
+            self._reject(caller, facts.request_id, rejection)
             return
         self.fleet.find_budget(routed.service).record_request(self.clock.now())
         exchange = Exchange(self._exchange_context, routed, caller)
@@ -455,10 +456,11 @@
             return True
         return stopping_ms >= MIN_STOP_MS and not any(caller.busy for caller in self._callers)
 
-    def _can_finish(self, routed: RoutedRequest) -> bool:
-        now = self.clock.now()
-        ends_at = now + self._max_drain_ms - self._get_stopping_ms()
-        return can_finish(routed, self.fleet.answer_times, now, ends_at)
+    def _find_stop(self) -> PlannedStop | None:
+        if self._stopping_since is None:
+            return None
+        retry_ms = OTHER_INSTANCE_RETRY_MS if self.peers.others_serve else RESTART_RETRY_MS
+        return PlannedStop(self._stopping_since + self._max_drain_ms, retry_ms)
 
     @property
     def _max_drain_ms(self) -> int:
--- a/src/lentilwell/gateway/_placer.py
+++ b/src/lentilwell/gateway/_placer.py
@@ -157,12 +157,17 @@
         return max(0, opens_at - self._clock.now()) if opens_at is not None else 0
 
     def _measure_time(self) -> tuple[int, int]:
-        """Return the time since the request's arrival and that until its deadline, in ms."""
-        now = self._clock.now()
-        return now - self._routed.request.arrived_at, self._routed.deadline_at - now
+        """Return the time since the request's arrival and that until it must end, in ms."""
+        now, stop = self._clock.now(), self._fleet.find_stop()
+        ends_at = self._routed.deadline_at
+        if stop is not None:
+            ends_at = min(ends_at, stop.ends_at)
+        return now - self._routed.request.arrived_at, ends_at - now
 
     def _may_wait(self, backoff_ms: int) -> bool:
         waited_ms, remaining_ms = self._measure_time()
+        if not self._fleet.can_finish(self._routed, backoff_ms):
+            return False
         return may_wait(self._routed.route, backoff_ms, waited_ms, remaining_ms)
 
     async def _wait_for_backoff(self, backoff_ms: int) -> None:
--- a/src/lentilwell/gateway/_request_state.py
+++ b/src/lentilwell/gateway/_request_state.py
@@ -57,6 +57,11 @@
     delivered: bool = False
     outcome: Outcome | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether an upstream may have run the request, or may be running it."""
+        return self.open_sends > 0 or self.ran_before
+
 
 @dataclass(frozen=True)
 class SendStarted:
@@ -257,7 +262,7 @@
     """
     if state.delivered:
         return _finish(state, Outcome.CUT_OFF)
-    if not state.open_sends and not state.ran_before:
+    if not state.may_have_run:
         return _finish(state, Outcome.NOT_RUN)
     return _finish(state, outcome)
 
--- a/src/lentilwell/gateway/_stopping.py
+++ b/src/lentilwell/gateway/_stopping.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from lentilwell.gateway._answer_times import AnswerTimes, RequestKind
 from lentilwell.gateway._catalog import EngineSpec
 from lentilwell.gateway._engine_timing import estimate_decode_pass_ms, estimate_prefill_ms
@@ -24,6 +26,14 @@
 UNKNOWN_ANSWER_MS = 2_000
 
 
+@dataclass(frozen=True)
+class PlannedStop:
+    """When the requests of an instance must have ended, and when refused callers may retry."""
+
+    ends_at: int
+    retry_after_ms: int
+
+
 def can_finish(routed: RoutedRequest, times: AnswerTimes, sent_at: int, ends_at: int) -> bool:
     """Return whether a request that is sent at ``sent_at`` is expected to end by ``ends_at``.
 
--- a/tests/test_gateway_planned_stop.py
+++ b/tests/test_gateway_planned_stop.py
@@ -19,7 +19,7 @@
 )
 from standins.rows import RowServer, RowStore
 from tests.gateway_harness import SETTINGS, ScriptedUpstream, run_gateway
-from tests.gateway_scripts import in_loop
+from tests.gateway_scripts import answer_ok, in_loop
 
 GRACE_S = 4.0
 PACE_S = 0.025
@@ -218,3 +218,93 @@
     """Return a request that may run once only."""
     rows = f"Host: {HOST}\r\nCredential: {API_KEY}\r\nDeadline-Ms: 3000\r\n"
     return f"POST /o/x HTTP/1.1\r\n{rows}Request-Id: {request_id}\r\n\r\n".encode()
+
+
+def begin_stop(harness, remaining_s):
+    """Begin a planned stop in which requests must end within ``remaining_s``."""
+    gateway = harness.gateway
+    gateway.start = start_nothing
+    gateway.drain()
+    gateway._stopping_since -= gateway._max_drain_ms - round(remaining_s * 1_000)
+    return asyncio.create_task(gateway.run())
+
+
+async def answer_after_600_ms(arrival):
+    await asyncio.sleep(0.6)
+    await arrival.answer(body=b"hello")
+
+
+def take_turns(*scripts):
+    """Return a script that follows each of ``scripts`` once, and the last one from then on."""
+    waiting = list(scripts)
+
+    async def take_turn(arrival):
+        script = waiting.pop(0) if len(waiting) > 1 else waiting[0]
+        await script(arrival)
+
+    return take_turn
+
+
+def refuse_after(seconds, **headers):
+    """Return a script that refuses a request without running it."""
+
+    async def refuse(arrival):
+        await asyncio.sleep(seconds)
+        await arrival.answer(503, signed=False, Not_Run=1, **headers)
+
+    return refuse
+
+
+def check_not_run(harness, answer, arrivals):
+    assert (answer.status, answer.complete) == (503, True)
+    assert float(answer.headers["retry-after"]) >= 0
+    assert len(harness.arrivals) == arrivals
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/whole/x"])
+@in_loop
+async def test_request_does_not_wait_in_a_stop_for_a_backoff_that_ends_too_late(path):
+    script = take_turns(refuse_after(0, Retry_After=0.9), answer_after_600_ms)
+    async with run_gateway(script) as harness:
+        assert (await harness.call("/once/x")).status == 503
+        stop = begin_stop(harness, 1.2)
+        begun = time.monotonic()
+        check_not_run(harness, await harness.call(path), 1)
+        assert time.monotonic() - begun < REFUSED_WITHIN_S
+        await stop
+
+
+@in_loop
+async def test_request_that_waited_is_not_sent_when_the_stop_has_left_too_little_time():
+    script = take_turns(refuse_after(0, Retry_After=0.5), answer_after_600_ms)
+    async with run_gateway(script) as harness:
+        assert (await harness.call("/once/x")).status == 503
+        waiting = asyncio.create_task(harness.call("/once/x"))
+        await asyncio.sleep(0.1)
+        stop = begin_stop(harness, 0.7)
+        check_not_run(harness, await waiting, 1)
+        await stop
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/whole/x"])
+@in_loop
+async def test_refused_request_is_not_sent_again_when_the_stop_has_left_too_little_time(path):
+    script = take_turns(refuse_after(0.4), answer_after_600_ms)
+    async with run_gateway(script, script) as harness:
+        stop = begin_stop(harness, 0.9)
+        check_not_run(harness, await harness.call(path), 1)
+        await stop
+
+
+@in_loop
+async def test_request_that_ran_is_repeated_until_the_end_of_a_stop():
+    async def fail(arrival):
+        await asyncio.sleep(0.4)
+        await arrival.answer(500)
+
+    script = take_turns(fail, answer_ok)
+    async with run_gateway(script, script) as harness:
+        stop = begin_stop(harness, 0.9)
+        assert (await harness.call("/whole/x")).status == 200
+        assert len(harness.arrivals) == 2
+        await stop
