In a planned stop, requests that a caller had sent in advance are answered too

What callers saw: of two requests sent on a connection without waiting for the first answer, the second got no answer in a planned stop. The first answer said Connection: close and the connection was closed after it, although the process had the whole second request. It had not run.

Now an answer in a stop names the close only if nothing of another request has arrived on its connection by then; the last answer names it. The next request is accepted or refused like any other. What is sent after the head of an answer that names the close is left unanswered, as HTTP/1.1 has it.

Evidence: ..._sent_one_after_another_are_all_answered_in_a_stop in test_gateway_planned_stop failed before (no second answer) and passes now. The tests' stops are now real ones of a short grace instead of a shifted clock.

--- a/src/lentilwell/gateway/_caller_connection.py
+++ b/src/lentilwell/gateway/_caller_connection.py
@@ -134,8 +134,12 @@
         self._writable.set()
 
     def start_answer(self, status: int, headers: Headers, close_after: bool = False) -> None:
-        """Write the status line and the headers of the answer."""
-        if close_after or self._context.stopping:
+        """Write the status line and the headers of the answer.
+
+        In a stop, the caller is told that the connection closes after this answer, unless it has
+        sent the next request already.
+        """
+        if close_after or (self._context.stopping and not self._http.trailing_data[0]):
             headers = (*headers, (b"Connection", b"close"))
         self._write(h11.Response(status_code=status, headers=list(headers)))
 
--- a/tests/test_gateway_planned_stop.py
+++ b/tests/test_gateway_planned_stop.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from lentilwell.gateway._gateway import STOP_MARGIN_MS
 from standins.answer_reader import Answer, read_answer
 from standins.gateway_process import (
     API_KEY,
@@ -220,12 +221,13 @@
     return f"POST /o/x HTTP/1.1\r\n{rows}Request-Id: {request_id}\r\n\r\n".encode()
 
 
-def begin_stop(harness, remaining_s):
-    """Begin a planned stop in which requests must end within ``remaining_s``."""
+def begin_stop(harness, lasts_s):
+    """Begin a planned stop in which requests must end within ``lasts_s``, less than 3.2 s."""
     gateway = harness.gateway
     gateway.start = start_nothing
+    max_stop_ms = round(lasts_s * 1_000) + STOP_MARGIN_MS
+    gateway.settings = replace(SETTINGS, max_stop_ms=max_stop_ms)
     gateway.drain()
-    gateway._stopping_since -= gateway._max_drain_ms - round(remaining_s * 1_000)
     return asyncio.create_task(gateway.run())
 
 
@@ -308,3 +310,16 @@
         assert (await harness.call("/whole/x")).status == 200
         assert len(harness.arrivals) == 2
         await stop
+
+
+@in_loop
+async def test_requests_that_were_sent_one_after_another_are_all_answered_in_a_stop():
+    async with run_gateway(answer_after_600_ms) as harness:
+        reader, writer = await harness.connect()
+        stop = begin_stop(harness, 1.0)
+        writer.write(harness.format("/once/x") + harness.format("/once/x"))
+        answers = [await asyncio.wait_for(read_answer(reader), 2) for _ in range(2)]
+        assert [one.status for one in answers] == [200, 503]
+        assert answers[1].headers["connection"] == "close"
+        assert len(harness.arrivals) == 1
+        await stop
