A planned stop does not close a connection that was opened a moment ago

What callers saw: from 1 s after the beginning of a planned stop, every 250 ms all idle connections were closed, among them those that had just been accepted and whose first request was still on its way. The caller got an end of file or a reset on a new connection instead of an answer or a refusal.

Now a connection is closed as idle only once it has been idle for 1 s, so one that was opened in the stop has time for its first request. Connections that were idle when the stop began are closed at the same time as before.

Evidence: ..._just_opened_is_not_closed_as_idle_in_a_stop failed before (connections opened 80 ms before their request, in the second second of a stop) and passes now.

--- a/src/lentilwell/gateway/_caller_connection.py
+++ b/src/lentilwell/gateway/_caller_connection.py
@@ -169,9 +169,11 @@
             _reset_on_close(self._transport.get_extra_info("socket"))
         self._transport.abort()
 
-    def close_idle(self) -> None:
-        """Close the connection if no request is being read or answered on it, or has arrived."""
-        if not self.busy and self._transport is not None and not self._has_unread_bytes():
+    def close_idle(self, idle_ms: int) -> None:
+        """Close the connection if nothing has arrived on it or was sent for ``idle_ms``."""
+        if self.busy or self._clock.now() - self._timer_started_at < idle_ms:
+            return
+        if self._transport is not None and not self._has_unread_bytes():
             self._transport.close()
 
     def _process_events(self) -> None:
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -81,7 +81,8 @@
 # Lets the last answers reach the kernel before their connections are aborted.
 FINAL_FLUSH_MS = 50
 # Idle connections stay open for this long after the beginning of a stop, so that their callers can
-# learn of it from the ``Connection: close`` header of one more answer.
+# learn of it from the ``Connection: close`` header of one more answer. Connections that are opened
+# in a stop stay open for as long, because a request is about to come.
 IDLE_CLOSE_AFTER_MS = 1_000
 # The ``Retry-After`` of a stopping instance if no other instance serves: about the time that the
 # rest of the stop and the restart take.
@@ -446,7 +447,7 @@
     def _close_idle_callers(self) -> None:
         if self._get_stopping_ms() >= IDLE_CLOSE_AFTER_MS:
             for caller in list(self._callers):
-                caller.close_idle()
+                caller.close_idle(IDLE_CLOSE_AFTER_MS)
 
     def _is_stop_complete(self) -> bool:
         if not self.stopping:
--- a/tests/test_gateway_planned_stop.py
+++ b/tests/test_gateway_planned_stop.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from lentilwell.gateway._gateway import STOP_MARGIN_MS
+from lentilwell.gateway._gateway import IDLE_CLOSE_AFTER_MS, STOP_MARGIN_MS
 from standins.answer_reader import Answer, read_answer
 from standins.gateway_process import (
     API_KEY,
@@ -323,3 +323,16 @@
         assert answers[1].headers["connection"] == "close"
         assert len(harness.arrivals) == 1
         await stop
+
+
+@in_loop
+async def test_connection_that_was_just_opened_is_not_closed_as_idle_in_a_stop():
+    async with run_gateway(answer_ok) as harness:
+        stop = begin_stop(harness, 2.5)
+        await asyncio.sleep(IDLE_CLOSE_AFTER_MS / 1_000)
+        for _ in range(10):
+            connection = await harness.connect()
+            await asyncio.sleep(0.08)
+            assert (await harness.call("/once/x", connection=connection)).status == 200
+            connection[1].close()
+        await stop
