The end of a planned stop refuses requests whose bodies are still arriving

What callers saw: a request of which only a part had arrived by the end of a planned stop was cut without an answer. It had not been passed on.

Now the callers of such requests get 503 with Retry-After, like those that are refused in the stop, so that one with a request that may run once only knows that it did not run.

Evidence: ..._still_arriving_at_the_end_of_a_stop_is_refused in test_gateway_planned_stop failed before (end of file, 0 bytes) and passes now.

--- a/src/lentilwell/gateway/_answers.py
+++ b/src/lentilwell/gateway/_answers.py
@@ -3,7 +3,13 @@
 from __future__ import annotations
 
 from lentilwell.gateway._caller_connection import CallerConnection
-from lentilwell.gateway._messages import JSON_TYPE, Headers, drop_headers, encode_error
+from lentilwell.gateway._messages import (
+    JSON_TYPE,
+    Headers,
+    drop_headers,
+    encode_error,
+    format_retry_after,
+)
 
 FRAMING_HEADERS = frozenset((b"content-length",))
 
@@ -19,5 +25,5 @@
     """Answer with an error of the gateway itself, with ``Retry-After`` if a delay is given."""
     headers: Headers = (JSON_TYPE,)
     if retry_after_ms is not None:
-        headers = (*headers, (b"Retry-After", f"{retry_after_ms / 1_000:.3f}".encode()))
+        headers = (*headers, format_retry_after(retry_after_ms))
     caller.answer(status, headers, encode_error(reason))
--- a/src/lentilwell/gateway/_caller_connection.py
+++ b/src/lentilwell/gateway/_caller_connection.py
@@ -17,7 +17,13 @@
 from lentilwell.gateway._catalog import Limits
 from lentilwell.gateway._connection import set_dead_peer_timeouts
 from lentilwell.gateway._framing import count_head_bytes, has_ambiguous_framing
-from lentilwell.gateway._messages import JSON_TYPE, Headers, InboundRequest, encode_error
+from lentilwell.gateway._messages import (
+    JSON_TYPE,
+    Headers,
+    InboundRequest,
+    encode_error,
+    format_retry_after,
+)
 
 # Bytes of further requests that are buffered while one request is being answered.
 MAX_PIPELINED_BYTES = 65_536
@@ -176,6 +182,11 @@
         if self._transport is not None and not self._has_unread_bytes():
             self._transport.close()
 
+    def refuse_unfinished(self, retry_after_ms: int) -> None:
+        """Refuse a request that has not arrived completely, so that its caller repeats it."""
+        if self._exchange is None and (self._request is not None or self._reading):
+            self._reject(503, "stopping", (format_retry_after(retry_after_ms),))
+
     def _process_events(self) -> None:
         try:
             while self._handle_next_event():
@@ -257,12 +268,12 @@
             self._first_byte_at = self._clock.now()
             self._process_events()
 
-    def _reject(self, status: int, reason: str) -> None:
+    def _reject(self, status: int, reason: str, headers: Headers = ()) -> None:
         """Answer a malformed, oversized or late request with an error status, and close."""
         self._context.record_rejection(status, reason)
         self._clear_timer()
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            self.answer(status, (JSON_TYPE,), encode_error(reason), close_after=True)
+            self.answer(status, (JSON_TYPE, *headers), encode_error(reason), close_after=True)
         if self._transport is not None:
             self._transport.close()
 
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -460,8 +460,12 @@
     def _find_stop(self) -> PlannedStop | None:
         if self._stopping_since is None:
             return None
-        retry_ms = OTHER_INSTANCE_RETRY_MS if self.peers.others_serve else RESTART_RETRY_MS
-        return PlannedStop(self._stopping_since + self._max_drain_ms, retry_ms)
+        ends_at = self._stopping_since + self._max_drain_ms
+        return PlannedStop(ends_at, self._find_retry_after_ms())
+
+    def _find_retry_after_ms(self) -> int:
+        """Return when a caller that this instance refuses because it stops should retry."""
+        return OTHER_INSTANCE_RETRY_MS if self.peers.others_serve else RESTART_RETRY_MS
 
     @property
     def _max_drain_ms(self) -> int:
@@ -477,9 +481,11 @@
     async def stop(self) -> None:
         """End the remaining requests, abort their connections and release all resources."""
         self._close_listeners()
-        if self._exchanges:
+        if any(caller.busy for caller in self._callers):
             for exchange in self._exchanges:
                 exchange.expire()
+            for caller in list(self._callers):
+                caller.refuse_unfinished(self._find_retry_after_ms())
             await asyncio.sleep(FINAL_FLUSH_MS / 1_000)
         for task in self._tasks:
             task.cancel()
--- a/src/lentilwell/gateway/_messages.py
+++ b/src/lentilwell/gateway/_messages.py
@@ -30,6 +30,11 @@
     return msgspec.json.encode({"error": reason})
 
 
+def format_retry_after(delay_ms: int) -> tuple[bytes, bytes]:
+    """Return the header that tells a caller to wait before it retries."""
+    return b"Retry-After", f"{delay_ms / 1_000:.3f}".encode()
+
+
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of a header, or None; ``name`` is in lower case."""
     for known, value in headers:
--- a/tests/test_gateway_planned_stop.py
+++ b/tests/test_gateway_planned_stop.py
@@ -325,6 +325,18 @@
         await stop
 
 
+@in_loop
+async def test_request_that_is_still_arriving_at_the_end_of_a_stop_is_refused():
+    async with run_gateway(answer_ok) as harness:
+        reader, writer = await harness.connect()
+        writer.write(harness.format("/once/x", Content_Length="10") + b"half")
+        await asyncio.sleep(0.05)
+        await begin_stop(harness, 0.2)
+        answer = await asyncio.wait_for(read_answer(reader), 1)
+        check_not_run(harness, answer, 0)
+        assert answer.headers["connection"] == "close"
+
+
 @in_loop
 async def test_connection_that_was_just_opened_is_not_closed_as_idle_in_a_stop():
     async with run_gateway(answer_ok) as harness:
