Tests of planned stops: removed routes, a start that is not ready, permits

None of these found a fault of its own: a route that is removed in a stop still answers what it accepted; an instance that gets SIGTERM twice before it is ready refuses with Retry-After and exits 0 within the grace (a real process without a store).

--- a/tests/test_gateway_planned_stop.py
+++ b/tests/test_gateway_planned_stop.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from lentilwell.gateway import Entry
 from lentilwell.gateway._gateway import IDLE_CLOSE_AFTER_MS, STOP_MARGIN_MS
 from standins.answer_reader import Answer, read_answer
 from standins.gateway_process import (
@@ -19,7 +20,7 @@
     build_server_entry,
 )
 from standins.rows import RowServer, RowStore
-from tests.gateway_harness import SETTINGS, ScriptedUpstream, run_gateway
+from tests.gateway_harness import CATALOG, SETTINGS, ScriptedUpstream, run_gateway
 from tests.gateway_scripts import answer_ok, in_loop
 
 GRACE_S = 4.0
@@ -348,3 +349,54 @@
             assert (await harness.call("/once/x", connection=connection)).status == 200
             connection[1].close()
         await stop
+
+
+@in_loop
+async def test_route_that_is_removed_in_a_stop_still_answers_what_it_accepted():
+    async with run_gateway(answer_after_600_ms) as harness:
+        stop = begin_stop(harness, 1.5)
+        pending = asyncio.create_task(harness.call("/once/x"))
+        while not harness.arrivals:
+            await asyncio.sleep(0.01)
+        harness.catalog.put(Entry("config", replace(CATALOG, version=2, routes=CATALOG.routes[1:])))
+        await asyncio.sleep(0.1)
+        assert (await harness.call("/once/x")).status == 404
+        assert (await harness.call("/whole/x")).status == 200
+        assert (await pending).status == 200
+        await stop
+
+
+@in_loop
+async def test_instance_that_is_stopped_before_it_is_ready_refuses_and_exits(tmp_path):
+    rows = RowServer(RowStore(silent=True))
+    instance = Instance(tmp_path, "n0", await rows.start(), GRACE_S)
+    await instance.start()
+    try:
+        async with asyncio.timeout(10):
+            while await instance.query_readiness() is None:
+                await asyncio.sleep(0.02)
+        for _ in range(2):
+            instance.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.1)
+        answer = await instance.call("/o/x", "early")
+        assert answer.status == 503 and float(answer.headers["retry-after"]) >= 0
+        assert await asyncio.wait_for(instance.process.wait(), GRACE_S) == 0
+    finally:
+        if instance.process.returncode is None:
+            instance.process.kill()
+        rows.close()
+
+
+@in_loop
+async def test_request_that_waited_for_a_permit_is_not_sent_too_late_in_a_stop():
+    async def name_limit(arrival):
+        await arrival.answer(body=b"hello", Server_Limit="1")
+
+    async with run_gateway(take_turns(name_limit, name_limit, answer_after_600_ms)) as harness:
+        for _ in range(2):
+            assert (await harness.call("/once/x")).status == 200
+        waiting = asyncio.create_task(harness.call("/once/x"))
+        await asyncio.sleep(0.1)
+        stop = begin_stop(harness, 1.2)
+        check_not_run(harness, await waiting, 2)
+        await stop
