--- a/src/lentilwell/gateway/_attempt.py
+++ b/src/lentilwell/gateway/_attempt.py
@@ -48,6 +48,7 @@
 BUDGET_SPENT = "retry budget spent"
 HARMFUL_REQUEST = "the request crashes upstreams"
 HARMFUL_PARTS = "parts of the prompt crash upstreams"
+STOPPING = "not expected to end before this instance stops"
 
 
 @dataclass(frozen=True)
@@ -143,6 +144,8 @@
         placement = await self._place()
         if isinstance(placement, AttemptEnd):
             return placement
+        if self._ends_too_late():
+            return AttemptEnd(NoUpstream(), STOPPING)
         if is_retry and not budget.try_spend(self._clock.now(), instances()):
             return AttemptEnd(NoUpstream(), BUDGET_SPENT)
         self._accounting.add_jobs(self.choice)
@@ -204,12 +207,9 @@
         except Unreachable as error:
             self._record_unreachable(upstream, str(error))
             return AttemptEnd(ConnectionFailed(), str(error))
-        if (refused := self._check_harmful()) is not None:
-            self._connections.release(upstream.address, connection)
-            return refused
-        if not self._may_send(placement):
+        if (ended := self._check_send(placement)) is not None:
             self._connections.release(upstream.address, connection)
-            return AttemptEnd(ConnectionFailed(), "the upstream stopped accepting new work")
+            return ended
         try:
             self._record_send(upstream)
             connection.silence_watch = None if send_once else self
@@ -227,6 +227,16 @@
             if not connection.idle:
                 connection.close()
 
+    def _check_send(self, placement: Placement) -> AttemptEnd | None:
+        """End the attempt if the request must not be sent any more, now that it could be."""
+        if (refused := self._check_harmful()) is not None:
+            return refused
+        if self._ends_too_late():
+            return AttemptEnd(NoUpstream(), STOPPING)
+        if not self._may_send(placement):
+            return AttemptEnd(ConnectionFailed(), "the upstream stopped accepting new work")
+        return None
+
     def _check_harmful(self) -> AttemptEnd | None:
         """End the attempt if the request must not be sent, because it crashes upstreams."""
         refusal = self._crash_watch.find_refusal(self._routed)
@@ -238,6 +248,17 @@
             PromptRefused(), HARMFUL_REQUEST if refusal.fingerprint else HARMFUL_PARTS
         )
 
+    def _ends_too_late(self) -> bool:
+        """Tell whether a planned stop leaves too little time for a request that has not run.
+
+        One that may have run is sent again all the same: to refuse it would be no promise.
+        """
+        stop = self._fleet.find_stop()
+        if stop is None or self._owner.state.may_have_run or self._fleet.can_finish(self._routed):
+            return False
+        self._owner.delivery.retry_after_ms = stop.retry_after_ms
+        return True
+
     def _may_send(self, placement: Placement) -> bool:
         """Tell whether the upstreams of a placement still accept the request."""
         choice = placement.choice
--- a/src/lentilwell/gateway/_caller_connection.py
+++ b/src/lentilwell/gateway/_caller_connection.py
@@ -16,7 +16,13 @@
 from lentilwell.gateway._catalog import Limits
 from lentilwell.gateway._connection import has_unread_bytes, set_dead_peer_timeouts
 from lentilwell.gateway._framing import count_head_bytes, has_ambiguous_framing
-from lentilwell.gateway._messages import JSON_TYPE, Headers, InboundRequest, encode_error
+from lentilwell.gateway._messages import (
+    JSON_TYPE,
+    Headers,
+    InboundRequest,
+    encode_error,
+    format_retry_after,
+)
 
 # Bytes of further requests that are buffered while one request is being answered.
 MAX_PIPELINED_BYTES = 65_536
@@ -133,8 +139,12 @@
         self._writable.set()
 
     def start_answer(self, status: int, headers: Headers, close_after: bool = False) -> None:
-        """Write the status line and the headers of the answer."""
-        if close_after or self._context.stopping:
+        """Write the status line and the headers of the answer.
+
+        In a stop, the caller is told that the connection closes after this answer, unless it has
+        sent the next request already.
+        """
+        if close_after or (self._context.stopping and not self._http.trailing_data[0]):
             headers = (*headers, (b"Connection", b"close"))
         self._write(h11.Response(status_code=status, headers=list(headers)))
 
@@ -164,11 +174,18 @@
             _reset_on_close(self._transport.get_extra_info("socket"))
         self._transport.abort()
 
-    def close_idle(self) -> None:
-        """Close the connection if no request is being read or answered on it, or has arrived."""
-        if not self.busy and self._transport is not None and not self._has_unread_bytes():
+    def close_idle(self, idle_ms: int) -> None:
+        """Close the connection if nothing has arrived on it or was sent for ``idle_ms``."""
+        if self.busy or self._clock.now() - self._timer_started_at < idle_ms:
+            return
+        if self._transport is not None and not self._has_unread_bytes():
             self._transport.close()
 
+    def refuse_unfinished(self, retry_after_ms: int) -> None:
+        """Refuse a request that has not arrived completely, so that its caller repeats it."""
+        if self._exchange is None and (self._request is not None or self._reading):
+            self._reject(503, "stopping", (format_retry_after(retry_after_ms),))
+
     def _process_events(self) -> None:
         try:
             while self._handle_next_event():
@@ -250,12 +267,12 @@
             self._first_byte_at = self._clock.now()
             self._process_events()
 
-    def _reject(self, status: int, reason: str) -> None:
+    def _reject(self, status: int, reason: str, headers: Headers = ()) -> None:
         """Answer a malformed, oversized or late request with an error status, and close."""
         self._context.record_rejection(status, reason)
         self._clear_timer()
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            self.answer(status, (JSON_TYPE,), encode_error(reason), close_after=True)
+            self.answer(status, (JSON_TYPE, *headers), encode_error(reason), close_after=True)
         if self._transport is not None:
             self._transport.close()
 
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -49,13 +49,12 @@
 from lentilwell.gateway._routing import (
     OTHER_INSTANCE_RETRY_MS,
     Rejection,
-    RoutedRequest,
     route_request,
 )
 from lentilwell.gateway._settings import GatewaySettings
 from lentilwell.gateway._shards import ShardView
 from lentilwell.gateway._status import ANY_PATH, StatusAnswer, StatusHandler, StatusProtocol
-from lentilwell.gateway._stopping import can_finish
+from lentilwell.gateway._stopping import PlannedStop
 from lentilwell.gateway._store_report import StoreReport
 from lentilwell.gateway._table_listeners import CatalogListener, UpstreamListener
 
@@ -82,7 +81,8 @@
 # Lets the last answers reach the kernel before their connections are aborted.
 FINAL_FLUSH_MS = 50
 # Idle connections stay open for this long after the beginning of a stop, so that their callers can
-# learn of it from the ``Connection: close`` header of one more answer.
+# learn of it from the ``Connection: close`` header of one more answer. Connections that are opened
+# in a stop stay open for as long, because a request is about to come.
 IDLE_CLOSE_AFTER_MS = 1_000
 # The ``Retry-After`` of a stopping instance if no other instance serves: about the time that the
 # rest of the stop and the restart take.
@@ -142,6 +142,7 @@
         self.peers.on_silence = self._check_store
         self.fleet.load_tracker.on_change = self.peers.schedule_send
         self.fleet.count_instances = lambda: self.peers.instances
+        self.fleet.find_stop = self._find_stop
         self.fleet.find_digest_age = self.peers.find_oldest_digest_age
         self.fleet.on_new_report = self.peers.schedule_send
         answer_observer = AnswerObserver(self.fleet)
@@ -259,9 +260,10 @@
             self._reject(caller, facts.request_id, found.err_value)
             return
         routed = found.ok_value
-        if self.stopping and not self._can_finish(routed):
-            retry_ms = OTHER_INSTANCE_RETRY_MS if self.peers.others_serve else RESTART_RETRY_MS
-            self._reject(caller, facts.request_id, Rejection(503, "stopping", retry_ms))
+        stop = self._find_stop()
+        if stop is not None and not self.fleet.can_finish(routed):
+            rejection = Rejection(503, "stopping", stop.retry_after_ms)
+            self._reject(caller, facts.request_id, rejection)
             return
         self.fleet.find_budget(routed.service).record_request(self.clock.now())
         exchange = Exchange(self._exchange_context, routed, caller)
@@ -445,7 +447,7 @@
     def _close_idle_callers(self) -> None:
         if self._get_stopping_ms() >= IDLE_CLOSE_AFTER_MS:
             for caller in list(self._callers):
-                caller.close_idle()
+                caller.close_idle(IDLE_CLOSE_AFTER_MS)
 
     def _is_stop_complete(self) -> bool:
         if not self.stopping:
@@ -455,9 +457,15 @@
             return True
         return stopping_ms >= MIN_STOP_MS and not any(caller.busy for caller in self._callers)
 
-    def _can_finish(self, routed: RoutedRequest) -> bool:
-        remaining_ms = self._max_drain_ms - self._get_stopping_ms()
-        return can_finish(routed, remaining_ms)
+    def _find_stop(self) -> PlannedStop | None:
+        if self._stopping_since is None:
+            return None
+        ends_at = self._stopping_since + self._max_drain_ms
+        return PlannedStop(ends_at, self._find_retry_after_ms())
+
+    def _find_retry_after_ms(self) -> int:
+        """Return when a caller that this instance refuses because it stops should retry."""
+        return OTHER_INSTANCE_RETRY_MS if self.peers.others_serve else RESTART_RETRY_MS
 
     @property
     def _max_drain_ms(self) -> int:
@@ -473,9 +481,11 @@
     async def stop(self) -> None:
         """End the remaining requests, abort their connections and release all resources."""
         self._close_listeners()
-        if self._exchanges:
+        if any(caller.busy for caller in self._callers):
             for exchange in self._exchanges:
                 exchange.expire()
+            for caller in list(self._callers):
+                caller.refuse_unfinished(self._find_retry_after_ms())
             await asyncio.sleep(FINAL_FLUSH_MS / 1_000)
         for task in self._tasks:
             task.cancel()
