Stop: keep a connection open until it has been idle for 1 s, so that its next request is answered

What callers saw: while an instance was being stopped, the first request on a new connection, or one that followed a stream at once, ended without an answer and without a refusal.

Cause: from 1 s after the beginning of a stop, the maintenance closes idle connections every 250 ms. A connection that was accepted just now counts as idle until the first byte of its request arrives, and one whose answer had begun before the stop from the end of that answer on. Both were closed at the next maintenance although their next request was on its way.

Fix: a connection is closed once it has itself been idle for 1 s. New connections and those used before are treated alike. The end of the stop is not delayed: it waits for callers that are busy, as before.

Both tests that a request is answered failed before (connection reset); the one that idle connections are closed passed before and passes now.

--- a/src/lentilwell/gateway/_caller_connection.py
+++ b/src/lentilwell/gateway/_caller_connection.py
@@ -165,9 +165,14 @@
             _reset_on_close(self._transport.get_extra_info("socket"))
         self._transport.abort()
 
-    def close_idle(self) -> None:
-        """Close the connection if no request is being read or answered on it, or has arrived."""
-        if not self.busy and self._transport is not None and not self._has_unread_bytes():
+    def close_idle(self, min_idle_ms: int) -> None:
+        """Close the connection if it has been idle for that long and no request has arrived.
+
+        The next request on a connection that is new or was used just now may be on its way.
+        """
+        if self.busy or self._transport is None or self._has_unread_bytes():
+            return
+        if self._clock.now() - self._timer_started_at >= min_idle_ms:
             self._transport.close()
 
     def _process_events(self) -> None:
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -81,8 +81,8 @@
 FINAL_IDLE_MS = 100
 # Lets the last answers reach the kernel before their connections are aborted.
 FINAL_FLUSH_MS = 50
-# Idle connections stay open for this long after the beginning of a stop, so that their callers can
-# learn of it from the ``Connection: close`` header of one more answer.
+# In a stop, connections stay open for this long after its beginning and after they became idle, so
+# that their callers can learn of it from the ``Connection: close`` header of one more answer.
 IDLE_CLOSE_AFTER_MS = 1_000
 # The ``Retry-After`` of a stopping instance if no other instance serves: about the time that the
 # rest of the stop and the restart take.
@@ -445,7 +445,7 @@
     def _close_idle_callers(self) -> None:
         if self._get_stopping_ms() >= IDLE_CLOSE_AFTER_MS:
             for caller in list(self._callers):
-                caller.close_idle()
+                caller.close_idle(IDLE_CLOSE_AFTER_MS)
 
     def _is_stop_complete(self) -> bool:
         if not self.stopping:
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -38,6 +38,53 @@
             assert (await harness.call("/whole/x")).status == 200
 
 
+@in_loop
+async def test_first_request_of_a_new_connection_is_answered_while_the_instance_stops():
+    """Its connection was once closed by the maintenance while the request was on its way."""
+    async with run_gateway(answer_ok) as harness:
+        harness.gateway.drain()
+        harness.gateway._stopping_since -= 1_500
+        connection = await harness.connect()
+        await asyncio.sleep(0.05)
+        harness.gateway._run_maintenance()
+        answer = await harness.call("/once/x", connection=connection)
+        assert answer.status == 200 and answer.headers["connection"] == "close"
+
+
+@in_loop
+async def test_request_that_follows_a_stream_at_once_is_answered_while_the_instance_stops():
+    async def stream_slowly(arrival):
+        await arrival.begin_stream()
+        await arrival.write_events(1)
+        await asyncio.sleep(0.2)
+        await arrival.write_events(2)
+        await arrival.end_stream()
+
+    async with run_gateway(stream_slowly) as harness:
+        connection = await harness.connect()
+        pending = asyncio.ensure_future(harness.call("/stream/x", connection=connection))
+        await asyncio.sleep(0.1)
+        harness.gateway.drain()
+        harness.gateway._stopping_since -= 1_500
+        answer = await pending
+        assert answer.status == 200 and "connection" not in answer.headers
+        harness.gateway._run_maintenance()
+        assert (await harness.call("/stream/x", connection=connection)).status == 200
+
+
+@in_loop
+async def test_connections_that_are_idle_for_a_while_are_closed_while_the_instance_stops():
+    async with run_gateway(answer_ok) as harness:
+        connections = [await harness.connect() for _ in range(2)]
+        assert (await harness.call("/once/x", connection=connections[0])).status == 200
+        harness.gateway.drain()
+        await asyncio.sleep(1.1)
+        harness.gateway._run_maintenance()
+        for reader, writer in connections:
+            assert await asyncio.wait_for(reader.read(), 1) == b""
+            writer.close()
+
+
 @pytest.mark.parametrize(
     ("stopping_for_ms", "path", "tokens", "status"),
     [
