Stop: accept only requests that end in time even if their upstream pauses once

What callers saw: a stream that a stopping instance had accepted was cut at the end of the stop, and a booking got 504 although it had run, when their upstream was silent for a second or so and went on.

Cause: the estimate by which a stopping instance accepts or refuses a request has no room for a pause. The shorter the request, the less there is: 300 ms and a fifth of the estimate.

Evidence: the test, on a stop of 8 s. Before the fix a stream accepted 6.5 or 7.0 s after SIGTERM ended without its second event, and a booking accepted then got 504; both upstreams were silent for 1.4 s. Accepted 4.5 and 5.4 s after it they were answered before too.

Fix: the time that must remain grows by one pause of 1.5 s. A plain request whose whole timeout fits is accepted as before.

--- a/src/lentilwell/gateway/_stopping.py
+++ b/src/lentilwell/gateway/_stopping.py
@@ -11,20 +11,20 @@
 TYPICAL_DECODING_REQUESTS = 4
 ESTIMATE_FACTOR = 1.2
 SLACK_MS = 300
+# A sound upstream may be silent for this long and go on.
+PAUSE_MS = 1_500
 PLAIN_SERVICE_OBJECTIVES = 2
 
 
 def can_finish(routed: RoutedRequest, remaining_ms: int) -> bool:
-    """Return whether a request is expected to end within ``remaining_ms``."""
+    """Return whether a request is expected to end within ``remaining_ms``, also after a pause."""
     prompt, engine = routed.facts.prompt, routed.engine
     if engine is None or prompt is None:
         timeout_ms = routed.deadline_at - routed.request.arrived_at
-        return (
-            timeout_ms <= remaining_ms
-            or PLAIN_SERVICE_OBJECTIVES * routed.route.objective_ms <= remaining_ms
-        )
+        usual_ms = PLAIN_SERVICE_OBJECTIVES * routed.route.objective_ms
+        return min(timeout_ms, usual_ms + PAUSE_MS) <= remaining_ms
     expected_ms = estimate_request_ms(engine, prompt, routed.route.objective_ms)
-    return ESTIMATE_FACTOR * expected_ms + SLACK_MS <= remaining_ms
+    return ESTIMATE_FACTOR * expected_ms + SLACK_MS + PAUSE_MS <= remaining_ms
 
 
 def estimate_request_ms(engine: EngineSpec, prompt: Prompt, objective_ms: int) -> float:
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -7,7 +7,20 @@
 
 from lentilwell.gateway import Entry
 from tests.gateway_harness import CATALOG, run_gateway
-from tests.gateway_scripts import answer_ok, in_loop, stay_silent, stream_whole, with_engines
+from tests.gateway_scripts import (
+    answer_ok,
+    in_loop,
+    stay_silent,
+    stream_whole,
+    with_engines,
+)
+
+
+async def end_stop(gateway):
+    """Stop a gateway that drains once its stop is complete, as ``Gateway.run`` does."""
+    while not gateway._is_stop_complete():
+        await asyncio.sleep(0.02)
+    await gateway.finish_stop()
 
 
 @in_loop
@@ -116,6 +129,33 @@
             assert float(answer.headers["retry-after"]) >= 0
 
 
+@pytest.mark.parametrize("path", ["/stream/x", "/once/x"])
+@pytest.mark.parametrize("stopping_for_ms", [4_500, 5_400, 6_500, 7_000])
+@in_loop
+async def test_stopping_instance_finishes_what_it_accepted_although_its_upstream_pauses(
+    path, stopping_for_ms
+):
+    async def pause(arrival):
+        if path == "/once/x":
+            await asyncio.sleep(1.4)
+            await arrival.answer()
+            return
+        await arrival.begin_stream()
+        await arrival.write_events(1)
+        await asyncio.sleep(1.4)
+        await arrival.write_events(2)
+        await arrival.end_stream()
+
+    async with run_gateway(pause, catalog=with_engines()) as harness:
+        harness.gateway.drain()
+        harness.gateway._stopping_since -= stopping_for_ms
+        stop = asyncio.ensure_future(end_stop(harness.gateway))
+        answer = await harness.call(path, Token_Count="1000,10" if "stream" in path else None)
+        assert answer.complete and answer.status == (503 if stopping_for_ms >= 6_500 else 200)
+        assert len(harness.arrivals) == (answer.status == 200)
+        await stop
+
+
 @in_loop
 async def test_exception_in_a_background_task_does_not_end_the_process():
     async with run_gateway(answer_ok) as harness:
