--- a/src/lentilwell/gateway/_caller_connection.py
+++ b/src/lentilwell/gateway/_caller_connection.py
@@ -174,11 +174,14 @@
             _reset_on_close(self._transport.get_extra_info("socket"))
         self._transport.abort()
 
-    def close_idle(self, idle_ms: int) -> None:
-        """Close the connection if nothing has arrived on it or was sent for ``idle_ms``."""
-        if self.busy or self._clock.now() - self._timer_started_at < idle_ms:
+    def close_idle(self, min_idle_ms: int) -> None:
+        """Close the connection if it has been idle for that long and no request has arrived.
+
+        The next request on a connection that is new or was used just now may be on its way.
+        """
+        if self.busy or self._transport is None or self._has_unread_bytes():
             return
-        if self._transport is not None and not self._has_unread_bytes():
+        if self._clock.now() - self._timer_started_at >= min_idle_ms:
             self._transport.close()
 
     def refuse_unfinished(self, retry_after_ms: int) -> None:
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -80,9 +80,8 @@
 FINAL_IDLE_MS = 100
 # Lets the last answers reach the kernel before their connections are aborted.
 FINAL_FLUSH_MS = 50
-# Idle connections stay open for this long after the beginning of a stop, so that their callers can
-# learn of it from the ``Connection: close`` header of one more answer. Connections that are opened
-# in a stop stay open for as long, because a request is about to come.
+# In a stop, connections stay open for this long after its beginning and after they became idle, so
+# that their callers can learn of it from the ``Connection: close`` header of one more answer.
 IDLE_CLOSE_AFTER_MS = 1_000
 # The ``Retry-After`` of a stopping instance if no other instance serves: about the time that the
 # rest of the stop and the restart take.
--- a/src/lentilwell/gateway/_stopping.py
+++ b/src/lentilwell/gateway/_stopping.py
@@ -20,6 +20,8 @@
 ESTIMATE_FACTOR = 1.2
 STREAM_SLACK_MS = 300
 PLAIN_SERVICE_SLACK_MS = 100
+# A sound upstream may be silent for this long and go on.
+PAUSE_MS = 1_500
 PLAIN_SERVICE_OBJECTIVES = 2
 # Assumed where the objective says nothing of the end of an answer: none is given, or it is one for
 # the first event of a stream.
@@ -37,11 +39,11 @@
 def can_finish(routed: RoutedRequest, times: AnswerTimes, sent_at: int, ends_at: int) -> bool:
     """Return whether a request that is sent at ``sent_at`` is expected to end by ``ends_at``.
 
-    One whose deadline is earlier certainly ends by then.
+    So it is if its upstream pauses once, too. One whose deadline is earlier certainly ends by then.
     """
     if routed.deadline_at <= ends_at:
         return True
-    return sent_at + estimate_bound_ms(routed, times) <= ends_at
+    return sent_at + estimate_bound_ms(routed, times) + PAUSE_MS <= ends_at
 
 
 def estimate_bound_ms(routed: RoutedRequest, times: AnswerTimes) -> float:
