Stop: room for a pause of the upstream only for late requests

The users' rule excuses a cut of a paused stream for requests of the first 3 s; from then on the load balancer sends callers elsewhere. So the room is kept for requests from 3.2 s on, which are few and served elsewhere after 50 ms.

--- a/src/lentilwell/gateway/_fleet.py
+++ b/src/lentilwell/gateway/_fleet.py
@@ -206,7 +206,8 @@
         stop = self.find_stop()
         if stop is None:
             return True
-        return can_finish(routed, self.answer_times, self.clock.now() + delay_ms, stop.ends_at)
+        sent_at = self.clock.now() + delay_ms
+        return can_finish(routed, self.answer_times, sent_at, stop.find_end(sent_at))
 
     def accepts_work(self, choice: Choice) -> bool:
         """Tell whether no upstream of a choice drains or has a backoff in effect."""
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -460,7 +460,8 @@
         if self._stopping_since is None:
             return None
         ends_at = self._stopping_since + self._max_drain_ms
-        return PlannedStop(ends_at, self._find_retry_after_ms())
+        late_from = self._stopping_since + MIN_STOP_MS
+        return PlannedStop(ends_at, late_from, self._find_retry_after_ms())
 
     def _find_retry_after_ms(self) -> int:
         """Return when a caller that this instance refuses because it stops should retry."""
--- a/src/lentilwell/gateway/_stopping.py
+++ b/src/lentilwell/gateway/_stopping.py
@@ -30,20 +30,31 @@
 
 @dataclass(frozen=True)
 class PlannedStop:
-    """When the requests of an instance must have ended, and when refused callers may retry."""
+    """When the requests of an instance must have ended, and when refused callers may retry.
+
+    From ``late_from`` on the load balancer sends callers elsewhere, so that few come any more.
+    """
 
     ends_at: int
+    late_from: int
     retry_after_ms: int
 
+    def find_end(self, sent_at: int) -> int:
+        """Return by when a request must be expected to end that is sent at ``sent_at``.
+
+        A late one must leave time for a pause of its upstream.
+        """
+        return self.ends_at - PAUSE_MS if sent_at >= self.late_from else self.ends_at
+
 
 def can_finish(routed: RoutedRequest, times: AnswerTimes, sent_at: int, ends_at: int) -> bool:
     """Return whether a request that is sent at ``sent_at`` is expected to end by ``ends_at``.
 
-    So it is if its upstream pauses once, too. One whose deadline is earlier certainly ends by then.
+    One whose deadline is earlier certainly ends by then.
     """
     if routed.deadline_at <= ends_at:
         return True
-    return sent_at + estimate_bound_ms(routed, times) + PAUSE_MS <= ends_at
+    return sent_at + estimate_bound_ms(routed, times) <= ends_at
 
 
 def estimate_bound_ms(routed: RoutedRequest, times: AnswerTimes) -> float:
