--- a/standins/restarting_fleet.py
+++ b/standins/restarting_fleet.py
@@ -14,12 +14,14 @@
 RESTART_S = 3.0
 
 
+OnCrash = Callable[[ReceivedRequest | None], None]
+
+
 class EndingServer(Protocol):
-    """A server that can end at any time and then calls ``on_crash``."""
+    """A server that can end at any time."""
 
     name: str
     address: str
-    on_crash: Callable[[ReceivedRequest | None], None]
     connections: set[asyncio.StreamWriter]
 
     async def start(self) -> str:
@@ -47,14 +49,14 @@
 class RestartingFleet(Generic[ServerT]):
     """Servers of one service, and their list, which ``publish`` is called with.
 
-    ``build`` returns a new server of a name. One that has ended leaves the list after ``expiry_s``
-    and comes back ``restart_s`` after its end, under a new name if ``is_renamed`` says so for the
-    number of its end. ``on_end`` is called at each end.
+    ``build`` returns a new server of a name, which calls the given function when it ends. One that
+    has ended leaves the list after ``expiry_s`` and comes back ``restart_s`` after its end, under a
+    new name if ``is_renamed`` says so for the number of its end. ``on_end`` is called at each end.
     """
 
     prefix: str
     count: int
-    build: Callable[[str], ServerT]
+    build: Callable[[str, OnCrash], ServerT]
     publish: Callable[[Sequence[ListedServer[ServerT]]], Awaitable[None]]
     is_renamed: Callable[[int], bool] = lambda end: False
     on_end: Callable[[ServerT, ReceivedRequest | None], None] = lambda server, cause: None
@@ -93,18 +95,17 @@
             await asyncio.sleep(0.01)
 
     async def _start_server(self, name: str) -> None:
-        server = self.build(name)
-        server.on_crash = lambda cause: self._replace(server, cause)
+        server = self.build(name, lambda cause: self._replace(name, cause))
         await server.start()
         self.listed[name] = ListedServer(server, next(self._starts))
 
-    def _replace(self, server: ServerT, cause: ReceivedRequest | None) -> None:
-        self.on_end(server, cause)
+    def _replace(self, old_name: str, cause: ReceivedRequest | None) -> None:
+        self.on_end(self.listed[old_name].server, cause)
         self.ends += 1
         self.away += 1
         renamed = self.is_renamed(self.ends)
-        name = f"{self.prefix}{next(self._names)}" if renamed else server.name
-        self._tasks.add(asyncio.ensure_future(self._restart(server.name, name)))
+        name = f"{self.prefix}{next(self._names)}" if renamed else old_name
+        self._tasks.add(asyncio.ensure_future(self._restart(old_name, name)))
 
     async def _restart(self, old_name: str, name: str) -> None:
         await asyncio.sleep(self.expiry_s)
--- a/tests/crashing_engines.py
+++ b/tests/crashing_engines.py
@@ -17,7 +17,7 @@
 from standins.batch import ENGINE
 from standins.batch_server import BatchServer, list_parts
 from standins.received_request import ReceivedRequest
-from standins.restarting_fleet import ListedServer, RestartingFleet
+from standins.restarting_fleet import ListedServer, OnCrash, RestartingFleet
 from tests.gateway_harness import ANSWER_TIMEOUT_S, CATALOG, HOST, KEY, FakeFeed, make_route
 from tests.limited_upstreams import is_settled, make_members, run_member
 
@@ -84,11 +84,14 @@
         fifth = self.find_fifth_crash()
         return 0 if fifth is None else sum(at > fifth + contact_ms for at in self.harmful)
 
-    def _build_engine(self, name: str) -> BatchServer:
-        engine = BatchServer(name, self.by_address)
-        engine.is_deadly = lambda request: self.crashes_on_part and has_harmful_part(request)
-        engine.on_request = self._record_request
-        return engine
+    def _build_engine(self, name: str, on_crash: OnCrash) -> BatchServer:
+        return BatchServer(
+            name,
+            self.by_address,
+            is_deadly=lambda request: self.crashes_on_part and has_harmful_part(request),
+            on_request=self._record_request,
+            on_crash=on_crash,
+        )
 
     def _record_request(self, request: ReceivedRequest) -> None:
         if has_harmful_part(request):
--- a/tests/deadly_checks.py
+++ b/tests/deadly_checks.py
@@ -4,9 +4,9 @@
 
 import asyncio
 
-from standins.deadly_requests import MAX_LATE_ARRIVALS, DeadlyRecord
-from standins.restarting_fleet import RESTART_S
-from tests.deadly_requests import DEADLY, DeadlyGroup
+from standins.deadly_load import DEADLY
+from standins.deadly_requests import MAX_LATE_ARRIVALS
+from tests.deadly_requests import DeadlyGroup
 
 # Half of the users' time, since the instances of the tests are close to each other.
 CONTACT_MS = 1_500
@@ -25,9 +25,10 @@
     seen = describe(group)
     print(seen)
     for name in DEADLY:
-        assert record.list_crashes(name), seen
         assert record.count_late(name, CONTACT_MS) <= MAX_LATE_ARRIVALS, seen
-    sound = group.list_sound(find_begin(record))
+    begin = group.find_begin(CONTACT_MS)
+    assert begin is not None, seen
+    sound = group.list_sound(begin)
     assert len(sound) >= MIN_CALLS, "too few requests to tell"
     assert sum(call.served for call in sound) >= MIN_SERVED * len(sound), seen
     failed = {call.content for call in group.list_sound(0) if not call.served}
@@ -51,12 +52,6 @@
     assert group.record.count_arrivals() == received
 
 
-def find_begin(record: DeadlyRecord) -> int:
-    """Return from when on sound requests must be served, in ms."""
-    last = [record.find_third_crash(name) or record.list_crashes(name)[-1] for name in DEADLY]
-    return max(last) + CONTACT_MS + round(RESTART_S * 1_000)
-
-
 def describe(group: DeadlyGroup) -> str:
     """Tell how often each deadly request ended a server and came late, and what was served."""
     record = group.record
@@ -65,8 +60,9 @@
         f" {record.count_late(name, CONTACT_MS)} late of {len(record.arrivals.get(name, ()))}"
         for name in DEADLY
     ]
-    if all(record.list_crashes(name) for name in DEADLY):
-        sound = group.list_sound(find_begin(record))
+    begin = group.find_begin(CONTACT_MS)
+    if begin is not None:
+        sound = group.list_sound(begin)
         parts.append(f"{sum(call.served for call in sound)} of {len(sound)} sound ones served")
     cut = [crash.cut for crash in record.crashes]
     parts.append(f"{sum(cut)} sound ones cut, at most {max(cut, default=0)} at once")
