Entry: connections that wait to be accepted at the end of a planned stop are served

Cause: the server's loop ends without accepting what its last wait has found, and closing a listener resets the connections in its queue.

Now the queue is accepted before the listener is closed. The calls are answered like others that came in the stop, since closing waits for the workers.

Evidence: ..._answers_the_connections_that_the_kernel_has_queued in test_callers failed before (reset) and passes now.

Checked besides, with a new test in test_process: calls to a service all through a stop (once only, 200 ms each) were answered 200 if they reached the service. It passed before too; late calls are not cut there, as the exit waits for them.

--- a/src/lentilwell/callers/_server.py
+++ b/src/lentilwell/callers/_server.py
@@ -188,10 +188,18 @@
         super().shutdown_request(request)
 
     def server_close(self) -> None:
-        """Stop listening and wait until the workers have finished."""
+        """Accept the connections that the kernel has queued, stop listening and wait for all."""
+        self._accept_queued()
         super().server_close()
         self._executor.shutdown(wait=True)
 
+    def _accept_queued(self) -> None:
+        """Accept the connections whose callers would be reset when the listener is closed."""
+        with contextlib.suppress(OSError):  # none is left, or the listener is already closed
+            self.socket.setblocking(False)
+            for _ in range(self.request_queue_size):
+                self.process_request(*self.get_request())
+
     def handle_error(self, request: Any, client_address: Any) -> None:
         """Log an exception from a handler, without the contents of the request."""
         logger.opt(exception=True).debug("connection failed")
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -206,3 +206,20 @@
     text = b"x" * 3 * 4_096
     assert len(hash_prefix(text, "a")) == 3
     assert not set(hash_prefix(text, "a")) & set(hash_prefix(text, "b"))
+
+
+def test_closing_server_answers_the_connections_that_the_kernel_has_queued():
+    def app(_environ, start_response):
+        start_response("200 OK", [("Content-Length", "2")])
+        return [b"ok"]
+
+    server = PooledServer("127.0.0.1", 0, app, 2, 600, SystemClock())
+    waiting = []
+    for _ in range(10):
+        waiting.append(socket.create_connection(("127.0.0.1", server.port), timeout=5))
+        waiting[-1].sendall(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+    server.server_close()
+    for connection in waiting:
+        with connection, connection.makefile("rb") as answer:
+            assert answer.read().endswith(b"\r\n\r\nok")
+    server.server_close()
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -1,11 +1,13 @@
 """Tests of entry instances as processes: OpenAI client, operators, commands, planned stop."""
 
+import http.client
 import json
 import os
 import signal
 import subprocess
 import sys
 import threading
+import time
 import urllib.error
 from pathlib import Path
 
@@ -136,3 +138,44 @@
     ended = [json.loads(line) for line in log if "request ended" in line]
     assert [line["outcome"] for line in ended] == ["whole", "whole"]
     assert deployment.keys["counters"] not in "".join(log)
+
+
+def book(entry, key, number, endings):
+    """Make one booking on a new connection and record how it ended: a status, or an exception."""
+    connection = http.client.HTTPConnection("127.0.0.1", entry.ports["callers"], timeout=WAIT_S)
+    headers = {"Authorization": f"Bearer {key}", "Idempotency-Key": f"key-{number}"}
+    try:
+        connection.request("POST", "/services/bookings/", b"seat", headers)
+        answer = connection.getresponse()
+        answer.read()
+        endings[f"key-{number}"] = answer.status
+    except (OSError, http.client.HTTPException) as error:
+        endings[f"key-{number}"] = type(error).__name__
+    finally:
+        connection.close()
+
+
+def test_calls_that_come_all_through_a_planned_stop_are_answered_or_never_reach_a_service():
+    plan = DeploymentPlan(instances=1, engines=1, services=1, balancer_lag_ms=1_000)
+    with deploy(plan) as running:
+        [entry], [service] = running.entries, running.services
+        call("POST", service.url() + "/control", json.dumps({"delay_ms": 200}).encode())
+        endings = {}
+        threads = []
+        for number in range(200):
+            if number == 20:
+                entry.signal(signal.SIGTERM)
+            if entry.popen.poll() is not None:
+                break
+            arguments = (entry, running.keys["counters"], number, endings)
+            threads.append(threading.Thread(target=book, args=arguments))
+            threads[-1].start()
+            time.sleep(0.05)
+        for thread in threads:
+            thread.join(WAIT_S)
+        assert entry.popen.wait(WAIT_S) == 0
+        runs = json.loads(call("GET", service.url() + "/runs"))
+        assert {ending for key, ending in endings.items() if key in runs} == {200}
+        unserved = {ending for key, ending in endings.items() if key not in runs}
+        assert unserved <= {429, 503, "ConnectionRefusedError", "ConnectionResetError"}
+        assert len(endings) == len(threads)
