Tell of a crash with the requests that fit when not all of them do

What callers would see: a request that crashes upstreams reaches more of them than the users' rule allows, because no other instance hears of its crashes.

Cause: a notice left out a crash that did not fit, and all older ones with it. Five cut prompts of 64 parts are more than the 5 KiB for crashes: 0 of 3 crashes were told. With 32 cut prompts of 2 parts it was 1 of 3. Besides, condemned sets of parts had no bound in bytes: 16 sets of 64 parts made a notice of 17.5 KB, which receivers reject above 16 KiB, crashes and all.

A crash is told with those of its cut requests that fit, those first that several crashes have in common. The latest condemned sets are told, within 3 KiB, which is enough for all 64 condemned requests, and crashes get what the bound of 8 KiB leaves. Receivers merge the union, so that a part of a crash does no harm. Both new tests failed before.

--- a/src/lentilwell/gateway/_crash_messages.py
+++ b/src/lentilwell/gateway/_crash_messages.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from dataclasses import replace
 
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.TSerialization import deserialize, serialize
@@ -21,14 +23,17 @@
 # Neither a digest nor a message about permits begins with this byte.
 PREFIX = b"\x01"
 MAX_NOTICE_BYTES = 8_192
-# Bounds on what is told; the oldest crashes are left out first.
+# Bounds on what is told; the oldest is left out first.
 MAX_TOLD_CRASH_BYTES = 5_120
+MAX_TOLD_CONDEMNED_BYTES = 3_072
 MAX_TOLD_SOUND_PARTS = 64
 MAX_TOLD_ALIVE = 16
 # Bounds on texts in messages, longer than any id that a caller may send.
 MAX_TEXT_LENGTH = 256
-# Bytes of the encoding of a crash, a cut request or a part, beside their texts.
+# Bytes of the encoding of a notice, a crash, a condemned set and a text, beside their texts.
+NOTICE_BYTES = 32
 CRASH_BYTES = 20
+CONDEMNED_BYTES = 16
 TEXT_BYTES = 3
 KNOWN_END_BYTES = 10
 _FACTORY = TCompactProtocolAcceleratedFactory(
@@ -47,20 +52,22 @@
 
 def encode_crash_notice(notice: CrashNotice, now: int) -> bytes:
     """Return the bytes of a notice within ``MAX_NOTICE_BYTES``; times are encoded as ages."""
+    sound = sorted(notice.sound, key=lambda one: -one.at)[:MAX_TOLD_SOUND_PARTS]
+    alive = sorted(notice.alive, key=lambda one: -one.at)[:MAX_TOLD_ALIVE]
+    condemned = _select_condemned(notice.condemned)
+    size = sum(TEXT_BYTES + CRASH_BYTES + len(one.upstream.name) for one in alive)
+    size += sum(2 * TEXT_BYTES + len(one.part) for one in sound)
+    size += sum(map(_measure_condemned, condemned))
+    left = MAX_NOTICE_BYTES - NOTICE_BYTES - size
+    crashes = _select_crashes(notice.crashes, min(left, MAX_TOLD_CRASH_BYTES))
     wire = WireNotice(
-        [_encode_crash(crash, now) for crash in _select_crashes(notice.crashes)],
-        [
-            WireSound(one.part, now - one.at)
-            for one in sorted(notice.sound, key=lambda one: -one.at)[:MAX_TOLD_SOUND_PARTS]
-        ],
+        [_encode_crash(crash, now) for crash in crashes],
+        [WireSound(one.part, now - one.at) for one in sound],
         [
             WireCondemned(sorted(one.parts), now - one.first_at, now - one.last_at)
-            for one in notice.condemned
-        ],
-        [
-            WireAlive(one.upstream.name, one.upstream.born_ms, now - one.at)
-            for one in sorted(notice.alive, key=lambda one: -one.at)[:MAX_TOLD_ALIVE]
+            for one in condemned
         ],
+        [WireAlive(one.upstream.name, one.upstream.born_ms, now - one.at) for one in alive],
     )
     data: bytes = serialize(wire, _FACTORY)
     return PREFIX + data
@@ -84,17 +91,41 @@
         raise UnreadableCrashNotice(repr(error)) from error
 
 
-def _select_crashes(crashes: Sequence[Crash]) -> list[Crash]:
-    """Return as many of the first crashes as fit into a notice."""
+def _select_crashes(crashes: Sequence[Crash], max_bytes: int) -> list[Crash]:
+    """Return as many of the first crashes as fit into a notice, without cut requests beyond it.
+
+    Cut requests that several crashes have in common come first.
+    """
+    crashes_under = Counter(one for crash in crashes for one in crash.fingerprints)
     selected, size = [], 0
     for crash in crashes:
-        size += CRASH_BYTES + len(crash.upstream.name) + sum(map(_measure_cut, crash.cut))
-        if size > MAX_TOLD_CRASH_BYTES:
+        size += CRASH_BYTES + len(crash.upstream.name)
+        if size > max_bytes:
+            break
+        kept = []
+        for cut in sorted(crash.cut, key=lambda c: (-crashes_under[c.fingerprint], c.request)):
+            if size + _measure_cut(cut) <= max_bytes:
+                size += _measure_cut(cut)
+                kept.append(cut)
+        selected.append(replace(crash, cut=frozenset(kept)))
+    return selected
+
+
+def _select_condemned(condemned: Iterable[Explanation]) -> list[Explanation]:
+    """Return as many of the latest condemned sets as fit into a notice."""
+    selected, size = [], 0
+    for one in sorted(condemned, key=lambda one: -one.last_at):
+        size += _measure_condemned(one)
+        if size > MAX_TOLD_CONDEMNED_BYTES:
             break
-        selected.append(crash)
+        selected.append(one)
     return selected
 
 
+def _measure_condemned(condemned: Explanation) -> int:
+    return CONDEMNED_BYTES + sum(TEXT_BYTES + len(part) for part in condemned.parts)
+
+
 def _measure_cut(cut: CutRequest) -> int:
     ends = 0 if cut.known_ends is None else TEXT_BYTES + KNOWN_END_BYTES * len(cut.known_ends)
     return ends + sum(TEXT_BYTES + len(text) for text in (cut.request, *cut.subjects))
--- a/tests/test_gateway_crashing_requests.py
+++ b/tests/test_gateway_crashing_requests.py
@@ -7,6 +7,7 @@
 
 from lentilwell.gateway._condemned_subjects import (
     CONDEMNED_MS,
+    MAX_CONDEMNED,
     MAX_CONDEMNED_REQUESTS,
     PROBE_STAGGER_MS,
 )
@@ -16,7 +17,7 @@
     decode_crash_notice,
     encode_crash_notice,
 )
-from lentilwell.gateway._crash_records import CutRequest
+from lentilwell.gateway._crash_records import CutRequest, Explanation
 from lentilwell.gateway._upstreams import Incarnation
 from tests.crash_observer import STEP_MS, Observer
 
@@ -225,6 +226,30 @@
     assert len(encode_crash_notice(notice, observer.now)) <= MAX_NOTICE_BYTES
 
 
+def test_crash_that_does_not_fit_into_a_notice_is_told_with_the_requests_that_came_again():
+    observer, other = RequestObserver(), RequestObserver()
+    for number in range(3):
+        beside = [f"={number:012x}{index:012x}" for index in range(20)]
+        observer.end(DEADLY, *beside, parts=tuple(f"{part:016x}" for part in range(64)))
+        other.now = observer.now
+        other.hear(observer)
+        assert DEADLY in other.evidence.suspected or other.refuses(DEADLY)
+    assert len(other.evidence.collect(other.now).crashes) == 3
+
+
+def test_notice_with_large_condemned_sets_of_parts_keeps_its_bound_and_tells_of_crashes():
+    observer = RequestObserver()
+    condemn(observer)
+    for number in range(MAX_CONDEMNED):
+        parts = frozenset(f"{number:08x}{index:08x}" for index in range(64))
+        observer.evidence._condemned.add(Explanation(parts, 0, number))
+    notice = observer.evidence.collect(observer.now)
+    data = encode_crash_notice(notice, observer.now)
+    assert len(data) <= MAX_NOTICE_BYTES
+    told = decode_crash_notice(data, observer.now)
+    assert told.crashes == notice.crashes and notice.condemned[0] in told.condemned
+
+
 def test_notice_tells_fingerprints_and_what_was_known():
     observer = RequestObserver()
     condemn(observer)
