Remember those of many cut requests that crashes cut before

What callers would see: beside many other requests, one that crashes upstreams reaches more of them than the users' rule allows.

Cause: of the cut requests of one crash 32 are remembered, and the choice among more was by the hash of their ids, so that the harmful one was lost by chance, at each crash anew.

Requests that the most other crashes cut come first. What is left is the chance to be remembered at the first crash.

--- a/src/lentilwell/gateway/_crash_evidence.py
+++ b/src/lentilwell/gateway/_crash_evidence.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from dataclasses import replace
 from typing import TypeVar
 
@@ -198,7 +198,7 @@
         if self._alive.get(crash.upstream, crash.at - 1) >= crash.at:
             return False
         known = self._crashes.get(crash.upstream)
-        merged = crash if known is None else _merge_crashes(known, crash)
+        merged = crash if known is None else self._merge_crashes(known, crash)
         if known is not None and merged.cut == known.cut:
             return False
         self._crashes[crash.upstream] = merged
@@ -207,6 +207,15 @@
         self._condemned.renew(merged)
         return True
 
+    def _merge_crashes(self, known: Crash, other: Crash) -> Crash:
+        """Return what is known of a crash, with the cut requests that most crashes cut."""
+        cut = list(known.cut | other.cut)
+        if len(cut) > MAX_CUT_REQUESTS:
+            others = [one for one in self._crashes.values() if one.upstream != known.upstream]
+            before = Counter(fingerprint for one in others for fingerprint in one.fingerprints)
+            cut.sort(key=lambda one: (-before[one.fingerprint], one.request))
+        return Crash(known.upstream, min(known.at, other.at), frozenset(cut[:MAX_CUT_REQUESTS]))
+
     def _drop_oldest_crashes(self) -> None:
         """Keep the crashes within their bounds, and at least the latest one."""
         latest = sorted(self._crashes.values(), key=lambda crash: -crash.at)
@@ -282,8 +291,3 @@
     times.move_to_end(key)
     if len(times) > max_entries:
         times.popitem(last=False)
-
-
-def _merge_crashes(known: Crash, other: Crash) -> Crash:
-    cut = sorted(known.cut | other.cut, key=lambda one: one.request)
-    return Crash(known.upstream, min(known.at, other.at), frozenset(cut[:MAX_CUT_REQUESTS]))
--- a/tests/test_gateway_crashing_requests.py
+++ b/tests/test_gateway_crashing_requests.py
@@ -1,7 +1,10 @@
 """Which whole requests are condemned by which crashes, answers and messages."""
 
 import itertools
+import random
+import statistics
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -11,7 +14,7 @@
     MAX_CONDEMNED_REQUESTS,
     PROBE_STAGGER_MS,
 )
-from lentilwell.gateway._crash_evidence import ALIVE_MARGIN_MS, SETTLE_MS
+from lentilwell.gateway._crash_evidence import ALIVE_MARGIN_MS, MAX_CUT_REQUESTS, SETTLE_MS
 from lentilwell.gateway._crash_messages import (
     MAX_NOTICE_BYTES,
     decode_crash_notice,
@@ -153,6 +156,21 @@
     assert observer.refuses(blamed) and observer.refuses(blamed, request="probe")
 
 
+@pytest.mark.parametrize("beside", [40, 100])
+def test_deadly_request_is_found_beside_more_requests_than_are_remembered_of_a_crash(beside):
+    crashes = []
+    for seed in range(20):
+        draw, observer, count = random.Random(seed), RequestObserver(), 0
+        while not observer.refuses(DEADLY):
+            cut = [DEADLY, *(f"={draw.getrandbits(90):x}" for _ in range(beside))]
+            draw.shuffle(cut)
+            observer.end(*cut)
+            count += 1
+        crashes.append(count)
+    lucky = MAX_CUT_REQUESTS / (beside + 1)
+    assert statistics.mean(crashes) <= 1 / lucky + 4
+
+
 def test_part_is_not_blamed_for_one_request_that_comes_again():
     observer = RequestObserver()
     for number in range(8):
