Judge crashes once after the cut requests, not at each of them

What callers would see: every instance that a crash cut requests of stands still for a moment, the longer the more crashes are remembered.

Cause: each recorded cut request compared all hypotheses anew, besides the judgement that follows SETTLE_MS later and is the one that condemns.

A cut request makes its subjects suspects, and the judgement does the rest. That one was put off by each new fact, which did no harm while every record judged too; now it comes SETTLE_MS after the first fact and again while the latest crash is more recent than that. The test of the pause failed before; the one of the judgement passed before and guards the timer.

--- a/src/lentilwell/gateway/_crash_evidence.py
+++ b/src/lentilwell/gateway/_crash_evidence.py
@@ -22,7 +22,7 @@
     list_suspects,
 )
 from lentilwell.gateway._crash_notice import AliveUpstream, CrashNotice, SoundPart
-from lentilwell.gateway._crash_records import Crash, CutRequest, Explanation
+from lentilwell.gateway._crash_records import Crash, CutRequest, Explanation, is_explained
 from lentilwell.gateway._fingerprints import is_fingerprint
 from lentilwell.gateway._upstreams import Incarnation
 
@@ -86,13 +86,15 @@
         """Record an end of an upstream and a request that it cut; return whether it is news.
 
         ``cut`` is None for a request beyond the beginning of its answer. Of its ``known_ends``
-        those are kept that may count, which are the ones under its own subjects.
+        those are kept that may count, which are the ones under its own subjects. The request is
+        suspected at once; what is to blame is left to ``judge``, which takes some ms for many.
         """
         if cut is not None and cut.known_ends is not None:
             cut = replace(cut, known_ends=self._select_ends(cut, cut.known_ends))
         crash = Crash(upstream, at, frozenset((cut,) if cut is not None else ()))
         changed = self._add_crash(crash)
-        self.judge(at)
+        if changed and cut is not None and not is_explained(crash, self.condemned):
+            self._suspected |= frozenset(cut.subjects)
         return changed
 
     def record_sound(self, subjects: tuple[str, ...], at: int) -> bool:
--- a/src/lentilwell/gateway/_crash_watch.py
+++ b/src/lentilwell/gateway/_crash_watch.py
@@ -175,16 +175,18 @@
             self._pending_send = loop.call_later(COALESCE_MS / 1_000, self._send_to_all)
 
     def _schedule_judgement(self) -> None:
-        if self._pending_judgement is not None:
-            self._pending_judgement.cancel()
-        loop = asyncio.get_running_loop()
-        self._pending_judgement = loop.call_later(SETTLE_MS / 1_000, self._judge)
+        if self._pending_judgement is None:
+            loop = asyncio.get_running_loop()
+            self._pending_judgement = loop.call_later(SETTLE_MS / 1_000, self._judge)
 
     def _judge(self) -> None:
         self._pending_judgement = None
         before = self._name_condemned()
-        self._evidence.judge(self._clock.now())
+        now, latest = self._clock.now(), self._evidence.latest_crash_at
+        self._evidence.judge(now)
         self._log_changes(before, OWN_EVIDENCE)
+        if latest is not None and now - latest < SETTLE_MS:
+            self._schedule_judgement()
         if self._name_condemned() != before:
             self._schedule_send()
 
--- a/tests/test_gateway_crash_watch.py
+++ b/tests/test_gateway_crash_watch.py
@@ -1,11 +1,11 @@
 """What an instance tells the others about crashes: at once, to all of them, and then to a few."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from lentilwell._clock import ManualClock
 from lentilwell.gateway import RequestFacts, Upstream
-from lentilwell.gateway._crash_evidence import CrashEvidence
+from lentilwell.gateway._crash_evidence import SETTLE_MS, CrashEvidence
 from lentilwell.gateway._crash_messages import decode_crash_notice
 from lentilwell.gateway._crash_watch import (
     COALESCE_MS,
@@ -48,8 +48,8 @@
     fingerprint: str = "=0"
 
 
-def make_work(*parts, request="r"):
-    return Work(RequestFacts(request, "", None, None, None, parts))
+def make_work(*parts, request="r", fingerprint="=0"):
+    return Work(RequestFacts(request, "", None, None, None, parts), fingerprint)
 
 
 @in_loop
@@ -64,6 +64,23 @@
     harness.watch.close()
 
 
+@in_loop
+async def test_new_crashes_without_end_do_not_put_off_the_judgement():
+    harness = WatchHarness()
+    evidence = harness.watch._evidence
+    for number in range(60):
+        upstream = replace(UPSTREAM, name=f"u{number}")
+        fingerprint = "=dead" if number < 3 else f"={number}"
+        work = make_work(request=f"r{number}", fingerprint=fingerprint)
+        harness.watch.record_cut(upstream, work, 0, harness.watch.known_ends)
+        await asyncio.sleep(SETTLE_MS / 10 / 1_000)
+        harness.clock.advance(SETTLE_MS // 10)
+        if evidence.condemned:
+            break
+    assert number <= 40
+    harness.watch.close()
+
+
 @in_loop
 async def test_evidence_is_repeated_to_a_few_instances_and_less_often_later():
     harness = WatchHarness()
--- a/tests/test_gateway_crashing_requests.py
+++ b/tests/test_gateway_crashing_requests.py
@@ -3,6 +3,7 @@
 import itertools
 import random
 import statistics
+import time
 
 import pytest
 from hypothesis import given
@@ -14,7 +15,12 @@
     MAX_CONDEMNED_REQUESTS,
     PROBE_STAGGER_MS,
 )
-from lentilwell.gateway._crash_evidence import ALIVE_MARGIN_MS, MAX_CUT_REQUESTS, SETTLE_MS
+from lentilwell.gateway._crash_evidence import (
+    ALIVE_MARGIN_MS,
+    MAX_CRASHES,
+    MAX_CUT_REQUESTS,
+    SETTLE_MS,
+)
 from lentilwell.gateway._crash_messages import (
     MAX_NOTICE_BYTES,
     decode_crash_notice,
@@ -26,6 +32,8 @@
 
 DEADLY = "=dead"
 PART = "aa"
+# Processor time for 100 cut requests.
+MAX_RECORDING_S = 0.4
 
 
 class RequestObserver(Observer):
@@ -171,6 +179,18 @@
     assert statistics.mean(crashes) <= 1 / lucky + 4
 
 
+def test_crash_that_cuts_many_requests_is_recorded_without_a_pause_of_the_event_loop():
+    observer = RequestObserver()
+    for number in range(MAX_CRASHES):
+        observer.end(*(f"={number % 8}-{index}" for index in range(MAX_CUT_REQUESTS)))
+    upstream, known = Incarnation("last", 1), observer.evidence.known_ends
+    began_s = time.process_time()
+    for number in range(100):
+        cut = CutRequest(f"r{number}", (PART,), f"={number}", known)
+        observer.evidence.record_crash(upstream, observer.now, cut)
+    assert time.process_time() - began_s < MAX_RECORDING_S
+
+
 def test_part_is_not_blamed_for_one_request_that_comes_again():
     observer = RequestObserver()
     for number in range(8):
