Keep the answers that clear a subject of remembered crashes

What callers would see: a sound request or part that was refused, and cleared by an answer, is refused again, for ten minutes.

Cause: 4,096 answered subjects are remembered, the latest ones, while crashes are remembered for 10 min. After answers on more other parts the one that had cleared a subject was forgotten, and its crashes counted again.

Answered subjects that remembered crashes cut are dropped last. The bound stays. Both cases of the new test failed before.

--- a/src/lentilwell/gateway/_crash_evidence.py
+++ b/src/lentilwell/gateway/_crash_evidence.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 from collections import Counter, OrderedDict
+from collections.abc import Container
 from dataclasses import replace
 from typing import TypeVar
 
@@ -61,6 +62,7 @@
         self._condemned = CondemnedSubjects()
         self._suspected: frozenset[str] = frozenset()
         self._known_ends: frozenset[int] = frozenset()
+        self._cut_subjects: frozenset[str] = frozenset()
 
     @property
     def condemned(self) -> tuple[Explanation, ...]:
@@ -193,7 +195,7 @@
             del self._crashes[upstream]
         gone = self._condemned.forget(now)
         if old or gone:
-            self._update_known_ends()
+            self._update_known()
             self.judge(now)
 
     def _add_crash(self, crash: Crash) -> bool:
@@ -205,7 +207,7 @@
             return False
         self._crashes[crash.upstream] = merged
         self._drop_oldest_crashes()
-        self._update_known_ends()
+        self._update_known()
         self._condemned.renew(merged)
         return True
 
@@ -227,8 +229,11 @@
             if number and (number >= MAX_CRASHES or parts > MAX_CUT_PARTS):
                 del self._crashes[crash.upstream]
 
-    def _update_known_ends(self) -> None:
-        self._known_ends = frozenset(crash.mark for crash in self._crashes.values())
+    def _update_known(self) -> None:
+        crashes = self._crashes.values()
+        self._known_ends = frozenset(crash.mark for crash in crashes)
+        cut = [one for crash in crashes for one in crash.cut]
+        self._cut_subjects = frozenset(subject for one in cut for subject in one.subjects)
 
     def _select_ends(self, cut: CutRequest, known: frozenset[int]) -> frozenset[int]:
         """Return the latest known crashes under the subjects of a request, as marks.
@@ -245,17 +250,18 @@
         return frozenset(mark for _, _, mark in sorted(related)[-MAX_KNOWN_ENDS:])
 
     def _add_sound(self, subject: str, at: int) -> None:
-        _remember(self._sound, subject, max(at, self._sound.get(subject, at)), MAX_SOUND_PARTS)
+        latest = max(at, self._sound.get(subject, at))
+        _remember(self._sound, subject, latest, MAX_SOUND_PARTS, self._cut_subjects)
 
     def _add_own_sound(self, subject: str, at: int) -> None:
         self._add_sound(subject, at)
-        _remember(self._own_sound, subject, at, MAX_SOUND_PARTS)
+        _remember(self._own_sound, subject, at, MAX_SOUND_PARTS, self._cut_subjects)
 
     def _refute(self, alive: AliveUpstream) -> None:
         crash = self._crashes.get(alive.upstream)
         if crash is not None and alive.at >= crash.at:
             del self._crashes[alive.upstream]
-            self._update_known_ends()
+            self._update_known()
             self._release_requests(crash, alive.at)
         latest = max(alive.at, self._alive.get(alive.upstream, alive.at))
         _remember(self._alive, alive.upstream, latest, MAX_REFUTED)
@@ -287,9 +293,24 @@
         return at if at is not None and now - at <= EVIDENCE_MS else None
 
 
-def _remember(times: OrderedDict[KeyT, int], key: KeyT, at: int, max_entries: int) -> None:
-    """Store a time, and drop the entry that was stored longest ago if there are too many."""
+def _remember(
+    times: OrderedDict[KeyT, int],
+    key: KeyT,
+    at: int,
+    max_entries: int,
+    needed: Container[KeyT] = (),
+) -> None:
+    """Store a time, and drop the entry that was stored longest ago if there are too many.
+
+    Those that are ``needed`` are kept as long as there are others.
+    """
     times[key] = at
     times.move_to_end(key)
-    if len(times) > max_entries:
-        times.popitem(last=False)
+    if len(times) <= max_entries:
+        return
+    for _ in range(max_entries):
+        oldest = next(iter(times))
+        if oldest not in needed:
+            break
+        times.move_to_end(oldest)
+    times.popitem(last=False)
--- a/tests/test_gateway_crashing_requests.py
+++ b/tests/test_gateway_crashing_requests.py
@@ -19,6 +19,7 @@
     ALIVE_MARGIN_MS,
     MAX_CRASHES,
     MAX_CUT_REQUESTS,
+    MAX_SOUND_PARTS,
     SETTLE_MS,
 )
 from lentilwell.gateway._crash_messages import (
@@ -120,6 +121,19 @@
     assert not observer.evidence._sound
 
 
+@pytest.mark.parametrize("subject", ["=sound", PART])
+def test_cleared_subject_stays_cleared_after_answers_on_many_others(subject):
+    observer = Observer()
+    for number in range(3):
+        observer.crash((f"r{number}", subject))
+    assert observer.refuses(subject) and observer.answer(subject)
+    for number in range(2 * MAX_SOUND_PARTS):
+        observer.answer(f"{number:04x}0")
+    observer.settle()
+    assert not observer.refuses(subject)
+    assert len(observer.evidence._sound) <= MAX_SOUND_PARTS
+
+
 def test_many_deadly_requests_at_once_are_all_condemned():
     observer = RequestObserver()
     deadly = [f"=dead{number}" for number in range(20)]
