--- a/src/lentilwell/gateway/_crash_evidence.py
+++ b/src/lentilwell/gateway/_crash_evidence.py
@@ -10,7 +10,8 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
+from collections.abc import Container
 from dataclasses import replace
 from typing import TypeVar
 
@@ -22,7 +23,7 @@
     list_suspects,
 )
 from lentilwell.gateway._crash_notice import AliveUpstream, CrashNotice, SoundPart
-from lentilwell.gateway._crash_records import Crash, CutRequest, Explanation
+from lentilwell.gateway._crash_records import Crash, CutRequest, Explanation, is_explained
 from lentilwell.gateway._fingerprints import is_fingerprint
 from lentilwell.gateway._upstreams import Incarnation
 
@@ -61,6 +62,7 @@
         self._condemned = CondemnedSubjects()
         self._suspected: frozenset[str] = frozenset()
         self._known_ends: frozenset[int] = frozenset()
+        self._cut_subjects: frozenset[str] = frozenset()
 
     @property
     def condemned(self) -> tuple[Explanation, ...]:
@@ -86,13 +88,15 @@
         """Record an end of an upstream and a request that it cut; return whether it is news.
 
         ``cut`` is None for a request beyond the beginning of its answer. Of its ``known_ends``
-        those are kept that may count, which are the ones under its own subjects.
+        those are kept that may count, which are the ones under its own subjects. The request is
+        suspected at once; what is to blame is left to ``judge``, which takes some ms for many.
         """
         if cut is not None and cut.known_ends is not None:
             cut = replace(cut, known_ends=self._select_ends(cut, cut.known_ends))
         crash = Crash(upstream, at, frozenset((cut,) if cut is not None else ()))
         changed = self._add_crash(crash)
-        self.judge(at)
+        if changed and cut is not None and not is_explained(crash, self.condemned):
+            self._suspected |= frozenset(cut.subjects)
         return changed
 
     def record_sound(self, subjects: tuple[str, ...], at: int) -> bool:
@@ -191,22 +195,31 @@
             del self._crashes[upstream]
         gone = self._condemned.forget(now)
         if old or gone:
-            self._update_known_ends()
+            self._update_known()
             self.judge(now)
 
     def _add_crash(self, crash: Crash) -> bool:
         if self._alive.get(crash.upstream, crash.at - 1) >= crash.at:
             return False
         known = self._crashes.get(crash.upstream)
-        merged = crash if known is None else _merge_crashes(known, crash)
+        merged = crash if known is None else self._merge_crashes(known, crash)
         if known is not None and merged.cut == known.cut:
             return False
         self._crashes[crash.upstream] = merged
         self._drop_oldest_crashes()
-        self._update_known_ends()
+        self._update_known()
         self._condemned.renew(merged)
         return True
 
+    def _merge_crashes(self, known: Crash, other: Crash) -> Crash:
+        """Return what is known of a crash, with the cut requests that most crashes cut."""
+        cut = list(known.cut | other.cut)
+        if len(cut) > MAX_CUT_REQUESTS:
+            others = [one for one in self._crashes.values() if one.upstream != known.upstream]
+            before = Counter(fingerprint for one in others for fingerprint in one.fingerprints)
+            cut.sort(key=lambda one: (-before[one.fingerprint], one.request))
+        return Crash(known.upstream, min(known.at, other.at), frozenset(cut[:MAX_CUT_REQUESTS]))
+
     def _drop_oldest_crashes(self) -> None:
         """Keep the crashes within their bounds, and at least the latest one."""
         latest = sorted(self._crashes.values(), key=lambda crash: -crash.at)
@@ -216,8 +229,11 @@
             if number and (number >= MAX_CRASHES or parts > MAX_CUT_PARTS):
                 del self._crashes[crash.upstream]
 
-    def _update_known_ends(self) -> None:
-        self._known_ends = frozenset(crash.mark for crash in self._crashes.values())
+    def _update_known(self) -> None:
+        crashes = self._crashes.values()
+        self._known_ends = frozenset(crash.mark for crash in crashes)
+        cut = [one for crash in crashes for one in crash.cut]
+        self._cut_subjects = frozenset(subject for one in cut for subject in one.subjects)
 
     def _select_ends(self, cut: CutRequest, known: frozenset[int]) -> frozenset[int]:
         """Return the latest known crashes under the subjects of a request, as marks.
@@ -234,17 +250,18 @@
         return frozenset(mark for _, _, mark in sorted(related)[-MAX_KNOWN_ENDS:])
 
     def _add_sound(self, subject: str, at: int) -> None:
-        _remember(self._sound, subject, max(at, self._sound.get(subject, at)), MAX_SOUND_PARTS)
+        latest = max(at, self._sound.get(subject, at))
+        _remember(self._sound, subject, latest, MAX_SOUND_PARTS, self._cut_subjects)
 
     def _add_own_sound(self, subject: str, at: int) -> None:
         self._add_sound(subject, at)
-        _remember(self._own_sound, subject, at, MAX_SOUND_PARTS)
+        _remember(self._own_sound, subject, at, MAX_SOUND_PARTS, self._cut_subjects)
 
     def _refute(self, alive: AliveUpstream) -> None:
         crash = self._crashes.get(alive.upstream)
         if crash is not None and alive.at >= crash.at:
             del self._crashes[alive.upstream]
-            self._update_known_ends()
+            self._update_known()
             self._release_requests(crash, alive.at)
         latest = max(alive.at, self._alive.get(alive.upstream, alive.at))
         _remember(self._alive, alive.upstream, latest, MAX_REFUTED)
@@ -276,14 +293,24 @@
         return at if at is not None and now - at <= EVIDENCE_MS else None
 
 
-def _remember(times: OrderedDict[KeyT, int], key: KeyT, at: int, max_entries: int) -> None:
-    """Store a time, and drop the entry that was stored longest ago if there are too many."""
+def _remember(
+    times: OrderedDict[KeyT, int],
+    key: KeyT,
+    at: int,
+    max_entries: int,
+    needed: Container[KeyT] = (),
+) -> None:
+    """Store a time, and drop the entry that was stored longest ago if there are too many.
+
+    Those that are ``needed`` are kept as long as there are others.
+    """
     times[key] = at
     times.move_to_end(key)
-    if len(times) > max_entries:
-        times.popitem(last=False)
-
-
-def _merge_crashes(known: Crash, other: Crash) -> Crash:
-    cut = sorted(known.cut | other.cut, key=lambda one: one.request)
-    return Crash(known.upstream, min(known.at, other.at), frozenset(cut[:MAX_CUT_REQUESTS]))
+    if len(times) <= max_entries:
+        return
+    for _ in range(max_entries):
+        oldest = next(iter(times))
+        if oldest not in needed:
+            break
+        times.move_to_end(oldest)
+    times.popitem(last=False)
