Test of planned stops: calls sent before the stop are not counted with its first half second

The printed counts rounded towards zero, so that the half second before the stop and its first one were one row. Nothing is checked by these counts.

--- a/tests/test_gateway_planned_stop.py
+++ b/tests/test_gateway_planned_stop.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 import signal
 import time
 from collections import Counter
@@ -151,7 +152,7 @@
 
 def count_by_half_second(calls):
     """Return for each half second of the stop how many calls ended in which way."""
-    counts = Counter(f"{int(one.sent_s * 2) / 2} s: {one.ending}" for one in calls)
+    counts = Counter(f"{math.floor(one.sent_s * 2) / 2} s: {one.ending}" for one in calls)
     return dict(sorted(counts.items()))
 
 
