Soak: a request that ends the servers that run it (--deadly)

Beside the same faults of a seed, a caller sends one such request for 8 s to all instances in turn; each plain server that begins to run it resets its connections and is back after 0.8 s as a new incarnation. The thirteenth check, "deadly requests reach few servers": at most three arrivals later than 3 s after the third end that the instances could see, and through instances in touch.

Suspected in the check, not shown: two limits of the same rate overlap at e2, the end of the shorter one takes away both, and the longer one's period is still checked.

A server that resets its connections leaves the answers it was about to write; FaultyServer reads requests as the other stand-ins do.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,7 +21,12 @@
     """Run all seeds and print their results; return 1 if any run violated a check, else 0."""
     arguments = build_parser().parse_args()
     seeds = arguments.seed or [secrets.randbelow(SEED_LIMIT) for _ in range(arguments.seeds)]
-    run_one = partial(run_seed, length_ms=arguments.seconds * 1_000, instances=arguments.instances)
+    run_one = partial(
+        run_seed,
+        length_ms=arguments.seconds * 1_000,
+        instances=arguments.instances,
+        deadly=arguments.deadly,
+    )
     failed = 0
     with ProcessPoolExecutor(arguments.jobs) as pool:
         for result in pool.map(run_one, seeds):
@@ -38,6 +43,9 @@
     parser.add_argument("--seeds", type=int, default=DEFAULT_SEEDS, help="number of fresh seeds")
     parser.add_argument("--seconds", type=int, default=DEFAULT_LENGTH_S, help="faults last so long")
     parser.add_argument("--instances", type=int, default=INSTANCES, help="gateway processes a run")
+    parser.add_argument(
+        "--deadly", action="store_true", help="also send a request that ends servers"
+    )
     parser.add_argument("--jobs", type=int, default=1, help="runs at once")
     parser.add_argument("--logs", type=Path, help="folder for the logs of seeds that failed")
     return parser
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -141,6 +141,19 @@
             self._connection = None
 
 
+async def call_once(
+    instance: str, address: tuple[str, int], template: CallTemplate
+) -> Answer | None:
+    """Send one call with a new id on a connection of its own."""
+    async with asyncio.timeout(CONNECT_TIMEOUT_S):
+        connection = await asyncio.open_connection(*address)
+    try:
+        request = f"once-{next(request_numbers)}"
+        return await send_call(connection, instance, template.path, request, template)
+    finally:
+        connection[1].close()
+
+
 async def send_call(
     connection: Connection, instance: str, path: str, request: str, template: CallTemplate
 ) -> Answer | None:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -8,7 +8,8 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 
-from soak.observations import Call, Kind, LimitPeriod, Observations, PausedAnswer
+from soak.observations import Call, DeadlyArrival, Kind, LimitPeriod, Observations, PausedAnswer
+from standins.deadly_requests import ALLOWED_CRASHES, MAX_LATE_ARRIVALS
 from standins.limit_rule import GRACE_MS, count_worst_window, find_allowed
 
 Check = Callable[[Observations], Iterator[str]]
@@ -29,6 +30,8 @@
 MIN_FAULT_FREE_CALLS = 10
 RETRY_BUDGET_RATIO = 0.2
 EXTRA_RETRIES = 100
+# Time for the instances to hear of the end of a server from each other.
+CONTACT_MS = 3_000
 RETRY_BUDGET_WINDOW_MS = 10_000
 
 # A limit that follows another one at once binds the instances from this time on.
@@ -241,6 +244,36 @@
             return
 
 
+@check("deadly requests reach few servers")
+def check_deadly(observations: Observations) -> Iterator[str]:
+    """Check that few instances in touch send a request on that is known to end servers.
+
+    They know of an end if neither the instance that saw it nor the connections of the server were
+    in trouble.
+    """
+    by_path: dict[str, list[DeadlyArrival]] = {}
+    for arrival in sorted(observations.deadly_arrivals, key=lambda arrival: arrival.at):
+        by_path.setdefault(arrival.path, []).append(arrival)
+    for path, arrivals in by_path.items():
+        seen = [one.at for one in arrivals if not _was_crash_hidden(observations, one)]
+        if len(seen) < ALLOWED_CRASHES:
+            continue
+        third = seen[ALLOWED_CRASHES - 1]
+        late = sum(
+            one.at > third + CONTACT_MS and not observations.was_hit(one.instance, third, one.at)
+            for one in arrivals
+        )
+        if late > MAX_LATE_ARRIVALS:
+            yield f"{path} reached servers {late} times later than known to end them"
+
+
+def _was_crash_hidden(observations: Observations, arrival: DeadlyArrival) -> bool:
+    return any(
+        observations.was_hit(name, arrival.at, arrival.at + CONTACT_MS)
+        for name in (arrival.instance, arrival.upstream)
+    )
+
+
 @check("memory is given back")
 def check_memory(observations: Observations) -> Iterator[str]:
     """Check that no engine memory stays reserved after the run."""
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -6,6 +6,7 @@
 import json
 from collections.abc import AsyncIterator, Sequence
 from contextlib import AbstractContextManager, asynccontextmanager
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -31,6 +32,8 @@
 STOP_GRACE_S = 4.0
 # Time after a fault to detect silent connections, reconnect and start a process.
 RECOVERY_MS = 3_000
+# A server that a request has ended is restarted after this time.
+CRASH_MS = 800
 # A fault may break a connection this long after its end; "twice" repeats an answer after 50 ms.
 BREAK_MS = 500
 
@@ -57,10 +60,13 @@
         self.logs: dict[str, list[bytes]] = {}
         # Restores must not overlap: the second would bring back rows that the first one removed.
         self.restore_lock = asyncio.Lock()
+        # Paths of requests that end the faulty servers that run them.
+        self.deadly_paths: set[str] = set()
         self._folder = folder
         self._instance_count = instances
         self._engines_by_address: dict[str, BatchServer] = {}
         self._log_tasks: set[asyncio.Task[None]] = set()
+        self._restarts: set[asyncio.Future[None]] = set()
         self._instance_locks: dict[str, asyncio.Lock] = {}
         self._version = 1
 
@@ -73,6 +79,9 @@
             BatchServer(f"e{n}", self._engines_by_address, speed=ENGINE_SPEED)
             for n in range(ENGINES)
         ]
+        for server in self.faulty_servers:
+            server.deadly_paths = self.deadly_paths
+            server.on_crash = partial(self._begin_restart, server)
         for engine in self.engines:
             record_engine(engine, self.observations, self.clock)
         for upstream in self._upstreams:
@@ -121,6 +130,18 @@
         upstream_entry = build_server_entry(self.links[name].address, service, **changes)
         await self.store.put("servers", name, upstream_entry)
 
+    def _begin_restart(self, server: FaultyServer) -> None:
+        restart = asyncio.ensure_future(self._restart_server(server))
+        self._restarts.add(restart)
+        restart.add_done_callback(self._restarts.discard)
+
+    async def _restart_server(self, server: FaultyServer) -> None:
+        """Restart a server that a request has ended, as a new incarnation."""
+        async with self.allow_breaks(server.name):
+            await asyncio.sleep(CRASH_MS / 1_000)
+            server.restart()
+            await self.register_upstream(server.name, "desk", born=server.incarnation)
+
     async def close(self) -> None:
         """Kill the gateway processes and stop the proxies and stand-ins."""
         for instance in self.instances:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,14 +4,17 @@
 
 import asyncio
 import contextlib
+import itertools
 import random
 import signal
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
+from soak.callers import TEMPLATES, call_once
 from soak.deployment import STOP_GRACE_S, Deployment
 from soak.faulty_server import FaultyServer
-from soak.observations import LimitPeriod
-from soak.plan import Fault
+from soak.observations import Kind, LimitPeriod
+from soak.plan import DEADLY_FAULT, Fault
 from soak.proxy import Proxy
 from standins.pauses import NO_PAUSE, PauseSource
 
@@ -29,6 +32,10 @@
 # Maximum pause before each row that is rewritten after a restore of the store.
 MAX_REWRITE_PAUSE_MS = 400
 
+# A deadly request comes for so long, and again after a time between these.
+DEADLY_MS = 8_000
+DEADLY_REPEAT_S = (0.3, 0.6)
+
 FaultAction = Callable[[Deployment, Fault], Awaitable[None]]
 FAULT_ACTIONS: dict[str, FaultAction] = {}
 
@@ -111,6 +118,24 @@
         upstream.draw_pause = lambda: NO_PAUSE
 
 
+@fault_action(DEADLY_FAULT)
+async def send_deadly_request(deployment: Deployment, fault: Fault) -> None:
+    """Let a caller send a request that ends the server that runs it, again and again.
+
+    Each time it has a new id, and the next instance gets it.
+    """
+    rng, until = random.Random(fault.point), deployment.clock.now() + DEADLY_MS
+    template = TEMPLATES[rng.choice((Kind.LOOKUP, Kind.BOOKING))]
+    template = replace(template, path=f"{template.path}-deadly-{fault.at_ms}")
+    deployment.deadly_paths.add(template.path)
+    instances = itertools.cycle(deployment.instances)
+    while deployment.clock.now() < until:
+        instance = next(instances)
+        with contextlib.suppress(OSError, TimeoutError):
+            await call_once(instance.name, (instance.ip, instance.front_port), template)
+        await asyncio.sleep(rng.uniform(*DEADLY_REPEAT_S))
+
+
 @fault_action("limit")
 async def name_rate_limit(deployment: Deployment, fault: Fault) -> None:
     """Let an upstream name a rate limit in its answers for some seconds."""
--- a/soak/faulty_server.py
+++ b/soak/faulty_server.py
@@ -6,9 +6,17 @@
 from collections.abc import Awaitable, Callable
 
 from lentilwell._clock import BootClock
-from soak.observations import Announcement, Arrival, LimitNaming, Observations, PausedAnswer
+from soak.observations import (
+    Announcement,
+    Arrival,
+    DeadlyArrival,
+    LimitNaming,
+    Observations,
+    PausedAnswer,
+)
 from standins.loopback import listen
 from standins.pauses import NO_PAUSE, Pause, PausePoint
+from standins.received_request import ReceivedRequest, read_request
 
 SERVICE_TIME_S = 0.01
 DUPLICATE_DELAY_S = 0.05
@@ -16,6 +24,8 @@
 MUTE_S = 60
 CLOSED_MS = 1_500
 INSTANCE_HEADER = "x-instance"
+# Modes in which a server runs nothing.
+IDLE_MODES = ("shed", "closed")
 
 AnswerMode = Callable[["FaultyServer", dict[str, str], asyncio.StreamWriter], Awaitable[None]]
 MODES: dict[str, AnswerMode] = {}
@@ -37,7 +47,8 @@
     ``incarnation`` counts its starts. While ``leaving`` is set, every answer announces it, and
     while ``rate_limit`` is set, every answer names it. ``draw_pause`` returns the pause of each
     sound answer, and ``inside_answer`` holds the connections on which only a part of one has been
-    written.
+    written. The server ends when it begins to run a request with one of ``deadly_paths``, and calls
+    ``on_crash``; it is ``down`` until it is restarted.
     """
 
     def __init__(self, name: str, observations: Observations) -> None:
@@ -49,6 +60,10 @@
         self.inside_answer: set[asyncio.StreamWriter] = set()
         self.draw_pause: Callable[[], Pause] = lambda: NO_PAUSE
         self.address = ""
+        self.deadly_paths: set[str] = set()
+        self.on_crash: Callable[[], None] = lambda: None
+        self.down = False
+        self._connections: set[asyncio.StreamWriter] = set()
         self._observations = observations
         self._clock = BootClock()
 
@@ -64,10 +79,18 @@
     def restart(self) -> None:
         """Simulate a restart: a new incarnation with the same name and address."""
         self.incarnation += 1
+        self.down = False
         self.leaving = False
         self.rate_limit = None
         self.mode = "sound"
 
+    def crash(self) -> None:
+        """End at once: reset all connections, and new ones until the restart."""
+        self.down = True
+        for writer in list(self._connections):
+            writer.transport.abort()
+        self.on_crash()
+
     def record_arrival(self, headers: dict[str, str], ran: bool) -> None:
         """Record a request and whether this server runs it."""
         instance = headers.get(INSTANCE_HEADER, "")
@@ -135,23 +158,35 @@
         self._observations.namings.append(naming)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._connections.add(writer)
         try:
             while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                _, *rows = head[:-4].decode().split("\r\n")
-                headers = {n.lower(): v.strip() for n, _, v in (r.partition(":") for r in rows)}
-                await reader.readexactly(int(headers.get("content-length", 0)))
+                request = await read_request(reader)
+                headers = request.headers
+                if self.down or writer.is_closing():
+                    raise ConnectionResetError
                 if headers.get("expect-instance") != self.name:
                     writer.write(self.format_answer(headers, 421, b"", Instance_Id=self.name))
                     continue
+                if request.path in self.deadly_paths and self.mode not in IDLE_MODES:
+                    self._run_deadly(request)
                 await MODES[self.mode](self, headers, writer)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             return
         finally:
+            self._connections.discard(writer)
             self.inside_answer.discard(writer)
             writer.close()
 
+    def _run_deadly(self, request: ReceivedRequest) -> None:
+        self.record_arrival(request.headers, ran=True)
+        instance = request.headers.get(INSTANCE_HEADER, "")
+        arrival = DeadlyArrival(request.path, self.name, instance, self._clock.now())
+        self._observations.deadly_arrivals.append(arrival)
+        self.crash()
+        raise ConnectionResetError
+
 
 def build_answer_body(request: str) -> bytes:
     """Return the body of the answer to a request; it contains the request id."""
@@ -167,6 +202,8 @@
     request = headers["request-id"]
     server.record_arrival(headers, ran=True)
     await asyncio.sleep(SERVICE_TIME_S)
+    if writer.is_closing():
+        raise ConnectionResetError
     if pause.duration_ms:
         server.record_pause(request, pause)
     await pause.hold(PausePoint.BEFORE_HEAD)
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -52,6 +52,16 @@
     ran: bool
 
 
+@dataclass(frozen=True)
+class DeadlyArrival:
+    """A request that ends each server that runs it, as received by a server through an instance."""
+
+    path: str
+    upstream: str
+    instance: str
+    at: int
+
+
 @dataclass(frozen=True)
 class PausedAnswer:
     """An answer in which a sound upstream is silent from ``begin`` and goes on at ``until``."""
@@ -130,6 +140,7 @@
 
     calls: list[Call] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
+    deadly_arrivals: list[DeadlyArrival] = field(default_factory=list)
     pauses: list[PausedAnswer] = field(default_factory=list)
     announcements: list[Announcement] = field(default_factory=list)
     namings: list[LimitNaming] = field(default_factory=list)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -16,6 +16,7 @@
 LINK_FAULTS = ("delay", "silence", "one way", "reset")
 STORE_FAULTS = ("store away", "store silent", "store link", "answers lost", "history lost")
 RESTORE_FAULTS = ("restore",)
+DEADLY_FAULT = "deadly"
 FAULT_WEIGHTS = {
     **dict.fromkeys(INSTANCE_FAULTS, 2),
     **dict.fromkeys(SERVER_FAULTS, 2),
@@ -41,8 +42,11 @@
     point: float
 
 
-def draw_plan(seed: int, length_ms: int) -> tuple[Fault, ...]:
-    """Return the faults of a run, ordered by start time; faults may overlap."""
+def draw_plan(seed: int, length_ms: int, deadly: bool = False) -> tuple[Fault, ...]:
+    """Return the faults of a run, ordered by start time; faults may overlap.
+
+    With ``deadly``, a request that ends the servers that run it comes beside the same faults.
+    """
     rng = random.Random(seed)
     count = max(1, round(FAULTS_PER_S * length_ms / 1_000))
     faults = [
@@ -54,4 +58,6 @@
         )
         for _ in range(count)
     ]
+    if deadly:
+        faults.append(Fault(rng.randrange(length_ms), MAX_FAULT_MS, DEADLY_FAULT, rng.random()))
     return tuple(sorted(faults, key=lambda fault: fault.at_ms))
--- a/soak/run.py
+++ b/soak/run.py
@@ -29,14 +29,19 @@
     logs: dict[str, list[bytes]]
 
 
-def run_seed(seed: int, length_ms: int, instances: int = INSTANCES) -> Result:
-    """Run the soak test with one seed; faults start within the first ``length_ms``."""
+def run_seed(seed: int, length_ms: int, instances: int = INSTANCES, deadly: bool = False) -> Result:
+    """Run the soak test with one seed; faults start within the first ``length_ms``.
+
+    With ``deadly``, one of them is a request that ends the servers that run it.
+    """
+    plan = draw_plan(seed, length_ms, deadly)
     with tempfile.TemporaryDirectory() as folder:
-        return asyncio.run(_run(seed, length_ms, Deployment(Path(folder), instances)))
+        return asyncio.run(_run(seed, plan, length_ms, Deployment(Path(folder), instances)))
 
 
-async def _run(seed: int, length_ms: int, deployment: Deployment) -> Result:
-    plan = draw_plan(seed, length_ms)
+async def _run(
+    seed: int, plan: tuple[Fault, ...], length_ms: int, deployment: Deployment
+) -> Result:
     try:
         await deployment.start()
         await _run_load_and_faults(seed, plan, length_ms, deployment)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,7 @@
     Announcement,
     Arrival,
     Call,
+    DeadlyArrival,
     Kind,
     LimitNaming,
     LimitPeriod,
@@ -19,7 +20,7 @@
     RouteProbe,
     Trouble,
 )
-from soak.plan import FAULT_WEIGHTS, draw_plan
+from soak.plan import DEADLY_FAULT, FAULT_WEIGHTS, draw_plan
 from soak.run import run_seed
 from standins.answer_reader import read_answer
 from standins.pauses import NO_PAUSE, Pause, PausePoint
@@ -36,6 +37,10 @@
     return Arrival(request, upstream, 1, "n0", at, ran)
 
 
+def make_deadly(*times, instance="n0"):
+    return [DeadlyArrival("/w/d", f"d{at % 3}", instance, at) for at in times]
+
+
 def make_pause(until=2_000):
     return PausedAnswer("a", "d0", 1_010, until)
 
@@ -83,6 +88,10 @@
                 ],
             },
         ),
+        (
+            "deadly requests reach few servers",
+            {"deadly_arrivals": make_deadly(500, 1_000, 1_500, 4_501, 4_502, 4_503, 4_504)},
+        ),
         ("retry budget", {"arrivals": [make_arrival(f"r{n % 110}", at=n) for n in range(400)]}),
     ],
 )
@@ -183,8 +192,31 @@
 
 def test_plan_depends_on_its_seed_alone_and_every_fault_kind_has_an_action():
     assert draw_plan(7, 8_000) == draw_plan(7, 8_000) != draw_plan(8, 8_000)
-    assert set(FAULT_WEIGHTS) == set(FAULT_ACTIONS)
-    assert len(CHECKS) == 12
+    assert {*FAULT_WEIGHTS, DEADLY_FAULT} == set(FAULT_ACTIONS)
+    assert len(CHECKS) == 13
+
+
+def test_plan_with_a_deadly_request_has_the_same_faults_and_one_more():
+    plan, deadly = draw_plan(7, 8_000), draw_plan(7, 8_000, deadly=True)
+    added = [fault for fault in deadly if fault not in plan]
+    assert [fault.kind for fault in added] == [DEADLY_FAULT]
+    assert [fault for fault in deadly if fault not in added] == list(plan)
+
+
+def test_deadly_request_may_come_late_through_instances_out_of_touch():
+    late = make_deadly(4_501, 4_502, 4_503, 4_504, instance="n1")
+    for count in (2, 3):
+        known = make_deadly(*(500, 1_000, 1_500)[:count])
+        found = find_violations(make_observations(deadly_arrivals=known + late))
+        assert bool(found) == (count == 3)
+    three_late = make_observations(deadly_arrivals=known + late[1:])
+    assert not find_violations(three_late)
+    for trouble in (Trouble("n1", 2_000, 3_000), Trouble("n0", 0, 600), Trouble("d2", 0, 600)):
+        observations = make_observations(deadly_arrivals=known + late, troubles=[trouble])
+        assert not find_violations(observations)
+    for trouble in (Trouble("n2", 0, 9_000), Trouble("d0", 0, 400), Trouble(None, 0, 9_000)):
+        observations = make_observations(deadly_arrivals=known + late, troubles=[trouble])
+        assert find_violations(observations)
 
 
 @pytest.mark.timeout(120)
