Compute less in a judgement of crashes

Cause: the time of a suspect's first crash was computed anew for each remembered crash, requests were counted beyond the number that decides, and the share of the crashes was counted for whole requests, whose share decides nothing.

The results are the same; no test of their own, since a bound in time that tells these apart would depend on the machine.

--- a/src/lentilwell/gateway/_crash_hypotheses.py
+++ b/src/lentilwell/gateway/_crash_hypotheses.py
@@ -15,6 +15,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass, field
+from functools import cached_property
 
 from lentilwell.gateway._crash_records import Crash, CutRequest, Explanation, is_explained
 from lentilwell.gateway._crash_subjects import SAME_CAUSE_MS, find_rules
@@ -47,12 +48,12 @@
         """Tell whether the subject is a whole request."""
         return is_fingerprint(self.subject)
 
-    @property
+    @cached_property
     def first_at(self) -> int:
         """Return the time of the first crash."""
         return min(crash.at for crash in self.crashes)
 
-    @property
+    @cached_property
     def last_at(self) -> int:
         """Return the time of the last crash."""
         return max(crash.at for crash in self.crashes)
@@ -208,8 +209,10 @@
     min_requests = rules.min_doubtful_requests if suspect.doubtful else rules.min_requests
     if len(suspect.crashes) < min_crashes or len(suspect.own) < rules.min_own_crashes:
         return False
-    if _count_requests(suspect) < min_requests or not _is_chain(suspect, min_crashes):
+    if _count_requests(suspect, min_requests) < min_requests or not _is_chain(suspect, min_crashes):
         return False
+    if not rules.min_share:
+        return True
     known_parts = [one for one in known if not one.fingerprint]
     since = (
         crash
@@ -219,15 +222,16 @@
     return count_causes(suspect.crashes) >= rules.min_share * count_causes(since)
 
 
-def _count_requests(suspect: Suspect) -> int:
+def _count_requests(suspect: Suspect, enough: int) -> int:
     """Return how many requests it takes to explain the crashes without the subject in common.
 
-    For a fingerprint these are the ids under which the request came.
+    For parts it counts to ``enough``. For a fingerprint these are the ids under which the request
+    came.
     """
     if suspect.is_request:
         return len(suspect.requests)
     count, left = 0, {crash.upstream for crash in suspect.crashes}
-    while left:
+    while left and count < enough:
         left -= max(suspect.requests.values(), key=lambda upstreams: len(upstreams & left))
         count += 1
     return count
