Tests: the incident of deadly requests in files of its own; the soak sends a deadly request by default

One file took some 250 s of one worker, as the files are not split among workers: now one for 3 and one for 12 instances.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -44,7 +44,10 @@
     parser.add_argument("--seconds", type=int, default=DEFAULT_LENGTH_S, help="faults last so long")
     parser.add_argument("--instances", type=int, default=INSTANCES, help="gateway processes a run")
     parser.add_argument(
-        "--deadly", action="store_true", help="also send a request that ends servers"
+        "--deadly",
+        action=argparse.BooleanOptionalAction,
+        default=True,
+        help="also send a request that ends servers",
     )
     parser.add_argument("--jobs", type=int, default=1, help="runs at once")
     parser.add_argument("--logs", type=Path, help="folder for the logs of seeds that failed")
--- a/soak/run.py
+++ b/soak/run.py
@@ -29,7 +29,7 @@
     logs: dict[str, list[bytes]]
 
 
-def run_seed(seed: int, length_ms: int, instances: int = INSTANCES, deadly: bool = False) -> Result:
+def run_seed(seed: int, length_ms: int, instances: int = INSTANCES, deadly: bool = True) -> Result:
     """Run the soak test with one seed; faults start within the first ``length_ms``.
 
     With ``deadly``, one of them is a request that ends the servers that run it.
--- a/tests/deadly_checks.py
+++ b/tests/deadly_checks.py
@@ -4,9 +4,10 @@
 
 import asyncio
 
-from standins.deadly_load import DEADLY
+from standins.crashing_server import CrashPoint
+from standins.deadly_load import DEADLY, Case
 from standins.deadly_requests import MAX_LATE_ARRIVALS
-from tests.deadly_requests import DeadlyGroup
+from tests.deadly_requests import INCIDENT_S, DeadlyGroup, run_group
 
 # Half of the users' time, since the instances of the tests are close to each other.
 CONTACT_MS = 1_500
@@ -17,6 +18,25 @@
 MAX_REPEATS = 12
 
 
+CASES = {
+    "idempotent": Case("whole"),
+    "not idempotent": Case("once"),
+    "only the body differs": Case("whole", one_path=True),
+    "not idempotent, only the body differs": Case("once", one_path=True),
+    "after the head": Case("whole", CrashPoint.AFTER_HEAD),
+    "late": Case("whole", CrashPoint.LATE),
+    "stream": Case("stream", CrashPoint.AFTER_HEAD),
+}
+
+
+async def check_incident(instances: int, case: Case) -> None:
+    """Play the incident before this many instances, and check it and its end."""
+    async with run_group(instances, case) as group:
+        await group.run_incident(INCIDENT_S, CONTACT_MS)
+        await check_rule(group)
+        await check_refusals(group)
+
+
 async def refuse(group: DeadlyGroup, name: str) -> None:
     """Send a deadly request again and again, until every instance refuses it for long."""
     refusing: set[str] = set()
--- a/tests/test_gateway_deadly_requests.py
+++ b/tests/test_gateway_deadly_requests.py
@@ -8,33 +8,14 @@
 from standins.deadly_fleet import UPSTREAMS, count_running
 from standins.deadly_load import CALM_S, DEADLY, FIRST, SECOND, TEAM, Case
 from standins.received_request import RequestContent
-from tests.deadly_checks import CONTACT_MS, check_refusals, check_rule, refuse
-from tests.deadly_requests import INCIDENT_S, OTHER_TEAM, run_group
+from tests.deadly_checks import check_refusals, refuse
+from tests.deadly_requests import OTHER_TEAM, run_group
 from tests.gateway_scripts import in_loop
 
 AFTER_S = 1.0
 LOOKUPS_PER_S = 30.0
 # Times with which three ends of one upstream after the other fit into a test.
 QUICK = {"expiry_s": 0.15, "restart_s": 0.3}
-CASES = {
-    "idempotent": Case("whole"),
-    "not idempotent": Case("once"),
-    "only the body differs": Case("whole", one_path=True),
-    "not idempotent, only the body differs": Case("once", one_path=True),
-    "after the head": Case("whole", CrashPoint.AFTER_HEAD),
-    "late": Case("whole", CrashPoint.LATE),
-    "stream": Case("stream", CrashPoint.AFTER_HEAD),
-}
-
-
-@pytest.mark.parametrize("case", CASES.values(), ids=CASES.keys())
-@pytest.mark.parametrize("instances", [3, 12])
-@in_loop
-async def test_deadly_request_reaches_few_more_servers_and_sound_ones_are_served(instances, case):
-    async with run_group(instances, case) as group:
-        await group.run_incident(INCIDENT_S, CONTACT_MS)
-        await check_rule(group)
-        await check_refusals(group)
 
 
 @pytest.mark.parametrize("kind", ["whole", "once"])
