Gateway: the course of a planned stop in a module of its own

No change of behaviour: the tests of planned stops pass (they reach the beginning of a stop by its new name), with test_gateway_process, _hostile_upstreams, _slow_callers and _leaving.

--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -34,6 +34,7 @@
 from lentilwell.gateway._catalog import Limits
 from lentilwell.gateway._connection_pool import ConnectionPool
 from lentilwell.gateway._crash_watch import CrashWatch
+from lentilwell.gateway._drain import IDLE_CLOSE_AFTER_MS, Drain
 from lentilwell.gateway._exchange import Exchange
 from lentilwell.gateway._fleet import Fleet
 from lentilwell.gateway._follower import Follower, Listener, TableReport, TableStatus
@@ -67,12 +68,6 @@
 # A lag of the event loop is logged from here on. Upstreams and peers become suspect by a longer
 # silence.
 LOGGED_LAG_MS = 200
-# The load balancer checks readiness once a second and removes an instance after two failed checks;
-# until then it still sends requests to an instance that is stopping.
-MIN_STOP_MS = 3_200
-# Kept free at the end of a planned stop, before the process is killed, to release leases and to
-# write the logs.
-STOP_MARGIN_MS = 300
 # At the end of a planned stop, the process first waits this long to accept the connections that
 # the kernel has queued, then until no caller has been busy for ``FINAL_IDLE_MS``.
 FINAL_ACCEPT_MS = 20
@@ -80,9 +75,6 @@
 FINAL_IDLE_MS = 100
 # Lets the last answers reach the kernel before their connections are aborted.
 FINAL_FLUSH_MS = 50
-# In a stop, connections stay open for this long after its beginning and after they became idle, so
-# that their callers can learn of it from the ``Connection: close`` header of one more answer.
-IDLE_CLOSE_AFTER_MS = 1_000
 # The ``Retry-After`` of a stopping instance if no other instance serves: about the time that the
 # rest of the stop and the restart take.
 RESTART_RETRY_MS = 1_500
@@ -174,7 +166,7 @@
         }
         self._dialect = dialect
         self._feeds = feeds
-        self._stopping_since: int | None = None
+        self.planned_stop = Drain(self.clock, lambda: self.settings.max_stop_ms)
         self._tasks: list[asyncio.Task[None]] = []
         self._servers: list[asyncio.Server] = []
         self.read_changed_settings: Callable[[], GatewaySettings | None] = lambda: None
@@ -188,7 +180,7 @@
     @property
     def stopping(self) -> bool:
         """Tell whether a planned stop has begun."""
-        return self._stopping_since is not None
+        return self.planned_stop.begun
 
     @property
     def ready(self) -> bool:
@@ -210,8 +202,7 @@
         """Return the time to the next maintenance, or to the end of a planned stop if less."""
         if not self.stopping:
             return MAINTENANCE_INTERVAL_MS
-        remaining_ms = self._max_drain_ms - self._get_stopping_ms()
-        return min(MAINTENANCE_INTERVAL_MS, max(0, remaining_ms))
+        return min(MAINTENANCE_INTERVAL_MS, max(0, self.planned_stop.remaining_ms))
 
     def _handle_lag(self, late_ms: int) -> None:
         """Record how late the maintenance runs; a pause of this process is no silence of peers."""
@@ -226,7 +217,7 @@
         await asyncio.sleep(FINAL_ACCEPT_MS / 1_000)
         self._close_listeners()
         idle_ms = 0
-        while idle_ms < FINAL_IDLE_MS and self._get_stopping_ms() < self._max_drain_ms:
+        while idle_ms < FINAL_IDLE_MS and self.planned_stop.remaining_ms > 0:
             await asyncio.sleep(FINAL_POLL_MS / 1_000)
             idle = not any(caller.busy for caller in self._callers)
             idle_ms = idle_ms + FINAL_POLL_MS if idle else 0
@@ -234,8 +225,7 @@
 
     def drain(self) -> None:
         """Begin a planned stop; further calls have no effect."""
-        if self._stopping_since is None:
-            self._stopping_since = self.clock.now()
+        if self.planned_stop.begin():
             self.peers.stopping = True
             self.peers.schedule_send()
             write_line(StopBegun(len(self._callers)))
@@ -444,36 +434,20 @@
         )
 
     def _close_idle_callers(self) -> None:
-        if self._get_stopping_ms() >= IDLE_CLOSE_AFTER_MS:
+        if self.planned_stop.closes_idle:
             for caller in list(self._callers):
                 caller.close_idle(IDLE_CLOSE_AFTER_MS)
 
     def _is_stop_complete(self) -> bool:
-        if not self.stopping:
-            return False
-        stopping_ms = self._get_stopping_ms()
-        if stopping_ms >= self._max_drain_ms:
-            return True
-        return stopping_ms >= MIN_STOP_MS and not any(caller.busy for caller in self._callers)
+        return self.planned_stop.is_complete(any(caller.busy for caller in self._callers))
 
     def _find_stop(self) -> PlannedStop | None:
-        if self._stopping_since is None:
-            return None
-        ends_at = self._stopping_since + self._max_drain_ms
-        late_from = self._stopping_since + MIN_STOP_MS
-        return PlannedStop(ends_at, late_from, self._find_retry_after_ms())
+        return self.planned_stop.describe(self._find_retry_after_ms())
 
     def _find_retry_after_ms(self) -> int:
         """Return when a caller that this instance refuses because it stops should retry."""
         return OTHER_INSTANCE_RETRY_MS if self.peers.others_serve else RESTART_RETRY_MS
 
-    @property
-    def _max_drain_ms(self) -> int:
-        return self.settings.max_stop_ms - STOP_MARGIN_MS
-
-    def _get_stopping_ms(self) -> int:
-        return 0 if self._stopping_since is None else self.clock.now() - self._stopping_since
-
     def _close_listeners(self) -> None:
         for server in self._servers:
             server.close()
--- a/tests/test_gateway_hostile_upstreams.py
+++ b/tests/test_gateway_hostile_upstreams.py
@@ -246,7 +246,7 @@
             caller.sendall(harness.format("/once/x"))
             waiting.append(caller)
         harness.gateway.drain()
-        harness.gateway._stopping_since -= 5_000
+        harness.gateway.planned_stop.began_at -= 5_000
         await harness.gateway.finish_stop()
         for caller in waiting:
             reader, _ = await asyncio.open_connection(sock=caller)
--- a/tests/test_gateway_planned_stop.py
+++ b/tests/test_gateway_planned_stop.py
@@ -11,7 +11,7 @@
 import pytest
 
 from lentilwell.gateway import Entry
-from lentilwell.gateway._gateway import IDLE_CLOSE_AFTER_MS, STOP_MARGIN_MS
+from lentilwell.gateway._drain import IDLE_CLOSE_AFTER_MS, STOP_MARGIN_MS
 from standins.answer_reader import Answer, read_answer
 from standins.gateway_process import (
     API_KEY,
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -56,7 +56,7 @@
     """Its connection was once closed by the maintenance while the request was on its way."""
     async with run_gateway(answer_ok) as harness:
         harness.gateway.drain()
-        harness.gateway._stopping_since -= 1_500
+        harness.gateway.planned_stop.began_at -= 1_500
         connection = await harness.connect()
         await asyncio.sleep(0.05)
         harness.gateway._run_maintenance()
@@ -78,7 +78,7 @@
         pending = asyncio.ensure_future(harness.call("/stream/x", connection=connection))
         await asyncio.sleep(0.1)
         harness.gateway.drain()
-        harness.gateway._stopping_since -= 1_500
+        harness.gateway.planned_stop.began_at -= 1_500
         answer = await pending
         assert answer.status == 200 and "connection" not in answer.headers
         harness.gateway._run_maintenance()
@@ -121,7 +121,7 @@
 
     async with run_gateway(serve, catalog=with_engines()) as harness:
         harness.gateway.drain()
-        harness.gateway._stopping_since -= stopping_for_ms
+        harness.gateway.planned_stop.began_at -= stopping_for_ms
         answer = await harness.call(path, Token_Count=tokens)
         assert answer.status == status and answer.headers["connection"] == "close"
         assert len(harness.arrivals) == (1 if status == 200 else 0)
@@ -148,7 +148,7 @@
 
     async with run_gateway(pause, catalog=with_engines()) as harness:
         harness.gateway.drain()
-        harness.gateway._stopping_since -= stopping_for_ms
+        harness.gateway.planned_stop.began_at -= stopping_for_ms
         stop = asyncio.ensure_future(end_stop(harness.gateway))
         answer = await harness.call(path, Token_Count="1000,10" if "stream" in path else None)
         assert answer.complete and answer.status == (503 if stopping_for_ms >= 6_500 else 200)
@@ -220,7 +220,7 @@
         while not harness.arrivals:
             await asyncio.sleep(0.01)
         harness.gateway.drain()
-        harness.gateway._stopping_since -= harness.gateway.settings.max_stop_ms - 500
+        harness.gateway.planned_stop.began_at -= harness.gateway.settings.max_stop_ms - 500
         harness.gateway.start = start_nothing
         await asyncio.wait_for(harness.gateway.run(), 2)
         assert (await pending).status == 504
--- a/tests/test_gateway_slow_callers.py
+++ b/tests/test_gateway_slow_callers.py
@@ -41,7 +41,7 @@
     async with run_gateway(answer_long) as harness:
         caller = await call_without_reading(harness)
         harness.gateway.drain()
-        harness.gateway._stopping_since -= 3_200
+        harness.gateway.planned_stop.began_at -= 3_200
         stopped = asyncio.create_task(harness.gateway.finish_stop())
         await asyncio.sleep(0.3)
         reader, writer = await asyncio.open_connection(sock=caller)
