--- a/bench/deadly_requests.py
+++ b/bench/deadly_requests.py
@@ -28,7 +28,7 @@
 )
 from lentilwell._clock import BootClock
 from standins.crashing_server import CrashPoint
-from standins.deadly_fleet import DeadlyServer, make_fleet
+from standins.deadly_fleet import DeadlyServer, count_running, make_fleet
 from standins.deadly_load import DEADLY, TEAM, Call, Case, DeadlyLoad, Target
 from standins.deadly_requests import MAX_LATE_ARRIVALS, DeadlyRecord
 from standins.gateway_process import (
@@ -186,7 +186,16 @@
             await instance.wait_ready()
         await asyncio.sleep(SETTLED_S)
         targets = [Target(one.name, one.ip, one.front_port) for one in instances]
-        load = DeadlyLoad(case, record, draw, clock, HOST, {TEAM: API_KEY}, lambda: targets)
+        load = DeadlyLoad(
+            case,
+            record,
+            draw,
+            clock,
+            HOST,
+            {TEAM: API_KEY},
+            lambda: targets,
+            lambda: sum(map(count_running, fleet.servers)),
+        )
         async with measure_load() as measured:
             await load.run_incident(seconds, CONTACT_MS)
     return summarize(load), measured[0]
--- a/standins/deadly_load.py
+++ b/standins/deadly_load.py
@@ -41,9 +41,9 @@
 
 
 STEADY = Pace(10, 1 / 3, (0.03, 0.15))
-# With these, every upstream has several sound requests when a deadly one comes.
-CROWDED = Pace(42, 0.9, (0.45, 0.55))
-AFTER_BATCH_S = 0.25
+# With these, upstreams have several sound requests when a deadly one comes.
+CROWDED = Pace(42, 0.9, (0.5, 0.6))
+CROWD_POLL_S = 0.01
 PROMPT_TOKENS = 4_960
 ANSWER_TOKENS = 200
 
@@ -53,8 +53,8 @@
     """Requests of one route, and how upstreams end under the deadly ones.
 
     ``prefix`` is the first part of their paths, the kind by default. With ``one_path``, all have
-    the same path, so that only their bodies differ. If ``crowded``, deadly requests come just after
-    a batch of sound ones.
+    the same path, so that only their bodies differ. If ``crowded``, deadly requests come while the
+    upstreams work on most of a batch of sound ones.
     """
 
     kind: str
@@ -122,7 +122,8 @@
 class DeadlyLoad:
     """The callers of a case; ``keys`` holds the key of each team.
 
-    ``list_targets`` returns the instances, to which the callers send in turn.
+    ``list_targets`` returns the instances, to which the callers send in turn, ``count_running`` the
+    requests that the upstreams work on.
     """
 
     case: Case
@@ -132,8 +133,8 @@
     host: str
     keys: Mapping[str, str]
     list_targets: Callable[[], Sequence[Target]]
+    count_running: Callable[[], int]
     calls: list[Call] = field(default_factory=list)
-    next_batch_s: float = 0.0
     numbers: Iterator[int] = field(default_factory=itertools.count)
 
     def pick_instance(self, number: int) -> str:
@@ -188,12 +189,19 @@
         loop = asyncio.get_running_loop()
         until_s, content = loop.time() + seconds, self.case.make_deadly(name)
         for number in itertools.count(self.draw.randrange(len(self.list_targets()))):
+            await self._wait_for_crowd(until_s)
             call = await self.call(self.pick_instance(number), content)
             wait_s = self._find_wait_s(call)
             if loop.time() + wait_s >= until_s:
                 return
             await asyncio.sleep(wait_s)
 
+    async def _wait_for_crowd(self, until_s: float) -> None:
+        """Wait until the upstreams work on most of a batch, in a crowded case."""
+        loop, crowd = asyncio.get_running_loop(), 0.75 * self.case.pace.batch
+        while self.case.crowded and self.count_running() < crowd and loop.time() < until_s:
+            await asyncio.sleep(CROWD_POLL_S)
+
     async def press(self, seconds: float) -> None:
         """Send sound requests, several at one moment, to all instances in turn."""
         loop, pace = asyncio.get_running_loop(), self.case.pace
@@ -204,7 +212,6 @@
                 number = next(self.numbers)
                 content = self.case.make_sound(number)
                 tasks.append(asyncio.ensure_future(self.call(self.pick_instance(number), content)))
-            self.next_batch_s = began_s + (batch + 1) * pace.interval_s
         await asyncio.gather(*tasks)
 
     def find_begin(self, contact_ms: int) -> int | None:
@@ -226,9 +233,6 @@
 
     def _find_wait_s(self, call: Call) -> float:
         """Return how long the caller of a deadly request waits after a failure."""
-        if self.case.crowded:
-            wait_s = self.next_batch_s + AFTER_BATCH_S - asyncio.get_running_loop().time()
-            return wait_s if wait_s >= REPEAT_S[0] else wait_s + self.case.pace.interval_s
         if call.status == 503 and call.retry_after is not None:
             return min(float(call.retry_after), REPEAT_S[1])
         return self.draw.uniform(*REPEAT_S)
--- a/tests/deadly_requests.py
+++ b/tests/deadly_requests.py
@@ -11,7 +11,7 @@
 from lentilwell._clock import SystemClock
 from lentilwell.gateway import Entry, Gateway, Member, ServiceSpec, Team, Upstream
 from standins.batch import ENGINE
-from standins.deadly_fleet import make_fleet
+from standins.deadly_fleet import count_running, make_fleet
 from standins.deadly_load import DEADLY, TEAM, Case, DeadlyLoad, Target
 from standins.deadly_requests import DeadlyRecord
 from standins.restarting_fleet import ListedServer, RestartingFleet
@@ -91,6 +91,7 @@
             HOST,
             KEYS,
             list_targets,
+            lambda: sum(map(count_running, fleet.servers)),
             gateways=gateways,
             fleet=fleet,
             listing=listing,
--- a/tests/test_deadly_bench.py
+++ b/tests/test_deadly_bench.py
@@ -25,7 +25,7 @@
 def make_load(case=CASE):
     clock = ManualClock()
     record = DeadlyRecord(clock, {case.make_deadly(name): name for name in DEADLY})
-    return DeadlyLoad(case, record, random.Random(1), clock, "h", {}, lambda: ())
+    return DeadlyLoad(case, record, random.Random(1), clock, "h", {}, lambda: (), lambda: 0)
 
 
 def receive(load, content, request_id, crashes=True):
