--- a/src/lentilwell/gateway/_attempt.py
+++ b/src/lentilwell/gateway/_attempt.py
@@ -34,8 +34,8 @@
     Event,
     ExchangeBroken,
     NoUpstream,
-    PromptRefused,
     ReportedNotRun,
+    RequestCondemned,
     RequestState,
     SendStarted,
 )
@@ -245,7 +245,7 @@
         self._owner.delivery.retry_after_ms = refusal.retry_after_ms
         self._owner.recorder.record_harmful(refusal)
         return AttemptEnd(
-            PromptRefused(), HARMFUL_REQUEST if refusal.fingerprint else HARMFUL_PARTS
+            RequestCondemned(), HARMFUL_REQUEST if refusal.fingerprint else HARMFUL_PARTS
         )
 
     def _ends_too_late(self) -> bool:
--- a/src/lentilwell/gateway/_request_state.py
+++ b/src/lentilwell/gateway/_request_state.py
@@ -122,7 +122,7 @@
 
 
 @dataclass(frozen=True)
-class PromptRefused:
+class RequestCondemned:
     """The request must not be sent to any upstream from now on."""
 
 
@@ -151,7 +151,7 @@
     | AnswerStarted
     | AnswerCompleted
     | NoUpstream
-    | PromptRefused
+    | RequestCondemned
     | DeadlinePassed
     | CallerDisconnected
     | RequestFailed
@@ -201,7 +201,7 @@
             return _give_up(state, Outcome.TIMED_OUT)
         case RequestFailed():
             return _give_up(state, Outcome.UNKNOWN)
-        case NoUpstream() | PromptRefused():
+        case NoUpstream() | RequestCondemned():
             return _wait_or_give_up(replace(state, phase=Phase.SENT))
         case ConnectionFailed():
             return replace(state, phase=Phase.PLACING), ChooseUpstream(is_retry=state.sends > 0)
