--- a/src/lentilwell/gateway/_crash_evidence.py
+++ b/src/lentilwell/gateway/_crash_evidence.py
@@ -20,10 +20,10 @@
     find_covered,
     find_explanations,
     is_supported,
-    list_suspects,
 )
 from lentilwell.gateway._crash_notice import AliveUpstream, CrashNotice, SoundPart
 from lentilwell.gateway._crash_records import Crash, CutRequest, Explanation, is_explained
+from lentilwell.gateway._crash_suspects import list_suspects
 from lentilwell.gateway._fingerprints import is_fingerprint
 from lentilwell.gateway._upstreams import Incarnation
 
