--- a/tests/test_gateway_crashing_requests.py
+++ b/tests/test_gateway_crashing_requests.py
@@ -1,27 +1,40 @@
 """Which whole requests are condemned by which crashes, answers and messages."""
 
 import itertools
+import random
+import statistics
+import time
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from lentilwell.gateway._condemned_subjects import (
     CONDEMNED_MS,
+    MAX_CONDEMNED,
     MAX_CONDEMNED_REQUESTS,
     PROBE_STAGGER_MS,
 )
-from lentilwell.gateway._crash_evidence import ALIVE_MARGIN_MS, SETTLE_MS
+from lentilwell.gateway._crash_evidence import (
+    ALIVE_MARGIN_MS,
+    MAX_CRASHES,
+    MAX_CUT_REQUESTS,
+    MAX_SOUND_PARTS,
+    SETTLE_MS,
+)
 from lentilwell.gateway._crash_messages import (
     MAX_NOTICE_BYTES,
     decode_crash_notice,
     encode_crash_notice,
 )
-from lentilwell.gateway._crash_records import CutRequest
+from lentilwell.gateway._crash_records import CutRequest, Explanation
 from lentilwell.gateway._upstreams import Incarnation
 from tests.crash_observer import STEP_MS, Observer
 
 DEADLY = "=dead"
 PART = "aa"
+# Processor time for 100 cut requests.
+MAX_RECORDING_S = 0.4
 
 
 class RequestObserver(Observer):
@@ -108,6 +121,19 @@
     assert not observer.evidence._sound
 
 
+@pytest.mark.parametrize("subject", ["=sound", PART])
+def test_cleared_subject_stays_cleared_after_answers_on_many_others(subject):
+    observer = Observer()
+    for number in range(3):
+        observer.crash((f"r{number}", subject))
+    assert observer.refuses(subject) and observer.answer(subject)
+    for number in range(2 * MAX_SOUND_PARTS):
+        observer.answer(f"{number:04x}0")
+    observer.settle()
+    assert not observer.refuses(subject)
+    assert len(observer.evidence._sound) <= MAX_SOUND_PARTS
+
+
 def test_many_deadly_requests_at_once_are_all_condemned():
     observer = RequestObserver()
     deadly = [f"=dead{number}" for number in range(20)]
@@ -152,6 +178,33 @@
     assert observer.refuses(blamed) and observer.refuses(blamed, request="probe")
 
 
+@pytest.mark.parametrize("beside", [40, 100])
+def test_deadly_request_is_found_beside_more_requests_than_are_remembered_of_a_crash(beside):
+    crashes = []
+    for seed in range(20):
+        draw, observer, count = random.Random(seed), RequestObserver(), 0
+        while not observer.refuses(DEADLY):
+            cut = [DEADLY, *(f"={draw.getrandbits(90):x}" for _ in range(beside))]
+            draw.shuffle(cut)
+            observer.end(*cut)
+            count += 1
+        crashes.append(count)
+    lucky = MAX_CUT_REQUESTS / (beside + 1)
+    assert statistics.mean(crashes) <= 1 / lucky + 4
+
+
+def test_crash_that_cuts_many_requests_is_recorded_without_a_pause_of_the_event_loop():
+    observer = RequestObserver()
+    for number in range(MAX_CRASHES):
+        observer.end(*(f"={number % 8}-{index}" for index in range(MAX_CUT_REQUESTS)))
+    upstream, known = Incarnation("last", 1), observer.evidence.known_ends
+    began_s = time.process_time()
+    for number in range(100):
+        cut = CutRequest(f"r{number}", (PART,), f"={number}", known)
+        observer.evidence.record_crash(upstream, observer.now, cut)
+    assert time.process_time() - began_s < MAX_RECORDING_S
+
+
 def test_part_is_not_blamed_for_one_request_that_comes_again():
     observer = RequestObserver()
     for number in range(8):
@@ -225,6 +278,30 @@
     assert len(encode_crash_notice(notice, observer.now)) <= MAX_NOTICE_BYTES
 
 
+def test_crash_that_does_not_fit_into_a_notice_is_told_with_the_requests_that_came_again():
+    observer, other = RequestObserver(), RequestObserver()
+    for number in range(3):
+        beside = [f"={number:012x}{index:012x}" for index in range(20)]
+        observer.end(DEADLY, *beside, parts=tuple(f"{part:016x}" for part in range(64)))
+        other.now = observer.now
+        other.hear(observer)
+        assert DEADLY in other.evidence.suspected or other.refuses(DEADLY)
+    assert len(other.evidence.collect(other.now).crashes) == 3
+
+
+def test_notice_with_large_condemned_sets_of_parts_keeps_its_bound_and_tells_of_crashes():
+    observer = RequestObserver()
+    condemn(observer)
+    for number in range(MAX_CONDEMNED):
+        parts = frozenset(f"{number:08x}{index:08x}" for index in range(64))
+        observer.evidence._condemned.add(Explanation(parts, 0, number))
+    notice = observer.evidence.collect(observer.now)
+    data = encode_crash_notice(notice, observer.now)
+    assert len(data) <= MAX_NOTICE_BYTES
+    told = decode_crash_notice(data, observer.now)
+    assert told.crashes == notice.crashes and notice.condemned[0] in told.condemned
+
+
 def test_notice_tells_fingerprints_and_what_was_known():
     observer = RequestObserver()
     condemn(observer)
