--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 export PYTHONPATH="$PWD/target/deps:$PWD:$PWD/review/common" PYTHONDONTWRITEBYTECODE=1
-python3 -c 'import fleet, standins.rows'
+python3 -c 'import crashing, fleet, standins.rows'
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -11,6 +11,7 @@
 import contextlib
 import itertools
 import json
+import logging
 import os
 import random
 import signal
@@ -453,6 +454,9 @@
 def main(case: Callable[[Fleet], Awaitable[int]], configuration: dict[str, Any]) -> None:
     """Run a case; exit with 1 if the rule was broken, 0 if it held, 2 if it could not run."""
     folder = Path(sys.argv[1]).resolve()
+    # Connections that are left at the end are no news.
+    sys.unraisablehook = lambda _: None
+    logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     record = Record(folder / "record.txt")
 
     async def run() -> int:
