Gateway: an event without end is searched once, not once for each piece of it

Cause: EventSplitter.feed copied and split the whole incomplete event for each piece, so that 1 MiB in chunks of 65 bytes cost time with its square.

The splitter keeps where it has searched and appends to a buffer. Blank lines before an event belong to it, so that a stream of line feeds is one incomplete event with a bound and not an event for every two bytes; those after the last event are passed on at the end as before.

--- a/src/lentilwell/gateway/_attempt.py
+++ b/src/lentilwell/gateway/_attempt.py
@@ -391,9 +391,11 @@
                 )
                 await self._relay_event(event, head)
                 connection.record_progress()
-        part.check_end()
+        blank_lines = part.end()
         self._claim_answer()
         self._start_stream(head)
+        if blank_lines:
+            await self._owner.delivery.write(blank_lines)
         connection.finish()
         self._accounting.record_success(self.choice)
         self._crash_watch.record_sound(self._routed)
@@ -405,7 +407,7 @@
         self._start_stream(head)
         self._owner.recorder.record_event()
         self._accounting.record_event(self.choice)
-        await self._owner.delivery.write_event(event)
+        await self._owner.delivery.write(event.data)
 
     def _start_stream(self, head: AnswerHead) -> None:
         """Forward the head of a stream, unless the caller has one already."""
--- a/src/lentilwell/gateway/_delivery.py
+++ b/src/lentilwell/gateway/_delivery.py
@@ -7,7 +7,7 @@
 from lentilwell.gateway._answer_checks import find_resume_problem
 from lentilwell.gateway._answers import answer_failure, drop_connection_headers
 from lentilwell.gateway._caller_connection import CallerConnection
-from lentilwell.gateway._event_stream import BrokenStream, EventSequence, StreamEvent, StreamPart
+from lentilwell.gateway._event_stream import BrokenStream, EventSequence, StreamPart
 from lentilwell.gateway._messages import AnswerHead
 from lentilwell.gateway._request_state import Outcome
 
@@ -60,9 +60,9 @@
         self._stream_head = head
         self._caller.start_answer(head.status, drop_connection_headers(head.headers))
 
-    async def write_event(self, event: StreamEvent) -> None:
-        """Write an event of the stream, and wait while the caller does not read."""
-        await self._caller.write(event.data)
+    async def write(self, data: bytes) -> None:
+        """Write bytes of the stream, and wait while the caller does not read."""
+        await self._caller.write(data)
 
     def finish_stream(self) -> None:
         """Write the end of the stream."""
--- a/src/lentilwell/gateway/_event_stream.py
+++ b/src/lentilwell/gateway/_event_stream.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterator
 from dataclasses import dataclass
 
 EVENT_END = b"\n\n"
-ID_FIELD = b"id:"
 STATUS_LINE_START = b"HTTP/1."
 MAX_EVENT_BYTES = 1_048_576
+_ID_FIELD = re.compile(rb"^id:([^\n]*)", re.MULTILINE)
+_NOT_LINE_FEED = re.compile(rb"[^\n]")
 
 
 class BrokenStream(Exception):
@@ -24,22 +26,50 @@
 
 
 class EventSplitter:
-    """Splits the bytes of a stream into events, and buffers the incomplete last one."""
+    """Splits the bytes of a stream into events, and buffers the incomplete last one.
+
+    Each byte is searched once, however small the pieces are in which an event arrives. Blank lines
+    before an event belong to it.
+    """
 
     def __init__(self) -> None:
-        self._incomplete = b""
+        self._incomplete = bytearray()
+        # Where the first line of the incomplete event begins, and where to search for its end.
+        self._begin = 0
+        self._searched = 0
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add bytes and return the events that they complete."""
-        *whole, self._incomplete = (self._incomplete + data).split(EVENT_END)
+        self._incomplete += data
+        events = []
+        while (end := self._find_end()) is not None:
+            event = bytes(self._incomplete[:end])
+            del self._incomplete[:end]
+            self._begin = self._searched = 0
+            events.append(StreamEvent(event, _find_number(event)))
         if len(self._incomplete) > MAX_EVENT_BYTES:
             raise BrokenStream(f"an event is longer than {MAX_EVENT_BYTES} bytes")
-        return [StreamEvent(event + EVENT_END, _find_number(event)) for event in whole]
+        return events
 
     @property
     def incomplete(self) -> bool:
         """Tell whether the bytes so far end in the middle of an event."""
-        return bool(self._incomplete)
+        return self._begin < len(self._incomplete)
+
+    @property
+    def rest(self) -> bytes:
+        """Return the bytes after the last complete event."""
+        return bytes(self._incomplete)
+
+    def _find_end(self) -> int | None:
+        """Return where the first event ends, None if it is incomplete."""
+        first_line = _NOT_LINE_FEED.search(self._incomplete, self._begin)
+        self._begin = len(self._incomplete) if first_line is None else first_line.start()
+        # The first byte of the end may have been searched already.
+        start = max(self._begin, self._searched - len(EVENT_END) + 1)
+        end = self._incomplete.find(EVENT_END, start)
+        self._searched = len(self._incomplete)
+        return None if end < 0 else end + len(EVENT_END)
 
 
 class EventSequence:
@@ -95,12 +125,16 @@
                 self._unproven = False
                 yield event
 
-    def check_end(self) -> None:
-        """Raise ``BrokenStream`` if the stream cannot be complete here."""
+    def end(self) -> bytes:
+        """Return the blank lines after the last event.
+
+        Raise ``BrokenStream`` if the stream cannot be complete here.
+        """
         if self._splitter.incomplete:
             raise BrokenStream("the stream ended in the middle of an event")
         if self._unproven:
             raise BrokenStream("a resumed stream ended without a new event")
+        return self._splitter.rest
 
 
 def _has_status_line(event: bytes) -> bool:
@@ -109,8 +143,6 @@
 
 
 def _find_number(event: bytes) -> int | None:
-    for line in event.split(b"\n"):
-        if line.startswith(ID_FIELD):
-            text = line[len(ID_FIELD) :].strip()
-            return int(text) if text.isdigit() else None
-    return None
+    field = _ID_FIELD.search(event)
+    text = field[1].strip() if field is not None else b""
+    return int(text) if text.isdigit() else None
--- a/tests/test_gateway_event_stream.py
+++ b/tests/test_gateway_event_stream.py
@@ -1,5 +1,7 @@
 """Splitting of event streams, and the check of event ids across upstreams."""
 
+import time
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -12,6 +14,9 @@
     StreamEvent,
 )
 
+PIECE_BYTES = 65
+MAX_COST_FACTOR = 3
+
 
 def make_event(number, text="x"):
     return f"id: {number}\ndata: {text}\n\n".encode()
@@ -71,3 +76,35 @@
     assert sequence.accept(StreamEvent(b"", None))
     assert sequence.accept(StreamEvent(b"", 9))
     assert sequence.last == 9
+
+
+def test_blank_lines_before_an_event_belong_to_it():
+    splitter = EventSplitter()
+    assert splitter.feed(b"\n") + splitter.feed(b"\n\n") == []
+    assert not splitter.incomplete and splitter.rest == b"\n\n\n"
+    assert splitter.feed(b"id: 4\n") == [] and splitter.incomplete
+    assert splitter.feed(b"\n\n") == [StreamEvent(b"\n\n\nid: 4\n\n", 4)]
+    assert not splitter.incomplete and splitter.rest == b"\n"
+
+
+def test_blank_lines_without_end_are_an_error():
+    with pytest.raises(BrokenStream):
+        EventSplitter().feed(b"\n" * (MAX_EVENT_BYTES + 1))
+
+
+def measure_cost_of_a_byte(total_bytes):
+    """Return the processor time per byte of an event without end that comes in small pieces."""
+    piece = b"x" * PIECE_BYTES
+    costs = []
+    for _ in range(3):
+        splitter = EventSplitter()
+        began = time.thread_time()
+        for _ in range(total_bytes // PIECE_BYTES):
+            splitter.feed(piece)
+        costs.append((time.thread_time() - began) / total_bytes)
+    return min(costs)
+
+
+def test_cost_of_a_byte_does_not_grow_with_the_incomplete_event():
+    """Guards against review case 1: a long event in small pieces stopped the event loop."""
+    assert measure_cost_of_a_byte(1_000_000) < MAX_COST_FACTOR * measure_cost_of_a_byte(60_000)
