Gateway: other tasks run while an answer that has already arrived is read

Callers saw: beside an answer without end, requests to sound upstreams got no answer in time, also where its pieces are cheap to split: chunks of one byte, a body that is buffered whole, one event again and again. Cause: while parsed pieces were left, neither the connection nor the relay of a stream returned to the event loop; up to 512 KB in pieces of any size were one step.

The size of what waits is counted, not copied for each piece that arrives.

--- a/src/lentilwell/gateway/_attempt.py
+++ b/src/lentilwell/gateway/_attempt.py
@@ -40,6 +40,7 @@
     SendStarted,
 )
 from lentilwell.gateway._routing import RoutedRequest
+from lentilwell.gateway._turns import Turns
 from lentilwell.gateway._upstreams import Upstream
 
 # Only the status and the headers of a refusal are used. The body is read so that the connection can
@@ -383,6 +384,7 @@
     async def _relay_stream(self, connection: HttpConnection, head: AnswerHead) -> AttemptEnd:
         """Forward the events of a stream as they arrive, each exactly once and complete."""
         part = self._owner.delivery.begin_part(head)
+        turns = Turns()
         while (data := await connection.read_data()) is not None:
             for event in part.read_events(data):
                 connection.events_received += 1
@@ -391,6 +393,8 @@
                 )
                 await self._relay_event(event, head)
                 connection.record_progress()
+                turns.add_piece()
+                await turns.pause_if_due()
         blank_lines = part.end()
         self._claim_answer()
         self._start_stream(head)
--- a/src/lentilwell/gateway/_connection.py
+++ b/src/lentilwell/gateway/_connection.py
@@ -13,8 +13,10 @@
 from lentilwell._clock import Clock
 from lentilwell._timeouts import allow_ms
 from lentilwell.gateway._addresses import split_address
+from lentilwell.gateway._answer_parser import AnswerParser
 from lentilwell.gateway._failures import ConnectionBroken, Unreachable
 from lentilwell.gateway._messages import Headers
+from lentilwell.gateway._turns import Turns
 
 # Many round trips, but less than the one second after which TCP sends a lost SYN again.
 CONNECT_TIMEOUT_MS = 250
@@ -56,7 +58,8 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._http = h11.Connection(h11.CLIENT)
+        self._parser = AnswerParser()
+        self._turns = Turns()
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future[bool] | None = None
         self._error: Exception | None = None
@@ -88,8 +91,10 @@
         if not self._in_use:
             self.close()
             return
-        self._receive(data)
-        if self._transport is not None and len(self._http.trailing_data[0]) > READ_AHEAD_BYTES:
+        self._received_at = self._clock.now()
+        self._parser.receive(data)
+        self._notify()
+        if self._transport is not None and self._parser.unparsed_bytes > READ_AHEAD_BYTES:
             self._transport.pause_reading()
 
     def eof_received(self) -> bool:
@@ -97,7 +102,9 @@
         self.reusable = False
         if self._in_use:
             self.ended_by_peer = True
-            self._receive(b"")
+            self._received_at = self._clock.now()
+            self._parser.end()
+            self._notify()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -118,16 +125,12 @@
         self.events_received = 0
         self._received_at = self._clock.now()
         self.record_progress()
-        request = h11.Request(method=method, target=target, headers=list(headers))
         try:
-            parts = [self._http.send(request)]
-            if body:
-                parts.append(self._http.send(h11.Data(data=body)))
-            parts.append(self._http.send(h11.EndOfMessage()))
+            data = self._parser.format_request(method, target, headers, body)
         except h11.LocalProtocolError as error:
             self.close()
             raise Unreachable(f"the request cannot be encoded: {error}") from error
-        self._transport.write(b"".join(part for part in parts if part))
+        self._transport.write(data)
 
     def record_progress(self) -> None:
         """Record that the upstream sent something useful, which ends a silence."""
@@ -183,11 +186,9 @@
         self._in_use = False
         self.silence_watch = None
         unsent = self._transport.get_write_buffer_size() > 0
-        both_done = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
-        if not self.reusable or unsent or not both_done or self._http.trailing_data[0]:
+        if not self.reusable or unsent or not self._parser.start_next():
             self.close()
             return
-        self._http.start_next_cycle()
         self._transport.resume_reading()
         self.used_before = True
         self.idle_since = self._clock.now()
@@ -211,22 +212,13 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def _receive(self, data: bytes) -> None:
-        self._received_at = self._clock.now()
-        try:
-            self._http.receive_data(data)
-        except h11.RemoteProtocolError as error:
-            self._error = error
-        self._notify()
-
     async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
         while True:
-            try:
-                event = self._http.next_event()
-            except h11.RemoteProtocolError as error:
-                raise ConnectionBroken(str(error)) from error
-            if event is not h11.NEED_DATA:
-                return event  # type: ignore[return-value]
+            await self._turns.pause_if_due()
+            event = self._parser.read_event()
+            if event is not None:
+                self._turns.add_piece(len(event.data) if isinstance(event, h11.Data) else 0)
+                return event
             if self._error is not None:
                 raise ConnectionBroken(str(self._error)) from self._error
             if self._transport is not None and not self._transport.is_closing():
