Gateway: what an upstream sends without progress is bounded in bytes and in pieces

An answer whose framing has no end went on until the deadline of its request: chunk extensions of 4 KB for each byte, chunks of one or two bytes, events that the caller has already. A body of 1 MiB in chunks of two bytes was kept as a list of half a million objects, some 28 times its size.

Every answer has an allowance, renewed by progress: the bytes of a body, eight times as many on the wire, and a piece for each 16 of them. A call that exceeds it is broken off. A body is collected in one buffer. The bound on a body (1 MiB, the store 16 MiB) is as it was.

--- a/src/lentilwell/gateway/_answer_parser.py
+++ b/src/lentilwell/gateway/_answer_parser.py
@@ -9,6 +9,7 @@
 import h11
 
 from lentilwell.gateway._failures import ConnectionBroken
+from lentilwell.gateway._input_allowance import InputAllowance
 from lentilwell.gateway._messages import Headers
 
 # The most bytes that one step of parsing takes.
@@ -16,9 +17,13 @@
 
 
 class AnswerParser:
-    """Formats requests and parses their answers, one at a time."""
+    """Formats requests and parses their answers, one at a time.
 
-    def __init__(self) -> None:
+    ``allowance`` bounds what may come before it is renewed.
+    """
+
+    def __init__(self, allowance: InputAllowance) -> None:
+        self._allowance = allowance
         self._http = h11.Connection(h11.CLIENT)
         self._unparsed = bytearray()
         self._ended = False
@@ -51,7 +56,7 @@
     def read_event(self) -> h11.Event | type[h11.PAUSED] | None:
         """Return the next part of the answer, None if it takes further bytes.
 
-        Raise ``ConnectionBroken`` if the bytes are not a valid answer.
+        Raise ``ConnectionBroken`` if the bytes are not a valid answer or exceed the allowance.
         """
         try:
             while (event := self._http.next_event()) is h11.NEED_DATA:
@@ -59,6 +64,7 @@
                     return None
         except h11.RemoteProtocolError as error:
             raise ConnectionBroken(str(error)) from error
+        self._allowance.spend_piece(len(event.data) if isinstance(event, h11.Data) else 0)
         return event  # type: ignore[return-value]
 
     def start_next(self) -> bool:
@@ -72,8 +78,10 @@
     def _parse_further(self) -> bool:
         """Pass waiting bytes, or the end of the connection, to the HTTP parser."""
         if self._unparsed:
-            self._http.receive_data(bytes(self._unparsed[:STEP_BYTES]))
+            data = bytes(self._unparsed[:STEP_BYTES])
             del self._unparsed[:STEP_BYTES]
+            self._allowance.spend_wire(len(data))
+            self._http.receive_data(data)
             return True
         if self._ended and not self._http.trailing_data[1]:
             self._http.receive_data(b"")
--- a/src/lentilwell/gateway/_connection.py
+++ b/src/lentilwell/gateway/_connection.py
@@ -15,6 +15,7 @@
 from lentilwell.gateway._addresses import split_address
 from lentilwell.gateway._answer_parser import AnswerParser
 from lentilwell.gateway._failures import ConnectionBroken, Unreachable
+from lentilwell.gateway._input_allowance import InputAllowance
 from lentilwell.gateway._messages import Headers
 from lentilwell.gateway._turns import Turns
 
@@ -58,7 +59,8 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._parser = AnswerParser()
+        self._allowance = InputAllowance(MAX_BODY_BYTES)
+        self._parser = AnswerParser(self._allowance)
         self._turns = Turns()
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future[bool] | None = None
@@ -134,6 +136,7 @@
 
     def record_progress(self) -> None:
         """Record that the upstream sent something useful, which ends a silence."""
+        self._allowance.renew(MAX_BODY_BYTES)
         self._progress_at = self._clock.now()
         self._silence_reported = False
 
@@ -165,16 +168,14 @@
     async def read_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
         """Return the whole body; raise ``ConnectionBroken`` if it exceeds ``max_bytes``.
 
-        Other failures raise like ``read_head``.
+        The same holds for a body of that size in too many pieces. Other failures raise like
+        ``read_head``.
         """
-        parts: list[bytes] = []
-        size = 0
+        self._allowance.renew(max_bytes)
+        body = bytearray()
         while (data := await self.read_data()) is not None:
-            parts.append(data)
-            size += len(data)
-            if size > max_bytes:
-                raise ConnectionBroken(f"the answer is longer than {max_bytes} bytes")
-        return b"".join(parts)
+            body += data
+        return bytes(body)
 
     def finish(self) -> None:
         """Prepare the connection for the next request after a complete answer, or close it.
