Crash evidence: only the incarnation that is said to have ended can refute its end

Cause: each answer head counted as life of the incarnation to which the request had been addressed. An upstream that is back at its address under a new name answers 421 to it; that dropped the crash, cleared the condemned request and told all other instances to do the same.

Now an answer counts if it echoes the request's id and is no refusal as misdirected, which proves the name. It proves the incarnation if its connection was opened before the end was seen; on a later connection the upstream may have started anew under the same name, so the listing of the store must show no later start 2 s afterwards, while the store answers. The log line says which proof it was.

test_refusal_of_another_upstream_at_the_address_does_not_refute_a_crash failed with the old rule.

--- a/src/lentilwell/_log_lines/_upstreams.py
+++ b/src/lentilwell/_log_lines/_upstreams.py
@@ -138,10 +138,15 @@
 @line("upstream not crashed")
 @dataclass(frozen=True)
 class UpstreamNotCrashed(Line):
-    """An upstream answers that was taken to have crashed."""
+    """An upstream answers that was taken to have crashed.
+
+    ``proof`` tells how the incarnation is known: by a ``connection`` that was opened before, or by
+    the ``listing``, which shows no later start.
+    """
 
     upstream: str
     born_ms: int
+    proof: str
 
 
 @line("parts condemned", "WARNING")
--- a/src/lentilwell/gateway/_attempt.py
+++ b/src/lentilwell/gateway/_attempt.py
@@ -298,12 +298,13 @@
         upstream = self.choice.upstream
         head = self._dialect.read_head(await connection.read_head())
         self._answer_observer.handle_head(upstream, head)
-        self._crash_watch.record_alive(upstream)
         connection.idle_limit_ms = head.idle_ms
         connection.reusable = connection.reusable and not head.closing
         problem = find_answer_problem(head, self._routed.facts.request_id, connection.used_before)
         if problem is not None:
             raise ConnectionBroken(problem)
+        if head.request_id and not head.misdirected:
+            self._crash_watch.record_alive(upstream, connection.opened_at)
         self._answer_observer.handle_answer(upstream, head, self._accounting.sent_at)
         if head.not_run:
             return await self._handle_refusal(connection, head)
@@ -388,9 +389,8 @@
         while (data := await connection.read_data()) is not None:
             for event in part.read_events(data):
                 connection.events_received += 1
-                self._crash_watch.record_events(
-                    self.choice.upstream, self._routed, connection.events_received
-                )
+                self._crash_watch.record_alive(self.choice.upstream, connection.opened_at)
+                self._crash_watch.record_events(self._routed, connection.events_received)
                 await self._relay_event(event, head)
                 connection.record_progress()
                 turns.add_piece()
--- a/src/lentilwell/gateway/_connection.py
+++ b/src/lentilwell/gateway/_connection.py
@@ -51,10 +51,11 @@
     ``reusable`` becomes false, and stays so, once the connection must not carry another request.
     ``ended_by_peer`` is true once the upstream has closed or reset it. ``events_received`` counts
     the events of the answer in progress. ``used_before`` is true once a request has been answered
-    on the connection. ``silence_watch`` is told of a silence of the upstream while a request is in
-    flight, None if nobody is. The silence is measured from the last response head or call of
-    ``record_progress``. Other bytes do not end it, so an upstream that sends single bytes without
-    end counts as silent.
+    on the connection, and ``opened_at`` is when it was opened.
+
+    ``silence_watch`` is told of a silence of the upstream while a request is in flight, None if
+    nobody is. The silence is measured from the last response head or call of ``record_progress``.
+    Other bytes do not end it, so an upstream that sends single bytes without end counts as silent.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -69,6 +70,7 @@
         self._received_at = clock.now()
         self._progress_at = clock.now()
         self._silence_reported = False
+        self.opened_at = clock.now()
         self.events_received = 0
         self.ended_by_peer = False
         self.reusable = True
--- a/src/lentilwell/gateway/_crash_evidence.py
+++ b/src/lentilwell/gateway/_crash_evidence.py
@@ -84,6 +84,11 @@
         """Return the time of the latest known crash."""
         return max((crash.at for crash in self._crashes.values()), default=None)
 
+    def find_crash(self, upstream: Incarnation) -> int | None:
+        """Return when an incarnation crashed, None if no crash of it is known."""
+        crash = self._crashes.get(upstream)
+        return None if crash is None else crash.at
+
     def record_crash(self, upstream: Incarnation, at: int, cut: CutRequest | None) -> bool:
         """Record an end of an upstream and a request that it cut; return whether it is news.
 
--- a/src/lentilwell/gateway/_crash_watch.py
+++ b/src/lentilwell/gateway/_crash_watch.py
@@ -33,8 +33,9 @@
 from lentilwell.gateway._crash_notice import CrashNotice
 from lentilwell.gateway._crash_records import CutRequest
 from lentilwell.gateway._fingerprints import is_fingerprint
+from lentilwell.gateway._life_signs import PROVED_BY_CONNECTION, PROVED_BY_LISTING, LifeSigns
 from lentilwell.gateway._messages import RequestFacts
-from lentilwell.gateway._upstreams import Upstream
+from lentilwell.gateway._upstreams import Incarnation, Upstream
 
 # An answer with this many events is beyond its beginning.
 SOUND_EVENTS = 2
@@ -70,7 +71,9 @@
         self._evidence = evidence
         self._pending_send: asyncio.TimerHandle | None = None
         self._pending_judgement: asyncio.TimerHandle | None = None
+        self._life_signs = LifeSigns()
         self._sent_at = 0
+        self.is_listed: Callable[[Incarnation], bool] = lambda incarnation: False
         self.find_rank: Callable[[], int] = lambda: 0
         self.list_peers: Callable[[], Sequence[str]] = lambda: ()
         self.send: Callable[[str, bytes], bool] = lambda peer, data: False
@@ -110,9 +113,8 @@
             self._schedule_send()
             self._schedule_judgement()
 
-    def record_events(self, upstream: Upstream, work: Work, events: int) -> None:
+    def record_events(self, work: Work, events: int) -> None:
         """Record that an answer has ``events`` events so far."""
-        self.record_alive(upstream)
         if events == SOUND_EVENTS:
             self.record_sound(work)
 
@@ -126,11 +128,23 @@
             self._log_changes(before, OWN_EVIDENCE)
             self._schedule_send()
 
-    def record_alive(self, upstream: Upstream) -> None:
-        """Record that an upstream sent something, which refutes an earlier crash of it."""
+    def record_alive(self, upstream: Upstream, connected_at: int) -> None:
+        """Record that an upstream answered a request that named it, on a connection of that time.
+
+        This refutes an earlier crash of the incarnation, if it is proved to be the same.
+        """
+        now, crashed_at = self._clock.now(), self._evidence.find_crash(upstream.incarnation)
+        if crashed_at is None:
+            return
+        if connected_at < crashed_at:
+            self._refute_crash(upstream.incarnation, now, PROVED_BY_CONNECTION)
+        else:
+            self._life_signs.add(upstream.incarnation, now)
+
+    def _refute_crash(self, upstream: Incarnation, at: int, proof: str) -> None:
         before = self._name_condemned()
-        if self._evidence.record_alive(upstream.incarnation, self._clock.now()):
-            write_line(UpstreamNotCrashed(upstream.name, upstream.born_ms))
+        if self._evidence.record_alive(upstream, at):
+            write_line(UpstreamNotCrashed(upstream.name, upstream.born_ms, proof))
             self._log_changes(before, OWN_EVIDENCE)
             self._schedule_send()
 
@@ -153,8 +167,10 @@
             self.send(peer, encode_crash_notice(notice, self._clock.now()))
 
     def run_maintenance(self) -> None:
-        """Forget old evidence and repeat the rest to a few instances."""
+        """Confirm signs of life, forget old evidence and repeat the rest to a few instances."""
         now = self._clock.now()
+        for upstream, at in self._life_signs.take_confirmed(now, self.is_listed):
+            self._refute_crash(upstream, at, PROVED_BY_LISTING)
         self._evidence.forget(now)
         latest = self._evidence.latest_crash_at
         fresh = latest is not None and now - latest < FRESH_MS
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -58,6 +58,7 @@
 from lentilwell.gateway._stopping import PlannedStop
 from lentilwell.gateway._store_report import StoreReport
 from lentilwell.gateway._table_listeners import CatalogListener, UpstreamListener
+from lentilwell.gateway._upstreams import Incarnation
 
 # Connections are accepted once the store has been read, which takes a few ms if the store answers,
 # and at the latest this long after the start.
@@ -325,13 +326,20 @@
         self.fleet.on_limit_change = self.permits.tell_owners
 
     def _connect_crash_watch(self) -> None:
-        """Let the crash watch use the datagrams of the peers."""
+        """Let the crash watch use the listing and the datagrams of the peers."""
+        self.crash_watch.is_listed = self._is_listed_now
         self.crash_watch.send = self.peers.send_to
         self.crash_watch.list_peers = self.peers.list_known
         self.crash_watch.find_rank = lambda: self.peers.rank.rank
         self.peers.on_crash_notice = self.crash_watch.handle_datagram
         self.peers.on_new_peer = self.crash_watch.greet
 
+    def _is_listed_now(self, incarnation: Incarnation) -> bool:
+        """Tell whether the store, which answers, lists an incarnation."""
+        unavailable = self._upstreams_follower.report.unavailable
+        missing = incarnation.name in self.fleet.directory.missing
+        return self.fleet.is_listed(incarnation) and not unavailable and not missing
+
     def _make_follower(
         self, name: str, feed: Feed[ValueT], listener: Listener[ValueT]
     ) -> Follower[ValueT]:
