--- a/src/lentilwell/gateway/_answer_observer.py
+++ b/src/lentilwell/gateway/_answer_observer.py
@@ -35,14 +35,19 @@
         self._ignored_limits: dict[str, str] = {}
 
     def handle_head(self, upstream: Upstream, head: AnswerHead) -> None:
-        """Record whether the upstream is draining, asks for a backoff or names a rate limit."""
+        """Record whether the upstream is draining, asks for a backoff or names a rate limit.
+
+        A misdirected answer comes from another upstream at the address, and tells nothing of this.
+        """
+        if head.misdirected:
+            return
         if head.leaving and self._availability.record_leaving(upstream.incarnation):
             listing = self._fleet.listing_point.version
             write_line(UpstreamLeaving(upstream.name, upstream.born_ms, head.status, listing))
             self._fleet.on_new_report()
         if head.status in REFUSAL_STATUSES and head.retry_after is not None:
             self._handle_retry_after(upstream, head.status, head.retry_after)
-        if head.rate_limit is not None and not head.misdirected:
+        if head.rate_limit is not None:
             self._handle_rate_limit(upstream, head.rate_limit)
 
     def handle_answer(self, upstream: Upstream, head: AnswerHead, sent_at: int) -> None:
--- a/tests/test_gateway_life_signs.py
+++ b/tests/test_gateway_life_signs.py
@@ -121,3 +121,16 @@
         await crash_first_upstream(harness)
         assert (await harness.call("/whole/x", connection=connection)).status == 200
         assert not harness.gateway.crash_watch.known_ends
+
+
+@in_loop
+async def test_leaving_that_another_upstream_announces_is_not_taken_for_the_named_one():
+    """Guards against a header of the upstream that now uses the address."""
+
+    async def answer_misdirected_and_leaving(arrival):
+        await arrival.answer(421, signed=False, Instance_Id="other", Server_Leaving="1")
+
+    async with run_gateway(answer_misdirected_and_leaving) as harness:
+        upstream = harness.gateway.fleet.directory.listed["u0"]
+        await harness.call("/whole/x")
+        assert not harness.gateway.fleet.availability.is_leaving(upstream.incarnation)
