Crash evidence: all parts of a prompt are looked at, wherever they stand

Cause: only the first 64 parts of a prompt were read, ids of more than 64 characters and malformed entries were left out, and so was a second header of the same name. What is not read can neither be suspected nor refused, while upstreams read the whole header.

The dialect now returns every part; an id that is not hexadecimal is encoded, so that it cannot be taken for a fingerprint. A higher bound would only move the fault, so what is remembered and told is bounded by likelihood instead of place: parts that other crashes cut too, then those without an answer, then an order of its own for each crash. 1,024 parts a crash, 8,192 in all, 1,280 bytes of a cut request in a message (a request that did not fit was not told at all). A request told in part is merged with the whole one. A condemned set that is too long no longer keeps later ones from being told.

test_shared_parts_are_all_but_the_last_whatever_they_look_like replaces a test that demanded the fault (64 parts, malformed ones ignored); it checks the same inputs and more.

--- a/src/lentilwell/gateway/_crash_evidence.py
+++ b/src/lentilwell/gateway/_crash_evidence.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from collections import Counter, OrderedDict
+from collections import OrderedDict
 from collections.abc import Container
 from dataclasses import replace
 from typing import TypeVar
@@ -24,6 +24,7 @@
 from lentilwell.gateway._crash_notice import AliveUpstream, CrashNotice, SoundPart
 from lentilwell.gateway._crash_records import Crash, CutRequest, Explanation, is_explained
 from lentilwell.gateway._crash_suspects import list_suspects
+from lentilwell.gateway._cut_selection import merge_cuts, rank_parts
 from lentilwell.gateway._fingerprints import is_fingerprint
 from lentilwell.gateway._upstreams import Incarnation
 
@@ -36,10 +37,12 @@
 # instance or in the buffers of a connection.
 ALIVE_MARGIN_MS = 500
 MAX_CRASHES = 64
-MAX_CUT_REQUESTS = 32
-# Bound on the parts of cut requests in all remembered crashes together. Prompts share few parts.
-MAX_CUT_PARTS = 4_096
-MAX_SOUND_PARTS = 4_096
+# Bound on the parts of cut requests in all remembered crashes together.
+MAX_CUT_PARTS = 8_192
+# Twice as many as may be needed, so that dropping one that is not needed takes few steps.
+MAX_SOUND_PARTS = 2 * MAX_CUT_PARTS
+# Of one answer so many parts are remembered as sound, beside those that crashes have cut.
+MAX_SOUND_OF_ANSWER = 1_024
 MAX_REFUTED = 64
 # A cut request tells of so many crashes that were known when it was sent.
 MAX_KNOWN_ENDS = 8
@@ -98,6 +101,13 @@
         """
         if cut is not None and cut.known_ends is not None:
             cut = replace(cut, known_ends=self._select_ends(cut, cut.known_ends))
+        if cut is not None:
+            cut = rank_parts(
+                cut,
+                Crash(upstream, at).mark,
+                self._cut_subjects,
+                lambda part: self._find_sound(part, at) is not None,
+            )
         crash = Crash(upstream, at, frozenset((cut,) if cut is not None else ()))
         changed = self._add_crash(crash)
         if changed and cut is not None and not is_explained(crash, self.condemned):
@@ -110,8 +120,9 @@
         Fingerprints are recorded only if they are suspected, since most of them occur once.
         """
         clears = any(self._is_suspect(subject) for subject in subjects)
-        for subject in subjects:
-            if not is_fingerprint(subject) or self._is_suspect(subject):
+        for number, subject in enumerate(subjects):
+            remembered = number < MAX_SOUND_OF_ANSWER and not is_fingerprint(subject)
+            if remembered or subject in self._cut_subjects or self._is_suspect(subject):
                 self._add_own_sound(subject, at)
         if clears:
             self.judge(at)
@@ -217,13 +228,9 @@
         return True
 
     def _merge_crashes(self, known: Crash, other: Crash) -> Crash:
-        """Return what is known of a crash, with the cut requests that most crashes cut."""
-        cut = list(known.cut | other.cut)
-        if len(cut) > MAX_CUT_REQUESTS:
-            others = [one for one in self._crashes.values() if one.upstream != known.upstream]
-            before = Counter(fingerprint for one in others for fingerprint in one.fingerprints)
-            cut.sort(key=lambda one: (-before[one.fingerprint], one.request))
-        return Crash(known.upstream, min(known.at, other.at), frozenset(cut[:MAX_CUT_REQUESTS]))
+        others = [one for one in self._crashes.values() if one.upstream != known.upstream]
+        cut = merge_cuts((*known.cut, *other.cut), others)
+        return Crash(known.upstream, min(known.at, other.at), cut)
 
     def _drop_oldest_crashes(self) -> None:
         """Keep the crashes within their bounds, and at least the latest one."""
--- a/src/lentilwell/gateway/_crash_messages.py
+++ b/src/lentilwell/gateway/_crash_messages.py
@@ -25,6 +25,7 @@
 MAX_NOTICE_BYTES = 8_192
 # Bounds on what is told; the oldest is left out first.
 MAX_TOLD_CRASH_BYTES = 5_120
+MAX_TOLD_CUT_BYTES = 1_280
 MAX_TOLD_CONDEMNED_BYTES = 3_072
 MAX_TOLD_SOUND_PARTS = 64
 MAX_TOLD_ALIVE = 16
@@ -94,7 +95,8 @@
 def _select_crashes(crashes: Sequence[Crash], max_bytes: int) -> list[Crash]:
     """Return as many of the first crashes as fit into a notice, without cut requests beyond it.
 
-    Cut requests that several crashes have in common come first.
+    Cut requests that several crashes have in common come first. Of the parts of one that does not
+    fit, the first are told.
     """
     crashes_under = Counter(one for crash in crashes for one in crash.fingerprints)
     selected, size = [], 0
@@ -104,21 +106,34 @@
             break
         kept = []
         for cut in sorted(crash.cut, key=lambda c: (-crashes_under[c.fingerprint], c.request)):
-            if size + _measure_cut(cut) <= max_bytes:
-                size += _measure_cut(cut)
-                kept.append(cut)
+            told = _fit_cut(cut, min(max_bytes - size, MAX_TOLD_CUT_BYTES))
+            if told is not None:
+                size += _measure_cut(told)
+                kept.append(told)
         selected.append(replace(crash, cut=frozenset(kept)))
     return selected
 
 
+def _fit_cut(cut: CutRequest, max_bytes: int) -> CutRequest | None:
+    """Return a cut request with as many of its first parts as fit, None if none does."""
+    if _measure_cut(cut) <= max_bytes:
+        return cut
+    left, parts = max_bytes - _measure_cut(replace(cut, parts=())), []
+    for part in cut.parts:
+        left -= TEXT_BYTES + len(part)
+        if left < 0:
+            break
+        parts.append(part)
+    return replace(cut, parts=tuple(parts)) if parts else None
+
+
 def _select_condemned(condemned: Iterable[Explanation]) -> list[Explanation]:
     """Return as many of the latest condemned sets as fit into a notice."""
     selected, size = [], 0
     for one in sorted(condemned, key=lambda one: -one.last_at):
-        size += _measure_condemned(one)
-        if size > MAX_TOLD_CONDEMNED_BYTES:
-            break
-        selected.append(one)
+        if size + _measure_condemned(one) <= MAX_TOLD_CONDEMNED_BYTES:
+            size += _measure_condemned(one)
+            selected.append(one)
     return selected
 
 
--- a/src/lentilwell/gateway/_crash_records.py
+++ b/src/lentilwell/gateway/_crash_records.py
@@ -19,7 +19,8 @@
 class CutRequest:
     """A request at the beginning of its answer that a crash cut.
 
-    ``parts`` are those of its prompt that other prompts may share. ``fingerprint`` is empty if it
+    ``parts`` are those of its prompt that other prompts may share, the likeliest to blame first
+    where these are only some of them. ``fingerprint`` is empty if it
     is not known. ``known_ends`` are the marks of the crashes under its subjects that were known
     when it was sent, None if it is not known which were.
     """
--- a/tests/test_gateway_crashing_requests.py
+++ b/tests/test_gateway_crashing_requests.py
@@ -18,7 +18,6 @@
 from lentilwell.gateway._crash_evidence import (
     ALIVE_MARGIN_MS,
     MAX_CRASHES,
-    MAX_CUT_REQUESTS,
     MAX_SOUND_PARTS,
     SETTLE_MS,
 )
@@ -28,6 +27,7 @@
     encode_crash_notice,
 )
 from lentilwell.gateway._crash_records import CutRequest, Explanation
+from lentilwell.gateway._cut_selection import MAX_CUT_REQUESTS
 from lentilwell.gateway._upstreams import Incarnation
 from tests.crash_observer import STEP_MS, Observer
 
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -132,15 +132,24 @@
         (b"aa:1,aa:1,cc:3", ("aa",)),
         (b"aa:1", ()),
         (b"", ()),
-        (b"zz:1,aa:x,bb,:4," + b"f" * 65 + b":1,cc:2,dd:3", ("cc",)),
-        (b",".join(b"%x:1" % number for number in range(90)), tuple(f"{n:x}" for n in range(64))),
+        (
+            b"zz:1,aa:x,bb,:4," + b"f" * 65 + b":1,cc:2,=e:1,dd:3",
+            ("7a7a", "aa", "bb", "f" * 65, "cc", "3d65"),
+        ),
+        (b",".join(b"%x:1" % number for number in range(900)), tuple(f"{n:x}" for n in range(899))),
     ],
 )
-def test_shared_parts_are_all_but_the_last_and_malformed_ones_are_ignored(text, parts):
+def test_shared_parts_are_all_but_the_last_whatever_they_look_like(text, parts):
+    """Guards against review case 5: a harmful part behind the 64th was never looked at."""
     facts = DIALECT.read_facts(make_request((b"prompt-prefix", text)))
     assert facts.shared_parts == parts
 
 
+def test_parts_of_a_prompt_in_several_headers_are_one_list():
+    headers = [(b"Prompt-Prefix", b"aa:1,bb:2"), (b"prompt-prefix", b"cc:3,dd:4")]
+    assert DIALECT.read_facts(make_request(*headers)).shared_parts == ("aa", "bb", "cc")
+
+
 def test_parts_of_a_prompt_pass_on_unchanged():
     header = (b"Prompt-Prefix", b"zz:1,AA:x")
     envelope = Envelope("u", 50, None, None, None)
