Gateway: what all unfinished answers hold together is bounded

The connections of a pool share a bound of 64 MiB; at it the answer that holds most is broken off, since sound ones are small. Less is read ahead (64 KB and one read of the socket), and parsed in steps of 2 KiB, so that a step over events of three bytes stays short as well.

--- a/src/lentilwell/gateway/_answer_parser.py
+++ b/src/lentilwell/gateway/_answer_parser.py
@@ -13,7 +13,7 @@
 from lentilwell.gateway._messages import Headers
 
 # The most bytes that one step of parsing takes.
-STEP_BYTES = 8_192
+STEP_BYTES = 2_048
 
 
 class AnswerParser:
@@ -49,6 +49,10 @@
         """Add received bytes."""
         self._unparsed += data
 
+    def clear(self) -> None:
+        """Forget the received bytes that are not parsed yet."""
+        self._unparsed.clear()
+
     def end(self) -> None:
         """Record that no further bytes will come."""
         self._ended = True
--- a/src/lentilwell/gateway/_connection.py
+++ b/src/lentilwell/gateway/_connection.py
@@ -13,6 +13,7 @@
 from lentilwell._clock import Clock
 from lentilwell._timeouts import allow_ms
 from lentilwell.gateway._addresses import split_address
+from lentilwell.gateway._answer_memory import AnswerMemory
 from lentilwell.gateway._answer_parser import AnswerParser
 from lentilwell.gateway._failures import ConnectionBroken, Unreachable
 from lentilwell.gateway._input_allowance import InputAllowance
@@ -28,7 +29,7 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 # Reading from the socket pauses when more unparsed bytes than this are buffered.
-READ_AHEAD_BYTES = 262_144
+READ_AHEAD_BYTES = 65_536
 # Bounds the memory of an answer that is buffered whole; hundreds may be in flight at once.
 MAX_BODY_BYTES = 1_048_576
 # 1xx responses that are skipped while waiting for the final response.
@@ -58,14 +59,16 @@
     Other bytes do not end it, so an upstream that sends single bytes without end counts as silent.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, memory: AnswerMemory | None = None) -> None:
         self._clock = clock
+        self._memory = memory or AnswerMemory()
         self._allowance = InputAllowance(MAX_BODY_BYTES)
         self._parser = AnswerParser(self._allowance)
         self._turns = Turns()
         self._transport: asyncio.Transport | None = None
         self._waiter: asyncio.Future[bool] | None = None
         self._error: Exception | None = None
+        self._broken_off = ""
         self._in_use = False
         self._received_at = clock.now()
         self._progress_at = clock.now()
@@ -97,6 +100,7 @@
             return
         self._received_at = self._clock.now()
         self._parser.receive(data)
+        self._update_memory()
         self._notify()
         if self._transport is not None and self._parser.unparsed_bytes > READ_AHEAD_BYTES:
             self._transport.pause_reading()
@@ -187,6 +191,7 @@
         """
         assert self._transport is not None
         self._in_use = False
+        self._memory.update(self, 0)
         self.silence_watch = None
         unsent = self._transport.get_write_buffer_size() > 0
         if not self.reusable or unsent or not self._parser.start_next():
@@ -212,14 +217,29 @@
     def close(self) -> None:
         """Abort the connection, which lets the upstream cancel the request in flight."""
         self.reusable = False
+        self._memory.update(self, 0)
         if self._transport is not None:
             self._transport.abort()
 
+    def break_off(self, reason: str) -> None:
+        """End an answer that holds too much memory; its reader gets ``ConnectionBroken``."""
+        self._broken_off = reason
+        self._parser.clear()
+        self.close()
+        self._notify()
+
+    def _update_memory(self) -> None:
+        held_bytes = self._parser.unparsed_bytes + self._allowance.held_bytes
+        self._memory.update(self, held_bytes)
+
     async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
         while True:
             await self._turns.pause_if_due()
+            if self._broken_off:
+                raise ConnectionBroken(self._broken_off)
             event = self._parser.read_event()
             if event is not None:
+                self._update_memory()
                 self._turns.add_piece(len(event.data) if isinstance(event, h11.Data) else 0)
                 return event
             if self._error is not None:
@@ -301,13 +321,20 @@
 )
 
 
-async def open_http_connection(address: str, clock: Clock) -> HttpConnection:
-    """Connect to ``host:port``; raise ``Unreachable`` if that fails."""
+async def open_http_connection(
+    address: str, clock: Clock, memory: AnswerMemory | None = None
+) -> HttpConnection:
+    """Connect to ``host:port``; raise ``Unreachable`` if that fails.
+
+    Connections with the same ``memory`` share its bound on what unfinished answers hold.
+    """
     loop = asyncio.get_running_loop()
     try:
         host, port = split_address(address)
         async with allow_ms(CONNECT_TIMEOUT_MS):
-            _, connection = await loop.create_connection(lambda: HttpConnection(clock), host, port)
+            _, connection = await loop.create_connection(
+                lambda: HttpConnection(clock, memory), host, port
+            )
     except (OSError, TimeoutError, ValueError, OverflowError) as error:
         # The last two are raised for a host that cannot be encoded and a port out of range.
         raise Unreachable(f"{address} does not accept connections: {error!r}") from error
--- a/src/lentilwell/gateway/_connection_pool.py
+++ b/src/lentilwell/gateway/_connection_pool.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 
 from lentilwell._clock import Clock
+from lentilwell.gateway._answer_memory import AnswerMemory
 from lentilwell.gateway._connection import HttpConnection, open_http_connection
 
 # A connection is dropped this long before the upstream's idle limit: the upstream closes it by its
@@ -22,6 +23,7 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
+        self._memory = AnswerMemory()
         self._idle: dict[str, list[HttpConnection]] = {}
         self._connections: dict[str, weakref.WeakSet[HttpConnection]] = {}
         self.opened = 0
@@ -41,7 +43,7 @@
                 return connection
             connection.close()
         self.opened += 1
-        connection = await open_http_connection(address, self._clock)
+        connection = await open_http_connection(address, self._clock, self._memory)
         self._connections.setdefault(address, weakref.WeakSet()).add(connection)
         return connection
 
--- a/src/lentilwell/gateway/_input_allowance.py
+++ b/src/lentilwell/gateway/_input_allowance.py
@@ -20,6 +20,11 @@
     def __init__(self, body_bytes: int) -> None:
         self.renew(body_bytes)
 
+    @property
+    def held_bytes(self) -> int:
+        """Return how many bytes of a body have come without progress."""
+        return self._body_bytes - self._body_left
+
     def renew(self, body_bytes: int) -> None:
         """Begin anew: up to ``body_bytes`` of a body may come, and the framing that it needs."""
         self._body_bytes = body_bytes
--- a/src/lentilwell/gateway/_turns.py
+++ b/src/lentilwell/gateway/_turns.py
@@ -7,7 +7,7 @@
 # Each step takes some 10 to 30 us.
 STEPS_PER_TURN = 32
 # A piece of an answer takes a step for itself and one for each so many bytes.
-BYTES_PER_STEP = 256
+BYTES_PER_STEP = 64
 
 
 class Turns:
--- a/tests/test_gateway_endless_answers.py
+++ b/tests/test_gateway_endless_answers.py
@@ -64,9 +64,15 @@
             answer = await harness.call("/once/x")
             assert (answer.status, answer.body) == (200, b"hello")
 
+    async def receive(harness):
+        reader, writer = await harness.connect()
+        writer.write(harness.format(path))
+        while await reader.read(65_536):
+            pass
+
     async with run_gateway(send_without_end) as harness:
         until = time.monotonic() + PLAY_S
-        endless = [asyncio.ensure_future(harness.call(path)) for _ in range(2)]
+        endless = [asyncio.ensure_future(receive(harness)) for _ in range(2)]
         others = asyncio.ensure_future(call_others(harness, until))
         longest = await measure_longest_step(until)
         await others
