Gateway: a caller's body in tiny chunks neither stops the event loop nor fills the memory

Same cause as for answers, on the path of callers: all parsed pieces of what had arrived were handled in one step of the event loop (0.58 s of processor time for four bodies of 12 KB in chunks of one byte), and a body was kept as a list of its chunks (5.2 MB for 80 KB in chunks of two bytes).

Now 32 events are handled at a time, with reading paused meanwhile, and the body is one buffer.

--- a/src/lentilwell/gateway/_caller_connection.py
+++ b/src/lentilwell/gateway/_caller_connection.py
@@ -23,6 +23,7 @@
     encode_error,
     format_retry_after,
 )
+from lentilwell.gateway._turns import STEPS_PER_TURN
 
 # Bytes of further requests that are buffered while one request is being answered.
 MAX_PIPELINED_BYTES = 65_536
@@ -71,8 +72,7 @@
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
         self._transport: asyncio.Transport | None = None
         self._request: InboundRequest | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self._exchange: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._timer_started_at = clock.now()
@@ -190,11 +190,26 @@
             self._reject(503, "stopping", (format_retry_after(retry_after_ms),))
 
     def _process_events(self) -> None:
+        """Handle what has arrived, ``STEPS_PER_TURN`` events at a time.
+
+        The event loop runs between them, however small the chunks of a body are.
+        """
         try:
-            while self._handle_next_event():
-                pass
+            for _ in range(STEPS_PER_TURN):
+                if not self._handle_next_event():
+                    return
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint, str(error))
+            return
+        if self._transport is not None:
+            self._transport.pause_reading()
+        asyncio.get_running_loop().call_soon(self._continue_processing)
+
+    def _continue_processing(self) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._transport.resume_reading()
+        self._process_events()
 
     def _handle_next_event(self) -> bool:
         """Handle one parser event; return whether another one may be available."""
@@ -202,7 +217,7 @@
         if isinstance(event, h11.Request):
             return self._handle_head(event)
         if isinstance(event, h11.Data):
-            return self._handle_data(bytes(event.data))
+            return self._handle_data(event.data)
         if isinstance(event, h11.EndOfMessage):
             self._start_exchange()
         if event is h11.NEED_DATA:
@@ -224,16 +239,15 @@
             return False
         arrived_at = self._first_byte_at if self._first_byte_at is not None else self._clock.now()
         self._request = InboundRequest(event.method, event.target, headers, arrived_at)
-        self._body, self._body_bytes = [], 0
+        self._body.clear()
         self._set_timer(_find_idle_timeout_ms)
         if self._http.they_are_waiting_for_100_continue:
             self._write(h11.InformationalResponse(status_code=100, headers=[]))
         return True
 
-    def _handle_data(self, data: bytes) -> bool:
-        self._body.append(data)
-        self._body_bytes += len(data)
-        if self._body_bytes > self._context.limits.body_bytes:
+    def _handle_data(self, data: bytes | bytearray) -> bool:
+        self._body += data
+        if len(self._body) > self._context.limits.body_bytes:
             self._reject(413, f"the body is longer than {self._context.limits.body_bytes} bytes")
             return False
         return True
@@ -241,8 +255,8 @@
     def _start_exchange(self) -> None:
         assert self._request is not None
         self._clear_timer()
-        self._request = replace(self._request, body=b"".join(self._body))
-        self._body = []
+        self._request = replace(self._request, body=bytes(self._body))
+        self._body = bytearray()
         coroutine = self._context.serve(self, self._request)
         self._exchange = asyncio.get_running_loop().create_task(coroutine)
         self._exchange.add_done_callback(self._end_exchange)
