--- a/tests/test_platform_odd_answers.py
+++ b/tests/test_platform_odd_answers.py
@@ -1,6 +1,7 @@
 """Answers of the store with odd rows: each odd row is skipped, and the others are read."""
 
 import asyncio
+import itertools
 import json
 
 import pytest
@@ -39,6 +40,16 @@
         return 200, self.bodies.pop(0)
 
 
+class EndlessBodies:
+    """Bodies that never run out; a test reads 100 of them at most."""
+
+    def __init__(self, bodies) -> None:
+        self._bodies = itertools.islice(bodies, 100)
+
+    def pop(self, _index):
+        return next(self._bodies)
+
+
 def encode_answer(*rows, more=False, version=9):
     return json.dumps({"rows": rows, "schema_version": version, "has_more": more}).encode()
 
@@ -85,6 +96,25 @@
         asyncio.run(make_feed(encode_answer({}, more=True)).read_all())
 
 
+def count_up():
+    """Yield pages with ever larger keys, each of which has more."""
+    for number in itertools.count():
+        yield encode_answer(*({**SOUND, "key": f"{number:09}{n}"} for n in range(50)), more=True)
+
+
+@pytest.mark.parametrize(
+    "bodies", [itertools.repeat(encode_answer(SOUND, more=True)), count_up()], ids=["same", "more"]
+)
+def test_pages_without_end_are_an_unavailable_store(bodies, monkeypatch):
+    """Their rows were kept without end, until the process ran out of memory."""
+    monkeypatch.setattr(wire_store, "MAX_TABLE_ROWS", 1_000)
+    feed = make_feed()
+    feed._client.bodies = EndlessBodies(bodies)
+    with pytest.raises(StoreUnavailable, match="no end"):
+        asyncio.run(feed.read_all())
+    assert len(feed._client.targets) <= 21
+
+
 @pytest.mark.parametrize(
     "body",
     [
