Gateway: an event id of thousands of digits is no number, instead of an unexpected error

int() refuses more than 4,300 digits with a ValueError, which no path of an attempt expects: the attempt ended as an unexpected error. Such an id now counts as text, like others that are no number. Found while reading what can come in an event. test_number_of_an_event failed before with its new case (ValueError).

--- a/src/lentilwell/gateway/_event_stream.py
+++ b/src/lentilwell/gateway/_event_stream.py
@@ -9,6 +9,8 @@
 EVENT_END = b"\n\n"
 STATUS_LINE_START = b"HTTP/1."
 MAX_EVENT_BYTES = 1_048_576
+# int() refuses more than 4,300 digits; no number of an event has so many.
+MAX_NUMBER_DIGITS = 18
 _ID_FIELD = re.compile(rb"^id:([^\n]*)", re.MULTILINE)
 _NOT_LINE_FEED = re.compile(rb"[^\n]")
 
@@ -145,4 +147,4 @@
 def _find_number(event: bytes) -> int | None:
     field = _ID_FIELD.search(event)
     text = field[1].strip() if field is not None else b""
-    return int(text) if text.isdigit() else None
+    return int(text) if text.isdigit() and len(text) <= MAX_NUMBER_DIGITS else None
--- a/tests/test_gateway_event_stream.py
+++ b/tests/test_gateway_event_stream.py
@@ -53,6 +53,7 @@
         (b"data: a\n\n", None),
         (b"id: x\ndata: a\n\n", None),
         (b"id:5\n\n", 5),
+        (b"id: " + b"9" * 5_000 + b"\n\n", None),
     ],
 )
 def test_number_of_an_event(event, number):
