--- a/src/lentilwell/gateway/_attempt.py
+++ b/src/lentilwell/gateway/_attempt.py
@@ -10,22 +10,16 @@
 from lentilwell.gateway._accounting import Accounting
 from lentilwell.gateway._admission import check_admission
 from lentilwell.gateway._answer_checks import find_answer_problem
-from lentilwell.gateway._answer_observer import AnswerObserver
 from lentilwell.gateway._catalog import Repeat
 from lentilwell.gateway._connection import HttpConnection
-from lentilwell.gateway._connection_pool import ConnectionPool
-from lentilwell.gateway._crash_watch import CrashWatch
 from lentilwell.gateway._delivery import Delivery, UpstreamFailure
 from lentilwell.gateway._event_stream import BrokenStream, StreamEvent
+from lentilwell.gateway._exchange_context import ExchangeContext
 from lentilwell.gateway._failures import ConnectionBroken, HttpConnectionError, Unreachable
-from lentilwell.gateway._fleet import Fleet
-from lentilwell.gateway._leases import LeaseManager, LeaseSet, ReservationFailed
+from lentilwell.gateway._leases import LeaseSet, ReservationFailed
 from lentilwell.gateway._messages import AnswerHead, Envelope, PrefillHelper
-from lentilwell.gateway._metrics import Metrics
-from lentilwell.gateway._permits import Permits
 from lentilwell.gateway._placement_policies import Choice
 from lentilwell.gateway._placer import Placement, Placer
-from lentilwell.gateway._ports import Dialect
 from lentilwell.gateway._request_recorder import RequestRecorder
 from lentilwell.gateway._request_state import (
     AnswerCompleted,
@@ -52,20 +46,6 @@
 STOPPING = "not expected to end before this instance stops"
 
 
-@dataclass(frozen=True)
-class ExchangeContext:
-    """The objects that all exchanges of a gateway share."""
-
-    fleet: Fleet
-    answer_observer: AnswerObserver
-    permits: Permits
-    connections: ConnectionPool
-    leases: LeaseManager
-    dialect: Dialect
-    metrics: Metrics
-    crash_watch: CrashWatch
-
-
 @dataclass(frozen=True)
 class AttemptEnd:
     """The event with which an attempt ended, and why; ``reason`` is empty for an answer."""
--- a/src/lentilwell/gateway/_exchange.py
+++ b/src/lentilwell/gateway/_exchange.py
@@ -6,9 +6,10 @@
 from dataclasses import dataclass
 
 from lentilwell._log_lines import ExchangeFailed, write_line
-from lentilwell.gateway._attempt import Attempt, AttemptEnd, ExchangeContext
+from lentilwell.gateway._attempt import Attempt, AttemptEnd
 from lentilwell.gateway._caller_connection import CallerConnection
 from lentilwell.gateway._delivery import Delivery
+from lentilwell.gateway._exchange_context import ExchangeContext
 from lentilwell.gateway._placer import Placer
 from lentilwell.gateway._request_recorder import RequestRecorder
 from lentilwell.gateway._request_state import (
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -29,13 +29,13 @@
 from lentilwell.gateway._addresses import split_address
 from lentilwell.gateway._answer_observer import AnswerObserver
 from lentilwell.gateway._answers import answer_failure
-from lentilwell.gateway._attempt import ExchangeContext
 from lentilwell.gateway._caller_connection import CallerConnection
 from lentilwell.gateway._catalog import Limits
 from lentilwell.gateway._connection_pool import ConnectionPool
 from lentilwell.gateway._crash_watch import CrashWatch
 from lentilwell.gateway._drain import IDLE_CLOSE_AFTER_MS, Drain
 from lentilwell.gateway._exchange import Exchange
+from lentilwell.gateway._exchange_context import ExchangeContext
 from lentilwell.gateway._fleet import Fleet
 from lentilwell.gateway._follower import Follower, Listener, TableReport, TableStatus
 from lentilwell.gateway._leases import LeaseManager
