--- a/tests/test_gateway_long_prompts.py
+++ b/tests/test_gateway_long_prompts.py
@@ -125,6 +125,19 @@
     assert all(one.count_parts() > MAX_TOLD_CUT_BYTES // 20 for one in crashes)
 
 
+def test_crash_that_cuts_much_leaves_the_earlier_ones_remembered():
+    observer = Observer()
+    for number in range(5):
+        observer.crash(
+            *(
+                (f"r{number}-{index}", *name_parts(300, first=400 * (30 * number + index)))
+                for index in range(30)
+            )
+        )
+    crashes = observer.evidence.collect(observer.now).crashes
+    assert len(crashes) == 5 and max(one.count_parts() for one in crashes) <= MAX_CRASH_PARTS
+
+
 def test_crash_keeps_its_name_whatever_it_cut():
     upstream = Incarnation("u", 1)
     assert Crash(upstream, 5).mark == Crash(upstream, 9, frozenset((CutRequest("r", ()),))).mark
