Crash evidence: an answer within half a second of an end does not put off the proof by a later one

Such an answer proves nothing, but was kept as the one that the listing had to confirm, so that an upstream that had only ended a connection counted as crashed for 2 s longer than needed.

--- a/src/lentilwell/gateway/_crash_watch.py
+++ b/src/lentilwell/gateway/_crash_watch.py
@@ -24,7 +24,7 @@
     write_line,
 )
 from lentilwell.gateway._condemned_subjects import Refusal
-from lentilwell.gateway._crash_evidence import SETTLE_MS, CrashEvidence
+from lentilwell.gateway._crash_evidence import ALIVE_MARGIN_MS, SETTLE_MS, CrashEvidence
 from lentilwell.gateway._crash_messages import (
     UnreadableCrashNotice,
     decode_crash_notice,
@@ -138,7 +138,7 @@
             return
         if connected_at < crashed_at:
             self._refute_crash(upstream.incarnation, now, PROVED_BY_CONNECTION)
-        else:
+        elif now >= crashed_at + ALIVE_MARGIN_MS:
             self._life_signs.add(upstream.incarnation, now)
 
     def _refute_crash(self, upstream: Incarnation, at: int, proof: str) -> None:
--- a/tests/test_gateway_life_signs.py
+++ b/tests/test_gateway_life_signs.py
@@ -26,14 +26,14 @@
 class CrashedUpstream:
     """A watch that knows of one crash, and what the store lists."""
 
-    def __init__(self):
+    def __init__(self, since_crash_ms=ALIVE_MARGIN_MS):
         self.clock = ManualClock(100_000)
         self.watch = CrashWatch(self.clock, CrashEvidence())
         self.watch.is_listed = lambda incarnation: incarnation in self.listed  # the store's rows
         self.listed = {UPSTREAM.incarnation}
         self.connected_before = self.clock.now() - 1_000
         self.watch.record_cut(UPSTREAM, DEADLY, 0, frozenset())
-        self.clock.advance(ALIVE_MARGIN_MS)
+        self.clock.advance(since_crash_ms)
 
     @property
     def crash_is_known(self):
@@ -72,6 +72,18 @@
     case.watch.close()
 
 
+@in_loop
+async def test_answer_just_after_the_crash_does_not_put_off_the_proof_by_a_later_one():
+    """The first may have been sent before the crash, so that it proves nothing."""
+    case = CrashedUpstream(since_crash_ms=0)
+    case.watch.record_alive(UPSTREAM, case.clock.now())
+    case.wait(ALIVE_MARGIN_MS)
+    case.watch.record_alive(UPSTREAM, case.clock.now())
+    case.wait(REGISTRATION_MS)
+    assert not case.crash_is_known
+    case.watch.close()
+
+
 @pytest.mark.parametrize("restarted", [True, False])
 @in_loop
 async def test_answer_of_a_new_start_under_the_same_name_does_not_refute_the_crash(restarted):
