Soak: the end of a limit leaves a later one of the same rate in force

A later limit now ends the earlier one and its period, as the answers tell. The check is as it was.

test_end_of_a_limit_leaves_a_later_one_of_the_same_rate_in_force failed before.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -13,7 +13,7 @@
 from lentilwell._clock import BootClock
 from soak.engine_recorder import record_engine
 from soak.faulty_server import FaultyServer
-from soak.observations import Observations, Trouble
+from soak.observations import NamedLimit, Observations, Trouble
 from soak.plan import Fault
 from soak.proxy import Proxy
 from standins.batch_server import BatchServer
@@ -62,6 +62,8 @@
         self.restore_lock = asyncio.Lock()
         # Paths of requests that end the faulty servers that run them.
         self.deadly_paths: set[str] = set()
+        # The rate limits that upstreams name now, by upstream.
+        self.named_limits: dict[str, NamedLimit] = {}
         self._folder = folder
         self._instance_count = instances
         self._engines_by_address: dict[str, BatchServer] = {}
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,9 +13,10 @@
 from soak.callers import TEMPLATES, call_once
 from soak.deployment import STOP_GRACE_S, Deployment
 from soak.faulty_server import FaultyServer
-from soak.observations import Kind, LimitPeriod
+from soak.observations import Kind, NamedLimit
 from soak.plan import DEADLY_FAULT, Fault
 from soak.proxy import Proxy
+from standins.batch_server import BatchServer
 from standins.pauses import NO_PAUSE, PauseSource
 
 # Time from the announcement of a leave until the upstream is restarted.
@@ -138,17 +139,28 @@
 
 @fault_action("limit")
 async def name_rate_limit(deployment: Deployment, fault: Fault) -> None:
-    """Let an upstream name a rate limit in its answers for some seconds."""
+    """Let an upstream name a rate limit in its answers for some seconds.
+
+    It ends a limit that the upstream names already: only one can be named at a time.
+    """
     upstream = deployment.pick_upstream(fault)
     rate = LIMIT_RATES[fault.for_ms % len(LIMIT_RATES)]
     incarnation = upstream.incarnation if isinstance(upstream, FaultyServer) else 1
-    begin = deployment.clock.now()
+    limit = NamedLimit(upstream.name, incarnation, deployment.clock.now(), rate)
+    _end_named_limit(deployment, upstream)
+    deployment.named_limits[upstream.name] = limit
     upstream.rate_limit = rate
     await asyncio.sleep(fault.for_ms * LIMIT_LENGTH_FACTOR / 1_000)
-    if upstream.rate_limit == rate:
+    if deployment.named_limits.get(upstream.name) is limit:
+        _end_named_limit(deployment, upstream)
+
+
+def _end_named_limit(deployment: Deployment, upstream: FaultyServer | BatchServer) -> None:
+    """End the limit that an upstream names, if it does, and record for how long it did."""
+    limit = deployment.named_limits.pop(upstream.name, None)
+    if limit is not None:
         upstream.rate_limit = None
-    period = LimitPeriod(upstream.name, incarnation, begin, deployment.clock.now(), rate)
-    deployment.observations.limit_periods.append(period)
+        deployment.observations.limit_periods.append(limit.end(deployment.clock.now()))
 
 
 @fault_action("leave")
--- a/soak/observations.py
+++ b/soak/observations.py
@@ -105,6 +105,20 @@
     rate: float
 
 
+@dataclass(frozen=True, eq=False)
+class NamedLimit:
+    """A rate limit that an upstream names since ``begin``; each is equal to itself only."""
+
+    upstream: str
+    incarnation: int
+    begin: int
+    rate: float
+
+    def end(self, at: int) -> LimitPeriod:
+        """Return the period of the limit if it ends now."""
+        return LimitPeriod(self.upstream, self.incarnation, self.begin, at, self.rate)
+
+
 @dataclass(frozen=True)
 class RouteProbe:
     """The status of a call to the route that configuration version ``version`` added."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,9 +1,11 @@
 """Tests of the soak's fault plan and checks, and a short run of real processes."""
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 
+from lentilwell._clock import BootClock
 from soak.checks import ANNOUNCEMENT_SLACK_MS, CHECKS, find_violations
 from soak.faults import FAULT_ACTIONS
 from soak.faulty_server import FaultyServer
@@ -20,7 +22,7 @@
     RouteProbe,
     Trouble,
 )
-from soak.plan import DEADLY_FAULT, FAULT_WEIGHTS, draw_plan
+from soak.plan import DEADLY_FAULT, FAULT_WEIGHTS, Fault, draw_plan
 from soak.run import run_seed
 from standins.answer_reader import read_answer
 from standins.pauses import NO_PAUSE, Pause, PausePoint
@@ -164,6 +166,30 @@
     )
 
 
+def test_end_of_a_limit_leaves_a_later_one_of_the_same_rate_in_force():
+    """The first end cleared the second limit, whose record went on: seed 1079249335 failed."""
+    upstream = SimpleNamespace(name="e0", rate_limit=None)
+    deployment = SimpleNamespace(
+        clock=BootClock(),
+        observations=Observations(),
+        named_limits={},
+        pick_upstream=lambda fault: upstream,
+    )
+
+    async def overlap():
+        first = asyncio.create_task(FAULT_ACTIONS["limit"](deployment, Fault(0, 13, "limit", 0.0)))
+        await asyncio.sleep(0.026)
+        second = asyncio.create_task(FAULT_ACTIONS["limit"](deployment, Fault(0, 13, "limit", 0.0)))
+        await first
+        assert upstream.rate_limit == 1.0
+        await second
+        assert upstream.rate_limit is None
+
+    asyncio.run(overlap())
+    first, second = deployment.observations.limit_periods
+    assert first.begin < first.end == second.begin < second.end
+
+
 def test_rate_limit_is_checked_in_windows_of_instances_that_were_told():
     assert not find_violations(make_limited_run(11))
     assert find_violations(make_limited_run(12))
