Follower: a table whose changes are too long for the link is read whole

Cause: the store's feed answers with every version of a changed row.

An answer that has begun and is not whole in time is now a failure of its own, after which the table is read whole, which is one version of each row.

--- a/src/lentilwell/_log_lines/__init__.py
+++ b/src/lentilwell/_log_lines/__init__.py
@@ -58,6 +58,7 @@
     EraUnreadable,
     RowUnreadable,
     StoreRestoreSeen,
+    TableChangesTooLong,
     TableHistoryUnavailable,
     TableRechecked,
 )
@@ -130,6 +131,7 @@
     "StopBegun",
     "Stopped",
     "StoreRestoreSeen",
+    "TableChangesTooLong",
     "TableHistoryUnavailable",
     "TableRechecked",
     "TaskFailed",
--- a/src/lentilwell/_log_lines/_store.py
+++ b/src/lentilwell/_log_lines/_store.py
@@ -54,6 +54,16 @@
     version: int | None
 
 
+@line("changes too long")
+@dataclass(frozen=True)
+class TableChangesTooLong(Line):
+    """The changes after ``version`` did not arrive in time; the whole table is read instead."""
+
+    table: str
+    reason: str
+    version: int | None
+
+
 @line("table checked")
 @dataclass(frozen=True)
 class TableRechecked(Line):
--- a/src/lentilwell/gateway/__init__.py
+++ b/src/lentilwell/gateway/__init__.py
@@ -16,6 +16,7 @@
 from lentilwell.gateway._connection import HttpConnection, open_http_connection
 from lentilwell.gateway._eras import EraTracker
 from lentilwell.gateway._failures import (
+    AnswerUnfinished,
     HistoryGone,
     HttpConnectionError,
     StoreError,
@@ -45,6 +46,7 @@
 
 __all__ = [
     "AnswerHead",
+    "AnswerUnfinished",
     "BudgetRules",
     "Catalog",
     "Dialect",
--- a/src/lentilwell/gateway/_connection.py
+++ b/src/lentilwell/gateway/_connection.py
@@ -74,6 +74,7 @@
         self._progress_at = clock.now()
         self._silence_reported = False
         self.opened_at = clock.now()
+        self.answer_begun = False
         self.events_received = 0
         self.ended_by_peer = False
         self.reusable = True
@@ -99,6 +100,7 @@
             self.close()
             return
         self._received_at = self._clock.now()
+        self.answer_begun = True
         self._parser.receive(data)
         self._update_memory()
         self._notify()
@@ -130,6 +132,7 @@
         """
         assert self._transport is not None
         self._in_use = True
+        self.answer_begun = False
         self.events_received = 0
         self._received_at = self._clock.now()
         self.record_progress()
--- a/src/lentilwell/gateway/_failures.py
+++ b/src/lentilwell/gateway/_failures.py
@@ -23,6 +23,10 @@
     """The store rejected the request or could not be reached."""
 
 
+class AnswerUnfinished(StoreUnavailable):
+    """The store began to answer, but the answer did not arrive whole within the timeout."""
+
+
 class HistoryGone(StoreError):
     """The store no longer has the requested changes; the whole table must be read again."""
 
--- a/src/lentilwell/gateway/_follower.py
+++ b/src/lentilwell/gateway/_follower.py
@@ -1,6 +1,7 @@
 """Follows a table of the store: reads it completely, then its changes by long polling.
 
-The table is read completely again if the store no longer has the history of changes.
+The table is read completely again if the store no longer has the history of changes, or if that
+history is too long to arrive in time.
 
 Hundreds of instances follow the same tables, so each call waits long for a change to limit the load
 on the store. A failure of the store or of the path to it is detected by the few instances whose
@@ -20,11 +21,17 @@
     DependencyLost,
     DependencyRecovered,
     DependencyStillLost,
+    TableChangesTooLong,
     TableHistoryUnavailable,
     TableRechecked,
     write_line,
 )
-from lentilwell.gateway._failures import HistoryGone, StoreError, StoreRestored
+from lentilwell.gateway._failures import (
+    AnswerUnfinished,
+    HistoryGone,
+    StoreError,
+    StoreRestored,
+)
 from lentilwell.gateway._ports import Feed, Listing, ValueT
 from lentilwell.gateway._store_point import StorePoint
 from lentilwell.gateway._store_waits import InstanceRank, find_first_wait_ms, find_wait_ms
@@ -139,6 +146,8 @@
                 self._at = None
             except StoreRestored:
                 self._at = None
+            except AnswerUnfinished as error:
+                await self._handle_unfinished(error)
             except StoreError as error:
                 await self._back_off(error)
             else:
@@ -240,6 +249,18 @@
         if listing.entries and followed:
             await asyncio.sleep(CHANGE_BATCH_MS / MS_PER_SECOND)
 
+    async def _handle_unfinished(self, error: AnswerUnfinished) -> None:
+        """Read the whole table instead of changes that are too long for the link.
+
+        The changes contain every version of a row, so after many versions of a large row they are
+        far longer than the table, and grow with each further one.
+        """
+        if self._at is None:
+            await self._back_off(error)
+            return
+        write_line(TableChangesTooLong(self._name, str(error), self._known_version))
+        self._at = None
+
     async def _back_off(self, error: StoreError) -> None:
         self._failures += 1
         self._log_failure(str(error))
--- a/tests/test_gateway_follower.py
+++ b/tests/test_gateway_follower.py
@@ -8,7 +8,7 @@
 import pytest
 
 from lentilwell._clock import ManualClock
-from lentilwell.gateway import Entry, Listing, StoreUnavailable
+from lentilwell.gateway import AnswerUnfinished, Entry, Listing, StoreUnavailable
 from lentilwell.gateway._budget import BudgetRules
 from lentilwell.gateway._fleet import Fleet
 from lentilwell.gateway._follower import (
@@ -39,6 +39,7 @@
         self.version = 3
         self.dead = False
         self.unavailable = False
+        self.too_long = False
         self.waits = []
         self.changed = asyncio.Event()
 
@@ -47,12 +48,15 @@
         self.changed.set()
 
     async def read_all(self):
+        self.too_long = False
         return Listing((Entry("k", "v"),), self.version)
 
     async def read_changes(self, after, wait_ms):
         self.waits.append(wait_ms)
         if self.unavailable:
             raise StoreUnavailable("refused")
+        if self.too_long:
+            raise AnswerUnfinished("too long")
         if wait_ms and (self.dead or self.version == after):
             self.changed.clear()
             await self.changed.wait()
@@ -119,6 +123,22 @@
         assert table.waits[1] == 0
 
 
+@in_loop
+async def test_table_is_read_whole_if_its_changes_do_not_arrive_in_time(monkeypatch):
+    """Guards against an instance that came back to 35 versions and followed none of them.
+
+    It asked for all changes since it had been cut off, which its link could not carry within the
+    timeout, until the store forgot them.
+    """
+    table = Table()
+    async with following(table, monkeypatch) as (follower, listener, _):
+        table.dead, table.too_long, table.version = True, True, 40
+        follower.handle_report(TableReport(StorePoint(0, 40)))
+        await asyncio.sleep(0.03)
+        assert listener.received == [3, 40]
+        assert not follower.report.unavailable
+
+
 @in_loop
 async def test_report_of_a_known_version_interrupts_no_wait(monkeypatch):
     table = Table()
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -9,6 +9,7 @@
 
 from lentilwell._clock import BootClock
 from lentilwell.gateway import (
+    AnswerUnfinished,
     Entry,
     EraTracker,
     HistoryGone,
@@ -62,6 +63,9 @@
         if behaviour == "reset":
             writer.transport.abort()
             return
+        if behaviour == "unfinished":
+            writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 1000\r\n\r\n{")
+            return
         if behaviour == "late":
             await asyncio.sleep(2 * TIMEOUT_MS / 1_000)
         kind, _, era = behaviour.partition(" era ")
@@ -112,6 +116,18 @@
         assert store.connections == connections
 
 
+@pytest.mark.parametrize(("behaviour", "unfinished"), [("silent", False), ("unfinished", True)])
+@in_loop
+async def test_answer_that_has_begun_is_told_from_a_silent_store(behaviour, unfinished):
+    """Guards against changes that are too long for the link being asked for again and again."""
+    async with ScriptedStore(behaviour) as store:
+        feed = make_feed(store)
+        with pytest.raises(StoreUnavailable) as failure:
+            await feed.read_changes(3, WAIT_MS)
+        assert isinstance(failure.value, AnswerUnfinished) is unfinished
+        assert (await feed.read_changes(3, WAIT_MS)).version == 7
+
+
 @in_loop
 async def test_missing_history_raises_its_own_error():
     async with ScriptedStore("410") as store:
