Gateway: evacuation of a data centre by rows of the operator's table

Cause: rows evacuate/ZONE of the table op were logged as unreadable and dropped. Change: gateway.evacuation keeps the evacuated data centres (listings, changes, new eras). Fleet leaves their upstreams out of every choice and accepts_work; leases, permits and probes ask it too; requests that wait for an upstream there are placed again at once. With nothing left, callers get 503 with a Retry-After of one second and a random part.

--- a/src/lentilwell/_log_lines/_store.py
+++ b/src/lentilwell/_log_lines/_store.py
@@ -1,4 +1,4 @@
-"""Log lines about the tables of the store and the configuration in force."""
+"""Log lines about the tables of the store, the configuration in force and evacuations."""
 
 from __future__ import annotations
 
@@ -122,3 +122,38 @@
     """The era in an answer of the store is not a number; the known era is assumed."""
 
     text: str
+
+
+@line("evacuation begun", "WARNING")
+@dataclass(frozen=True)
+class EvacuationBegun(Line):
+    """A data centre is evacuated from now on: nothing new is sent to its upstreams.
+
+    ``known`` is false if neither the settings nor a listed upstream name the data centre.
+    """
+
+    data_centre: str
+    known: bool
+    store_version: int | None
+
+
+@line("evacuation ended", "WARNING")
+@dataclass(frozen=True)
+class EvacuationEnded(Line):
+    """The upstreams of a data centre may be used again.
+
+    ``store_version`` is None if the evacuation was missing from a restored copy of the store and
+    was not requested again.
+    """
+
+    data_centre: str
+    store_version: int | None
+
+
+@line("evacuation kept", "WARNING")
+@dataclass(frozen=True)
+class EvacuationKept(Line):
+    """The evacuation of a data centre stays in force although the restored store lacks its row."""
+
+    data_centre: str
+    era: int
--- a/src/lentilwell/gateway/__init__.py
+++ b/src/lentilwell/gateway/__init__.py
@@ -39,9 +39,10 @@
     find_headers,
 )
 from lentilwell.gateway._peers import Member, Membership
-from lentilwell.gateway._ports import Dialect, Entry, Feed, Feeds, Listing
+from lentilwell.gateway._ports import Dialect, Entry, Feed, Feeds, Listing, OperatorRow
 from lentilwell.gateway._settings import GatewaySettings
 from lentilwell.gateway._upstreams import Upstream
+from lentilwell.gateway.evacuation import EvacuationOrder
 
 __all__ = [
     "AnswerHead",
@@ -52,6 +53,7 @@
     "Entry",
     "Envelope",
     "EraTracker",
+    "EvacuationOrder",
     "Feed",
     "Feeds",
     "Gateway",
@@ -67,6 +69,7 @@
     "Member",
     "Membership",
     "MemoryOrder",
+    "OperatorRow",
     "PrefillHelper",
     "Prompt",
     "Repeat",
--- a/src/lentilwell/gateway/_attempt.py
+++ b/src/lentilwell/gateway/_attempt.py
@@ -142,6 +142,9 @@
         placement = await owner.placer.place(owner.excluded, owner.state.sends > 0, last_send)
         if placement is None:
             owner.delivery.retry_after_ms = owner.placer.find_retry_after_ms(owner.excluded)
+            closure = owner.placer.find_closure()
+            if closure is not None and not owner.state.may_have_run:
+                owner.recorder.record_closure(closure)
             return AttemptEnd(NoUpstream(), owner.placer.explain_none(owner.excluded))
         choice = self._choice = placement.choice
         owner.recorder.record_choice(choice, len(owner.excluded))
@@ -152,6 +155,14 @@
             return AttemptEnd(NoUpstream(), expected)
         return placement
 
+    def waits_for(self, data_centre: str) -> bool:
+        """Tell whether the request is not sent yet and waits for an upstream of a data centre."""
+        if self.sent:
+            return False
+        if self._choice is None:
+            return self._owner.placer.waits_for(data_centre)
+        return any(one.data_centre == data_centre for one in self._choice.upstreams)
+
     def find_silence_timeout_ms(self) -> int | None:
         """Return how long the upstream may be silent for now, in ms; None for no limit."""
         return self._accounting.find_silence_timeout_ms(self.choice)
--- a/src/lentilwell/gateway/_exchange.py
+++ b/src/lentilwell/gateway/_exchange.py
@@ -15,6 +15,7 @@
 from lentilwell.gateway._request_state import (
     CallerDisconnected,
     ChooseUpstream,
+    ConnectionFailed,
     DeadlinePassed,
     Effect,
     Event,
@@ -31,6 +32,7 @@
 from lentilwell.gateway._routing import RoutedRequest
 
 RETRY_AFTER_MS = 300
+EVACUATED = "the data centre is evacuated"
 # While a request waits only for silent upstreams because no other one can be used, it looks for
 # another one at this interval.
 LOOK_AGAIN_MS = 300
@@ -98,6 +100,14 @@
         if self._timeout is not None and not self._timeout.expired():
             self._timeout.reschedule(asyncio.get_running_loop().time())
 
+    def handle_evacuation(self, data_centre: str) -> None:
+        """Place the request again at once if it waits for an upstream of a data centre."""
+        for attempt, task in self._tasks.items():
+            if attempt.waits_for(data_centre) and not task.done():
+                task.cancel()
+                end = AttemptEnd(ConnectionFailed(), EVACUATED)
+                self._reports.put_nowait(AttemptReport(attempt, end))
+
     def advance(self, event: Event) -> Effect | None:
         """Apply an event to the state of the request, and return its effect."""
         self.state, effect = advance(self.state, event)
--- a/src/lentilwell/gateway/_fleet.py
+++ b/src/lentilwell/gateway/_fleet.py
@@ -34,6 +34,7 @@
     apply_changes,
     drop_missing,
 )
+from lentilwell.gateway.evacuation import Closure, EvacuationTracker
 
 # Waits for permits that differ by less than this count as equal.
 SAME_WAIT_MS = 50
@@ -70,6 +71,11 @@
     on_limit_change: Callable[[Upstream], None] = lambda upstream: None
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     random: random.Random = field(default_factory=random.Random)
+    evacuations: EvacuationTracker = field(init=False)
+    on_evacuation_end: Callable[[str, int], None] = lambda data_centre, now: None
+
+    def __post_init__(self) -> None:
+        self.evacuations = EvacuationTracker(self.clock)
 
     @property
     def catalog(self) -> Catalog | None:
@@ -173,10 +179,33 @@
     def _list_accepting(self, service: str, excluded: frozenset[str], now: int) -> list[Upstream]:
         return [
             upstream
-            for upstream in self.directory.find_usable(service, now)
+            for upstream in self._list_open(service, now)
             if upstream.name not in excluded and self.availability.accepts_work(upstream, now)
         ]
 
+    def _list_open(self, service: str, now: int) -> Sequence[Upstream]:
+        """Return the usable upstreams of a service that are not evacuated."""
+        usable = self.directory.find_usable(service, now)
+        if not self.evacuations.evacuated:
+            return usable
+        return [upstream for upstream in usable if not self.is_evacuated(upstream)]
+
+    def is_evacuated(self, upstream: Upstream) -> bool:
+        """Tell whether the data centre of an upstream is evacuated."""
+        return upstream.data_centre in self.evacuations.evacuated
+
+    def find_closure(self, service: str) -> Closure | None:
+        """Return why no upstream of a service is open, None if one is or none is usable at all."""
+        now = self.clock.now()
+        if not self.evacuations.evacuated or self._list_open(service, now):
+            return None
+        return Closure.EVACUATED if self.directory.find_usable(service, now) else None
+
+    def knows_data_centre(self, name: str) -> bool:
+        """Tell whether this instance or a listed upstream is in a data centre of this name."""
+        listed = self.directory.listed.values()
+        return name == self.data_centre or any(one.data_centre == name for one in listed)
+
     def _make_request(
         self, service: str, route: Route, prompt: Prompt | None, waited_ms: int, last_send: bool
     ) -> PlacementRequest:
@@ -210,15 +239,16 @@
         return can_finish(routed, self.answer_times, sent_at, stop.find_end(sent_at))
 
     def accepts_work(self, choice: Choice) -> bool:
-        """Tell whether no upstream of a choice drains or has a backoff in effect."""
+        """Tell whether no upstream of a choice drains, has a backoff in effect or is evacuated."""
         now = self.clock.now()
-        upstreams = (choice.upstream, *(helper.upstream for helper in choice.helpers))
-        return all(self.availability.accepts_work(upstream, now) for upstream in upstreams)
+        if self.evacuations.evacuated and any(map(self.is_evacuated, choice.upstreams)):
+            return False
+        return all(self.availability.accepts_work(one, now) for one in choice.upstreams)
 
     def find_backoff_end(self, service: str, excluded: frozenset[str]) -> int | None:
         """Return when the first backoff in a service ends, None if none is in effect."""
         now = self.clock.now()
-        usable = self.directory.find_usable(service, now)
+        usable = self._list_open(service, now)
         others = [upstream for upstream in usable if upstream.name not in excluded]
         return self.availability.find_earliest_backoff_end(others, now)
 
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -57,7 +57,12 @@
 from lentilwell.gateway._status import ANY_PATH, StatusAnswer, StatusHandler, StatusProtocol
 from lentilwell.gateway._stopping import PlannedStop
 from lentilwell.gateway._store_report import StoreReport
-from lentilwell.gateway._table_listeners import CatalogListener, UpstreamListener
+from lentilwell.gateway._table_listeners import (
+    CatalogListener,
+    EvacuationListener,
+    OperatorListener,
+    UpstreamListener,
+)
 from lentilwell.gateway._upstreams import Incarnation
 
 # Connections are accepted once the store has been read, which takes a few ms if the store answers,
@@ -122,8 +127,11 @@
             lambda name: self.fleet.directory.listed.get(name),
         )
         self._catalog_listener = CatalogListener(self.fleet.configuration_choice, self.clock)
+        evacuation_listener = EvacuationListener(self.fleet.evacuations, feeds.find_evacuated)
         self._catalog_follower = self._make_follower(
-            "configuration", feeds.catalog, self._catalog_listener
+            "configuration",
+            feeds.catalog,
+            OperatorListener(evacuation_listener, self._catalog_listener),
         )
         self._upstreams_follower = self._make_follower(
             "upstreams", feeds.upstreams, UpstreamListener(self.fleet)
@@ -146,6 +154,7 @@
         self.leases = LeaseManager(self.connections, dialect, incarnation, settings.max_lease_ms)
         self.leases.on_send = self.permits.record_unpermitted
         self.leases.on_answer = answer_observer.handle_head
+        self._connect_evacuations()
         self._callers: set[CallerConnection] = set()
         self._exchanges: set[Exchange] = set()
         self.metrics = Metrics(self.fleet, lambda: len(self._callers), self._list_tables)
@@ -334,6 +343,24 @@
         self.peers.on_crash_notice = self.crash_watch.handle_datagram
         self.peers.on_new_peer = self.crash_watch.greet
 
+    def _connect_evacuations(self) -> None:
+        """Let evacuations reach the requests, the leases, the permits and the prober."""
+        evacuations = self.fleet.evacuations
+        evacuations.is_known = self.fleet.knows_data_centre
+        evacuations.on_begin = self._handle_evacuation
+        evacuations.on_end = self._handle_evacuation_end
+        self.leases.may_reserve = lambda upstream: not self.fleet.is_evacuated(upstream)
+        self.permits.is_evacuated = self.fleet.is_evacuated
+
+    def _handle_evacuation(self, data_centre: str) -> None:
+        """Place the requests again at once that wait for an upstream of this data centre."""
+        for exchange in self._exchanges:
+            exchange.handle_evacuation(data_centre)
+
+    def _handle_evacuation_end(self, data_centre: str) -> None:
+        self.fleet.on_evacuation_end(data_centre, self.clock.now())
+        self.fleet.ejection.on_unreachable()  # probes may be due that were left out
+
     def _is_listed_now(self, incarnation: Incarnation) -> bool:
         """Tell whether the store, which answers, lists an incarnation."""
         unavailable = self._upstreams_follower.report.unavailable
@@ -428,6 +455,7 @@
             "peers": self.peers.run_maintenance,
             "crashes": self.crash_watch.run_maintenance,
             "configuration": self._catalog_listener.apply_pending,
+            "evacuations": self.fleet.evacuations.end_kept,
             "upstreams": self.fleet.remove_unlisted,
             "permits": lambda: self.permits.keep_only(self.fleet.is_listed),
             "shards": self.fleet.update_shards,
--- a/src/lentilwell/gateway/_leases.py
+++ b/src/lentilwell/gateway/_leases.py
@@ -58,6 +58,8 @@
         self._ticket_numbers = itertools.count(1)
         self._incarnation = incarnation
         self._releasing: set[asyncio.Task[None]] = set()
+        # Asked before each order that may reserve memory for the first time.
+        self.may_reserve: Callable[[Upstream], bool] = lambda upstream: True
         self.on_send: Callable[[Upstream], None] = lambda upstream: None
         self.on_answer: Callable[[Upstream, AnswerHead], None] = lambda upstream, head: None
 
@@ -81,12 +83,16 @@
     async def _reserve_all(self, reservations: Sequence[Reservation]) -> None:
         results = await asyncio.gather(
             *(
-                self._send_with_retries(reservation, self._dialect.write_reserve(reservation.lease))
+                self._send_with_retries(
+                    reservation, self._dialect.write_reserve(reservation.lease), is_new=True
+                )
                 for reservation in reservations
             ),
             return_exceptions=True,
         )
         for reservation, result in zip(reservations, results, strict=True):
+            if isinstance(result, ReservationFailed):
+                raise result
             if isinstance(result, BaseException):
                 raise ReservationFailed(reservation.upstream.name, str(result)) from result
             if result != STATUS_OK:
@@ -126,27 +132,35 @@
             write_line(LeaseNotReleased(reservation.lease.ticket, str(error)))
 
     async def _send_with_retries(
-        self, reservation: Reservation, order: MemoryOrder, attempts: int = ORDER_ATTEMPTS
+        self,
+        reservation: Reservation,
+        order: MemoryOrder,
+        attempts: int = ORDER_ATTEMPTS,
+        is_new: bool = False,
     ) -> int:
         """Send an order, and send it again if its answer is lost.
 
-        Orders are idempotent, since each names the ticket of its lease.
+        Orders are idempotent, since each names the ticket of its lease. One that ``is_new``
+        reserves memory, and raises ``ReservationFailed`` once that is not allowed any more.
         """
         for attempts_left in reversed(range(attempts)):
             try:
-                return await self._send_order(reservation, order)
+                return await self._send_order(reservation, order, is_new)
             except ConnectionBroken:
                 if not attempts_left:
                     raise
         raise AssertionError("the last attempt returns or raises")
 
-    async def _send_order(self, reservation: Reservation, order: MemoryOrder) -> int:
+    async def _send_order(self, reservation: Reservation, order: MemoryOrder, is_new: bool) -> int:
         """Send an order once and return the status of its answer.
 
         Orders carry no request id, so an answer with one is a late copy of another answer.
         """
         address = reservation.upstream.address
         connection = await self._connections.acquire(address, fresh=False)
+        if is_new and not self.may_reserve(reservation.upstream):
+            self._connections.release(address, connection)
+            raise ReservationFailed(reservation.upstream.name, "its data centre is evacuated")
         try:
             async with allow_ms(ORDER_TIMEOUT_MS):
                 connection.send(order.method, order.target, order.headers, order.body)
--- a/src/lentilwell/gateway/_metrics.py
+++ b/src/lentilwell/gateway/_metrics.py
@@ -84,6 +84,12 @@
             ("service",),
             registry=self.registry,
         )
+        self._closures = Counter(
+            "lentilwell_gateway_closed_refusals",
+            "Requests refused because none of the ready upstreams may be used, by the reason.",
+            ("service", "reason"),
+            registry=self.registry,
+        )
         self._permits = Counter(
             "lentilwell_gateway_permits",
             "Asks for permits of upstreams that name a rate limit, by the answer.",
@@ -152,6 +158,10 @@
         """Count a request that was not sent because of a part of its prompt."""
         self._refused.labels(service).inc()
 
+    def count_closure(self, service: str, reason: str) -> None:
+        """Count a request that was refused because no ready upstream may be used."""
+        self._closures.labels(service, reason).inc()
+
     def count_permit(self, verdict: str) -> None:
         """Count an ask for a permit: ``granted``, ``denied`` or ``no_owner``."""
         self._permits.labels(verdict).inc()
@@ -205,6 +215,11 @@
             ("upstreams_doubted", "Upstreams that a restored list holds again.", quarantined),
             ("upstreams_closed", "Upstreams that want no work for a while.", backing_off),
             ("upstreams_limited", "Upstreams that name a rate limit.", limited),
+            (
+                "data_centres_evacuated",
+                "Data centres that the operator evacuates.",
+                len(fleet.evacuations.evacuated),
+            ),
             *_list_crash_gauges(fleet.crash_evidence),
             ("jobs", "Requests in hand at upstreams.", len(fleet.load_tracker.list_own_jobs())),
             ("instances", "Instances that may be there.", fleet.count_instances()),
@@ -256,6 +271,8 @@
             "name": upstream.name,
             "service": upstream.service,
             "address": upstream.address,
+            "data_centre": upstream.data_centre,
+            "evacuated": fleet.is_evacuated(upstream),
             "leaving": upstream.leaving,
             "missing_until": fleet.directory.missing.get(upstream.name),
             "doubted_until": fleet.directory.quarantined.get(upstream.name),
@@ -273,6 +290,7 @@
             "now": now,
             "configuration": _get_version(fleet),
             "tables": tables,
+            "evacuated": sorted(fleet.evacuations.evacuated),
             "instances": fleet.count_instances(),
             "upstreams": upstreams,
             **_list_by_kind(fleet.crash_evidence),
--- a/src/lentilwell/gateway/_permits.py
+++ b/src/lentilwell/gateway/_permits.py
@@ -90,6 +90,7 @@
         self._number = random.randrange(MAX_NUMBER)
         self.send: Callable[[str, bytes], bool] = lambda instance, data: False
         self.reply: Callable[[tuple[str, int], bytes], None] = lambda address, data: None
+        self.is_evacuated: Callable[[Upstream], bool] = lambda upstream: False
         self.on_report: Callable[[LimitReport, str], None] = lambda report, source: None
         self.on_verdict: Callable[[str], None] = lambda verdict: None
 
@@ -246,9 +247,11 @@
         incarnation, now = ask.limit.incarnation, self._clock.now()
         rate = self._rate_limits.find(incarnation)
         if rate is None or not self._rate_limits.is_limited(incarnation):
-            return PermitDecision(True, 0)
+            return PermitDecision(not self.is_evacuated(upstream), 0)
         share = self._owners.find_share(upstream, ask.role, ask.settled, now)
         interval_ms = find_interval_ms(rate, share)
         if ask.unpermitted:
             self._issuer.record_unpermitted(incarnation, interval_ms, ask.unpermitted, now)
+        if self.is_evacuated(upstream):
+            return PermitDecision(False, MAX_DENIAL_MS)
         return self._issuer.issue(incarnation, interval_ms, ask.patience_ms, now)
--- a/src/lentilwell/gateway/_placement_policies.py
+++ b/src/lentilwell/gateway/_placement_policies.py
@@ -87,6 +87,11 @@
     weight: float = 1.0
     latency_factor: float = 1.0
 
+    @property
+    def upstreams(self) -> tuple[Upstream, ...]:
+        """Return the chosen upstream and its helpers, in this order."""
+        return (self.upstream, *(helper.upstream for helper in self.helpers))
+
     @property
     def upstream_names(self) -> tuple[str, ...]:
         """Return the names of the chosen upstream and its helpers, in this order."""
--- a/src/lentilwell/gateway/_placer.py
+++ b/src/lentilwell/gateway/_placer.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
 from dataclasses import dataclass
 
 from lentilwell.gateway._backoff_waits import find_retry_after_ms, find_wait_ms, may_wait
@@ -14,6 +16,7 @@
 from lentilwell.gateway._request_recorder import RequestRecorder
 from lentilwell.gateway._routing import OTHER_INSTANCE_RETRY_MS, RoutedRequest
 from lentilwell.gateway._upstreams import Upstream
+from lentilwell.gateway.evacuation import EVACUATED_RETRY_MS, Closure
 
 # A request that has waited this long for answers of permit owners uses no limited upstream: with
 # many of them whose owners are out of reach, it would otherwise wait until its deadline.
@@ -40,6 +43,12 @@
         self._routed = routed
         self._recorder = recorder
         self._deferred_ms = 0
+        # The data centres of the upstreams that are waited for; None stands for all.
+        self._waits: list[frozenset[str] | None] = []
+
+    def waits_for(self, data_centre: str) -> bool:
+        """Tell whether the request waits for an upstream that may be in a data centre."""
+        return any(waited is None or data_centre in waited for waited in self._waits)
 
     async def place(
         self, excluded: frozenset[str], sent_before: bool, last_send: bool
@@ -70,28 +79,37 @@
         backoff_ms = self._find_backoff_ms(excluded)
         permit_ms = self._fleet.find_least_permit_wait_ms(service, excluded)
         waits = [wait_ms for wait_ms in (backoff_ms, permit_ms) if wait_ms]
-        if not waits:
+        if not waits and self.find_closure() is None:
             return OTHER_INSTANCE_RETRY_MS
-        return find_retry_after_ms(min(waits), self._fleet.random.random())
+        return find_retry_after_ms(
+            min(waits, default=EVACUATED_RETRY_MS), self._fleet.random.random()
+        )
+
+    def find_closure(self) -> Closure | None:
+        """Return why no upstream may be used although some are ready, None if that is not so."""
+        return self._fleet.find_closure(self._routed.service)
 
     def explain_none(self, excluded: frozenset[str]) -> str:
         """Return why no upstream can take the request, for the log."""
         if self._fleet.find_least_permit_wait_ms(self._routed.service, excluded) is not None:
             return "no upstream within its rate limit"
-        return "no upstream"
+        closure = self.find_closure()
+        return "no upstream" if closure is None else f"no upstream: {closure.value}"
 
     async def _acquire_permit(self, upstream: Upstream, excluded: frozenset[str]) -> Permit | None:
         """Return a permit in time, or None; beside other upstreams, only one that holds at once."""
         has_alternative = self._fleet.has_unlimited(self._routed.service, excluded)
         patience_ms = 0 if has_alternative else self._find_permit_patience_ms(upstream)
-        return await self._permits.acquire(upstream, patience_ms, has_alternative)
+        with self._waiting_for((upstream,)):
+            return await self._permits.acquire(upstream, patience_ms, has_alternative)
 
     async def _wait_for_permit(self, upstream: Upstream, permit: Permit) -> bool:
         """Wait until a permit holds; return False if the limit has changed meanwhile."""
         wait_ms = permit.holds_at - self._clock.now()
         if wait_ms > 0:
             self._recorder.record_wait(wait_ms, wait_ms)
-            await asyncio.sleep(wait_ms / 1_000)
+            with self._waiting_for((upstream,)):
+                await asyncio.sleep(wait_ms / 1_000)
         return self._permits.covers(upstream, permit)
 
     def _find_permit_patience_ms(self, upstream: Upstream) -> int:
@@ -115,7 +133,8 @@
                 break
             self._recorder.record_deferral(choice, prefill_ahead_ms, deferral_ms)
             self._deferred_ms += deferral_ms
-            await asyncio.sleep(deferral_ms / 1_000)
+            with self._waiting_for(choice.upstreams):
+                await asyncio.sleep(deferral_ms / 1_000)
         return choice
 
     async def _choose_after_backoff(
@@ -176,6 +195,17 @@
         try:
             wait_ms = find_wait_ms(backoff_ms, requests_ahead, self._fleet.random.random())
             self._recorder.record_wait(backoff_ms, wait_ms)
-            await asyncio.sleep(wait_ms / 1_000)
+            with self._waiting_for(None):
+                await asyncio.sleep(wait_ms / 1_000)
         finally:
             queue.remove(service)
+
+    @contextmanager
+    def _waiting_for(self, upstreams: Sequence[Upstream] | None) -> Iterator[None]:
+        """Record what is waited for within the block; None stands for any upstream."""
+        waited = None if upstreams is None else frozenset(one.data_centre for one in upstreams)
+        self._waits.append(waited)
+        try:
+            yield
+        finally:
+            self._waits.remove(waited)
--- a/src/lentilwell/gateway/_ports.py
+++ b/src/lentilwell/gateway/_ports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Generic, Protocol, TypeVar
 
@@ -21,8 +22,11 @@
 from lentilwell.gateway._peers import Membership
 from lentilwell.gateway._store_point import StorePoint
 from lentilwell.gateway._upstreams import Upstream
+from lentilwell.gateway.evacuation import EvacuationOrder
 
 ValueT = TypeVar("ValueT")
+# The values of the operator's table.
+OperatorRow = Catalog | EvacuationOrder
 
 
 @dataclass(frozen=True)
@@ -86,9 +90,12 @@
     """The store tables that the gateway follows, and the list of its instances.
 
     All of them share ``eras``, which reports a restore of the store to the gateway.
+    ``find_evacuated`` returns the data centre that a row of the operator's table with this key
+    evacuates, whatever the value of the row, and None for all other keys.
     """
 
-    catalog: Feed[Catalog]
+    catalog: Feed[OperatorRow]
     upstreams: Feed[Upstream]
     membership: Membership
     eras: EraTracker = field(default_factory=EraTracker)
+    find_evacuated: Callable[[str], str | None] = lambda key: None
--- a/src/lentilwell/gateway/_prober.py
+++ b/src/lentilwell/gateway/_prober.py
@@ -1,4 +1,7 @@
-"""Probes unreachable upstreams, and uses them again once they accept a connection."""
+"""Probes unreachable upstreams, and uses them again once they accept a connection.
+
+Upstreams of an evacuated data centre are probed once the evacuation has ended.
+"""
 
 from __future__ import annotations
 
@@ -43,19 +46,21 @@
                     probes.create_task(self._probe_until_reached(name))
 
     def _list_unreachable(self) -> set[str]:
-        """Return the names of the listed upstreams that are unreachable."""
+        """Return the names of the listed upstreams that are unreachable and may be probed."""
         listed = self._fleet.directory.listed
-        return {name for name in listed if self._fleet.ejection.is_unreachable(name)}
+        return {name for name in listed if self._find_unreachable(name)}
 
     async def _probe_until_reached(self, name: str) -> None:
-        """Probe an upstream at an interval until it is reached, or no longer listed."""
+        """Probe an upstream until it is reached, no longer listed or evacuated."""
         while (upstream := self._find_unreachable(name)) and not await self._probe(upstream):
             await asyncio.sleep(PROBE_INTERVAL_MS / 1_000)
         self._probing.discard(name)
 
     def _find_unreachable(self, name: str) -> Upstream | None:
-        unreachable = self._fleet.ejection.is_unreachable(name)
-        return self._fleet.directory.listed.get(name) if unreachable else None
+        if not self._fleet.ejection.is_unreachable(name):
+            return None
+        upstream = self._fleet.directory.listed.get(name)
+        return None if upstream is None or self._fleet.is_evacuated(upstream) else upstream
 
     async def _probe(self, upstream: Upstream) -> bool:
         try:
--- a/src/lentilwell/gateway/_request_recorder.py
+++ b/src/lentilwell/gateway/_request_recorder.py
@@ -23,6 +23,7 @@
 from lentilwell.gateway._routing import RoutedRequest
 from lentilwell.gateway._stopping import record_time
 from lentilwell.gateway._upstreams import Upstream
+from lentilwell.gateway.evacuation import Closure
 
 
 class RequestRecorder:
@@ -136,6 +137,10 @@
         parts = "" if fingerprint else " ".join(sorted(refusal.subjects))
         write_line(RequestRefused(request, parts, refusal.retry_after_ms, fingerprint))
 
+    def record_closure(self, closure: Closure) -> None:
+        """Count that the request is refused because none of the ready upstreams may be used."""
+        self._metrics.count_closure(self._routed.service, closure.value)
+
     def record_attempt(self, upstream: str, reason: str, sends: int, following: str) -> None:
         """Log how an attempt ended; ``following`` is the next step or the outcome."""
         request = self._routed.facts.request_id
--- a/src/lentilwell/gateway/_table_listeners.py
+++ b/src/lentilwell/gateway/_table_listeners.py
@@ -1,7 +1,9 @@
-"""Listeners for the store's tables: the configuration and the upstreams."""
+"""Listeners for the store's tables: the configuration, evacuations and the upstreams."""
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from lentilwell._clock import Clock
 from lentilwell._log_lines import (
     ConfigurationConfirmed,
@@ -20,7 +22,7 @@
     ReadConfiguration,
 )
 from lentilwell.gateway._fleet import Fleet
-from lentilwell.gateway._ports import Listing
+from lentilwell.gateway._ports import Listing, OperatorRow
 from lentilwell.gateway._upstreams import (
     Directory,
     ListingChange,
@@ -31,6 +33,65 @@
     list_still_leaving,
     record_store_recovery,
 )
+from lentilwell.gateway.evacuation import EvacuationChange, EvacuationTracker
+
+
+class OperatorListener:
+    """Passes the operator's table on: first its evacuations, then the configuration."""
+
+    def __init__(self, evacuations: EvacuationListener, catalog: CatalogListener) -> None:
+        self._evacuations = evacuations
+        self._catalog = catalog
+
+    def handle_listing(self, listing: Listing[OperatorRow]) -> None:
+        """Handle a complete listing of the table."""
+        self._evacuations.handle_listing(listing)
+        self._catalog.handle_listing(listing)
+
+    def handle_changes(self, listing: Listing[OperatorRow]) -> None:
+        """Handle changed rows."""
+        self._evacuations.handle_changes(listing)
+        self._catalog.handle_changes(listing)
+
+    def handle_store_recovery(self) -> None:
+        """Do nothing: neither evacuations nor a configuration expire in an outage of the store."""
+
+
+class EvacuationListener:
+    """Recognizes the rows that evacuate data centres by their keys, whatever their values.
+
+    ``find_data_centre`` returns the data centre for a key, None for the keys of other rows.
+    """
+
+    def __init__(
+        self, tracker: EvacuationTracker, find_data_centre: Callable[[str], str | None]
+    ) -> None:
+        self._tracker = tracker
+        self._find_data_centre = find_data_centre
+        self._era: int | None = None
+        self._rows: dict[str, OperatorRow | None] = {}
+
+    def handle_listing(self, listing: Listing[OperatorRow]) -> None:
+        """Handle a complete listing; one of the same era may differ if the history is gone."""
+        rows = {entry.key: entry.value for entry in listing.entries}
+        rewritten = listing.era == self._era and rows != self._rows
+        self._era, self._rows = listing.era, rows
+        found = map(self._find_data_centre, rows)
+        data_centres = [name for name in found if name is not None]
+        self._tracker.handle_listing(data_centres, listing.at, rewritten)
+
+    def handle_changes(self, listing: Listing[OperatorRow]) -> None:
+        """Handle changed rows."""
+        changes: list[EvacuationChange] = []
+        for entry in listing.entries:
+            self._rows[entry.key] = entry.value
+            if entry.removed:
+                del self._rows[entry.key]
+            data_centre = self._find_data_centre(entry.key)
+            if data_centre is not None:
+                changes.append(EvacuationChange(data_centre, entry.removed))
+        if listing.entries:
+            self._tracker.handle_changes(changes, listing.at)
 
 
 class CatalogListener:
@@ -43,13 +104,13 @@
         self._pending: ReadConfiguration | None = None
         self._due_at = 0
 
-    def handle_listing(self, listing: Listing[Catalog]) -> None:
+    def handle_listing(self, listing: Listing[OperatorRow]) -> None:
         """Handle the configuration of a complete listing."""
         restored = self._era is not None and listing.era > self._era
         self._era = listing.era
         self._handle(listing, restored)
 
-    def handle_changes(self, listing: Listing[Catalog]) -> None:
+    def handle_changes(self, listing: Listing[OperatorRow]) -> None:
         """Handle a changed configuration."""
         self._handle(listing, restored=False)
 
@@ -62,9 +123,9 @@
             candidate, self._pending = self._pending, None
             self._put_in_force(candidate)
 
-    def _handle(self, listing: Listing[Catalog], restored: bool) -> None:
+    def _handle(self, listing: Listing[OperatorRow], restored: bool) -> None:
         for entry in listing.entries:
-            if entry.value is not None:
+            if isinstance(entry.value, Catalog):
                 self._handle_configuration(ReadConfiguration(entry.value, listing.at, restored))
 
     def _handle_configuration(self, candidate: ReadConfiguration) -> None:
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
 
+from wire_evacuation import EVACUATION_PREFIX, find_evacuated
 from wire_headers import PlatformDialect
 
 from lentilwell.gateway import (
@@ -209,6 +210,14 @@
     listing: FakeFeed
     last_request_number: list[int] = field(default_factory=lambda: [0])
 
+    def evacuate(self, data_centre: str) -> None:
+        """Write the row that evacuates a data centre."""
+        self.catalog.put(Entry(f"{EVACUATION_PREFIX}{data_centre}", None))
+
+    def end_evacuation(self, data_centre: str) -> None:
+        """Remove the row that evacuates a data centre."""
+        self.catalog.put(Entry(f"{EVACUATION_PREFIX}{data_centre}", None, removed=True))
+
     @property
     def arrivals(self) -> list[Arrival]:
         """Return the requests that all upstreams received."""
@@ -244,23 +253,32 @@
 
 
 @asynccontextmanager
-async def run_gateway(*scripts: Script, catalog: Catalog | None = CATALOG):
+async def run_gateway(
+    *scripts: Script,
+    catalog: Catalog | None = CATALOG,
+    data_centres: Sequence[str] | None = None,
+    settings: GatewaySettings = SETTINGS,
+):
     """Run a gateway with one upstream for each script.
 
-    A script of None stands for an upstream that refuses connections.
+    A script of None stands for an upstream that refuses connections. ``data_centres`` has one for
+    each upstream; all are in that of the gateway if it is None.
     """
+    centres = data_centres or [settings.data_centre] * len(scripts)
     upstreams, entries = [], []
     for index, script in enumerate(scripts):
         upstream = ScriptedUpstream(f"u{index}", script)
         address = await upstream.start() if script is not None else "127.0.0.1:1"
         upstreams.append(upstream)
-        entries.append(Entry(upstream.name, Upstream(upstream.name, "s", address, "dc", 8, False)))
+        listed = Upstream(upstream.name, "s", address, centres[index], 8, False)
+        entries.append(Entry(upstream.name, listed))
     feeds = Feeds(
         FakeFeed(*([Entry("config", catalog)] if catalog else [])),
         FakeFeed(*entries),
         EmptyMembership(),
+        find_evacuated=find_evacuated,
     )
-    gateway = Gateway(SETTINGS, PlatformDialect(), feeds)
+    gateway = Gateway(settings, PlatformDialect(), feeds)
     await gateway.start()
     gateway.fleet.random.seed(1)
     while catalog is not None and not gateway.ready:
--- a/tests/test_platform_odd_json.py
+++ b/tests/test_platform_odd_json.py
@@ -9,7 +9,7 @@
 import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from start import decode_configuration_row
+from start import decode_operator_row
 from wire_configuration import decode_catalog
 from wire_headers import PlatformDialect
 from wire_instances import decode_member
@@ -75,7 +75,7 @@
 @given(st.sampled_from(["config", "odd"]), odd_json(build_configuration()))
 def test_configuration_is_a_catalog_or_unreadable(key, value):
     with contextlib.suppress(UnreadableRow):
-        catalog = decode_configuration_row(key, value)
+        catalog = decode_operator_row(key, value)
         assert isinstance(catalog, Catalog) and key == "config"
         assert catalog.is_same(decode_catalog(value))
         catalog.find_route("h.example", "/s/x")
