--- a/src/lentilwell/gateway/_fleet.py
+++ b/src/lentilwell/gateway/_fleet.py
@@ -34,7 +34,7 @@
     apply_changes,
     drop_missing,
 )
-from lentilwell.gateway.evacuation import Closure, EvacuationTracker
+from lentilwell.gateway.evacuation import Closure, ClosureReason, EvacuationTracker
 
 # Waits for permits that differ by less than this count as equal.
 SAME_WAIT_MS = 50
@@ -199,7 +199,8 @@
         now = self.clock.now()
         if not self.evacuations.evacuated or self._list_open(service, now):
             return None
-        return Closure.EVACUATED if self.directory.find_usable(service, now) else None
+        names = {upstream.data_centre for upstream in self.directory.find_usable(service, now)}
+        return Closure(ClosureReason.EVACUATED, tuple(sorted(names))) if names else None
 
     def knows_data_centre(self, name: str) -> bool:
         """Tell whether this instance or a listed upstream is in a data centre of this name."""
--- a/src/lentilwell/gateway/_placer.py
+++ b/src/lentilwell/gateway/_placer.py
@@ -94,7 +94,7 @@
         if self._fleet.find_least_permit_wait_ms(self._routed.service, excluded) is not None:
             return "no upstream within its rate limit"
         closure = self.find_closure()
-        return "no upstream" if closure is None else f"no upstream: {closure.value}"
+        return "no upstream" if closure is None else str(closure)
 
     async def _acquire_permit(self, upstream: Upstream, excluded: frozenset[str]) -> Permit | None:
         """Return a permit in time, or None; beside other upstreams, only one that holds at once."""
--- a/src/lentilwell/gateway/_request_recorder.py
+++ b/src/lentilwell/gateway/_request_recorder.py
@@ -139,7 +139,7 @@
 
     def record_closure(self, closure: Closure) -> None:
         """Count that the request is refused because none of the ready upstreams may be used."""
-        self._metrics.count_closure(self._routed.service, closure.value)
+        self._metrics.count_closure(self._routed.service, closure.reason.value)
 
     def record_attempt(self, upstream: str, reason: str, sends: int, following: str) -> None:
         """Log how an attempt ended; ``following`` is the next step or the outcome."""
--- a/src/lentilwell/gateway/evacuation/__init__.py
+++ b/src/lentilwell/gateway/evacuation/__init__.py
@@ -3,6 +3,7 @@
 from lentilwell.gateway.evacuation._evacuations import (
     EVACUATED_RETRY_MS,
     Closure,
+    ClosureReason,
     EvacuationChange,
     EvacuationOrder,
     Evacuations,
@@ -15,6 +16,7 @@
 __all__ = [
     "EVACUATED_RETRY_MS",
     "Closure",
+    "ClosureReason",
     "EvacuationChange",
     "EvacuationOrder",
     "EvacuationTracker",
--- a/src/lentilwell/gateway/evacuation/_evacuations.py
+++ b/src/lentilwell/gateway/evacuation/_evacuations.py
@@ -18,12 +18,23 @@
 EVACUATED_RETRY_MS = 1_000
 
 
-class Closure(Enum):
+class ClosureReason(Enum):
     """Why no upstream of a service may be used although some are listed as ready."""
 
     EVACUATED = "evacuated"
 
 
+@dataclass(frozen=True)
+class Closure:
+    """A reason, with the names of the data centres that it concerns."""
+
+    reason: ClosureReason
+    names: tuple[str, ...]
+
+    def __str__(self) -> str:
+        return f"all upstreams are in evacuated data centres: {' '.join(self.names)}"
+
+
 @dataclass(frozen=True)
 class EvacuationOrder:
     """A row by which the operator evacuates a data centre."""
--- a/tests/test_gateway_evacuation.py
+++ b/tests/test_gateway_evacuation.py
@@ -136,6 +136,16 @@
         assert harness.gateway.fleet.evacuations.evacuated == {"nowhere"}
 
 
+@in_loop
+async def test_evacuation_counts_as_a_change_of_the_table_for_other_instances():
+    """Guards against instances that are behind and do not check the store."""
+    async with run_gateway(answer_ok, data_centres="a") as harness:
+        follower = harness.gateway._catalog_follower
+        for change in (evacuate, end_evacuation):
+            await change(harness, "a")
+            await wait_until(lambda: follower.report.changed.version == harness.catalog.version)
+
+
 @in_loop
 async def test_request_in_progress_may_finish_and_is_not_repeated():
     released = asyncio.Event()
