--- a/standins/rows.py
+++ b/standins/rows.py
@@ -80,6 +80,8 @@
         """Replace the rows and the version by a copy, start a new era and wake waiting feeds."""
         async with self.changed:
             self.rows, self.version = dict(backup.rows), backup.version
+            # Else the store would refuse feeds from its own current version.
+            self.oldest_version = min(self.oldest_version, backup.version)
             self.era += 1
             self.changed.notify_all()
 
