Gateway: routes and tenants restricted to regions

Cause: a request could go to any data centre. Change: allowed_regions of routes and tenants, intersected when the request is routed, and zones of the settings; Fleet filters by them in every decision where it filters evacuated data centres. No ready upstream in the regions: 503 at once. Invalid zones are left out and logged.

--- a/src/lentilwell/_log_lines/_process.py
+++ b/src/lentilwell/_log_lines/_process.py
@@ -38,6 +38,15 @@
     budget: int
 
 
+@line("setting ignored", "WARNING")
+@dataclass(frozen=True)
+class SettingIgnored(Line):
+    """A part of the settings file is invalid and was left out; the rest is used."""
+
+    file: str
+    reason: str
+
+
 @line("settings unreadable", "ERROR")
 @dataclass(frozen=True)
 class SettingsUnreadable(Line):
--- a/src/lentilwell/_log_lines/_store.py
+++ b/src/lentilwell/_log_lines/_store.py
@@ -36,6 +36,19 @@
     until_ms: int | None
 
 
+@line("regions unknown", "WARNING")
+@dataclass(frozen=True)
+class RegionsUnknown(Line):
+    """Routes or teams of a configuration are restricted to regions that the settings don't name.
+
+    ``count`` is the number of such regions, ``regions`` the names of the first ones.
+    """
+
+    version: int
+    count: int
+    regions: str
+
+
 @line("configuration confirmed")
 @dataclass(frozen=True)
 class ConfigurationConfirmed(Line):
--- a/src/lentilwell/gateway/__init__.py
+++ b/src/lentilwell/gateway/__init__.py
@@ -42,7 +42,7 @@
 from lentilwell.gateway._ports import Dialect, Entry, Feed, Feeds, Listing, OperatorRow
 from lentilwell.gateway._settings import GatewaySettings
 from lentilwell.gateway._upstreams import Upstream
-from lentilwell.gateway.evacuation import EvacuationOrder
+from lentilwell.gateway.evacuation import EvacuationOrder, restrict
 
 __all__ = [
     "AnswerHead",
@@ -88,6 +88,7 @@
     "find_headers",
     "is_ip_and_port",
     "open_http_connection",
+    "restrict",
 ]
 
 _REGISTERED = (_baselines, _least_cost)
--- a/src/lentilwell/gateway/_attempt.py
+++ b/src/lentilwell/gateway/_attempt.py
@@ -254,7 +254,7 @@
     def _may_send(self, placement: Placement) -> bool:
         """Tell whether the upstreams of a placement still accept the request."""
         choice = placement.choice
-        return self._fleet.accepts_work(choice) and self._permits.covers(
+        return self._fleet.accepts_work(choice, self._routed.restriction) and self._permits.covers(
             choice.upstream, placement.permit
         )
 
--- a/src/lentilwell/gateway/_catalog.py
+++ b/src/lentilwell/gateway/_catalog.py
@@ -8,6 +8,8 @@
 from enum import Enum
 from functools import cached_property
 
+from lentilwell.gateway.evacuation import Restriction
+
 
 class Repeat(Enum):
     """When a request may be sent again after an attempt that may have run.
@@ -37,6 +39,7 @@
     answer that counts as on time, ``pause_ms`` the same for the pause between two events of a
     stream. ``rank`` is the priority, 0 being the highest. ``max_upstreams`` limits the upstreams
     that one attempt of a caller may be sent to. ``public`` routes need no key.
+    ``restriction`` names the regions whose upstreams may be used, None for all upstreams.
     """
 
     name: str
@@ -51,6 +54,7 @@
     rank: int
     max_upstreams: int
     public: bool
+    restriction: Restriction = None
 
 
 @dataclass(frozen=True)
@@ -89,11 +93,15 @@
 
 @dataclass(frozen=True)
 class Team:
-    """A team and its keys; ``rank`` overrides the rank of a route unless it is None."""
+    """A team and its keys; ``rank`` overrides the rank of a route unless it is None.
+
+    ``restriction`` names the regions whose upstreams may be used, None for all upstreams.
+    """
 
     name: str
     keys: tuple[str, ...]
     rank: int | None
+    restriction: Restriction = None
 
 
 @dataclass(frozen=True)
@@ -126,6 +134,12 @@
         """Return whether both have the same version and the same content."""
         return self.version == other.version and self.content_hash == other.content_hash
 
+    def list_regions(self) -> frozenset[str]:
+        """Return the names of all regions that routes and teams are restricted to."""
+        restrictions = [route.restriction for route in self.routes]
+        restrictions += [team.restriction for team in self.teams]
+        return frozenset().union(*(one for one in restrictions if one is not None))
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of this host with the longest prefix of ``path``."""
         routes = self._routes_by_host.get(host.lower(), {})
--- a/src/lentilwell/gateway/_fleet.py
+++ b/src/lentilwell/gateway/_fleet.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from lentilwell._clock import Clock
@@ -34,7 +34,12 @@
     apply_changes,
     drop_missing,
 )
-from lentilwell.gateway.evacuation import Closure, ClosureReason, EvacuationTracker
+from lentilwell.gateway.evacuation import (
+    Closure,
+    EvacuationTracker,
+    Restriction,
+    explain_closure,
+)
 
 # Waits for permits that differ by less than this count as equal.
 SAME_WAIT_MS = 50
@@ -72,6 +77,8 @@
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     random: random.Random = field(default_factory=random.Random)
     evacuations: EvacuationTracker = field(init=False)
+    # The region of each data centre that has one.
+    zones: Mapping[str, str] = field(default_factory=dict)
     on_evacuation_end: Callable[[str, int], None] = lambda data_centre, now: None
 
     def __post_init__(self) -> None:
@@ -103,6 +110,7 @@
         arrived_at: int,
         excluded: frozenset[str],
         last_send: bool = False,
+        restriction: Restriction = None,
     ) -> Choice | None:
         """Let the policy choose an upstream that is not in ``excluded``.
 
@@ -113,7 +121,7 @@
         now = self.clock.now()
         usable = [
             upstream
-            for upstream in self._list_accepting(service, excluded, now)
+            for upstream in self._list_accepting(service, excluded, now, restriction)
             if not self.find_permit_wait_ms(upstream)
         ]
         self.shards.update_upstreams(self.directory.listed)
@@ -132,6 +140,7 @@
         arrived_at: int,
         excluded: frozenset[str],
         find_patience_ms: Callable[[Upstream], int],
+        restriction: Restriction = None,
     ) -> Choice | None:
         """Let the policy choose a rate-limited upstream whose permit the request can wait for.
 
@@ -140,7 +149,7 @@
         now = self.clock.now()
         waits = {
             upstream: self.find_permit_wait_ms(upstream)
-            for upstream in self._list_accepting(service, excluded, now)
+            for upstream in self._list_accepting(service, excluded, now, restriction)
         }
         in_time = {
             upstream: wait_ms
@@ -154,11 +163,13 @@
         request = self._make_request(service, route, prompt, now - arrived_at, False)
         return self._choose_among(request, soonest)
 
-    def has_unlimited(self, service: str, excluded: frozenset[str]) -> bool:
+    def has_unlimited(
+        self, service: str, excluded: frozenset[str], restriction: Restriction = None
+    ) -> bool:
         """Tell whether an upstream of a service takes requests without permits."""
         return any(
             not self.rate_limits.is_limited(upstream.incarnation)
-            for upstream in self._list_accepting(service, excluded, self.clock.now())
+            for upstream in self._list_accepting(service, excluded, self.clock.now(), restriction)
         )
 
     def list_limited(self, service: str) -> frozenset[str]:
@@ -169,43 +180,57 @@
             if self.rate_limits.is_limited(upstream.incarnation)
         )
 
-    def find_least_permit_wait_ms(self, service: str, excluded: frozenset[str]) -> int | None:
+    def find_least_permit_wait_ms(
+        self, service: str, excluded: frozenset[str], restriction: Restriction = None
+    ) -> int | None:
         """Return how long the first permit for a service takes, None if no limit delays it."""
-        waits = map(
-            self.find_permit_wait_ms, self._list_accepting(service, excluded, self.clock.now())
-        )
+        accepting = self._list_accepting(service, excluded, self.clock.now(), restriction)
+        waits = map(self.find_permit_wait_ms, accepting)
         return min((wait_ms for wait_ms in waits if wait_ms), default=None)
 
-    def _list_accepting(self, service: str, excluded: frozenset[str], now: int) -> list[Upstream]:
+    def _list_accepting(
+        self, service: str, excluded: frozenset[str], now: int, restriction: Restriction
+    ) -> list[Upstream]:
         return [
             upstream
-            for upstream in self._list_open(service, now)
+            for upstream in self._list_open(service, now, restriction)
             if upstream.name not in excluded and self.availability.accepts_work(upstream, now)
         ]
 
-    def _list_open(self, service: str, now: int) -> Sequence[Upstream]:
-        """Return the usable upstreams of a service that are not evacuated."""
+    def _list_open(self, service: str, now: int, restriction: Restriction) -> Sequence[Upstream]:
+        """Return the usable upstreams of a service in data centres that may be used."""
         usable = self.directory.find_usable(service, now)
-        if not self.evacuations.evacuated:
+        if restriction is None and not self.evacuations.evacuated:
             return usable
-        return [upstream for upstream in usable if not self.is_evacuated(upstream)]
+        return [upstream for upstream in usable if self._is_open(upstream, restriction)]
+
+    def _is_open(self, upstream: Upstream, restriction: Restriction) -> bool:
+        if self.is_evacuated(upstream):
+            return False
+        return restriction is None or self.zones.get(upstream.data_centre) in restriction
 
     def is_evacuated(self, upstream: Upstream) -> bool:
         """Tell whether the data centre of an upstream is evacuated."""
         return upstream.data_centre in self.evacuations.evacuated
 
-    def find_closure(self, service: str) -> Closure | None:
-        """Return why no upstream of a service is open, None if one is or none is usable at all."""
-        now = self.clock.now()
-        if not self.evacuations.evacuated or self._list_open(service, now):
+    def find_closure(self, service: str, restriction: Restriction = None) -> Closure | None:
+        """Return why no usable upstream of a service is open, None if one is or none is usable."""
+        if restriction is None and not self.evacuations.evacuated:
+            return None
+        usable = self.directory.find_usable(service, self.clock.now())
+        if not usable or any(self._is_open(upstream, restriction) for upstream in usable):
             return None
-        names = {upstream.data_centre for upstream in self.directory.find_usable(service, now)}
-        return Closure(ClosureReason.EVACUATED, tuple(sorted(names))) if names else None
+        data_centres = {upstream.data_centre for upstream in usable}
+        return explain_closure(data_centres, restriction, self.zones.get)
 
     def knows_data_centre(self, name: str) -> bool:
-        """Tell whether this instance or a listed upstream is in a data centre of this name."""
+        """Tell whether the settings or a listed upstream name a data centre."""
         listed = self.directory.listed.values()
-        return name == self.data_centre or any(one.data_centre == name for one in listed)
+        return (
+            name == self.data_centre
+            or name in self.zones
+            or any(one.data_centre == name for one in listed)
+        )
 
     def _make_request(
         self, service: str, route: Route, prompt: Prompt | None, waited_ms: int, last_send: bool
@@ -239,17 +264,22 @@
         sent_at = self.clock.now() + delay_ms
         return can_finish(routed, self.answer_times, sent_at, stop.find_end(sent_at))
 
-    def accepts_work(self, choice: Choice) -> bool:
-        """Tell whether no upstream of a choice drains, has a backoff in effect or is evacuated."""
+    def accepts_work(self, choice: Choice, restriction: Restriction = None) -> bool:
+        """Tell whether all upstreams of a choice are open, and none drains or has a backoff."""
         now = self.clock.now()
-        if self.evacuations.evacuated and any(map(self.is_evacuated, choice.upstreams)):
+        unrestricted = restriction is None and not self.evacuations.evacuated
+        if not unrestricted and not all(
+            self._is_open(one, restriction) for one in choice.upstreams
+        ):
             return False
         return all(self.availability.accepts_work(one, now) for one in choice.upstreams)
 
-    def find_backoff_end(self, service: str, excluded: frozenset[str]) -> int | None:
+    def find_backoff_end(
+        self, service: str, excluded: frozenset[str], restriction: Restriction = None
+    ) -> int | None:
         """Return when the first backoff in a service ends, None if none is in effect."""
         now = self.clock.now()
-        usable = self._list_open(service, now)
+        usable = self._list_open(service, now, restriction)
         others = [upstream for upstream in usable if upstream.name not in excluded]
         return self.availability.find_earliest_backoff_end(others, now)
 
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -345,6 +345,8 @@
 
     def _connect_evacuations(self) -> None:
         """Let evacuations reach the requests, the leases, the permits and the prober."""
+        self.fleet.zones = self.settings.zones
+        self._catalog_listener.list_regions = lambda: self.fleet.zones.values()
         evacuations = self.fleet.evacuations
         evacuations.is_known = self.fleet.knows_data_centre
         evacuations.on_begin = self._handle_evacuation
@@ -448,6 +450,7 @@
         write_line(SettingsReloaded(listeners_unchanged, settings.budget.extra))
         self.settings = settings
         self.fleet.change_budget(settings.budget)
+        self.fleet.zones = settings.zones
 
     def _run_maintenance(self) -> None:
         steps: dict[str, Callable[[], None]] = {
--- a/src/lentilwell/gateway/_placer.py
+++ b/src/lentilwell/gateway/_placer.py
@@ -16,7 +16,7 @@
 from lentilwell.gateway._request_recorder import RequestRecorder
 from lentilwell.gateway._routing import OTHER_INSTANCE_RETRY_MS, RoutedRequest
 from lentilwell.gateway._upstreams import Upstream
-from lentilwell.gateway.evacuation import EVACUATED_RETRY_MS, Closure
+from lentilwell.gateway.evacuation import CLOSED_RETRY_MS, Closure
 
 # A request that has waited this long for answers of permit owners uses no limited upstream: with
 # many of them whose owners are out of reach, it would otherwise wait until its deadline.
@@ -42,6 +42,7 @@
         self._clock = fleet.clock
         self._routed = routed
         self._recorder = recorder
+        self._restriction = routed.restriction
         self._deferred_ms = 0
         # The data centres of the upstreams that are waited for; None stands for all.
         self._waits: list[frozenset[str] | None] = []
@@ -77,28 +78,29 @@
         """Return when a caller should retry if no upstream can take its request, in ms."""
         service = self._routed.service
         backoff_ms = self._find_backoff_ms(excluded)
-        permit_ms = self._fleet.find_least_permit_wait_ms(service, excluded)
+        permit_ms = self._fleet.find_least_permit_wait_ms(service, excluded, self._restriction)
         waits = [wait_ms for wait_ms in (backoff_ms, permit_ms) if wait_ms]
         if not waits and self.find_closure() is None:
             return OTHER_INSTANCE_RETRY_MS
-        return find_retry_after_ms(
-            min(waits, default=EVACUATED_RETRY_MS), self._fleet.random.random()
-        )
+        return find_retry_after_ms(min(waits, default=CLOSED_RETRY_MS), self._fleet.random.random())
 
     def find_closure(self) -> Closure | None:
         """Return why no upstream may be used although some are ready, None if that is not so."""
-        return self._fleet.find_closure(self._routed.service)
+        return self._fleet.find_closure(self._routed.service, self._restriction)
 
     def explain_none(self, excluded: frozenset[str]) -> str:
         """Return why no upstream can take the request, for the log."""
-        if self._fleet.find_least_permit_wait_ms(self._routed.service, excluded) is not None:
+        service = self._routed.service
+        permit_ms = self._fleet.find_least_permit_wait_ms(service, excluded, self._restriction)
+        if permit_ms is not None:
             return "no upstream within its rate limit"
         closure = self.find_closure()
         return "no upstream" if closure is None else str(closure)
 
     async def _acquire_permit(self, upstream: Upstream, excluded: frozenset[str]) -> Permit | None:
         """Return a permit in time, or None; beside other upstreams, only one that holds at once."""
-        has_alternative = self._fleet.has_unlimited(self._routed.service, excluded)
+        service = self._routed.service
+        has_alternative = self._fleet.has_unlimited(service, excluded, self._restriction)
         patience_ms = 0 if has_alternative else self._find_permit_patience_ms(upstream)
         with self._waiting_for((upstream,)):
             return await self._permits.acquire(upstream, patience_ms, has_alternative)
@@ -157,7 +159,13 @@
         routed = self._routed
         prompt, arrived_at = routed.facts.prompt, routed.request.arrived_at
         choice = self._fleet.choose(
-            routed.service, routed.route, prompt, arrived_at, excluded, last_send
+            routed.service,
+            routed.route,
+            prompt,
+            arrived_at,
+            excluded,
+            last_send,
+            self._restriction,
         )
         if choice is not None:
             return choice
@@ -168,11 +176,13 @@
             arrived_at,
             excluded,
             self._find_permit_patience_ms,
+            self._restriction,
         )
 
     def _find_backoff_ms(self, excluded: frozenset[str]) -> int:
         """Return the time until the first upstream takes new work again, 0 if none will."""
-        opens_at = self._fleet.find_backoff_end(self._routed.service, excluded)
+        service = self._routed.service
+        opens_at = self._fleet.find_backoff_end(service, excluded, self._restriction)
         return max(0, opens_at - self._clock.now()) if opens_at is not None else 0
 
     def _measure_time(self) -> tuple[int, int]:
--- a/src/lentilwell/gateway/_routing.py
+++ b/src/lentilwell/gateway/_routing.py
@@ -11,6 +11,7 @@
 from lentilwell.gateway._catalog import Catalog, EngineSpec, Route, Team, choose_share
 from lentilwell.gateway._fingerprints import compute_fingerprint
 from lentilwell.gateway._messages import InboundRequest, RequestFacts
+from lentilwell.gateway.evacuation import Restriction, combine
 
 NOT_READY_RETRY_MS = 500
 # Another instance may be able to serve the request, so the caller may retry soon.
@@ -32,6 +33,7 @@
     """A request with its route, team and service in the configuration at its arrival.
 
     ``engine`` is the specification of the service's engines, None for a plain service.
+    ``restriction`` names the regions whose upstreams may be used, None for all upstreams.
     """
 
     request: InboundRequest
@@ -42,6 +44,7 @@
     engine: EngineSpec | None
     catalog_version: int
     deadline_at: int
+    restriction: Restriction = None
 
     @property
     def rank(self) -> int:
@@ -87,5 +90,6 @@
         engine=catalog.find_engine(service),
         catalog_version=catalog.version,
         deadline_at=request.arrived_at + timeout_ms,
+        restriction=combine(route.restriction, team.restriction if team is not None else None),
     )
     return Ok(routed)
--- a/src/lentilwell/gateway/_settings.py
+++ b/src/lentilwell/gateway/_settings.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 from lentilwell.gateway._budget import BudgetRules
 
@@ -12,7 +13,8 @@
     """Identity, addresses and limits of a gateway process. Durations are in milliseconds.
 
     Addresses are ``host:port``; ``peers_address`` receives UDP datagrams. ``max_stop_ms`` bounds
-    the duration of a planned stop, ``max_lease_ms`` that of a lease that is not renewed.
+    the duration of a planned stop, ``max_lease_ms`` that of a lease that is not renewed. ``zones``
+    maps data centres to their regions.
     """
 
     instance: str
@@ -26,3 +28,4 @@
     budget: BudgetRules
     log_level: str = "INFO"
     policy: str = "least_cost"
+    zones: Mapping[str, str] = field(default_factory=dict)
--- a/src/lentilwell/gateway/_table_listeners.py
+++ b/src/lentilwell/gateway/_table_listeners.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from lentilwell._clock import Clock
 from lentilwell._log_lines import (
     ConfigurationConfirmed,
     ConfigurationInForce,
     ConfigurationKept,
+    RegionsUnknown,
     UpstreamChanged,
     UpstreamKept,
     UpstreamsListed,
@@ -35,6 +36,9 @@
 )
 from lentilwell.gateway.evacuation import EvacuationChange, EvacuationTracker
 
+# Bound on the names in one log line.
+MAX_LOGGED_REGIONS = 20
+
 
 class OperatorListener:
     """Passes the operator's table on: first its evacuations, then the configuration."""
@@ -95,7 +99,10 @@
 
 
 class CatalogListener:
-    """Puts those configurations in force that ``ConfigurationChoice`` accepts as newer."""
+    """Puts those configurations in force that ``ConfigurationChoice`` accepts as newer.
+
+    ``list_regions`` returns the regions that the settings name.
+    """
 
     def __init__(self, choice: ConfigurationChoice, clock: Clock) -> None:
         self._choice = choice
@@ -103,6 +110,7 @@
         self._era: int | None = None
         self._pending: ReadConfiguration | None = None
         self._due_at = 0
+        self.list_regions: Callable[[], Collection[str]] = lambda: ()
 
     def handle_listing(self, listing: Listing[OperatorRow]) -> None:
         """Handle the configuration of a complete listing."""
@@ -181,6 +189,10 @@
             teams=len(candidate.catalog.teams),
         )
         write_line(in_force)
+        unknown = candidate.catalog.list_regions().difference(self.list_regions())
+        if unknown:
+            names = " ".join(sorted(unknown)[:MAX_LOGGED_REGIONS])
+            write_line(RegionsUnknown(candidate.catalog.version, len(unknown), names))
 
 
 class UpstreamListener:
--- a/src/lentilwell/gateway/evacuation/__init__.py
+++ b/src/lentilwell/gateway/evacuation/__init__.py
@@ -1,9 +1,13 @@
-"""Keeps the data centres that the operator evacuates, through changes and restores of the store."""
+"""Decides which data centres may be used: evacuations by the operator, restrictions to regions."""
 
-from lentilwell.gateway.evacuation._evacuations import (
-    EVACUATED_RETRY_MS,
+from lentilwell.gateway.evacuation._closures import (
+    CLOSED_RETRY_MS,
     Closure,
     ClosureReason,
+    explain_closure,
+)
+from lentilwell.gateway.evacuation._evacuations import (
+    REWRITE_MS,
     EvacuationChange,
     EvacuationOrder,
     Evacuations,
@@ -11,17 +15,23 @@
     apply_listing,
     end_kept,
 )
+from lentilwell.gateway.evacuation._regions import Restriction, combine, restrict
 from lentilwell.gateway.evacuation._tracker import EvacuationTracker
 
 __all__ = [
-    "EVACUATED_RETRY_MS",
+    "CLOSED_RETRY_MS",
+    "REWRITE_MS",
     "Closure",
     "ClosureReason",
     "EvacuationChange",
     "EvacuationOrder",
     "EvacuationTracker",
     "Evacuations",
+    "Restriction",
     "apply_changes",
     "apply_listing",
+    "combine",
     "end_kept",
+    "explain_closure",
+    "restrict",
 ]
--- a/src/lentilwell/gateway/evacuation/_evacuations.py
+++ b/src/lentilwell/gateway/evacuation/_evacuations.py
@@ -9,30 +9,10 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from enum import Enum
 
-from lentilwell.gateway._configuration_choice import SETTLE_MS
-
-# The ``Retry-After`` of a request whose upstreams are all evacuated. An evacuation lasts minutes;
-# callers wait for up to a third of their remaining time, which is about this long.
-EVACUATED_RETRY_MS = 1_000
-
-
-class ClosureReason(Enum):
-    """Why no upstream of a service may be used although some are listed as ready."""
-
-    EVACUATED = "evacuated"
-
-
-@dataclass(frozen=True)
-class Closure:
-    """A reason, with the names of the data centres that it concerns."""
-
-    reason: ClosureReason
-    names: tuple[str, ...]
-
-    def __str__(self) -> str:
-        return f"all upstreams are in evacuated data centres: {' '.join(self.names)}"
+# Operators write rows that a restore has lost again one after another, each within this time of the
+# one before. A configuration that is written again is waited for as long.
+REWRITE_MS = 1_000
 
 
 @dataclass(frozen=True)
@@ -115,7 +95,6 @@
 def _end_soon(kept: Mapping[str, int | None], now: int) -> dict[str, int | None]:
     """Return kept evacuations with the end that follows from a change of the table now.
 
-    The operator writes lost rows again one after another, so that the row of a kept evacuation may
-    follow the changed one within ``SETTLE_MS``.
+    The row of a kept evacuation may follow the changed one.
     """
-    return dict.fromkeys(kept, now + SETTLE_MS)
+    return dict.fromkeys(kept, now + REWRITE_MS)
--- a/tests/test_gateway_evacuation.py
+++ b/tests/test_gateway_evacuation.py
@@ -14,7 +14,7 @@
 from lentilwell.gateway._placement_policies import Choice, Helper
 from lentilwell.gateway._rate_limits import LimitReport
 from lentilwell.gateway._upstreams import Incarnation, Upstream
-from lentilwell.gateway.evacuation import EVACUATED_RETRY_MS
+from lentilwell.gateway.evacuation import CLOSED_RETRY_MS
 from standins.simulated_time import run_in_simulated_time
 from tests.gateway_harness import run_gateway, with_route
 from tests.gateway_scripts import (
@@ -77,12 +77,18 @@
     fleet.availability.record_backoff(Incarnation(name, 0), wait_ms, fleet.clock.now())
 
 
-async def call_while_waiting(harness, path, evacuated, **headers):
-    """Send a request, evacuate a data centre once it waits, and return its answer."""
-    pending = asyncio.create_task(harness.call(path, Deadline_Ms=str(LONG_S * 1_000), **headers))
+def end_backoffs(harness):
+    harness.gateway.fleet.availability._backoff_until.clear()
+
+
+async def call_while_waiting(harness, ends_backoffs):
+    """Send a request, evacuate data centre a once it waits, and return its answer."""
+    pending = asyncio.create_task(harness.call("/whole/x", Deadline_Ms=str(LONG_S * 1_000)))
     [exchange] = await wait_for_exchange(harness)
-    await wait_until(lambda: any(one.waits_for(evacuated) for one in exchange._tasks))
-    await evacuate(harness, evacuated)
+    await wait_until(lambda: any(one.waits_for("a") for one in exchange._tasks))
+    if ends_backoffs:
+        end_backoffs(harness)
+    await evacuate(harness, "a")
     return await pending
 
 
@@ -115,7 +121,7 @@
         await evacuate(harness, "b")
         answer = await harness.call(path)
         assert answer.status == 503 and count_arrivals(harness) == [0, 0]
-        assert float(answer.headers["retry-after"]) >= EVACUATED_RETRY_MS / 1_000
+        assert float(answer.headers["retry-after"]) >= CLOSED_RETRY_MS / 1_000
         metrics = harness.gateway.metrics.render().decode()
         assert "lentilwell_gateway_data_centres_evacuated 2.0" in metrics
         assert (
@@ -171,7 +177,7 @@
         pending = asyncio.create_task(harness.call("/whole/x", method="GET"))
         await wait_until(lambda: harness.arrivals)
         await evacuate(harness, "a")
-        harness.gateway.fleet.availability._backoff_until.clear()
+        end_backoffs(harness)
         assert (await pending).status == 200
         assert count_arrivals(harness) == [1, 0, 1]
 
@@ -192,7 +198,7 @@
         pending = asyncio.create_task(harness.call("/stream/x"))
         await wait_until(lambda: harness.arrivals)
         await evacuate(harness, "a")
-        harness.gateway.fleet.availability._backoff_until.clear()
+        end_backoffs(harness)
         first_read.set()
         answer = await pending
         assert list_event_ids(answer.body) == [1, 2, 3, 4, 5]
@@ -214,7 +220,7 @@
         [exchange] = await wait_for_exchange(harness)
         await wait_until(lambda: exchange.placer.waits_for("a"))
         assert not exchange.placer.waits_for("b")
-        harness.gateway.fleet.availability._backoff_until.clear()
+        end_backoffs(harness)
         await evacuate(harness, "a")
         assert list_event_ids((await pending).body) == [1, 2, 3, 4, 5]
         assert count_arrivals(harness)[:2] == [0, 0]
@@ -233,8 +239,8 @@
 
         permits.acquire = acquire
         limit(harness, "u0")
-        back_off(harness, "u1", 500)
-        answer = await call_while_waiting(harness, "/whole/x", "a")
+        back_off(harness, "u1", LONG_S * 1_000)
+        answer = await call_while_waiting(harness, ends_backoffs=True)
         assert answer.status == 200 and count_arrivals(harness) == [0, 1]
 
 
@@ -243,7 +249,7 @@
     """Guards against a wait that runs out although its upstream may not be used at its end."""
     async with run_gateway(answer_ok, data_centres="a", catalog=PATIENT) as harness:
         back_off(harness, "u0", 20_000)
-        answer = await call_while_waiting(harness, "/whole/x", "a")
+        answer = await call_while_waiting(harness, ends_backoffs=False)
         assert answer.status == 503 and count_arrivals(harness) == [0]
 
 
@@ -270,7 +276,7 @@
         pending = asyncio.create_task(harness.call("/stream/x", **THREE_ENGINES))
         silent = harness.upstreams[:2]
         await wait_until(lambda: sum(count_orders(one, "reserve") for one in silent))
-        harness.gateway.fleet.availability._backoff_until.clear()
+        end_backoffs(harness)
         await evacuate(harness, "a")
         reserved = [count_orders(one, "reserve") for one in silent]
         assert list_event_ids((await pending).body) == [1, 2, 3, 4, 5]
@@ -332,7 +338,7 @@
         pool.acquire = acquire_slowly
         pending = asyncio.create_task(harness.call("/once/x"))
         await blocked.wait()
-        harness.gateway.fleet.availability._backoff_until.clear()
+        end_backoffs(harness)
         await evacuate(harness, "a")
         assert (await pending).status == 200 and count_arrivals(harness) == [0, 1]
 
--- a/tests/test_gateway_evacuations.py
+++ b/tests/test_gateway_evacuations.py
@@ -8,13 +8,13 @@
 
 from lentilwell._clock import ManualClock
 from lentilwell.gateway import Catalog, Entry, EvacuationOrder, Listing, UnreadableRow
-from lentilwell.gateway._configuration_choice import SETTLE_MS, ConfigurationChoice
+from lentilwell.gateway._configuration_choice import ConfigurationChoice
 from lentilwell.gateway._table_listeners import (
     CatalogListener,
     EvacuationListener,
     OperatorListener,
 )
-from lentilwell.gateway.evacuation import EvacuationTracker
+from lentilwell.gateway.evacuation import REWRITE_MS, EvacuationTracker
 
 NAMES = st.sampled_from(["a", "b", "c"])
 
@@ -60,7 +60,7 @@
             st.tuples(st.just("listing"), st.frozensets(NAMES)),
             st.tuples(st.sampled_from(["put", "remove"]), NAMES),
             st.tuples(st.just("config"), st.integers(1, 9)),
-            st.tuples(st.just("wait"), st.integers(0, 2 * SETTLE_MS)),
+            st.tuples(st.just("wait"), st.integers(0, 2 * REWRITE_MS)),
         )
     )
 )
@@ -88,7 +88,7 @@
     st.frozensets(NAMES),
     st.frozensets(NAMES),
     st.lists(st.tuples(st.sampled_from(["put", "remove"]), NAMES), max_size=6),
-    st.integers(0, SETTLE_MS - 1),
+    st.integers(0, REWRITE_MS - 1),
 )
 def test_evacuation_survives_a_restore_until_the_operator_has_written(
     before, copied, writes, pause_ms
@@ -102,21 +102,21 @@
         rows = rows | {name} if kind == "put" else rows - {name}
         assert rows <= reader.tracker.evacuated <= before | rows
         assert (name in reader.tracker.evacuated) == (kind == "put")
-    reader.wait(SETTLE_MS)
+    reader.wait(REWRITE_MS)
     assert reader.tracker.evacuated == (rows if writes else before | copied)
 
 
 def test_rewritten_configuration_does_not_interrupt_an_evacuation_that_is_rewritten_after_it():
     """Guards against requests sent there between the two rows."""
     reader = Reader().read_listing("a").read_listing(era=2)
-    reader.read_change("config", value=Catalog(2), era=2).wait(SETTLE_MS - 1)
+    reader.read_change("config", value=Catalog(2), era=2).wait(REWRITE_MS - 1)
     reader.read_change("evacuate/a", era=2).wait(60_000)
     assert reader.events == [("begin", "a")]
 
 
 def test_kept_evacuation_ends_once_any_row_was_written_in_the_new_era():
     reader = Reader().read_listing("a").read_listing(era=2)
-    reader.read_change("config", value=Catalog(2), era=2).wait(SETTLE_MS)
+    reader.read_change("config", value=Catalog(2), era=2).wait(REWRITE_MS)
     assert reader.evacuated == ""
 
 
@@ -129,7 +129,7 @@
 @pytest.mark.parametrize(("version", "left"), [(1, "a"), (2, "")])
 def test_compacted_history_shows_a_write_of_the_new_era_only_by_a_changed_row(version, left):
     reader = Reader().read_listing("a").read_listing(era=2)
-    reader.read_listing(era=2, version=version).wait(SETTLE_MS)
+    reader.read_listing(era=2, version=version).wait(REWRITE_MS)
     assert reader.evacuated == left
 
 
