--- a/src/lentilwell/gateway/__init__.py
+++ b/src/lentilwell/gateway/__init__.py
@@ -40,9 +40,10 @@
     find_headers,
 )
 from lentilwell.gateway._peers import Member, Membership
-from lentilwell.gateway._ports import Dialect, Entry, Feed, Feeds, Listing
+from lentilwell.gateway._ports import Dialect, Entry, Feed, Feeds, Listing, OperatorRow
 from lentilwell.gateway._settings import GatewaySettings
 from lentilwell.gateway._upstreams import Upstream
+from lentilwell.gateway.evacuation import EvacuationOrder, restrict
 
 __all__ = [
     "AnswerHead",
@@ -54,6 +55,7 @@
     "Entry",
     "Envelope",
     "EraTracker",
+    "EvacuationOrder",
     "Feed",
     "Feeds",
     "Gateway",
@@ -69,6 +71,7 @@
     "Member",
     "Membership",
     "MemoryOrder",
+    "OperatorRow",
     "PrefillHelper",
     "Prompt",
     "Repeat",
@@ -87,6 +90,7 @@
     "find_headers",
     "is_ip_and_port",
     "open_http_connection",
+    "restrict",
 ]
 
 _REGISTERED = (_baselines, _least_cost)
