Evacuation: a newer configuration in a restored store shows that the operator has written

Cause: an instance that read the first listing of a new era after the operator had written kept an evacuation that the others ended. Change: a configuration newer than all that were read counts as a write, since an older copy can't hold it; the kept evacuation then ends after a second. Result: tests/test_gateway_evacuations.py and test_platform_evacuation.py pass; lint passes.

--- a/src/lentilwell/gateway/_table_listeners.py
+++ b/src/lentilwell/gateway/_table_listeners.py
@@ -74,11 +74,17 @@
         self._find_data_centre = find_data_centre
         self._era: int | None = None
         self._rows: dict[str, OperatorRow | None] = {}
+        self._newest_version = 0
 
     def handle_listing(self, listing: Listing[OperatorRow]) -> None:
-        """Handle a complete listing; one of the same era may differ if the history is gone."""
+        """Handle a complete listing.
+
+        One of the same era may differ if the history is gone. In a new era, only a configuration
+        that is newer than all known ones shows a change: an older copy can't hold it.
+        """
         rows = {entry.key: entry.value for entry in listing.entries}
-        rewritten = listing.era == self._era and rows != self._rows
+        newer = self._record_version(listing)
+        rewritten = rows != self._rows if listing.era == self._era else newer
         self._era, self._rows = listing.era, rows
         found = map(self._find_data_centre, rows)
         data_centres = [name for name in found if name is not None]
@@ -86,6 +92,7 @@
 
     def handle_changes(self, listing: Listing[OperatorRow]) -> None:
         """Handle changed rows."""
+        self._record_version(listing)
         changes: list[EvacuationChange] = []
         for entry in listing.entries:
             self._rows[entry.key] = entry.value
@@ -97,6 +104,14 @@
         if listing.entries:
             self._tracker.handle_changes(changes, listing.at)
 
+    def _record_version(self, listing: Listing[OperatorRow]) -> bool:
+        """Record the version of the configuration; tell whether it is newer than all before."""
+        values = [entry.value for entry in listing.entries]
+        newest = max((one.version for one in values if isinstance(one, Catalog)), default=0)
+        newer = newest > self._newest_version
+        self._newest_version = max(self._newest_version, newest)
+        return newer
+
 
 class CatalogListener:
     """Puts those configurations in force that ``ConfigurationChoice`` accepts as newer.
--- a/src/lentilwell/gateway/evacuation/_evacuations.py
+++ b/src/lentilwell/gateway/evacuation/_evacuations.py
@@ -54,13 +54,12 @@
 ) -> Evacuations:
     """Return the evacuations after a complete listing with rows for these data centres.
 
-    ``rewritten`` tells that rows of the table differ from those known of the same era.
+    ``rewritten`` tells that the listing shows a change of the table in this era that was not known.
     """
     listed = frozenset(data_centres)
-    if evacuations.era is not None and era > evacuations.era:
-        missing = evacuations.data_centres - listed
-        return Evacuations(listed, dict.fromkeys(missing), era)
     kept = {name: until for name, until in evacuations.kept.items() if name not in listed}
+    if evacuations.era is not None and era > evacuations.era:
+        kept = dict.fromkeys(evacuations.data_centres - listed)
     if rewritten:
         kept = _end_soon(kept, now)
     return Evacuations(listed, kept, era)
--- a/src/lentilwell/gateway/evacuation/_tracker.py
+++ b/src/lentilwell/gateway/evacuation/_tracker.py
@@ -34,7 +34,7 @@
     def handle_listing(self, data_centres: Iterable[str], at: StorePoint, rewritten: bool) -> None:
         """Handle the evacuated data centres of a complete listing.
 
-        ``rewritten`` tells that the listing differs from what was known of the same era.
+        ``rewritten`` tells that the listing shows an unknown change of the table in its era.
         """
         previous = self._evacuations
         current = apply_listing(previous, data_centres, at.era, rewritten, self._clock.now())
--- a/tests/test_gateway_evacuations.py
+++ b/tests/test_gateway_evacuations.py
@@ -99,6 +99,14 @@
     assert reader.list("", era=3).wait(60_000).evacuated == {"a"}
 
 
+@pytest.mark.parametrize(("version", "left"), [(1, {"a"}), (2, {"a"}), (3, set())])
+def test_first_listing_of_an_era_shows_a_write_only_by_a_newer_configuration(version, left):
+    """Guards against an instance that reads the copy late and keeps the evacuation forever."""
+    reader = Reader("a").change("config", value=Catalog(2)).list("", era=2, version=version)
+    assert reader.wait(REWRITE_MS - 1).evacuated == {"a"}
+    assert reader.wait(1).evacuated == left
+
+
 @pytest.mark.parametrize(("version", "left"), [(1, {"a"}), (2, set())])
 def test_compacted_history_shows_a_write_of_the_new_era_only_by_a_changed_row(version, left):
     reader = Reader("a").list("", era=2).list("", era=2, version=version)
