Overload: requests that would be late wait at the instance, not in the engines' queues

Cause: all requests of a burst were sent and waited in the engines' FIFO queues, so that at twice the capacity nearly all first events were late.

Change: a request whose first event would be late because no slot is free in time is held at its instance, sent at a lower rank when more slots are free than fresh requests need, or refused at once with a spread Retry-After. When a slot is free is estimated from the ages of the requests at an engine, since peers report ends late; estimates are corrected by the errors of the latest first events. When slots are scarce, instances spread their choices at random.

--- a/src/lentilwell/_log_lines/_requests.py
+++ b/src/lentilwell/_log_lines/_requests.py
@@ -52,6 +52,50 @@
     hold_ms: int
 
 
+@line("request held for room")
+@dataclass(frozen=True)
+class RequestHeld(Line):
+    """A request is held at this instance: sent now, it would be late and might delay others.
+
+    ``expected_first_ms`` is the expected time to its first event if it were sent now,
+    ``slot_wait_ms`` the part of that spent waiting for a slot, ``free_slots`` the free slots known.
+    """
+
+    request: str
+    service: str
+    rank: int
+    reason: str
+    expected_first_ms: int
+    slot_wait_ms: int
+    free_slots: int
+    waited_ms: int
+
+
+@line("request released")
+@dataclass(frozen=True)
+class RequestReleased(Line):
+    """A held request is held no more, after ``held_ms``; ``outcome`` tells whether it is sent."""
+
+    request: str
+    service: str
+    outcome: str
+    held_ms: int
+
+
+@line("request refused under overload")
+@dataclass(frozen=True)
+class OverloadRefused(Line):
+    """A request is refused: its first event is expected after its caller has left."""
+
+    request: str
+    service: str
+    rank: int
+    expected_first_ms: int
+    free_slots: int
+    waited_ms: int
+    retry_after_ms: int
+
+
 @line("request waits")
 @dataclass(frozen=True)
 class RequestWaiting(Line):
--- a/src/lentilwell/gateway/_accounting.py
+++ b/src/lentilwell/gateway/_accounting.py
@@ -26,16 +26,23 @@
         self._job_name = f"{routed.facts.request_id}/{number}"
         self.sent_at = 0
         self._awaits_event = False
+        self._late = False
 
-    def add_jobs(self, choice: Choice) -> None:
-        """Add the request's work to the load of its upstreams."""
+    def add_jobs(self, choice: Choice, late: bool = False) -> None:
+        """Add the request's work to the load of its upstreams.
+
+        The upstreams take a ``late`` request after all that can be on time.
+        """
         facts, route = self._routed.facts, self._routed.route
+        self._late = late
+        now = self._clock.now()
+        due_at = self._routed.request.arrived_at + route.objective_ms
         jobs = build_jobs(
             choice,
             self._job_name,
             facts.prompt.memory_tokens if facts.prompt is not None else 0,
-            now=self._clock.now(),
-            due_at=self._routed.request.arrived_at + route.objective_ms,
+            now=now,
+            due_at=min(due_at, now) if late else due_at,
             pause_ms=route.pause_ms,
         )
         for job in jobs:
@@ -44,6 +51,7 @@
     def remove_jobs(self, choice: Choice) -> None:
         """Remove the request's work from the load of its upstreams."""
         self._fleet.load_tracker.remove(self._job_name, choice.upstream_names)
+        self._fleet.admission.wake(self._routed.service)
 
     def record_sent(self) -> None:
         """Record that the request is sent to an upstream now."""
@@ -55,12 +63,15 @@
         if not self._awaits_event:
             return
         self._awaits_event = False
-        self._fleet.load_tracker.record_first_event(self._job_name, choice.upstream_names)
+        now = self._clock.now()
+        self._fleet.load_tracker.record_first_event(self._job_name, choice.upstream_names, now)
         if choice.helpers or not choice.first_event_ms:
             return  # with helpers, it is unknown which upstream was slow
-        now = self._clock.now()
         expected_ms = choice.first_event_ms / choice.latency_factor
         actual_ms = float(now - self.sent_at)
+        if not self._late:
+            errors = self._fleet.admission.find_holds(self._routed.service).errors
+            errors.record(choice.first_event_ms, actual_ms, now)
         self._fleet.latency_factors.record_sample(choice.upstream.name, expected_ms, actual_ms, now)
 
     def record_success(self, choice: Choice) -> None:
--- a/src/lentilwell/gateway/_attempt.py
+++ b/src/lentilwell/gateway/_attempt.py
@@ -8,7 +8,6 @@
 
 from lentilwell._log_lines import RefusalBodyDropped, write_line
 from lentilwell.gateway._accounting import Accounting
-from lentilwell.gateway._admission import check_admission
 from lentilwell.gateway._answer_checks import find_answer_problem
 from lentilwell.gateway._catalog import Repeat
 from lentilwell.gateway._connection import HttpConnection
@@ -36,6 +35,7 @@
 from lentilwell.gateway._routing import RoutedRequest
 from lentilwell.gateway._turns import Turns
 from lentilwell.gateway._upstreams import Upstream
+from lentilwell.gateway.overload import Refuse, Send, check_admission, find_late_rank
 
 # Only the status and the headers of a refusal are used. The body is read so that the connection can
 # be reused; if that takes longer than this, the connection is closed instead.
@@ -43,6 +43,7 @@
 BUDGET_SPENT = "retry budget spent"
 HARMFUL_REQUEST = "the request crashes upstreams"
 HARMFUL_PARTS = "parts of the prompt crash upstreams"
+OVERLOAD = "no room before the caller leaves"
 STOPPING = "not expected to end before this instance stops"
 
 
@@ -100,6 +101,7 @@
         self._accounting = Accounting(context.fleet, owner.routed, number)
         self._choice: Choice | None = None
         self._known_ends: frozenset[int] = frozenset()
+        self._late = False
         self.silent = False
         self.sent = False
 
@@ -122,19 +124,46 @@
         instances = self._fleet.count_instances
         if is_retry and not budget.allows_retry(self._clock.now(), instances()):
             return AttemptEnd(NoUpstream(), BUDGET_SPENT)
-        placement = await self._place()
+        placement = await self._place_when_due()
         if isinstance(placement, AttemptEnd):
             return placement
         if self._ends_too_late():
             return AttemptEnd(NoUpstream(), STOPPING)
         if is_retry and not budget.try_spend(self._clock.now(), instances()):
             return AttemptEnd(NoUpstream(), BUDGET_SPENT)
-        self._accounting.add_jobs(self.choice)
+        self._accounting.add_jobs(self.choice, self._late)
         try:
             return await self._reserve_and_send(placement)
         finally:
             self._accounting.remove_jobs(self.choice)
 
+    async def _place_when_due(self) -> Placement | AttemptEnd:
+        """Choose an upstream; hold the request as long as it would be late and delay others."""
+        placer = self._owner.placer
+        while isinstance(placement := await self._place(), Placement):
+            verdict = placer.judge(placement, self._owner.state.sends > 0)
+            if isinstance(verdict, Send):
+                self._late = verdict.late
+                if placer.holding:
+                    self._owner.recorder.record_choice(placement.choice, len(self._owner.excluded))
+                placer.end_hold("sent late" if verdict.late else "sent", sent=True)
+                return placement
+            if isinstance(verdict, Refuse):
+                return self._refuse(placement.choice, verdict)
+            await placer.hold(placement.choice, verdict.reason)
+            if (ended := self._check_before_send()) is not None:
+                placer.end_hold(ended.reason)
+                return ended
+        placer.end_hold(placement.reason)
+        return placement
+
+    def _refuse(self, choice: Choice, verdict: Refuse) -> AttemptEnd:
+        """Refuse the request for lack of room; it has not been sent."""
+        self._owner.delivery.retry_after_ms = verdict.retry_after_ms
+        self._owner.recorder.record_overload(choice, verdict)
+        self._owner.placer.end_hold(OVERLOAD)
+        return AttemptEnd(NoUpstream(), OVERLOAD)
+
     async def _place(self) -> Placement | AttemptEnd:
         """Choose an upstream, or end the attempt if none can serve the request in time."""
         owner = self._owner
@@ -144,7 +173,8 @@
             owner.delivery.retry_after_ms = owner.placer.find_retry_after_ms(owner.excluded)
             return AttemptEnd(NoUpstream(), owner.placer.explain_none(owner.excluded))
         choice = self._choice = placement.choice
-        owner.recorder.record_choice(choice, len(owner.excluded))
+        if not owner.placer.holding:
+            owner.recorder.record_choice(choice, len(owner.excluded))
         too_late = check_admission(self._routed.route, choice, self._get_remaining_ms())
         if too_late is not None and not owner.state.delivered:
             owner.delivery.retry_after_ms = too_late.retry_after_ms
@@ -208,12 +238,18 @@
             if not connection.idle:
                 connection.close()
 
-    def _check_send(self, placement: Placement) -> AttemptEnd | None:
-        """End the attempt if the request must not be sent any more, now that it could be."""
+    def _check_before_send(self) -> AttemptEnd | None:
+        """End the attempt if the request must not be sent to any upstream any more."""
         if (refused := self._check_harmful()) is not None:
             return refused
         if self._ends_too_late():
             return AttemptEnd(NoUpstream(), STOPPING)
+        return None
+
+    def _check_send(self, placement: Placement) -> AttemptEnd | None:
+        """End the attempt if the request must not be sent any more, now that it could be."""
+        if (ended := self._check_before_send()) is not None:
+            return ended
         if not self._may_send(placement):
             return AttemptEnd(ConnectionFailed(), "the upstream stopped accepting new work")
         return None
@@ -263,7 +299,7 @@
             upstream=self.upstream,
             remaining_ms=max(1, self._get_remaining_ms()),
             team=routed.team.name if routed.team is not None else None,
-            rank=routed.rank,
+            rank=find_late_rank(routed.rank) if self._late else routed.rank,
             resume_after=self._owner.delivery.last_event_id,
             prefill_helpers=tuple(
                 PrefillHelper(helper.upstream.address, leases.find_ticket(helper.upstream.name))
--- a/src/lentilwell/gateway/_backoff_waits.py
+++ b/src/lentilwell/gateway/_backoff_waits.py
@@ -10,8 +10,8 @@
 
 from collections import Counter
 
-from lentilwell.gateway._admission import find_caller_silence_timeout_ms
 from lentilwell.gateway._catalog import Route
+from lentilwell.gateway.overload import find_caller_silence_timeout_ms
 
 # Time between two requests of one instance that waited for the same service.
 RELEASE_INTERVAL_MS = 20
--- a/src/lentilwell/gateway/_engine_timing.py
+++ b/src/lentilwell/gateway/_engine_timing.py
@@ -37,8 +37,13 @@
     waiting = slot_demand - engine.slots + 1
     if waiting <= 0:
         return 0.0
+    return waiting * estimate_write_ms(engine) / engine.slots
+
+
+def estimate_write_ms(engine: EngineSpec) -> float:
+    """Return how long a busy engine writes an answer of typical length, in ms."""
     passes = engine.typical_answer_tokens / engine.steps_per_pass
     pass_ms = estimate_decode_pass_ms(
         engine, engine.slots, engine.slots * engine.typical_prompt_tokens
     )
-    return waiting * passes * pass_ms / engine.slots
+    return passes * pass_ms
--- a/src/lentilwell/gateway/_fleet.py
+++ b/src/lentilwell/gateway/_fleet.py
@@ -34,6 +34,7 @@
     apply_changes,
     drop_missing,
 )
+from lentilwell.gateway.overload import AdmissionControl
 
 # Waits for permits that differ by less than this count as equal.
 SAME_WAIT_MS = 50
@@ -70,6 +71,11 @@
     on_limit_change: Callable[[Upstream], None] = lambda upstream: None
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     random: random.Random = field(default_factory=random.Random)
+    admission: AdmissionControl = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create the parts that share the clock and the random numbers."""
+        self.admission = AdmissionControl(self.clock, self.random)
 
     @property
     def catalog(self) -> Catalog | None:
@@ -189,6 +195,7 @@
             now=self.clock.now(),
             random_point=self.random.random(),
             last_send=last_send,
+            expects_ends=self.admission.enabled,
         )
 
     def _choose_among(self, request: PlacementRequest, usable: Sequence[Upstream]) -> Choice | None:
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -102,6 +102,7 @@
         self.fleet = Fleet(
             self.clock, settings.data_centre, settings.budget, settings.policy, shards
         )
+        self.fleet.admission.enabled = settings.admission_control
         self.connections = ConnectionPool(self.clock)
         self.permit_owners = OwnerTable(settings.instance)
         incarnation = uuid.uuid4().hex[:INCARNATION_LENGTH]
@@ -229,6 +230,7 @@
         if self.planned_stop.begin():
             self.peers.stopping = True
             self.peers.schedule_send()
+            self.fleet.admission.wake_all()
             write_line(StopBegun(len(self._callers)))
 
     async def serve(self, caller: CallerConnection, request: InboundRequest) -> None:
--- a/src/lentilwell/gateway/_least_cost.py
+++ b/src/lentilwell/gateway/_least_cost.py
@@ -22,6 +22,7 @@
     estimate_decode_pass_ms,
     estimate_prefill_ms,
     estimate_slot_wait_ms,
+    estimate_write_ms,
 )
 from lentilwell.gateway._load_tracker import Job
 from lentilwell.gateway._placement_policies import (
@@ -32,6 +33,7 @@
     choose_least_outstanding,
     policy,
 )
+from lentilwell.gateway.overload import estimate_next_slot_ms
 
 # Numbers of engines that are considered for the prefill of one prompt. A request can name at most
 # 16 helpers beside the primary engine.
@@ -53,6 +55,15 @@
 CURRENT_PASS_SHARE = 0.5
 # The cost of an engine without a free slot, for each request in excess.
 NO_FREE_SLOT_COST = 1.0
+# Where the ends of requests are expected by their age, this share of the cost remains for an engine
+# whose next slot should be free by now: the expectation may be wrong.
+UNSURE_SLOT_SHARE = 0.25
+# When at most this share of all slots is free, instances that choose within the same few ms would
+# all choose the same slot. A random cost of up to ``SPREAD_COST`` for each engine spreads them.
+SCARCE_SHARE = 0.1
+SPREAD_COST = 2.0
+# Multiples of this number are evenly spread over the numbers from 0 up to 1.
+GOLDEN_RATIO = 0.6180339887
 # The cost of lacking as much memory as an engine has.
 MEMORY_SHORTAGE_COST = 1.0
 # The cost of using an engine without streams, in late requests: it is then no longer available to
@@ -82,6 +93,7 @@
     helpers: tuple[Helper, ...]
     part_ms: float
     first_event_ms: float
+    slot_wait_ms: float
     cost: float
 
 
@@ -107,9 +119,20 @@
     if not candidates:
         return None
     weight = compute_weight(engine, prompt.prompt_tokens)
-    primary_costs = [estimate_primary_cost(request, engine, candidate) for candidate in candidates]
+    slots = engine.slots * len(candidates)
+    free_slots = sum(max(0, engine.slots - one.load.slot_demand) for one in candidates)
+    slot_waits = [find_slot_wait_ms(request, engine, candidate) for candidate in candidates]
+    primary_costs = [
+        estimate_primary_cost(request, engine, candidate, slot_wait_ms)
+        for candidate, slot_wait_ms in zip(candidates, slot_waits, strict=True)
+    ]
+    if request.expects_ends and free_slots <= SCARCE_SHARE * slots:
+        for index in range(len(candidates)):
+            point = (request.random_point + index * GOLDEN_RATIO) % 1
+            primary_costs[index] += SPREAD_COST * point
+    primaries = (primary_costs, slot_waits)
     options = [
-        find_best_option(request, engine, weight, candidates, primary_costs, engine_count)
+        find_best_option(request, engine, weight, candidates, primaries, engine_count)
         for engine_count in ENGINE_COUNTS_TRIED
         if engine_count == 1
         or (
@@ -127,25 +150,41 @@
         first_event_ms=best.first_event_ms,
         weight=weight,
         latency_factor=best.primary.latency_factor,
+        slot_wait_ms=best.slot_wait_ms,
+        slots=slots,
+        free_slots=free_slots,
     )
 
 
+def find_slot_wait_ms(request: PlacementRequest, engine: EngineSpec, candidate: Candidate) -> float:
+    """Return how long the request would wait for a slot of an engine, in ms."""
+    load = candidate.load
+    if load.slot_demand < engine.slots:
+        return 0.0
+    if request.expects_ends:
+        return estimate_next_slot_ms(
+            engine, load, request.now, candidate.latency_factor, find_answer_tokens
+        )
+    return estimate_slot_wait_ms(engine, load.slot_demand)
+
+
 def find_best_option(
     request: PlacementRequest,
     engine: EngineSpec,
     weight: float,
     candidates: Sequence[Candidate],
-    primary_costs: Sequence[float],
+    primaries: tuple[Sequence[float], Sequence[float]],
     engine_count: int,
 ) -> Option | None:
     """Return the best option with this number of engines, or None if there is none.
 
     There is none if their memory is too small, or if too few of them may help.
 
-    ``primary_costs`` holds for each candidate the cost of being the primary engine, without the
-    cost of its prefill.
+    ``primaries`` holds the costs of each candidate as the primary engine, without the cost of its
+    prefill, and how long the request waits for a slot there, in ms.
     """
     assert request.prompt is not None
+    primary_costs, slot_waits = primaries
     part_ms = estimate_prefill_ms(engine, request.prompt.prompt_tokens) / engine_count
     estimates = [
         estimate_part(request, engine, weight, candidate, part_ms, engine_count > 1)
@@ -168,13 +207,13 @@
         return None
     chosen = [estimates[index] for index in (primary, *others)]
     first_event_ms = max(estimate.first_event_ms for estimate in chosen)
-    first_event_ms += estimate_slot_wait_ms(engine, candidates[primary].load.slot_demand)
+    first_event_ms += slot_waits[primary]
     own_cost = weight * estimate_lateness(
         request.waited_ms + first_event_ms, request.objective_ms, FIRST_EVENT_SAFE_SHARE
     )
     side_cost = sum(estimate.side_cost for estimate in chosen)
     cost = own_cost + side_cost + primary_costs[primary]
-    return Option(candidates[primary], helpers, part_ms, first_event_ms, cost)
+    return Option(candidates[primary], helpers, part_ms, first_event_ms, slot_waits[primary], cost)
 
 
 def estimate_part(
@@ -232,7 +271,7 @@
 
 
 def estimate_primary_cost(
-    request: PlacementRequest, engine: EngineSpec, candidate: Candidate
+    request: PlacementRequest, engine: EngineSpec, candidate: Candidate, slot_wait_ms: float
 ) -> float:
     """Return the cost of using an engine as the primary one, without the cost of its prefill.
 
@@ -241,7 +280,10 @@
     assert request.prompt is not None
     load = candidate.load
     cost = 0.0 if candidate.is_local else OTHER_DATA_CENTRE_COST
-    if load.slot_demand >= engine.slots:
+    if load.slot_demand >= engine.slots and request.expects_ends:
+        interval_ms = max(1.0, estimate_write_ms(engine) / engine.slots)
+        cost += NO_FREE_SLOT_COST * (UNSURE_SLOT_SHARE + slot_wait_ms / interval_ms)
+    elif load.slot_demand >= engine.slots:
         cost += NO_FREE_SLOT_COST * (1 + load.slot_demand - engine.slots)
     if not load.slot_demand:
         cost += IDLE_ENGINE_COST
@@ -295,6 +337,8 @@
 
 def estimate_cost_to_prefill(now: int, job: Job, expected_ms: float, part_ms: float) -> float:
     """Return the added cost of a late first event for a job whose prompt is still to be read."""
+    if job.late:
+        return 0.0
     objective_ms = max(1, job.due_at - job.begun_at)
     return job.weight * estimate_added_lateness(
         now - job.begun_at + expected_ms, part_ms, objective_ms, FIRST_EVENT_SAFE_SHARE
@@ -323,6 +367,18 @@
     return probability + overrun + DELAY_COST * share
 
 
+def find_answer_tokens(engine: EngineSpec, job: Job) -> float:
+    """Return the stated length of a job's answer in tokens, 0 if it is not known.
+
+    It is the memory of the job without its prompt, whose length follows from the weight.
+    """
+    if job.spread:
+        return 0.0
+    typical = max(1, engine.typical_prompt_tokens)
+    prompt_tokens = (job.weight - MIN_WEIGHT) / (1 - MIN_WEIGHT) * typical
+    return max(0.0, job.memory_tokens - prompt_tokens)
+
+
 def compute_weight(engine: EngineSpec, prompt_tokens: int) -> float:
     """Return the weight of a request, which grows with the length of its prompt."""
     typical = max(1, engine.typical_prompt_tokens)
--- a/src/lentilwell/gateway/_load_tracker.py
+++ b/src/lentilwell/gateway/_load_tracker.py
@@ -20,11 +20,11 @@
 
     ``read_ms`` is the estimated prefill time at this upstream, ``reading`` is true until the
     prefill is done. ``writes`` is false for an upstream that only reads part of the prompt or
-    reserves memory for it. ``begun_at`` is when the work started and ``due_at`` when the first
-    event is due. ``pause_ms`` is the longest pause between two events of the stream that is still
-    on time. ``weight`` is how much being on time counts for this job compared with other jobs.
-    ``spread`` is true if several engines read the prompt: engines read the parts of such prompts
-    before whole prompts.
+    reserves memory for it. ``begun_at`` is when the work started, or when its first event came, and
+    ``due_at`` when the first event is due. ``pause_ms`` is the longest pause between two events of
+    the stream that is still on time. ``weight`` is how much being on time counts for this job
+    compared with other jobs. ``spread`` is true if several engines read the prompt: engines read
+    the parts of such prompts before whole prompts.
     """
 
     name: str
@@ -39,6 +39,11 @@
     weight: float = 1.0
     spread: bool = False
 
+    @property
+    def late(self) -> bool:
+        """Return whether the request was already late when it was sent: others go before it."""
+        return 0 < self.due_at <= self.begun_at
+
 
 @dataclass(frozen=True)
 class Load:
@@ -88,7 +93,7 @@
         self._own.setdefault(job.upstream, {})[job.name] = job
         self.on_change(True)
 
-    def record_first_event(self, name: str, upstreams: Iterable[str]) -> None:
+    def record_first_event(self, name: str, upstreams: Iterable[str], now: int) -> None:
         """Mark the prefill of a job as done at all its upstreams, since its first event came."""
         for upstream in upstreams:
             job = self._own.get(upstream, {}).get(name)
@@ -96,7 +101,7 @@
                 continue
             self.on_change(False)
             if job.writes or job.memory_tokens:
-                self._own[upstream][name] = replace(job, reading=False)
+                self._own[upstream][name] = replace(job, reading=False, begun_at=now)
             else:
                 self.remove(name, (upstream,))
 
--- a/src/lentilwell/gateway/_metrics.py
+++ b/src/lentilwell/gateway/_metrics.py
@@ -25,6 +25,8 @@
 REQUEST_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0)
 LAG_BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0)
 PAUSE_BUCKETS_S = (0.05, 0.1, 0.25, 0.6, 1.0, 2.0, 5.0)
+# The ends of a hold after which the request is sent; after all others it is not.
+HOLD_OUTCOMES = ("sent", "sent late")
 LENGTH_BOUNDS = (1_000, 10_000, 50_000, 100_000, 300_000)
 
 
@@ -84,6 +86,19 @@
             ("service",),
             registry=self.registry,
         )
+        self._holds = Histogram(
+            "lentilwell_gateway_hold_seconds",
+            "Time that requests were held under overload, by service, rank and how it ended.",
+            ("service", "rank", "sent"),
+            buckets=REQUEST_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._overload = Counter(
+            "lentilwell_gateway_overload_refusals",
+            "Requests refused because there is no room before their callers leave.",
+            ("service", "rank"),
+            registry=self.registry,
+        )
         self._permits = Counter(
             "lentilwell_gateway_permits",
             "Asks for permits of upstreams that name a rate limit, by the answer.",
@@ -152,6 +167,15 @@
         """Count a request that was not sent because of a part of its prompt."""
         self._refused.labels(service).inc()
 
+    def count_hold(self, service: str, rank: int, outcome: str, held_ms: int) -> None:
+        """Count a request that was held for ``held_ms``; ``outcome`` tells how that ended."""
+        sent = outcome if outcome in HOLD_OUTCOMES else "no"
+        self._holds.labels(service, str(rank), sent).observe(held_ms / MS_PER_SECOND)
+
+    def count_overload(self, service: str, rank: int) -> None:
+        """Count a request that was refused for lack of room."""
+        self._overload.labels(service, str(rank)).inc()
+
     def count_permit(self, verdict: str) -> None:
         """Count an ask for a permit: ``granted``, ``denied`` or ``no_owner``."""
         self._permits.labels(verdict).inc()
@@ -212,6 +236,14 @@
         )
         for name, text, value in gauges:
             yield GaugeMetricFamily(f"lentilwell_gateway_{name}", text, value=value)
+        held = GaugeMetricFamily(
+            "lentilwell_gateway_held_requests",
+            "Requests held at this instance under overload, by service and rank.",
+            labels=("service", "rank"),
+        )
+        for service, rank, count in fleet.admission.count_held():
+            held.add_metric((service, str(rank)), count)
+        yield held
 
 
 class _TableCollector(Collector):
--- a/src/lentilwell/gateway/_placement_policies.py
+++ b/src/lentilwell/gateway/_placement_policies.py
@@ -46,7 +46,8 @@
     ``engine`` is None for a plain service. ``objective_ms`` and ``pause_ms`` are the limits of the
     route. ``waited_ms`` is the time since the request arrived, ``now`` the time of the choice,
     ``random_point`` a random number from 0 up to 1. ``last_send`` is true if the request is lost
-    when the upstream refuses it.
+    when the upstream refuses it. ``expects_ends`` lets the ages of the requests at an engine tell
+    when it has a free slot.
     """
 
     prompt: Prompt | None
@@ -57,6 +58,7 @@
     now: int
     random_point: float
     last_send: bool = False
+    expects_ends: bool = False
 
 
 @dataclass(frozen=True)
@@ -77,7 +79,8 @@
     ``read_ms`` is the estimated prefill time at each of them, ``first_event_ms`` the estimated time
     from now to the first event. ``weight`` is how much being on time counts for the request
     compared with others. ``latency_factor`` is the factor of the chosen upstream on which the
-    estimates are based.
+    estimates are based. ``slot_wait_ms`` is the part of ``first_event_ms`` that the request waits
+    for a slot; ``slots`` and ``free_slots`` are those of all engines that could be chosen.
     """
 
     upstream: Upstream
@@ -86,6 +89,9 @@
     first_event_ms: float = 0.0
     weight: float = 1.0
     latency_factor: float = 1.0
+    slot_wait_ms: float = 0.0
+    slots: int = 0
+    free_slots: int = 0
 
     @property
     def upstream_names(self) -> tuple[str, ...]:
--- a/src/lentilwell/gateway/_request_recorder.py
+++ b/src/lentilwell/gateway/_request_recorder.py
@@ -6,11 +6,14 @@
     AttemptCancelled,
     AttemptEnded,
     AttemptSilent,
+    OverloadRefused,
     RequestCut,
     RequestDeferred,
     RequestEnded,
+    RequestHeld,
     RequestPlaced,
     RequestRefused,
+    RequestReleased,
     RequestWaiting,
     UpstreamRefused,
     write_line,
@@ -23,6 +26,7 @@
 from lentilwell.gateway._routing import RoutedRequest
 from lentilwell.gateway._stopping import record_time
 from lentilwell.gateway._upstreams import Upstream
+from lentilwell.gateway.overload import Refuse
 
 
 class RequestRecorder:
@@ -84,6 +88,47 @@
         )
         write_line(deferred)
 
+    def record_hold(self, choice: Choice, reason: str) -> None:
+        """Log that the request is held at this instance, because it would be late and delay others.
+
+        Call this once for each request, with the choice that it was first held for.
+        """
+        routed = self._routed
+        write_line(
+            RequestHeld(
+                request=routed.facts.request_id,
+                service=routed.service,
+                rank=routed.rank,
+                reason=reason,
+                expected_first_ms=round(choice.first_event_ms),
+                slot_wait_ms=round(choice.slot_wait_ms),
+                free_slots=choice.free_slots,
+                waited_ms=self._clock.now() - routed.request.arrived_at,
+            )
+        )
+
+    def record_hold_end(self, outcome: str, held_ms: int) -> None:
+        """Log and count that the request is held no more, after ``held_ms``."""
+        routed = self._routed
+        self._metrics.count_hold(routed.service, routed.rank, outcome, held_ms)
+        write_line(RequestReleased(routed.facts.request_id, routed.service, outcome, held_ms))
+
+    def record_overload(self, choice: Choice, refuse: Refuse) -> None:
+        """Log and count that the request is refused for lack of room."""
+        routed = self._routed
+        self._metrics.count_overload(routed.service, routed.rank)
+        write_line(
+            OverloadRefused(
+                request=routed.facts.request_id,
+                service=routed.service,
+                rank=routed.rank,
+                expected_first_ms=refuse.expected_ms,
+                free_slots=choice.free_slots,
+                waited_ms=self._clock.now() - routed.request.arrived_at,
+                retry_after_ms=refuse.retry_after_ms,
+            )
+        )
+
     def record_wait(self, backoff_ms: int, wait_ms: int) -> None:
         """Log that the request waits until an upstream accepts work again."""
         routed = self._routed
--- a/src/lentilwell/gateway/_settings.py
+++ b/src/lentilwell/gateway/_settings.py
@@ -12,7 +12,8 @@
     """Identity, addresses and limits of a gateway process. Durations are in milliseconds.
 
     Addresses are ``host:port``; ``peers_address`` receives UDP datagrams. ``max_stop_ms`` bounds
-    the duration of a planned stop, ``max_lease_ms`` that of a lease that is not renewed.
+    the duration of a planned stop, ``max_lease_ms`` that of a lease that is not renewed. Without
+    ``admission_control``, requests that will be late are sent like all others.
     """
 
     instance: str
@@ -26,3 +27,4 @@
     budget: BudgetRules
     log_level: str = "INFO"
     policy: str = "least_cost"
+    admission_control: bool = True
--- a/src/lentilwell/gateway/_shards.py
+++ b/src/lentilwell/gateway/_shards.py
@@ -109,6 +109,10 @@
         own = self._own.get(upstream.service)
         return own is None or upstream.name in own
 
+    def count_sharing(self, service: str, instances: int) -> int:
+        """Return how many of all instances place requests at the same upstreams as this one."""
+        return max(1, instances // self.shards) if service in self._own else instances
+
     def _assign(self) -> None:
         if self._listed is None:
             return  # the number of shards depends on the upstreams
--- a/src/lentilwell/gateway/_silence_timeout.py
+++ b/src/lentilwell/gateway/_silence_timeout.py
@@ -8,10 +8,10 @@
 
 from __future__ import annotations
 
-from lentilwell.gateway._admission import find_caller_silence_timeout_ms
 from lentilwell.gateway._catalog import EngineSpec, Repeat, Route
 from lentilwell.gateway._engine_timing import estimate_decode_pass_ms, estimate_slot_wait_ms
 from lentilwell.gateway._load_tracker import Load
+from lentilwell.gateway.overload import find_caller_silence_timeout_ms
 
 ESTIMATE_FACTOR = 3.0
 STREAM_SLACK_MS = 450
--- a/standins/batch.py
+++ b/standins/batch.py
@@ -36,7 +36,8 @@
     ``prompt_tokens`` is the length of the whole prompt, which ``parts`` engines prefill in equal
     parts. ``decodes`` is false on an engine that only helps to prefill: its job finishes with the
     prefill. ``may_decode`` is false while any engine still prefills a part. The answer has
-    ``answer_events`` events, of which ``events`` have been produced.
+    ``answer_events`` events, of which ``events`` have been produced. ``rank`` is its priority, 0
+    being the highest.
     """
 
     name: str
@@ -47,6 +48,7 @@
     prefilled_tokens: float = 0.0
     events: int = 0
     may_decode: bool = True
+    rank: int = 0
 
     @property
     def part_tokens(self) -> float:
@@ -92,8 +94,11 @@
     jobs: list[BatchJob] = field(default_factory=list)
 
     def add(self, job: BatchJob) -> None:
-        """Append a job."""
-        self.jobs.append(job)
+        """Add a job; it waits for a slot behind those of its rank and of higher ones."""
+        decoding = [index for index, one in enumerate(self.jobs) if one.decodes]
+        waiting = decoding[self.spec.slots :] if job.decodes else []
+        lower = (index for index in waiting if self.jobs[index].rank > job.rank)
+        self.jobs.insert(next(lower, len(self.jobs)), job)
 
     def remove(self, name: str) -> None:
         """Remove a job by name, if present."""
--- a/standins/simulated_load.py
+++ b/standins/simulated_load.py
@@ -253,7 +253,8 @@
         served = self.served[name]
         if served.first_ms is None:
             served.first_ms = now - served.arrived_at
-            self.load_tracker.record_first_event(name, [f"u{index}" for index in served.engines])
+            names = [f"u{index}" for index in served.engines]
+            self.load_tracker.record_first_event(name, names, int(now))
         else:
             served.pause_ms = max(served.pause_ms, now - served.last_event_at)
         served.last_event_at = now
--- a/tests/test_gateway_admission.py
+++ b/tests/test_gateway_admission.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from lentilwell.gateway._admission import check_admission, find_caller_silence_timeout_ms
 from lentilwell.gateway._placement_policies import Choice
 from lentilwell.gateway._upstreams import Upstream
+from lentilwell.gateway.overload._admission import check_admission, find_caller_silence_timeout_ms
 from tests.gateway_harness import make_route
 
 SHORT = replace(make_route("stream"), objective_ms=300, pause_ms=250)
