--- a/src/lentilwell/gateway/_answer_times.py
+++ b/src/lentilwell/gateway/_answer_times.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+import statistics
 from array import array
 from dataclasses import dataclass
 
@@ -54,6 +55,11 @@
             return max(prior, FEW_SAMPLES_FACTOR * max(window.samples))
         return MARGIN_FACTOR * window.find_quantile()
 
+    def find_typical(self, kind: RequestKind, prior: float) -> float:
+        """Return the median of the latest times; ``prior`` is assumed before the first one."""
+        window = self._windows.get(kind)
+        return statistics.median(window.samples) if window is not None else prior
+
 
 class _Window:
     def __init__(self) -> None:
--- a/src/lentilwell/gateway/_attempt.py
+++ b/src/lentilwell/gateway/_attempt.py
@@ -35,7 +35,14 @@
 from lentilwell.gateway._routing import RoutedRequest
 from lentilwell.gateway._turns import Turns
 from lentilwell.gateway._upstreams import Upstream
-from lentilwell.gateway.overload import Refuse, Send, check_admission, find_late_rank
+from lentilwell.gateway.overload import (
+    Hold,
+    Refuse,
+    Send,
+    Verdict,
+    check_admission,
+    find_late_rank,
+)
 
 # Only the status and the headers of a refusal are used. The body is read so that the connection can
 # be reused; if that takes longer than this, the connection is closed instead.
@@ -139,29 +146,47 @@
 
     async def _place_when_due(self) -> Placement | AttemptEnd:
         """Choose an upstream; hold the request as long as it would be late and delay others."""
-        placer = self._owner.placer
+        admission = self._owner.placer.admission
         while isinstance(placement := await self._place(), Placement):
-            verdict = placer.judge(placement, self._owner.state.sends > 0)
+            verdict = self._judge(placement)
             if isinstance(verdict, Send):
                 self._late = verdict.late
-                if placer.holding:
+                if admission.holding:
                     self._owner.recorder.record_choice(placement.choice, len(self._owner.excluded))
-                placer.end_hold("sent late" if verdict.late else "sent", sent=True)
+                admission.end_hold("sent late" if verdict.late else "sent", sent=True)
                 return placement
             if isinstance(verdict, Refuse):
                 return self._refuse(placement.choice, verdict)
-            await placer.hold(placement.choice, verdict.reason)
-            if (ended := self._check_before_send()) is not None:
-                placer.end_hold(ended.reason)
+            if (ended := await self._hold(placement.choice, verdict)) is not None:
                 return ended
-        placer.end_hold(placement.reason)
+        admission.end_hold(placement.reason)
         return placement
 
+    def _judge(self, placement: Placement) -> Verdict:
+        """Return whether the request is sent now, held or refused.
+
+        One that was sent before is sent: it may have run, and its caller has waited for it. One
+        with a permit is sent, because the permit holds now.
+        """
+        if self._owner.state.sends > 0 or placement.permit is not None:
+            return Send()
+        return self._owner.placer.admission.judge(placement.choice)
+
+    async def _hold(self, choice: Choice, verdict: Hold) -> AttemptEnd | None:
+        """Hold the request until its next turn; end the attempt if it must not be sent any more."""
+        admission, has_turn = self._owner.placer.admission, False
+        while not has_turn:
+            has_turn = await admission.hold(choice, verdict.reason)
+            if (ended := self._check_before_send()) is not None:
+                admission.end_hold(ended.reason)
+                return ended
+        return None
+
     def _refuse(self, choice: Choice, verdict: Refuse) -> AttemptEnd:
         """Refuse the request for lack of room; it has not been sent."""
         self._owner.delivery.retry_after_ms = verdict.retry_after_ms
         self._owner.recorder.record_overload(choice, verdict)
-        self._owner.placer.end_hold(OVERLOAD)
+        self._owner.placer.admission.end_hold(OVERLOAD)
         return AttemptEnd(NoUpstream(), OVERLOAD)
 
     async def _place(self) -> Placement | AttemptEnd:
@@ -173,7 +198,7 @@
             owner.delivery.retry_after_ms = owner.placer.find_retry_after_ms(owner.excluded)
             return AttemptEnd(NoUpstream(), owner.placer.explain_none(owner.excluded))
         choice = self._choice = placement.choice
-        if not owner.placer.holding:
+        if not owner.placer.admission.holding:
             owner.recorder.record_choice(choice, len(owner.excluded))
         too_late = check_admission(self._routed.route, choice, self._get_remaining_ms())
         if too_late is not None and not owner.state.delivered:
--- a/src/lentilwell/gateway/_fleet.py
+++ b/src/lentilwell/gateway/_fleet.py
@@ -216,6 +216,14 @@
         sent_at = self.clock.now() + delay_ms
         return can_finish(routed, self.answer_times, sent_at, stop.find_end(sent_at))
 
+    def measure_time(self, routed: RoutedRequest) -> tuple[int, int]:
+        """Return the time since a request's arrival and that until it must end, in ms."""
+        now, stop = self.clock.now(), self.find_stop()
+        ends_at = routed.deadline_at
+        if stop is not None:
+            ends_at = min(ends_at, stop.ends_at)
+        return now - routed.request.arrived_at, ends_at - now
+
     def accepts_work(self, choice: Choice) -> bool:
         """Tell whether no upstream of a choice drains or has a backoff in effect."""
         now = self.clock.now()
--- a/src/lentilwell/gateway/_placement_policies.py
+++ b/src/lentilwell/gateway/_placement_policies.py
@@ -80,7 +80,8 @@
     from now to the first event. ``weight`` is how much being on time counts for the request
     compared with others. ``latency_factor`` is the factor of the chosen upstream on which the
     estimates are based. ``slot_wait_ms`` is the part of ``first_event_ms`` that the request waits
-    for a slot; ``slots`` and ``free_slots`` are those of all engines that could be chosen.
+    for a slot; ``slots`` and ``free_slots`` are those of all upstreams that could be chosen. For a
+    plain service, ``excess`` counts the requests there, with this one, that have no slot.
     """
 
     upstream: Upstream
@@ -90,6 +91,7 @@
     weight: float = 1.0
     latency_factor: float = 1.0
     slot_wait_ms: float = 0.0
+    excess: int = 0
     slots: int = 0
     free_slots: int = 0
 
@@ -156,7 +158,14 @@
     start = int(request.random_point * len(candidates))
     rotated = [*candidates[start:], *candidates[:start]]
     best = min(rotated, key=lambda candidate: _estimate_cost(request, candidate))
-    return Choice(best.upstream)
+    return Choice(
+        best.upstream,
+        excess=max(0, len(best.load.jobs) + 1 - best.upstream.slots),
+        slots=sum(candidate.upstream.slots for candidate in candidates),
+        free_slots=sum(
+            max(0, candidate.upstream.slots - len(candidate.load.jobs)) for candidate in candidates
+        ),
+    )
 
 
 def _estimate_cost(request: PlacementRequest, candidate: Candidate) -> float:
--- a/src/lentilwell/gateway/_placer.py
+++ b/src/lentilwell/gateway/_placer.py
@@ -3,16 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
-from lentilwell.gateway._backoff_waits import (
-    find_remaining_wait_ms,
-    find_retry_after_ms,
-    find_wait_ms,
-    may_wait,
-)
+from lentilwell.gateway._backoff_waits import find_retry_after_ms, find_wait_ms, may_wait
 from lentilwell.gateway._deferral import find_deferral_ms
-from lentilwell.gateway._engine_timing import estimate_write_ms
 from lentilwell.gateway._fleet import Fleet
 from lentilwell.gateway._permit_patience import find_permit_patience_ms
 from lentilwell.gateway._permits import Permit, Permits
@@ -20,16 +14,7 @@
 from lentilwell.gateway._request_recorder import RequestRecorder
 from lentilwell.gateway._routing import OTHER_INSTANCE_RETRY_MS, RoutedRequest
 from lentilwell.gateway._upstreams import Upstream
-from lentilwell.gateway.overload import (
-    LAST_CHANCE_MS,
-    HeldRequest,
-    Room,
-    Send,
-    Verdict,
-    WaitingRequest,
-    decide,
-    is_short,
-)
+from lentilwell.gateway.overload import RequestAdmission
 
 # A request that has waited this long for answers of permit owners uses no limited upstream: with
 # many of them whose owners are out of reach, it would otherwise wait until its deadline.
@@ -56,8 +41,7 @@
         self._routed = routed
         self._recorder = recorder
         self._deferred_ms = 0
-        self._held: HeldRequest | None = None
-        self._held_at = 0
+        self.admission = RequestAdmission(fleet, routed, recorder)
 
     async def place(
         self, excluded: frozenset[str], sent_before: bool, last_send: bool
@@ -82,96 +66,6 @@
                 return Placement(choice, permit)
         return None
 
-    @property
-    def holding(self) -> bool:
-        """Tell whether the request is held."""
-        return self._held is not None
-
-    def judge(self, placement: Placement, sent_before: bool) -> Verdict:
-        """Return whether the request is sent now, held or refused.
-
-        One that was ``sent_before`` is sent: it may have run, and its caller has waited for it.
-        One with a permit is sent, because the permit holds now.
-        """
-        routed, admission = self._routed, self._fleet.admission
-        choice = placement.choice
-        if not admission.enabled or sent_before or placement.permit is not None:
-            return Send()
-        if routed.engine is None or not routed.route.streams:
-            return Send()
-        request, now = self._describe_wait(), self._clock.now()
-        holds = admission.find_holds(routed.service)
-        correction_ms = holds.errors.find_correction_ms(now)
-        choice = replace(choice, first_event_ms=choice.first_event_ms + correction_ms)
-        if is_short(request, choice):
-            holds.shortage.record(now)
-        return decide(request, choice, self._find_room(choice), self._fleet.random.random())
-
-    async def hold(self, choice: Choice, reason: str) -> None:
-        """Hold the request until its next turn to be placed; ``reason`` is for the log."""
-        admission, now = self._fleet.admission, self._clock.now()
-        if self._held is None:
-            self._held = self._describe_held(admission.make_name(), choice)
-            self._held_at = now
-            self._recorder.record_hold(choice, reason)
-        request = self._describe_wait()
-        serving_ms = choice.first_event_ms - choice.slot_wait_ms
-        max_ms = request.patience_ms - request.waited_ms - serving_ms - LAST_CHANCE_MS
-        try:
-            await admission.wait_for_turn(self._routed.service, self._held, max(max_ms, 1.0))
-        except BaseException:
-            self.end_hold("caller left")
-            raise
-
-    def end_hold(self, outcome: str, sent: bool = False) -> None:
-        """Record that the request, if it was held, is now sent or otherwise held no more."""
-        if self._held is None:
-            return
-        held, self._held = self._held, None
-        self._fleet.admission.leave(self._routed.service, held.name, sent)
-        self._recorder.record_hold_end(outcome, self._clock.now() - self._held_at)
-
-    def _describe_wait(self) -> WaitingRequest:
-        route = self._routed.route
-        waited_ms, remaining_ms = self._measure_time()
-        return WaitingRequest(
-            objective_ms=route.objective_ms,
-            patience_ms=waited_ms + find_remaining_wait_ms(route, waited_ms, remaining_ms),
-            waited_ms=waited_ms,
-            remaining_ms=remaining_ms,
-            held=self._held is not None,
-        )
-
-    def _describe_held(self, name: str, choice: Choice) -> HeldRequest:
-        routed = self._routed
-        serving_ms = round(choice.first_event_ms - choice.slot_wait_ms)
-        arrived_at = routed.request.arrived_at
-        return HeldRequest(
-            name=name,
-            rank=routed.rank,
-            team=routed.team.name if routed.team is not None else "",
-            work_ms=choice.read_ms * len(choice.upstream_names) + self._estimate_write_ms(),
-            arrived_at=arrived_at,
-            late_from=arrived_at + routed.route.objective_ms - serving_ms,
-        )
-
-    def _estimate_write_ms(self) -> float:
-        engine = self._routed.engine
-        return estimate_write_ms(engine) if engine is not None else 0.0
-
-    def _find_room(self, choice: Choice) -> Room:
-        fleet, service = self._fleet, self._routed.service
-        holds, now = fleet.admission.find_holds(service), self._clock.now()
-        return Room(
-            slots=choice.slots,
-            free_slots=choice.free_slots,
-            slot_use_ms=self._estimate_write_ms(),
-            instances=fleet.shards.count_sharing(service, fleet.count_instances()),
-            short_ms=holds.shortage.measure_ms(now),
-            late_ahead=holds.queue.count_ahead(self._routed.rank, now),
-            yields=holds.queue.has_more_urgent(self._routed.rank),
-        )
-
     def find_retry_after_ms(self, excluded: frozenset[str]) -> int:
         """Return when a caller should retry if no upstream can take its request, in ms."""
         service = self._routed.service
@@ -204,7 +98,7 @@
 
     def _find_permit_patience_ms(self, upstream: Upstream) -> int:
         rate = self._fleet.rate_limits.find(upstream.incarnation)
-        waited_ms, remaining_ms = self._measure_time()
+        waited_ms, remaining_ms = self._fleet.measure_time(self._routed)
         return find_permit_patience_ms(self._routed.route, rate or 0.0, waited_ms, remaining_ms)
 
     async def _choose(
@@ -264,16 +158,8 @@
         opens_at = self._fleet.find_backoff_end(self._routed.service, excluded)
         return max(0, opens_at - self._clock.now()) if opens_at is not None else 0
 
-    def _measure_time(self) -> tuple[int, int]:
-        """Return the time since the request's arrival and that until it must end, in ms."""
-        now, stop = self._clock.now(), self._fleet.find_stop()
-        ends_at = self._routed.deadline_at
-        if stop is not None:
-            ends_at = min(ends_at, stop.ends_at)
-        return now - self._routed.request.arrived_at, ends_at - now
-
     def _may_wait(self, backoff_ms: int) -> bool:
-        waited_ms, remaining_ms = self._measure_time()
+        waited_ms, remaining_ms = self._fleet.measure_time(self._routed)
         if not self._fleet.can_finish(self._routed, backoff_ms):
             return False
         return may_wait(self._routed.route, backoff_ms, waited_ms, remaining_ms)
--- a/src/lentilwell/gateway/overload/__init__.py
+++ b/src/lentilwell/gateway/overload/__init__.py
@@ -21,6 +21,7 @@
 )
 from lentilwell.gateway.overload._first_event_errors import FirstEventErrors
 from lentilwell.gateway.overload._hold_queue import HeldRequest, HoldQueue
+from lentilwell.gateway.overload._request_admission import RequestAdmission
 from lentilwell.gateway.overload._shortage import Shortage
 from lentilwell.gateway.overload._slot_ends import estimate_next_slot_ms
 
@@ -33,6 +34,7 @@
     "Hold",
     "HoldQueue",
     "Refuse",
+    "RequestAdmission",
     "Room",
     "Send",
     "Shortage",
--- a/src/lentilwell/gateway/overload/_admission_control.py
+++ b/src/lentilwell/gateway/overload/_admission_control.py
@@ -28,7 +28,7 @@
     """The held requests of one service with their turns, and what was learned of its room."""
 
     queue: HoldQueue = field(default_factory=HoldQueue)
-    turns: dict[str, asyncio.Future[None]] = field(default_factory=dict)
+    turns: dict[str, asyncio.Future[bool]] = field(default_factory=dict)
     shortage: Shortage = field(default_factory=Shortage)
     errors: FirstEventErrors = field(default_factory=FirstEventErrors)
     timer: asyncio.Handle | None = None
@@ -59,8 +59,8 @@
         """Return a name for a request that no other held request has."""
         return str(next(self._numbers))
 
-    async def wait_for_turn(self, service: str, held: HeldRequest, max_ms: float) -> None:
-        """Hold a request until its next turn, at most for ``max_ms``.
+    async def wait_for_turn(self, service: str, held: HeldRequest, max_ms: float) -> bool:
+        """Hold a request until its next turn, at most for ``max_ms``; tell whether its turn came.
 
         The request stays in the queue after its turn, until ``leave`` is called.
         """
@@ -68,13 +68,14 @@
         if held.name not in holds.queue:
             holds.queue.add(held)
         loop = asyncio.get_running_loop()
-        turn = holds.turns[held.name] = loop.create_future()
-        last_turn = loop.call_later(max(0.0, max_ms) / 1_000, _give_turn, turn)
+        turn: asyncio.Future[bool] = loop.create_future()
+        holds.turns[held.name] = turn
+        time_up = loop.call_later(max(0.0, max_ms) / 1_000, _end_wait, turn, False)
         self._schedule(service, holds)
         try:
-            await turn
+            return await turn
         finally:
-            last_turn.cancel()
+            time_up.cancel()
             holds.turns.pop(held.name, None)
 
     def leave(self, service: str, name: str, sent: bool) -> None:
@@ -100,7 +101,7 @@
         """Give every held request its turn, because what may be sent has changed."""
         for holds in self._services.values():
             for turn in list(holds.turns.values()):
-                _give_turn(turn)
+                _end_wait(turn, True)
 
     def count_held(self) -> Iterator[tuple[str, int, int]]:
         """Yield the service, the rank and the number of the requests that are held."""
@@ -127,11 +128,11 @@
             held = holds.queue.find_next(late, now)
             turn = holds.turns.get(held.name) if held is not None else None
             if turn is not None:
-                _give_turn(turn)
+                _end_wait(turn, True)
         if holds.queue:
             self._schedule(service, holds)
 
 
-def _give_turn(turn: asyncio.Future[None]) -> None:
+def _end_wait(turn: asyncio.Future[bool], given: bool) -> None:
     if not turn.done():
-        turn.set_result(None)
+        turn.set_result(given)
--- a/src/lentilwell/gateway/overload/_decisions.py
+++ b/src/lentilwell/gateway/overload/_decisions.py
@@ -21,9 +21,13 @@
 # can be on time, in the order of their ranks.
 LATE_RANKS = 5
 MAX_RANK = 9
+# The reason to hold a request that could be sent: there is room, but others get it first.
+OTHERS_FIRST = "others that can be on time came first"
 # When this little time is left to serve a held request, it is sent if a slot is about to be free.
 # Otherwise it is refused: its caller can return, while one that leaves gets nothing.
 LAST_CHANCE_MS = 100
+# Requests that can be on time go first, so that a late one gets its slot later than in its turn.
+PASSED_FACTOR = 2.0
 # A refused caller returns once the shortage is expected to have ended, at the earliest after this.
 MIN_RETURN_MS = 600
 
@@ -50,8 +54,9 @@
 
     ``slot_use_ms`` is how long a typical request uses a slot, ``instances`` how many instances use
     these slots. ``short_ms`` is how long requests have lacked room, ``late_ahead`` the number of
-    late requests that this instance would release before this one. ``yields`` is true if a more
-    urgent request is held here.
+    late requests that this instance would release before this one, and ``on_time_ahead`` that of
+    those that can still be on time. ``yields`` is true if a more urgent request is held here.
+    ``queues`` is false if the upstreams refuse what exceeds their slots.
     """
 
     slots: int
@@ -60,7 +65,9 @@
     instances: int = 1
     short_ms: int = 0
     late_ahead: int = 0
+    on_time_ahead: int = 0
     yields: bool = False
+    queues: bool = True
 
     @property
     def release_interval_ms(self) -> float:
@@ -122,7 +129,11 @@
     ``random_point`` is a random number from 0 up to 1. It spreads the releases of many instances,
     which see the same free slots, and the returns of refused callers.
     """
+    if not room.queues and choice.slot_wait_ms:
+        return _wait_for_slot(request, choice, room, random_point)
     if request.waited_ms + choice.first_event_ms <= request.objective_ms:
+        if room.on_time_ahead and not request.held and not room.queues:
+            return Hold(OTHERS_FIRST)
         if room.yields and room.spare_slots <= 0:
             return _hold(request, choice, room, "a more urgent class lacks room", random_point)
         return Send()
@@ -132,20 +143,43 @@
         return Send(late=True)
     if request.held:
         return _hold(request, choice, room, "no free slot in time", random_point)
-    expected_ms = estimate_hold_ms(choice, room) + choice.first_event_ms
+    return _hold_or_refuse(request, choice, room, random_point)
+
+
+def _wait_for_slot(
+    request: WaitingRequest, choice: Choice, room: Room, random_point: float
+) -> Verdict:
+    """Hold a request while the upstreams, which do not queue requests, have no free slot.
+
+    It is not certain to be late: a slot may be free before that.
+    """
+    ahead = room.on_time_ahead * room.release_interval_ms
+    if request.held:
+        return _hold(request, choice, room, "no free slot", random_point)
+    if request.waited_ms + ahead + choice.first_event_ms <= request.objective_ms:
+        return Hold("no free slot")
+    return _hold_or_refuse(request, choice, room, random_point)
+
+
+def _hold_or_refuse(
+    request: WaitingRequest, choice: Choice, room: Room, random_point: float
+) -> Verdict:
+    """Hold a request that will be late, unless it cannot be served before its caller leaves."""
+    expected_ms = estimate_hold_ms(room) + choice.first_event_ms
     if request.waited_ms + expected_ms > request.patience_ms:
         retry_ms = find_return_ms(request, room, random_point)
         return Refuse(retry_ms, round(expected_ms))
     return Hold("no free slot in time")
 
 
-def estimate_hold_ms(choice: Choice, room: Room) -> float:
+def estimate_hold_ms(room: Room) -> float:
     """Return how long a late request is expected to be held, in ms.
 
     A shortage is expected to last as long again as it has lasted: its end is not known, and most
     of the shortages that have lasted long go on.
     """
-    return room.short_ms + (room.late_ahead + 1) * room.release_interval_ms
+    queue_ms = (room.late_ahead + 1) * room.release_interval_ms
+    return room.short_ms + PASSED_FACTOR * queue_ms
 
 
 def find_return_ms(request: WaitingRequest, room: Room, random_point: float) -> int:
--- a/src/lentilwell/gateway/overload/_hold_queue.py
+++ b/src/lentilwell/gateway/overload/_hold_queue.py
@@ -84,9 +84,9 @@
         """Tell whether a request with a higher priority than ``rank`` is held."""
         return any(held.rank < rank for held in self._held.values())
 
-    def count_ahead(self, rank: int, now: int) -> int:
-        """Return how many late requests would be released before a new one of this rank."""
-        return sum(held.rank <= rank and is_late(held, now) for held in self._held.values())
+    def count_ahead(self, rank: int, late: bool, now: int) -> int:
+        """Return how many requests of a group would be released before a new one of this rank."""
+        return sum(held.rank <= rank and is_late(held, now) == late for held in self)
 
     def _find_order(self, held: HeldRequest) -> tuple[float, ...]:
         if held.passes >= MAX_PASSES:
--- a/src/lentilwell/gateway/overload/_slot_ends.py
+++ b/src/lentilwell/gateway/overload/_slot_ends.py
@@ -10,11 +10,16 @@
 from collections.abc import Callable
 
 from lentilwell.gateway._catalog import EngineSpec
-from lentilwell.gateway._engine_timing import estimate_decode_pass_ms, estimate_write_ms
+from lentilwell.gateway._engine_timing import (
+    estimate_decode_pass_ms,
+    estimate_prefill_ms,
+    estimate_write_ms,
+)
 from lentilwell.gateway._load_tracker import Job, Load
 
 # A request that should have ended is expected to end within this many passes of its engine.
-OVERDUE_PASSES = 0.5
+OVERDUE_PASSES = 1.0
+READS_SHARE = 1.0
 # Bounds on the stated length of an answer, as a share of the typical length.
 MIN_STATED_SHARE = 0.1
 MAX_STATED_SHARE = 1.5
@@ -64,11 +69,14 @@
 def _estimate_answer_ms(engine: EngineSpec, stated_tokens: float) -> float:
     """Return how long an answer takes, by its stated length within bounds, in ms.
 
-    Callers may state more than the answer will have.
+    Callers may state more than the answer will have. While a typical answer is written, each other
+    slot is taken by a new request, whose prompt is read in the same passes.
     """
     typical = max(1, engine.typical_answer_tokens)
     share = stated_tokens / typical if stated_tokens > 0 else 1.0
-    return min(MAX_STATED_SHARE, max(MIN_STATED_SHARE, share)) * estimate_write_ms(engine)
+    read_ms = estimate_prefill_ms(engine, engine.typical_prompt_tokens)
+    write_ms = estimate_write_ms(engine) + READS_SHARE * engine.slots * read_ms
+    return min(MAX_STATED_SHARE, max(MIN_STATED_SHARE, share)) * write_ms
 
 
 def _find_order(job: Job) -> tuple[bool, int]:
--- a/standins/simulated_overload.py
+++ b/standins/simulated_overload.py
@@ -293,7 +293,7 @@
         while True:
             placement = await placer.place(frozenset(), False, False)
             assert placement is not None
-            verdict = placer.judge(placement, False)
+            verdict = placer.admission.judge(placement.choice)
             refused = check_admission(
                 routed.route, placement.choice, routed.deadline_at - fleet.clock.now()
             )
@@ -302,10 +302,11 @@
             if isinstance(verdict, Send):
                 break
             if isinstance(verdict, Refuse):
-                placer.end_hold("refused")
+                placer.admission.end_hold("refused")
                 return verdict.retry_after_ms
-            await placer.hold(placement.choice, verdict.reason)
-        placer.end_hold("sent", sent=True)
+            while not await placer.admission.hold(placement.choice, verdict.reason):
+                pass
+        placer.admission.end_hold("sent", sent=True)
         result.held_ms += recorder.held_ms
         await self._relay(fleet, routed, placement.choice, verdict.late, events, result)
         return None
