--- a/src/lentilwell/gateway/_accounting.py
+++ b/src/lentilwell/gateway/_accounting.py
@@ -72,6 +72,8 @@
         if not self._late:
             errors = self._fleet.admission.find_holds(self._routed.service).errors
             errors.record(choice.first_event_ms, actual_ms, now)
+        if choice.slot_wait_ms and self._fleet.admission.enabled:
+            return  # the wait for a slot says nothing of the engine's speed
         self._fleet.latency_factors.record_sample(choice.upstream.name, expected_ms, actual_ms, now)
 
     def record_success(self, choice: Choice) -> None:
--- a/src/lentilwell/gateway/overload/_decisions.py
+++ b/src/lentilwell/gateway/overload/_decisions.py
@@ -29,7 +29,7 @@
 # Requests that can be on time go first, so that a late one gets its slot later than in its turn.
 PASSED_FACTOR = 2.0
 # A refused caller returns once the shortage is expected to have ended, at the earliest after this.
-MIN_RETURN_MS = 600
+MIN_RETURN_MS = 2_000
 
 
 @dataclass(frozen=True)
--- a/tests/test_gateway_overload.py
+++ b/tests/test_gateway_overload.py
@@ -100,7 +100,14 @@
 def job(age_ms, reading=False, late=False):
     begun_at = 10_000 - age_ms
     return Job(
-        f"j{age_ms}", "u", begun_at, 20.0, 6_676, reading, due_at=begun_at + 300 * (not late), weight=1.0
+        f"j{age_ms}",
+        "u",
+        begun_at,
+        20.0,
+        6_676,
+        reading,
+        due_at=begun_at + 300 * (not late),
+        weight=1.0,
     )
 
 
