--- a/src/lentilwell/gateway/overload/_decisions.py
+++ b/src/lentilwell/gateway/overload/_decisions.py
@@ -156,7 +156,8 @@
     ahead = room.on_time_ahead * room.release_interval_ms
     if request.held:
         return _hold(request, choice, room, "no free slot", random_point)
-    if request.waited_ms + ahead + choice.first_event_ms <= request.objective_ms:
+    limit_ms = min(request.objective_ms, request.patience_ms)
+    if request.waited_ms + ahead + choice.first_event_ms <= limit_ms:
         return Hold("no free slot")
     return _hold_or_refuse(request, choice, room, random_point)
 
@@ -198,6 +199,6 @@
     serving_ms = choice.first_event_ms - choice.slot_wait_ms
     if left_ms - serving_ms > LAST_CHANCE_MS:
         return Hold(reason)
-    if choice.slot_wait_ms <= LAST_CHANCE_MS:
+    if room.queues and choice.slot_wait_ms <= LAST_CHANCE_MS:
         return Send(late=True)
     return Refuse(find_return_ms(request, room, random_point), round(choice.first_event_ms))
