Overload: of two instances that choose one slot, the later one chooses again

Cause: when slots are scarce, instances choose the same one before their digests tell them of each other; one in ten requests then waited behind another for a whole answer.

Change: a request is sent 8 ms after peers were told of its work, if at most a tenth of the slots is free; if another one was there first and it would be late, it is placed again.

--- a/src/lentilwell/gateway/_accounting.py
+++ b/src/lentilwell/gateway/_accounting.py
@@ -15,7 +15,8 @@
 class Accounting:
     """Updates the fleet for one attempt of a request, the ``number``th from 0 on.
 
-    ``sent_at`` is when the request was sent to the upstream, in ms.
+    ``sent_at`` is when the request was sent to the upstream, in ms, ``job_name`` the name of its
+    work in the load of the upstreams.
     """
 
     def __init__(self, fleet: Fleet, routed: RoutedRequest, number: int = 0) -> None:
@@ -23,7 +24,7 @@
         self._clock = fleet.clock
         self._routed = routed
         # Attempts beside each other may use the same helpers.
-        self._job_name = f"{routed.facts.request_id}/{number}"
+        self.job_name = f"{routed.facts.request_id}/{number}"
         self.sent_at = 0
         self._awaits_event = False
         self._late = False
@@ -39,7 +40,7 @@
         due_at = self._routed.request.arrived_at + route.objective_ms
         jobs = build_jobs(
             choice,
-            self._job_name,
+            self.job_name,
             facts.prompt.memory_tokens if facts.prompt is not None else 0,
             now=now,
             due_at=min(due_at, now) if late else due_at,
@@ -50,7 +51,7 @@
 
     def remove_jobs(self, choice: Choice) -> None:
         """Remove the request's work from the load of its upstreams."""
-        self._fleet.load_tracker.remove(self._job_name, choice.upstream_names)
+        self._fleet.load_tracker.remove(self.job_name, choice.upstream_names)
         self._fleet.admission.wake(self._routed.service)
 
     def record_sent(self) -> None:
@@ -64,7 +65,7 @@
             return
         self._awaits_event = False
         now = self._clock.now()
-        self._fleet.load_tracker.record_first_event(self._job_name, choice.upstream_names, now)
+        self._fleet.load_tracker.record_first_event(self.job_name, choice.upstream_names, now)
         if choice.helpers or not choice.first_event_ms:
             return  # with helpers, it is unknown which upstream was slow
         expected_ms = choice.first_event_ms / choice.latency_factor
--- a/src/lentilwell/gateway/_attempt.py
+++ b/src/lentilwell/gateway/_attempt.py
@@ -47,6 +47,8 @@
 # Only the status and the headers of a refusal are used. The body is read so that the connection can
 # be reused; if that takes longer than this, the connection is closed instead.
 REFUSAL_BODY_TIMEOUT_MS = 100
+# When slots are scarce, a request is placed again this often if peers took its slot first.
+MAX_PLACE_TRIES = 3
 BUDGET_SPENT = "retry budget spent"
 HARMFUL_REQUEST = "the request crashes upstreams"
 HARMFUL_PARTS = "parts of the prompt crash upstreams"
@@ -131,19 +133,42 @@
         instances = self._fleet.count_instances
         if is_retry and not budget.allows_retry(self._clock.now(), instances()):
             return AttemptEnd(NoUpstream(), BUDGET_SPENT)
-        placement = await self._place_when_due()
+        placement = await self._take_place()
         if isinstance(placement, AttemptEnd):
             return placement
-        if self._ends_too_late():
-            return AttemptEnd(NoUpstream(), STOPPING)
-        if is_retry and not budget.try_spend(self._clock.now(), instances()):
-            return AttemptEnd(NoUpstream(), BUDGET_SPENT)
-        self._accounting.add_jobs(self.choice, self._late)
         try:
+            if self._ends_too_late():
+                return AttemptEnd(NoUpstream(), STOPPING)
+            if is_retry and not budget.try_spend(self._clock.now(), instances()):
+                return AttemptEnd(NoUpstream(), BUDGET_SPENT)
             return await self._reserve_and_send(placement)
         finally:
             self._accounting.remove_jobs(self.choice)
 
+    async def _take_place(self) -> Placement | AttemptEnd:
+        """Choose an upstream and add the work to its load; choose again if others were first.
+
+        The work is removed by the caller of this method, unless the attempt ends here.
+        """
+        for tries_left in reversed(range(MAX_PLACE_TRIES)):
+            placement = await self._place_when_due()
+            if isinstance(placement, AttemptEnd):
+                return placement
+            self._accounting.add_jobs(self.choice, self._late)
+            if not tries_left or self._late or self._owner.state.sends > 0:
+                break
+            try:
+                kept = await self._owner.placer.admission.keeps_place(
+                    self.choice, self._accounting.job_name
+                )
+            except BaseException:
+                self._accounting.remove_jobs(self.choice)
+                raise
+            if kept:
+                break
+            self._accounting.remove_jobs(self.choice)
+        return placement
+
     async def _place_when_due(self) -> Placement | AttemptEnd:
         """Choose an upstream; hold the request as long as it would be late and delay others."""
         admission = self._owner.placer.admission
--- a/src/lentilwell/gateway/_engine_timing.py
+++ b/src/lentilwell/gateway/_engine_timing.py
@@ -6,6 +6,8 @@
 
 TOKENS_PER_MILLION_PAIRS = 1_000_000
 TOKENS_PER_K = 1_000
+# The weight of the shortest prompts; a prompt of typical length has weight 1.
+MIN_WEIGHT = 0.3
 
 
 def estimate_prefill_ms(engine: EngineSpec, tokens: int) -> float:
@@ -47,3 +49,19 @@
         engine, engine.slots, engine.slots * engine.typical_prompt_tokens
     )
     return passes * pass_ms
+
+
+def compute_weight(engine: EngineSpec, prompt_tokens: int) -> float:
+    """Return the weight of a request, which grows with the length of its prompt."""
+    typical = max(1, engine.typical_prompt_tokens)
+    return MIN_WEIGHT + (1 - MIN_WEIGHT) * prompt_tokens / typical
+
+
+def find_answer_tokens(engine: EngineSpec, weight: float, memory_tokens: int) -> float:
+    """Return the stated length of an answer in tokens, 0 if it is not known.
+
+    It is the memory of the request without its prompt, whose length follows from the weight.
+    """
+    typical = max(1, engine.typical_prompt_tokens)
+    prompt_tokens = (weight - MIN_WEIGHT) / (1 - MIN_WEIGHT) * typical
+    return max(0.0, memory_tokens - prompt_tokens)
--- a/src/lentilwell/gateway/_least_cost.py
+++ b/src/lentilwell/gateway/_least_cost.py
@@ -19,6 +19,7 @@
 
 from lentilwell.gateway._catalog import EngineSpec
 from lentilwell.gateway._engine_timing import (
+    compute_weight,
     estimate_decode_pass_ms,
     estimate_prefill_ms,
     estimate_slot_wait_ms,
@@ -33,7 +34,7 @@
     choose_least_outstanding,
     policy,
 )
-from lentilwell.gateway.overload import estimate_next_slot_ms
+from lentilwell.gateway.overload import are_slots_scarce, estimate_next_slot_ms
 
 # Numbers of engines that are considered for the prefill of one prompt. A request can name at most
 # 16 helpers beside the primary engine.
@@ -58,10 +59,9 @@
 # Where the ends of requests are expected by their age, this share of the cost remains for an engine
 # whose next slot should be free by now: the expectation may be wrong.
 UNSURE_SLOT_SHARE = 0.25
-# When at most this share of all slots is free, instances that choose within the same few ms would
-# all choose the same slot. A random cost of up to ``SPREAD_COST`` for each engine spreads them.
-SCARCE_SHARE = 0.1
-SPREAD_COST = 2.0
+# When slots are scarce, instances that choose within the same few ms would all choose the same
+# slot. A random cost of up to this for each engine spreads them.
+SPREAD_COST = 1.0
 # Multiples of this number are evenly spread over the numbers from 0 up to 1.
 GOLDEN_RATIO = 0.6180339887
 # The cost of lacking as much memory as an engine has.
@@ -73,8 +73,6 @@
 USABLE_MEMORY_SHARE = 0.95
 # A stream from another data centre breaks when the connection between the two is lost.
 OTHER_DATA_CENTRE_COST = 0.1
-# The weight of the shortest prompts; a prompt of typical length has weight 1.
-MIN_WEIGHT = 0.3
 # The cost of a refused request, as a share of its weight: the request is either sent to another
 # engine or, on the last permitted send, lost.
 RETRY_COST_SHARE = 0.3
@@ -126,7 +124,7 @@
         estimate_primary_cost(request, engine, candidate, slot_wait_ms)
         for candidate, slot_wait_ms in zip(candidates, slot_waits, strict=True)
     ]
-    if request.expects_ends and free_slots <= SCARCE_SHARE * slots:
+    if request.expects_ends and are_slots_scarce(free_slots, slots):
         for index in range(len(candidates)):
             point = (request.random_point + index * GOLDEN_RATIO) % 1
             primary_costs[index] += SPREAD_COST * point
@@ -162,9 +160,7 @@
     if load.slot_demand < engine.slots:
         return 0.0
     if request.expects_ends:
-        return estimate_next_slot_ms(
-            engine, load, request.now, candidate.latency_factor, find_answer_tokens
-        )
+        return estimate_next_slot_ms(engine, load, request.now, candidate.latency_factor)
     return estimate_slot_wait_ms(engine, load.slot_demand)
 
 
@@ -365,21 +361,3 @@
     probability = min(1.0, max(0.0, (share - safe_share) / (CERTAINLY_LATE_SHARE - safe_share)))
     overrun = OVERRUN_COST * max(0.0, share - CERTAINLY_LATE_SHARE)
     return probability + overrun + DELAY_COST * share
-
-
-def find_answer_tokens(engine: EngineSpec, job: Job) -> float:
-    """Return the stated length of a job's answer in tokens, 0 if it is not known.
-
-    It is the memory of the job without its prompt, whose length follows from the weight.
-    """
-    if job.spread:
-        return 0.0
-    typical = max(1, engine.typical_prompt_tokens)
-    prompt_tokens = (job.weight - MIN_WEIGHT) / (1 - MIN_WEIGHT) * typical
-    return max(0.0, job.memory_tokens - prompt_tokens)
-
-
-def compute_weight(engine: EngineSpec, prompt_tokens: int) -> float:
-    """Return the weight of a request, which grows with the length of its prompt."""
-    typical = max(1, engine.typical_prompt_tokens)
-    return MIN_WEIGHT + (1 - MIN_WEIGHT) * prompt_tokens / typical
--- a/src/lentilwell/gateway/overload/__init__.py
+++ b/src/lentilwell/gateway/overload/__init__.py
@@ -23,7 +23,7 @@
 from lentilwell.gateway.overload._hold_queue import HeldRequest, HoldQueue
 from lentilwell.gateway.overload._request_admission import RequestAdmission
 from lentilwell.gateway.overload._shortage import Shortage
-from lentilwell.gateway.overload._slot_ends import estimate_next_slot_ms
+from lentilwell.gateway.overload._slot_ends import are_slots_scarce, estimate_next_slot_ms
 
 __all__ = [
     "LAST_CHANCE_MS",
@@ -40,6 +40,7 @@
     "Shortage",
     "Verdict",
     "WaitingRequest",
+    "are_slots_scarce",
     "check_admission",
     "decide",
     "estimate_next_slot_ms",
--- a/src/lentilwell/gateway/overload/_decisions.py
+++ b/src/lentilwell/gateway/overload/_decisions.py
@@ -187,8 +187,8 @@
     """Return when a refused caller may return, in ms: spread, so that not all return at once."""
     queue_ms = room.late_ahead * room.release_interval_ms
     base_ms = max(MIN_RETURN_MS, room.short_ms + queue_ms)
-    longest_ms = request.remaining_ms * MAX_RETRY_AFTER_SHARE
-    return max(MIN_RETRY_AFTER_MS, round(min(base_ms * (1 + random_point), longest_ms)))
+    latest_ms = min(2 * base_ms, request.remaining_ms * MAX_RETRY_AFTER_SHARE)
+    return max(MIN_RETRY_AFTER_MS, round(latest_ms * (1 + random_point) / 2))
 
 
 def _hold(
--- a/src/lentilwell/gateway/overload/_first_event_errors.py
+++ b/src/lentilwell/gateway/overload/_first_event_errors.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 SAMPLE_WEIGHT = 0.1
-DEVIATIONS = 0.5
+DEVIATIONS = 0.2
 # Larger errors have other causes, such as an upstream that has failed.
 MAX_ERROR_MS = 500.0
 # Without samples, the correction vanishes within this time.
--- a/src/lentilwell/gateway/overload/_request_admission.py
+++ b/src/lentilwell/gateway/overload/_request_admission.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import replace
 from typing import TYPE_CHECKING, Protocol
 
 from lentilwell.gateway._answer_times import RequestKind
 from lentilwell.gateway._engine_timing import estimate_write_ms
+from lentilwell.gateway._load_tracker import combine_jobs
 from lentilwell.gateway._placement_policies import Choice
 from lentilwell.gateway._routing import RoutedRequest
 from lentilwell.gateway.overload._admission import find_caller_silence_timeout_ms
@@ -21,12 +23,15 @@
     is_short,
 )
 from lentilwell.gateway.overload._hold_queue import HeldRequest
+from lentilwell.gateway.overload._slot_ends import are_slots_scarce, estimate_next_slot_ms
 
 if TYPE_CHECKING:
     from lentilwell.gateway._fleet import Fleet
 
 # A held request is checked at this interval: whether it is condemned, or this instance stops.
 CHECK_MS = 50
+# Within this time peers know of a new job: digests wait for further news for 4 ms.
+DIGEST_MS = 8
 # The share of its objective that an answer of a plain service is assumed to take before the first
 # one has ended.
 ASSUMED_ANSWER_SHARE = 0.3
@@ -93,6 +98,31 @@
             raise
         return has_turn or max_ms <= CHECK_MS
 
+    async def keeps_place(self, choice: Choice, job: str) -> bool:
+        """Tell whether the request, whose job peers were just told of, can be sent as planned.
+
+        When slots are scarce, two instances may choose the same one before they know of each other.
+        The request is sent only after the time that a digest takes; the earlier one keeps the slot.
+        """
+        engine, control = self._routed.engine, self._control
+        if engine is None or not control.enabled or not self._is_covered(choice):
+            return True
+        if choice.helpers or not are_slots_scarce(choice.free_slots, choice.slots):
+            return True
+        told_at = self._clock.now()
+        await asyncio.sleep(DIGEST_MS / 1_000)
+        now, name = self._clock.now(), choice.upstream.name
+        load = self._fleet.load_tracker.measure_load(name, now)
+        before = [one for one in load.jobs if one.name != job and one.begun_at < told_at]
+        slot_wait_ms = estimate_next_slot_ms(
+            engine, combine_jobs(before, now), now, choice.latency_factor
+        )
+        later_ms = slot_wait_ms - choice.slot_wait_ms
+        if later_ms <= DIGEST_MS:
+            return True
+        request, estimate = self._describe_wait(), self._complete_estimate(choice)
+        return request.waited_ms + estimate.first_event_ms + later_ms <= request.objective_ms
+
     def end_hold(self, outcome: str, sent: bool = False) -> None:
         """Record that the request, if it was held, is now sent or otherwise held no more."""
         if self._held is None:
--- a/src/lentilwell/gateway/overload/_slot_ends.py
+++ b/src/lentilwell/gateway/overload/_slot_ends.py
@@ -7,36 +7,40 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Callable
 
 from lentilwell.gateway._catalog import EngineSpec
 from lentilwell.gateway._engine_timing import (
     estimate_decode_pass_ms,
     estimate_prefill_ms,
     estimate_write_ms,
+    find_answer_tokens,
 )
 from lentilwell.gateway._load_tracker import Job, Load
 
 # A request that should have ended is expected to end within this many passes of its engine.
 OVERDUE_PASSES = 1.0
-READS_SHARE = 1.0
+# Slots are scarce if at most this share of them is free.
+SCARCE_SHARE = 0.1
 # Bounds on the stated length of an answer, as a share of the typical length.
 MIN_STATED_SHARE = 0.1
 MAX_STATED_SHARE = 1.5
 
 
+def are_slots_scarce(free_slots: int, slots: int) -> bool:
+    """Tell whether so few slots are free that instances may choose the same one."""
+    return free_slots <= SCARCE_SHARE * slots
+
+
 def estimate_next_slot_ms(
     engine: EngineSpec,
     load: Load,
     now: int,
-    latency_factor: float,
-    find_answer_tokens: Callable[[EngineSpec, Job], float],
+    latency_factor: float = 1.0,
 ) -> float:
     """Return how long one more request that is on time waits for a slot of an engine, in ms.
 
     Requests that were sent when they were already late do not count until they have a slot: the
-    engine takes them last. ``find_answer_tokens`` returns the stated length of an answer, 0 or less
-    if it is not known.
+    engine takes them last.
     """
     if load.slot_demand < engine.slots:
         return 0.0
@@ -46,7 +50,7 @@
     earliest_end = now + OVERDUE_PASSES * pass_ms
 
     def find_write_ms(job: Job) -> float:
-        tokens = find_answer_tokens(engine, job)
+        tokens = 0.0 if job.spread else find_answer_tokens(engine, job.weight, job.memory_tokens)
         return latency_factor * _estimate_answer_ms(engine, tokens)
 
     running = [job for job in load.jobs if job.writes and not job.reading]
@@ -75,7 +79,7 @@
     typical = max(1, engine.typical_answer_tokens)
     share = stated_tokens / typical if stated_tokens > 0 else 1.0
     read_ms = estimate_prefill_ms(engine, engine.typical_prompt_tokens)
-    write_ms = estimate_write_ms(engine) + READS_SHARE * engine.slots * read_ms
+    write_ms = estimate_write_ms(engine) + engine.slots * read_ms
     return min(MAX_STATED_SHARE, max(MIN_STATED_SHARE, share)) * write_ms
 
 
--- a/standins/simulated_overload.py
+++ b/standins/simulated_overload.py
@@ -11,12 +11,13 @@
 import math
 import random
 from collections.abc import Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Any, cast
 
 from lentilwell._clock import MS_PER_SECOND
 from lentilwell.gateway import BudgetRules, EngineSpec, Upstream
 from lentilwell.gateway._accounting import Accounting
+from lentilwell.gateway._attempt import MAX_PLACE_TRIES
 from lentilwell.gateway._catalog import Catalog, Repeat, Route, ServiceSpec, Team
 from lentilwell.gateway._engine_timing import estimate_write_ms
 from lentilwell.gateway._fleet import Fleet
@@ -27,6 +28,7 @@
 from lentilwell.gateway._shards import ShardView
 from lentilwell.gateway._upstreams import Directory
 from lentilwell.gateway.overload import (
+    Hold,
     Refuse,
     Send,
     check_admission,
@@ -290,29 +292,44 @@
         routed = make_request(load, events, name, now, left_ms)
         recorder = SilentRecorder()
         placer = Placer(fleet, cast(Any, None), routed, cast(Any, recorder))
-        while True:
-            placement = await placer.place(frozenset(), False, False)
-            assert placement is not None
-            verdict = placer.admission.judge(placement.choice)
-            refused = check_admission(
-                routed.route, placement.choice, routed.deadline_at - fleet.clock.now()
-            )
-            if refused is not None:
-                verdict = Refuse(refused.retry_after_ms, 0)
-            if isinstance(verdict, Send):
-                break
+        accounting = Accounting(fleet, routed)
+        for tries_left in reversed(range(MAX_PLACE_TRIES)):
+            choice, verdict = await self._place(fleet, routed, placer)
             if isinstance(verdict, Refuse):
-                placer.admission.end_hold("refused")
                 return verdict.retry_after_ms
-            while not await placer.admission.hold(placement.choice, verdict.reason):
-                pass
-        placer.admission.end_hold("sent", sent=True)
+            late = verdict.late
+            accounting.add_jobs(choice, late)
+            if not tries_left or late:
+                break
+            if await placer.admission.keeps_place(choice, accounting.job_name):
+                break
+            accounting.remove_jobs(choice)
         result.held_ms += recorder.held_ms
-        await self._relay(fleet, routed, placement.choice, verdict.late, events, result)
+        await self._relay(accounting, fleet, routed, choice, late, events, result)
         return None
 
+    async def _place(
+        self, fleet: Fleet, routed: RoutedRequest, placer: Placer
+    ) -> tuple[Choice, Send | Refuse]:
+        """Place a request until it is sent or refused, as an attempt does."""
+        admission = placer.admission
+        while True:
+            placement = await placer.place(frozenset(), False, False)
+            assert placement is not None
+            choice, verdict = placement.choice, admission.judge(placement.choice)
+            remaining_ms = routed.deadline_at - fleet.clock.now()
+            too_late = check_admission(routed.route, choice, remaining_ms)
+            if too_late is not None:
+                verdict = Refuse(too_late.retry_after_ms, 0)
+            if not isinstance(verdict, Hold):
+                admission.end_hold("sent", sent=isinstance(verdict, Send))
+                return choice, verdict
+            while not await admission.hold(choice, verdict.reason):
+                pass
+
     async def _relay(
         self,
+        accounting: Accounting,
         fleet: Fleet,
         routed: RoutedRequest,
         choice: Choice,
@@ -320,8 +337,6 @@
         events: int,
         result: CallerResult,
     ) -> None:
-        accounting = Accounting(fleet, routed)
-        accounting.add_jobs(choice, late)
         await asyncio.sleep(LINK_MS / MS_PER_SECOND)
         accounting.record_sent()
         rank = find_late_rank(routed.rank) if late else routed.rank
@@ -411,8 +426,3 @@
         slowest_refusal_ms=max(refusals, default=0.0),
         held=sum(one.held_ms > 0 for one in chosen),
     )
-
-
-def scale(load: Load, times: float) -> Load:
-    """Return a load at another multiple of the capacity."""
-    return replace(load, times_capacity=times)
--- a/tests/test_gateway_overload.py
+++ b/tests/test_gateway_overload.py
@@ -113,7 +113,7 @@
 
 def estimate_wait(jobs):
     load = combine_jobs(jobs, 10_000)
-    return estimate_next_slot_ms(ENGINE, load, 10_000, 1.0, lambda engine, job: 0.0)
+    return estimate_next_slot_ms(ENGINE, load, 10_000, 1.0)
 
 
 def test_slot_is_expected_when_the_oldest_request_should_end():
@@ -209,3 +209,72 @@
     after = play(0.5)
     assert after == before
     assert after.held == after.refusals == 0
+
+
+SITE = Site(engines=15, instances=11)
+SEEDS = (1, 2, 3, 4, 5)
+
+
+def burst(times, name="burst", **changes):
+    """Return a burst of 3 s that together with the steady load is ``times`` the capacity."""
+    return Load(name, times - 0.6, (2.0, 5.0), **changes)
+
+
+def play_burst(*bursts, seeds=SEEDS, **changes):
+    """Return what became of the callers of a burst, for each of the seeds."""
+    steady = Load("steady", 0.6, (0.0, 7.0))
+    sites = [Site(SITE.engines, SITE.instances, seed=seed, **changes) for seed in seeds]
+    played = [simulate_overload(site, [steady, *bursts]) for site in sites]
+    return [one for results in played for one in results if 2.0 <= one.arrived_s < 5.0]
+
+
+def count_served(results):
+    """Return how many first events came during the burst."""
+    ends = [one.arrived_s + one.first_ms / 1_000 for one in results if one.first_ms is not None]
+    return sum(2.2 <= end < 5.2 for end in ends)
+
+
+@pytest.fixture(scope="module")
+def at_twice():
+    return play_burst(burst(2.0))
+
+
+def test_at_twice_the_capacity_nine_tenths_of_what_fits_is_on_time(at_twice):
+    """Guards against a burst in which all wait and all are late.
+
+    What fits is what the engines serve when every request is sent at once.
+    """
+    fits = count_served(play_burst(burst(2.0), admission_control=False))
+    assert summarise(at_twice).on_time >= 0.9 * fits
+
+
+def test_no_fewer_are_on_time_at_four_times_the_capacity(at_twice):
+    """Guards against goodput that falls as load rises."""
+    more = play_burst(burst(4.0))
+    assert summarise(more).on_time >= 0.97 * summarise(at_twice).on_time
+
+
+def test_refusals_for_lack_of_room_come_at_once(at_twice):
+    """Guards against requests that are held and then refused."""
+    at_once = [took_ms <= 50 for one in at_twice for took_ms in one.refusals_ms]
+    assert sum(at_once) >= 0.75 * len(at_once)
+
+
+def share_on_time(results, name):
+    """Return the share of the callers of one load that were served on time."""
+    on_time = [one.on_time for one in results if one.load.name == name]
+    return sum(on_time) / len(on_time)
+
+
+def test_less_urgent_class_gives_way():
+    """Guards against urgent requests that are late because of a burst of another class."""
+    batch = Load("batch", 1.5, (2.0, 5.0), rank=3)
+    results = play_burst(Load("urgent", 0.5, (2.0, 5.0)), batch, seeds=(1, 2))
+    assert share_on_time(results, "urgent") >= 1.5 * share_on_time(results, "batch")
+
+
+def test_team_that_causes_a_burst_does_not_keep_out_another_one():
+    """Guards against a team that gets no slot because another one sends more."""
+    many = Load("many", 2.0, (2.0, 5.0), team="many")
+    results = play_burst(many, Load("few", 0.2, (2.0, 5.0), team="few"), seeds=(1, 2))
+    assert share_on_time(results, "few") >= 0.8 * share_on_time(results, "many")
