--- a/src/lentilwell/gateway/_accounting.py
+++ b/src/lentilwell/gateway/_accounting.py
@@ -15,7 +15,8 @@
 class Accounting:
     """Updates the fleet for one attempt of a request, the ``number``th from 0 on.
 
-    ``sent_at`` is when the request was sent to the upstream, in ms.
+    ``sent_at`` is when the request was sent to the upstream, in ms, ``job_name`` the name of its
+    work in the load of the upstreams.
     """
 
     def __init__(self, fleet: Fleet, routed: RoutedRequest, number: int = 0) -> None:
@@ -23,19 +24,26 @@
         self._clock = fleet.clock
         self._routed = routed
         # Attempts beside each other may use the same helpers.
-        self._job_name = f"{routed.facts.request_id}/{number}"
+        self.job_name = f"{routed.facts.request_id}/{number}"
         self.sent_at = 0
         self._awaits_event = False
+        self._late = False
 
-    def add_jobs(self, choice: Choice) -> None:
-        """Add the request's work to the load of its upstreams."""
+    def add_jobs(self, choice: Choice, late: bool = False) -> None:
+        """Add the request's work to the load of its upstreams.
+
+        The upstreams take a ``late`` request after all that can be on time.
+        """
         facts, route = self._routed.facts, self._routed.route
+        self._late = late
+        now = self._clock.now()
+        due_at = self._routed.request.arrived_at + route.objective_ms
         jobs = build_jobs(
             choice,
-            self._job_name,
+            self.job_name,
             facts.prompt.memory_tokens if facts.prompt is not None else 0,
-            now=self._clock.now(),
-            due_at=self._routed.request.arrived_at + route.objective_ms,
+            now=now,
+            due_at=min(due_at, now) if late else due_at,
             pause_ms=route.pause_ms,
         )
         for job in jobs:
@@ -43,7 +51,8 @@
 
     def remove_jobs(self, choice: Choice) -> None:
         """Remove the request's work from the load of its upstreams."""
-        self._fleet.load_tracker.remove(self._job_name, choice.upstream_names)
+        self._fleet.load_tracker.remove(self.job_name, choice.upstream_names)
+        self._fleet.admission.wake(self._routed.service)
 
     def record_sent(self) -> None:
         """Record that the request is sent to an upstream now."""
@@ -55,12 +64,17 @@
         if not self._awaits_event:
             return
         self._awaits_event = False
-        self._fleet.load_tracker.record_first_event(self._job_name, choice.upstream_names)
+        now = self._clock.now()
+        self._fleet.load_tracker.record_first_event(self.job_name, choice.upstream_names, now)
         if choice.helpers or not choice.first_event_ms:
             return  # with helpers, it is unknown which upstream was slow
-        now = self._clock.now()
         expected_ms = choice.first_event_ms / choice.latency_factor
         actual_ms = float(now - self.sent_at)
+        if not self._late:
+            errors = self._fleet.admission.find_holds(self._routed.service).errors
+            errors.record(choice.first_event_ms, actual_ms, now)
+        if choice.slot_wait_ms and self._fleet.admission.enabled:
+            return  # the wait for a slot says nothing of the engine's speed
         self._fleet.latency_factors.record_sample(choice.upstream.name, expected_ms, actual_ms, now)
 
     def record_success(self, choice: Choice) -> None:
--- a/src/lentilwell/gateway/_fleet.py
+++ b/src/lentilwell/gateway/_fleet.py
@@ -40,6 +40,7 @@
     Restriction,
     explain_closure,
 )
+from lentilwell.gateway.overload import AdmissionControl
 
 # Waits for permits that differ by less than this count as equal.
 SAME_WAIT_MS = 50
@@ -81,8 +82,12 @@
     zones: Mapping[str, str] = field(default_factory=dict)
     on_evacuation_end: Callable[[str, int], None] = lambda data_centre, now: None
 
+    admission: AdmissionControl = field(init=False)
+
     def __post_init__(self) -> None:
+        """Create the parts that share the clock and the random numbers."""
         self.evacuations = EvacuationTracker(self.clock)
+        self.admission = AdmissionControl(self.clock, self.random)
 
     @property
     def catalog(self) -> Catalog | None:
@@ -244,6 +249,7 @@
             now=self.clock.now(),
             random_point=self.random.random(),
             last_send=last_send,
+            expects_ends=self.admission.enabled,
         )
 
     def _choose_among(self, request: PlacementRequest, usable: Sequence[Upstream]) -> Choice | None:
@@ -264,6 +270,14 @@
         sent_at = self.clock.now() + delay_ms
         return can_finish(routed, self.answer_times, sent_at, stop.find_end(sent_at))
 
+    def measure_time(self, routed: RoutedRequest) -> tuple[int, int]:
+        """Return the time since a request's arrival and that until it must end, in ms."""
+        now, stop = self.clock.now(), self.find_stop()
+        ends_at = routed.deadline_at
+        if stop is not None:
+            ends_at = min(ends_at, stop.ends_at)
+        return now - routed.request.arrived_at, ends_at - now
+
     def accepts_work(self, choice: Choice, restriction: Restriction = None) -> bool:
         """Tell whether all upstreams of a choice are open, and none drains or has a backoff."""
         now = self.clock.now()
--- a/src/lentilwell/gateway/_placer.py
+++ b/src/lentilwell/gateway/_placer.py
@@ -17,6 +17,7 @@
 from lentilwell.gateway._routing import OTHER_INSTANCE_RETRY_MS, RoutedRequest
 from lentilwell.gateway._upstreams import Upstream
 from lentilwell.gateway.evacuation import CLOSED_RETRY_MS, Closure
+from lentilwell.gateway.overload import RequestAdmission
 
 # A request that has waited this long for answers of permit owners uses no limited upstream: with
 # many of them whose owners are out of reach, it would otherwise wait until its deadline.
@@ -44,6 +45,7 @@
         self._recorder = recorder
         self._restriction = routed.restriction
         self._deferred_ms = 0
+        self.admission = RequestAdmission(fleet, routed, recorder)
         # The data centres of the upstreams that are waited for; None stands for all.
         self._waits: list[frozenset[str] | None] = []
 
@@ -116,7 +118,7 @@
 
     def _find_permit_patience_ms(self, upstream: Upstream) -> int:
         rate = self._fleet.rate_limits.find(upstream.incarnation)
-        waited_ms, remaining_ms = self._measure_time()
+        waited_ms, remaining_ms = self._fleet.measure_time(self._routed)
         return find_permit_patience_ms(self._routed.route, rate or 0.0, waited_ms, remaining_ms)
 
     async def _choose(
@@ -185,16 +187,8 @@
         opens_at = self._fleet.find_backoff_end(service, excluded, self._restriction)
         return max(0, opens_at - self._clock.now()) if opens_at is not None else 0
 
-    def _measure_time(self) -> tuple[int, int]:
-        """Return the time since the request's arrival and that until it must end, in ms."""
-        now, stop = self._clock.now(), self._fleet.find_stop()
-        ends_at = self._routed.deadline_at
-        if stop is not None:
-            ends_at = min(ends_at, stop.ends_at)
-        return now - self._routed.request.arrived_at, ends_at - now
-
     def _may_wait(self, backoff_ms: int) -> bool:
-        waited_ms, remaining_ms = self._measure_time()
+        waited_ms, remaining_ms = self._fleet.measure_time(self._routed)
         if not self._fleet.can_finish(self._routed, backoff_ms):
             return False
         return may_wait(self._routed.route, backoff_ms, waited_ms, remaining_ms)
--- a/src/lentilwell/gateway/_settings.py
+++ b/src/lentilwell/gateway/_settings.py
@@ -14,7 +14,8 @@
 
     Addresses are ``host:port``; ``peers_address`` receives UDP datagrams. ``max_stop_ms`` bounds
     the duration of a planned stop, ``max_lease_ms`` that of a lease that is not renewed. ``zones``
-    maps data centres to their regions.
+    maps data centres to their regions. Without ``admission_control``, requests that will be late
+    are sent like all others.
     """
 
     instance: str
@@ -29,3 +30,4 @@
     log_level: str = "INFO"
     policy: str = "least_cost"
     zones: Mapping[str, str] = field(default_factory=dict)
+    admission_control: bool = True
