Gateway: cold upstreams get no more than cold_per_s from all instances together

Cause: an upstream that has just started got as many requests as a warm one, or more, since it was idle; a cold one crashes well above cold_per_s.

Change: the package cold_start knows until when each start is cold, from its entry, its answers, its first listing, the end of an evacuation, refused connections and other instances; the latest end counts. RateLimits includes that limit, so owners, permits and placement treat a cold upstream as one that names a rate. Peers learn it from digests and asks in the existing fields of a limit, by an age in the last 10 minutes of its range. A long prompt takes a cold engine last.

--- a/src/lentilwell/_log_lines/__init__.py
+++ b/src/lentilwell/_log_lines/__init__.py
@@ -62,6 +62,8 @@
     TableRechecked,
 )
 from lentilwell._log_lines._upstreams import (
+    ColdFigureIgnored,
+    DataCentreCold,
     PartsCleared,
     PartsCondemned,
     RequestsCleared,
@@ -69,6 +71,7 @@
     RetryAfterIgnored,
     UpstreamBackoffStarted,
     UpstreamChanged,
+    UpstreamCold,
     UpstreamEjected,
     UpstreamKept,
     UpstreamLeaving,
@@ -79,6 +82,7 @@
     UpstreamRemoved,
     UpstreamsListed,
     UpstreamUnreachable,
+    UpstreamWarm,
 )
 
 __all__ = [
@@ -87,10 +91,12 @@
     "AttemptEnded",
     "AttemptSilent",
     "CallbackFailed",
+    "ColdFigureIgnored",
     "ConfigurationConfirmed",
     "ConfigurationInForce",
     "ConfigurationKept",
     "CrashNoticeUnreadable",
+    "DataCentreCold",
     "DependencyLost",
     "DependencyRecovered",
     "DependencyStillLost",
@@ -135,6 +141,7 @@
     "TaskFailed",
     "UpstreamBackoffStarted",
     "UpstreamChanged",
+    "UpstreamCold",
     "UpstreamEjected",
     "UpstreamKept",
     "UpstreamLeaving",
@@ -145,6 +152,7 @@
     "UpstreamRefused",
     "UpstreamRemoved",
     "UpstreamUnreachable",
+    "UpstreamWarm",
     "UpstreamsListed",
     "write_line",
 ]
--- a/src/lentilwell/_log_lines/_upstreams.py
+++ b/src/lentilwell/_log_lines/_upstreams.py
@@ -108,6 +108,51 @@
     text: str
 
 
+@line("upstream cold")
+@dataclass(frozen=True)
+class UpstreamCold(Line):
+    """An upstream is cold for the next ``for_ms``; until then it gets ``rate`` requests a second.
+
+    ``source`` is ``entry``, ``answer``, ``probe`` after a restart, or the peer that reported it.
+    """
+
+    upstream: str
+    born_ms: int
+    for_ms: int
+    rate: float
+    source: str
+
+
+@line("upstream warm")
+@dataclass(frozen=True)
+class UpstreamWarm(Line):
+    """The cold time of an upstream has ended."""
+
+    upstream: str
+    born_ms: int
+
+
+@line("data centre cold")
+@dataclass(frozen=True)
+class DataCentreCold(Line):
+    """All upstreams of a data centre whose service has cold starts count as cold from now on."""
+
+    data_centre: str
+
+
+@line("cold figure ignored")
+@dataclass(frozen=True)
+class ColdFigureIgnored(Line):
+    """A figure about cold starts is invalid and counts as 0.
+
+    ``name`` is an upstream or a service, ``source`` is ``entry``, ``answer`` or ``configuration``.
+    """
+
+    name: str
+    source: str
+    text: str
+
+
 @line("upstream ejected")
 @dataclass(frozen=True)
 class UpstreamEjected(Line):
--- a/src/lentilwell/gateway/__init__.py
+++ b/src/lentilwell/gateway/__init__.py
@@ -42,11 +42,24 @@
 from lentilwell.gateway._ports import Dialect, Entry, Feed, Feeds, Listing
 from lentilwell.gateway._settings import GatewaySettings
 from lentilwell.gateway._upstreams import Upstream
+from lentilwell.gateway.cold_start import (
+    DEFAULT_COLD_BOUNDS,
+    MAX_COLD_MS,
+    NEVER_COLD,
+    ColdBounds,
+    ColdRules,
+    parse_cold_ms,
+)
 
 __all__ = [
+    "DEFAULT_COLD_BOUNDS",
+    "MAX_COLD_MS",
+    "NEVER_COLD",
     "AnswerHead",
     "BudgetRules",
     "Catalog",
+    "ColdBounds",
+    "ColdRules",
     "Dialect",
     "EngineSpec",
     "Entry",
@@ -85,6 +98,7 @@
     "find_headers",
     "is_ip_and_port",
     "open_http_connection",
+    "parse_cold_ms",
 ]
 
 _REGISTERED = (_baselines, _least_cost)
--- a/src/lentilwell/gateway/_answer_observer.py
+++ b/src/lentilwell/gateway/_answer_observer.py
@@ -35,7 +35,7 @@
         self._ignored_limits: dict[str, str] = {}
 
     def handle_head(self, upstream: Upstream, head: AnswerHead) -> None:
-        """Record whether the upstream is draining, asks for a backoff or names a rate limit.
+        """Record whether the upstream is draining, asks for a backoff, names a limit or is cold.
 
         A misdirected answer comes from another upstream at the address, and tells nothing of this.
         """
@@ -49,6 +49,8 @@
             self._handle_retry_after(upstream, head.status, head.retry_after)
         if head.rate_limit is not None:
             self._handle_rate_limit(upstream, head.rate_limit)
+        if head.cold_ms is not None:
+            self._fleet.cold_watch.handle_answer(upstream, head.cold_ms)
 
     def handle_answer(self, upstream: Upstream, head: AnswerHead, sent_at: int) -> None:
         """Record the end of a rate limit, from the answer to a request sent at ``sent_at``."""
@@ -101,6 +103,9 @@
 
     def update_limit(self, report: LimitReport, source: str) -> None:
         """Take over what another instance knows of a limit, unless something newer is known."""
+        if report.until is not None:
+            self._fleet.cold_watch.handle_report(report, source)
+            return
         change = self._fleet.rate_limits.update(report)
         if change is not None:
             self._log_limit(report, change, source)
@@ -110,7 +115,8 @@
         return UpstreamReports(
             self._availability.list_reportable(self._fleet.directory.listed),
             self._fleet.refusals.list_reportable(self._fleet.clock.now()),
-            self._fleet.rate_limits.list_reportable(self._fleet.clock.now()),
+            self._fleet.rate_limits.list_reportable(self._fleet.clock.now())
+            + self._fleet.cold_watch.list_reports(),
         )
 
     def update_reports(self, peer: str, reports: UpstreamReports) -> None:
--- a/src/lentilwell/gateway/_catalog.py
+++ b/src/lentilwell/gateway/_catalog.py
@@ -8,6 +8,8 @@
 from enum import Enum
 from functools import cached_property
 
+from lentilwell.gateway.cold_start import NEVER_COLD, ColdRules
+
 
 class Repeat(Enum):
     """When a request may be sent again after an attempt that may have run.
@@ -79,12 +81,16 @@
 
 @dataclass(frozen=True)
 class ServiceSpec:
-    """One service; ``engine`` is None for a plain service."""
+    """One service; ``engine`` is None for a plain service.
+
+    ``cold`` is what its upstreams tolerate while they are cold.
+    """
 
     name: str
     health_path: str
     max_connections: int
     engine: EngineSpec | None
+    cold: ColdRules = NEVER_COLD
 
 
 @dataclass(frozen=True)
--- a/src/lentilwell/gateway/_fleet.py
+++ b/src/lentilwell/gateway/_fleet.py
@@ -34,6 +34,7 @@
     apply_changes,
     drop_missing,
 )
+from lentilwell.gateway.cold_start import NEVER_COLD, ColdRules, ColdWatch
 
 # Waits for permits that differ by less than this count as equal.
 SAME_WAIT_MS = 50
@@ -70,6 +71,13 @@
     on_limit_change: Callable[[Upstream], None] = lambda upstream: None
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     random: random.Random = field(default_factory=random.Random)
+    cold_watch: ColdWatch = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Let the rate limits include those of cold upstreams."""
+        self.cold_watch = ColdWatch(self.clock, lambda name: self.directory.listed.get(name))
+        self.cold_watch.cold_upstreams.find_rules = self._find_cold_rules
+        self.rate_limits.find_temporary = self.cold_watch.find_limit
 
     @property
     def catalog(self) -> Catalog | None:
@@ -237,6 +245,13 @@
         """Return the engine specification of a service, None for a plain service."""
         return self.catalog.find_engine(service) if self.catalog is not None else None
 
+    def _find_cold_rules(self, service: str) -> ColdRules | None:
+        """Return the rules about cold upstreams of a service, None without a configuration."""
+        if self.catalog is None:
+            return None
+        spec = self.catalog.services.get(service)
+        return spec.cold if spec is not None else NEVER_COLD
+
     def remove_unlisted(self) -> None:
         """Remove upstreams that expired in a store outage and did not register again in time.
 
@@ -274,11 +289,13 @@
         write_line(UpstreamRemoved(upstream.name, "address belongs to another"))
 
     def _make_candidate(self, upstream: Upstream, now: int) -> Candidate:
+        limited = self.rate_limits.is_limited(upstream.incarnation)
         return Candidate(
             upstream=upstream,
             load=self.load_tracker.measure_load(upstream.name, now),
             is_local=upstream.data_centre == self.data_centre,
             latency_factor=self.latency_factors.find(upstream.name, now),
             refusal_share=self.refusals.estimate_share(upstream.name, now),
-            limited=self.rate_limits.is_limited(upstream.incarnation),
+            limited=limited,
+            cold=limited and self.cold_watch.is_cold(upstream),
         )
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -58,7 +58,7 @@
 from lentilwell.gateway._stopping import PlannedStop
 from lentilwell.gateway._store_report import StoreReport
 from lentilwell.gateway._table_listeners import CatalogListener, UpstreamListener
-from lentilwell.gateway._upstreams import Incarnation
+from lentilwell.gateway._upstreams import Incarnation, Upstream
 
 # Connections are accepted once the store has been read, which takes a few ms if the store answers,
 # and at the latest this long after the start.
@@ -324,6 +324,18 @@
         self.peers.on_permit_message = self.permits.handle_datagram
         self.fleet.find_permit_wait_ms = self.permits.estimate_wait_ms
         self.fleet.on_limit_change = self.permits.tell_owners
+        self.fleet.cold_watch.cold_upstreams.bounds = self.settings.cold
+        self.fleet.cold_watch.on_cold = self._handle_cold
+
+    def _handle_cold(self, upstream: Upstream, own_answer: bool) -> None:
+        """Count the sends to an upstream from before it was known to be cold, and tell of it."""
+        load = self.fleet.load_tracker.measure_load(upstream.name, self.clock.now())
+        since = self.clock.now() - MS_PER_SECOND
+        sends = sum(job.begun_at > since for job in load.jobs)
+        self.permits.count_earlier_sends(upstream, sends - int(self.settings.cold.slack))
+        if own_answer:
+            self.fleet.on_new_report()
+            self.fleet.on_limit_change(upstream)
 
     def _connect_crash_watch(self) -> None:
         """Let the crash watch use the listing and the datagrams of the peers."""
@@ -421,6 +433,7 @@
         write_line(SettingsReloaded(listeners_unchanged, settings.budget.extra))
         self.settings = settings
         self.fleet.change_budget(settings.budget)
+        self.fleet.cold_watch.cold_upstreams.bounds = settings.cold
 
     def _run_maintenance(self) -> None:
         steps: dict[str, Callable[[], None]] = {
@@ -430,6 +443,7 @@
             "configuration": self._catalog_listener.apply_pending,
             "upstreams": self.fleet.remove_unlisted,
             "permits": lambda: self.permits.keep_only(self.fleet.is_listed),
+            "cold upstreams": self.fleet.cold_watch.log_warm,
             "shards": self.fleet.update_shards,
             "connections": self._prune_connections,
             "callers": self._close_idle_callers,
--- a/src/lentilwell/gateway/_least_cost.py
+++ b/src/lentilwell/gateway/_least_cost.py
@@ -62,6 +62,9 @@
 USABLE_MEMORY_SHARE = 0.95
 # A stream from another data centre breaks when the connection between the two is lost.
 OTHER_DATA_CENTRE_COST = 0.1
+# The cost of a cold engine for a prompt that several engines could share, above any other cost of
+# an engine: what follows a long prompt waits behind it, and a cold engine gets few requests anyway.
+COLD_ENGINE_COST = 1e6
 # The weight of the shortest prompts; a prompt of typical length has weight 1.
 MIN_WEIGHT = 0.3
 # The cost of a refused request, as a share of its weight: the request is either sent to another
@@ -236,7 +239,8 @@
 ) -> float:
     """Return the cost of using an engine as the primary one, without the cost of its prefill.
 
-    It covers another data centre, a lack of free slots or memory, and the use of an idle engine.
+    It covers another data centre, a lack of free slots or memory, the use of an idle engine, and a
+    long prompt at a cold one.
     """
     assert request.prompt is not None
     load = candidate.load
@@ -245,6 +249,8 @@
         cost += NO_FREE_SLOT_COST * (1 + load.slot_demand - engine.slots)
     if not load.slot_demand:
         cost += IDLE_ENGINE_COST
+    if candidate.cold and request.prompt.prompt_tokens >= 2 * MIN_PART_TOKENS:
+        cost += COLD_ENGINE_COST
     missing = request.prompt.memory_tokens - find_free_memory(engine, candidate)
     return cost + MEMORY_SHORTAGE_COST * max(0, missing) / engine.memory_tokens
 
--- a/src/lentilwell/gateway/_messages.py
+++ b/src/lentilwell/gateway/_messages.py
@@ -151,7 +151,8 @@
     ``closing`` is true if it closes the connection after this answer. ``leaving`` is true if it is
     about to stop and accepts no new work. ``retry_after`` is the text of the time in seconds for
     which it wants no new work, None if it gives none. ``rate_limit`` is the text of the requests a
-    second that it accepts from all instances together, None if it names no limit.
+    second that it accepts from all instances together, None if it names no limit. ``cold_ms`` is
+    the text of how long it remains cold, in ms, None if it does not say.
     """
 
     status: int
@@ -167,6 +168,7 @@
     leaving: bool = False
     retry_after: str | None = None
     rate_limit: str | None = None
+    cold_ms: str | None = None
 
 
 @dataclass(frozen=True)
--- a/src/lentilwell/gateway/_metrics.py
+++ b/src/lentilwell/gateway/_metrics.py
@@ -187,7 +187,8 @@
         announced_leaving = sum(
             fleet.availability.is_leaving(upstream.incarnation) for upstream in listed
         )
-        limited = sum(fleet.rate_limits.find(one.incarnation) is not None for one in listed)
+        limited = sum(fleet.rate_limits.find_named(one.incarnation) is not None for one in listed)
+        cold = sum(map(fleet.cold_watch.is_cold, listed))
         backing_off = sum(
             fleet.availability.find_backoff_end(upstream, now) is not None for upstream in listed
         )
@@ -205,6 +206,7 @@
             ("upstreams_doubted", "Upstreams that a restored list holds again.", quarantined),
             ("upstreams_closed", "Upstreams that want no work for a while.", backing_off),
             ("upstreams_limited", "Upstreams that name a rate limit.", limited),
+            ("upstreams_cold", "Upstreams that are cold.", cold),
             *_list_crash_gauges(fleet.crash_evidence),
             ("jobs", "Requests in hand at upstreams.", len(fleet.load_tracker.list_own_jobs())),
             ("instances", "Instances that may be there.", fleet.count_instances()),
@@ -261,7 +263,8 @@
             "doubted_until": fleet.directory.quarantined.get(upstream.name),
             "left": fleet.availability.is_leaving(upstream.incarnation),
             "closed_until": fleet.availability.find_backoff_end(upstream, now),
-            "rate_limit": fleet.rate_limits.find(upstream.incarnation),
+            "rate_limit": fleet.rate_limits.find_named(upstream.incarnation),
+            "cold": fleet.cold_watch.find_limit(upstream.incarnation),
             "refusing": fleet.refusals.estimate_share(upstream.name, now),
             "standing": fleet.ejection.get_health(upstream.name),
             "load": fleet.load_tracker.measure_load(upstream.name, now),
--- a/src/lentilwell/gateway/_permits.py
+++ b/src/lentilwell/gateway/_permits.py
@@ -142,6 +142,16 @@
             ask = self._make_ask(upstream, OwnerRole.PRIMARY, NO_PERMIT, unpermitted=1)
             self._tell(self._owners.find(upstream).primary, ask)
 
+    def count_earlier_sends(self, upstream: Upstream, sends: int) -> None:
+        """Count requests that an upstream got before it was known to be limited.
+
+        Without them, an owner would issue its first permits on top of them.
+        """
+        if sends > 0 and self._rate_limits.is_limited(upstream.incarnation):
+            for role in OwnerRole:
+                if self._owners.find(upstream).find(role) == self._instance:
+                    self._answer(self._make_ask(upstream, role, NO_PERMIT, unpermitted=sends))
+
     def tell_owners(self, upstream: Upstream) -> None:
         """Tell the owners of an upstream's permits what is known of its limit."""
         for role in OwnerRole:
@@ -156,7 +166,10 @@
         except UnreadablePermitMessage as error:
             write_line(PermitMessageUnreadable(address[0], str(error)))
             return
-        self.on_report(message.limit, address[0])
+        # An answer repeats the asker's own report where the receiver is no owner. A temporary limit
+        # that was taken from it would end later with each ask, by the delay of the messages.
+        if isinstance(message, PermitAsk) or message.limit.until is None:
+            self.on_report(message.limit, address[0])
         if isinstance(message, PermitAnswer):
             future = self._pending.get(message.number)
             if future is not None and not future.done():
@@ -235,12 +248,21 @@
             upstream is None
             or upstream.incarnation != incarnation
             or self._owners.find(upstream).find(ask.role) != self._instance
+            or self._is_replaced(incarnation)
         ):
             return PermitAnswer(ask.number, Verdict.NOT_OWNER, 0, ask.limit)
         decision = self._decide(ask, upstream)
         verdict = Verdict.GRANTED if decision.granted else Verdict.DENIED
-        limit = self._get_limit(incarnation)
-        return PermitAnswer(ask.number, verdict, decision.wait_ms, limit)
+        # The asker knows a temporary limit already: it asked because of it.
+        limit = self._rate_limits.get_named_report(incarnation)
+        return PermitAnswer(
+            ask.number, verdict, decision.wait_ms, limit or LimitReport(incarnation, None, 0)
+        )
+
+    def _is_replaced(self, incarnation: Incarnation) -> bool:
+        """Tell whether a later start of the upstream is known, which has its own owners."""
+        temporary = self._rate_limits.find_temporary(incarnation)
+        return temporary is not None and temporary.rate <= 0
 
     def _decide(self, ask: PermitAsk, upstream: Upstream) -> PermitDecision:
         incarnation, now = ask.limit.incarnation, self._clock.now()
--- a/src/lentilwell/gateway/_placement_policies.py
+++ b/src/lentilwell/gateway/_placement_policies.py
@@ -28,7 +28,8 @@
 
     ``is_local`` is true for an upstream in the data centre of this instance. ``latency_factor`` is
     the ratio of actual to specified latency, ``refusal_share`` the share of requests that the
-    upstream refuses. A ``limited`` one names a rate limit, so it gets no parts of other prompts.
+    upstream refuses. A ``limited`` one has a rate limit, so it gets no parts of other prompts. A
+    ``cold`` one is the last choice for a long prompt.
     """
 
     upstream: Upstream
@@ -37,6 +38,7 @@
     latency_factor: float = 1.0
     refusal_share: float = 0.0
     limited: bool = False
+    cold: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/lentilwell/gateway/_prober.py
+++ b/src/lentilwell/gateway/_prober.py
@@ -27,6 +27,7 @@
         self._fleet = fleet
         self._connections = connections
         self._probing: set[str] = set()
+        self._refused: set[str] = set()
 
     async def run(self) -> None:
         """Run forever: probe each upstream that becomes unreachable, then at an interval."""
@@ -52,6 +53,7 @@
         while (upstream := self._find_unreachable(name)) and not await self._probe(upstream):
             await asyncio.sleep(PROBE_INTERVAL_MS / 1_000)
         self._probing.discard(name)
+        self._refused.discard(name)
 
     def _find_unreachable(self, name: str) -> Upstream | None:
         unreachable = self._fleet.ejection.is_unreachable(name)
@@ -60,12 +62,21 @@
     async def _probe(self, upstream: Upstream) -> bool:
         try:
             connection = await self._connections.acquire(upstream.address, fresh=True)
-        except Unreachable:
+        except Unreachable as error:
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                self._refused.add(upstream.name)
             self._fleet.ejection.record_unreachable(upstream.name, self._fleet.clock.now())
             self._connections.report_silence(upstream.address, UNREACHABLE_SILENCE_MS)
             return False
         self._connections.release(upstream.address, connection)
         write_line(UpstreamReached(upstream.name, upstream.address))
+        self._record_restart(upstream)
         if self._fleet.ejection.record_connection(upstream.name, self._fleet.clock.now()):
             write_line(UpstreamEjected(upstream.name, "accepts connections but does not answer"))
         return True
+
+    def _record_restart(self, upstream: Upstream) -> None:
+        """Record a new start of an upstream that refused connections: its port was closed."""
+        if upstream.name in self._refused:
+            self._refused.discard(upstream.name)
+            self._fleet.cold_watch.handle_restart(upstream)
--- a/src/lentilwell/gateway/_rate_limits.py
+++ b/src/lentilwell/gateway/_rate_limits.py
@@ -2,6 +2,9 @@
 
 A limit holds for one incarnation of the upstream, until an answer to a later request no longer
 names it. Instances report to each other what they heard; of two reports the newer one counts.
+
+Beside it, an upstream may have a temporary limit, which ends at a time that is known: see
+``cold_start``. The lower of the two is in force.
 """
 
 from __future__ import annotations
@@ -24,6 +27,8 @@
 ENDED_REPORT_MS = 5_000
 # Bound on the age of a report; older ones are treated as this old.
 MAX_AGE_MS = 86_400_000
+# Bound on the remaining time of a temporary limit.
+MAX_TEMPORARY_MS = 600_000
 _DECIMAL = re.compile(r"\d{1,400}(\.\d{1,400})?([eE][+-]?\d{1,3})?", re.ASCII)
 
 
@@ -56,12 +61,21 @@
     """The newest knowledge of an upstream's limit.
 
     ``rate`` is in requests per second, None if the limit has ended. ``heard_at`` is when the answer
-    that told so arrived, in ms.
+    that told so arrived, in ms. ``until`` is the end of a temporary limit, None for a named one.
     """
 
     incarnation: Incarnation
     rate: float | None
     heard_at: int
+    until: int | None = None
+
+
+@dataclass(frozen=True)
+class TemporaryLimit:
+    """A limit in requests per second that the gateway itself imposes until a time in ms."""
+
+    rate: float
+    until: int
 
 
 class RateLimits:
@@ -69,21 +83,38 @@
 
     def __init__(self) -> None:
         self._reports: dict[Incarnation, LimitReport] = {}
+        self.find_temporary: Callable[[Incarnation], TemporaryLimit | None] = lambda one: None
 
     def find(self, incarnation: Incarnation) -> float | None:
         """Return the limit of an incarnation in requests per second, None if it has none."""
+        named, temporary = self.find_named(incarnation), self.find_temporary(incarnation)
+        if temporary is None:
+            return named
+        return temporary.rate if named is None else min(named, temporary.rate)
+
+    def find_named(self, incarnation: Incarnation) -> float | None:
+        """Return the limit that an incarnation names, None if it names none."""
         report = self._reports.get(incarnation)
         return report.rate if report is not None else None
 
     def is_limited(self, incarnation: Incarnation) -> bool:
-        """Tell whether an incarnation names a limit that can have an effect."""
+        """Tell whether an incarnation has a limit that can have an effect."""
         rate = self.find(incarnation)
         return rate is not None and rate < MAX_RATE
 
-    def get_report(self, incarnation: Incarnation) -> LimitReport | None:
-        """Return the newest knowledge of an incarnation's limit, None if it never named one."""
+    def get_named_report(self, incarnation: Incarnation) -> LimitReport | None:
+        """Return the newest knowledge of the limit that an incarnation names, None without any."""
         return self._reports.get(incarnation)
 
+    def get_report(self, incarnation: Incarnation) -> LimitReport | None:
+        """Return what is known of the limit in force, None if the incarnation never had one."""
+        known, temporary = self._reports.get(incarnation), self.find_temporary(incarnation)
+        named = known.rate if known is not None else None
+        if temporary is None or (named is not None and named <= temporary.rate):
+            return known
+        heard_at = known.heard_at if known is not None else 0
+        return LimitReport(incarnation, temporary.rate, heard_at, temporary.until)
+
     def record_named(self, incarnation: Incarnation, rate: float, now: int) -> LimitChange | None:
         """Record that an answer named a limit; return what changed."""
         return self.update(LimitReport(incarnation, rate, now))
--- a/src/lentilwell/gateway/_settings.py
+++ b/src/lentilwell/gateway/_settings.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from lentilwell.gateway._budget import BudgetRules
+from lentilwell.gateway.cold_start import DEFAULT_COLD_BOUNDS, ColdBounds
 
 
 @dataclass(frozen=True)
@@ -12,7 +13,8 @@
     """Identity, addresses and limits of a gateway process. Durations are in milliseconds.
 
     Addresses are ``host:port``; ``peers_address`` receives UDP datagrams. ``max_stop_ms`` bounds
-    the duration of a planned stop, ``max_lease_ms`` that of a lease that is not renewed.
+    the duration of a planned stop, ``max_lease_ms`` that of a lease that is not renewed. ``cold``
+    bounds the requests to an upstream that is cold.
     """
 
     instance: str
@@ -26,3 +28,4 @@
     budget: BudgetRules
     log_level: str = "INFO"
     policy: str = "least_cost"
+    cold: ColdBounds = DEFAULT_COLD_BOUNDS
--- a/src/lentilwell/gateway/_table_listeners.py
+++ b/src/lentilwell/gateway/_table_listeners.py
@@ -132,6 +132,7 @@
         """Replace the entries of the directory by a complete listing."""
         now = self._fleet.clock.now()
         upstreams = [entry.value for entry in listing.entries if entry.value is not None]
+        is_first = not self._fleet.listing_known
         restored = self._fleet.listing_known and listing.era > self._fleet.directory.era
         directory = begin_era(self._fleet.directory, listing.era)
         if restored:
@@ -139,6 +140,7 @@
         self._fleet.directory = apply_listing(directory, upstreams, now)
         self._fleet.listing_known = True
         self._fleet.listing_point = listing.at
+        self._fleet.cold_watch.handle_entries(upstreams, is_first)
         write_line(UpstreamsListed(len(upstreams), listing.version, listing.era))
         # The instances to exchange news with are known from here on, also at the start.
         self._fleet.update_shards()
@@ -154,6 +156,8 @@
         ]
         self._fleet.directory = apply_changes(self._fleet.directory, changes, now)
         self._fleet.listing_point = listing.at
+        listed = [change.upstream for change in changes if change.upstream is not None]
+        self._fleet.cold_watch.handle_entries(listed, is_first_listing=False)
         for change in changes:
             _log_change(change, listing.version)
 
--- a/src/lentilwell/gateway/_upstreams.py
+++ b/src/lentilwell/gateway/_upstreams.py
@@ -39,7 +39,9 @@
 class Upstream:
     """One listed incarnation of an upstream; ``address`` is host:port.
 
-    ``born_ms`` is the Unix time of its start in milliseconds, 0 if it is not published.
+    ``born_ms`` is the Unix time of its start in milliseconds, 0 if it is not published. ``cold_ms``
+    is how long it remained cold when the entry was written; ``odd_cold`` is the text of an invalid
+    remaining time, which counts as 0.
     """
 
     name: str
@@ -49,6 +51,8 @@
     slots: int
     leaving: bool
     born_ms: int = 0
+    cold_ms: int = field(default=0, compare=False)
+    odd_cold: str | None = field(default=None, compare=False)
 
     @property
     def incarnation(self) -> Incarnation:
--- a/src/lentilwell/gateway/_work_digest.py
+++ b/src/lentilwell/gateway/_work_digest.py
@@ -15,7 +15,7 @@
 from lentilwell._wire.ttypes import WorkItem as WireItem
 from lentilwell.gateway._addresses import is_ip_and_port
 from lentilwell.gateway._load_tracker import Job
-from lentilwell.gateway._rate_limits import MAX_AGE_MS, MAX_RATE, LimitReport
+from lentilwell.gateway._rate_limits import MAX_AGE_MS, MAX_RATE, MAX_TEMPORARY_MS, LimitReport
 from lentilwell.gateway._refusals import ReportedTally, Tally
 from lentilwell.gateway._store_point import StorePoint
 from lentilwell.gateway._store_report import NO_STORE_REPORT, StoreReport
@@ -28,6 +28,9 @@
 # Bound on the characters of the reason why a datagram is unreadable, which is logged.
 MAX_REASON_LENGTH = 200
 MAX_I32 = 2**31 - 1
+# Ages from here up to below ``MAX_AGE_MS`` mark a temporary limit: what is missing from
+# ``MAX_AGE_MS`` is its remaining time. Reports of named limits never have such an age.
+FIRST_TEMPORARY_AGE_MS = MAX_AGE_MS - MAX_TEMPORARY_MS
 # These limits keep a malformed datagram from allocating more memory than the largest digest.
 _FACTORY = TCompactProtocolAcceleratedFactory(
     string_length_limit=MAX_DIGEST_BYTES, container_length_limit=MAX_DIGEST_BYTES
@@ -130,7 +133,11 @@
 def encode_limit(report: LimitReport, now: int) -> WireLimit:
     """Return the wire form of a limit report, with its time as an age in ms."""
     incarnation = report.incarnation
-    age_ms = min(max(0, now - report.heard_at), MAX_AGE_MS)
+    if report.until is not None:
+        age_ms = MAX_AGE_MS - min(max(1, report.until - now), MAX_TEMPORARY_MS)
+    else:
+        max_age_ms = MAX_AGE_MS if report.rate is None else FIRST_TEMPORARY_AGE_MS - 1
+        age_ms = min(max(0, now - report.heard_at), max_age_ms)
     return WireLimit(incarnation.name, incarnation.born_ms, age_ms, report.rate)
 
 
@@ -144,7 +151,10 @@
         raise ValueError(f"age of a limit out of range for {wire.upstream}")
     if wire.rate is not None and not 0 <= wire.rate <= MAX_RATE:
         raise ValueError(f"limit out of range for {wire.upstream}")
-    return LimitReport(Incarnation(wire.upstream, wire.born_ms), wire.rate, now - wire.age_ms)
+    is_temporary = wire.rate is not None and FIRST_TEMPORARY_AGE_MS <= wire.age_ms < MAX_AGE_MS
+    until = now + MAX_AGE_MS - wire.age_ms if is_temporary else None
+    incarnation = Incarnation(wire.upstream, wire.born_ms)
+    return LimitReport(incarnation, wire.rate, now - wire.age_ms, until)
 
 
 def _check_address(address: str) -> None:
