--- a/src/lentilwell/gateway/_permits.py
+++ b/src/lentilwell/gateway/_permits.py
@@ -10,7 +10,7 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from lentilwell._clock import Clock
 from lentilwell._log_lines import PermitMessageUnreadable, PermitOwnerSilent, write_line
@@ -243,10 +243,9 @@
     def _answer(self, ask: PermitAsk) -> PermitAnswer:
         """Decide on an ask as the owner of the upstream's permits, if this instance is one."""
         incarnation = ask.limit.incarnation
-        upstream = self._find_upstream(incarnation.name)
+        upstream = self._find_start(incarnation)
         if (
             upstream is None
-            or upstream.incarnation != incarnation
             or self._owners.find(upstream).find(ask.role) != self._instance
             or self._is_replaced(incarnation)
         ):
@@ -259,6 +258,21 @@
             ask.number, verdict, decision.wait_ms, limit or LimitReport(incarnation, None, 0)
         )
 
+    def _find_start(self, incarnation: Incarnation) -> Upstream | None:
+        """Return the upstream with this start, also one that is later than the listed start.
+
+        The asker may have read the entry of a later start before this instance. Its limit is known
+        by the ask; without one, the ask gets no permit, which would have no limit.
+        """
+        upstream = self._find_upstream(incarnation.name)
+        if upstream is None or upstream.born_ms > incarnation.born_ms:
+            return None
+        if upstream.born_ms == incarnation.born_ms:
+            return upstream
+        if not self._rate_limits.is_limited(incarnation):
+            return None
+        return replace(upstream, born_ms=incarnation.born_ms)
+
     def _is_replaced(self, incarnation: Incarnation) -> bool:
         """Tell whether a later start of the upstream is known, which has its own owners."""
         temporary = self._rate_limits.find_temporary(incarnation)
--- a/src/lentilwell/gateway/cold_start/_cold_watch.py
+++ b/src/lentilwell/gateway/cold_start/_cold_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 from lentilwell._clock import Clock
 from lentilwell._log_lines import (
@@ -43,12 +44,18 @@
         self.on_cold: Callable[[Upstream, bool], None] = lambda upstream, own: None
 
     def find_limit(self, incarnation: Incarnation) -> TemporaryLimit | None:
-        """Return the limit of an incarnation that is listed and cold, else None."""
+        """Return the limit of an incarnation that is cold, else None.
+
+        It is listed, or a later start of a listed upstream of which a peer told.
+        """
         upstream = self._find_listed(incarnation.name)
         if upstream is None or not self.cold_upstreams.may_apply_to(upstream.service):
             return None
-        limit = self.cold_upstreams.find(upstream, self._clock.now())
-        return limit if upstream.born_ms == incarnation.born_ms else None
+        if upstream.born_ms > incarnation.born_ms:
+            return None
+        if upstream.born_ms < incarnation.born_ms:
+            upstream = replace(upstream, born_ms=incarnation.born_ms)
+        return self.cold_upstreams.find(upstream, self._clock.now())
 
     def is_cold(self, upstream: Upstream) -> bool:
         """Tell whether an upstream is cold."""
--- a/tests/test_gateway_cold_upstreams.py
+++ b/tests/test_gateway_cold_upstreams.py
@@ -215,3 +215,22 @@
     choice = choose_least_cost(request, candidates)
     assert choice is not None
     assert choice.upstream.name == chosen
+
+
+@in_loop
+async def test_owner_that_has_not_read_the_new_entry_issues_permits_for_the_new_start():
+    """Guards against a cold upstream that gets nothing since the store is away for its owners."""
+    async with run_gateways(2, [answer_ok], with_cold_starts()) as group:
+        await asyncio.sleep(SETTLED_S)
+        for gateway in group.gateways.values():
+            gateway.peers.collect_reports = lambda: NO_UPSTREAM_REPORTS
+        asker = group.gateways["i0"]
+        born_ms = 2
+        while True:
+            start = replace(asker.fleet.directory.listed["u0"], born_ms=born_ms)
+            if asker.permit_owners.find(start).primary == "i1":
+                break
+            born_ms += 1
+        list_entry(asker, "u0", born_ms=born_ms, cold_ms=60_000)
+        granted = [await asker.permits.acquire(start, 0, False) for _ in range(4)]
+        assert [permit is not None for permit in granted] == [True, False, False, False]
--- a/tests/test_simulated_cold.py
+++ b/tests/test_simulated_cold.py
@@ -85,3 +85,11 @@
     assert result.worst_window <= load.allowed
     sent_each = result.sent / load.upstreams
     assert sent_each >= USED_SHARE * load.rules.per_s * load.rules.start_ms / 1_000
+
+
+def test_owners_that_the_store_does_not_reach_issue_permits_for_the_new_start():
+    """Guards against a restarted upstream that gets nothing since its owners do not list it."""
+    for seed in range(4):
+        load = ColdLoad(12, deaf=0.3, seed=seed)
+        result = play_cold_start(load)
+        assert result.sent >= USED_SHARE * load.rules.per_s * load.rules.start_ms / 1_000
