Check a configuration before it is sent: contradictions, entries without effect, changes

Cause: an operator learned from refused callers that a route names no service, that a prefix cannot match or that a key is gone.

--- a/src/lentilwell/cli/_parser.py
+++ b/src/lentilwell/cli/_parser.py
@@ -9,13 +9,13 @@
 
 from lentilwell._errors import EXIT_DONE, LentilwellError
 from lentilwell._logs import set_up_logs
-from lentilwell.cli import _explain, _inventory, _keys, _operators
+from lentilwell.cli import _config, _explain, _inventory, _keys, _operators
 from lentilwell.cli._commands import COMMANDS, add_no_arguments, add_settings_argument, command
 from lentilwell.configuration import read_settings
 from lentilwell.shell import Application
 
 # These modules register their commands when they are imported.
-_COMMAND_MODULES = (_explain, _inventory, _keys, _operators)
+_COMMAND_MODULES = (_config, _explain, _inventory, _keys, _operators)
 EXIT_CODES = "exit codes: 0 done, 1 refused or conflict, 2 usage, 3 outcome unknown"
 
 
--- a/src/lentilwell/configuration/__init__.py
+++ b/src/lentilwell/configuration/__init__.py
@@ -11,6 +11,7 @@
     ConfigurationFollower,
     PeerSource,
 )
+from lentilwell.configuration._problems import InventoryError
 from lentilwell.configuration._settings import (
     CallersSettings,
     PeersSettings,
@@ -27,6 +28,7 @@
     "ConfigurationEditor",
     "ConfigurationFollower",
     "Document",
+    "InventoryError",
     "PeerSource",
     "PeersSettings",
     "PlatformSettings",
