--- a/src/lentilwell/_wire/ttypes.py
+++ b/src/lentilwell/_wire/ttypes.py
@@ -1878,7 +1878,9 @@
 class UpstreamLimit(object):
     """
     The requests a second that an upstream accepts from all gateways together, as an answer told
-    ``age_ms`` before the sending; no ``rate`` where the limit has ended.
+    ``age_ms`` before the sending; no ``rate`` where the limit has ended. With a ``rate``, an age from
+    85,800,000 to below 86,400,000 is that of no answer: the upstream is cold for as long as is missing
+    from 86,400,000.
 
     Attributes:
      - upstream
--- a/src/lentilwell/gateway/cold_start/_cold_watch.py
+++ b/src/lentilwell/gateway/cold_start/_cold_watch.py
@@ -90,11 +90,10 @@
 
         Its entry may tell so much later, while the store is away.
         """
-        if self.is_cold(upstream):
+        now, start_ms = self._clock.now(), self.cold_upstreams.find_start_ms(upstream.service)
+        if not start_ms or self.is_cold(upstream):
             return
-        now = self._clock.now()
-        until = now + self.cold_upstreams.find_start_ms(upstream.service)
-        if self.cold_upstreams.record_answer(upstream, until, now):
+        if self.cold_upstreams.record_answer(upstream, now + start_ms, now):
             self._announce(upstream, FROM_PROBE, own=True)
 
     def handle_report(self, report: LimitReport, source: str) -> None:
