--- a/src/lentilwell/_log_lines/__init__.py
+++ b/src/lentilwell/_log_lines/__init__.py
@@ -71,6 +71,8 @@
     TableRechecked,
 )
 from lentilwell._log_lines._upstreams import (
+    ColdFigureIgnored,
+    DataCentreCold,
     PartsCleared,
     PartsCondemned,
     RequestsCleared,
@@ -78,6 +80,7 @@
     RetryAfterIgnored,
     UpstreamBackoffStarted,
     UpstreamChanged,
+    UpstreamCold,
     UpstreamEjected,
     UpstreamKept,
     UpstreamLeaving,
@@ -88,6 +91,7 @@
     UpstreamRemoved,
     UpstreamsListed,
     UpstreamUnreachable,
+    UpstreamWarm,
 )
 
 __all__ = [
@@ -96,10 +100,12 @@
     "AttemptEnded",
     "AttemptSilent",
     "CallbackFailed",
+    "ColdFigureIgnored",
     "ConfigurationConfirmed",
     "ConfigurationInForce",
     "ConfigurationKept",
     "CrashNoticeUnreadable",
+    "DataCentreCold",
     "DependencyLost",
     "DependencyRecovered",
     "DependencyStillLost",
@@ -153,6 +159,7 @@
     "TaskFailed",
     "UpstreamBackoffStarted",
     "UpstreamChanged",
+    "UpstreamCold",
     "UpstreamEjected",
     "UpstreamKept",
     "UpstreamLeaving",
@@ -163,6 +170,7 @@
     "UpstreamRefused",
     "UpstreamRemoved",
     "UpstreamUnreachable",
+    "UpstreamWarm",
     "UpstreamsListed",
     "write_line",
 ]
--- a/src/lentilwell/gateway/_catalog.py
+++ b/src/lentilwell/gateway/_catalog.py
@@ -8,6 +8,7 @@
 from enum import Enum
 from functools import cached_property
 
+from lentilwell.gateway.cold_start import NEVER_COLD, ColdRules
 from lentilwell.gateway.evacuation import Restriction
 
 
@@ -83,12 +84,16 @@
 
 @dataclass(frozen=True)
 class ServiceSpec:
-    """One service; ``engine`` is None for a plain service."""
+    """One service; ``engine`` is None for a plain service.
+
+    ``cold`` is what its upstreams tolerate while they are cold.
+    """
 
     name: str
     health_path: str
     max_connections: int
     engine: EngineSpec | None
+    cold: ColdRules = NEVER_COLD
 
 
 @dataclass(frozen=True)
--- a/src/lentilwell/gateway/_fleet.py
+++ b/src/lentilwell/gateway/_fleet.py
@@ -34,6 +34,7 @@
     apply_changes,
     drop_missing,
 )
+from lentilwell.gateway.cold_start import NEVER_COLD, ColdRules, ColdWatch
 from lentilwell.gateway.evacuation import (
     Closure,
     EvacuationTracker,
@@ -81,13 +82,16 @@
     # The region of each data centre that has one.
     zones: Mapping[str, str] = field(default_factory=dict)
     on_evacuation_end: Callable[[str, int], None] = lambda data_centre, now: None
-
     admission: AdmissionControl = field(init=False)
+    cold_watch: ColdWatch = field(init=False)
 
     def __post_init__(self) -> None:
-        """Create the parts that share the clock and the random numbers."""
+        """Create the parts that share the clock, the random numbers and the directory."""
         self.evacuations = EvacuationTracker(self.clock)
         self.admission = AdmissionControl(self.clock, self.random)
+        self.cold_watch = ColdWatch(self.clock, lambda name: self.directory.listed.get(name))
+        self.cold_watch.cold_upstreams.find_rules = self._find_cold_rules
+        self.rate_limits.find_temporary = self.cold_watch.find_limit
 
     @property
     def catalog(self) -> Catalog | None:
@@ -312,6 +316,13 @@
         """Return the engine specification of a service, None for a plain service."""
         return self.catalog.find_engine(service) if self.catalog is not None else None
 
+    def _find_cold_rules(self, service: str) -> ColdRules | None:
+        """Return the rules about cold upstreams of a service, None without a configuration."""
+        if self.catalog is None:
+            return None
+        spec = self.catalog.services.get(service)
+        return spec.cold if spec is not None else NEVER_COLD
+
     def remove_unlisted(self) -> None:
         """Remove upstreams that expired in a store outage and did not register again in time.
 
@@ -349,11 +360,13 @@
         write_line(UpstreamRemoved(upstream.name, "address belongs to another"))
 
     def _make_candidate(self, upstream: Upstream, now: int) -> Candidate:
+        limited = self.rate_limits.is_limited(upstream.incarnation)
         return Candidate(
             upstream=upstream,
             load=self.load_tracker.measure_load(upstream.name, now),
             is_local=upstream.data_centre == self.data_centre,
             latency_factor=self.latency_factors.find(upstream.name, now),
             refusal_share=self.refusals.estimate_share(upstream.name, now),
-            limited=self.rate_limits.is_limited(upstream.incarnation),
+            limited=limited,
+            cold=limited and self.cold_watch.is_cold(upstream),
         )
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -63,7 +63,7 @@
     OperatorListener,
     UpstreamListener,
 )
-from lentilwell.gateway._upstreams import Incarnation
+from lentilwell.gateway._upstreams import Incarnation, Upstream
 
 # Connections are accepted once the store has been read, which takes a few ms if the store answers,
 # and at the latest this long after the start.
@@ -335,6 +335,18 @@
         self.peers.on_permit_message = self.permits.handle_datagram
         self.fleet.find_permit_wait_ms = self.permits.estimate_wait_ms
         self.fleet.on_limit_change = self.permits.tell_owners
+        self.fleet.cold_watch.cold_upstreams.bounds = self.settings.cold
+        self.fleet.cold_watch.on_cold = self._handle_cold
+
+    def _handle_cold(self, upstream: Upstream, own_answer: bool) -> None:
+        """Count the sends to an upstream from before it was known to be cold, and tell of it."""
+        load = self.fleet.load_tracker.measure_load(upstream.name, self.clock.now())
+        since = self.clock.now() - MS_PER_SECOND
+        sends = sum(job.begun_at > since for job in load.jobs)
+        self.permits.count_earlier_sends(upstream, sends - int(self.settings.cold.slack))
+        if own_answer:
+            self.fleet.on_new_report()
+            self.fleet.on_limit_change(upstream)
 
     def _connect_crash_watch(self) -> None:
         """Let the crash watch use the listing and the datagrams of the peers."""
@@ -353,6 +365,7 @@
         evacuations.is_known = self.fleet.knows_data_centre
         evacuations.on_begin = self._handle_evacuation
         evacuations.on_end = self._handle_evacuation_end
+        self.fleet.on_evacuation_end = self._handle_return
         self.leases.may_reserve = lambda upstream: not self.fleet.is_evacuated(upstream)
         self.permits.is_evacuated = self.fleet.is_evacuated
 
@@ -361,6 +374,10 @@
         for exchange in self._exchanges:
             exchange.handle_evacuation(data_centre)
 
+    def _handle_return(self, data_centre: str, _now: int) -> None:
+        """Count the upstreams of a data centre as cold: they may have restarted meanwhile."""
+        self.fleet.cold_watch.mark_cold(data_centre)
+
     def _handle_evacuation_end(self, data_centre: str) -> None:
         self.fleet.on_evacuation_end(data_centre, self.clock.now())
         self.fleet.ejection.on_unreachable()  # probes may be due that were left out
@@ -453,6 +470,7 @@
         self.settings = settings
         self.fleet.change_budget(settings.budget)
         self.fleet.zones = settings.zones
+        self.fleet.cold_watch.cold_upstreams.bounds = settings.cold
 
     def _run_maintenance(self) -> None:
         steps: dict[str, Callable[[], None]] = {
@@ -463,6 +481,7 @@
             "evacuations": self.fleet.evacuations.end_kept,
             "upstreams": self.fleet.remove_unlisted,
             "permits": lambda: self.permits.keep_only(self.fleet.is_listed),
+            "cold upstreams": self.fleet.cold_watch.log_warm,
             "shards": self.fleet.update_shards,
             "connections": self._prune_connections,
             "callers": self._close_idle_callers,
--- a/src/lentilwell/gateway/_permits.py
+++ b/src/lentilwell/gateway/_permits.py
@@ -10,7 +10,7 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from lentilwell._clock import Clock
 from lentilwell._log_lines import PermitMessageUnreadable, PermitOwnerSilent, write_line
@@ -143,6 +143,16 @@
             ask = self._make_ask(upstream, OwnerRole.PRIMARY, NO_PERMIT, unpermitted=1)
             self._tell(self._owners.find(upstream).primary, ask)
 
+    def count_earlier_sends(self, upstream: Upstream, sends: int) -> None:
+        """Count requests that an upstream got before it was known to be limited.
+
+        Without them, an owner would issue its first permits on top of them.
+        """
+        if sends > 0 and self._rate_limits.is_limited(upstream.incarnation):
+            for role in OwnerRole:
+                if self._owners.find(upstream).find(role) == self._instance:
+                    self._answer(self._make_ask(upstream, role, NO_PERMIT, unpermitted=sends))
+
     def tell_owners(self, upstream: Upstream) -> None:
         """Tell the owners of an upstream's permits what is known of its limit."""
         for role in OwnerRole:
@@ -157,7 +167,10 @@
         except UnreadablePermitMessage as error:
             write_line(PermitMessageUnreadable(address[0], str(error)))
             return
-        self.on_report(message.limit, address[0])
+        # An answer repeats the asker's own report where the receiver is no owner. A temporary limit
+        # that was taken from it would end later with each ask, by the delay of the messages.
+        if isinstance(message, PermitAsk) or message.limit.until is None:
+            self.on_report(message.limit, address[0])
         if isinstance(message, PermitAnswer):
             future = self._pending.get(message.number)
             if future is not None and not future.done():
@@ -231,17 +244,40 @@
     def _answer(self, ask: PermitAsk) -> PermitAnswer:
         """Decide on an ask as the owner of the upstream's permits, if this instance is one."""
         incarnation = ask.limit.incarnation
-        upstream = self._find_upstream(incarnation.name)
+        upstream = self._find_start(incarnation)
         if (
             upstream is None
-            or upstream.incarnation != incarnation
             or self._owners.find(upstream).find(ask.role) != self._instance
+            or self._is_replaced(incarnation)
         ):
             return PermitAnswer(ask.number, Verdict.NOT_OWNER, 0, ask.limit)
         decision = self._decide(ask, upstream)
         verdict = Verdict.GRANTED if decision.granted else Verdict.DENIED
-        limit = self._get_limit(incarnation)
-        return PermitAnswer(ask.number, verdict, decision.wait_ms, limit)
+        # The asker knows a temporary limit already: it asked because of it.
+        limit = self._rate_limits.get_named_report(incarnation)
+        return PermitAnswer(
+            ask.number, verdict, decision.wait_ms, limit or LimitReport(incarnation, None, 0)
+        )
+
+    def _find_start(self, incarnation: Incarnation) -> Upstream | None:
+        """Return the upstream with this start, also one that is later than the listed start.
+
+        The asker may have read the entry of a later start before this instance. Its limit is known
+        by the ask; without one, the ask gets no permit, which would have no limit.
+        """
+        upstream = self._find_upstream(incarnation.name)
+        if upstream is None or upstream.born_ms > incarnation.born_ms:
+            return None
+        if upstream.born_ms == incarnation.born_ms:
+            return upstream
+        if not self._rate_limits.is_limited(incarnation):
+            return None
+        return replace(upstream, born_ms=incarnation.born_ms)
+
+    def _is_replaced(self, incarnation: Incarnation) -> bool:
+        """Tell whether a later start of the upstream is known, which has its own owners."""
+        temporary = self._rate_limits.find_temporary(incarnation)
+        return temporary is not None and temporary.rate <= 0
 
     def _decide(self, ask: PermitAsk, upstream: Upstream) -> PermitDecision:
         incarnation, now = ask.limit.incarnation, self._clock.now()
