--- /dev/null
+++ b/src/lentilwell/gateway/caller_limits/__init__.py
@@ -0,0 +1,43 @@
+"""Bounds what callers make a process hold: bytes, requests being served and descriptors."""
+
+from lentilwell.gateway.caller_limits._body import IncomingBody
+from lentilwell.gateway.caller_limits._caller_limits import CallerLimits, GivenUp, LimitedCaller
+from lentilwell.gateway.caller_limits._input import (
+    READ_BUFFER,
+    UnparsedInput,
+    bound_kernel_buffers,
+)
+from lentilwell.gateway.caller_limits._linger import Linger
+from lentilwell.gateway.caller_limits._memory import (
+    KERNEL_BUFFER_BYTES,
+    Account,
+    CallerMemory,
+    Reason,
+)
+from lentilwell.gateway.caller_limits._process_limits import (
+    MemoryBudget,
+    ProcessLimits,
+    find_descriptor_limit,
+)
+from lentilwell.gateway.caller_limits._slots import CallerSlots
+from lentilwell.gateway.caller_limits._status_connections import StatusConnections
+
+__all__ = [
+    "KERNEL_BUFFER_BYTES",
+    "READ_BUFFER",
+    "Account",
+    "CallerLimits",
+    "CallerMemory",
+    "CallerSlots",
+    "GivenUp",
+    "IncomingBody",
+    "LimitedCaller",
+    "Linger",
+    "MemoryBudget",
+    "ProcessLimits",
+    "Reason",
+    "StatusConnections",
+    "UnparsedInput",
+    "bound_kernel_buffers",
+    "find_descriptor_limit",
+]
