Caller limits: one memory budget, bounded connections and requests, refusals on the header section

Cause: bodies, unsent answers and connections of callers were bounded for each connection alone. Change: the package caller_limits is used by the connections of callers; `limits` of the settings file is read; 16 KiB are read at a time, bodies are kept in pieces and written to upstreams in pieces; pipelined requests wait until the answer in front of them is sent; status listeners keep 16 connections.

--- a/src/lentilwell/_log_lines/__init__.py
+++ b/src/lentilwell/_log_lines/__init__.py
@@ -22,6 +22,7 @@
 )
 from lentilwell._log_lines._process import (
     CallbackFailed,
+    CallerGivenUp,
     EventLoopPaused,
     ExchangeFailed,
     MetricsNotServed,
@@ -87,6 +88,7 @@
     "AttemptEnded",
     "AttemptSilent",
     "CallbackFailed",
+    "CallerGivenUp",
     "ConfigurationConfirmed",
     "ConfigurationInForce",
     "ConfigurationKept",
--- a/src/lentilwell/_log_lines/_process.py
+++ b/src/lentilwell/_log_lines/_process.py
@@ -29,6 +29,22 @@
     """The process is about to exit."""
 
 
+@line("caller given up")
+@dataclass(frozen=True)
+class CallerGivenUp(Line):
+    """A connection of a caller was refused or closed to keep the limits of the process.
+
+    ``reason`` is ``stalled``, ``largest`` or ``oldest`` for the memory, ``descriptors`` for too
+    many connections and ``requests`` for too many requests at a time. ``held_bytes`` is what it
+    held, ``total_bytes`` what all ``connections`` held before.
+    """
+
+    reason: str
+    held_bytes: int
+    total_bytes: int
+    connections: int
+
+
 @line("settings reloaded")
 @dataclass(frozen=True)
 class SettingsReloaded(Line):
--- a/src/lentilwell/gateway/__init__.py
+++ b/src/lentilwell/gateway/__init__.py
@@ -42,6 +42,7 @@
 from lentilwell.gateway._ports import Dialect, Entry, Feed, Feeds, Listing
 from lentilwell.gateway._settings import GatewaySettings
 from lentilwell.gateway._upstreams import Upstream
+from lentilwell.gateway.caller_limits import ProcessLimits
 
 __all__ = [
     "AnswerHead",
@@ -68,6 +69,7 @@
     "Membership",
     "MemoryOrder",
     "PrefillHelper",
+    "ProcessLimits",
     "Prompt",
     "Repeat",
     "RequestFacts",
--- a/src/lentilwell/gateway/_answer_parser.py
+++ b/src/lentilwell/gateway/_answer_parser.py
@@ -33,17 +33,18 @@
         """Return how many received bytes wait to be parsed."""
         return len(self._unparsed)
 
-    def format_request(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> bytes:
-        """Return the bytes of a complete request.
+    def format_request(
+        self, method: bytes, target: bytes, headers: Headers, body: bytes
+    ) -> tuple[bytes, bytes]:
+        """Return the header section and the body of a complete request, as they are sent.
 
         Raise ``h11.LocalProtocolError`` for one that cannot be encoded.
         """
         request = h11.Request(method=method, target=target, headers=list(headers))
-        parts = [self._http.send(request)]
-        if body:
-            parts.append(self._http.send(h11.Data(data=body)))
-        parts.append(self._http.send(h11.EndOfMessage()))
-        return b"".join(part for part in parts if part)
+        head = self._http.send(request) or b""
+        data = self._http.send(h11.Data(data=body)) if body else b""
+        end = self._http.send(h11.EndOfMessage())
+        return head, data + end if data and end else data or end or b""
 
     def receive(self, data: bytes) -> None:
         """Add received bytes."""
--- a/src/lentilwell/gateway/_caller_connection.py
+++ b/src/lentilwell/gateway/_caller_connection.py
@@ -6,16 +6,19 @@
 import socket
 import struct
 import sys
-from collections.abc import Callable
 from dataclasses import replace
 from typing import Protocol
 
 import h11
 
-from lentilwell._clock import Clock
+from lentilwell._clock import MS_PER_SECOND, Clock
 from lentilwell.gateway._catalog import Limits
 from lentilwell.gateway._connection import has_unread_bytes, set_dead_peer_timeouts
-from lentilwell.gateway._framing import count_head_bytes, has_ambiguous_framing
+from lentilwell.gateway._framing import (
+    count_head_bytes,
+    find_declared_bytes,
+    has_ambiguous_framing,
+)
 from lentilwell.gateway._messages import (
     JSON_TYPE,
     Headers,
@@ -24,6 +27,21 @@
     format_retry_after,
 )
 from lentilwell.gateway._turns import STEPS_PER_TURN
+from lentilwell.gateway.caller_limits import (
+    HEADER_OBJECT_BYTES,
+    KERNEL_BUFFER_BYTES,
+    LINGER_MS,
+    READ_BUFFER,
+    REQUEST_BYTES,
+    CallerLimits,
+    CallerTimeout,
+    IncomingBody,
+    Linger,
+    Reason,
+    UnparsedInput,
+    find_header_timeout_ms,
+    find_idle_timeout_ms,
+)
 
 # Bytes of further requests that are buffered while one request is being answered.
 MAX_PIPELINED_BYTES = 65_536
@@ -34,8 +52,12 @@
 # The arguments of SO_LINGER: on, for 0 s. The kernel then closes a socket with a reset.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 TOO_LONG = "the request line and the headers are too long"
-
-FindTimeoutMs = Callable[[Limits], int]
+OUT_OF_MEMORY = "the instance holds too much for its callers"
+TOO_MANY_REQUESTS = "too many requests at a time"
+TOO_MANY_CONNECTIONS = "too many connections"
+# The ``Retry-After`` of what is refused to keep the limits of the process: connections without
+# progress are given up within this time.
+RETRY_HEADERS: Headers = (format_retry_after(1_000),)
 
 
 class CallerContext(Protocol):
@@ -45,6 +67,10 @@
     def limits(self) -> Limits:
         """Return the limits for request sizes and timeouts."""
 
+    @property
+    def caller_limits(self) -> CallerLimits:
+        """Return the bounds on what all callers make the process hold."""
+
     @property
     def stopping(self) -> bool:
         """Tell whether connections must be closed after their current answer."""
@@ -62,7 +88,7 @@
         """Record that a malformed or oversized request was answered with an error status."""
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.BufferedProtocol):
     """Speaks HTTP/1.1 with one caller. If the caller disconnects, its request is cancelled."""
 
     def __init__(self, clock: Clock, context: CallerContext) -> None:
@@ -72,51 +98,64 @@
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
         self._transport: asyncio.Transport | None = None
         self._request: InboundRequest | None = None
-        self._body = bytearray()
+        self._head_bytes = 0
+        self._body = IncomingBody()
+        self._unparsed = UnparsedInput()
+        self._linger: Linger | None = None
         self._exchange: asyncio.Task[None] | None = None
-        self._timer: asyncio.TimerHandle | None = None
-        self._timer_started_at = clock.now()
-        self._find_timeout_ms: FindTimeoutMs = _find_idle_timeout_ms
+        self._timeout = CallerTimeout(clock, lambda: context.limits, self._handle_timeout)
         self._writable = asyncio.Event()
         self._writable.set()
+        self._unsent_bytes = 0
+        self._next_waits = False
+        self._paused = False
         self._first_byte_at: int | None = None
 
     @property
     def busy(self) -> bool:
         """Tell whether a request is being read or answered, or an answer is not yet sent."""
         in_progress = self._exchange is not None or self._request is not None or self._reading
-        return in_progress or self._has_unsent_bytes
-
-    @property
-    def _has_unsent_bytes(self) -> bool:
-        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+        return in_progress or self._count_unsent_bytes() > 0
 
     @property
     def _reading(self) -> bool:
         return self._first_byte_at is not None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport and start the idle timeout."""
+        """Store the transport and start the idle timeout, or refuse the connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        # Each byte that the socket does not take is known at once, and the end of them.
+        transport.set_write_buffer_limits(high=0)
         set_dead_peer_timeouts(transport.get_extra_info("socket"), UNACKNOWLEDGED_TIMEOUT_MS)
         self._context.register(self)
-        self._set_timer(_find_idle_timeout_ms)
+        if not self._context.caller_limits.open(self):
+            self._answer_rejection(503, TOO_MANY_CONNECTIONS, RETRY_HEADERS)
+            transport.close()
+            return
+        self._timeout.start(find_idle_timeout_ms)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer that bytes are received in; they are copied at once."""
+        return READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Parse received bytes, or buffer them while a request is being answered."""
-        if self._first_byte_at is None and self._exchange is None:
-            self._first_byte_at = self._clock.now()
-            self._set_timer(_find_header_timeout_ms)
-        self._http.receive_data(data)
-        if self._exchange is not None:
-            if (
-                len(self._http.trailing_data[0]) > MAX_PIPELINED_BYTES
-                and self._transport is not None
-            ):
-                self._transport.pause_reading()
+        if self._linger is not None:
+            self._drop_received(nbytes)
             return
-        self._process_events()
+        self._context.caller_limits.record_received(self, nbytes)
+        if self._first_byte_at is None and not self._answering:
+            self._first_byte_at = self._clock.now()
+            self._timeout.start(find_header_timeout_ms)
+        self._unparsed.receive(nbytes)
+        self._http.receive_data(bytes(READ_BUFFER[:nbytes]))
+        if self._answering:
+            if self._unparsed.size_bytes > MAX_PIPELINED_BYTES:
+                self._pause_reading()
+            self._update_held()
+        else:
+            self._process_events()
 
     def eof_received(self) -> bool:
         """Close the connection: a caller that half-closes is treated as disconnected."""
@@ -124,19 +163,24 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress, because nobody is left to receive its answer."""
-        self._clear_timer()
+        self._timeout.clear()
         self._writable.set()
         if self._exchange is not None:
             self._exchange.cancel()
         self._context.unregister(self)
+        self._context.caller_limits.close(self)
 
     def pause_writing(self) -> None:
         """Block writers until the caller has read more of the answer."""
         self._writable.clear()
 
     def resume_writing(self) -> None:
-        """Release the writers that wait for the caller to read."""
+        """Release the writers that wait for the caller to read, and begin the next request."""
         self._writable.set()
+        self.refresh_unsent()
+        if self._next_waits and self._transport is not None and not self._transport.is_closing():
+            self._next_waits = False
+            self._start_next_request(self._transport)
 
     def start_answer(self, status: int, headers: Headers, close_after: bool = False) -> None:
         """Write the status line and the headers of the answer.
@@ -144,7 +188,7 @@
         In a stop, the caller is told that the connection closes after this answer, unless it has
         sent the next request already.
         """
-        if close_after or (self._context.stopping and not self._http.trailing_data[0]):
+        if close_after or (self._context.stopping and not self._unparsed.size_bytes):
             headers = (*headers, (b"Connection", b"close"))
         self._write(h11.Response(status_code=status, headers=list(headers)))
 
@@ -179,10 +223,32 @@
 
         The next request on a connection that is new or was used just now may be on its way.
         """
+        if self._clock.now() - self._timeout.started_at >= min_idle_ms:
+            self.close_unused()
+
+    def close_unused(self) -> bool:
+        """Close the connection if no request has arrived on it; return whether it is closed."""
         if self.busy or self._transport is None or self._has_unread_bytes():
-            return
-        if self._clock.now() - self._timer_started_at >= min_idle_ms:
-            self._transport.close()
+            return False
+        self._transport.close()
+        self._context.caller_limits.close(self)
+        return True
+
+    def give_up(self, reason: Reason) -> None:
+        """Refuse the request that is being received, or close the connection."""
+        if self._answering or self._linger is not None or self._count_unsent_bytes():
+            self.abort()
+        else:
+            self._reject(503, f"{OUT_OF_MEMORY} ({reason})", RETRY_HEADERS)
+
+    def refresh_unsent(self) -> None:
+        """Record how much of its answers the caller has taken since the last call."""
+        unsent_bytes = self._count_unsent_bytes()
+        if unsent_bytes < self._unsent_bytes:
+            taken_bytes = self._unsent_bytes - unsent_bytes
+            self._context.caller_limits.record_received(self, taken_bytes)
+        if unsent_bytes != self._unsent_bytes:
+            self._update_held()
 
     def refuse_unfinished(self, retry_after_ms: int) -> None:
         """Refuse a request that has not arrived completely, so that its caller repeats it."""
@@ -201,19 +267,24 @@
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint, str(error))
             return
-        if self._transport is not None:
-            self._transport.pause_reading()
+        finally:
+            self._update_held()
+        if self._linger is not None:
+            return
+        self._pause_reading()
         asyncio.get_running_loop().call_soon(self._continue_processing)
 
     def _continue_processing(self) -> None:
-        if self._transport is None or self._transport.is_closing():
+        if self._transport is None or self._transport.is_closing() or self._linger is not None:
             return
-        self._transport.resume_reading()
+        self._resume_reading()
         self._process_events()
 
     def _handle_next_event(self) -> bool:
         """Handle one parser event; return whether another one may be available."""
         event = self._http.next_event()
+        if event is not h11.NEED_DATA:
+            self._unparsed.record_event()
         if isinstance(event, h11.Request):
             return self._handle_head(event)
         if isinstance(event, h11.Data):
@@ -226,37 +297,52 @@
 
     def _check_incomplete_event(self) -> None:
         """Reject a head, or the size line of a chunk, that is too long before it has ended."""
-        if len(self._http.trailing_data[0]) > self._context.limits.header_bytes:
+        if self._unparsed.is_estimate:
+            self._unparsed.settle(self._http.trailing_data[0])
+        if self._unparsed.size_bytes > self._context.limits.header_bytes:
             self._reject(431, TOO_LONG)
 
     def _handle_head(self, event: h11.Request) -> bool:
         headers = tuple(event.headers.raw_items())
-        if count_head_bytes(event.target, headers) > self._context.limits.header_bytes:
+        head_bytes = count_head_bytes(event.target, headers)
+        if head_bytes > self._context.limits.header_bytes:
             self._reject(431, TOO_LONG)
             return False
         if has_ambiguous_framing(headers):
             self._reject(400, "Content-Length and Transfer-Encoding must not be combined")
             return False
+        if find_declared_bytes(headers) > self._context.limits.body_bytes:
+            self._reject_long_body()
+            return False
         arrived_at = self._first_byte_at if self._first_byte_at is not None else self._clock.now()
         self._request = InboundRequest(event.method, event.target, headers, arrived_at)
-        self._body.clear()
-        self._set_timer(_find_idle_timeout_ms)
+        self._head_bytes = head_bytes + HEADER_OBJECT_BYTES * len(headers)
+        self._timeout.start(find_idle_timeout_ms)
         if self._http.they_are_waiting_for_100_continue:
             self._write(h11.InformationalResponse(status_code=100, headers=[]))
         return True
 
     def _handle_data(self, data: bytes | bytearray) -> bool:
-        self._body += data
-        if len(self._body) > self._context.limits.body_bytes:
-            self._reject(413, f"the body is longer than {self._context.limits.body_bytes} bytes")
+        self._body.add(data)
+        if self._body.size_bytes > self._context.limits.body_bytes:
+            self._reject_long_body()
             return False
         return True
 
+    def _reject_long_body(self) -> None:
+        self._reject(413, f"the body is longer than {self._context.limits.body_bytes} bytes")
+
     def _start_exchange(self) -> None:
         assert self._request is not None
-        self._clear_timer()
-        self._request = replace(self._request, body=bytes(self._body))
-        self._body = bytearray()
+        self._unparsed.settle(self._http.trailing_data[0])
+        self._update_held(REQUEST_BYTES)
+        if self._linger is not None:
+            return
+        if not self._context.caller_limits.begin_request(self):
+            self._reject(503, TOO_MANY_REQUESTS, RETRY_HEADERS)
+            return
+        self._timeout.clear()
+        self._request = replace(self._request, body=self._body.take())
         coroutine = self._context.serve(self, self._request)
         self._exchange = asyncio.get_running_loop().create_task(coroutine)
         self._exchange.add_done_callback(self._end_exchange)
@@ -265,6 +351,9 @@
         self._exchange = None
         self._request = None
         self._first_byte_at = None
+        self._head_bytes = 0
+        self._context.caller_limits.end_request()
+        self._update_held()
         transport = self._transport
         if transport is None or transport.is_closing():
             return
@@ -274,58 +363,102 @@
         if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
             transport.close()
             return
-        self._start_next_request(transport)
+        # What a caller does not read of its answers must not add up.
+        self._next_waits = not self._writable.is_set()
+        if not self._next_waits:
+            self._start_next_request(transport)
 
     def _start_next_request(self, transport: asyncio.Transport) -> None:
         self._http.start_next_cycle()
-        transport.resume_reading()
-        self._set_timer(_find_idle_timeout_ms)
-        if self._http.trailing_data[0]:
+        self._resume_reading()
+        self._timeout.start(find_idle_timeout_ms)
+        if self._unparsed.size_bytes:
             self._first_byte_at = self._clock.now()
             self._process_events()
+        else:
+            self._context.caller_limits.record_idle(self)
 
     def _reject(self, status: int, reason: str, headers: Headers = ()) -> None:
-        """Answer a malformed, oversized or late request with an error status, and close."""
+        """Answer a malformed, oversized or late request with an error status, and close.
+
+        The caller is read from for a bounded time, so that the answer is not lost by a reset.
+        """
+        self._answer_rejection(status, reason, headers)
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._linger = Linger()
+        self._http = h11.Connection(h11.SERVER)
+        self._body.clear()
+        self._unparsed.settle(b"")
+        self._request = self._first_byte_at = None
+        self._head_bytes = 0
+        self._update_held()
+        self._resume_reading()
+        self._transport.write_eof()
+        loop = asyncio.get_running_loop()
+        loop.call_later(LINGER_MS / MS_PER_SECOND, self._transport.close)
+
+    def _answer_rejection(self, status: int, reason: str, headers: Headers) -> None:
         self._context.record_rejection(status, reason)
-        self._clear_timer()
+        self._timeout.clear()
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self.answer(status, (JSON_TYPE, *headers), encode_error(reason), close_after=True)
-        if self._transport is not None:
+
+    def _drop_received(self, size_bytes: int) -> None:
+        assert self._linger is not None
+        if not self._linger.drop(size_bytes) and self._transport is not None:
             self._transport.close()
 
+    @property
+    def _answering(self) -> bool:
+        """Tell whether further requests wait for the end of an answer, or until it is sent."""
+        return self._exchange is not None or self._next_waits
+
+    def _update_held(self, extra_bytes: int = 0) -> None:
+        """Report what the connection holds; it, or others, may be given up."""
+        self._unsent_bytes = unsent_bytes = self._count_unsent_bytes()
+        reading = self._head_bytes + self._body.size_bytes + extra_bytes
+        serving = pending = 0
+        if self._exchange is not None and self._request is not None:
+            serving, reading = reading + len(self._request.body) + REQUEST_BYTES, 0
+        if self._answering:
+            pending += self._unparsed.size_bytes
+        else:
+            reading += self._unparsed.size_bytes
+        if self._answering and self._paused:
+            pending += KERNEL_BUFFER_BYTES
+        if unsent_bytes:
+            pending += unsent_bytes + KERNEL_BUFFER_BYTES
+        self._context.caller_limits.update(self, reading, serving, pending)
+
+    def _count_unsent_bytes(self) -> int:
+        return self._transport.get_write_buffer_size() if self._transport is not None else 0
+
+    def _pause_reading(self) -> None:
+        self._paused = True
+        if self._transport is not None:
+            self._transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        self._paused = False
+        if self._transport is not None:
+            self._transport.resume_reading()
+
     def _write(self, event: h11.Event) -> None:
         assert self._transport is not None
         data = self._http.send(event)
         if data:
             self._transport.write(data)
-
-    def _set_timer(self, find_timeout_ms: FindTimeoutMs) -> None:
-        """Start a timeout, whose length is looked up again in the limits in force when it ends."""
-        self._find_timeout_ms = find_timeout_ms
-        self._timer_started_at = self._clock.now()
-        self._schedule_timeout(find_timeout_ms(self._context.limits))
-
-    def _schedule_timeout(self, remaining_ms: int) -> None:
-        self._clear_timer()
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(remaining_ms / 1_000, self._handle_timeout)
-
-    def _clear_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        if self._count_unsent_bytes() != self._unsent_bytes:
+            self._update_held()
 
     def _handle_timeout(self) -> None:
-        if self._exchange is not None:
+        if self._answering:
             return
-        ends_at = self._timer_started_at + self._find_timeout_ms(self._context.limits)
-        remaining_ms = ends_at - self._clock.now()
-        if remaining_ms > 0:
-            self._schedule_timeout(remaining_ms)
-        elif self._reading:
+        if self._reading:
             self._reject(408, "the request was not received in time")
         elif self._has_unread_bytes():
-            self._schedule_timeout(0)  # the next round of the event loop reads them first
+            self._timeout.schedule(0)  # the next round of the event loop reads them first
         elif self._transport is not None:
             self._transport.close()
 
@@ -337,11 +470,3 @@
 def _reset_on_close(sock: socket.socket) -> None:
     """Let the kernel reset the connection when the socket is closed, and drop unsent bytes."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-
-
-def _find_idle_timeout_ms(limits: Limits) -> int:
-    return limits.idle_timeout_ms
-
-
-def _find_header_timeout_ms(limits: Limits) -> int:
-    return limits.header_timeout_ms
--- a/src/lentilwell/gateway/_connection.py
+++ b/src/lentilwell/gateway/_connection.py
@@ -30,6 +30,8 @@
 KEEPALIVE_PROBES = 2
 # Reading from the socket pauses when more unparsed bytes than this are buffered.
 READ_AHEAD_BYTES = 65_536
+# A body is written in pieces of this size.
+WRITE_BYTES = 65_536
 # Bounds the memory of an answer that is buffered whole; hundreds may be in flight at once.
 MAX_BODY_BYTES = 1_048_576
 # 1xx responses that are skipped while waiting for the final response.
@@ -70,6 +72,8 @@
         self._error: Exception | None = None
         self._broken_off = ""
         self._in_use = False
+        self._writable = True
+        self._unsent_body = memoryview(b"")
         self._received_at = clock.now()
         self._progress_at = clock.now()
         self._silence_reported = False
@@ -87,6 +91,14 @@
         """Tell whether the connection can be used for a new request."""
         return self.reusable and not self._in_use
 
+    @property
+    def descriptor(self) -> int:
+        """Return the number of the socket's descriptor, -1 before it is open or once closed."""
+        if self._transport is None:
+            return -1
+        number: int = self._transport.get_extra_info("socket").fileno()
+        return number
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set the socket options."""
         assert isinstance(transport, asyncio.Transport)
@@ -134,11 +146,33 @@
         self._received_at = self._clock.now()
         self.record_progress()
         try:
-            data = self._parser.format_request(method, target, headers, body)
+            head, data = self._parser.format_request(method, target, headers, body)
         except h11.LocalProtocolError as error:
             self.close()
             raise Unreachable(f"the request cannot be encoded: {error}") from error
-        self._transport.write(data)
+        if len(data) <= WRITE_BYTES:
+            self._transport.write(head + data)
+            return
+        self._transport.write(head)
+        self._unsent_body = memoryview(data)
+        self._write_further()
+
+    def pause_writing(self) -> None:
+        """Stop writing the body while the socket takes no more of it."""
+        self._writable = False
+
+    def resume_writing(self) -> None:
+        """Continue writing the body."""
+        self._writable = True
+        self._write_further()
+
+    def _write_further(self) -> None:
+        """Write the body in pieces, so that the transport copies only one of them at a time."""
+        assert self._transport is not None
+        while self._writable and self._unsent_body and not self._transport.is_closing():
+            piece = self._unsent_body[:WRITE_BYTES]
+            self._unsent_body = self._unsent_body[WRITE_BYTES:]
+            self._transport.write(piece)
 
     def record_progress(self) -> None:
         """Record that the upstream sent something useful, which ends a silence."""
@@ -193,7 +227,7 @@
         self._in_use = False
         self._memory.update(self, 0)
         self.silence_watch = None
-        unsent = self._transport.get_write_buffer_size() > 0
+        unsent = self._transport.get_write_buffer_size() > 0 or len(self._unsent_body) > 0
         if not self.reusable or unsent or not self._parser.start_next():
             self.close()
             return
@@ -217,6 +251,7 @@
     def close(self) -> None:
         """Abort the connection, which lets the upstream cancel the request in flight."""
         self.reusable = False
+        self._unsent_body = memoryview(b"")
         self._memory.update(self, 0)
         if self._transport is not None:
             self._transport.abort()
--- a/src/lentilwell/gateway/_connection_pool.py
+++ b/src/lentilwell/gateway/_connection_pool.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import sys
 import weakref
 from collections.abc import Iterable
 
 from lentilwell._clock import Clock
-from lentilwell.gateway._answer_memory import AnswerMemory
+from lentilwell.gateway._answer_memory import MAX_HELD_BYTES, AnswerMemory
 from lentilwell.gateway._connection import HttpConnection, open_http_connection
 
 # A connection is dropped this long before the upstream's idle limit: the upstream closes it by its
@@ -19,11 +20,21 @@
 
 
 class ConnectionPool:
-    """Keeps idle connections and opens new ones."""
+    """Keeps idle connections and opens new ones.
 
-    def __init__(self, clock: Clock) -> None:
+    Unfinished answers hold at most ``max_answer_bytes`` together. Idle connections are closed when
+    a new one gets a descriptor number from ``max_descriptor`` on: the lowest free one is given out.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        max_answer_bytes: int = MAX_HELD_BYTES,
+        max_descriptor: int = sys.maxsize,
+    ) -> None:
         self._clock = clock
-        self._memory = AnswerMemory()
+        self._memory = AnswerMemory(min(max_answer_bytes, MAX_HELD_BYTES))
+        self._max_descriptor = max_descriptor
         self._idle: dict[str, list[HttpConnection]] = {}
         self._connections: dict[str, weakref.WeakSet[HttpConnection]] = {}
         self.opened = 0
@@ -45,6 +56,8 @@
         self.opened += 1
         connection = await open_http_connection(address, self._clock, self._memory)
         self._connections.setdefault(address, weakref.WeakSet()).add(connection)
+        if connection.descriptor >= self._max_descriptor:
+            self.close()
         return connection
 
     def report_silence(self, address: str, min_silent_ms: int) -> None:
--- a/src/lentilwell/gateway/_framing.py
+++ b/src/lentilwell/gateway/_framing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lentilwell.gateway._messages import Headers
+from lentilwell.gateway._messages import Headers, find_header
 
 # ": " and CRLF, which each header line has besides its name and its value.
 HEADER_SEPARATOR_BYTES = 4
@@ -21,3 +21,8 @@
     Two HTTP parsers could disagree on where such a request ends, which allows request smuggling.
     """
     return {b"content-length", b"transfer-encoding"} <= {name.lower() for name, _ in headers}
+
+
+def find_declared_bytes(headers: Headers) -> int:
+    """Return the length of the body by its valid ``Content-Length``, 0 without one."""
+    return int(find_header(headers, b"content-length") or b"0")
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -12,9 +12,10 @@
 from result import Err
 
 from lentilwell._clock import MS_PER_SECOND, BootClock, Clock
-from lentilwell._listening import listen_at
+from lentilwell._listening import LISTEN_BACKLOG, listen_at
 from lentilwell._log_lines import (
     CallbackFailed,
+    CallerGivenUp,
     EventLoopPaused,
     ExchangeFailed,
     MetricsNotServed,
@@ -59,10 +60,18 @@
 from lentilwell.gateway._store_report import StoreReport
 from lentilwell.gateway._table_listeners import CatalogListener, UpstreamListener
 from lentilwell.gateway._upstreams import Incarnation
+from lentilwell.gateway.caller_limits import (
+    CallerLimits,
+    GivenUp,
+    StatusConnections,
+    bound_kernel_buffers,
+)
 
 # Connections are accepted once the store has been read, which takes a few ms if the store answers,
 # and at the latest this long after the start.
 MAX_STARTUP_WAIT_MS = 500
+# Connections accepted in one round of the event loop, before the first of them can be refused.
+ACCEPTED_PER_ROUND = 8
 STARTUP_POLL_MS = 2
 INCARNATION_LENGTH = 8
 MAINTENANCE_INTERVAL_MS = 250
@@ -102,7 +111,11 @@
         self.fleet = Fleet(
             self.clock, settings.data_centre, settings.budget, settings.policy, shards
         )
-        self.connections = ConnectionPool(self.clock)
+        self.caller_limits = CallerLimits(settings.limits, self.clock.now)
+        self.caller_limits.on_given_up = self._handle_given_up
+        self.connections = ConnectionPool(
+            self.clock, settings.limits.answer_bytes, settings.limits.upstream_descriptors
+        )
         self.permit_owners = OwnerTable(settings.instance)
         incarnation = uuid.uuid4().hex[:INCARNATION_LENGTH]
         self.peers = Peers(
@@ -149,6 +162,7 @@
         self._callers: set[CallerConnection] = set()
         self._exchanges: set[Exchange] = set()
         self.metrics = Metrics(self.fleet, lambda: len(self._callers), self._list_tables)
+        self.metrics.count_caller_bytes = lambda: self.caller_limits.memory.total_bytes
         self.permits.on_verdict = self.metrics.count_permit
         self._exchange_context = ExchangeContext(
             self.fleet,
@@ -276,6 +290,14 @@
         self.metrics.count_rejection(status)
         write_line(RequestRejected(status, reason))
 
+    def _handle_given_up(self, given_up: GivenUp) -> None:
+        """Log and count a connection that was given up to keep the limits of the process."""
+        self.metrics.count_given_up(given_up.reason)
+        line = CallerGivenUp(
+            given_up.reason, given_up.held_bytes, given_up.total_bytes, given_up.connections
+        )
+        write_line(line)
+
     def _reject(self, caller: CallerConnection, request_id: str, rejection: Rejection) -> None:
         catalog = self.fleet.catalog
         self.metrics.count_rejection(rejection.status)
@@ -297,8 +319,9 @@
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self.drain)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
+        probes = StatusConnections()
         await self._listen(
-            self.settings.ready_address, lambda: StatusProtocol(self._readiness_handlers)
+            self.settings.ready_address, lambda: StatusProtocol(self._readiness_handlers, probes)
         )
         await self._listen_for_operators()
         self._listener = self._listener or listen_at(self.settings.callers_address)
@@ -379,7 +402,12 @@
         until = self.clock.now() + MAX_STARTUP_WAIT_MS
         while not self.ready and not self.stopping and self.clock.now() < until:
             await asyncio.sleep(STARTUP_POLL_MS / 1_000)
-        server = await loop.create_server(lambda: CallerConnection(self.clock, self), sock=listener)
+        bound_kernel_buffers(listener)
+        server = await loop.create_server(
+            lambda: CallerConnection(self.clock, self), sock=listener, backlog=ACCEPTED_PER_ROUND
+        )
+        # The number above is also the kernel's queue, which may be longer.
+        listener.listen(LISTEN_BACKLOG)
         self._servers.append(server)
 
     async def _listen(
@@ -392,8 +420,9 @@
     async def _listen_for_operators(self) -> None:
         """Serve metrics and state; if the address is in use, callers are still served."""
         address = self.settings.metrics_address
+        operators = StatusConnections()
         try:
-            await self._listen(address, lambda: StatusProtocol(self._operator_handlers))
+            await self._listen(address, lambda: StatusProtocol(self._operator_handlers, operators))
         except OSError as error:
             write_line(MetricsNotServed(address, str(error)))
 
@@ -421,6 +450,7 @@
         write_line(SettingsReloaded(listeners_unchanged, settings.budget.extra))
         self.settings = settings
         self.fleet.change_budget(settings.budget)
+        self.caller_limits.change(settings.limits)
 
     def _run_maintenance(self) -> None:
         steps: dict[str, Callable[[], None]] = {
@@ -433,6 +463,7 @@
             "shards": self.fleet.update_shards,
             "connections": self._prune_connections,
             "callers": self._close_idle_callers,
+            "unsent answers": self._refresh_unsent,
         }
         run_steps(steps)
 
@@ -446,6 +477,10 @@
             for caller in list(self._callers):
                 caller.close_idle(IDLE_CLOSE_AFTER_MS)
 
+    def _refresh_unsent(self) -> None:
+        for caller in list(self._callers):
+            caller.refresh_unsent()
+
     def _is_stop_complete(self) -> bool:
         return self.planned_stop.is_complete(any(caller.busy for caller in self._callers))
 
--- a/src/lentilwell/gateway/_metrics.py
+++ b/src/lentilwell/gateway/_metrics.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterable, Sequence
 
 import msgspec
-from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 from prometheus_client.core import GaugeMetricFamily, Metric
 from prometheus_client.registry import Collector
 
@@ -122,6 +122,18 @@
             "Times that the store was seen to come back from an older copy.",
             registry=self.registry,
         )
+        self._given_up = Counter(
+            "lentilwell_gateway_callers_given_up",
+            "Connections of callers given up to keep the limits of the process, by reason.",
+            ("reason",),
+            registry=self.registry,
+        )
+        self.count_caller_bytes: Callable[[], int] = lambda: 0
+        Gauge(
+            "lentilwell_gateway_caller_bytes",
+            "Bytes that callers make the process hold.",
+            registry=self.registry,
+        ).set_function(lambda: self.count_caller_bytes())
         self.registry.register(_FleetCollector(fleet, count_callers))
         self.registry.register(_TableCollector(fleet.clock, list_tables))
 
@@ -168,6 +180,10 @@
         """Count a request that was answered with an error without being forwarded."""
         self._rejections.labels(str(status)).inc()
 
+    def count_given_up(self, reason: str) -> None:
+        """Count a connection that was given up to keep the limits of the process."""
+        self._given_up.labels(reason).inc()
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/src/lentilwell/gateway/_settings.py
+++ b/src/lentilwell/gateway/_settings.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from lentilwell.gateway._budget import BudgetRules
+from lentilwell.gateway.caller_limits import ProcessLimits
 
 
 @dataclass(frozen=True)
@@ -13,6 +14,7 @@
 
     Addresses are ``host:port``; ``peers_address`` receives UDP datagrams. ``max_stop_ms`` bounds
     the duration of a planned stop, ``max_lease_ms`` that of a lease that is not renewed.
+    ``limits`` are those of the process.
     """
 
     instance: str
@@ -26,3 +28,4 @@
     budget: BudgetRules
     log_level: str = "INFO"
     policy: str = "least_cost"
+    limits: ProcessLimits = field(default_factory=ProcessLimits)
--- a/src/lentilwell/gateway/_status.py
+++ b/src/lentilwell/gateway/_status.py
@@ -8,6 +8,8 @@
 
 import h11
 
+from lentilwell.gateway.caller_limits import StatusConnections
+
 MAX_INCOMPLETE_EVENT_BYTES = 8_192
 # The key of the handler for paths that have none of their own.
 ANY_PATH = ""
@@ -26,10 +28,16 @@
 
 
 class StatusProtocol(asyncio.Protocol):
-    """Answers each request with the handler of its path, or that of ``ANY_PATH``, or 404."""
+    """Answers each request with the handler of its path, or that of ``ANY_PATH``, or 404.
+
+    A connection whose caller asks again without having read the answer is closed.
+    """
 
-    def __init__(self, handlers: Mapping[str, StatusHandler]) -> None:
+    def __init__(
+        self, handlers: Mapping[str, StatusHandler], connections: StatusConnections
+    ) -> None:
         self._handlers = handlers
+        self._connections = connections
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=MAX_INCOMPLETE_EVENT_BYTES
         )
@@ -40,6 +48,12 @@
         """Store the transport."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._connections.add(transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forget the connection."""
+        if self._transport is not None:
+            self._connections.remove(self._transport)
 
     def data_received(self, data: bytes) -> None:
         """Answer each request that has been received completely."""
@@ -62,6 +76,10 @@
 
     def _answer(self) -> None:
         assert self._transport is not None
+        if self._transport.get_write_buffer_size() > 0:
+            self._transport.abort()
+            return
+        self._connections.record_use(self._transport)
         handler = self._handlers.get(self._path) or self._handlers.get(ANY_PATH)
         answer = handler() if handler is not None else StatusAnswer(404)
         head = h11.Response(
--- a/src/lentilwell/gateway/caller_limits/_caller_limits.py
+++ b/src/lentilwell/gateway/caller_limits/_caller_limits.py
@@ -23,7 +23,10 @@
         """Refuse the request that is being received, or close the connection."""
 
     def close_unused(self) -> bool:
-        """Close the connection if no request has arrived on it; return whether it is closed."""
+        """Close the connection if no request has arrived on it; return whether it is closed.
+
+        One that is closed is forgotten at once, so that no further one is closed in its place.
+        """
 
 
 @dataclass(frozen=True)
@@ -46,7 +49,7 @@
         self._limits = limits
         self._now = now
         self._max_requests = limits.max_requests
-        self._slots = CallerSlots(limits.caller_descriptors, limits.max_connections)
+        self._slots = CallerSlots(limits.max_connections)
         self._accounts: dict[LimitedCaller, Account] = {}
         self._requests = 0
         self.memory = CallerMemory(limits.budget, now)
@@ -56,14 +59,14 @@
         """Apply changed limits; what is held already is given up as far as it grows."""
         self._limits = limits
         self._max_requests = limits.max_requests
-        self._slots.max_descriptor = limits.caller_descriptors
         self._slots.max_connections = limits.max_connections
         self.memory.budget = limits.budget
 
-    def open(self, caller: LimitedCaller, descriptor: int) -> bool:
+    def open(self, caller: LimitedCaller) -> bool:
         """Add a new connection; return False if it must be refused because too many are open."""
         self._accounts[caller] = Account(lambda reason: self._give_up(caller, reason), self._now())
-        if self._slots.is_full(descriptor, len(self._accounts)) and not self._shed_one():
+        full = len(self._accounts) > self._slots.max_connections
+        if full and not self._shed_one():
             self._record(caller, Reason.DESCRIPTORS)
             return False
         self._slots.add_idle(caller.close_unused)
--- a/src/lentilwell/gateway/caller_limits/_process_limits.py
+++ b/src/lentilwell/gateway/caller_limits/_process_limits.py
@@ -11,16 +11,19 @@
 # the other half of it is for a body that is being joined, the heap's holes and the objects of
 # connections.
 MEMORY_SHARE = 10
+# The share of the memory that unfinished answers of upstreams may take.
+ANSWER_SHARE = 8
 # A quarter of the budget is reserved for callers that hold little.
 RESERVE_SHARE = 4
 # A machine with less memory still serves one request with a large body.
 MIN_BUDGET_BYTES = 8 * MB
 # An idle connection takes some 3 kB.
 CONNECTION_BYTES = 4_096
-# Listeners, store, logs, event loop, datagrams, probes, and what one round of accepting adds.
-RESERVED_DESCRIPTORS = 48
+# Listeners, store, logs, event loop and datagrams take 16, probes and scrapers up to 32, and
+# connections that are accepted before the first of them can be refused 32.
+RESERVED_DESCRIPTORS = 96
 # Below this nothing could be served.
-MIN_DESCRIPTORS = 96
+MIN_DESCRIPTORS = 192
 
 
 @dataclass(frozen=True)
@@ -44,6 +47,11 @@
         total = max(MIN_BUDGET_BYTES, self.memory_mb * MB // MEMORY_SHARE)
         return MemoryBudget(total, total - total // RESERVE_SHARE)
 
+    @property
+    def answer_bytes(self) -> int:
+        """Return what unfinished answers of upstreams may hold together."""
+        return self.memory_mb * MB // ANSWER_SHARE
+
     @property
     def descriptors(self) -> int:
         """Return the number of descriptors: that of the settings, or less if the kernel's is."""
@@ -57,14 +65,15 @@
         return (self.descriptors - RESERVED_DESCRIPTORS) // 3
 
     @property
-    def caller_descriptors(self) -> int:
-        """Return the descriptor number from which on connections of callers are shed."""
-        return self.descriptors - RESERVED_DESCRIPTORS - self.max_requests
+    def upstream_descriptors(self) -> int:
+        """Return the descriptor number from which on idle connections to upstreams are closed."""
+        return self.descriptors - RESERVED_DESCRIPTORS
 
     @property
     def max_connections(self) -> int:
-        """Return how many connections of callers the memory allows."""
-        return self.budget.total_bytes // CONNECTION_BYTES
+        """Return how many connections callers may have: what descriptors and memory allow."""
+        by_descriptors = self.descriptors - RESERVED_DESCRIPTORS - self.max_requests
+        return min(by_descriptors, self.budget.total_bytes // CONNECTION_BYTES)
 
 
 def find_descriptor_limit() -> int:
--- a/src/lentilwell/gateway/caller_limits/_slots.py
+++ b/src/lentilwell/gateway/caller_limits/_slots.py
@@ -13,20 +13,12 @@
 
 
 class CallerSlots:
-    """The idle connections, the one that has been idle longest first."""
+    """The idle connections among at most ``max_connections``, the longest idle one first."""
 
-    def __init__(self, max_descriptor: int, max_connections: int) -> None:
-        self.max_descriptor = max_descriptor
+    def __init__(self, max_connections: int) -> None:
         self.max_connections = max_connections
         self._idle: dict[CloseIdle, None] = {}
 
-    def is_full(self, descriptor: int, connections: int) -> bool:
-        """Tell whether a connection must be shed for a new one.
-
-        A new socket gets the lowest free number, so ``descriptor`` tells how many are open.
-        """
-        return descriptor >= self.max_descriptor or connections > self.max_connections
-
     def add_idle(self, close: CloseIdle) -> None:
         """Add a connection that has become idle."""
         self._idle.pop(close, None)
