--- a/src/lentilwell/gateway/_caller_connection.py
+++ b/src/lentilwell/gateway/_caller_connection.py
@@ -28,17 +28,13 @@
 )
 from lentilwell.gateway._turns import STEPS_PER_TURN
 from lentilwell.gateway.caller_limits import (
-    HEADER_OBJECT_BYTES,
-    KERNEL_BUFFER_BYTES,
     LINGER_MS,
     READ_BUFFER,
-    REQUEST_BYTES,
     CallerLimits,
     CallerTimeout,
-    IncomingBody,
+    ConnectionAccount,
     Linger,
     Reason,
-    UnparsedInput,
     find_header_timeout_ms,
     find_idle_timeout_ms,
 )
@@ -98,38 +94,35 @@
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
         self._transport: asyncio.Transport | None = None
         self._request: InboundRequest | None = None
-        self._head_bytes = 0
-        self._body = IncomingBody()
-        self._unparsed = UnparsedInput()
+        self._account = ConnectionAccount(self, context.caller_limits)
         self._linger: Linger | None = None
         self._exchange: asyncio.Task[None] | None = None
         self._timeout = CallerTimeout(clock, lambda: context.limits, self._handle_timeout)
         self._writable = asyncio.Event()
         self._writable.set()
-        self._unsent_bytes = 0
-        self._next_waits = False
-        self._paused = False
         self._first_byte_at: int | None = None
 
     @property
     def busy(self) -> bool:
         """Tell whether a request is being read or answered, or an answer is not yet sent."""
         in_progress = self._exchange is not None or self._request is not None or self._reading
-        return in_progress or self._count_unsent_bytes() > 0
+        return in_progress or self._account.unsent_bytes > 0
 
     @property
     def _reading(self) -> bool:
         return self._first_byte_at is not None
 
+    @property
+    def _closing(self) -> bool:
+        return self._transport is None or self._transport.is_closing()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and start the idle timeout, or refuse the connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        # Each byte that the socket does not take is known at once, and the end of them.
-        transport.set_write_buffer_limits(high=0)
         set_dead_peer_timeouts(transport.get_extra_info("socket"), UNACKNOWLEDGED_TIMEOUT_MS)
         self._context.register(self)
-        if not self._context.caller_limits.open(self):
+        if not self._account.open(transport):
             self._answer_rejection(503, TOO_MANY_CONNECTIONS, RETRY_HEADERS)
             transport.close()
             return
@@ -144,18 +137,17 @@
         if self._linger is not None:
             self._drop_received(nbytes)
             return
-        self._context.caller_limits.record_received(self, nbytes)
-        if self._first_byte_at is None and not self._answering:
+        if self._first_byte_at is None and not self._account.answering:
             self._first_byte_at = self._clock.now()
             self._timeout.start(find_header_timeout_ms)
-        self._unparsed.receive(nbytes)
+        self._account.receive(nbytes)
         self._http.receive_data(bytes(READ_BUFFER[:nbytes]))
-        if self._answering:
-            if self._unparsed.size_bytes > MAX_PIPELINED_BYTES:
-                self._pause_reading()
-            self._update_held()
-        else:
+        if not self._account.answering:
             self._process_events()
+            return
+        if self._account.unparsed.size_bytes > MAX_PIPELINED_BYTES:
+            self._account.pause_reading()
+        self._account.update()
 
     def eof_received(self) -> bool:
         """Close the connection: a caller that half-closes is treated as disconnected."""
@@ -168,7 +160,7 @@
         if self._exchange is not None:
             self._exchange.cancel()
         self._context.unregister(self)
-        self._context.caller_limits.close(self)
+        self._account.close()
 
     def pause_writing(self) -> None:
         """Block writers until the caller has read more of the answer."""
@@ -177,10 +169,10 @@
     def resume_writing(self) -> None:
         """Release the writers that wait for the caller to read, and begin the next request."""
         self._writable.set()
-        self.refresh_unsent()
-        if self._next_waits and self._transport is not None and not self._transport.is_closing():
-            self._next_waits = False
-            self._start_next_request(self._transport)
+        self._account.update_unsent()
+        if self._account.waiting and not self._closing:
+            self._account.waiting = False
+            self._start_next_request()
 
     def start_answer(self, status: int, headers: Headers, close_after: bool = False) -> None:
         """Write the status line and the headers of the answer.
@@ -188,7 +180,7 @@
         In a stop, the caller is told that the connection closes after this answer, unless it has
         sent the next request already.
         """
-        if close_after or (self._context.stopping and not self._unparsed.size_bytes):
+        if close_after or (self._context.stopping and not self._account.unparsed.size_bytes):
             headers = (*headers, (b"Connection", b"close"))
         self._write(h11.Response(status_code=status, headers=list(headers)))
 
@@ -231,24 +223,19 @@
         if self.busy or self._transport is None or self._has_unread_bytes():
             return False
         self._transport.close()
-        self._context.caller_limits.close(self)
+        self._account.close()
         return True
 
     def give_up(self, reason: Reason) -> None:
         """Refuse the request that is being received, or close the connection."""
-        if self._answering or self._linger is not None or self._count_unsent_bytes():
+        if self._account.answering or self._linger is not None or self._account.unsent_bytes:
             self.abort()
         else:
             self._reject(503, f"{OUT_OF_MEMORY} ({reason})", RETRY_HEADERS)
 
     def refresh_unsent(self) -> None:
         """Record how much of its answers the caller has taken since the last call."""
-        unsent_bytes = self._count_unsent_bytes()
-        if unsent_bytes < self._unsent_bytes:
-            taken_bytes = self._unsent_bytes - unsent_bytes
-            self._context.caller_limits.record_received(self, taken_bytes)
-        if unsent_bytes != self._unsent_bytes:
-            self._update_held()
+        self._account.update_unsent()
 
     def refuse_unfinished(self, retry_after_ms: int) -> None:
         """Refuse a request that has not arrived completely, so that its caller repeats it."""
@@ -268,23 +255,23 @@
             self._reject(error.error_status_hint, str(error))
             return
         finally:
-            self._update_held()
+            self._account.update()
         if self._linger is not None:
             return
-        self._pause_reading()
+        self._account.pause_reading()
         asyncio.get_running_loop().call_soon(self._continue_processing)
 
     def _continue_processing(self) -> None:
-        if self._transport is None or self._transport.is_closing() or self._linger is not None:
+        if self._closing or self._linger is not None:
             return
-        self._resume_reading()
+        self._account.resume_reading()
         self._process_events()
 
     def _handle_next_event(self) -> bool:
         """Handle one parser event; return whether another one may be available."""
         event = self._http.next_event()
         if event is not h11.NEED_DATA:
-            self._unparsed.record_event()
+            self._account.unparsed.record_event()
         if isinstance(event, h11.Request):
             return self._handle_head(event)
         if isinstance(event, h11.Data):
@@ -297,9 +284,9 @@
 
     def _check_incomplete_event(self) -> None:
         """Reject a head, or the size line of a chunk, that is too long before it has ended."""
-        if self._unparsed.is_estimate:
-            self._unparsed.settle(self._http.trailing_data[0])
-        if self._unparsed.size_bytes > self._context.limits.header_bytes:
+        if self._account.unparsed.is_estimate:
+            self._account.unparsed.settle(self._http.trailing_data[0])
+        if self._account.unparsed.size_bytes > self._context.limits.header_bytes:
             self._reject(431, TOO_LONG)
 
     def _handle_head(self, event: h11.Request) -> bool:
@@ -316,15 +303,15 @@
             return False
         arrived_at = self._first_byte_at if self._first_byte_at is not None else self._clock.now()
         self._request = InboundRequest(event.method, event.target, headers, arrived_at)
-        self._head_bytes = head_bytes + HEADER_OBJECT_BYTES * len(headers)
+        self._account.add_head(head_bytes, len(headers))
         self._timeout.start(find_idle_timeout_ms)
         if self._http.they_are_waiting_for_100_continue:
             self._write(h11.InformationalResponse(status_code=100, headers=[]))
         return True
 
     def _handle_data(self, data: bytes | bytearray) -> bool:
-        self._body.add(data)
-        if self._body.size_bytes > self._context.limits.body_bytes:
+        self._account.body.add(data)
+        if self._account.body.size_bytes > self._context.limits.body_bytes:
             self._reject_long_body()
             return False
         return True
@@ -334,15 +321,15 @@
 
     def _start_exchange(self) -> None:
         assert self._request is not None
-        self._unparsed.settle(self._http.trailing_data[0])
-        self._update_held(REQUEST_BYTES)
+        self._account.unparsed.settle(self._http.trailing_data[0])
+        self._account.reserve_request()
         if self._linger is not None:
             return
-        if not self._context.caller_limits.begin_request(self):
+        if not self._account.begin_request():
             self._reject(503, TOO_MANY_REQUESTS, RETRY_HEADERS)
             return
         self._timeout.clear()
-        self._request = replace(self._request, body=self._body.take())
+        self._request = replace(self._request, body=self._account.body.take())
         coroutine = self._context.serve(self, self._request)
         self._exchange = asyncio.get_running_loop().create_task(coroutine)
         self._exchange.add_done_callback(self._end_exchange)
@@ -351,9 +338,7 @@
         self._exchange = None
         self._request = None
         self._first_byte_at = None
-        self._head_bytes = 0
-        self._context.caller_limits.end_request()
-        self._update_held()
+        self._account.end_request()
         transport = self._transport
         if transport is None or transport.is_closing():
             return
@@ -364,19 +349,19 @@
             transport.close()
             return
         # What a caller does not read of its answers must not add up.
-        self._next_waits = not self._writable.is_set()
-        if not self._next_waits:
-            self._start_next_request(transport)
+        self._account.waiting = not self._writable.is_set()
+        if not self._account.waiting:
+            self._start_next_request()
 
-    def _start_next_request(self, transport: asyncio.Transport) -> None:
+    def _start_next_request(self) -> None:
         self._http.start_next_cycle()
-        self._resume_reading()
+        self._account.resume_reading()
         self._timeout.start(find_idle_timeout_ms)
-        if self._unparsed.size_bytes:
+        if self._account.unparsed.size_bytes:
             self._first_byte_at = self._clock.now()
             self._process_events()
         else:
-            self._context.caller_limits.record_idle(self)
+            self._account.record_idle()
 
     def _reject(self, status: int, reason: str, headers: Headers = ()) -> None:
         """Answer a malformed, oversized or late request with an error status, and close.
@@ -388,12 +373,9 @@
             return
         self._linger = Linger()
         self._http = h11.Connection(h11.SERVER)
-        self._body.clear()
-        self._unparsed.settle(b"")
         self._request = self._first_byte_at = None
-        self._head_bytes = 0
-        self._update_held()
-        self._resume_reading()
+        self._account.drop_request()
+        self._account.resume_reading()
         self._transport.write_eof()
         loop = asyncio.get_running_loop()
         loop.call_later(LINGER_MS / MS_PER_SECOND, self._transport.close)
@@ -409,51 +391,15 @@
         if not self._linger.drop(size_bytes) and self._transport is not None:
             self._transport.close()
 
-    @property
-    def _answering(self) -> bool:
-        """Tell whether further requests wait for the end of an answer, or until it is sent."""
-        return self._exchange is not None or self._next_waits
-
-    def _update_held(self, extra_bytes: int = 0) -> None:
-        """Report what the connection holds; it, or others, may be given up."""
-        self._unsent_bytes = unsent_bytes = self._count_unsent_bytes()
-        reading = self._head_bytes + self._body.size_bytes + extra_bytes
-        serving = pending = 0
-        if self._exchange is not None and self._request is not None:
-            serving, reading = reading + len(self._request.body) + REQUEST_BYTES, 0
-        if self._answering:
-            pending += self._unparsed.size_bytes
-        else:
-            reading += self._unparsed.size_bytes
-        if self._answering and self._paused:
-            pending += KERNEL_BUFFER_BYTES
-        if unsent_bytes:
-            pending += unsent_bytes + KERNEL_BUFFER_BYTES
-        self._context.caller_limits.update(self, reading, serving, pending)
-
-    def _count_unsent_bytes(self) -> int:
-        return self._transport.get_write_buffer_size() if self._transport is not None else 0
-
-    def _pause_reading(self) -> None:
-        self._paused = True
-        if self._transport is not None:
-            self._transport.pause_reading()
-
-    def _resume_reading(self) -> None:
-        self._paused = False
-        if self._transport is not None:
-            self._transport.resume_reading()
-
     def _write(self, event: h11.Event) -> None:
         assert self._transport is not None
         data = self._http.send(event)
         if data:
             self._transport.write(data)
-        if self._count_unsent_bytes() != self._unsent_bytes:
-            self._update_held()
+        self._account.update_unsent()
 
     def _handle_timeout(self) -> None:
-        if self._answering:
+        if self._account.answering:
             return
         if self._reading:
             self._reject(408, "the request was not received in time")
--- a/src/lentilwell/gateway/caller_limits/__init__.py
+++ b/src/lentilwell/gateway/caller_limits/__init__.py
@@ -1,21 +1,14 @@
 """Bounds what callers make a process hold: bytes, requests being served and descriptors."""
 
 from lentilwell.gateway.caller_limits._body import IncomingBody
-from lentilwell.gateway.caller_limits._caller_limits import (
-    HEADER_OBJECT_BYTES,
-    REQUEST_BYTES,
-    CallerLimits,
-    GivenUp,
-    LimitedCaller,
-)
+from lentilwell.gateway.caller_limits._caller_limits import CallerLimits, GivenUp, LimitedCaller
+from lentilwell.gateway.caller_limits._connection_account import ConnectionAccount
 from lentilwell.gateway.caller_limits._input import (
     READ_BUFFER,
-    UnparsedInput,
     bound_kernel_buffers,
 )
 from lentilwell.gateway.caller_limits._linger import LINGER_MS, Linger
 from lentilwell.gateway.caller_limits._memory import (
-    KERNEL_BUFFER_BYTES,
     Account,
     CallerMemory,
     Reason,
@@ -23,7 +16,6 @@
 from lentilwell.gateway.caller_limits._process_limits import (
     MemoryBudget,
     ProcessLimits,
-    find_descriptor_limit,
 )
 from lentilwell.gateway.caller_limits._slots import CallerSlots
 from lentilwell.gateway.caller_limits._status_connections import StatusConnections
@@ -34,16 +26,14 @@
 )
 
 __all__ = [
-    "HEADER_OBJECT_BYTES",
-    "KERNEL_BUFFER_BYTES",
     "LINGER_MS",
     "READ_BUFFER",
-    "REQUEST_BYTES",
     "Account",
     "CallerLimits",
     "CallerMemory",
     "CallerSlots",
     "CallerTimeout",
+    "ConnectionAccount",
     "GivenUp",
     "IncomingBody",
     "LimitedCaller",
@@ -52,9 +42,7 @@
     "ProcessLimits",
     "Reason",
     "StatusConnections",
-    "UnparsedInput",
     "bound_kernel_buffers",
-    "find_descriptor_limit",
     "find_header_timeout_ms",
     "find_idle_timeout_ms",
 ]
--- a/src/lentilwell/gateway/caller_limits/_caller_limits.py
+++ b/src/lentilwell/gateway/caller_limits/_caller_limits.py
@@ -10,11 +10,6 @@
 from lentilwell.gateway.caller_limits._process_limits import ProcessLimits
 from lentilwell.gateway.caller_limits._slots import CallerSlots
 
-# The objects of a request being served and of its upstream connection.
-REQUEST_BYTES = 32_768
-# A header takes some objects besides its bytes.
-HEADER_OBJECT_BYTES = 256
-
 
 class LimitedCaller(Protocol):
     """A connection of a caller that can be given up."""
