--- a/src/lentilwell/gateway/_caller_connection.py
+++ b/src/lentilwell/gateway/_caller_connection.py
@@ -5,8 +5,6 @@
 import asyncio
 import socket
 import struct
-import sys
-from dataclasses import replace
 from typing import Protocol
 
 import h11
@@ -14,11 +12,6 @@
 from lentilwell._clock import MS_PER_SECOND, Clock
 from lentilwell.gateway._catalog import Limits
 from lentilwell.gateway._connection import has_unread_bytes, set_dead_peer_timeouts
-from lentilwell.gateway._framing import (
-    count_head_bytes,
-    find_declared_bytes,
-    has_ambiguous_framing,
-)
 from lentilwell.gateway._messages import (
     JSON_TYPE,
     Headers,
@@ -34,7 +27,10 @@
     CallerTimeout,
     ConnectionAccount,
     Linger,
+    ReadStep,
     Reason,
+    RequestInvalid,
+    RequestReader,
     find_header_timeout_ms,
     find_idle_timeout_ms,
 )
@@ -47,7 +43,6 @@
 HTTP_1_0 = b"1.0"
 # The arguments of SO_LINGER: on, for 0 s. The kernel then closes a socket with a reset.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-TOO_LONG = "the request line and the headers are too long"
 OUT_OF_MEMORY = "the instance holds too much for its callers"
 TOO_MANY_REQUESTS = "too many requests at a time"
 TOO_MANY_CONNECTIONS = "too many connections"
@@ -90,11 +85,9 @@
     def __init__(self, clock: Clock, context: CallerContext) -> None:
         self._clock = clock
         self._context = context
-        # The limit may change meanwhile, so that ``_check_incomplete_event`` applies it instead.
-        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
         self._transport: asyncio.Transport | None = None
-        self._request: InboundRequest | None = None
         self._account = ConnectionAccount(self, context.caller_limits)
+        self._reader = RequestReader(self._account, lambda: context.limits)
         self._linger: Linger | None = None
         self._exchange: asyncio.Task[None] | None = None
         self._timeout = CallerTimeout(clock, lambda: context.limits, self._handle_timeout)
@@ -105,7 +98,9 @@
     @property
     def busy(self) -> bool:
         """Tell whether a request is being read or answered, or an answer is not yet sent."""
-        in_progress = self._exchange is not None or self._request is not None or self._reading
+        in_progress = (
+            self._exchange is not None or self._reader.request is not None or self._reading
+        )
         return in_progress or self._account.unsent_bytes > 0
 
     @property
@@ -140,8 +135,7 @@
         if self._first_byte_at is None and not self._account.answering:
             self._first_byte_at = self._clock.now()
             self._timeout.start(find_header_timeout_ms)
-        self._account.receive(nbytes)
-        self._http.receive_data(bytes(READ_BUFFER[:nbytes]))
+        self._reader.receive(bytes(READ_BUFFER[:nbytes]))
         if not self._account.answering:
             self._process_events()
             return
@@ -197,7 +191,9 @@
         """Write a complete answer with a ``Content-Length`` header."""
         length = (b"Content-Length", str(len(body)).encode())
         self.start_answer(status, (*headers, length), close_after)
-        if body and not (self._request is not None and self._request.method == b"HEAD"):
+        if body and not (
+            self._reader.request is not None and self._reader.request.method == b"HEAD"
+        ):
             self._write(h11.Data(data=body))
         self.finish_answer()
 
@@ -205,7 +201,7 @@
         """Abort the connection, so that the caller does not take a partial answer for complete."""
         if self._transport is None:
             return
-        if self._http.their_http_version == HTTP_1_0:
+        if self._reader.http.their_http_version == HTTP_1_0:
             # The answer has no chunks and ends with its connection: only a reset shows the cut.
             _reset_on_close(self._transport.get_extra_info("socket"))
         self._transport.abort()
@@ -239,7 +235,7 @@
 
     def refuse_unfinished(self, retry_after_ms: int) -> None:
         """Refuse a request that has not arrived completely, so that its caller repeats it."""
-        if self._exchange is None and (self._request is not None or self._reading):
+        if self._exchange is None and (self._reader.request is not None or self._reading):
             self._reject(503, "stopping", (format_retry_after(retry_after_ms),))
 
     def _process_events(self) -> None:
@@ -249,10 +245,10 @@
         """
         try:
             for _ in range(STEPS_PER_TURN):
-                if not self._handle_next_event():
+                if not self._read_step():
                     return
-        except h11.RemoteProtocolError as error:
-            self._reject(error.error_status_hint, str(error))
+        except RequestInvalid as error:
+            self._reject(error.status, error.reason)
             return
         finally:
             self._account.update()
@@ -267,61 +263,19 @@
         self._account.resume_reading()
         self._process_events()
 
-    def _handle_next_event(self) -> bool:
-        """Handle one parser event; return whether another one may be available."""
-        event = self._http.next_event()
-        if event is not h11.NEED_DATA:
-            self._account.unparsed.record_event()
-        if isinstance(event, h11.Request):
-            return self._handle_head(event)
-        if isinstance(event, h11.Data):
-            return self._handle_data(event.data)
-        if isinstance(event, h11.EndOfMessage):
-            self._start_exchange()
-        if event is h11.NEED_DATA:
-            self._check_incomplete_event()
-        return False
-
-    def _check_incomplete_event(self) -> None:
-        """Reject a head, or the size line of a chunk, that is too long before it has ended."""
-        if self._account.unparsed.is_estimate:
-            self._account.unparsed.settle(self._http.trailing_data[0])
-        if self._account.unparsed.size_bytes > self._context.limits.header_bytes:
-            self._reject(431, TOO_LONG)
-
-    def _handle_head(self, event: h11.Request) -> bool:
-        headers = tuple(event.headers.raw_items())
-        head_bytes = count_head_bytes(event.target, headers)
-        if head_bytes > self._context.limits.header_bytes:
-            self._reject(431, TOO_LONG)
-            return False
-        if has_ambiguous_framing(headers):
-            self._reject(400, "Content-Length and Transfer-Encoding must not be combined")
-            return False
-        if find_declared_bytes(headers) > self._context.limits.body_bytes:
-            self._reject_long_body()
-            return False
+    def _read_step(self) -> bool:
+        """Handle one step of parsing; return whether another one may be possible."""
         arrived_at = self._first_byte_at if self._first_byte_at is not None else self._clock.now()
-        self._request = InboundRequest(event.method, event.target, headers, arrived_at)
-        self._account.add_head(head_bytes, len(headers))
-        self._timeout.start(find_idle_timeout_ms)
-        if self._http.they_are_waiting_for_100_continue:
-            self._write(h11.InformationalResponse(status_code=100, headers=[]))
-        return True
-
-    def _handle_data(self, data: bytes | bytearray) -> bool:
-        self._account.body.add(data)
-        if self._account.body.size_bytes > self._context.limits.body_bytes:
-            self._reject_long_body()
-            return False
-        return True
-
-    def _reject_long_body(self) -> None:
-        self._reject(413, f"the body is longer than {self._context.limits.body_bytes} bytes")
+        step = self._reader.read_step(arrived_at)
+        if step is ReadStep.HEAD:
+            self._timeout.start(find_idle_timeout_ms)
+            if self._reader.http.they_are_waiting_for_100_continue:
+                self._write(h11.InformationalResponse(status_code=100, headers=[]))
+        elif step is ReadStep.END:
+            self._start_exchange()
+        return step in (ReadStep.HEAD, ReadStep.DATA)
 
     def _start_exchange(self) -> None:
-        assert self._request is not None
-        self._account.unparsed.settle(self._http.trailing_data[0])
         self._account.reserve_request()
         if self._linger is not None:
             return
@@ -329,14 +283,14 @@
             self._reject(503, TOO_MANY_REQUESTS, RETRY_HEADERS)
             return
         self._timeout.clear()
-        self._request = replace(self._request, body=self._account.body.take())
-        coroutine = self._context.serve(self, self._request)
+        request = self._reader.take_request()
+        coroutine = self._context.serve(self, request)
         self._exchange = asyncio.get_running_loop().create_task(coroutine)
         self._exchange.add_done_callback(self._end_exchange)
 
     def _end_exchange(self, task: asyncio.Task[None]) -> None:
         self._exchange = None
-        self._request = None
+        self._reader.request = None
         self._first_byte_at = None
         self._account.end_request()
         transport = self._transport
@@ -345,7 +299,10 @@
         if task.cancelled() or task.exception() is not None:
             self.abort()
             return
-        if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
+        if (
+            self._reader.http.our_state is not h11.DONE
+            or self._reader.http.their_state is not h11.DONE
+        ):
             transport.close()
             return
         # What a caller does not read of its answers must not add up.
@@ -354,7 +311,7 @@
             self._start_next_request()
 
     def _start_next_request(self) -> None:
-        self._http.start_next_cycle()
+        self._reader.http.start_next_cycle()
         self._account.resume_reading()
         self._timeout.start(find_idle_timeout_ms)
         if self._account.unparsed.size_bytes:
@@ -372,9 +329,8 @@
         if self._transport is None or self._transport.is_closing():
             return
         self._linger = Linger()
-        self._http = h11.Connection(h11.SERVER)
-        self._request = self._first_byte_at = None
-        self._account.drop_request()
+        self._first_byte_at = None
+        self._reader.clear()
         self._account.resume_reading()
         self._transport.write_eof()
         loop = asyncio.get_running_loop()
@@ -383,7 +339,7 @@
     def _answer_rejection(self, status: int, reason: str, headers: Headers) -> None:
         self._context.record_rejection(status, reason)
         self._timeout.clear()
-        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+        if self._reader.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self.answer(status, (JSON_TYPE, *headers), encode_error(reason), close_after=True)
 
     def _drop_received(self, size_bytes: int) -> None:
@@ -393,7 +349,7 @@
 
     def _write(self, event: h11.Event) -> None:
         assert self._transport is not None
-        data = self._http.send(event)
+        data = self._reader.http.send(event)
         if data:
             self._transport.write(data)
         self._account.update_unsent()
--- a/src/lentilwell/gateway/caller_limits/__init__.py
+++ b/src/lentilwell/gateway/caller_limits/__init__.py
@@ -1,6 +1,5 @@
 """Bounds what callers make a process hold: bytes, requests being served and descriptors."""
 
-from lentilwell.gateway.caller_limits._body import IncomingBody
 from lentilwell.gateway.caller_limits._caller_limits import CallerLimits, GivenUp, LimitedCaller
 from lentilwell.gateway.caller_limits._connection_account import ConnectionAccount
 from lentilwell.gateway.caller_limits._input import (
@@ -17,6 +16,11 @@
     MemoryBudget,
     ProcessLimits,
 )
+from lentilwell.gateway.caller_limits._request_reader import (
+    ReadStep,
+    RequestInvalid,
+    RequestReader,
+)
 from lentilwell.gateway.caller_limits._slots import CallerSlots
 from lentilwell.gateway.caller_limits._status_connections import StatusConnections
 from lentilwell.gateway.caller_limits._timeout import (
@@ -35,12 +39,14 @@
     "CallerTimeout",
     "ConnectionAccount",
     "GivenUp",
-    "IncomingBody",
     "LimitedCaller",
     "Linger",
     "MemoryBudget",
     "ProcessLimits",
+    "ReadStep",
     "Reason",
+    "RequestInvalid",
+    "RequestReader",
     "StatusConnections",
     "bound_kernel_buffers",
     "find_header_timeout_ms",
