--- a/tests/test_platform_odd_settings.py
+++ b/tests/test_platform_odd_settings.py
@@ -6,6 +6,8 @@
 import pytest
 from wire_settings import SettingsFile, read_settings
 
+from lentilwell.gateway import ProcessLimits
+
 SETTINGS = {
     "node_name": "n",
     "ip": "10.0.0.1",
@@ -39,3 +41,22 @@
         read_settings(path)
     settings._modified_ns = 0
     assert settings.read_changed() is None and settings.current == before
+
+
+@pytest.mark.parametrize(
+    "limits", ["null", "7", "[]", '{"memory_mb": 1e999}', '{"memory_mb": "much", "max_fds": -1}']
+)
+def test_odd_limits_of_the_process_leave_the_rest_of_the_settings_in_effect(tmp_path, limits):
+    """A process must start, with default limits, whatever these optional fields are."""
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps({**SETTINGS, "limits": "ODD"}).replace('"ODD"', limits))
+    gateway = read_settings(path).gateway
+    assert gateway.limits == ProcessLimits() and gateway.instance == "n"
+
+
+def test_limits_of_the_process_are_read(tmp_path):
+    """A field that is not understood must not hide the others."""
+    limits = {"memory_mb": 152, "max_fds": 1_535, "link_mbps": 7}
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps({**SETTINGS, "limits": limits}))
+    assert read_settings(path).gateway.limits == ProcessLimits(152, 1_535)
