--- a/src/lentilwell/gateway/caller_limits/_caller_limits.py
+++ b/src/lentilwell/gateway/caller_limits/_caller_limits.py
@@ -41,7 +41,6 @@
     """
 
     def __init__(self, limits: ProcessLimits, now: Callable[[], int]) -> None:
-        self._limits = limits
         self._now = now
         self._max_requests = limits.max_requests
         self._slots = CallerSlots(limits.max_connections)
@@ -52,7 +51,6 @@
 
     def change(self, limits: ProcessLimits) -> None:
         """Apply changed limits; what is held already is given up as far as it grows."""
-        self._limits = limits
         self._max_requests = limits.max_requests
         self._slots.max_connections = limits.max_connections
         self.memory.budget = limits.budget
