--- a/src/lentilwell/gateway/__init__.py
+++ b/src/lentilwell/gateway/__init__.py
@@ -43,6 +43,7 @@
 from lentilwell.gateway._ports import Dialect, Entry, Feed, Feeds, Listing, OperatorRow
 from lentilwell.gateway._settings import GatewaySettings
 from lentilwell.gateway._upstreams import Upstream
+from lentilwell.gateway.caller_limits import ProcessLimits
 from lentilwell.gateway.cold_start import (
     DEFAULT_COLD_BOUNDS,
     MAX_COLD_MS,
@@ -86,6 +87,7 @@
     "MemoryOrder",
     "OperatorRow",
     "PrefillHelper",
+    "ProcessLimits",
     "Prompt",
     "Repeat",
     "RequestFacts",
--- a/src/lentilwell/gateway/_settings.py
+++ b/src/lentilwell/gateway/_settings.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from lentilwell.gateway._budget import BudgetRules
+from lentilwell.gateway.caller_limits import ProcessLimits
 from lentilwell.gateway.cold_start import DEFAULT_COLD_BOUNDS, ColdBounds
 
 
@@ -16,7 +17,8 @@
     Addresses are ``host:port``; ``peers_address`` receives UDP datagrams. ``max_stop_ms`` bounds
     the duration of a planned stop, ``max_lease_ms`` that of a lease that is not renewed. ``zones``
     maps data centres to their regions. Without ``admission_control``, requests that will be late
-    are sent like all others. ``cold`` bounds the requests to an upstream that is cold.
+    are sent like all others. ``cold`` bounds the requests to an upstream that is cold, ``limits``
+    are those of the process.
     """
 
     instance: str
@@ -33,3 +35,4 @@
     zones: Mapping[str, str] = field(default_factory=dict)
     admission_control: bool = True
     cold: ColdBounds = DEFAULT_COLD_BOUNDS
+    limits: ProcessLimits = field(default_factory=ProcessLimits)
