Overload: a request that a free slot would make on time is refused only after 30 ms

Cause: a request was refused on its first look although slots become free every few ms; a caller that returned every 50 ms looked again and again, and was served instead.

Change: it is held for 30 ms first, and refused within 50 ms of its arrival.

--- a/src/lentilwell/gateway/overload/_decisions.py
+++ b/src/lentilwell/gateway/overload/_decisions.py
@@ -23,6 +23,11 @@
 MAX_RANK = 9
 # The reason to hold a request that could be sent: there is room, but others get it first.
 OTHERS_FIRST = "others that can be on time came first"
+# A request that can still be on time is refused only after this time: a slot that is free by then
+# is not left to callers that return at once.
+GRACE_MS = 30
+# A refusal for lack of room must come within this time from the arrival.
+MAX_REFUSAL_MS = 50
 # When this little time is left to serve a held request, it is sent if a slot is about to be free.
 # Otherwise it is refused: its caller can return, while one that leaves gets nothing.
 LAST_CHANCE_MS = 100
@@ -141,7 +146,7 @@
         return Send(late=bool(room.short_ms) and request.waited_ms > request.objective_ms)
     if not choice.slot_wait_ms and random_point * room.instances < room.spare_slots:
         return Send(late=True)
-    if request.held:
+    if request.held and request.waited_ms > MAX_REFUSAL_MS:
         return _hold(request, choice, room, "no free slot in time", random_point)
     return _hold_or_refuse(request, choice, room, random_point)
 
@@ -167,6 +172,10 @@
 ) -> Verdict:
     """Hold a request that will be late, unless it cannot be served before its caller leaves."""
     expected_ms = estimate_hold_ms(room) + choice.first_event_ms
+    serving_ms = choice.first_event_ms - choice.slot_wait_ms
+    on_time = request.waited_ms + serving_ms <= request.objective_ms
+    if on_time and request.waited_ms < GRACE_MS:
+        return Hold("no free slot yet")
     if request.waited_ms + expected_ms > request.patience_ms:
         retry_ms = find_return_ms(request, room, random_point)
         return Refuse(retry_ms, round(expected_ms))
--- a/src/lentilwell/gateway/overload/_request_admission.py
+++ b/src/lentilwell/gateway/overload/_request_admission.py
@@ -13,6 +13,7 @@
 from lentilwell.gateway._routing import RoutedRequest
 from lentilwell.gateway.overload._admission import find_caller_silence_timeout_ms
 from lentilwell.gateway.overload._decisions import (
+    GRACE_MS,
     LAST_CHANCE_MS,
     OTHERS_FIRST,
     Room,
@@ -88,6 +89,9 @@
         request = self._describe_wait()
         serving_ms = choice.first_event_ms - choice.slot_wait_ms
         max_ms = request.patience_ms - request.waited_ms - serving_ms - LAST_CHANCE_MS
+        grace_ms = GRACE_MS - request.waited_ms
+        if grace_ms > 0:
+            max_ms = min(max_ms, grace_ms)
         wait_ms = max(1.0, min(CHECK_MS, max_ms))
         if reason == OTHERS_FIRST:
             self._control.wake(self._routed.service)
