--- a/src/lentilwell/gateway/_attempt.py
+++ b/src/lentilwell/gateway/_attempt.py
@@ -155,7 +155,7 @@
             if isinstance(placement, AttemptEnd):
                 return placement
             self._accounting.add_jobs(self.choice, self._late)
-            if not tries_left or self._late or self._owner.state.sends > 0:
+            if not tries_left or not self._may_choose_again(placement):
                 break
             try:
                 kept = await self._owner.placer.admission.keeps_place(
@@ -169,8 +169,18 @@
             self._accounting.remove_jobs(self.choice)
         return placement
 
+    def _may_choose_again(self, placement: Placement) -> bool:
+        """Tell whether the request may give way to others; a permit of its own would be lost."""
+        return not self._late and self._owner.state.sends == 0 and placement.permit is None
+
     async def _place_when_due(self) -> Placement | AttemptEnd:
         """Choose an upstream; hold the request as long as it would be late and delay others."""
+        try:
+            return await self._place_or_hold()
+        finally:
+            self._owner.placer.admission.end_hold("not sent")
+
+    async def _place_or_hold(self) -> Placement | AttemptEnd:
         admission = self._owner.placer.admission
         while isinstance(placement := await self._place(), Placement):
             verdict = self._judge(placement)
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -423,6 +423,7 @@
         write_line(SettingsReloaded(listeners_unchanged, settings.budget.extra))
         self.settings = settings
         self.fleet.change_budget(settings.budget)
+        self.fleet.admission.enabled = settings.admission_control
 
     def _run_maintenance(self) -> None:
         steps: dict[str, Callable[[], None]] = {
--- a/src/lentilwell/gateway/overload/_request_admission.py
+++ b/src/lentilwell/gateway/overload/_request_admission.py
@@ -79,7 +79,7 @@
     async def hold(self, choice: Choice, reason: str) -> bool:
         """Hold the request, for ``CHECK_MS`` at most; tell whether it is its turn to be placed.
 
-        ``reason`` is for the log.
+        ``reason`` is for the log. ``end_hold`` must follow, also if the wait is cancelled.
         """
         choice = self._complete_estimate(choice)
         if self._held is None:
@@ -95,11 +95,7 @@
         wait_ms = max(1.0, min(CHECK_MS, max_ms))
         if reason == OTHERS_FIRST:
             self._control.wake(self._routed.service)
-        try:
-            has_turn = await self._control.wait_for_turn(self._routed.service, self._held, wait_ms)
-        except BaseException:
-            self.end_hold("caller left")
-            raise
+        has_turn = await self._control.wait_for_turn(self._routed.service, self._held, wait_ms)
         return has_turn or max_ms <= CHECK_MS
 
     async def keeps_place(self, choice: Choice, job: str) -> bool:
