Overload: less urgent requests give way for a second after a more urgent one lacked room

Cause: they gave way only while a more urgent request was held at the same instance, and mostly none was.

--- a/src/lentilwell/gateway/overload/_admission_control.py
+++ b/src/lentilwell/gateway/overload/_admission_control.py
@@ -16,7 +16,7 @@
 from lentilwell._clock import Clock
 from lentilwell.gateway.overload._first_event_errors import FirstEventErrors
 from lentilwell.gateway.overload._hold_queue import HeldRequest, HoldQueue
-from lentilwell.gateway.overload._shortage import Shortage
+from lentilwell.gateway.overload._shortage import YIELD_GAP_MS, Shortage
 
 # The bounds of the random time between two turns, while requests are held that can still be on time
 # and else: every turn costs a choice among all upstreams.
@@ -26,15 +26,31 @@
 
 @dataclass
 class ServiceHolds:
-    """The held requests of one service with their turns, and what was learned of its room."""
+    """The held requests of one service with their turns, and what was learned of its room.
+
+    ``shortages`` are the latest ones of each rank.
+    """
 
     queue: HoldQueue = field(default_factory=HoldQueue)
     turns: dict[str, asyncio.Future[bool]] = field(default_factory=dict)
-    shortage: Shortage = field(default_factory=Shortage)
+    shortages: dict[int, Shortage] = field(default_factory=dict)
     errors: FirstEventErrors = field(default_factory=FirstEventErrors)
     timer: asyncio.Handle | None = None
     due_now: bool = False
 
+    def record_shortage(self, rank: int, now: int) -> None:
+        """Record that a request of this rank lacks room."""
+        self.shortages.setdefault(rank, Shortage()).record(now)
+
+    def find_short_ms(self, rank: int, now: int) -> int:
+        """Return how long requests of this rank or more urgent ones have lacked room."""
+        lasting = (one.measure_ms(now) for at, one in self.shortages.items() if at <= rank)
+        return max(lasting, default=0)
+
+    def must_yield(self, rank: int, now: int) -> bool:
+        """Tell whether more urgent requests than those of this rank lack room."""
+        return any(at < rank and one.lasts(now, YIELD_GAP_MS) for at, one in self.shortages.items())
+
 
 class AdmissionControl:
     """The held requests of an instance. With ``enabled`` unset, no request is held.
--- a/src/lentilwell/gateway/overload/_decisions.py
+++ b/src/lentilwell/gateway/overload/_decisions.py
@@ -60,7 +60,7 @@
     ``slot_use_ms`` is how long a typical request uses a slot, ``instances`` how many instances use
     these slots. ``short_ms`` is how long requests have lacked room, ``late_ahead`` the number of
     late requests that this instance would release before this one, and ``on_time_ahead`` that of
-    those that can still be on time. ``yields`` is true if a more urgent request is held here.
+    those that can still be on time. ``yields`` is true if a more urgent class lacks room here.
     ``queues`` is false if the upstreams refuse what exceeds their slots.
     """
 
--- a/src/lentilwell/gateway/overload/_request_admission.py
+++ b/src/lentilwell/gateway/overload/_request_admission.py
@@ -73,7 +73,7 @@
         holds = self._control.find_holds(self._routed.service)
         choice = self._complete_estimate(choice)
         if is_short(request, choice):
-            holds.shortage.record(now)
+            holds.record_shortage(self._routed.rank, now)
         return decide(request, choice, self._find_room(choice), self._fleet.random.random())
 
     async def hold(self, choice: Choice, reason: str) -> bool:
@@ -193,9 +193,9 @@
             free_slots=choice.free_slots,
             slot_use_ms=self._estimate_use_ms(),
             instances=fleet.shards.count_sharing(service, fleet.count_instances()),
-            short_ms=holds.shortage.measure_ms(now),
+            short_ms=holds.find_short_ms(rank, now),
             late_ahead=holds.queue.count_ahead(rank, late=True, now=now),
             on_time_ahead=holds.queue.count_ahead(rank, late=False, now=now),
-            yields=holds.queue.has_more_urgent(rank),
+            yields=holds.must_yield(rank, now) or holds.queue.has_more_urgent(rank),
             queues=self._routed.engine is not None,
         )
--- a/src/lentilwell/gateway/overload/_shortage.py
+++ b/src/lentilwell/gateway/overload/_shortage.py
@@ -5,6 +5,9 @@
 # A shortage has ended when no request has lacked room for this long. Shorter gaps are chance: at
 # the limit of its capacity a service has a free slot every now and then.
 GAP_MS = 300
+# Less urgent requests give way for longer: an instance gets few urgent ones, and each that lacks
+# room shows that there are more at the others.
+YIELD_GAP_MS = 1_000
 
 
 class Shortage:
@@ -20,9 +23,9 @@
             self._began_at = now
         self._last_at = now
 
-    def lasts(self, now: int) -> bool:
-        """Tell whether a request has lacked room lately."""
-        return self._began_at is not None and now - self._last_at <= GAP_MS
+    def lasts(self, now: int, gap_ms: int = GAP_MS) -> bool:
+        """Tell whether a request has lacked room in the latest ``gap_ms``."""
+        return self._began_at is not None and now - self._last_at <= gap_ms
 
     def measure_ms(self, now: int) -> int:
         """Return how long the shortage has lasted, 0 if there is none."""
