--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -501,6 +501,7 @@
         self.fleet.zones = settings.zones
         self.fleet.cold_watch.cold_upstreams.bounds = settings.cold
         self.caller_limits.change(settings.limits)
+        self.fleet.admission.enabled = settings.admission_control
 
     def _run_maintenance(self) -> None:
         steps: dict[str, Callable[[], None]] = {
--- a/src/lentilwell/gateway/overload/_request_admission.py
+++ b/src/lentilwell/gateway/overload/_request_admission.py
@@ -13,6 +13,7 @@
 from lentilwell.gateway._routing import RoutedRequest
 from lentilwell.gateway.overload._admission import find_caller_silence_timeout_ms
 from lentilwell.gateway.overload._decisions import (
+    GRACE_MS,
     LAST_CHANCE_MS,
     OTHERS_FIRST,
     Room,
@@ -72,13 +73,13 @@
         holds = self._control.find_holds(self._routed.service)
         choice = self._complete_estimate(choice)
         if is_short(request, choice):
-            holds.shortage.record(now)
+            holds.record_shortage(self._routed.rank, now)
         return decide(request, choice, self._find_room(choice), self._fleet.random.random())
 
     async def hold(self, choice: Choice, reason: str) -> bool:
         """Hold the request, for ``CHECK_MS`` at most; tell whether it is its turn to be placed.
 
-        ``reason`` is for the log.
+        ``reason`` is for the log. ``end_hold`` must follow, also if the wait is cancelled.
         """
         choice = self._complete_estimate(choice)
         if self._held is None:
@@ -88,14 +89,13 @@
         request = self._describe_wait()
         serving_ms = choice.first_event_ms - choice.slot_wait_ms
         max_ms = request.patience_ms - request.waited_ms - serving_ms - LAST_CHANCE_MS
+        grace_ms = GRACE_MS - request.waited_ms
+        if grace_ms > 0:
+            max_ms = min(max_ms, grace_ms)
         wait_ms = max(1.0, min(CHECK_MS, max_ms))
         if reason == OTHERS_FIRST:
             self._control.wake(self._routed.service)
-        try:
-            has_turn = await self._control.wait_for_turn(self._routed.service, self._held, wait_ms)
-        except BaseException:
-            self.end_hold("caller left")
-            raise
+        has_turn = await self._control.wait_for_turn(self._routed.service, self._held, wait_ms)
         return has_turn or max_ms <= CHECK_MS
 
     async def keeps_place(self, choice: Choice, job: str) -> bool:
@@ -193,9 +193,9 @@
             free_slots=choice.free_slots,
             slot_use_ms=self._estimate_use_ms(),
             instances=fleet.shards.count_sharing(service, fleet.count_instances()),
-            short_ms=holds.shortage.measure_ms(now),
+            short_ms=holds.find_short_ms(rank, now),
             late_ahead=holds.queue.count_ahead(rank, late=True, now=now),
             on_time_ahead=holds.queue.count_ahead(rank, late=False, now=now),
-            yields=holds.queue.has_more_urgent(rank),
+            yields=holds.must_yield(rank, now) or holds.queue.has_more_urgent(rank),
             queues=self._routed.engine is not None,
         )
