Follow the store through two instances of each data centre

Change: the package following. Two instances of each data centre, the first in an order by hash that are heard and whose calls succeed, poll as before and send changes to the others by datagrams; the others apply them and call the store every 20 to 40 s, or when a version that they hear of is missing. Calls ask from the store's own last answer on, so each one repairs what datagrams have got wrong. Instances name the versions of rows, not those of answers: different versions for one change made others call the store.

A check no longer interrupts a call that does not wait for a change: reports of an outage within 1 s of each other ended such calls before they could fail, so the outage was not recorded.

--- a/src/lentilwell/_log_lines/__init__.py
+++ b/src/lentilwell/_log_lines/__init__.py
@@ -3,6 +3,13 @@
 The event and the field names of a type are its JSON form. Programs that parse logs depend on them.
 """
 
+from lentilwell._log_lines._following import (
+    RelayUnreadable,
+    StoreFed,
+    StoreNotFed,
+    StoreSourceBegun,
+    StoreSourceEnded,
+)
 from lentilwell._log_lines._instances import (
     CrashNoticeUnreadable,
     DigestTooLong,
@@ -112,6 +119,7 @@
     "PermitMessageUnreadable",
     "PermitOwnerSilent",
     "RefusalBodyDropped",
+    "RelayUnreadable",
     "RequestCut",
     "RequestDeferred",
     "RequestEnded",
@@ -129,7 +137,11 @@
     "Started",
     "StopBegun",
     "Stopped",
+    "StoreFed",
+    "StoreNotFed",
     "StoreRestoreSeen",
+    "StoreSourceBegun",
+    "StoreSourceEnded",
     "TableHistoryUnavailable",
     "TableRechecked",
     "TaskFailed",
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -37,7 +37,6 @@
 from lentilwell.gateway._exchange import Exchange
 from lentilwell.gateway._exchange_context import ExchangeContext
 from lentilwell.gateway._fleet import Fleet
-from lentilwell.gateway._follower import Follower, Listener, TableReport, TableStatus
 from lentilwell.gateway._leases import LeaseManager
 from lentilwell.gateway._maintenance import run_steps
 from lentilwell.gateway._messages import InboundRequest
@@ -59,6 +58,14 @@
 from lentilwell.gateway._store_report import StoreReport
 from lentilwell.gateway._table_listeners import CatalogListener, UpstreamListener
 from lentilwell.gateway._upstreams import Incarnation
+from lentilwell.gateway.following import (
+    SOURCE_MESSAGE_PREFIX,
+    Follower,
+    Listener,
+    Relay,
+    TableReport,
+    TableStatus,
+)
 
 # Connections are accepted once the store has been read, which takes a few ms if the store answers,
 # and at the latest this long after the start.
@@ -123,11 +130,16 @@
         )
         self._catalog_listener = CatalogListener(self.fleet.configuration_choice, self.clock)
         self._catalog_follower = self._make_follower(
-            "configuration", feeds.catalog, self._catalog_listener
+            0, "configuration", feeds.catalog, self._catalog_listener
         )
         self._upstreams_follower = self._make_follower(
-            "upstreams", feeds.upstreams, UpstreamListener(self.fleet)
+            1, "upstreams", feeds.upstreams, UpstreamListener(self.fleet)
+        )
+        followers = (self._catalog_follower, self._upstreams_follower)
+        self.relay = Relay(
+            settings.instance, incarnation, settings.data_centre, self.clock, followers
         )
+        self._connect_relay()
         feeds.eras.on_new_era = self._handle_restore
         self.peers.collect_store_report = self._collect_store_report
         self.peers.on_store_report = self._handle_store_report
@@ -148,8 +160,12 @@
         self.leases.on_answer = answer_observer.handle_head
         self._callers: set[CallerConnection] = set()
         self._exchanges: set[Exchange] = set()
-        self.metrics = Metrics(self.fleet, lambda: len(self._callers), self._list_tables)
+        self.metrics = Metrics(
+            self.fleet, lambda: len(self._callers), self._list_tables, lambda: self.relay.role
+        )
         self.permits.on_verdict = self.metrics.count_permit
+        for follower in followers:
+            follower.on_call = self.metrics.count_store_call
         self._exchange_context = ExchangeContext(
             self.fleet,
             answer_observer,
@@ -308,6 +324,7 @@
             "configuration": self._catalog_follower.run,
             "upstreams": self._upstreams_follower.run,
             "instances": lambda: self.peers.run_membership(self._feeds.membership),
+            "relay": self.relay.run,
             "probes": Prober(self.fleet, self.connections).run,
         }
         self._tasks = [
@@ -334,6 +351,15 @@
         self.peers.on_crash_notice = self.crash_watch.handle_datagram
         self.peers.on_new_peer = self.crash_watch.greet
 
+    def _connect_relay(self) -> None:
+        """Let the relay use the datagrams of the peers and the list of instances."""
+        self.relay.list_members = lambda: self.peers.neighbours
+        self.relay.count_instances = lambda: self.peers.in_contact
+        self.relay.is_stopping = lambda: self.stopping
+        self.relay.send = self.peers.send_to
+        self.peers.source_message_prefix = SOURCE_MESSAGE_PREFIX
+        self.peers.on_source_message = self.relay.handle_datagram
+
     def _is_listed_now(self, incarnation: Incarnation) -> bool:
         """Tell whether the store, which answers, lists an incarnation."""
         unavailable = self._upstreams_follower.report.unavailable
@@ -341,9 +367,11 @@
         return self.fleet.is_listed(incarnation) and not unavailable and not missing
 
     def _make_follower(
-        self, name: str, feed: Feed[ValueT], listener: Listener[ValueT]
+        self, index: int, name: str, feed: Feed[ValueT], listener: Listener[ValueT]
     ) -> Follower[ValueT]:
-        return Follower(name, feed, listener, self.clock, lambda: self.peers.rank)
+        return Follower(
+            name, feed, listener, self.clock, lambda: self.relay.find_rank(index, self.peers.rank)
+        )
 
     def _collect_store_report(self) -> StoreReport:
         configuration, listing = self._catalog_follower.report, self._upstreams_follower.report
@@ -476,6 +504,7 @@
         await self.leases.wait_for_releases()
         self.connections.close()
         self.crash_watch.close()
+        self.relay.close()
         self.peers.close()
         write_line(Stopped())
 
--- a/src/lentilwell/gateway/_metrics.py
+++ b/src/lentilwell/gateway/_metrics.py
@@ -18,8 +18,8 @@
 from lentilwell.gateway._crash_records import Explanation
 from lentilwell.gateway._fingerprints import is_fingerprint
 from lentilwell.gateway._fleet import Fleet
-from lentilwell.gateway._follower import TableStatus
 from lentilwell.gateway._messages import Prompt
+from lentilwell.gateway.following import CallReason, TableStatus
 
 FIRST_EVENT_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5, 3.0, 6.0, 15.0)
 REQUEST_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0)
@@ -46,6 +46,7 @@
         fleet: Fleet,
         count_callers: Callable[[], int],
         list_tables: Callable[[], Sequence[TableStatus]],
+        find_role: Callable[[], str] = lambda: "alone",
     ) -> None:
         self.registry = CollectorRegistry()
         self._requests = Counter(
@@ -122,8 +123,15 @@
             "Times that the store was seen to come back from an older copy.",
             registry=self.registry,
         )
+        self._store_calls = Counter(
+            "lentilwell_gateway_store_calls",
+            "Calls to the store for a table, by why they were made.",
+            ("table", "reason"),
+            registry=self.registry,
+        )
         self.registry.register(_FleetCollector(fleet, count_callers))
         self.registry.register(_TableCollector(fleet.clock, list_tables))
+        self.registry.register(_RoleCollector(find_role))
 
     def count_request(self, service: str, outcome: str, total_ms: int) -> None:
         """Count a request that ended ``total_ms`` after its arrival."""
@@ -160,6 +168,10 @@
         """Count a restore of the store from an older copy."""
         self._restores.inc()
 
+    def count_store_call(self, table: str, reason: CallReason) -> None:
+        """Count a call to the store for a table."""
+        self._store_calls.labels(table, reason.value).inc()
+
     def record_lag(self, lag_s: float) -> None:
         """Record how late the event loop ran the periodic maintenance, in seconds."""
         self._lag.observe(max(0.0, lag_s))
@@ -248,6 +260,21 @@
         yield era
 
 
+class _RoleCollector(Collector):
+    def __init__(self, find_role: Callable[[], str]) -> None:
+        self._find_role = find_role
+
+    def collect(self) -> Iterable[Metric]:
+        """Yield the role in following the store, as a label."""
+        role = GaugeMetricFamily(
+            "lentilwell_gateway_following",
+            "1 with the instance's role in following the store: source, fed or alone.",
+            labels=("role",),
+        )
+        role.add_metric((self._find_role(),), 1)
+        yield role
+
+
 def dump_fleet(fleet: Fleet, tables: Sequence[TableStatus]) -> bytes:
     """Return the state of the instance as JSON, for operators."""
     now = fleet.clock.now()
--- a/src/lentilwell/gateway/_peers.py
+++ b/src/lentilwell/gateway/_peers.py
@@ -127,6 +127,7 @@
         self._sent_at = 0
         self._members_known = False
         self._members: frozenset[str] = frozenset()
+        self._neighbours: tuple[str, ...] = ()
         self._newcomer_seen = asyncio.Event()
         self._store_restored = asyncio.Event()
         self.stopping = False
@@ -138,6 +139,9 @@
         self.on_permit_message: Callable[[bytes, tuple[str, int]], None] = lambda data, addr: None
         self.on_crash_notice: Callable[[bytes, tuple[str, int]], None] = lambda data, addr: None
         self.on_new_peer: Callable[[str], None] = lambda peer: None
+        self.on_source_message: Callable[[bytes, tuple[str, int]], None] = lambda data, addr: None
+        # The first byte of the messages for ``on_source_message``; no digest begins with it.
+        self.source_message_prefix = b""
 
     @property
     def instances(self) -> int:
@@ -151,6 +155,19 @@
         before = sum(name < self._instance for name in self._states)
         return InstanceRank(before, len(self._states) + 1)
 
+    @property
+    def neighbours(self) -> tuple[str, ...]:
+        """Return the other listed instances of this data centre, whatever their shard."""
+        return self._neighbours
+
+    @property
+    def in_contact(self) -> int:
+        """Return about how many instances are in contact, with this one and those of all shards.
+
+        Only those of this instance's shard are heard; the other shards are of the same size.
+        """
+        return (len(self._states) + 1) * self._shards.shards
+
     @property
     def others_serve(self) -> bool:
         """Tell whether this instance is in contact with a peer that is not stopping."""
@@ -173,6 +190,9 @@
         if is_crash_notice(data):
             self.on_crash_notice(data, addr)
             return
+        if self.source_message_prefix and data.startswith(self.source_message_prefix):
+            self.on_source_message(data, addr)
+            return
         now = self._clock.now()
         try:
             digest = decode_digest(data, now)
@@ -299,6 +319,8 @@
         found.pop(self._instance, None)
         self._addresses.update((name, member.address) for name, member in found.items())
         self._members = frozenset(found)
+        centre = self._own.data_centre
+        self._neighbours = tuple(name for name in found if found[name].data_centre == centre)
         centres = {name: member.data_centre for name, member in found.items()}
         self._shards.update_members(centres)
         centres[self._instance] = self._own.data_centre
--- a/src/lentilwell/gateway/_ports.py
+++ b/src/lentilwell/gateway/_ports.py
@@ -39,18 +39,27 @@
     """Rows of a table at one version of the store.
 
     ``version`` is the position from which later changes can be read. ``era`` is the number of times
-    that the store has been restored from an older copy.
+    that the store has been restored from an older copy. ``newest_row`` is the version of the newest
+    of the rows, 0 if it is not known. ``raw`` is the rows of ``Feed.read_changes`` in a form for
+    ``Feed.decode_changes`` of other instances, empty if there is none.
     """
 
     entries: tuple[Entry[ValueT], ...]
     version: int
     era: int = 0
+    newest_row: int = 0
+    raw: bytes = b""
 
     @property
     def at(self) -> StorePoint:
         """Return the era and the version as one value that can be compared."""
         return StorePoint(self.era, self.version)
 
+    @property
+    def newest(self) -> StorePoint:
+        """Return the era and the version of the newest row, of the listing if it is not known."""
+        return StorePoint(self.era, self.newest_row or self.version)
+
 
 class Feed(Protocol[ValueT]):
     """A table that can be read and followed. Methods raise subclasses of ``StoreError``."""
@@ -61,6 +70,12 @@
     async def read_changes(self, after: int, wait_ms: int) -> Listing[ValueT]:
         """Return the rows changed after version ``after``; wait up to ``wait_ms`` for a change."""
 
+    def decode_changes(self, raw: bytes) -> Listing[ValueT]:
+        """Return the rows in the ``raw`` of another instance's listing, without version and era.
+
+        Raise ``UnreadableRow`` if it is invalid.
+        """
+
 
 class Dialect(Protocol):
     """The header and message conventions of callers and upstreams."""
--- a/src/lentilwell/gateway/_store_waits.py
+++ b/src/lentilwell/gateway/_store_waits.py
@@ -24,6 +24,12 @@
     instances: int = 1
 
 
+# What a source of changes passes for its rank. Of its two tables, each one is polled with short
+# waits by one of the two sources, so that a source notices within 1.5 s that the store is silent.
+SHORT_WAITS = InstanceRank(1, 3)
+LONG_WAITS = InstanceRank(5, 8)
+
+
 def find_wait_ms(instances: int, random_point: float) -> int:
     """Return the wait for a change in ms, with this many instances in contact.
 
--- /dev/null
+++ b/src/lentilwell/gateway/following/_follower.py
@@ -0,0 +1,409 @@
+"""Follows a table of the store: reads it completely, then its changes.
+
+A follower polls the store with long waits, unless other instances feed it: then their changes are
+applied as they arrive, and the store is called rarely, or when a change is missing. The table is
+read completely again if the store no longer has the history of changes.
+
+Hundreds of instances follow the same tables, so each call waits long for a change to limit the load
+on the store. A failure of the store or of the path to it is detected by the few instances whose
+waits end first; the others learn of it by their reports and then check the store themselves.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Callable
+from dataclasses import replace
+from enum import Enum
+from typing import Generic
+
+from lentilwell._clock import MS_PER_SECOND, Clock
+from lentilwell._log_lines import (
+    DependencyLost,
+    DependencyRecovered,
+    DependencyStillLost,
+    TableHistoryUnavailable,
+    TableRechecked,
+    write_line,
+)
+from lentilwell.gateway._failures import HistoryGone, StoreError, StoreRestored
+from lentilwell.gateway._ports import Feed, Listing, ValueT
+from lentilwell.gateway._store_point import StorePoint
+from lentilwell.gateway._store_waits import InstanceRank, find_first_wait_ms, find_wait_ms
+from lentilwell.gateway.following._position import Position
+from lentilwell.gateway.following._tables import (
+    Listener,
+    TableChange,
+    TableReport,
+    TableState,
+    TableStatus,
+)
+
+FIRST_RETRY_MS = 50
+MAX_RETRY_MS = 800
+# After a change, the next call is delayed by this time to read successive changes together.
+CHANGE_BATCH_MS = 300
+# A change reaches every follower within this time, unless the connection to the store is dead.
+PROPAGATION_MS = 300
+# Minimum time between two checks of the store that interrupt a wait.
+CHECK_INTERVAL_MS = 1_000
+# A fed follower calls the store after a random time in this range since its last call.
+MIN_REPAIR_MS = 20_000
+MAX_REPAIR_MS = 40_000
+# A fed follower that lacks a change calls the store after a random time in this range, so that not
+# all call in the same moment, and at the earliest this long after its last call, so that several
+# changes in quick succession are read together.
+MIN_MISSING_MS = 50
+MAX_MISSING_MS = 400
+READ_INTERVAL_MS = 1_000
+# Followers that are no longer fed call the store within this time.
+UNFED_SPREAD_MS = 400
+# A call is overdue this long after the end of its wait. Answers take some ms.
+OVERDUE_MS = 500
+# Recoveries of the store within this time are taken for the same one.
+SAME_RECOVERY_MS = 2_000
+
+
+class CallReason(Enum):
+    """Why the store is called; the values are labels of a metric."""
+
+    POLL = "poll"
+    COMPLETE = "complete"
+    RETRY = "retry"
+    CHECK = "check"
+    REPAIR = "repair"
+    MISSING = "missing"
+    UNFED = "unfed"
+
+
+class Follower(Generic[ValueT]):
+    """Keeps one listener up to date until the task of ``run`` is cancelled.
+
+    ``on_call`` is called with the table's name and the reason of each call, ``on_change`` after a
+    change that the store sent.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        feed: Feed[ValueT],
+        listener: Listener[ValueT],
+        clock: Clock,
+        find_rank: Callable[[], InstanceRank] = InstanceRank,
+    ) -> None:
+        self._name = name
+        self._feed = feed
+        self._listener = listener
+        self._clock = clock
+        self._find_rank = find_rank
+        self._position: Position[ValueT] = Position()
+        self._retry_ms = 0
+        self._read_timeout: asyncio.Timeout | None = None
+        self._asked_at = clock.now()
+        self._answered_at: int | None = None
+        # When the store should have answered the calls since its last answer, None if it has.
+        self._answer_due_at: int | None = None
+        self._wait_ms = 0
+        # Set if the last call ended for a reason that also ended the calls of other instances.
+        self._synchronized = True
+        self._failures = 0
+        self._checked_at = clock.now() - CHECK_INTERVAL_MS
+        self._checking = False
+        self._fed = False
+        self._paused = False
+        self._wake = asyncio.Event()
+        self._due_at = clock.now()
+        self._due_reason = CallReason.POLL
+        self._repair_at = clock.now()
+        self._missing = StorePoint()
+        self._recovered_at: int | None = None
+        self.on_call: Callable[[str, CallReason], None] = lambda name, reason: None
+        self.on_change: Callable[[TableChange], None] = lambda change: None
+
+    @property
+    def report(self) -> TableReport:
+        """Return this instance's report of the table for its peers."""
+        return TableReport(self._position.changed, bool(self._retry_ms))
+
+    @property
+    def status(self) -> TableStatus:
+        """Return the status of following the table."""
+        return TableStatus(
+            self._name,
+            self._position.at,
+            self._answered_at,
+            self._asked_at,
+            self._wait_ms,
+            self._failures,
+        )
+
+    @property
+    def state(self) -> TableState:
+        """Return what a source tells of the table."""
+        at, now = self._position.at, self._clock.now()
+        recovered_ms = None if self._recovered_at is None else now - self._recovered_at
+        return TableState(
+            at or StorePoint(), self._position.changed, self._is_answered(now), recovered_ms
+        )
+
+    async def run(self) -> None:
+        """Follow the table until cancelled."""
+        while True:
+            await self._wait_until_due()
+            asked_at = self._position.at
+            try:
+                listing = await self._read_until_check()
+                new = self._select_new(listing, asked_at)
+            except TimeoutError:
+                continue  # the wait was interrupted to check the store
+            except HistoryGone:
+                write_line(TableHistoryUnavailable(self._name, self._known_version))
+                self._position.clear()
+            except StoreRestored:
+                self._position.clear()
+            except StoreError as error:
+                await self._back_off(error)
+            else:
+                await self._handle_answer(new)
+
+    def handle_report(self, report: TableReport) -> None:
+        """Handle a peer's report: check the store if the peer is ahead or gets no answers.
+
+        A fed follower relies on its sources for the latter, which check the store then.
+        """
+        if report.unavailable and not self._fed:
+            self.check("the store does not answer another instance")
+        elif self._position.is_behind(report.changed):
+            loop = asyncio.get_running_loop()
+            loop.call_later(PROPAGATION_MS / MS_PER_SECOND, self._check_if_behind, report.changed)
+
+    def handle_era(self, era: int) -> None:
+        """Read the table again if it was read in an era of the store before ``era``."""
+        at = self._position.at
+        if at is None or at.era >= era:
+            return
+        self._position.clear()
+        self._wake.set()
+        if self._is_waiting:
+            self._interrupt()
+
+    def check(self, reason: str) -> None:
+        """Interrupt a wait for changes and call the store at once, over a new connection.
+
+        A call that does not wait for a change is not interrupted: it fails by itself if the store
+        does not answer, and a series of interrupted calls would never fail.
+        """
+        now = self._clock.now()
+        just_asked = now - self._asked_at < PROPAGATION_MS
+        if self._retry_ms or not self._is_waiting or not self._wait_ms or just_asked:
+            return
+        if now - self._checked_at < CHECK_INTERVAL_MS:
+            return
+        self._checked_at = now
+        write_line(TableRechecked(self._name, reason, self._known_version))
+        self._interrupt()
+
+    def set_fed(self, fed: bool) -> None:
+        """Rely on other instances for changes, or follow the store again."""
+        if self._fed and not fed:
+            self._schedule(random.random() * UNFED_SPREAD_MS, CallReason.UNFED)
+        elif fed and self._due_reason is CallReason.UNFED:
+            self._due_at, self._due_reason = self._repair_at, CallReason.REPAIR
+        self._fed = fed
+
+    def handle_change(self, change: TableChange) -> None:
+        """Apply rows that another instance read, if none are missing before them.
+
+        Raise ``UnreadableRow`` if they cannot be decoded.
+        """
+        if not self._position.accepts(change.era, change.after, change.version):
+            return
+        rows = self._feed.decode_changes(change.raw)
+        listing = replace(rows, version=change.version, era=change.era)
+        self._listener.handle_changes(listing)
+        self._position.apply_relayed(listing)
+
+    def handle_source(self, state: TableState) -> None:
+        """Handle what a source tells of the table, after its rows were applied."""
+        recovered_ms = state.recovered_ms
+        if recovered_ms is not None and recovered_ms < SAME_RECOVERY_MS:
+            self._record_recovery(self._clock.now() - recovered_ms)
+        # A new era is news even if the table has no rows in it.
+        newest = max(state.changed, StorePoint(state.at.era, 0))
+        if not self._position.is_behind(newest):
+            return
+        if self._paused:
+            spread_ms = MIN_MISSING_MS + random.random() * (MAX_MISSING_MS - MIN_MISSING_MS)
+            self._schedule_missing(newest, spread_ms)
+        else:
+            self.handle_report(TableReport(newest))
+
+    @property
+    def _is_waiting(self) -> bool:
+        return self._read_timeout is not None and self._read_timeout.when() is None
+
+    @property
+    def _known_version(self) -> int | None:
+        return None if self._position.at is None else self._position.at.version
+
+    def _is_answered(self, now: int) -> bool:
+        """Tell whether the store answers: no call has failed or is overdue."""
+        if self._position.at is None or self._failures or self._retry_ms:
+            return False
+        return self._answer_due_at is None or now <= self._answer_due_at
+
+    def _record_recovery(self, at: int) -> None:
+        """Record the end of an outage, unless it is known."""
+        known = self._recovered_at
+        if self._retry_ms or (known is not None and abs(at - known) < SAME_RECOVERY_MS):
+            return
+        self._recovered_at = at
+        self._listener.handle_store_recovery()
+
+    def _interrupt(self) -> None:
+        assert self._read_timeout is not None
+        self._checking = True
+        self._read_timeout.reschedule(asyncio.get_running_loop().time())
+
+    def _check_if_behind(self, changed: StorePoint) -> None:
+        if not self._position.is_behind(changed):
+            return
+        if self._paused:
+            self._schedule_missing(changed, 0)
+        else:
+            self.check(f"another instance has seen version {changed.version} of era {changed.era}")
+
+    def _schedule_missing(self, changed: StorePoint, in_ms: float) -> None:
+        """Call the store for a missing change, together with others that are missing by then."""
+        self._missing = max(self._missing, changed)
+        if self._due_reason is not CallReason.MISSING:
+            earliest_ms = self._asked_at + READ_INTERVAL_MS - self._clock.now()
+            self._schedule(max(in_ms, earliest_ms), CallReason.MISSING)
+
+    def _schedule(self, in_ms: float, reason: CallReason) -> None:
+        due_at = self._clock.now() + round(in_ms)
+        if self._paused and due_at < self._due_at:
+            self._due_at, self._due_reason = due_at, reason
+            self._wake.set()
+
+    async def _wait_until_due(self) -> None:
+        """Wait until the next call is due; it is at once while the follower is not fed."""
+        self._paused = True
+        try:
+            while self._position.at is not None and not self._failures:
+                self._drop_resolved()
+                left_ms = self._due_at - self._clock.now()
+                if left_ms <= 0:
+                    return
+                self._wake.clear()
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(left_ms / MS_PER_SECOND):
+                        await self._wake.wait()
+        finally:
+            self._paused = False
+
+    def _drop_resolved(self) -> None:
+        """Put off a call for missing changes that have arrived."""
+        missing = self._due_reason is CallReason.MISSING
+        if missing and not self._position.is_behind(self._missing):
+            self._due_at, self._due_reason = self._repair_at, CallReason.REPAIR
+
+    async def _read_until_check(self) -> Listing[ValueT]:
+        """Read from the table; raise ``TimeoutError`` if the call is interrupted for a check."""
+        try:
+            async with asyncio.timeout(None) as self._read_timeout:
+                return await self._read()
+        finally:
+            self._read_timeout = None
+
+    async def _read(self) -> Listing[ValueT]:
+        self._asked_at = self._clock.now()
+        reason = self._find_reason()
+        self._wait_ms = self._choose_wait_ms() if reason is CallReason.POLL else 0
+        due_at = self._asked_at + self._wait_ms + OVERDUE_MS
+        self._answer_due_at = min(due_at, self._answer_due_at or due_at)
+        self._checking = False
+        self._due_reason = CallReason.POLL
+        self.on_call(self._name, reason)
+        after = self._position.confirmed
+        if after is None:
+            return await self._feed.read_all()
+        listing = await self._feed.read_changes(after.version, self._wait_ms)
+        if listing.era != after.era:
+            raise StoreRestored(f"changes of era {listing.era} after a version of era {after.era}")
+        return listing
+
+    def _find_reason(self) -> CallReason:
+        # The call waits for a change only if the store answered the last call.
+        if self._position.at is None:
+            return CallReason.COMPLETE
+        if self._failures:
+            return CallReason.RETRY
+        if self._checking:
+            return CallReason.CHECK
+        return self._due_reason
+
+    def _choose_wait_ms(self) -> int:
+        rank = self._find_rank()
+        if self._synchronized:
+            return find_first_wait_ms(rank, random.random())
+        return find_wait_ms(rank.instances, random.random())
+
+    def _select_new(
+        self, listing: Listing[ValueT], asked_at: StorePoint | None
+    ) -> Listing[ValueT] | None:
+        """Return the new rows of an answer, None if there is nothing to apply."""
+        if asked_at is None:
+            return listing
+        if self._position.at is None:
+            return None  # a new era has begun during the call
+        return self._position.select_new(listing, asked_at)
+
+    async def _handle_answer(self, listing: Listing[ValueT] | None) -> None:
+        self._answered_at = self._clock.now()
+        self._answer_due_at = None
+        self._failures = 0
+        self._synchronized = not self._wait_ms or bool(listing and listing.entries)
+        if self._retry_ms:
+            write_line(DependencyRecovered(self._name, self._known_version or 0))
+            self._retry_ms = 0
+            self._recovered_at = self._answered_at
+            self._listener.handle_store_recovery()
+        self._plan_next_call()
+        if listing is None:
+            return
+        if self._position.at is None:
+            self._listener.handle_listing(listing)
+            self._position.apply_complete(listing)
+        else:
+            await self._handle_changes(listing)
+
+    async def _handle_changes(self, listing: Listing[ValueT]) -> None:
+        after = self._position.complete_from
+        self._listener.handle_changes(listing)
+        self._position.apply_answer(listing)
+        if listing.entries:
+            newest = listing.newest
+            self.on_change(TableChange(newest.era, after, newest.version, listing.raw))
+            await asyncio.sleep(CHANGE_BATCH_MS / MS_PER_SECOND)
+
+    def _plan_next_call(self) -> None:
+        self._due_at = self._repair_at = self._clock.now()
+        if self._fed:
+            self._repair_at += random.randint(MIN_REPAIR_MS, MAX_REPAIR_MS)
+            self._due_at, self._due_reason = self._repair_at, CallReason.REPAIR
+
+    async def _back_off(self, error: StoreError) -> None:
+        self._failures += 1
+        self._log_failure(str(error))
+        self._retry_ms = min(MAX_RETRY_MS, max(FIRST_RETRY_MS, 2 * self._retry_ms))
+        await asyncio.sleep(self._retry_ms * (0.5 + random.random() / 2) / MS_PER_SECOND)
+
+    def _log_failure(self, reason: str) -> None:
+        if self._failures == 1:
+            write_line(DependencyLost(self._name, reason))
+            return
+        took_ms = self._clock.now() - self._asked_at
+        write_line(DependencyStillLost(self._name, reason, self._failures, took_ms))
--- /dev/null
+++ b/src/lentilwell/gateway/following/_position.py
@@ -0,0 +1,96 @@
+"""The position of an instance in a table of the store. Pure logic, no I/O.
+
+Rows come from the store's answers and from other instances. What other instances send moves the
+position, but the store is always asked from its own last answer on, so that a call repairs whatever
+another instance has got wrong.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Generic
+
+from lentilwell.gateway._failures import HistoryGone
+from lentilwell.gateway._ports import Entry, Listing, ValueT
+from lentilwell.gateway._store_point import StorePoint
+
+# Bound on the remembered rows of other instances; without them a call repeats rows, no more.
+MAX_RELAYED_ROWS = 4_096
+
+
+class Position(Generic[ValueT]):
+    """What is known of a table.
+
+    ``at`` is the store's version as last known, None before a complete listing. ``confirmed`` is
+    the version of the store's last answer to this instance. ``changed`` is the version of the
+    newest row, and ``complete_from`` the version from which on the rows of the next answer include
+    every change.
+    """
+
+    def __init__(self) -> None:
+        self.at: StorePoint | None = None
+        self.confirmed: StorePoint | None = None
+        self.changed = StorePoint()
+        self._base = StorePoint()
+        self._relayed: dict[str, Entry[ValueT]] = {}
+
+    @property
+    def complete_from(self) -> int:
+        """Return the version after which the rows of the store's next answer are complete."""
+        assert self.confirmed is not None
+        if self._base.era != self.confirmed.era:
+            return self.confirmed.version
+        return min(self._base.version, self.confirmed.version)
+
+    def clear(self) -> None:
+        """Forget the position, so that the table is read completely."""
+        self.at = self.confirmed = None
+        self._relayed.clear()
+
+    def is_behind(self, point: StorePoint) -> bool:
+        """Tell whether rows up to ``point`` may be missing."""
+        return self.at is not None and self.at < point
+
+    def apply_complete(self, listing: Listing[ValueT]) -> None:
+        """Move to a complete listing."""
+        self.at = self.confirmed = self._base = listing.at
+        self._relayed.clear()
+        if listing.entries:
+            self.changed = listing.newest
+
+    def select_new(self, listing: Listing[ValueT], asked_at: StorePoint) -> Listing[ValueT] | None:
+        """Return an answer with those of its rows that are new, None if newer rows are known.
+
+        ``asked_at`` is ``at`` when the call began. Raise ``HistoryGone`` if the store does not have
+        that version although another instance named it: then the position cannot be trusted.
+        """
+        assert self.at is not None and self.confirmed is not None
+        if self.confirmed < asked_at and listing.at < asked_at:
+            raise HistoryGone(f"version {asked_at.version} of another instance is not known")
+        if self.at != asked_at and listing.at < self.at:
+            return None  # rows of another instance arrived during the call
+        new = tuple(one for one in listing.entries if self._relayed.get(one.key) != one)
+        return listing if len(new) == len(listing.entries) else replace(listing, entries=new)
+
+    def apply_answer(self, new: Listing[ValueT]) -> None:
+        """Move to an answer of ``select_new``."""
+        self.at = self.confirmed = new.at
+        self._relayed.clear()
+        if new.entries:
+            self._record_change(new.newest)
+
+    def accepts(self, era: int, after: int, version: int) -> bool:
+        """Tell whether rows that are complete from ``after`` to ``version`` can be applied."""
+        return self.at is not None and self.at.era == era and after <= self.at.version < version
+
+    def apply_relayed(self, listing: Listing[ValueT]) -> None:
+        """Move to changes that ``accepts`` has accepted."""
+        self.at = listing.at
+        self._record_change(listing.at)
+        self._relayed.update((one.key, one) for one in listing.entries)
+        if len(self._relayed) > MAX_RELAYED_ROWS:
+            self._relayed.clear()
+
+    def _record_change(self, newest: StorePoint) -> None:
+        self.changed = max(self.changed, newest)
+        self._base = max(self._base, newest)
--- a/tests/test_gateway_follower.py
+++ b/tests/test_gateway_follower.py
@@ -11,14 +11,6 @@
 from lentilwell.gateway import Entry, Listing, StoreUnavailable
 from lentilwell.gateway._budget import BudgetRules
 from lentilwell.gateway._fleet import Fleet
-from lentilwell.gateway._follower import (
-    CHANGE_BATCH_MS,
-    CHECK_INTERVAL_MS,
-    PROPAGATION_MS,
-    Follower,
-    TableReport,
-    TableStatus,
-)
 from lentilwell.gateway._metrics import Metrics, dump_fleet
 from lentilwell.gateway._shards import ShardView
 from lentilwell.gateway._store_point import StorePoint
@@ -29,6 +21,13 @@
     find_first_wait_ms,
     find_wait_ms,
 )
+from lentilwell.gateway.following._follower import (
+    CHANGE_BATCH_MS,
+    CHECK_INTERVAL_MS,
+    PROPAGATION_MS,
+    Follower,
+)
+from lentilwell.gateway.following._tables import TableReport, TableStatus
 from tests.gateway_scripts import in_loop
 
 
@@ -78,7 +77,7 @@
 
 @asynccontextmanager
 async def following(table, monkeypatch):
-    monkeypatch.setattr("lentilwell.gateway._follower.PROPAGATION_MS", 5)
+    monkeypatch.setattr("lentilwell.gateway.following._follower.PROPAGATION_MS", 5)
     clock, listener = ManualClock(), RecordingListener()
     follower = Follower("t", table, listener, clock)
     task = asyncio.get_running_loop().create_task(follower.run())
@@ -196,7 +195,7 @@
 @in_loop
 async def test_failed_calls_are_logged_and_counted_until_the_store_answers(monkeypatch):
     written = []
-    monkeypatch.setattr("lentilwell.gateway._follower.write_line", written.append)
+    monkeypatch.setattr("lentilwell.gateway.following._follower.write_line", written.append)
     table = Table()
     async with following(table, monkeypatch) as (follower, _, _):
         table.unavailable = True
--- a/tests/test_gateway_odd_following.py
+++ b/tests/test_gateway_odd_following.py
@@ -7,7 +7,7 @@
 from wire_store import StoreClient, TableFeed
 
 from lentilwell._clock import BootClock
-from lentilwell.gateway._follower import CHANGE_BATCH_MS, Follower
+from lentilwell.gateway.following._follower import CHANGE_BATCH_MS, Follower
 from standins.gateway_process import TIMEOUT_S, build_server_entry
 from standins.rows import RowServer, RowStore
 from tests.gateway_scripts import in_loop
--- a/tests/test_gateway_outages.py
+++ b/tests/test_gateway_outages.py
@@ -13,8 +13,8 @@
 import pytest
 
 from lentilwell.gateway import Entry, Listing, StoreUnavailable
-from lentilwell.gateway._follower import Follower
 from lentilwell.gateway._store_waits import InstanceRank
+from lentilwell.gateway.following._follower import Follower
 from standins.simulated_time import LoopClock, run_in_simulated_time
 
 APPLY_MS = 2_000
--- a/tests/test_gateway_restores.py
+++ b/tests/test_gateway_restores.py
@@ -16,9 +16,10 @@
     StoreRestored,
     StoreUnavailable,
 )
-from lentilwell.gateway._follower import Follower, TableReport
 from lentilwell.gateway._store_point import StorePoint
 from lentilwell.gateway._store_waits import InstanceRank
+from lentilwell.gateway.following._follower import Follower
+from lentilwell.gateway.following._tables import TableReport
 from standins.rows import RowStore
 from standins.simulated_time import LoopClock, run_in_simulated_time
 
