--- a/src/lentilwell/gateway/following/_relay.py
+++ b/src/lentilwell/gateway/following/_relay.py
@@ -24,6 +24,7 @@
 from lentilwell.gateway.following._follower import Follower
 from lentilwell.gateway.following._messages import (
     MAX_MESSAGE_BYTES,
+    MAX_ROWS_BYTES,
     SourceMessage,
     UnreadableMessage,
     decode_message,
@@ -214,8 +215,8 @@
         """Send rows that were just read, or only the new version if they are too many bytes."""
         if not self._role.active:
             return
-        sent = change.raw and change.after < change.version
-        self._send_message(changes=((index, change),) if sent else ())
+        fits = 0 < len(change.raw) <= MAX_ROWS_BYTES and change.after < change.version
+        self._send_message(changes=((index, change),) if fits else ())
 
     def _send_message(
         self, changes: tuple[tuple[int, TableChange], ...] = (), ending: bool = False
