Follower: poll at once if the sources are lost right after a change

Cause: in the pause after a change the follower has planned its next call as a fed one, 20 to 40 s later; the end of feeding reached only a follower that waits for that call. Found by a longer search of test_following_simulated (40 % of datagrams lost): a change was known after 4.4 s instead of 3. The added test fails without the change.

--- a/src/lentilwell/gateway/following/_follower.py
+++ b/src/lentilwell/gateway/following/_follower.py
@@ -174,7 +174,7 @@
         """Rely on other instances for changes, or follow the store again."""
         if fed:
             self._plan.drop_unfed()
-        elif self._paused and self._plan.plan_unfed(self._clock.now(), random.random()):
+        elif self._plan.plan_unfed(self._clock.now(), random.random()):
             self._wake.set()
         self._fed = fed
 
--- a/tests/test_following_position.py
+++ b/tests/test_following_position.py
@@ -9,6 +9,7 @@
 from lentilwell.gateway import Entry, HistoryGone, Listing
 from lentilwell.gateway._store_point import StorePoint
 from lentilwell.gateway.following._position import Position
+from tests.searching import SEARCH_EXAMPLES
 
 KEYS = ("a", "b", "c")
 
@@ -82,7 +83,7 @@
 )
 
 
-@settings(max_examples=300)
+@settings(max_examples=SEARCH_EXAMPLES or 300)
 @given(STEPS)
 def test_lost_repeated_and_reordered_messages_hide_no_change_and_bring_none_back(steps):
     """Messages are drawn anew from all that were ever sent; an answer may come long after."""
--- a/tests/test_following_simulated.py
+++ b/tests/test_following_simulated.py
@@ -15,6 +15,7 @@
 from lentilwell.gateway._store_point import StorePoint
 from standins.simulated_following import DATA_CENTRES, SimulatedFleet, count_calls
 from standins.simulated_time import run_in_simulated_time
+from tests.searching import SEARCH_EXAMPLES
 
 KNOWN_MS = 3_000
 CALL_TIMEOUT_MS = 1_200
@@ -287,7 +288,7 @@
 )
 
 
-@settings(max_examples=40, deadline=None)
+@settings(max_examples=SEARCH_EXAMPLES or 40, deadline=None)
 @given(FAULTS, st.sampled_from([0.0, 0.05, 0.4]), st.integers(0, 1_000))
 def test_no_faults_of_instances_delay_changes_of_the_others_or_bring_back_old_ones(
     faults, loss, seed
--- a/tests/test_gateway_follower.py
+++ b/tests/test_gateway_follower.py
@@ -22,6 +22,7 @@
     find_wait_ms,
 )
 from lentilwell.gateway.following import CallReason
+from lentilwell.gateway.following._call_plan import UNFED_SPREAD_MS
 from lentilwell.gateway.following._follower import (
     CHANGE_BATCH_MS,
     CHECK_INTERVAL_MS,
@@ -29,6 +30,7 @@
     Follower,
 )
 from lentilwell.gateway.following._tables import TableReport, TableStatus
+from standins.simulated_time import LoopClock, run_in_simulated_time
 from tests.gateway_scripts import in_loop
 
 
@@ -175,6 +177,26 @@
         assert len(table.waits) == 2
 
 
+def test_follower_that_loses_its_sources_right_after_a_change_polls_at_once():
+    """It kept the plan of a fed one, and made no call for up to 40 s."""
+
+    async def run():
+        table = Table()
+        follower = Follower("t", table, RecordingListener(), LoopClock())
+        task = asyncio.get_running_loop().create_task(follower.run())
+        await asyncio.sleep(0.1)
+        follower.set_fed(True)
+        table.wake(4)
+        await asyncio.sleep(CHANGE_BATCH_MS / 2_000)
+        calls = len(table.waits)
+        follower.set_fed(False)
+        await asyncio.sleep((CHANGE_BATCH_MS + UNFED_SPREAD_MS) / 1_000)
+        task.cancel()
+        assert len(table.waits) > calls
+
+    run_in_simulated_time(run())
+
+
 @in_loop
 async def test_call_that_has_just_begun_is_not_interrupted(monkeypatch):
     table = Table()
