--- a/tests/test_gateway_follower.py
+++ b/tests/test_gateway_follower.py
@@ -11,14 +11,6 @@
 from lentilwell.gateway import AnswerUnfinished, Entry, Listing, StoreUnavailable
 from lentilwell.gateway._budget import BudgetRules
 from lentilwell.gateway._fleet import Fleet
-from lentilwell.gateway._follower import (
-    CHANGE_BATCH_MS,
-    CHECK_INTERVAL_MS,
-    PROPAGATION_MS,
-    Follower,
-    TableReport,
-    TableStatus,
-)
 from lentilwell.gateway._metrics import Metrics, dump_fleet
 from lentilwell.gateway._shards import ShardView
 from lentilwell.gateway._store_point import StorePoint
@@ -29,6 +21,16 @@
     find_first_wait_ms,
     find_wait_ms,
 )
+from lentilwell.gateway.following import CallReason
+from lentilwell.gateway.following._call_plan import UNFED_SPREAD_MS
+from lentilwell.gateway.following._follower import (
+    CHANGE_BATCH_MS,
+    CHECK_INTERVAL_MS,
+    PROPAGATION_MS,
+    Follower,
+)
+from lentilwell.gateway.following._tables import TableReport, TableStatus
+from standins.simulated_time import LoopClock, run_in_simulated_time
 from tests.gateway_scripts import in_loop
 
 
@@ -82,7 +84,7 @@
 
 @asynccontextmanager
 async def following(table, monkeypatch):
-    monkeypatch.setattr("lentilwell.gateway._follower.PROPAGATION_MS", 5)
+    monkeypatch.setattr("lentilwell.gateway.following._follower.PROPAGATION_MS", 5)
     clock, listener = ManualClock(), RecordingListener()
     follower = Follower("t", table, listener, clock)
     task = asyncio.get_running_loop().create_task(follower.run())
@@ -195,11 +197,31 @@
         assert len(table.waits) == 2
 
 
+def test_follower_that_loses_its_sources_right_after_a_change_polls_at_once():
+    """It kept the plan of a fed one, and made no call for up to 40 s."""
+
+    async def run():
+        table = Table()
+        follower = Follower("t", table, RecordingListener(), LoopClock())
+        task = asyncio.get_running_loop().create_task(follower.run())
+        await asyncio.sleep(0.1)
+        follower.set_fed(True)
+        table.wake(4)
+        await asyncio.sleep(CHANGE_BATCH_MS / 2_000)
+        calls = len(table.waits)
+        follower.set_fed(False)
+        await asyncio.sleep((CHANGE_BATCH_MS + UNFED_SPREAD_MS) / 1_000)
+        task.cancel()
+        assert len(table.waits) > calls
+
+    run_in_simulated_time(run())
+
+
 @in_loop
 async def test_call_that_has_just_begun_is_not_interrupted(monkeypatch):
     table = Table()
     async with following(table, monkeypatch) as (follower, _, clock):
-        follower._asked_at = clock.now()
+        follower._contact.asked_at = clock.now()
         follower.handle_report(TableReport(unavailable=True))
         await asyncio.sleep(0.01)
         assert len(table.waits) == 1
@@ -216,7 +238,7 @@
 @in_loop
 async def test_failed_calls_are_logged_and_counted_until_the_store_answers(monkeypatch):
     written = []
-    monkeypatch.setattr("lentilwell.gateway._follower.write_line", written.append)
+    monkeypatch.setattr("lentilwell.gateway.following._follower.write_line", written.append)
     table = Table()
     async with following(table, monkeypatch) as (follower, _, _):
         table.unavailable = True
@@ -245,7 +267,12 @@
         TableStatus("configuration", StorePoint(0, 31), 1_500, 3_000, 9_000, 2),
         TableStatus("upstreams", None, None, 4_000, 0, 0),
     )
-    text = Metrics(fleet, lambda: 0, lambda: tables).render().decode()
+    metrics = Metrics(fleet, lambda: 0, lambda: tables, lambda: "fed")
+    metrics.count_store_call("upstreams", CallReason.REPAIR)
+    text = metrics.render().decode()
+    assert 'lentilwell_gateway_following{role="fed"} 1.0' in text
+    calls = 'lentilwell_gateway_store_calls_total{reason="repair",table="upstreams"} 1.0'
+    assert calls in text
     assert 'lentilwell_gateway_table_age_seconds{table="configuration"} 3.5' in text
     assert 'lentilwell_gateway_table_failures{table="configuration"} 2.0' in text
     assert 'lentilwell_gateway_table_age_seconds{table="upstreams"}' not in text
