--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -414,6 +414,7 @@
         """Place the requests again at once that wait for an upstream of this data centre."""
         for exchange in self._exchanges:
             exchange.handle_evacuation(data_centre)
+        self.fleet.admission.wake_all()
 
     def _handle_return(self, data_centre: str, _now: int) -> None:
         """Count the upstreams of a data centre as cold: they may have restarted meanwhile."""
--- a/tests/test_gateway_held_requests.py
+++ b/tests/test_gateway_held_requests.py
@@ -5,6 +5,7 @@
 from lentilwell.gateway._condemned_subjects import Refusal
 from tests.gateway_harness import run_gateway
 from tests.gateway_scripts import in_loop
+from tests.test_gateway_evacuation import evacuate
 
 SLOTS = 8
 HELD = "lentilwell_gateway_held_requests{"
@@ -84,6 +85,23 @@
         await asyncio.gather(*calls)
 
 
+@in_loop
+async def test_held_request_is_refused_once_its_only_data_centre_is_evacuated():
+    """Guards against a request that is held for a slot that it must not use any more."""
+    gate = Gate()
+    async with run_gateway(gate, data_centres="a") as harness:
+        calls = await fill(harness)
+        held = asyncio.create_task(harness.call("/whole/x"))
+        await wait_until_held(harness, 1)
+        await evacuate(harness, "a")
+        assert (await held).status == 503
+        await wait_until_held(harness, 0)
+        gate.open.set()
+        answers = await asyncio.gather(*calls)
+        assert [answer.status for answer in answers] == [200] * SLOTS
+        assert len(harness.arrivals) == SLOTS
+
+
 @in_loop
 async def test_request_whose_deadline_is_too_near_is_refused_at_once():
     """Guards against holding a request until its deadline."""
