Gateway: the store's tables with their followers and the relay have a module of their own

The sources in the log line 'store fed' are one text, like the names in other lines, so that 'explain' can read it back: test_explain failed on the list.

--- a/src/lentilwell/_log_lines/_following.py
+++ b/src/lentilwell/_log_lines/_following.py
@@ -28,7 +28,7 @@
 class StoreFed(Line):
     """This instance relies on ``sources`` for changes and rarely calls the store."""
 
-    sources: list[str]
+    sources: str
 
 
 @line("store not fed")
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -45,7 +45,7 @@
 from lentilwell.gateway._peers import Member, Peers
 from lentilwell.gateway._permit_owners import OwnerTable
 from lentilwell.gateway._permits import Permits
-from lentilwell.gateway._ports import Dialect, Feed, Feeds, ValueT
+from lentilwell.gateway._ports import Dialect, Feeds
 from lentilwell.gateway._prober import Prober
 from lentilwell.gateway._routing import (
     OTHER_INSTANCE_RETRY_MS,
@@ -56,28 +56,14 @@
 from lentilwell.gateway._shards import ShardView
 from lentilwell.gateway._status import ANY_PATH, StatusAnswer, StatusHandler, StatusProtocol
 from lentilwell.gateway._stopping import PlannedStop
-from lentilwell.gateway._store_report import StoreReport
-from lentilwell.gateway._table_listeners import (
-    CatalogListener,
-    EvacuationListener,
-    OperatorListener,
-    UpstreamListener,
-)
-from lentilwell.gateway._upstreams import Incarnation, Upstream
+from lentilwell.gateway._store_tables import StoreTables
+from lentilwell.gateway._upstreams import Upstream
 from lentilwell.gateway.caller_limits import (
     CallerLimits,
     GivenUp,
     StatusConnections,
     bound_kernel_buffers,
 )
-from lentilwell.gateway.following import (
-    SOURCE_MESSAGE_PREFIX,
-    Follower,
-    Listener,
-    Relay,
-    TableReport,
-    TableStatus,
-)
 
 # Connections are accepted once the store has been read, which takes a few ms if the store answers,
 # and at the latest this long after the start.
@@ -147,26 +133,7 @@
             self.permit_owners,
             lambda name: self.fleet.directory.listed.get(name),
         )
-        self._catalog_listener = CatalogListener(self.fleet.configuration_choice, self.clock)
-        evacuation_listener = EvacuationListener(self.fleet.evacuations, feeds.find_evacuated)
-        self._catalog_follower = self._make_follower(
-            0,
-            "configuration",
-            feeds.catalog,
-            OperatorListener(evacuation_listener, self._catalog_listener),
-        )
-        self._upstreams_follower = self._make_follower(
-            1, "upstreams", feeds.upstreams, UpstreamListener(self.fleet)
-        )
-        followers = (self._catalog_follower, self._upstreams_follower)
-        self.relay = Relay(
-            settings.instance, incarnation, settings.data_centre, self.clock, followers
-        )
-        self._connect_relay()
-        feeds.eras.on_new_era = self._handle_restore
-        self.peers.collect_store_report = self._collect_store_report
-        self.peers.on_store_report = self._handle_store_report
-        self.peers.on_silence = self._check_store
+        self.tables = StoreTables(settings, incarnation, self.clock, self.fleet, self.peers, feeds)
         self.fleet.load_tracker.on_change = self.peers.schedule_send
         self.fleet.count_instances = lambda: self.peers.instances
         self.fleet.find_stop = self._find_stop
@@ -185,12 +152,15 @@
         self._callers: set[CallerConnection] = set()
         self._exchanges: set[Exchange] = set()
         self.metrics = Metrics(
-            self.fleet, lambda: len(self._callers), self._list_tables, lambda: self.relay.role
+            self.fleet,
+            lambda: len(self._callers),
+            self.tables.list_status,
+            lambda: self.tables.relay.role,
         )
+        self.tables.on_call = self.metrics.count_store_call
+        self.tables.on_restore = self.metrics.count_restore
         self.metrics.count_caller_bytes = lambda: self.caller_limits.memory.total_bytes
         self.permits.on_verdict = self.metrics.count_permit
-        for follower in followers:
-            follower.on_call = self.metrics.count_store_call
         self._exchange_context = ExchangeContext(
             self.fleet,
             answer_observer,
@@ -356,10 +326,8 @@
         host, port = split_address(self.settings.peers_address)
         await loop.create_datagram_endpoint(lambda: self.peers, (host, port))
         background_tasks = {
-            "configuration": self._catalog_follower.run,
-            "upstreams": self._upstreams_follower.run,
+            **self.tables.background_tasks,
             "instances": lambda: self.peers.run_membership(self._feeds.membership),
-            "relay": self.relay.run,
             "probes": Prober(self.fleet, self.connections).run,
         }
         self._tasks = [
@@ -391,7 +359,7 @@
 
     def _connect_crash_watch(self) -> None:
         """Let the crash watch use the listing and the datagrams of the peers."""
-        self.crash_watch.is_listed = self._is_listed_now
+        self.crash_watch.is_listed = self.tables.is_listed_now
         self.crash_watch.send = self.peers.send_to
         self.crash_watch.list_peers = self.peers.list_known
         self.crash_watch.find_rank = lambda: self.peers.rank.rank
@@ -401,7 +369,7 @@
     def _connect_evacuations(self) -> None:
         """Let evacuations reach the requests, the leases, the permits and the prober."""
         self.fleet.zones = self.settings.zones
-        self._catalog_listener.list_regions = lambda: self.fleet.zones.values()
+        self.tables.catalog_listener.list_regions = lambda: self.fleet.zones.values()
         evacuations = self.fleet.evacuations
         evacuations.is_known = self.fleet.knows_data_centre
         evacuations.on_begin = self._handle_evacuation
@@ -424,53 +392,6 @@
         self.fleet.on_evacuation_end(data_centre, self.clock.now())
         self.fleet.ejection.on_unreachable()  # probes may be due that were left out
 
-    def _connect_relay(self) -> None:
-        """Let the relay use the datagrams of the peers and the list of instances."""
-        self.relay.list_members = lambda: self.peers.neighbours
-        self.relay.count_instances = lambda: self.peers.in_contact
-        self.relay.is_stopping = lambda: self.stopping
-        self.relay.send = self.peers.send_to
-        self.peers.source_message_prefix = SOURCE_MESSAGE_PREFIX
-        self.peers.on_source_message = self.relay.handle_datagram
-
-    def _is_listed_now(self, incarnation: Incarnation) -> bool:
-        """Tell whether the store, which answers, lists an incarnation."""
-        unavailable = self._upstreams_follower.report.unavailable
-        missing = incarnation.name in self.fleet.directory.missing
-        return self.fleet.is_listed(incarnation) and not unavailable and not missing
-
-    def _make_follower(
-        self, index: int, name: str, feed: Feed[ValueT], listener: Listener[ValueT]
-    ) -> Follower[ValueT]:
-        return Follower(
-            name, feed, listener, self.clock, lambda: self.relay.find_rank(index, self.peers.rank)
-        )
-
-    def _collect_store_report(self) -> StoreReport:
-        configuration, listing = self._catalog_follower.report, self._upstreams_follower.report
-        return StoreReport(
-            configuration.changed,
-            listing.changed,
-            configuration.unavailable or listing.unavailable,
-        )
-
-    def _handle_store_report(self, report: StoreReport) -> None:
-        self._catalog_follower.handle_report(TableReport(report.configuration, report.unavailable))
-        self._upstreams_follower.handle_report(TableReport(report.listing, report.unavailable))
-
-    def _handle_restore(self, era: int) -> None:
-        """Read the tables of a restored store again, and write the entry of this instance again."""
-        self.metrics.count_restore()
-        self._catalog_follower.handle_era(era)
-        self._upstreams_follower.handle_era(era)
-        self.peers.handle_store_restored()
-        self.peers.schedule_send()
-
-    def _check_store(self, silent_peer: str) -> None:
-        """Check the store after a peer has gone silent: one network fault may affect both."""
-        for follower in (self._catalog_follower, self._upstreams_follower):
-            follower.check(f"{silent_peer} has gone silent")
-
     async def _accept_when_ready(self, listener: socket.socket) -> None:
         """Accept connections once the instance is ready, or after ``MAX_STARTUP_WAIT_MS``.
 
@@ -504,11 +425,10 @@
         except OSError as error:
             write_line(MetricsNotServed(address, str(error)))
 
-    def _list_tables(self) -> tuple[TableStatus, ...]:
-        return self._catalog_follower.status, self._upstreams_follower.status
-
     def _answer_state(self) -> StatusAnswer:
-        return StatusAnswer(200, dump_fleet(self.fleet, self._list_tables()), b"application/json")
+        return StatusAnswer(
+            200, dump_fleet(self.fleet, self.tables.list_status()), b"application/json"
+        )
 
     def _answer_readiness(self) -> StatusAnswer:
         return StatusAnswer(200 if self.ready else 503)
@@ -538,7 +458,7 @@
             "settings": self.reload,
             "peers": self.peers.run_maintenance,
             "crashes": self.crash_watch.run_maintenance,
-            "configuration": self._catalog_listener.apply_pending,
+            "configuration": self.tables.catalog_listener.apply_pending,
             "evacuations": self.fleet.evacuations.end_kept,
             "upstreams": self.fleet.remove_unlisted,
             "permits": lambda: self.permits.keep_only(self.fleet.is_listed),
@@ -594,7 +514,7 @@
         await self.leases.wait_for_releases()
         self.connections.close()
         self.crash_watch.close()
-        self.relay.close()
+        self.tables.relay.close()
         self.peers.close()
         write_line(Stopped())
 
--- a/src/lentilwell/gateway/following/_relay.py
+++ b/src/lentilwell/gateway/following/_relay.py
@@ -193,7 +193,7 @@
             return
         self._fed = fed
         if fed:
-            write_line(StoreFed(sorted(feeding)))
+            write_line(StoreFed(" ".join(sorted(feeding))))
         else:
             write_line(StoreNotFed(self._describe_absence(now, enough)))
         for follower in self._followers:
--- a/tests/test_gateway_evacuation.py
+++ b/tests/test_gateway_evacuation.py
@@ -96,7 +96,7 @@
         answers = [await harness.call("/once/x") for _ in range(12)]
         assert {one.status for one in answers} == {200} and count_arrivals(harness) == [0, 12]
         # Instances that are behind check the store, since the change of the table is reported.
-        follower = harness.gateway._catalog_follower
+        follower = harness.gateway.tables.catalog
         await wait_until(lambda: follower.report.changed.version == harness.catalog.version)
         assert not ended
         await evacuate(harness, "a", ends=True)
