--- a/src/lentilwell/gateway/_settings.py
+++ b/src/lentilwell/gateway/_settings.py
@@ -33,6 +33,6 @@
     log_level: str = "INFO"
     policy: str = "least_cost"
     zones: Mapping[str, str] = field(default_factory=dict)
-    admission_control: bool = True
+    admission_control: bool = False
     cold: ColdBounds = DEFAULT_COLD_BOUNDS
     limits: ProcessLimits = field(default_factory=ProcessLimits)
--- a/tests/test_gateway_held_requests.py
+++ b/tests/test_gateway_held_requests.py
@@ -1,13 +1,15 @@
 """Requests that a gateway holds because all slots of a plain service are taken."""
 
 import asyncio
+from dataclasses import replace
 
 from lentilwell.gateway._condemned_subjects import Refusal
-from tests.gateway_harness import run_gateway
+from tests.gateway_harness import SETTINGS, run_gateway
 from tests.gateway_scripts import in_loop
 from tests.test_gateway_evacuation import evacuate
 
 SLOTS = 8
+HOLDING = replace(SETTINGS, admission_control=True)
 HELD = "lentilwell_gateway_held_requests{"
 
 
@@ -41,7 +43,7 @@
 async def test_request_without_a_free_slot_is_sent_when_another_one_ends():
     """Guards against sending a plain service more than its slots, which it would refuse."""
     gate = Gate()
-    async with run_gateway(gate) as harness:
+    async with run_gateway(gate, settings=HOLDING) as harness:
         calls = await fill(harness)
         held = asyncio.create_task(harness.call("/whole/x"))
         await wait_until_held(harness, 1)
@@ -57,7 +59,7 @@
 async def test_caller_that_leaves_ends_its_hold():
     """Guards against held requests that nobody waits for and that take a slot later."""
     gate = Gate()
-    async with run_gateway(gate) as harness:
+    async with run_gateway(gate, settings=HOLDING) as harness:
         calls = await fill(harness)
         _, writer = await harness.connect()
         writer.write(harness.format("/whole/x"))
@@ -73,7 +75,7 @@
 async def test_condemned_request_is_refused_while_it_is_held():
     """Guards against sending a held request that has been found to crash upstreams meanwhile."""
     gate = Gate()
-    async with run_gateway(gate) as harness:
+    async with run_gateway(gate, settings=HOLDING) as harness:
         calls = await fill(harness)
         held = asyncio.create_task(harness.call("/whole/x"))
         await wait_until_held(harness, 1)
@@ -89,7 +91,7 @@
 async def test_held_request_is_refused_once_its_only_data_centre_is_evacuated():
     """Guards against a request that is held for a slot that it must not use any more."""
     gate = Gate()
-    async with run_gateway(gate, data_centres="a") as harness:
+    async with run_gateway(gate, data_centres="a", settings=HOLDING) as harness:
         calls = await fill(harness)
         held = asyncio.create_task(harness.call("/whole/x"))
         await wait_until_held(harness, 1)
@@ -106,7 +108,7 @@
 async def test_request_whose_deadline_is_too_near_is_refused_at_once():
     """Guards against holding a request until its deadline."""
     gate = Gate()
-    async with run_gateway(gate) as harness:
+    async with run_gateway(gate, settings=HOLDING) as harness:
         calls = await fill(harness)
         answer = await harness.call("/whole/x", Deadline_Ms="60")
         assert answer.status == 503
--- a/tests/test_platform_odd_settings.py
+++ b/tests/test_platform_odd_settings.py
@@ -54,6 +54,15 @@
     assert gateway.limits == ProcessLimits() and gateway.instance == "n"
 
 
+@pytest.mark.parametrize(("value", "enabled"), [(True, True), (False, False), ("yes", False)])
+def test_admission_control_is_on_only_if_the_settings_say_so(tmp_path, value, enabled):
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps({**SETTINGS, "admission_control": value}))
+    assert read_settings(path).gateway.admission_control is enabled
+    path.write_text(json.dumps(SETTINGS))
+    assert not read_settings(path).gateway.admission_control
+
+
 def test_limits_of_the_process_are_read(tmp_path):
     """A field that is not understood must not hide the others."""
     limits = {"memory_mb": 152, "max_fds": 1_535, "link_mbps": 7}
