--- a/review/common-2/gateways.py
+++ b/review/common-2/gateways.py
@@ -136,7 +136,14 @@
         return self._log_path.read_text(errors="replace").splitlines()
 
     async def ask(
-        self, request_id: str, target: str, host: str, key: str, deadline_ms: int, method: str
+        self,
+        request_id: str,
+        target: str,
+        host: str,
+        key: str,
+        deadline_ms: int,
+        method: str,
+        more: dict[str, str] | None = None,
     ) -> Message | None:
         """Send a request as a client does, and record its answer."""
         self._record.write(f"client: {request_id} {method} {target} to {self.name}")
@@ -145,6 +152,7 @@
             "Request-Id": request_id,
             "Deadline-Ms": str(deadline_ms),
             "Credential": key,
+            **(more or {}),
         }
         answer = await call(self.ip, self.front, method, target, headers)
         told = "connection closed" if answer is None else str(answer.status)
