Review: one copy of what the cases share

The cases about requests that crash servers had three copies of their sound callers and of their verdict, and two of their configuration; all five cases had the start and the end of their gateways; the engine stand-in repeated the check for requests to another server. These are in common-2 now.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -5,13 +5,12 @@
 import asyncio
 import os
 import sys
-import tempfile
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "common-2"))
 
-from gateways import BOUNDS, Gateway, find_ips, run_case, start_all
+from gateways import BOUNDS, Gateway, find_ips, run_case, run_gateways, start_all
 from stand_ins import Record, Server, Store, now_s
 
 # Bounds of the site that the claim names.
@@ -63,16 +62,9 @@
     ]
     for server in servers:
         await server.start()
-    with tempfile.TemporaryDirectory() as folder:
-        gateways = [
-            Gateway(Path(folder), f"front-z0-{n}", "z0", ZONES, store.listener.address, record)
-            for n in range(GATEWAYS)
-        ]
-        try:
-            return await play(store, servers, gateways, record)
-        finally:
-            for gateway in gateways:
-                await gateway.kill()
+    places = {f"front-z0-{n}": "z0" for n in range(GATEWAYS)}
+    async with run_gateways(places, ZONES, store.listener.address, record) as gateways:
+        return await play(store, servers, gateways, record)
 
 
 async def play(
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -5,24 +5,20 @@
 import asyncio
 import os
 import sys
-import tempfile
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "common-2"))
 
-from gateways import BOUNDS, CannotRun, Gateway, find_ips, run_case, start_all
+from crashing import HOST, KEY, PLACES, ZONES, judge, list_crashes, send_sound
+from gateways import BOUNDS, CannotRun, Gateway, find_ips, run_case, run_gateways, start_all
 from stand_ins import Engine, Record, Store, now_s
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # How many events a server writes of the request before it crashes.
 CRASH_EVENTS = int(os.environ.get("CRASH_EVENTS", "3"))
-ZONES = {"z0": "r", "z1": "r", "z2": "r"}
-PLACES = ("z0", "z0", "z1", "z2")
 SERVERS = 14
-HOST, KEY = "app.example", "k-blue-1"
 DEADLY = "/s/deadly"
-MAX_RETRIES = 3
 DEADLY_EVERY_S = 3.0
 PLAY_S = 50.0
 ENGINE = {
@@ -75,21 +71,6 @@
 }
 
 
-async def send_sound(gateway: Gateway, lost: list[str]) -> None:
-    """Send sound postings, each of which may run once only; note those that get no answer of it."""
-    number, calls = 0, []
-
-    async def send(request_id: str) -> None:
-        answer = await gateway.ask(request_id, f"/o/{request_id}", HOST, KEY, 2000, "POST")
-        if answer is None or answer.status in (502, 504):
-            lost.append(request_id)
-
-    while True:
-        number += 1
-        calls.append(asyncio.create_task(send(f"sound-{gateway.name}-{number}")))
-        await asyncio.sleep(0.1)
-
-
 async def send_deadly(gateways: list[Gateway]) -> None:
     """Send the same request again and again, each time to the next machine."""
     number, calls = 0, []
@@ -116,16 +97,8 @@
         server.crash_events = CRASH_EVENTS
         server.work_ms = 100.0
         await server.start()
-    with tempfile.TemporaryDirectory() as folder:
-        gateways = [
-            Gateway(Path(folder), f"front-{n}", zone, ZONES, store.listener.address, record)
-            for n, zone in enumerate(PLACES)
-        ]
-        try:
-            return await play(servers, gateways, record)
-        finally:
-            for gateway in gateways:
-                await gateway.kill()
+    async with run_gateways(PLACES, ZONES, store.listener.address, record) as gateways:
+        return await play(servers, gateways, record)
 
 
 async def play(servers: list[Engine], gateways: list[Gateway], record: Record) -> bool:
@@ -137,25 +110,11 @@
     await asyncio.sleep(PLAY_S)
     for task in tasks:
         task.cancel()
-    crashes = sorted(at_s for server in servers for at_s in server.crashed_at)
+    crashes = list_crashes(servers)
     if TROUBLE and len(crashes) < 3:
         raise CannotRun("the request has not crashed three servers")
     bound_s = crashes[2] + BOUNDS["contact_ms"] / 1_000 if crashes else now_s()
-    late = [
-        (at_s, server.name, request_id)
-        for server in servers
-        for at_s, request_id in server.arrivals
-        if at_s > bound_s and request_id.startswith("deadly")
-    ]
-    for at_s, name, request_id in sorted(late):
-        record.write(f"BUDGET: {request_id} reached {name} at {at_s:.3f} s")
-    text = (
-        f"{len(crashes)} crashes, {len(late)} retries after the third, {MAX_RETRIES} are allowed; "
-        f"{len(lost)} sound postings had no answer of the server that ran them"
-    )
-    record.write(f"verdict: {text}")
-    print(text)
-    return len(late) > MAX_RETRIES
+    return judge(servers, bound_s, lost, record)
 
 
 if __name__ == "__main__":
--- a/review/common-2/gateways.py
+++ b/review/common-2/gateways.py
@@ -10,7 +10,9 @@
 import signal
 import socket
 import sys
+import tempfile
 import tomllib
+from collections.abc import AsyncIterator, Mapping
 from pathlib import Path
 
 from stand_ins import Record, now_s
@@ -167,6 +169,22 @@
     await asyncio.gather(*(gateway.wait_ready() for gateway in gateways))
 
 
+@contextlib.asynccontextmanager
+async def run_gateways(
+    places: Mapping[str, str], zones: dict[str, str], store: str, record: Record
+) -> AsyncIterator[list[Gateway]]:
+    """Prepare gateways, not started yet, by the zone of each name; kill all of them at the end."""
+    with tempfile.TemporaryDirectory() as folder:
+        gateways = [
+            Gateway(Path(folder), name, zone, zones, store, record) for name, zone in places.items()
+        ]
+        try:
+            yield gateways
+        finally:
+            for gateway in gateways:
+                await gateway.kill()
+
+
 def run_case(main, path: str) -> None:  # type: ignore[no-untyped-def]
     """Run a case; exit with 1 if the rule was broken, 0 if it held, 2 if it could not run."""
     record = Record(path)
--- a/review/common-2/stand_ins.py
+++ b/review/common-2/stand_ins.py
@@ -200,6 +200,10 @@
             writer.write(format_answer(421, b"", {"Instance-Id": self.name}))
             return True
         self.arrivals.append((now_s(), request_id))
+        return await self._run(request, request_id, writer)
+
+    async def _run(self, request: Message, request_id: str, writer: asyncio.StreamWriter) -> bool:
+        """Answer a request; return whether the connection stays open."""
         self._record.write(f"{self.name}: runs {request_id} {request.start.rsplit(' ', 1)[0]}")
         if self.crashes_on and self.crashes_on in request.target:
             await asyncio.sleep(self.crash_after_ms / 1_000)
@@ -247,14 +251,9 @@
         self.event_ms = 40.0
         self.crash_events = 3
 
-    async def _handle(self, request: Message, writer: asyncio.StreamWriter) -> bool:
+    async def _run(self, request: Message, request_id: str, writer: asyncio.StreamWriter) -> bool:
         if not request.target.startswith("/s/"):
-            return await super()._handle(request, writer)
-        request_id = request.headers.get("request-id", "")
-        if request.headers.get("expect-instance", self.name) != self.name:
-            writer.write(format_answer(421, b"", {"Instance-Id": self.name}))
-            return True
-        self.arrivals.append((now_s(), request_id))
+            return await super()._run(request, request_id, writer)
         first = int(request.headers.get("last-event-id", "0")) + 1
         self._record.write(f"{self.name}: runs {request_id} from event {first}")
         deadly = bool(self.crashes_on) and self.crashes_on in request.target
