--- a/standins/simulated_following.py
+++ b/standins/simulated_following.py
@@ -16,7 +16,14 @@
 from typing import Any
 
 from lentilwell._clock import MS_PER_SECOND
-from lentilwell.gateway import Entry, EraTracker, HistoryGone, Listing, StoreUnavailable
+from lentilwell.gateway import (
+    AnswerUnfinished,
+    Entry,
+    EraTracker,
+    HistoryGone,
+    Listing,
+    StoreUnavailable,
+)
 from lentilwell.gateway._store_point import StorePoint
 from lentilwell.gateway._store_waits import InstanceRank
 from lentilwell.gateway.following import CallReason, Follower, Relay, TableReport
@@ -26,6 +33,9 @@
 DATA_CENTRES = ("a", "b", "c")
 CALL_TIMEOUT_MS = 1_200
 ANSWER_MS = 4
+# What a row takes in an answer besides its value, which is sent as base64.
+ROW_OVERHEAD_BYTES = 120
+BASE64_FACTOR = 4 / 3
 DIGEST_MS = (400, 800)
 INSTANCES_PER_SHARD = 22
 
@@ -51,13 +61,19 @@
 
 @dataclass
 class SimulatedStore:
-    """A store with two tables; ``unreachable`` are the instances whose calls get no answer."""
+    """A store with two tables; ``unreachable`` are the instances whose calls get no answer.
+
+    ``history`` has every version of every row, in order, with its table. ``link_bytes_per_s`` is
+    what the link of each instance carries, None for any amount.
+    """
 
     rows: dict[tuple[str, str], SimulatedRow] = field(default_factory=dict)
+    history: list[tuple[str, SimulatedRow]] = field(default_factory=list)
     version: int = 1
     era: int = 1
     oldest_version: int = 0
     unreachable: set[str] = field(default_factory=set)
+    link_bytes_per_s: int | None = None
     calls: Counter[tuple[str, str]] = field(default_factory=Counter)
     waiting: dict[str, set[asyncio.Event]] = field(
         default_factory=lambda: {table: set() for table in TABLES}
@@ -66,13 +82,17 @@
     def write(self, table: str, key: str, value: str | None) -> StorePoint:
         """Write or remove a row; return the version at which this was acknowledged."""
         self.version += 1
-        self.rows[table, key] = SimulatedRow(key, value, self.version)
+        row = SimulatedRow(key, value, self.version)
+        self.rows[table, key] = row
+        self.history.append((table, row))
         self.wake(table)
         return StorePoint(self.era, self.version)
 
     def restore(self, rows: dict[tuple[str, str], SimulatedRow], version: int) -> None:
         """Return to an older copy."""
         self.rows, self.version = dict(rows), version
+        self.history = [(table, row) for (table, _), row in rows.items()]
+        self.history.sort(key=lambda entry: entry[1].version)
         self.era += 1
         for table in TABLES:
             self.wake(table)
@@ -82,10 +102,14 @@
         for event in self.waiting[table]:
             event.set()
 
-    def list_after(self, table: str, after: int) -> list[SimulatedRow]:
-        """Return the rows of a table that were written after a version, in order."""
+    def list_rows(self, table: str) -> list[SimulatedRow]:
+        """Return the rows of a table as they are now, in the order of their versions."""
         found = [row for (one, _), row in self.rows.items() if one == table]
-        return sorted((row for row in found if row.version > after), key=lambda row: row.version)
+        return sorted(found, key=lambda row: row.version)
+
+    def list_changes(self, table: str, after: int) -> list[SimulatedRow]:
+        """Return every version of the rows of a table after a version, in order."""
+        return [row for one, row in self.history if one == table and row.version > after]
 
 
 class SimulatedFeed:
@@ -105,7 +129,7 @@
     async def read_all(self) -> Listing[str]:
         """Return all rows."""
         await self._check_reachable(0)
-        rows = [row for row in self._store.list_after(self._table, 0) if row.value is not None]
+        rows = [row for row in self._store.list_rows(self._table) if row.value is not None]
         return await self._answer(rows, b"")
 
     async def read_changes(self, after: int, wait_ms: int) -> Listing[str]:
@@ -114,13 +138,13 @@
         if not self._store.oldest_version <= after <= self._store.version:
             self._eras.record(self._store.era, "feed")
             raise HistoryGone("no such version")
-        rows = self._store.list_after(self._table, after)
+        rows = self._store.list_changes(self._table, after)
         if wait_ms and not rows:
             begun = now_ms()
             await self._wait(wait_ms)
             # The answer of a wait during which the store became unreachable is lost.
             await self._check_reachable(round(begun + wait_ms - now_ms()))
-            rows = self._store.list_after(self._table, after)
+            rows = self._store.list_changes(self._table, after)
         return await self._answer(rows, encode_rows(rows))
 
     def decode_changes(self, raw: bytes) -> Listing[str]:
@@ -131,11 +155,22 @@
     async def _answer(self, rows: list[SimulatedRow], raw: bytes) -> Listing[str]:
         era, version = self._store.era, self._store.version
         await sleep_ms(ANSWER_MS)
+        await self._receive(rows)
         await self._wait_thawed()
         self._eras.record(era, "feed")
         newest = rows[-1].version if rows else 0
         return Listing(make_entries(rows), version, era, newest, raw)
 
+    async def _receive(self, rows: list[SimulatedRow]) -> None:
+        """Wait until the link has carried an answer, or for the time-out if that is sooner."""
+        if self._store.link_bytes_per_s is None:
+            return
+        sizes = (len(row.value or "") * BASE64_FACTOR + ROW_OVERHEAD_BYTES for row in rows)
+        receive_ms = sum(sizes) / self._store.link_bytes_per_s * MS_PER_SECOND
+        await sleep_ms(min(receive_ms, CALL_TIMEOUT_MS))
+        if receive_ms > CALL_TIMEOUT_MS:
+            raise AnswerUnfinished("only a part of the answer")
+
     async def _wait(self, wait_ms: int) -> None:
         event = asyncio.Event()
         waiting = self._store.waiting[self._table]
--- a/tests/test_following_simulated.py
+++ b/tests/test_following_simulated.py
@@ -20,6 +20,8 @@
 KNOWN_MS = 3_000
 CALL_TIMEOUT_MS = 1_200
 SETTLED_S = 8
+# The smallest links carry 7 Mbit/s.
+LINK_BYTES_PER_S = 875_000
 
 
 @pytest.fixture(autouse=True)
@@ -68,7 +70,7 @@
         for table, listener in zip(("op", "servers"), instance.listeners, strict=True):
             points = [point for point, _ in listener.points]
             assert points == sorted(points)
-            rows = fleet.store.list_after(table, 0)
+            rows = fleet.store.list_rows(table)
             assert listener.values == {r.key: r.value for r in rows if r.value is not None}
 
 
@@ -277,6 +279,28 @@
     assert max(play(script).list_delays()) <= KNOWN_MS
 
 
+@pytest.mark.parametrize(
+    ("length", "versions", "every_s"),
+    [(60_000, 25, 0.08), (60_000, 40, 0.05), (150_000, 25, 0.08), (400_000, 6, 0.33)],
+)
+@pytest.mark.parametrize("seed", range(2))
+def test_configurations_that_small_links_carry_slowly_are_in_force_in_time(
+    length, versions, every_s, seed
+):
+    async def script(fleet):
+        fleet.store.link_bytes_per_s = LINK_BYTES_PER_S
+        await asyncio.sleep(seed)
+        for number in range(versions):
+            filling = "".join(random.choices("0123456789abcdef", k=length))
+            fleet.write("op", "config", f"{number} {filling}")
+            await asyncio.sleep(every_s)
+        await asyncio.sleep(2 * KNOWN_MS / 1_000)
+
+    fleet = play(script, instances=100, seed=seed)
+    assert max(fleet.list_delays()) <= KNOWN_MS
+    check_histories(fleet)
+
+
 FAULTS = st.lists(
     st.tuples(
         st.sampled_from(["kill", "freeze", "cut", "isolate"]),
