--- a/src/lentilwell/gateway/_ports.py
+++ b/src/lentilwell/gateway/_ports.py
@@ -74,10 +74,11 @@
     async def read_changes(self, after: int, wait_ms: int) -> Listing[ValueT]:
         """Return the rows changed after version ``after``; wait up to ``wait_ms`` for a change."""
 
-    def decode_changes(self, raw: bytes) -> Listing[ValueT]:
+    def decode_changes(self, raw: bytes, after: int) -> Listing[ValueT]:
         """Return the rows in the ``raw`` of another instance's listing, without version and era.
 
-        Raise ``UnreadableRow`` if it is invalid.
+        Rows that are known to be written at version ``after`` or before are left out. Raise
+        ``UnreadableRow`` if ``raw`` is invalid.
         """
 
 
--- a/src/lentilwell/gateway/following/_follower.py
+++ b/src/lentilwell/gateway/following/_follower.py
@@ -192,9 +192,10 @@
 
         Raise ``UnreadableRow`` if they cannot be decoded.
         """
-        if not self._position.accepts(change.era, change.after, change.version):
+        at = self._position.at
+        if at is None or not self._position.accepts(change.era, change.after, change.version):
             return
-        rows = self._feed.decode_changes(change.raw)
+        rows = self._feed.decode_changes(change.raw, at.version)
         listing = replace(rows, version=change.version, era=change.era)
         self._listener.handle_changes(listing)
         self._position.apply_relayed(listing)
--- a/src/lentilwell/gateway/following/_position.py
+++ b/src/lentilwell/gateway/following/_position.py
@@ -69,9 +69,22 @@
             raise HistoryGone(f"version {asked_at.version} of another instance is not known")
         if self.at != asked_at and listing.at < self.at:
             return None  # rows of another instance arrived during the call
-        new = tuple(one for one in listing.entries if self._relayed.get(one.key) != one)
+        new = self._drop_relayed(listing.entries)
         return listing if len(new) == len(listing.entries) else replace(listing, entries=new)
 
+    def _drop_relayed(self, entries: tuple[Entry[ValueT], ...]) -> tuple[Entry[ValueT], ...]:
+        """Return the entries without those up to the relayed one of the same row.
+
+        An answer has every version of a row, in order.
+        """
+        known: dict[str, int] = {}
+        for index, entry in enumerate(entries):
+            if self._relayed.get(entry.key) == entry:
+                known[entry.key] = index
+        return tuple(
+            entry for index, entry in enumerate(entries) if index > known.get(entry.key, -1)
+        )
+
     def apply_answer(self, new: Listing[ValueT]) -> None:
         """Move to an answer of ``select_new``."""
         self.at = self.confirmed = new.at
--- a/standins/simulated_following.py
+++ b/standins/simulated_following.py
@@ -147,10 +147,11 @@
             rows = self._store.list_changes(self._table, after)
         return await self._answer(rows, encode_rows(rows))
 
-    def decode_changes(self, raw: bytes) -> Listing[str]:
-        """Decode rows that another instance read."""
+    def decode_changes(self, raw: bytes, after: int) -> Listing[str]:
+        """Decode rows that another instance read, without those up to version ``after``."""
         rows = [SimulatedRow(*row) for row in json.loads(raw)]
-        return Listing(make_entries(rows), max(row.version for row in rows))
+        newer = [row for row in rows if row.version > after]
+        return Listing(make_entries(newer), max(row.version for row in rows))
 
     async def _answer(self, rows: list[SimulatedRow], raw: bytes) -> Listing[str]:
         era, version = self._store.era, self._store.version
--- a/tests/test_following_position.py
+++ b/tests/test_following_position.py
@@ -16,18 +16,17 @@
 
 @dataclass
 class Table:
-    """A table whose rows hold the version at which they were written."""
+    """A table whose rows hold the version at which they were written; it returns all versions."""
 
     version: int = 1
-    written: dict[str, int] = field(default_factory=dict)
+    written: list[tuple[str, int]] = field(default_factory=list)
 
     def write(self, key):
         self.version += 1
-        self.written[key] = self.version
+        self.written.append((key, self.version))
 
     def list_after(self, after):
-        rows = [(key, version) for key, version in self.written.items() if version > after]
-        return tuple(Entry(key, version) for key, version in rows)
+        return tuple(Entry(key, version) for key, version in self.written if version > after)
 
     def answer(self, after):
         entries = self.list_after(after)
@@ -64,7 +63,8 @@
     def handle_message(self, message):
         after, version, entries = message
         if self.position.accepts(1, after, version):
-            listing = Listing(entries, version, 1)
+            newer = tuple(one for one in entries if one.value > self.position.at.version)
+            listing = Listing(newer, version, 1)
             self.apply(listing)
             self.position.apply_relayed(listing)
 
@@ -107,11 +107,11 @@
             dependent.handle_answer(*pending)
             pending = None
         at = dependent.position.at.version
-        known = {key: version for key, version in table.written.items() if version <= at}
+        known = {key: version for key, version in table.written if version <= at}
         for key, version in known.items():
             assert dependent.rows.get(key, 0) >= version, "a change up to the position is missing"
     dependent.handle_answer(*dependent.ask(table))
-    assert dependent.rows == table.written
+    assert dependent.rows == dict(table.written)
 
 
 def test_message_with_a_version_that_the_store_does_not_have_is_undone_by_the_next_answer():
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -5,6 +5,7 @@
 
 import pytest
 import wire_store
+from wire_rows import StoreRow, encode_relayed_rows
 from wire_store import StoreClient, TableFeed
 
 from lentilwell._clock import BootClock
@@ -204,3 +205,11 @@
         store.version += 1
         store.rows[("t", "k")] = Row("t", "k", b"x", store.version)
     assert [row.key for row in await waiting] == ["k"]
+
+
+@in_loop
+async def test_rows_of_another_instance_that_are_known_are_left_out():
+    rows = [StoreRow("a", "eA==", schema_version=version) for version in (3, 4, 5)]
+    async with ScriptedStore() as store:
+        listing = make_feed(store).decode_changes(encode_relayed_rows(rows), 4)
+    assert listing.entries == (Entry("a", "x"),)
