--- a/src/lentilwell/gateway/_connection.py
+++ b/src/lentilwell/gateway/_connection.py
@@ -208,18 +208,26 @@
             return None
         raise ConnectionBroken("the upstream closed the connection")
 
-    async def read_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
+    async def read_body(
+        self, max_bytes: int = MAX_BODY_BYTES, pause_ms: int | None = None
+    ) -> bytes:
         """Return the whole body; raise ``ConnectionBroken`` if it exceeds ``max_bytes``.
 
         The same holds for a body of that size in too many pieces. Other failures raise like
-        ``read_head``.
+        ``read_head``. With ``pause_ms``, raise ``TimeoutError`` if no piece comes for that time.
         """
         self._allowance.renew(max_bytes)
         body = bytearray()
-        while (data := await self.read_data()) is not None:
+        while (data := await self._read_piece(pause_ms)) is not None:
             body += data
         return bytes(body)
 
+    async def _read_piece(self, pause_ms: int | None) -> bytes | None:
+        if pause_ms is None:
+            return await self.read_data()
+        async with allow_ms(pause_ms):
+            return await self.read_data()
+
     def finish(self) -> None:
         """Prepare the connection for the next request after a complete answer, or close it.
 
--- a/src/lentilwell/gateway/_ports.py
+++ b/src/lentilwell/gateway/_ports.py
@@ -44,7 +44,8 @@
 
     ``version`` is the position from which later changes can be read. ``era`` is the number of times
     that the store has been restored from an older copy. ``newest_row`` is the version of the newest
-    of the rows, 0 if it is not known. ``raw`` is the rows of ``Feed.read_changes`` in a form for
+    of the rows, 0 if it is not known, and ``longest_row`` the length in bytes of the longest one
+    that could be decoded. ``raw`` is the rows of ``Feed.read_changes`` in a form for
     ``Feed.decode_changes`` of other instances, empty if there is none.
     """
 
@@ -53,6 +54,7 @@
     era: int = 0
     newest_row: int = 0
     raw: bytes = b""
+    longest_row: int = 0
 
     @property
     def at(self) -> StorePoint:
--- a/src/lentilwell/gateway/following/_follower.py
+++ b/src/lentilwell/gateway/following/_follower.py
@@ -2,8 +2,11 @@
 
 A follower polls the store with long waits, unless other instances feed it: then their changes are
 applied as they arrive, and the store is called rarely, or when a change is missing. The table is
-read completely again if the store no longer has the history of changes, or if that history is too
-long to arrive in time.
+read completely again if the store no longer has the history of changes.
+
+The history has every version of a row. After many versions of a long row it takes far longer to
+arrive than the table, and as many versions more are written meanwhile. A table with long rows is
+therefore read completely whenever several of its versions may have been written.
 
 Hundreds of instances follow the same tables, so each call waits long for a change to limit the load
 on the store. A failure of the store or of the path to it is detected by the few instances whose
@@ -55,6 +58,8 @@
 PROPAGATION_MS = 300
 # Minimum time between two checks of the store that interrupt a wait.
 CHECK_INTERVAL_MS = 1_000
+# Rows from this length on are long: 32 versions of one take a small link more than a second.
+LONG_ROW_BYTES = 32_768
 
 
 class Follower(Generic[ValueT]):
@@ -86,6 +91,11 @@
         self._checking = False
         self._fed = False
         self._paused = False
+        self._has_long_rows = False
+        # Set if the last call returned changes, so that more of them may follow at once.
+        self._changing = False
+        # Set if the call in progress reads the whole table.
+        self._complete = False
         self._wake = asyncio.Event()
         self._plan = CallPlan(clock.now())
         self.on_call: Callable[[str, CallReason], None] = lambda name, reason: None
@@ -271,7 +281,8 @@
         self._checking = False
         self.on_call(self._name, reason)
         after = self._position.confirmed
-        if after is None:
+        self._complete = after is None or (self._has_long_rows and not wait_ms)
+        if after is None or self._complete:
             return await self._feed.read_all()
         listing = await self._feed.read_changes(after.version, wait_ms)
         if listing.era != after.era:
@@ -282,6 +293,8 @@
         # The call waits for a change only if the store answered the last call.
         if self._position.at is None:
             return CallReason.COMPLETE
+        if self._changing and self._has_long_rows:
+            return CallReason.COMPLETE
         if self._contact.failures:
             return CallReason.RETRY
         if self._checking:
@@ -302,6 +315,9 @@
             return listing
         if self._position.at is None:
             return None  # a new era has begun during the call
+        if self._complete:
+            outdated = self._position.is_outdated(listing, asked_at)
+            return None if outdated else listing
         return self._position.select_new(listing, asked_at)
 
     async def _handle_answer(self, listing: Listing[ValueT] | None) -> None:
@@ -312,34 +328,50 @@
             self._listener.handle_store_recovery()
         self._synchronized = not self._contact.wait_ms or bool(listing and listing.entries)
         self._plan.plan_next(self._fed, now, random.random())
+        self._changing = False
         if listing is None:
             return
-        if self._position.at is None:
-            self._listener.handle_listing(listing)
-            self._position.apply_complete(listing)
+        if listing.entries:
+            self._has_long_rows = listing.longest_row >= LONG_ROW_BYTES
+        if self._complete:
+            await self._handle_complete(listing)
         else:
             await self._handle_changes(listing)
 
+    async def _handle_complete(self, listing: Listing[ValueT]) -> None:
+        """Apply a complete listing, and pass on its version if it has changes.
+
+        A change that was written while it arrived is read at once, and by the next call.
+        """
+        is_first = self._position.at is None
+        before = self._position.changed
+        self._listener.handle_listing(listing)
+        self._position.apply_complete(listing)
+        newest = self._position.changed
+        if is_first or newest <= before:
+            return
+        self._changing = not self._fed
+        self.on_change(TableChange(newest.era, before.version, newest.version, b""))
+        took_ms = self._clock.now() - self._contact.asked_at
+        await asyncio.sleep(max(0, CHANGE_BATCH_MS - took_ms) / MS_PER_SECOND)
+
     async def _handle_changes(self, listing: Listing[ValueT]) -> None:
         after = self._position.complete_from
         self._listener.handle_changes(listing)
         self._position.apply_answer(listing)
         if listing.entries:
+            self._changing = not self._fed
             newest = listing.newest
             self.on_change(TableChange(newest.era, after, newest.version, listing.raw))
             await asyncio.sleep(CHANGE_BATCH_MS / MS_PER_SECOND)
 
     async def _handle_unfinished(self, error: AnswerUnfinished) -> None:
-        """Read the whole table instead of changes that are too long for the link.
-
-        The changes contain every version of a row, so after many versions of a large row they are
-        far longer than the table, and grow with each further one.
-        """
-        if self._position.at is None:
+        """Read the whole table instead of changes that are too long for the link."""
+        if self._complete:
             await self._back_off(error)
             return
         write_line(TableChangesTooLong(self._name, str(error), self._known_version))
-        self._position.clear()
+        self._has_long_rows = self._changing = True
 
     async def _back_off(self, error: StoreError) -> None:
         self._contact.record_failure()
--- a/src/lentilwell/gateway/following/_position.py
+++ b/src/lentilwell/gateway/following/_position.py
@@ -32,6 +32,7 @@
         self.confirmed: StorePoint | None = None
         self.changed = StorePoint()
         self._base = StorePoint()
+        self._keys: frozenset[str] = frozenset()
         self._relayed: dict[str, Entry[ValueT]] = {}
 
     @property
@@ -51,11 +52,29 @@
         """Tell whether rows up to ``point`` may be missing."""
         return self.at is not None and self.at < point
 
+    def is_outdated(self, listing: Listing[ValueT], asked_at: StorePoint) -> bool:
+        """Tell whether a complete listing misses changes that have become known during the call.
+
+        ``asked_at`` is ``at`` when the call began. Raise ``HistoryGone`` like ``select_new``.
+        """
+        assert self.at is not None and self.confirmed is not None
+        self._check_known(listing, asked_at)
+        return listing.at < self.at
+
     def apply_complete(self, listing: Listing[ValueT]) -> None:
-        """Move to a complete listing."""
+        """Move to a complete listing.
+
+        No row of it tells of rows that were removed. These count as changed at its version.
+        """
+        keys = frozenset(one.key for one in listing.entries)
+        same_era = self.at is not None and self.at.era == listing.era
+        removed = same_era and not self._keys <= keys
         self.at = self.confirmed = self._base = listing.at
         self._relayed.clear()
-        if listing.entries:
+        self._keys = keys
+        if removed:
+            self.changed = listing.at
+        elif listing.entries:
             self.changed = listing.newest
 
     def select_new(self, listing: Listing[ValueT], asked_at: StorePoint) -> Listing[ValueT] | None:
@@ -64,9 +83,8 @@
         ``asked_at`` is ``at`` when the call began. Raise ``HistoryGone`` if the store does not have
         that version although another instance named it: then the position cannot be trusted.
         """
-        assert self.at is not None and self.confirmed is not None
-        if self.confirmed < asked_at and listing.at < asked_at:
-            raise HistoryGone(f"version {asked_at.version} of another instance is not known")
+        assert self.at is not None
+        self._check_known(listing, asked_at)
         if self.at != asked_at and listing.at < self.at:
             return None  # rows of another instance arrived during the call
         new = self._drop_relayed(listing.entries)
@@ -89,6 +107,7 @@
         """Move to an answer of ``select_new``."""
         self.at = self.confirmed = new.at
         self._relayed.clear()
+        self._record_keys(new)
         if new.entries:
             self._record_change(new.newest)
 
@@ -100,10 +119,21 @@
         """Move to changes that ``accepts`` has accepted."""
         self.at = listing.at
         self._record_change(listing.at)
+        self._record_keys(listing)
         self._relayed.update((one.key, one) for one in listing.entries)
         if len(self._relayed) > MAX_RELAYED_ROWS:
             self._relayed.clear()
 
+    def _check_known(self, listing: Listing[ValueT], asked_at: StorePoint) -> None:
+        assert self.confirmed is not None
+        if self.confirmed < asked_at and listing.at < asked_at:
+            raise HistoryGone(f"version {asked_at.version} of another instance is not known")
+
+    def _record_keys(self, changes: Listing[ValueT]) -> None:
+        removed = {one.key: one.removed for one in changes.entries}
+        added = {key for key, gone in removed.items() if not gone}
+        self._keys = self._keys.difference(removed).union(added)
+
     def _record_change(self, newest: StorePoint) -> None:
         self.changed = max(self.changed, newest)
         self._base = max(self._base, newest)
--- a/standins/simulated_following.py
+++ b/standins/simulated_following.py
@@ -130,7 +130,7 @@
         """Return all rows."""
         await self._check_reachable(0)
         rows = [row for row in self._store.list_rows(self._table) if row.value is not None]
-        return await self._answer(rows, b"")
+        return await self._answer(rows, b"", bounded=False)
 
     async def read_changes(self, after: int, wait_ms: int) -> Listing[str]:
         """Return the rows changed after a version; wait for a change."""
@@ -153,24 +153,32 @@
         newer = [row for row in rows if row.version > after]
         return Listing(make_entries(newer), max(row.version for row in rows))
 
-    async def _answer(self, rows: list[SimulatedRow], raw: bytes) -> Listing[str]:
+    async def _answer(
+        self, rows: list[SimulatedRow], raw: bytes, bounded: bool = True
+    ) -> Listing[str]:
         era, version = self._store.era, self._store.version
         await sleep_ms(ANSWER_MS)
-        await self._receive(rows)
+        await self._receive(rows, bounded)
         await self._wait_thawed()
         self._eras.record(era, "feed")
         newest = rows[-1].version if rows else 0
-        return Listing(make_entries(rows), version, era, newest, raw)
+        longest = max((len(row.value or "") for row in rows), default=0)
+        return Listing(make_entries(rows), version, era, newest, raw, longest)
 
-    async def _receive(self, rows: list[SimulatedRow]) -> None:
-        """Wait until the link has carried an answer, or for the time-out if that is sooner."""
+    async def _receive(self, rows: list[SimulatedRow], bounded: bool) -> None:
+        """Wait until the link has carried an answer, or for the time-out if that is sooner.
+
+        Only answers about changes are ``bounded`` by the time-out.
+        """
         if self._store.link_bytes_per_s is None:
             return
         sizes = (len(row.value or "") * BASE64_FACTOR + ROW_OVERHEAD_BYTES for row in rows)
         receive_ms = sum(sizes) / self._store.link_bytes_per_s * MS_PER_SECOND
-        await sleep_ms(min(receive_ms, CALL_TIMEOUT_MS))
-        if receive_ms > CALL_TIMEOUT_MS:
-            raise AnswerUnfinished("only a part of the answer")
+        if not bounded or receive_ms <= CALL_TIMEOUT_MS:
+            await sleep_ms(receive_ms)
+            return
+        await sleep_ms(CALL_TIMEOUT_MS)
+        raise AnswerUnfinished("only a part of the answer")
 
     async def _wait(self, wait_ms: int) -> None:
         event = asyncio.Event()
--- a/tests/test_platform_odd_answers.py
+++ b/tests/test_platform_odd_answers.py
@@ -35,7 +35,7 @@
         self.bodies = list(bodies)
         self.targets = []
 
-    async def _call(self, method, target, timeout_ms, body=b""):
+    async def _call(self, method, target, timeout_ms, body=b"", pause_ms=None):
         self.targets.append(target)
         return 200, self.bodies.pop(0)
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -75,7 +75,12 @@
         era_header = b"Store-Era: %s\r\n" % era.encode() if era else b""
         status = kind if kind.isdigit() else "200"
         head = b"HTTP/1.1 %s X\r\n%sContent-Length: %d\r\n\r\n"
-        writer.write(head % (status.encode(), era_header, len(body)) + body)
+        writer.write(head % (status.encode(), era_header, len(body)))
+        pieces = int(kind.removeprefix("slow ")) if kind.startswith("slow ") else 1
+        size = -(-len(body) // pieces)
+        for begin in range(0, len(body), size):
+            writer.write(body[begin : begin + size])
+            await asyncio.sleep(0 if pieces == 1 else TIMEOUT_MS / 4 / 1_000)
 
 
 @pytest.fixture(autouse=True)
@@ -213,3 +218,20 @@
     async with ScriptedStore() as store:
         listing = make_feed(store).decode_changes(encode_relayed_rows(rows), 4)
     assert listing.entries == (Entry("a", "x"),)
+
+
+@pytest.mark.parametrize("pieces", [1, 12])
+@in_loop
+async def test_long_table_is_read_as_long_as_it_keeps_arriving(pieces):
+    async with ScriptedStore(f"slow {pieces}") as store:
+        listing = await make_feed(store).read_all()
+    assert listing.entries == (Entry("a", "x"),)
+
+
+@in_loop
+async def test_table_that_stops_arriving_is_given_up_in_time():
+    async with ScriptedStore("unfinished") as store:
+        begin = asyncio.get_running_loop().time()
+        with pytest.raises(AnswerUnfinished):
+            await make_feed(store).read_all()
+    assert asyncio.get_running_loop().time() - begin < 5 * TIMEOUT_MS / 1_000
