--- a/src/lentilwell/_log_lines/_upstreams.py
+++ b/src/lentilwell/_log_lines/_upstreams.py
@@ -180,6 +180,35 @@
     address: str
 
 
+@line("upstream path cut")
+@dataclass(frozen=True)
+class UpstreamPathCut(Line):
+    """Another instance reaches an upstream that this one does not; connections go through others.
+
+    ``address`` is that of the upstream.
+    """
+
+    address: str
+
+
+@line("upstream path restored")
+@dataclass(frozen=True)
+class UpstreamPathRestored(Line):
+    """This instance has connected to an upstream itself; connections are direct again."""
+
+    address: str
+
+
+@line("tunnel failed")
+@dataclass(frozen=True)
+class TunnelFailed(Line):
+    """Another instance opened no tunnel to an upstream, and is not asked for some time."""
+
+    peer: str
+    address: str
+    reason: str
+
+
 @line("upstream not crashed")
 @dataclass(frozen=True)
 class UpstreamNotCrashed(Line):
--- a/src/lentilwell/gateway/_connection_pool.py
+++ b/src/lentilwell/gateway/_connection_pool.py
@@ -8,7 +8,9 @@
 
 from lentilwell._clock import Clock
 from lentilwell.gateway._answer_memory import MAX_HELD_BYTES, AnswerMemory
-from lentilwell.gateway._connection import HttpConnection, open_http_connection
+from lentilwell.gateway._connection import HttpConnection
+from lentilwell.gateway._connector import Connector
+from lentilwell.gateway.tunnels import TunnelClient
 
 # A connection is dropped this long before the upstream's idle limit: the upstream closes it by its
 # own clock, and the close takes time to arrive.
@@ -24,6 +26,7 @@
 
     Unfinished answers hold at most ``max_answer_bytes`` together. Idle connections are closed when
     a new one gets a descriptor number from ``max_descriptor`` on: the lowest free one is given out.
+    With ``tunnels``, new connections go through other instances while this one has no path.
     """
 
     def __init__(
@@ -31,14 +34,25 @@
         clock: Clock,
         max_answer_bytes: int = MAX_HELD_BYTES,
         max_descriptor: int = sys.maxsize,
+        tunnels: TunnelClient | None = None,
     ) -> None:
         self._clock = clock
-        self._memory = AnswerMemory(min(max_answer_bytes, MAX_HELD_BYTES))
+        memory = AnswerMemory(min(max_answer_bytes, MAX_HELD_BYTES))
+        self._connector = Connector(clock, memory, tunnels)
         self._max_descriptor = max_descriptor
         self._idle: dict[str, list[HttpConnection]] = {}
         self._connections: dict[str, weakref.WeakSet[HttpConnection]] = {}
         self.opened = 0
 
+    @property
+    def path_cut(self) -> bool:
+        """Tell whether new connections go through other instances."""
+        return self._connector.path.cut
+
+    def record_unreachable(self, address: str) -> None:
+        """Record that a connection for another instance failed, which tells of the path as well."""
+        self._connector.path.record_failure(address, self._clock.now())
+
     async def acquire(self, address: str, fresh: bool) -> HttpConnection:
         """Return an idle or new connection; with ``fresh``, always a new one.
 
@@ -54,7 +68,27 @@
                 return connection
             connection.close()
         self.opened += 1
-        connection = await open_http_connection(address, self._clock, self._memory)
+        return self._register(address, await self._connector.open(address))
+
+    async def probe(self, address: str) -> HttpConnection:
+        """Return a new connection, which may show that this instance has no path to upstreams.
+
+        Raise ``Unreachable`` if no connection can be opened.
+        """
+        self.opened += 1
+        return self._register(address, await self._connector.probe(address))
+
+    async def probe_path(self, address: str) -> None:
+        """Open a direct connection, which ends the use of other instances if it succeeds.
+
+        Raise ``Unreachable`` if it cannot be opened.
+        """
+        self.opened += 1
+        connection = self._register(address, await self._connector.open_directly(address))
+        self.close()
+        self.release(address, connection)
+
+    def _register(self, address: str, connection: HttpConnection) -> HttpConnection:
         self._connections.setdefault(address, weakref.WeakSet()).add(connection)
         if connection.descriptor >= self._max_descriptor:
             self.close()
@@ -65,6 +99,15 @@
         for connection in list(self._connections.get(address, ())):
             connection.report_silence(min_silent_ms)
 
+    def leave_path(self, min_silent_ms: int) -> None:
+        """Close all idle connections, and report the silence of the others.
+
+        Called when the path to all upstreams is found to be cut.
+        """
+        self.close()
+        for address in list(self._connections):
+            self.report_silence(address, min_silent_ms)
+
     def release(self, address: str, connection: HttpConnection) -> None:
         """Put a connection back into the pool, or drop it if it cannot be reused."""
         if not connection.reusable:
--- a/src/lentilwell/gateway/_fleet.py
+++ b/src/lentilwell/gateway/_fleet.py
@@ -344,6 +344,10 @@
         upstream = self.directory.listed.get(incarnation.name)
         return upstream is not None and upstream.incarnation == incarnation
 
+    def is_listed_address(self, address: str) -> bool:
+        """Tell whether an address is that of a listed upstream."""
+        return any(one.address == address for one in self.directory.listed.values())
+
     def update_shards(self) -> None:
         """Update the shard of this instance to the current lists of instances and upstreams."""
         if self.listing_known:
--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -64,6 +64,7 @@
     StatusConnections,
     bound_kernel_buffers,
 )
+from lentilwell.gateway.tunnels import TunnelClient, TunnelServer
 
 # Connections are accepted once the store has been read, which takes a few ms if the store answers,
 # and at the latest this long after the start.
@@ -112,9 +113,14 @@
         self.fleet.admission.enabled = settings.admission_control
         self.caller_limits = CallerLimits(settings.limits, self.clock.now)
         self.caller_limits.on_given_up = self._handle_given_up
+        tunnel_client = TunnelClient(self.clock, lambda: self.peers.list_tunnel_peers())
         self.connections = ConnectionPool(
-            self.clock, settings.limits.answer_bytes, settings.limits.upstream_descriptors
+            self.clock,
+            settings.limits.answer_bytes,
+            settings.limits.upstream_descriptors,
+            tunnel_client,
         )
+        self.tunnels = TunnelServer(settings.limits.max_tunnels)
         self.permit_owners = OwnerTable(settings.instance)
         incarnation = uuid.uuid4().hex[:INCARNATION_LENGTH]
         self.peers = Peers(
@@ -149,6 +155,7 @@
         self.leases.on_send = self.permits.record_unpermitted
         self.leases.on_answer = answer_observer.handle_head
         self._connect_evacuations()
+        self._connect_tunnels()
         self._callers: set[CallerConnection] = set()
         self._exchanges: set[Exchange] = set()
         self.metrics = Metrics(
@@ -159,6 +166,9 @@
         )
         self.tables.on_call = self.metrics.count_store_call
         self.tables.on_restore = self.metrics.count_restore
+        tunnel_client.on_open = self.metrics.count_tunnel
+        self.metrics.is_path_cut = lambda: self.connections.path_cut
+        self.metrics.count_tunnels = lambda: self.tunnels.tunnels
         self.metrics.count_caller_bytes = lambda: self.caller_limits.memory.total_bytes
         self.permits.on_verdict = self.metrics.count_permit
         self._exchange_context = ExchangeContext(
@@ -325,6 +335,7 @@
         self._listener = self._listener or listen_at(self.settings.callers_address)
         host, port = split_address(self.settings.peers_address)
         await loop.create_datagram_endpoint(lambda: self.peers, (host, port))
+        await self._listen(self.settings.peers_address, self.tunnels.make_protocol)
         background_tasks = {
             **self.tables.background_tasks,
             "instances": lambda: self.peers.run_membership(self._feeds.membership),
@@ -378,6 +389,12 @@
         self.leases.may_reserve = lambda upstream: not self.fleet.is_evacuated(upstream)
         self.permits.is_evacuated = self.fleet.is_evacuated
 
+    def _connect_tunnels(self) -> None:
+        """Let other instances reach the listed upstreams while this one does."""
+        self.tunnels.is_listed = self.fleet.is_listed_address
+        self.tunnels.may_open = lambda: not self.connections.path_cut and not self.stopping
+        self.tunnels.on_unreachable = self.connections.record_unreachable
+
     def _handle_evacuation(self, data_centre: str) -> None:
         """Place the requests again at once that wait for an upstream of this data centre."""
         for exchange in self._exchanges:
@@ -513,6 +530,7 @@
             caller.abort()
         await self.leases.wait_for_releases()
         self.connections.close()
+        self.tunnels.close()
         self.crash_watch.close()
         self.tables.relay.close()
         self.peers.close()
--- a/src/lentilwell/gateway/_metrics.py
+++ b/src/lentilwell/gateway/_metrics.py
@@ -156,6 +156,23 @@
             "Bytes that callers make the process hold.",
             registry=self.registry,
         ).set_function(lambda: self.count_caller_bytes())
+        self.is_path_cut: Callable[[], bool] = lambda: False
+        Gauge(
+            "lentilwell_gateway_upstream_path_cut",
+            "1 while connections to upstreams go through other instances.",
+            registry=self.registry,
+        ).set_function(lambda: self.is_path_cut())
+        self.count_tunnels: Callable[[], int] = lambda: 0
+        Gauge(
+            "lentilwell_gateway_tunnels_served",
+            "Connections of other instances to upstreams that are passed on.",
+            registry=self.registry,
+        ).set_function(lambda: self.count_tunnels())
+        self._tunnels_opened = Counter(
+            "lentilwell_gateway_tunnels_opened",
+            "Connections to upstreams through other instances.",
+            registry=self.registry,
+        )
         self._store_calls = Counter(
             "lentilwell_gateway_store_calls",
             "Calls to the store for a table, by why they were made.",
@@ -166,6 +183,10 @@
         self.registry.register(_TableCollector(fleet.clock, list_tables))
         self.registry.register(_RoleCollector(find_role))
 
+    def count_tunnel(self) -> None:
+        """Count a connection through another instance."""
+        self._tunnels_opened.inc()
+
     def count_request(self, service: str, outcome: str, total_ms: int) -> None:
         """Count a request that ended ``total_ms`` after its arrival."""
         self._requests.labels(service, outcome).inc()
--- a/src/lentilwell/gateway/_peers.py
+++ b/src/lentilwell/gateway/_peers.py
@@ -43,6 +43,7 @@
     decode_digest,
     encode_digest,
 )
+from lentilwell.gateway.tunnels import TunnelPeer
 
 # Changes within this time are sent in one datagram.
 COALESCE_MS = 4
@@ -173,6 +174,14 @@
         """Tell whether this instance is in contact with a peer that is not stopping."""
         return any(not state.stopping for state in self._states.values())
 
+    def list_tunnel_peers(self) -> list[TunnelPeer]:
+        """Return the instances in contact that are not stopping."""
+        return [
+            TunnelPeer(name, self._addresses[name])
+            for name, state in self._states.items()
+            if not state.stopping and name in self._addresses
+        ]
+
     def find_oldest_digest_age(self) -> int | None:
         """Return the age of the oldest digest in use in ms, None without peers in contact."""
         now = self._clock.now()
--- a/src/lentilwell/gateway/_prober.py
+++ b/src/lentilwell/gateway/_prober.py
@@ -1,11 +1,15 @@
 """Probes unreachable upstreams, and uses them again once they accept a connection.
 
+While connections go through other instances, the path to the upstreams is probed, too.
+
 Upstreams of an evacuated data centre are probed once the evacuation has ended.
 """
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import random
 
 from lentilwell._log_lines import UpstreamEjected, UpstreamReached, write_line
 from lentilwell.gateway._connection_pool import ConnectionPool
@@ -39,6 +43,7 @@
         self._fleet.ejection.on_unreachable = probe_needed.set
         self._probing = set()
         async with asyncio.TaskGroup() as probes:
+            probes.create_task(self._probe_path())
             while True:
                 await probe_needed.wait()
                 probe_needed.clear()
@@ -46,6 +51,16 @@
                     self._probing.add(name)
                     probes.create_task(self._probe_until_reached(name))
 
+    async def _probe_path(self) -> None:
+        """Look for a direct path to any upstream while there is none."""
+        while True:
+            await asyncio.sleep(PROBE_INTERVAL_MS / 1_000)
+            listed = self._fleet.directory.listed
+            usable = [one for one in listed.values() if not self._fleet.is_evacuated(one)]
+            if self._connections.path_cut and usable:
+                with contextlib.suppress(Unreachable):
+                    await self._connections.probe_path(random.choice(usable).address)
+
     def _list_unreachable(self) -> set[str]:
         """Return the names of the listed upstreams that are unreachable and may be probed."""
         listed = self._fleet.directory.listed
@@ -65,14 +80,17 @@
         return None if upstream is None or self._fleet.is_evacuated(upstream) else upstream
 
     async def _probe(self, upstream: Upstream) -> bool:
+        was_cut = self._connections.path_cut
         try:
-            connection = await self._connections.acquire(upstream.address, fresh=True)
+            connection = await self._connections.probe(upstream.address)
         except Unreachable as error:
             if isinstance(error.__cause__, ConnectionRefusedError):
                 self._refused.add(upstream.name)
             self._fleet.ejection.record_unreachable(upstream.name, self._fleet.clock.now())
             self._connections.report_silence(upstream.address, UNREACHABLE_SILENCE_MS)
             return False
+        if self._connections.path_cut and not was_cut:
+            self._connections.leave_path(UNREACHABLE_SILENCE_MS)
         self._connections.release(upstream.address, connection)
         write_line(UpstreamReached(upstream.name, upstream.address))
         self._record_restart(upstream)
--- a/src/lentilwell/gateway/caller_limits/_process_limits.py
+++ b/src/lentilwell/gateway/caller_limits/_process_limits.py
@@ -19,6 +19,10 @@
 MIN_BUDGET_BYTES = 8 * MB
 # An idle connection takes some 3 kB.
 CONNECTION_BYTES = 4_096
+# The share of the memory that tunnels of other instances may take, and what one takes if both of
+# its ends read slowly.
+TUNNEL_SHARE = 8
+TUNNEL_BYTES = 196_608
 # Listeners, store, logs, event loop and datagrams take 16, probes and scrapers up to 32, and
 # connections that are accepted before the first of them can be refused 32.
 RESERVED_DESCRIPTORS = 96
@@ -69,6 +73,15 @@
         """Return the descriptor number from which on idle connections to upstreams are closed."""
         return self.descriptors - RESERVED_DESCRIPTORS
 
+    @property
+    def max_tunnels(self) -> int:
+        """Return how many tunnels of others may be open: what descriptors and memory allow.
+
+        Each tunnel has two connections.
+        """
+        by_memory = self.memory_mb * MB // TUNNEL_SHARE // TUNNEL_BYTES
+        return min(self.max_requests // 2, by_memory)
+
     @property
     def max_connections(self) -> int:
         """Return how many connections callers may have: what descriptors and memory allow."""
