--- a/src/lentilwell/gateway/following/_follower.py
+++ b/src/lentilwell/gateway/following/_follower.py
@@ -43,7 +43,11 @@
 from lentilwell.gateway._store_waits import InstanceRank, find_first_wait_ms, find_wait_ms
 from lentilwell.gateway.following._call_plan import CallPlan, CallReason
 from lentilwell.gateway.following._position import Position
-from lentilwell.gateway.following._store_contact import StoreContact
+from lentilwell.gateway.following._store_contact import (
+    COMPLETE_OVERDUE_MS,
+    OVERDUE_MS,
+    StoreContact,
+)
 from lentilwell.gateway.following._tables import (
     Listener,
     TableChange,
@@ -277,11 +281,12 @@
         now = self._clock.now()
         reason = self._find_reason(self._plan.begin_call(now))
         wait_ms = self._choose_wait_ms() if reason is CallReason.POLL else 0
-        self._contact.begin_call(wait_ms, now)
-        self._checking = False
-        self.on_call(self._name, reason)
         after = self._position.confirmed
         self._complete = after is None or (self._has_long_rows and not wait_ms)
+        overdue_ms = COMPLETE_OVERDUE_MS if self._complete else OVERDUE_MS
+        self._contact.begin_call(wait_ms, now, overdue_ms)
+        self._checking = False
+        self.on_call(self._name, reason)
         if after is None or self._complete:
             return await self._feed.read_all()
         listing = await self._feed.read_changes(after.version, wait_ms)
@@ -350,7 +355,8 @@
         newest = self._position.changed
         if is_first or newest <= before:
             return
-        self._changing = not self._fed
+        # Without the versions of the rows, each reading seems to bring a change.
+        self._changing = not self._fed and listing.newest_row > 0
         self.on_change(TableChange(newest.era, before.version, newest.version, b""))
         took_ms = self._clock.now() - self._contact.asked_at
         await asyncio.sleep(max(0, CHANGE_BATCH_MS - took_ms) / MS_PER_SECOND)
--- a/src/lentilwell/gateway/following/_store_contact.py
+++ b/src/lentilwell/gateway/following/_store_contact.py
@@ -6,6 +6,8 @@
 MAX_RETRY_MS = 800
 # A call is overdue this long after the end of its wait. Answers take some ms.
 OVERDUE_MS = 500
+# A complete reading arrives for longer. One that the store does not begin to answer fails before.
+COMPLETE_OVERDUE_MS = 2_000
 # Recoveries of the store within this time are taken for the same one.
 SAME_RECOVERY_MS = 2_000
 
@@ -29,10 +31,10 @@
         # When the store should have answered the calls since its last answer, None if it has.
         self._answer_due_at: int | None = None
 
-    def begin_call(self, wait_ms: int, now: int) -> None:
-        """Record the begin of a call."""
+    def begin_call(self, wait_ms: int, now: int, overdue_ms: int = OVERDUE_MS) -> None:
+        """Record the begin of a call, which is overdue ``overdue_ms`` after the end of its wait."""
         self.asked_at, self.wait_ms = now, wait_ms
-        due_at = now + wait_ms + OVERDUE_MS
+        due_at = now + wait_ms + overdue_ms
         self._answer_due_at = min(due_at, self._answer_due_at or due_at)
 
     def record_answer(self, now: int) -> bool:
--- a/tests/test_gateway_follower.py
+++ b/tests/test_gateway_follower.py
@@ -26,6 +26,7 @@
 from lentilwell.gateway.following._follower import (
     CHANGE_BATCH_MS,
     CHECK_INTERVAL_MS,
+    LONG_ROW_BYTES,
     PROPAGATION_MS,
     Follower,
 )
@@ -278,3 +279,58 @@
     assert 'lentilwell_gateway_table_age_seconds{table="upstreams"}' not in text
     state = json.loads(dump_fleet(fleet, tables))
     assert state["tables"][0]["wait_ms"] == 9_000
+
+
+class LongRows:
+    """A fake table with one long row, whose version is told unless ``versions`` is unset."""
+
+    def __init__(self, versions):
+        self.versions = versions
+        self.written = self.version = 1
+        self.complete = self.polls = 0
+        self.changed = asyncio.Event()
+
+    def write(self):
+        self.version += 1
+        self.written = self.version
+        self.changed.set()
+
+    def answer(self):
+        self.version += 1  # another table was written
+        newest = self.written if self.versions else 0
+        return Listing((Entry("k", "v"),), self.version, 0, newest, b"", LONG_ROW_BYTES)
+
+    async def read_all(self):
+        self.complete += 1
+        await asyncio.sleep(0.004)
+        return self.answer()
+
+    async def read_changes(self, after, wait_ms):
+        assert wait_ms, "changes of long rows are read version by version"
+        self.polls += 1
+        if self.written <= after:
+            self.changed.clear()
+            try:
+                async with asyncio.timeout(wait_ms / 1_000):
+                    await self.changed.wait()
+            except TimeoutError:
+                return Listing((), self.version)
+        return self.answer()
+
+
+@pytest.mark.parametrize("versions", [True, False])
+def test_table_with_long_rows_is_read_whole_until_it_is_unchanged(versions):
+    async def play():
+        table = LongRows(versions)
+        listener = RecordingListener()
+        task = asyncio.ensure_future(Follower("t", table, listener, LoopClock()).run())
+        await asyncio.sleep(3)
+        first = table.complete
+        table.write()
+        await asyncio.sleep(10)
+        assert table.complete - first <= 3
+        assert max(listener.received) >= table.written
+        assert table.polls >= 5
+        task.cancel()
+
+    run_in_simulated_time(play())
