--- a/src/lentilwell/gateway/tunnels/_server.py
+++ b/src/lentilwell/gateway/tunnels/_server.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
+from lentilwell._clock import MS_PER_SECOND
 from lentilwell._timeouts import allow_ms
 from lentilwell.gateway._addresses import split_address
 from lentilwell.gateway._connection import (
@@ -68,48 +69,72 @@
             tunnel.abort()
 
 
-class _CallingEnd(asyncio.Protocol):
-    """The end of a tunnel towards the instance that has asked for it."""
+class _End(asyncio.Protocol):
+    """One of the two connections of a tunnel."""
+
+    def __init__(self) -> None:
+        self._transport: asyncio.Transport | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether the connection has been made and is not being closed."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Store the transport and set the socket options."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        set_dead_peer_timeouts(transport.get_extra_info("socket"), UNACKNOWLEDGED_TIMEOUT_MS)
+
+    def write(self, data: bytes) -> None:
+        """Send bytes."""
+        if self._transport is not None and self.is_open:
+            self._transport.write(data)
+
+    def pause_reading(self) -> None:
+        """Stop reading while the other end takes no more."""
+        if self._transport is not None and self.is_open:
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read again."""
+        if self._transport is not None and self.is_open:
+            self._transport.resume_reading()
+
+    def abort(self) -> None:
+        """Abort the connection."""
+        if self._transport is not None:
+            self._transport.abort()
+
+
+class _CallingEnd(_End):
+    """The connection of the instance that has asked for the tunnel."""
 
     def __init__(self, server: TunnelServer) -> None:
+        super().__init__()
         self._server = server
         self._request = b""
-        self._transport: asyncio.Transport | None = None
         self._upstream: _UpstreamEnd | None = None
         self._opening: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
 
-    def abort(self) -> None:
-        """Abort the tunnel."""
-        if self._transport is not None:
-            self._transport.abort()
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Wait for the request, or refuse it if there are too many tunnels."""
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
-        set_dead_peer_timeouts(transport.get_extra_info("socket"), UNACKNOWLEDGED_TIMEOUT_MS)
+        super().connection_made(transport)
         if not self._server.add(self):
             self.finish(FrameKind.REFUSED)
             return
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(REQUEST_TIMEOUT_MS / 1_000, self.abort)
+        self._timer = loop.call_later(REQUEST_TIMEOUT_MS / MS_PER_SECOND, self.abort)
 
     def data_received(self, data: bytes) -> None:
         """Read the request line, or pass bytes on to the upstream."""
         if self._upstream is not None:
             self._upstream.write(data)
-            return
-        self._request += data
-        try:
-            address = None if self._opening else decode_request(self._request)
-        except UnreadableFrame:
-            self.abort()
-            return
-        if self._opening is not None:
+        elif self._opening is not None:
             self.abort()  # bytes before the tunnel is open belong to no request
-        elif address is not None:
-            self._handle_request(address)
+        else:
+            self._read_request(data)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the upstream's connection, so that it drops the request in flight."""
@@ -131,20 +156,9 @@
         if self._upstream is not None:
             self._upstream.resume_reading()
 
-    def pause_reading(self) -> None:
-        """Stop reading requests while the upstream takes no more."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.pause_reading()
-
-    def resume_reading(self) -> None:
-        """Read requests again."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.resume_reading()
-
     def write_frame(self, kind: FrameKind, data: bytes = b"") -> None:
         """Send a frame to the other instance."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(encode_frame(kind, data))
+        self.write(encode_frame(kind, data))
 
     def finish(self, kind: FrameKind) -> None:
         """Send a last frame and close the tunnel."""
@@ -152,6 +166,16 @@
         if self._transport is not None:
             self._transport.close()
 
+    def _read_request(self, data: bytes) -> None:
+        self._request += data
+        try:
+            address = decode_request(self._request)
+        except UnreadableFrame:
+            self.abort()
+            return
+        if address is not None:
+            self._handle_request(address)
+
     def _handle_request(self, address: str) -> None:
         if self._timer is not None:
             self._timer.cancel()
@@ -170,7 +194,7 @@
             self._server.on_unreachable(address)
             self.finish(FrameKind.UNREACHABLE)
             return
-        if self._transport is None or self._transport.is_closing():
+        if not self.is_open:
             upstream.abort()
             return
         self._upstream = upstream
@@ -178,20 +202,18 @@
         upstream.resume_reading()
 
 
-class _UpstreamEnd(asyncio.Protocol):
-    """The end of a tunnel towards the upstream. It is not read before the tunnel is open."""
+class _UpstreamEnd(_End):
+    """The connection to the upstream. It is not read before the tunnel is open."""
 
     def __init__(self, caller: _CallingEnd) -> None:
+        super().__init__()
         self._caller = caller
-        self._transport: asyncio.Transport | None = None
         self._ended = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport and set the socket options."""
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
-        set_dead_peer_timeouts(transport.get_extra_info("socket"), UNACKNOWLEDGED_TIMEOUT_MS)
-        transport.pause_reading()
+        """Wait until the tunnel is open."""
+        super().connection_made(transport)
+        self.pause_reading()
 
     def data_received(self, data: bytes) -> None:
         """Pass bytes of an answer on."""
@@ -216,23 +238,7 @@
         """Read from the other instance again."""
         self._caller.resume_reading()
 
-    def write(self, data: bytes) -> None:
-        """Send bytes of a request."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(data)
-
     def abort(self) -> None:
-        """Abort the connection."""
+        """Abort the connection, which is no end by the upstream."""
         self._ended = True
-        if self._transport is not None:
-            self._transport.abort()
-
-    def pause_reading(self) -> None:
-        """Stop reading answers."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.pause_reading()
-
-    def resume_reading(self) -> None:
-        """Read answers again."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.resume_reading()
+        super().abort()
