Tunnels: a connection counts as opened when the upstream was reached

Its time was that of the request for the tunnel, up to 350 ms before: an answer on it could have refuted a crash of the upstream in between. The test fails without the change.

--- a/src/lentilwell/gateway/_connection.py
+++ b/src/lentilwell/gateway/_connection.py
@@ -104,6 +104,7 @@
         """Store the transport and set the socket options."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self.opened_at = self._clock.now()
         set_dead_peer_timeouts(transport.get_extra_info("socket"), UNACKNOWLEDGED_TIMEOUT_MS)
 
     def data_received(self, data: bytes) -> None:
--- a/tests/test_gateway_tunnels.py
+++ b/tests/test_gateway_tunnels.py
@@ -237,3 +237,26 @@
             await pair.a.call("/once/x", Deadline_Ms="300")
         assert (await calling).status == 200
         assert sum("last-event-id" in one.headers for one in pair.a.arrivals) == 1
+
+
+@in_loop
+async def test_tunnel_counts_as_opened_when_the_upstream_was_reached():
+    """Else a connection to an upstream that has restarted meanwhile would refute its crash."""
+    async with run_pair(answer_ok) as pair:
+        [upstream] = pair.b.gateway.fleet.directory.listed.values()
+        loop = asyncio.get_running_loop()
+        connect = loop.create_connection
+        reached_at = 0
+
+        async def connect_late(factory, host=None, port=None, **options):
+            nonlocal reached_at
+            if (host, port) in pair.network.upstreams:
+                await asyncio.sleep(0.1)
+                reached_at = pair.a.gateway.clock.now()
+            return await connect(factory, host, port, **options)
+
+        loop.create_connection = connect_late
+        connection = await open_a_tunnel(pair, upstream.address)
+        loop.create_connection = connect
+        assert connection.opened_at >= reached_at > 0
+        connection.close()
