--- a/src/lentilwell/gateway/_gateway.py
+++ b/src/lentilwell/gateway/_gateway.py
@@ -6,15 +6,13 @@
 import signal
 import socket
 import uuid
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Callable
 
 from result import Err
 
 from lentilwell._clock import MS_PER_SECOND, BootClock, Clock
-from lentilwell._listening import LISTEN_BACKLOG, listen_at
+from lentilwell._listening import listen_at
 from lentilwell._log_lines import (
-    CallbackFailed,
     CallerGivenUp,
     EventLoopPaused,
     ExchangeFailed,
@@ -24,12 +22,12 @@
     Started,
     StopBegun,
     Stopped,
-    TaskFailed,
     write_line,
 )
 from lentilwell.gateway._addresses import split_address
 from lentilwell.gateway._answer_observer import AnswerObserver
 from lentilwell.gateway._answers import answer_failure
+from lentilwell.gateway._background import log_unhandled, run_forever
 from lentilwell.gateway._caller_connection import CallerConnection
 from lentilwell.gateway._catalog import Limits
 from lentilwell.gateway._connection_pool import ConnectionPool
@@ -39,6 +37,7 @@
 from lentilwell.gateway._exchange_context import ExchangeContext
 from lentilwell.gateway._fleet import Fleet
 from lentilwell.gateway._leases import LeaseManager
+from lentilwell.gateway._listeners import Listeners
 from lentilwell.gateway._maintenance import run_steps
 from lentilwell.gateway._messages import InboundRequest
 from lentilwell.gateway._metrics import Metrics, dump_fleet
@@ -69,8 +68,6 @@
 # Connections are accepted once the store has been read, which takes a few ms if the store answers,
 # and at the latest this long after the start.
 MAX_STARTUP_WAIT_MS = 500
-# Connections accepted in one round of the event loop, before the first of them can be refused.
-ACCEPTED_PER_ROUND = 8
 STARTUP_POLL_MS = 2
 INCARNATION_LENGTH = 8
 MAINTENANCE_INTERVAL_MS = 250
@@ -87,7 +84,6 @@
 # The ``Retry-After`` of a stopping instance if no other instance serves: about the time that the
 # rest of the stop and the restart take.
 RESTART_RETRY_MS = 1_500
-TASK_RESTART_DELAY_MS = 500
 
 
 class Gateway:
@@ -190,7 +186,7 @@
         self._feeds = feeds
         self.planned_stop = Drain(self.clock, lambda: self.settings.max_stop_ms)
         self._tasks: list[asyncio.Task[None]] = []
-        self._servers: list[asyncio.Server] = []
+        self._listeners = Listeners()
         self.read_changed_settings: Callable[[], GatewaySettings | None] = lambda: None
 
     @property
@@ -237,7 +233,7 @@
         """Answer the requests that arrived just before the end of a planned stop, and stop."""
         # Closing a listener resets the connections in its accept queue, so accept those first.
         await asyncio.sleep(FINAL_ACCEPT_MS / 1_000)
-        self._close_listeners()
+        self._listeners.close()
         idle_ms = 0
         while idle_ms < FINAL_IDLE_MS and self.planned_stop.remaining_ms > 0:
             await asyncio.sleep(FINAL_POLL_MS / 1_000)
@@ -323,26 +319,26 @@
     async def start(self) -> None:
         """Open the listeners and start the background tasks."""
         loop = asyncio.get_running_loop()
-        loop.set_exception_handler(_log_unhandled)
+        loop.set_exception_handler(log_unhandled)
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self.drain)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         probes = StatusConnections()
-        await self._listen(
+        await self._listeners.listen(
             self.settings.ready_address, lambda: StatusProtocol(self._readiness_handlers, probes)
         )
         await self._listen_for_operators()
         self._listener = self._listener or listen_at(self.settings.callers_address)
         host, port = split_address(self.settings.peers_address)
         await loop.create_datagram_endpoint(lambda: self.peers, (host, port))
-        await self._listen(self.settings.peers_address, self.tunnels.make_protocol)
+        await self._listeners.listen(self.settings.peers_address, self.tunnels.make_protocol)
         background_tasks = {
             **self.tables.background_tasks,
             "instances": lambda: self.peers.run_membership(self._feeds.membership),
             "probes": Prober(self.fleet, self.connections).run,
         }
         self._tasks = [
-            loop.create_task(_run_forever(name, run)) for name, run in background_tasks.items()
+            loop.create_task(run_forever(name, run)) for name, run in background_tasks.items()
         ]
         self._tasks.append(loop.create_task(self._accept_when_ready(self._listener)))
         write_line(Started(self.settings.callers_address))
@@ -414,31 +410,20 @@
 
         Requests that arrive while it is still not ready are answered with an error.
         """
-        loop = asyncio.get_running_loop()
         until = self.clock.now() + MAX_STARTUP_WAIT_MS
         while not self.ready and not self.stopping and self.clock.now() < until:
             await asyncio.sleep(STARTUP_POLL_MS / 1_000)
         bound_kernel_buffers(listener)
-        server = await loop.create_server(
-            lambda: CallerConnection(self.clock, self), sock=listener, backlog=ACCEPTED_PER_ROUND
-        )
-        # The number above is also the kernel's queue, which may be longer.
-        listener.listen(LISTEN_BACKLOG)
-        self._servers.append(server)
-
-    async def _listen(
-        self, address: str, make_protocol: Callable[[], asyncio.BaseProtocol]
-    ) -> None:
-        host, port = split_address(address)
-        loop = asyncio.get_running_loop()
-        self._servers.append(await loop.create_server(make_protocol, host, port))
+        await self._listeners.accept(listener, lambda: CallerConnection(self.clock, self))
 
     async def _listen_for_operators(self) -> None:
         """Serve metrics and state; if the address is in use, callers are still served."""
         address = self.settings.metrics_address
         operators = StatusConnections()
         try:
-            await self._listen(address, lambda: StatusProtocol(self._operator_handlers, operators))
+            await self._listeners.listen(
+                address, lambda: StatusProtocol(self._operator_handlers, operators)
+            )
         except OSError as error:
             write_line(MetricsNotServed(address, str(error)))
 
@@ -511,13 +496,9 @@
         """Return when a caller that this instance refuses because it stops should retry."""
         return OTHER_INSTANCE_RETRY_MS if self.peers.others_serve else RESTART_RETRY_MS
 
-    def _close_listeners(self) -> None:
-        for server in self._servers:
-            server.close()
-
     async def stop(self) -> None:
         """End the remaining requests, abort their connections and release all resources."""
-        self._close_listeners()
+        self._listeners.close()
         if any(caller.busy for caller in self._callers):
             for exchange in self._exchanges:
                 exchange.expire()
@@ -535,18 +516,3 @@
         self.tables.relay.close()
         self.peers.close()
         write_line(Stopped())
-
-
-async def _run_forever(name: str, run: Callable[[], Coroutine[None, None, None]]) -> None:
-    """Run a task, and restart it after an exception, so that a bug does not end the process."""
-    while True:
-        try:
-            await run()
-        except Exception as error:
-            write_line(TaskFailed(name), error)
-        await asyncio.sleep(TASK_RESTART_DELAY_MS / 1_000)
-
-
-def _log_unhandled(_loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
-    error = context.get("exception")
-    write_line(CallbackFailed(str(context.get("message"))), error)
