Following: a removal that a whole reading has shown stays the newest change

Cause, in: the reading after it named the version of the newest row again, which is older, so that an instance that had missed the first message kept the removed row until its next own call. The test of the position fails without the change.

--- a/src/lentilwell/gateway/following/_position.py
+++ b/src/lentilwell/gateway/following/_position.py
@@ -67,15 +67,14 @@
         No row of it tells of rows that were removed. These count as changed at its version.
         """
         keys = frozenset(one.key for one in listing.entries)
-        same_era = self.at is not None and self.at.era == listing.era
-        removed = same_era and not self._keys <= keys
+        known = self.at is not None and self.at.era == listing.era
+        newest = listing.newest if listing.entries else self.changed
+        if known:
+            newest = listing.at if self._keys - keys else max(self.changed, newest)
         self.at = self.confirmed = self._base = listing.at
-        self._relayed.clear()
+        self.changed = newest
         self._keys = keys
-        if removed:
-            self.changed = listing.at
-        elif listing.entries:
-            self.changed = listing.newest
+        self._relayed.clear()
 
     def select_new(self, listing: Listing[ValueT], asked_at: StorePoint) -> Listing[ValueT] | None:
         """Return an answer with those of its rows that are new, None if newer rows are known.
--- a/tests/test_following_position.py
+++ b/tests/test_following_position.py
@@ -147,3 +147,12 @@
     assert not position.accepts(1, 4, 9)
     position.apply_complete(Listing((), 5, 1))
     assert position.accepts(era, after, version) is accepted
+
+
+def test_removal_that_a_complete_reading_has_shown_stays_the_newest_change():
+    position = Position()
+    position.apply_complete(Listing((Entry("a", 1), Entry("b", 2)), 5, 1, 2))
+    position.apply_complete(Listing((Entry("a", 1),), 7, 1, 1))
+    assert position.changed == StorePoint(1, 7)
+    position.apply_complete(Listing((Entry("a", 1),), 9, 1, 1))
+    assert position.changed == StorePoint(1, 7)
--- a/tests/test_following_simulated.py
+++ b/tests/test_following_simulated.py
@@ -314,6 +314,27 @@
     check_histories(fleet)
 
 
+@pytest.mark.parametrize("pause_s", [0, 0.05, 0.35])
+@pytest.mark.parametrize("seed", range(3))
+def test_row_that_is_removed_beside_long_changes_is_removed_everywhere(seed, pause_s):
+    """A complete reading does not show that a row was removed."""
+
+    async def script(fleet):
+        fleet.store.link_bytes_per_s = LINK_BYTES_PER_S
+        for number in range(3):
+            fleet.write("op", "evacuate/a", "{}")
+            await asyncio.sleep(0.7)
+            fleet.write("op", "config", f"{number}" * 60_000)
+            await asyncio.sleep(pause_s)
+            fleet.write("op", "evacuate/a", None)
+            await asyncio.sleep(pause_s)
+            fleet.write("op", "config", f"{number}x" * 30_000)
+            await asyncio.sleep(KNOWN_MS / 1_000)
+            check_histories(fleet)
+
+    play(script, seed=seed)
+
+
 FAULTS = st.lists(
     st.tuples(
         st.sampled_from(["kill", "freeze", "cut", "isolate"]),
