--- a/src/lentilwell/gateway/_connection_pool.py
+++ b/src/lentilwell/gateway/_connection_pool.py
@@ -37,8 +37,8 @@
         tunnels: TunnelClient | None = None,
     ) -> None:
         self._clock = clock
-        memory = AnswerMemory(min(max_answer_bytes, MAX_HELD_BYTES))
-        self._connector = Connector(clock, memory, tunnels)
+        self._memory = AnswerMemory(min(max_answer_bytes, MAX_HELD_BYTES))
+        self._connector = Connector(clock, tunnels)
         self._max_descriptor = max_descriptor
         self._idle: dict[str, list[HttpConnection]] = {}
         self._connections: dict[str, weakref.WeakSet[HttpConnection]] = {}
@@ -68,7 +68,7 @@
                 return connection
             connection.close()
         self.opened += 1
-        return self._register(address, await self._connector.open(address))
+        return self._register(address, await self._connector.open(address, self._memory))
 
     async def probe(self, address: str) -> HttpConnection:
         """Return a new connection, which may show that this instance has no path to upstreams.
@@ -76,7 +76,7 @@
         Raise ``Unreachable`` if no connection can be opened.
         """
         self.opened += 1
-        return self._register(address, await self._connector.probe(address))
+        return self._register(address, await self._connector.probe(address, self._memory))
 
     async def probe_path(self, address: str) -> None:
         """Open a direct connection, which ends the use of other instances if it succeeds.
@@ -84,9 +84,9 @@
         Raise ``Unreachable`` if it cannot be opened.
         """
         self.opened += 1
-        connection = self._register(address, await self._connector.open_directly(address))
+        connection = await self._connector.open_directly(address, self._memory)
         self.close()
-        self.release(address, connection)
+        self.release(address, self._register(address, connection))
 
     def _register(self, address: str, connection: HttpConnection) -> HttpConnection:
         self._connections.setdefault(address, weakref.WeakSet()).add(connection)
--- a/src/lentilwell/gateway/_connector.py
+++ b/src/lentilwell/gateway/_connector.py
@@ -13,40 +13,38 @@
 class Connector:
     """Opens the connections of one instance; ``path`` decides by which way.
 
-    Without ``tunnels``, all of them are direct.
+    Without ``tunnels``, all of them are direct. Connections with the same ``memory`` share its
+    bound on what unfinished answers hold.
     """
 
-    def __init__(
-        self, clock: Clock, memory: AnswerMemory, tunnels: TunnelClient | None = None
-    ) -> None:
+    def __init__(self, clock: Clock, tunnels: TunnelClient | None = None) -> None:
         self._clock = clock
-        self._memory = memory
         self._tunnels = tunnels
         self.path = UpstreamPath()
 
-    async def open(self, address: str) -> HttpConnection:
+    async def open(self, address: str, memory: AnswerMemory) -> HttpConnection:
         """Return a new connection to ``host:port``; raise ``Unreachable`` if that fails."""
         if self._tunnels is not None and self.path.cut:
-            return await self._tunnels.open(address, self._memory)
-        return await self.open_directly(address)
+            return await self._tunnels.open(address, memory)
+        return await self.open_directly(address, memory)
 
-    async def probe(self, address: str) -> HttpConnection:
+    async def probe(self, address: str, memory: AnswerMemory) -> HttpConnection:
         """Return a new connection like ``open``, and find out whether the path is cut.
 
         Other instances are asked as well if this one cannot connect and its path is suspect.
         """
         try:
-            return await self.open(address)
+            return await self.open(address, memory)
         except Unreachable:
             now = self._clock.now()
             if self._tunnels is None or self.path.cut or not self.path.is_suspect(now):
                 raise
-            return await self._try_tunnel(self._tunnels, address)
+            return await self._try_tunnel(self._tunnels, address, memory)
 
-    async def open_directly(self, address: str) -> HttpConnection:
+    async def open_directly(self, address: str, memory: AnswerMemory) -> HttpConnection:
         """Return a new direct connection; raise ``Unreachable`` if that fails."""
         try:
-            connection = await open_http_connection(address, self._clock, self._memory)
+            connection = await open_http_connection(address, self._clock, memory)
         except Unreachable:
             self.path.record_failure(address, self._clock.now())
             raise
@@ -54,9 +52,11 @@
             write_line(UpstreamPathRestored(address))
         return connection
 
-    async def _try_tunnel(self, tunnels: TunnelClient, address: str) -> HttpConnection:
+    async def _try_tunnel(
+        self, tunnels: TunnelClient, address: str, memory: AnswerMemory
+    ) -> HttpConnection:
         try:
-            connection = await tunnels.open(address, self._memory)
+            connection = await tunnels.open(address, memory)
         except Unreachable:
             self.path.record_no_tunnel(self._clock.now())
             raise
--- a/tests/test_gateway_recovery.py
+++ b/tests/test_gateway_recovery.py
@@ -154,15 +154,15 @@
         ejection, now = harness.gateway.fleet.ejection, harness.gateway.clock.now()
         connections = harness.gateway.connections
         dead = harness.gateway.fleet.directory.listed["u1"].address
-        acquire = connections.acquire
+        probe = connections.probe
 
-        async def acquire_late(address, fresh):
+        async def probe_late(address):
             if address == dead:
                 await asyncio.sleep(1)
                 raise Unreachable("no answer to the connection request")
-            return await acquire(address, fresh)
+            return await probe(address)
 
-        connections.acquire = acquire_late
+        connections.probe = probe_late
         ejection.record_unreachable("u1", now)
         await asyncio.sleep(0.05)
         ejection.record_unreachable("u0", now)
@@ -175,18 +175,19 @@
 async def test_exception_in_a_probe_does_not_end_the_probes_of_unreachable_upstreams():
     async with run_gateway(answer_ok, answer_ok) as harness:
         ejection, connections = harness.gateway.fleet.ejection, harness.gateway.connections
-        acquire = connections.acquire
+        probe = connections.probe
 
-        async def fail_once(address, fresh):
-            connections.acquire = acquire
+        async def fail_once(address):
+            connections.probe = probe
             raise ZeroDivisionError
 
-        connections.acquire = fail_once
+        connections.probe = fail_once
         for name in ("u0", "u1"):
             ejection.record_unreachable(name, harness.gateway.clock.now())
         async with asyncio.timeout(3):
             while any(map(ejection.is_unreachable, ("u0", "u1"))):
                 await asyncio.sleep(0.02)
+        assert connections.probe == probe
 
 
 @in_loop
