--- a/src/lentilwell/gateway/tunnels/_client.py
+++ b/src/lentilwell/gateway/tunnels/_client.py
@@ -30,7 +30,9 @@
 # The other instance needs up to one connect timeout, and some ms for the messages.
 OPEN_TIMEOUT_MS = CONNECT_TIMEOUT_MS + 100
 # Further instances would not be asked in time for the request.
-MAX_ASKED = 2
+MAX_FAILED = 2
+# A refusal comes at once. In a large data centre that is cut off as a whole, many refuse.
+MAX_REFUSED = 8
 # An instance that refused or did not answer is not asked again for this time.
 AVOID_MS = 2_000
 
@@ -69,24 +71,36 @@
 
         Raise ``Unreachable`` if none of the instances that are asked reaches it.
         """
-        for peer in self._choose_peers():
+        failed = refused = 0
+        for peer in self._shuffle_peers():
             try:
                 connection = await open_tunnel(peer.address, address, self._clock, memory)
             except Unreachable:
-                continue
+                failed += 1
+            except TunnelRefused as error:
+                refused += 1
+                self._avoid(peer, address, error)
             except (OSError, TimeoutError) as error:
-                self._avoid_until[peer.name] = self._clock.now() + AVOID_MS
-                write_line(TunnelFailed(peer.name, address, repr(error)))
-                continue
-            self.on_open()
-            return connection
+                failed += 1
+                self._avoid(peer, address, error)
+            else:
+                self.on_open()
+                return connection
+            if failed >= MAX_FAILED or refused >= MAX_REFUSED:
+                break
         raise Unreachable(f"{address} is not reached through other instances")
 
-    def _choose_peers(self) -> list[TunnelPeer]:
+    def _shuffle_peers(self) -> list[TunnelPeer]:
+        """Return the instances that are not avoided, in random order."""
         now = self._clock.now()
         self._avoid_until = {name: at for name, at in self._avoid_until.items() if at > now}
         peers = [peer for peer in self._list_peers() if peer.name not in self._avoid_until]
-        return self._random.sample(peers, min(MAX_ASKED, len(peers)))
+        self._random.shuffle(peers)
+        return peers
+
+    def _avoid(self, peer: TunnelPeer, address: str, error: Exception) -> None:
+        self._avoid_until[peer.name] = self._clock.now() + AVOID_MS
+        write_line(TunnelFailed(peer.name, address, repr(error)))
 
 
 async def open_tunnel(
--- a/tests/test_gateway_tunnels.py
+++ b/tests/test_gateway_tunnels.py
@@ -9,8 +9,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lentilwell._clock import ManualClock
 from lentilwell.gateway._connection import HttpConnection
-from lentilwell.gateway.tunnels import UpstreamPath
+from lentilwell.gateway._failures import Unreachable
+from lentilwell.gateway.tunnels import TunnelClient, TunnelPeer, UpstreamPath, _client
 from lentilwell.gateway.tunnels._client import TunnelRefused, open_tunnel
 from lentilwell.gateway.tunnels._frames import (
     FrameDecoder,
@@ -184,6 +186,43 @@
         first.close()
 
 
+class ScriptedPeers:
+    """Instances that refuse, do not reach the upstream, or open a tunnel."""
+
+    def __init__(self, monkeypatch, **answers):
+        self.answers, self.asked = answers, []
+        monkeypatch.setattr(_client, "open_tunnel", self.open)
+
+    def list(self):
+        return [TunnelPeer(name, name) for name in self.answers]
+
+    async def open(self, peer, address, clock, memory):
+        self.asked.append(peer)
+        if isinstance(self.answers[peer], Exception):
+            raise self.answers[peer]
+        return peer
+
+
+@pytest.mark.parametrize("seed", range(5))
+@in_loop
+async def test_tunnel_is_opened_beside_many_instances_that_are_cut_off_too(monkeypatch, seed):
+    refusing = {f"r{number}": _client.TunnelRefused() for number in range(_client.MAX_REFUSED - 1)}
+    peers = ScriptedPeers(monkeypatch, **refusing, good="tunnel")
+    client = TunnelClient(ManualClock(), peers.list)
+    client._random.seed(seed)
+    assert await client.open("10.0.0.1:80", None) == "good"
+    assert await client.open("10.0.0.1:80", None) == "good"
+    assert len(peers.asked) == len(set(peers.asked)) + 1, "one that refused was asked again at once"
+
+
+@in_loop
+async def test_instances_that_do_not_reach_an_upstream_are_not_asked_without_end(monkeypatch):
+    peers = ScriptedPeers(monkeypatch, **{f"u{number}": Unreachable() for number in range(9)})
+    with pytest.raises(Unreachable):
+        await TunnelClient(ManualClock(), peers.list).open("10.0.0.1:80", None)
+    assert len(peers.asked) == _client.MAX_FAILED
+
+
 @pytest.mark.parametrize("data", [b"", b"GET / HTTP/1.1\r\n\r\n", b"x" * 100_000])
 @in_loop
 async def test_connection_without_a_valid_request_is_closed_in_time(data):
