--- a/src/lentilwell/gateway/_prober.py
+++ b/src/lentilwell/gateway/_prober.py
@@ -55,9 +55,11 @@
         """Look for a direct path to any upstream while there is none."""
         while True:
             await asyncio.sleep(PROBE_INTERVAL_MS / 1_000)
+            if not self._connections.path_cut:
+                continue
             listed = self._fleet.directory.listed
             usable = [one for one in listed.values() if not self._fleet.is_evacuated(one)]
-            if self._connections.path_cut and usable:
+            if usable:
                 with contextlib.suppress(Unreachable):
                     await self._connections.probe_path(random.choice(usable).address)
 
--- a/src/lentilwell/gateway/following/_position.py
+++ b/src/lentilwell/gateway/following/_position.py
@@ -32,7 +32,7 @@
         self.confirmed: StorePoint | None = None
         self.changed = StorePoint()
         self._base = StorePoint()
-        self._keys: frozenset[str] = frozenset()
+        self._keys: set[str] = set()
         self._relayed: dict[str, Entry[ValueT]] = {}
 
     @property
@@ -66,7 +66,7 @@
 
         No row of it tells of rows that were removed. These count as changed at its version.
         """
-        keys = frozenset(one.key for one in listing.entries)
+        keys = {one.key for one in listing.entries}
         known = self.at is not None and self.at.era == listing.era
         newest = listing.newest if listing.entries else self.changed
         if known:
@@ -129,9 +129,11 @@
             raise HistoryGone(f"version {asked_at.version} of another instance is not known")
 
     def _record_keys(self, changes: Listing[ValueT]) -> None:
-        removed = {one.key: one.removed for one in changes.entries}
-        added = {key for key, gone in removed.items() if not gone}
-        self._keys = self._keys.difference(removed).union(added)
+        for one in changes.entries:
+            if one.removed:
+                self._keys.discard(one.key)
+            else:
+                self._keys.add(one.key)
 
     def _record_change(self, newest: StorePoint) -> None:
         self.changed = max(self.changed, newest)
