--- a/tests/gateway_pair.py
+++ b/tests/gateway_pair.py
@@ -87,6 +87,20 @@
         self.network.hangs = hangs
         self.network.cut = {"a"}
 
+    async def cut_off_a_until_noticed(self) -> None:
+        """Cut gateway ``a`` off, and call it until its connections go through ``b``."""
+        self.cut_off_a()
+        async with asyncio.timeout(SETTLE_TIMEOUT_S):
+            while not self.a.gateway.connections.path_cut:
+                await self.a.call("/whole/x")
+                await asyncio.sleep(0.02)
+
+    async def wait_for_arrivals(self, count: int) -> None:
+        """Wait until the upstreams have received this many requests."""
+        async with asyncio.timeout(SETTLE_TIMEOUT_S):
+            while len(self.a.arrivals) < count:
+                await asyncio.sleep(0.01)
+
     def mend(self) -> None:
         """End all cuts."""
         self.network.cut = set()
