--- a/tests/gateway_pair.py
+++ b/tests/gateway_pair.py
@@ -22,6 +22,8 @@
 )
 
 SETTLE_TIMEOUT_S = 5
+# Bounds the wait for a cut to be noticed, and that for arrivals.
+WAIT_TIMEOUT_S = 3
 
 # The gateway that the running task or callback belongs to.
 _OWNER: ContextVar[str] = ContextVar("owner", default="")
@@ -90,14 +92,14 @@
     async def cut_off_a_until_noticed(self) -> None:
         """Cut gateway ``a`` off, and call it until its connections go through ``b``."""
         self.cut_off_a()
-        async with asyncio.timeout(SETTLE_TIMEOUT_S):
+        async with asyncio.timeout(WAIT_TIMEOUT_S):
             while not self.a.gateway.connections.path_cut:
                 await self.a.call("/whole/x")
                 await asyncio.sleep(0.02)
 
     async def wait_for_arrivals(self, count: int) -> None:
         """Wait until the upstreams have received this many requests."""
-        async with asyncio.timeout(SETTLE_TIMEOUT_S):
+        async with asyncio.timeout(WAIT_TIMEOUT_S):
             while len(self.a.arrivals) < count:
                 await asyncio.sleep(0.01)
 
--- a/tests/test_gateway_tunnels.py
+++ b/tests/test_gateway_tunnels.py
@@ -117,9 +117,9 @@
         earlier = len(pair.a.arrivals)
         _, writer = await pair.a.connect()
         writer.write(pair.a.format("/once/x"))
-        await pair.wait_for_arrivals(earlier + 1)
-        writer.close()
         async with asyncio.timeout(TIMEOUT_S):
+            await pair.wait_for_arrivals(earlier + 1)
+            writer.close()
             await pair.a.arrivals[-1].disconnected.wait()
 
 
